--- /dev/null
+++ b/src/balance/knobs.h
@@ -0,0 +1,50 @@
+// Every tunable of load balancing, in one place. docs/PERFORMANCE.md says which round set which.
+#pragma once
+
+#include "common/types.h"
+
+namespace pumicedyke::balance {
+
+struct BalanceKnobs {
+  /// Weight of the newest latency sample in a leaf's moving average.
+  double latency_weight = 0.2;
+  /// A leaf without samples, and one not asked for a while, counts as this fast.
+  Duration initial_latency = Milliseconds(5);
+  Duration latency_half_life = Seconds(2);
+  /// Reported load loses half of its weight in this time: reports lag.
+  Duration load_half_life = Milliseconds(50);
+  /// A request out this many times longer than usual marks the leaf as stalled.
+  double stall_factor = 4.0;
+  Duration stall_minimum = Milliseconds(15);
+
+  /// Adaptive concurrency (additive increase, multiplicative decrease) per leaf and node.
+  double initial_limit_per_slot = 1.0;
+  double max_limit_per_slot = 2.0;
+  double min_limit = 0.1;
+  double shed_decrease = 0.7;
+  double queue_decrease = 0.95;
+  double increase = 1.0;
+  /// Reported load per slot beyond which the limit goes down.
+  double queue_tolerance = 1.5;
+  Duration decrease_interval = Milliseconds(10);
+
+  /// Consecutive failures that eject a leaf, and for how long at first and at most.
+  int ejection_failures = 3;
+  Duration ejection_time = Milliseconds(500);
+  Duration max_ejection_time = Seconds(8);
+
+  /// Tokens that the extra-load budget can save up.
+  double budget_burst = 10.0;
+
+  /// Latencies kept for the hedge delay.
+  size_t latency_window = 512;
+  Duration initial_hedge_delay = Milliseconds(20);
+  Duration min_hedge_delay = Milliseconds(1);
+
+  /// A request is refused when the expected wait for a free leaf exceeds this part of its deadline
+  /// (priority 0 and 9; in between by line).
+  double admission_low = 0.10;
+  double admission_high = 0.30;
+};
+
+}  // namespace pumicedyke::balance
--- /dev/null
+++ b/src/balance/leaf_pool.cc
@@ -0,0 +1,277 @@
+#include "balance/leaf_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pumicedyke::balance {
+namespace {
+
+double Decay(Duration age, Duration half_life) {
+  return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
+}
+
+}  // namespace
+
+void LeafPool::Configure(const std::string& leaf, uint32_t slots) {
+  auto [it, inserted] = leafs_.try_emplace(leaf);
+  LeafState& state = it->second;
+  if (!inserted && state.slots == slots) {
+    return;
+  }
+  state.slots = slots;
+  state.limit = std::max(1.0, slots * knobs_.initial_limit_per_slot);
+  state.latency = knobs_.initial_latency;
+  state.leaving_in_config = config_leaving_.contains(leaf);
+  state.leaving_on_platform = platform_leaving_.contains(leaf);
+}
+
+void LeafPool::SetLeavingInConfig(const std::set<std::string>& leafs) {
+  config_leaving_ = leafs;
+  for (auto& [name, state] : leafs_) {
+    state.leaving_in_config = leafs.contains(name);
+  }
+}
+
+void LeafPool::SetLeavingOnPlatform(const std::set<std::string>& leafs) {
+  platform_leaving_ = leafs;
+  for (auto& [name, state] : leafs_) {
+    state.leaving_on_platform = leafs.contains(name);
+  }
+}
+
+void LeafPool::SetDraining(const std::string& leaf, bool draining) {
+  const auto it = leafs_.find(leaf);
+  if (it != leafs_.end()) {
+    it->second.draining = draining;
+  }
+}
+
+Duration LeafPool::LatencyOf(const LeafState& state, Timestamp now) const {
+  // An average that nothing refreshed drifts back, so that a leaf that was slow gets tried again.
+  const double weight = Decay(now - state.latency_at, knobs_.latency_half_life);
+  const auto known = static_cast<double>(state.latency.count());
+  const auto initial = static_cast<double>(knobs_.initial_latency.count());
+  return Duration(static_cast<int64_t>(known * weight + initial * (1 - weight)));
+}
+
+double LeafPool::LoadOf(const LeafState& state, Timestamp now) const {
+  const double reported = state.load * Decay(now - state.load_at, knobs_.load_half_life);
+  return std::max(reported, static_cast<double>(state.out.size()));
+}
+
+bool LeafPool::Stalled(const LeafState& state, Timestamp now) const {
+  if (state.out.empty()) {
+    return false;
+  }
+  const Duration usual = LatencyOf(state, now);
+  const auto patience = std::max(
+      knobs_.stall_minimum, Duration(static_cast<int64_t>(knobs_.stall_factor *
+                                                          static_cast<double>(usual.count()))));
+  return now - state.out.begin()->second > patience;
+}
+
+bool LeafPool::HasRoom(const LeafState& state, Timestamp now) const {
+  if (now < state.ejected_until) {
+    return false;
+  }
+  // A leaf back from ejection is tried with one request first.
+  const bool on_probation = state.failures >= knobs_.ejection_failures;
+  if (on_probation) {
+    return state.out.empty();
+  }
+  if (state.limit >= 1.0) {
+    return static_cast<double>(state.out.size()) + 1.0 <= state.limit;
+  }
+  // Less than one request at a time: a pause between requests stands for the fraction.
+  const auto pause = Duration(static_cast<int64_t>(
+      static_cast<double>(LatencyOf(state, now).count()) * (1.0 / state.limit - 1.0)));
+  return state.out.empty() && now - state.last_sent >= pause;
+}
+
+double LeafPool::Score(const LeafState& state, Timestamp now) const {
+  const double queue = LoadOf(state, now) / static_cast<double>(state.slots);
+  const double score = (1.0 + queue) * static_cast<double>(LatencyOf(state, now).count());
+  constexpr double kStalledPenalty = 100.0;
+  return Stalled(state, now) ? score * kStalledPenalty : score;
+}
+
+Availability LeafPool::AvailabilityOf(const std::string& leaf, Timestamp now) const {
+  const auto it = leafs_.find(leaf);
+  if (it == leafs_.end()) {
+    return Availability::kLeaving;
+  }
+  const LeafState& state = it->second;
+  if (state.draining || state.leaving_in_config || state.leaving_on_platform) {
+    return Availability::kLeaving;
+  }
+  return HasRoom(state, now) ? Availability::kReady : Availability::kBusy;
+}
+
+std::optional<std::string> LeafPool::Choose(Timestamp now,
+                                            const std::vector<std::string>& replicas,
+                                            const std::set<std::string>& excluded) {
+  std::optional<std::string> best;
+  double best_score = 0;
+  std::uniform_real_distribution<double> jitter(1.0, 1.05);
+  for (const std::string& replica : replicas) {
+    if (excluded.contains(replica) || AvailabilityOf(replica, now) != Availability::kReady) {
+      continue;
+    }
+    // The jitter keeps nodes that see the same reports from all choosing the same replica.
+    const double score = Score(leafs_.at(replica), now) * jitter(random_);
+    if (!best.has_value() || score < best_score) {
+      best = replica;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void LeafPool::OnSent(Timestamp now, const std::string& leaf, SubRequestId id) {
+  const auto it = leafs_.find(leaf);
+  if (it != leafs_.end()) {
+    it->second.out[id] = now;
+    it->second.last_sent = now;
+  }
+}
+
+void LeafPool::Decrease(LeafState* state, Timestamp now, double factor) {
+  // One decrease per interval: replies that left before the last one say nothing new.
+  if (now - state->last_decrease < knobs_.decrease_interval) {
+    return;
+  }
+  state->last_decrease = now;
+  state->limit = std::max(knobs_.min_limit, state->limit * factor);
+}
+
+void LeafPool::NoteFailure(LeafState* state, Timestamp now) {
+  ++state->failures;
+  if (state->failures < knobs_.ejection_failures) {
+    return;
+  }
+  state->ejection = state->ejection == Duration(0)
+                        ? knobs_.ejection_time
+                        : std::min(2 * state->ejection, knobs_.max_ejection_time);
+  state->ejected_until = now + state->ejection;
+}
+
+void LeafPool::NoteSuccess(LeafState* state, Timestamp now, Duration latency, uint32_t load) {
+  if (state->failures >= knobs_.ejection_failures) {
+    // Back from ejection: start from one request at a time.
+    state->limit = 1.0;
+  }
+  state->failures = 0;
+  state->ejection = Duration(0);
+  const auto sample = static_cast<double>(latency.count());
+  const auto old = static_cast<double>(LatencyOf(*state, now).count());
+  state->latency = Duration(static_cast<int64_t>(old + knobs_.latency_weight * (sample - old)));
+  state->latency_at = now;
+  const bool queues = load > state->slots * knobs_.queue_tolerance;
+  if (queues) {
+    Decrease(state, now, knobs_.queue_decrease);
+    return;
+  }
+  // Grows only while it is what holds requests back.
+  const bool limiting = static_cast<double>(state->out.size()) + 2.0 > state->limit;
+  if (limiting) {
+    const double step = knobs_.increase / std::max(1.0, state->limit);
+    state->limit = std::min(state->limit + step,
+                            std::max(1.0, state->slots * knobs_.max_limit_per_slot));
+  }
+}
+
+std::optional<Duration> LeafPool::OnReply(Timestamp now, const query::LeafReply& reply) {
+  const auto leaf = leafs_.find(reply.leaf);
+  if (leaf == leafs_.end()) {
+    return std::nullopt;
+  }
+  LeafState& state = leaf->second;
+  const bool spoke = reply.status != query::LeafStatus::kFailed &&
+                     reply.status != query::LeafStatus::kNotSent;
+  if (spoke) {
+    state.draining = reply.draining || reply.status == query::LeafStatus::kDraining;
+    state.load = reply.load;
+    state.load_at = now;
+  }
+  const auto out = state.out.find(reply.id);
+  if (out == state.out.end()) {
+    return std::nullopt;
+  }
+  const Duration latency = now - out->second;
+  state.out.erase(out);
+  switch (reply.status) {
+    case query::LeafStatus::kOk:
+      NoteSuccess(&state, now, latency, reply.load);
+      break;
+    case query::LeafStatus::kShed:
+      Decrease(&state, now, knobs_.shed_decrease);
+      break;
+    case query::LeafStatus::kFailed:
+    case query::LeafStatus::kNotSent:
+      NoteFailure(&state, now);
+      break;
+    default:
+      break;
+  }
+  return latency;
+}
+
+void LeafPool::OnAbandoned(Timestamp now, const std::string& leaf, SubRequestId id,
+                           bool timed_out) {
+  const auto it = leafs_.find(leaf);
+  if (it == leafs_.end() || it->second.out.erase(id) == 0) {
+    return;
+  }
+  if (timed_out) {
+    NoteFailure(&it->second, now);
+  }
+}
+
+void LeafPool::AddWaiting(const std::vector<std::string>& replicas, int count) {
+  const double share = static_cast<double>(count) / static_cast<double>(replicas.size());
+  for (const std::string& replica : replicas) {
+    const auto it = leafs_.find(replica);
+    if (it != leafs_.end()) {
+      it->second.waiting = std::max(0.0, it->second.waiting + share);
+    }
+  }
+}
+
+Duration LeafPool::ExpectedWait(Timestamp now, const std::vector<std::string>& replicas) const {
+  double best = -1;
+  for (const std::string& replica : replicas) {
+    const auto it = leafs_.find(replica);
+    if (it == leafs_.end() || AvailabilityOf(replica, now) == Availability::kLeaving) {
+      continue;
+    }
+    const LeafState& state = it->second;
+    const double latency = static_cast<double>(LatencyOf(state, now).count());
+    const double ahead = static_cast<double>(state.out.size()) + state.waiting + 1.0;
+    const double turns = std::max(0.0, ahead / state.limit - 1.0);
+    const double ejected =
+        std::max(0.0, static_cast<double>((state.ejected_until - now).count()));
+    const double wait = turns * latency + ejected;
+    best = best < 0 ? wait : std::min(best, wait);
+  }
+  return Duration(static_cast<int64_t>(std::max(0.0, best)));
+}
+
+uint32_t LeafPool::Outstanding(const std::string& leaf) const {
+  const auto it = leafs_.find(leaf);
+  return it == leafs_.end() ? 0 : static_cast<uint32_t>(it->second.out.size());
+}
+
+double LeafPool::Limit(const std::string& leaf) const {
+  const auto it = leafs_.find(leaf);
+  return it == leafs_.end() ? 0 : it->second.limit;
+}
+
+std::vector<std::string> LeafPool::Names() const {
+  std::vector<std::string> names;
+  for (const auto& [name, state] : leafs_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+}  // namespace pumicedyke::balance
--- /dev/null
+++ b/src/balance/leaf_pool.h
@@ -0,0 +1,97 @@
+// What one node knows of the leafs it sends to: who is leaving, how loaded and how fast each is,
+// and how much this node may have out at each. Chooses replicas.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "balance/knobs.h"
+#include "common/types.h"
+#include "query/messages.h"
+
+namespace pumicedyke::balance {
+
+enum class Availability {
+  kReady,
+  /// Would take work later: its limit is reached or it is ejected for a while.
+  kBusy,
+  /// Takes no new work.
+  kLeaving,
+};
+
+class LeafPool {
+ public:
+  LeafPool(BalanceKnobs knobs, uint64_t seed) : knobs_(knobs), random_(seed) {}
+
+  /// Adds a leaf or sets its slots anew.
+  void Configure(const std::string& leaf, uint32_t slots);
+
+  /// The sources of "leaving"; any one of them is enough (brief: a leaving back end gets no new
+  /// work). A source takes back only its own mark.
+  void SetLeavingInConfig(const std::set<std::string>& leafs);
+  void SetLeavingOnPlatform(const std::set<std::string>& leafs);
+  void SetDraining(const std::string& leaf, bool draining);
+
+  Availability AvailabilityOf(const std::string& leaf, Timestamp now) const;
+
+  /// @return the best replica that is ready and not in `excluded`.
+  std::optional<std::string> Choose(Timestamp now, const std::vector<std::string>& replicas,
+                                    const std::set<std::string>& excluded);
+
+  void OnSent(Timestamp now, const std::string& leaf, SubRequestId id);
+  /// @return the latency, unless the id was not out at the leaf.
+  std::optional<Duration> OnReply(Timestamp now, const query::LeafReply& reply);
+  /// The sub-request was given up; its reply is not waited for.
+  void OnAbandoned(Timestamp now, const std::string& leaf, SubRequestId id, bool timed_out);
+
+  /// Registers sub-requests that wait for one of `replicas`; `count` may be negative.
+  void AddWaiting(const std::vector<std::string>& replicas, int count);
+  /// Expected wait until one of `replicas` is free for one more sub-request.
+  Duration ExpectedWait(Timestamp now, const std::vector<std::string>& replicas) const;
+
+  uint32_t Outstanding(const std::string& leaf) const;
+  double Limit(const std::string& leaf) const;
+  std::vector<std::string> Names() const;
+
+ private:
+  struct LeafState {
+    uint32_t slots = 1;
+    double limit = 1;
+    /// Send times of what is out, by id; ids grow with time, so the first is the oldest.
+    std::map<SubRequestId, Timestamp> out;
+    double waiting = 0;
+    Duration latency{};
+    Timestamp latency_at{};
+    double load = 0;
+    Timestamp load_at{};
+    Timestamp last_decrease{};
+    Timestamp last_sent{};
+    int failures = 0;
+    Timestamp ejected_until{};
+    Duration ejection{};
+    bool draining = false;
+    bool leaving_in_config = false;
+    bool leaving_on_platform = false;
+  };
+
+  Duration LatencyOf(const LeafState& state, Timestamp now) const;
+  double LoadOf(const LeafState& state, Timestamp now) const;
+  bool Stalled(const LeafState& state, Timestamp now) const;
+  bool HasRoom(const LeafState& state, Timestamp now) const;
+  double Score(const LeafState& state, Timestamp now) const;
+  void Decrease(LeafState* state, Timestamp now, double factor);
+  void NoteFailure(LeafState* state, Timestamp now);
+  void NoteSuccess(LeafState* state, Timestamp now, Duration latency, uint32_t load);
+
+  BalanceKnobs knobs_;
+  std::mt19937_64 random_;
+  std::map<std::string, LeafState> leafs_;
+  std::set<std::string> config_leaving_;
+  std::set<std::string> platform_leaving_;
+};
+
+}  // namespace pumicedyke::balance
--- /dev/null
+++ b/src/common/json.h
@@ -0,0 +1,26 @@
+// JSON of the shared value types, and checked access to fields that came from outside.
+#pragma once
+
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "common/types.h"
+#include "nlohmann/json.hpp"
+
+namespace pumicedyke {
+
+using Json = nlohmann::json;
+
+template <typename Tag>
+void to_json(Json& json, const StrongId<Tag>& id) {
+  json = id.value;
+}
+template <typename Tag>
+void from_json(const Json& json, StrongId<Tag>& id) {
+  id.value = json.get<uint64_t>();
+}
+
+/// Parses outside input. @return kMalformedRequest naming `what` if it is not a JSON object.
+absl::StatusOr<Json> ParseObject(const std::string& text, const std::string& what);
+
+}  // namespace pumicedyke
--- /dev/null
+++ b/src/config/config_state.cc
@@ -0,0 +1,139 @@
+#include "config/config_state.h"
+
+#include <algorithm>
+
+#include "common/result_code.h"
+
+namespace pumicedyke::config {
+namespace {
+
+absl::Status Invalid(const std::string& field, const std::string& why) {
+  return MakeStatus(ResultCode::kInvalidConfig, "field '" + field + "': " + why);
+}
+
+}  // namespace
+
+const Service* ConfigState::FindService(const std::string& name) const {
+  const auto it = services_.find(name);
+  return it == services_.end() ? nullptr : &it->second;
+}
+
+absl::Status ConfigState::ValidateService(const Change& change) const {
+  const Service* service = FindService(change.service);
+  if (service == nullptr || service->snapshots.empty()) {
+    return absl::OkStatus();
+  }
+  std::set<std::string> ids;
+  for (const Leaf& leaf : change.leafs) {
+    ids.insert(leaf.id);
+  }
+  for (const Shard& shard : service->snapshots.back().shards) {
+    const bool served = std::any_of(shard.replicas.begin(), shard.replicas.end(),
+                                    [&ids](const std::string& id) { return ids.contains(id); });
+    if (!served) {
+      return Invalid("leafs", "shard " + std::to_string(shard.id.value) +
+                                  " of the newest snapshot would have no leaf");
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status ConfigState::ValidateSnapshot(const Change& change) const {
+  const Service* service = FindService(change.service);
+  if (service == nullptr) {
+    return MakeStatus(ResultCode::kUnknownObject, "field 'service': no service " + change.service);
+  }
+  if (!service->snapshots.empty() && change.snapshot.id <= service->snapshots.back().id) {
+    return Invalid("snapshot.id", "must be above " +
+                                      std::to_string(service->snapshots.back().id.value));
+  }
+  for (const Shard& shard : change.snapshot.shards) {
+    for (const std::string& replica : shard.replicas) {
+      if (!service->leafs.contains(replica)) {
+        return Invalid("snapshot.shards", "shard " + std::to_string(shard.id.value) +
+                                              " names the unknown leaf " + replica);
+      }
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status ConfigState::Validate(const Change& change) const {
+  switch (change.kind) {
+    case ChangeKind::kPutService:
+      return ValidateService(change);
+    case ChangeKind::kPublishSnapshot:
+      return ValidateSnapshot(change);
+    case ChangeKind::kPutPolicy:
+    case ChangeKind::kRemoveService:
+      if (FindService(change.service) == nullptr) {
+        return MakeStatus(ResultCode::kUnknownObject,
+                          "field 'service': no service " + change.service);
+      }
+      return absl::OkStatus();
+    case ChangeKind::kMarkLeaving:
+    case ChangeKind::kClearLeaving:
+      return absl::OkStatus();
+  }
+  return absl::OkStatus();
+}
+
+void ConfigState::Apply(const Change& change) {
+  ++version_.value;
+  switch (change.kind) {
+    case ChangeKind::kPutService: {
+      Service& service = services_[change.service];
+      service.name = change.service;
+      service.leafs.clear();
+      for (const Leaf& leaf : change.leafs) {
+        service.leafs[leaf.id] = leaf;
+      }
+      ++service.revision;
+      break;
+    }
+    case ChangeKind::kRemoveService:
+      services_.erase(change.service);
+      break;
+    case ChangeKind::kPublishSnapshot: {
+      Service& service = services_[change.service];
+      service.snapshots.push_back(change.snapshot);
+      if (service.snapshots.size() > kKeptSnapshots) {
+        service.snapshots.erase(service.snapshots.begin());
+      }
+      ++service.revision;
+      break;
+    }
+    case ChangeKind::kPutPolicy: {
+      Service& service = services_[change.service];
+      service.policy = change.policy;
+      service.policy_version = version_;
+      ++service.revision;
+      break;
+    }
+    case ChangeKind::kMarkLeaving:
+      leaving_.insert(change.leaf);
+      break;
+    case ChangeKind::kClearLeaving:
+      leaving_.erase(change.leaf);
+      break;
+  }
+}
+
+std::string ConfigState::Serialize() const {
+  return Json{{"version", version_}, {"services", services_}, {"leaving", leaving_}}.dump();
+}
+
+absl::StatusOr<ConfigState> ConfigState::Deserialize(const std::string& bytes) {
+  const Json json = Json::parse(bytes, nullptr, /*allow_exceptions=*/false);
+  ConfigState state;
+  try {
+    json.at("version").get_to(state.version_);
+    json.at("services").get_to(state.services_);
+    json.at("leaving").get_to(state.leaving_);
+  } catch (const Json::exception& error) {
+    return MakeStatus(ResultCode::kCorruptState, error.what());
+  }
+  return state;
+}
+
+}  // namespace pumicedyke::config
--- /dev/null
+++ b/src/config/config_state.h
@@ -0,0 +1,45 @@
+// The configuration as a deterministic state machine: the same accepted changes in the same order
+// give the same state on every control machine and every node.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "config/model.h"
+
+namespace pumicedyke::config {
+
+/// How many published snapshots of a service stay usable for running and continued requests.
+constexpr size_t kKeptSnapshots = 3;
+
+class ConfigState {
+ public:
+  ConfigVersion version() const { return version_; }
+  const std::map<std::string, Service>& services() const { return services_; }
+  const Service* FindService(const std::string& name) const;
+  bool IsLeaving(const std::string& leaf) const { return leaving_.contains(leaf); }
+  const std::set<std::string>& leaving() const { return leaving_; }
+
+  /// Whether `change` may be applied now, except for its expected revision.
+  /// @return kInvalidConfig or kUnknownObject naming the field.
+  absl::Status Validate(const Change& change) const;
+
+  /// Applies a valid change and counts the version up.
+  void Apply(const Change& change);
+
+  std::string Serialize() const;
+  static absl::StatusOr<ConfigState> Deserialize(const std::string& bytes);
+
+ private:
+  absl::Status ValidateService(const Change& change) const;
+  absl::Status ValidateSnapshot(const Change& change) const;
+
+  ConfigVersion version_;
+  std::map<std::string, Service> services_;
+  std::set<std::string> leaving_;
+};
+
+}  // namespace pumicedyke::config
--- /dev/null
+++ b/src/config/model.h
@@ -0,0 +1,99 @@
+// The configuration that operators write and every node follows.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/json.h"
+#include "common/types.h"
+
+namespace pumicedyke::config {
+
+/// A back end process that serves replicas of shards.
+struct Leaf {
+  std::string id;
+  /// IP number and port, for instance 127.0.0.1:8080.
+  std::string address;
+  std::string zone;
+  /// Requests it runs at once.
+  uint32_t slots = 1;
+};
+
+/// One shard and the leafs that hold a replica of it.
+struct Shard {
+  ShardId id;
+  std::vector<std::string> replicas;
+};
+
+/// An index version together with the partition map that belongs to it.
+struct PublishedSnapshot {
+  SnapshotId id;
+  std::vector<Shard> shards;
+};
+
+struct Service {
+  std::string name;
+  /// Counts the changes of this service; operators submit against it.
+  uint64_t revision = 0;
+  std::map<std::string, Leaf> leafs;
+  /// Oldest first; the last one is pinned by new requests.
+  std::vector<PublishedSnapshot> snapshots;
+  /// Source of the policy program; empty means the built-in default.
+  std::string policy;
+  /// Version of the configuration that set the policy.
+  ConfigVersion policy_version;
+
+  const PublishedSnapshot* FindSnapshot(SnapshotId id) const;
+};
+
+enum class ChangeKind {
+  kPutService,
+  kRemoveService,
+  kPublishSnapshot,
+  kPutPolicy,
+  kMarkLeaving,
+  kClearLeaving,
+};
+
+/// One change as an operator submits it.
+struct Change {
+  ChangeKind kind = ChangeKind::kPutService;
+  /// A resend under the same id gets the first submission's result.
+  std::string submission_id;
+  /// The service's revision that the operator saw; none means "whatever it is".
+  std::optional<uint64_t> expected_revision;
+  std::string service;
+  std::vector<Leaf> leafs;
+  PublishedSnapshot snapshot;
+  std::string policy;
+  /// The leaf of kMarkLeaving and kClearLeaving.
+  std::string leaf;
+};
+
+/// What became of a submission.
+struct ChangeResult {
+  int code = 0;
+  std::string message;
+  /// Configuration version that the change made, or the current one if it was refused.
+  uint64_t version = 0;
+  /// The service's revision after the change, or the current one if it was refused.
+  uint64_t revision = 0;
+};
+
+void to_json(Json& json, const Change& change);
+void from_json(const Json& json, Change& change);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Leaf, id, address, zone, slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Shard, id, replicas)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PublishedSnapshot, id, shards)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Service, name, revision, leafs, snapshots, policy,
+                                   policy_version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ChangeResult, code, message, version, revision)
+
+/// Reads a change that came from outside, field by field.
+/// @return kInvalidConfig naming the first field that is wrong.
+absl::StatusOr<Change> ParseChange(const Json& json);
+
+}  // namespace pumicedyke::config
--- /dev/null
+++ b/src/consensus/raft.cc
@@ -0,0 +1,762 @@
+#include "consensus/raft.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/result_code.h"
+#include "wire/codec.h"
+
+namespace pumicedyke::consensus {
+
+using wire::EntryKind;
+using wire::LogEntry;
+using wire::Member;
+using wire::RaftMessage;
+using wire::RaftMessageType;
+
+std::string EncodeMembers(const std::vector<Member>& members) {
+  return wire::Encode(wire::StorageRecord(wire::SnapshotData{0, 0, members, {}}));
+}
+
+std::vector<Member> DecodeMembers(const std::string& bytes) {
+  absl::StatusOr<wire::StorageRecord> record = wire::DecodeRecord(bytes);
+  if (!record.ok() || !std::holds_alternative<wire::SnapshotData>(*record)) {
+    return {};
+  }
+  return std::get<wire::SnapshotData>(*record).members;
+}
+
+Raft::Raft(MemberId self, RaftOptions options, storage::LogStorage* storage,
+           storage::RecoveredState recovered, uint64_t seed, Timestamp now)
+    : self_(self),
+      options_(options),
+      storage_(storage),
+      random_(seed),
+      hard_state_(recovered.hard_state),
+      snapshot_(std::move(recovered.snapshot)),
+      entries_(recovered.entries.begin(), recovered.entries.end()),
+      next_heartbeat_(now) {
+  commit_index_ = snapshot_.index;
+  RecomputeMembers();
+  // A replica that restarts may just have helped a leader's lease: it keeps from voting for as
+  // long as that lease can last.
+  leader_heard_ = now;
+  ResetElectionTimer(now);
+  if (snapshot_.index > 0 || !snapshot_.state.empty()) {
+    output_.restored = RestoredSnapshot{snapshot_.index, snapshot_.state};
+  }
+}
+
+uint64_t Raft::last_index() const {
+  return entries_.empty() ? snapshot_.index : entries_.back().index;
+}
+
+std::optional<uint64_t> Raft::TermAt(uint64_t index) const {
+  if (index == snapshot_.index) {
+    return snapshot_.term;
+  }
+  if (index < snapshot_.index || index > last_index()) {
+    return std::nullopt;
+  }
+  return EntryAt(index).term;
+}
+
+bool Raft::IsMember(MemberId id) const {
+  return std::any_of(members_.begin(), members_.end(),
+                     [id](const Member& member) { return member.id == id; });
+}
+
+bool Raft::IsVoter(MemberId id) const {
+  return std::any_of(members_.begin(), members_.end(),
+                     [id](const Member& member) { return member.id == id && member.voter; });
+}
+
+uint64_t Raft::MatchIndex(MemberId id) const {
+  if (id == self_) {
+    return last_index();
+  }
+  const auto it = progress_.find(id);
+  return it == progress_.end() ? 0 : it->second.match;
+}
+
+bool Raft::RecentlyHeard(MemberId id, Timestamp now) const {
+  if (id == self_) {
+    return true;
+  }
+  const auto it = progress_.find(id);
+  return it != progress_.end() && now - it->second.last_heard < options_.election_timeout;
+}
+
+void Raft::RecomputeMembers() {
+  members_ = snapshot_.members;
+  members_index_ = snapshot_.index;
+  for (const LogEntry& entry : entries_) {
+    if (entry.kind == EntryKind::kMembership) {
+      members_ = DecodeMembers(entry.data);
+      members_index_ = entry.index;
+    }
+  }
+}
+
+void Raft::TruncateFrom(uint64_t index) {
+  while (!entries_.empty() && entries_.back().index >= index) {
+    entries_.pop_back();
+  }
+  if (members_index_ >= index) {
+    RecomputeMembers();
+  }
+}
+
+std::vector<MemberId> Raft::OtherMembers(bool voters_only) const {
+  std::vector<MemberId> ids;
+  for (const Member& member : members_) {
+    if (member.id != self_ && (member.voter || !voters_only)) {
+      ids.push_back(member.id);
+    }
+  }
+  return ids;
+}
+
+bool Raft::IsQuorum(const std::set<MemberId>& granted) const {
+  size_t voters = 0;
+  size_t yes = 0;
+  for (const Member& member : members_) {
+    voters += member.voter ? 1 : 0;
+    yes += member.voter && granted.contains(member.id) ? 1 : 0;
+  }
+  return voters > 0 && yes > voters / 2;
+}
+
+bool Raft::Persist(absl::Status status) {
+  if (failure_.ok() && !status.ok()) {
+    failure_ = std::move(status);
+  }
+  return failure_.ok();
+}
+
+bool Raft::SaveHardState() {
+  return Persist(storage_->SaveHardState(hard_state_)) && Persist(storage_->Sync());
+}
+
+RaftMessage Raft::MakeMessage(RaftMessageType type, MemberId to) const {
+  RaftMessage message;
+  message.type = type;
+  message.from = self_;
+  message.to = to;
+  message.term = hard_state_.term;
+  return message;
+}
+
+RaftOutput Raft::TakeOutput() {
+  if (!failure_.ok()) {
+    // What was not synced must not be spoken of.
+    output_ = {};
+  }
+  return std::exchange(output_, {});
+}
+
+// ---- Elections ----------------------------------------------------------------------------------
+
+void Raft::ResetElectionTimer(Timestamp now) {
+  std::uniform_int_distribution<int64_t> spread(0, options_.election_timeout.count());
+  election_deadline_ = now + options_.election_timeout + Duration(spread(random_));
+}
+
+void Raft::BecomeFollower(Timestamp now, uint64_t term, MemberId leader) {
+  const bool was_leader = role_ == Role::kLeader;
+  role_ = Role::kFollower;
+  leader_ = leader;
+  votes_.clear();
+  pending_reads_.clear();
+  if (term > hard_state_.term) {
+    hard_state_ = {term, 0};
+    SaveHardState();
+  }
+  if (was_leader || leader != 0) {
+    ResetElectionTimer(now);
+  }
+}
+
+void Raft::StartPreVote(Timestamp now) {
+  role_ = Role::kPreCandidate;
+  leader_ = 0;
+  votes_ = {self_};
+  ResetElectionTimer(now);
+  if (IsQuorum(votes_)) {
+    StartElection(now, false);
+    return;
+  }
+  for (MemberId id : OtherMembers(true)) {
+    RaftMessage message = MakeMessage(RaftMessageType::kPreVote, id);
+    message.term = hard_state_.term + 1;
+    message.log_index = last_index();
+    message.log_term = TermAt(last_index()).value_or(0);
+    Send(std::move(message));
+  }
+}
+
+void Raft::StartElection(Timestamp now, bool transfer) {
+  role_ = Role::kCandidate;
+  leader_ = 0;
+  votes_ = {self_};
+  hard_state_ = {hard_state_.term + 1, self_};
+  ResetElectionTimer(now);
+  if (!SaveHardState()) {
+    return;
+  }
+  if (IsQuorum(votes_)) {
+    BecomeLeader(now);
+    return;
+  }
+  for (MemberId id : OtherMembers(true)) {
+    RaftMessage message = MakeMessage(RaftMessageType::kVote, id);
+    message.log_index = last_index();
+    message.log_term = TermAt(last_index()).value_or(0);
+    // The old leader has given its lease up: voters need not wait it out.
+    message.context = transfer ? 1 : 0;
+    Send(std::move(message));
+  }
+}
+
+bool Raft::LogIsAsRecent(const RaftMessage& message) const {
+  const uint64_t last_term = TermAt(last_index()).value_or(0);
+  return message.log_term > last_term ||
+         (message.log_term == last_term && message.log_index >= last_index());
+}
+
+void Raft::HandleVoteRequest(Timestamp now, const RaftMessage& message) {
+  const bool pre_vote = message.type == RaftMessageType::kPreVote;
+  const bool transfer = !pre_vote && message.context == 1;
+  // A voter that heard a leader within the election timeout stands by that leader's lease.
+  const bool leader_alive = role_ == Role::kLeader
+                                ? HasLease(now)
+                                : leader_heard_.has_value() &&
+                                      now - *leader_heard_ < options_.election_timeout;
+  const auto reply_type = pre_vote ? RaftMessageType::kPreVoteReply : RaftMessageType::kVoteReply;
+  const bool protects_lease = leader_alive && !transfer && options_.lease_check;
+  if (message.term < hard_state_.term || protects_lease) {
+    RaftMessage reply = MakeMessage(reply_type, message.from);
+    reply.reject = true;
+    Send(std::move(reply));
+    return;
+  }
+  if (pre_vote) {
+    RaftMessage reply = MakeMessage(reply_type, message.from);
+    reply.reject = !LogIsAsRecent(message);
+    reply.term = reply.reject ? hard_state_.term : message.term;
+    Send(std::move(reply));
+    return;
+  }
+  if (message.term > hard_state_.term) {
+    BecomeFollower(now, message.term, 0);
+  }
+  const bool free_to_vote = hard_state_.vote == 0 || hard_state_.vote == message.from;
+  const bool grant = free_to_vote && role_ == Role::kFollower && LogIsAsRecent(message);
+  if (grant) {
+    hard_state_.vote = message.from;
+    ResetElectionTimer(now);
+    if (!SaveHardState()) {
+      return;
+    }
+  }
+  RaftMessage reply = MakeMessage(reply_type, message.from);
+  reply.reject = !grant;
+  Send(std::move(reply));
+}
+
+void Raft::HandleVoteReply(Timestamp now, const RaftMessage& message) {
+  const bool pre_vote = message.type == RaftMessageType::kPreVoteReply;
+  const Role expected_role = pre_vote ? Role::kPreCandidate : Role::kCandidate;
+  const uint64_t expected_term = pre_vote ? hard_state_.term + 1 : hard_state_.term;
+  if (message.reject) {
+    if (message.term > hard_state_.term) {
+      BecomeFollower(now, message.term, 0);
+    }
+    return;
+  }
+  if (role_ != expected_role || message.term != expected_term) {
+    return;
+  }
+  votes_.insert(message.from);
+  if (!IsQuorum(votes_)) {
+    return;
+  }
+  if (pre_vote) {
+    StartElection(now, false);
+  } else {
+    BecomeLeader(now);
+  }
+}
+
+void Raft::BecomeLeader(Timestamp now) {
+  role_ = Role::kLeader;
+  leader_ = self_;
+  progress_.clear();
+  for (MemberId id : OtherMembers(false)) {
+    Progress& progress = progress_[id];
+    progress.next = last_index() + 1;
+    progress.last_heard = now;
+  }
+  next_heartbeat_ = now;
+  // Entries of earlier terms commit only below one of this term (Raft section 5.4.2).
+  AppendAsLeader(now, EntryKind::kNoOp, "").IgnoreError();
+}
+
+void Raft::TransferLeadership(Timestamp now) {
+  if (role_ != Role::kLeader) {
+    return;
+  }
+  MemberId best = 0;
+  for (MemberId id : OtherMembers(true)) {
+    if (RecentlyHeard(id, now) && (best == 0 || MatchIndex(id) > MatchIndex(best))) {
+      best = id;
+    }
+  }
+  if (best == 0) {
+    return;
+  }
+  ReplicateTo(now, best, false);
+  Send(MakeMessage(RaftMessageType::kTimeoutNow, best));
+  // The lease is given up together with the office: the successor's voters do not wait for it.
+  BecomeFollower(now, hard_state_.term, 0);
+}
+
+// ---- Time ---------------------------------------------------------------------------------------
+
+void Raft::Tick(Timestamp now) {
+  if (!failure_.ok()) {
+    return;
+  }
+  if (role_ == Role::kLeader) {
+    StepDownWithoutQuorum(now);
+  }
+  if (role_ == Role::kLeader) {
+    if (now >= next_heartbeat_) {
+      next_heartbeat_ = now + options_.heartbeat_interval;
+      ReplicateToAll(now, true);
+    }
+    AnswerReads(now);
+    return;
+  }
+  if (now >= election_deadline_ && IsVoter(self_)) {
+    StartPreVote(now);
+  }
+}
+
+void Raft::StepDownWithoutQuorum(Timestamp now) {
+  std::set<MemberId> heard = {self_};
+  for (const auto& [id, progress] : progress_) {
+    if (now - progress.last_heard < 2 * options_.election_timeout) {
+      heard.insert(id);
+    }
+  }
+  const bool removed = !IsVoter(self_) && MembersCommitted();
+  if (!IsQuorum(heard) || removed) {
+    BecomeFollower(now, hard_state_.term, 0);
+  }
+}
+
+void Raft::Receive(Timestamp now, const RaftMessage& message) {
+  if (!failure_.ok() || message.to != self_) {
+    return;
+  }
+  const bool from_candidate =
+      message.type == RaftMessageType::kPreVote || message.type == RaftMessageType::kVote;
+  if (from_candidate) {
+    HandleVoteRequest(now, message);
+    return;
+  }
+  const bool vote_reply = message.type == RaftMessageType::kPreVoteReply ||
+                          message.type == RaftMessageType::kVoteReply;
+  if (vote_reply) {
+    HandleVoteReply(now, message);
+    return;
+  }
+  if (message.term < hard_state_.term) {
+    if (message.type == RaftMessageType::kAppend || message.type == RaftMessageType::kSnapshot) {
+      // Tells a deposed leader the newer term.
+      RaftMessage reply = MakeMessage(RaftMessageType::kAppendReply, message.from);
+      reply.reject = true;
+      Send(std::move(reply));
+    }
+    return;
+  }
+  if (message.term > hard_state_.term) {
+    BecomeFollower(now, message.term, 0);
+  }
+  switch (message.type) {
+    case RaftMessageType::kAppend:
+      HandleAppend(now, message);
+      break;
+    case RaftMessageType::kSnapshot:
+      HandleSnapshot(now, message);
+      break;
+    case RaftMessageType::kAppendReply:
+      HandleAppendReply(now, message);
+      break;
+    case RaftMessageType::kTimeoutNow:
+      if (IsVoter(self_)) {
+        StartElection(now, true);
+      }
+      break;
+    case RaftMessageType::kReadIndex:
+      HandleReadIndex(now, message);
+      break;
+    case RaftMessageType::kReadIndexReply:
+      ready_reads_.push_back({message.context, message.log_index});
+      break;
+    default:
+      break;
+  }
+}
+
+// ---- Replication --------------------------------------------------------------------------------
+
+absl::StatusOr<uint64_t> Raft::AppendAsLeader(Timestamp now, EntryKind kind, std::string data) {
+  LogEntry entry{last_index() + 1, hard_state_.term, kind, std::move(data)};
+  const uint64_t index = entry.index;
+  if (!Persist(storage_->Append({entry})) || !Persist(storage_->Sync())) {
+    return failure_;
+  }
+  if (kind == EntryKind::kMembership) {
+    members_ = DecodeMembers(entry.data);
+    members_index_ = index;
+    for (MemberId id : OtherMembers(false)) {
+      auto [it, inserted] = progress_.try_emplace(id);
+      if (inserted) {
+        it->second.next = last_index() + 1;
+        it->second.last_heard = now;
+      }
+    }
+  }
+  entries_.push_back(std::move(entry));
+  ReplicateToAll(now, false);
+  AdvanceCommit(now);
+  return index;
+}
+
+absl::StatusOr<uint64_t> Raft::Propose(Timestamp now, std::string command) {
+  if (role_ != Role::kLeader || !failure_.ok()) {
+    return MakeStatus(ResultCode::kNotLeader, "this replica does not lead");
+  }
+  return AppendAsLeader(now, EntryKind::kCommand, std::move(command));
+}
+
+absl::StatusOr<uint64_t> Raft::ProposeMembers(Timestamp now, std::vector<Member> members) {
+  if (role_ != Role::kLeader || !failure_.ok()) {
+    return MakeStatus(ResultCode::kNotLeader, "this replica does not lead");
+  }
+  // One change at a time, and none before this term has committed an entry: two uncommitted
+  // changes could have quorums that do not overlap (Ongaro's correction of 2015).
+  if (!MembersCommitted() || TermAt(commit_index_) != hard_state_.term) {
+    return MakeStatus(ResultCode::kRevisionConflict, "an earlier membership change is under way");
+  }
+  return AppendAsLeader(now, EntryKind::kMembership, EncodeMembers(members));
+}
+
+void Raft::ReplicateToAll(Timestamp now, bool heartbeat) {
+  for (MemberId id : OtherMembers(false)) {
+    ReplicateTo(now, id, heartbeat);
+  }
+}
+
+void Raft::SendSnapshot(Timestamp now, MemberId id, Progress* progress) {
+  RaftMessage message = MakeMessage(RaftMessageType::kSnapshot, id);
+  message.context = static_cast<uint64_t>(now.time_since_epoch().count());
+  message.commit = commit_index_;
+  message.snapshot = snapshot_;
+  progress->snapshot_retry = now + 4 * options_.election_timeout;
+  Send(std::move(message));
+}
+
+void Raft::ReplicateTo(Timestamp now, MemberId id, bool heartbeat) {
+  const auto it = progress_.find(id);
+  if (it == progress_.end()) {
+    return;
+  }
+  Progress& progress = it->second;
+  if (progress.next < FirstIndex()) {
+    if (now >= progress.snapshot_retry) {
+      SendSnapshot(now, id, &progress);
+      return;
+    }
+    // A bare heartbeat keeps the member from standing for election meanwhile.
+    progress.next = FirstIndex();
+  }
+  RaftMessage message = MakeMessage(RaftMessageType::kAppend, id);
+  message.log_index = progress.next - 1;
+  message.log_term = TermAt(progress.next - 1).value_or(0);
+  message.commit = commit_index_;
+  message.context = static_cast<uint64_t>(now.time_since_epoch().count());
+  const bool may_carry_entries = !progress.probing || heartbeat;
+  size_t bytes = 0;
+  for (uint64_t index = progress.next; may_carry_entries && index <= last_index(); ++index) {
+    const LogEntry& entry = EntryAt(index);
+    bytes += entry.data.size();
+    const bool full = message.entries.size() >= options_.max_entries_per_message ||
+                      bytes > options_.max_bytes_per_message;
+    if (full && !message.entries.empty()) {
+      break;
+    }
+    message.entries.push_back(entry);
+  }
+  if (message.entries.empty() && !heartbeat) {
+    return;
+  }
+  if (!progress.probing) {
+    // Optimistic: a lost message shows as a reject and turns the member back to probing.
+    progress.next += message.entries.size();
+  }
+  Send(std::move(message));
+}
+
+void Raft::HandleAppend(Timestamp now, const RaftMessage& message) {
+  if (role_ == Role::kLeader) {
+    return;
+  }
+  BecomeFollower(now, message.term, message.from);
+  leader_heard_ = now;
+  RaftMessage reply = MakeMessage(RaftMessageType::kAppendReply, message.from);
+  reply.context = message.context;
+  const std::optional<uint64_t> local_term = TermAt(message.log_index);
+  const bool covered = message.log_index < snapshot_.index;
+  if (!covered && local_term != message.log_term) {
+    reply.reject = true;
+    reply.log_index = std::min(last_index(), message.log_index > 0 ? message.log_index - 1 : 0);
+    Send(std::move(reply));
+    return;
+  }
+  std::vector<LogEntry> fresh;
+  for (const LogEntry& entry : message.entries) {
+    if (entry.index <= snapshot_.index) {
+      continue;
+    }
+    if (fresh.empty() && TermAt(entry.index) == entry.term) {
+      continue;
+    }
+    if (fresh.empty()) {
+      TruncateFrom(entry.index);
+    }
+    fresh.push_back(entry);
+  }
+  if (!fresh.empty()) {
+    if (!Persist(storage_->Append(fresh)) || !Persist(storage_->Sync())) {
+      return;
+    }
+    for (LogEntry& entry : fresh) {
+      if (entry.kind == EntryKind::kMembership) {
+        members_ = DecodeMembers(entry.data);
+        members_index_ = entry.index;
+      }
+      entries_.push_back(std::move(entry));
+    }
+  }
+  // Only what this message vouches for is known to equal the leader's log; a suffix beyond it may
+  // be left over from another term.
+  const uint64_t verified = message.log_index + message.entries.size();
+  reply.log_index = std::max(verified, snapshot_.index);
+  SetCommit(std::min(message.commit, reply.log_index));
+  Send(std::move(reply));
+}
+
+void Raft::HandleAppendReply(Timestamp now, const RaftMessage& message) {
+  if (role_ != Role::kLeader) {
+    return;
+  }
+  const auto it = progress_.find(message.from);
+  if (it == progress_.end()) {
+    return;
+  }
+  Progress& progress = it->second;
+  progress.last_heard = now;
+  const Timestamp sent{Duration(static_cast<int64_t>(message.context))};
+  progress.acknowledged = std::max(progress.acknowledged, sent);
+  if (message.reject) {
+    progress.probing = true;
+    progress.next = std::max(progress.match + 1, std::min(progress.next, message.log_index + 1));
+    if (message.log_index + 1 < progress.next) {
+      // The member lost what it had acknowledged before (a new incarnation would have a new id),
+      // or the reply is old; the snapshot or the log brings it back either way.
+      progress.next = message.log_index + 1;
+    }
+    const bool snapshot_under_way = progress.next < FirstIndex() && now < progress.snapshot_retry;
+    if (!snapshot_under_way) {
+      ReplicateTo(now, message.from, true);
+    }
+    return;
+  }
+  progress.match = std::max(progress.match, message.log_index);
+  const bool was_probing = std::exchange(progress.probing, false);
+  progress.next = was_probing ? progress.match + 1 : std::max(progress.next, progress.match + 1);
+  AdvanceCommit(now);
+  AnswerReads(now);
+  if (progress.next <= last_index()) {
+    ReplicateTo(now, message.from, false);
+  }
+}
+
+void Raft::HandleSnapshot(Timestamp now, const RaftMessage& message) {
+  if (role_ == Role::kLeader) {
+    return;
+  }
+  BecomeFollower(now, message.term, message.from);
+  leader_heard_ = now;
+  RaftMessage reply = MakeMessage(RaftMessageType::kAppendReply, message.from);
+  reply.context = message.context;
+  if (message.snapshot.index > commit_index_) {
+    const bool keeps_suffix = TermAt(message.snapshot.index) == message.snapshot.term;
+    if (keeps_suffix) {
+      while (!entries_.empty() && entries_.front().index <= message.snapshot.index) {
+        entries_.pop_front();
+      }
+    } else {
+      entries_.clear();
+    }
+    snapshot_ = message.snapshot;
+    if (!Persist(storage_->SaveSnapshot(snapshot_, hard_state_,
+                                        {entries_.begin(), entries_.end()}))) {
+      return;
+    }
+    commit_index_ = snapshot_.index;
+    RecomputeMembers();
+    output_.applied.clear();
+    output_.restored = RestoredSnapshot{snapshot_.index, snapshot_.state};
+  }
+  reply.log_index = std::max(message.snapshot.index, snapshot_.index);
+  Send(std::move(reply));
+}
+
+void Raft::AdvanceCommit(Timestamp now) {
+  std::vector<uint64_t> matches;
+  for (const Member& member : members_) {
+    if (member.voter) {
+      matches.push_back(MatchIndex(member.id));
+    }
+  }
+  if (matches.empty()) {
+    return;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const uint64_t quorum_index = matches[matches.size() / 2];
+  if (quorum_index <= commit_index_ || TermAt(quorum_index) != hard_state_.term) {
+    return;
+  }
+  SetCommit(quorum_index);
+  // Followers learn the new commit index now rather than at the next heartbeat.
+  ReplicateToAll(now, true);
+  next_heartbeat_ = now + options_.heartbeat_interval;
+}
+
+void Raft::SetCommit(uint64_t index) {
+  while (commit_index_ < index && commit_index_ < last_index()) {
+    ++commit_index_;
+    const LogEntry& entry = EntryAt(commit_index_);
+    if (entry.kind == EntryKind::kCommand) {
+      output_.applied.push_back({entry.index, entry.term, entry.data});
+    }
+  }
+}
+
+absl::Status Raft::Compact(uint64_t index, std::string state) {
+  if (index <= snapshot_.index || index > commit_index_) {
+    return absl::OkStatus();
+  }
+  wire::SnapshotData snapshot;
+  snapshot.index = index;
+  snapshot.term = TermAt(index).value_or(0);
+  snapshot.members = snapshot_.members;
+  snapshot.state = std::move(state);
+  while (!entries_.empty() && entries_.front().index <= index) {
+    if (entries_.front().kind == EntryKind::kMembership) {
+      snapshot.members = DecodeMembers(entries_.front().data);
+    }
+    entries_.pop_front();
+  }
+  snapshot_ = std::move(snapshot);
+  Persist(storage_->SaveSnapshot(snapshot_, hard_state_, {entries_.begin(), entries_.end()}));
+  return failure_;
+}
+
+// ---- Reads --------------------------------------------------------------------------------------
+
+Timestamp Raft::LeaseStart(Timestamp now) const {
+  std::vector<Timestamp> times;
+  for (const Member& member : members_) {
+    if (!member.voter) {
+      continue;
+    }
+    const auto it = progress_.find(member.id);
+    const Timestamp acknowledged =
+        it == progress_.end() ? Timestamp{} : it->second.acknowledged;
+    times.push_back(member.id == self_ ? now : acknowledged);
+  }
+  if (times.empty()) {
+    return Timestamp{};
+  }
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[times.size() / 2];
+}
+
+bool Raft::HasLease(Timestamp now) const {
+  if (role_ != Role::kLeader) {
+    return false;
+  }
+  if (!options_.lease_check) {
+    return true;
+  }
+  // The lease counts from when the acknowledged message was sent: its receivers refuse to vote
+  // for an election timeout from a later moment. A leader reads only what its own term committed.
+  const auto length = std::chrono::duration_cast<Duration>(options_.election_timeout *
+                                                           options_.lease_fraction);
+  return TermAt(commit_index_) == hard_state_.term && now < LeaseStart(now) + length;
+}
+
+void Raft::RequestRead(Timestamp now, uint64_t ticket) {
+  if (role_ == Role::kLeader) {
+    pending_reads_.push_back({self_, ticket, commit_index_, now});
+    AnswerReads(now);
+  } else if (leader_ != 0) {
+    RaftMessage message = MakeMessage(RaftMessageType::kReadIndex, leader_);
+    message.context = ticket;
+    Send(std::move(message));
+  }
+}
+
+void Raft::HandleReadIndex(Timestamp now, const RaftMessage& message) {
+  if (role_ == Role::kLeader) {
+    pending_reads_.push_back({message.from, message.context, commit_index_, now});
+    AnswerReads(now);
+  }
+}
+
+void Raft::AnswerReads(Timestamp now) {
+  if (pending_reads_.empty() || TermAt(commit_index_) != hard_state_.term) {
+    return;
+  }
+  const Timestamp confirmed = LeaseStart(now);
+  const bool lease = HasLease(now);
+  std::vector<PendingRead> waiting;
+  for (const PendingRead& read : pending_reads_) {
+    // Either the lease holds now, or a quorum has acknowledged a message sent after the read
+    // began: both prove that no newer leader had committed anything when it began.
+    const bool proven = lease || confirmed >= read.started;
+    const uint64_t index = std::max(read.index, snapshot_.index);
+    if (!proven) {
+      if (now - read.started < 4 * options_.election_timeout) {
+        waiting.push_back(read);
+      }
+    } else if (read.origin == self_) {
+      ready_reads_.push_back({read.ticket, commit_index_});
+    } else {
+      RaftMessage reply = MakeMessage(RaftMessageType::kReadIndexReply, read.origin);
+      reply.context = read.ticket;
+      reply.log_index = std::max(index, commit_index_);
+      Send(std::move(reply));
+    }
+  }
+  pending_reads_ = std::move(waiting);
+}
+
+std::vector<Raft::ReadReady> Raft::TakeReads() { return std::exchange(ready_reads_, {}); }
+
+}  // namespace pumicedyke::consensus
--- /dev/null
+++ b/src/control/control_server.cc
@@ -0,0 +1,501 @@
+#include "control/control_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/json.h"
+#include "common/result_code.h"
+
+namespace pumicedyke::control {
+namespace {
+
+std::string ResultJson(ResultCode code, const std::string& message, uint64_t version) {
+  return Json(config::ChangeResult{static_cast<int>(code), message, version, 0}).dump();
+}
+
+}  // namespace
+
+ControlServer::ControlServer(ControlOptions options, wire::Identity identity,
+                             storage::LogStorage* storage, storage::RecoveredState recovered,
+                             uint64_t seed, Timestamp now)
+    : options_(std::move(options)),
+      identity_(std::move(identity)),
+      storage_(storage),
+      state_(options_.state),
+      raft_(identity_.member, options_.raft, storage, std::move(recovered), seed, now),
+      next_ticket_(seed | 1) {
+  DrainRaft(now);
+}
+
+wire::Envelope ControlServer::Wrap(wire::Body body) const {
+  return {options_.cluster, state_.config().version().value, std::move(body)};
+}
+
+const wire::Member* ControlServer::FindMember(MemberId id) const {
+  for (const wire::Member& member : raft_.members()) {
+    if (member.id == id) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+void ControlServer::SendToMember(MemberId id, wire::Body body) {
+  const wire::Member* member = FindMember(id);
+  const auto joined = join_addresses_.find(id);
+  if (member != nullptr) {
+    output_.peers.push_back({member->address, Wrap(std::move(body))});
+  } else if (joined != join_addresses_.end()) {
+    output_.peers.push_back({joined->second, Wrap(std::move(body))});
+  }
+}
+
+ControlOutput ControlServer::TakeOutput() { return std::exchange(output_, {}); }
+
+void ControlServer::Tick(Timestamp now) {
+  raft_.Tick(now);
+  DrainRaft(now);
+  ExpirePending(now);
+  std::erase_if(sessions_, [&](const auto& item) {
+    return now - item.second.last_heard > options_.session_timeout;
+  });
+  SendJoin(now);
+  ReplaceLostReplicas(now);
+  DrainRaft(now);
+}
+
+void ControlServer::OnPeerMessage(Timestamp now, const wire::Envelope& envelope) {
+  if (envelope.cluster != options_.cluster) {
+    return;
+  }
+  if (const auto* raft = std::get_if<wire::RaftMessage>(&envelope.body)) {
+    raft_.Receive(now, *raft);
+    const bool from_leader = raft->from == raft_.leader() && raft->term == raft_.term();
+    if (from_leader && raft_.role() == consensus::Role::kFollower) {
+      last_leader_contact_ = now;
+    }
+  } else if (const auto* join = std::get_if<wire::JoinRequest>(&envelope.body)) {
+    OnJoin(now, *join);
+  } else if (const auto* forwarded = std::get_if<wire::Forwarded>(&envelope.body)) {
+    OnForwarded(now, *forwarded);
+  } else if (const auto* reply = std::get_if<wire::ForwardedReply>(&envelope.body)) {
+    OnForwardedReply(*reply);
+  }
+  DrainRaft(now);
+}
+
+void ControlServer::OnNodeMessage(Timestamp now, SessionId session,
+                                  const wire::Envelope& envelope) {
+  if (envelope.cluster != options_.cluster) {
+    return;
+  }
+  if (const auto* hello = std::get_if<wire::NodeHello>(&envelope.body)) {
+    OnHello(now, session, *hello);
+  } else if (const auto* request = std::get_if<wire::LedgerRequest>(&envelope.body)) {
+    OnLedgerRequest(now, session, *request);
+  }
+  DrainRaft(now);
+}
+
+void ControlServer::OnSessionClosed(SessionId session) { sessions_.erase(session); }
+
+// ---- Commands -----------------------------------------------------------------------------------
+
+void ControlServer::Submit(Timestamp now, TicketId ticket, const config::Change& change) {
+  Origin origin;
+  origin.kind = Origin::Kind::kOperator;
+  origin.ticket = ticket;
+  if (shutting_down_) {
+    Answer(origin, ResultJson(ResultCode::kShuttingDown, "this control machine is stopping",
+                              state_.config().version().value));
+    return;
+  }
+  Route(now, EncodeCommand(change), origin);
+  DrainRaft(now);
+}
+
+void ControlServer::Route(Timestamp now, const std::string& command, Origin origin) {
+  origin.deadline = now + options_.submission_timeout;
+  if (raft_.role() == consensus::Role::kLeader) {
+    ProposeHere(now, command, origin);
+    return;
+  }
+  const uint64_t ticket = next_ticket_++;
+  // Without a leader the command is not kept: an answer of "no quorum" must stay true, and the
+  // submission id makes a resend safe.
+  if (raft_.leader() != 0) {
+    SendToMember(raft_.leader(), wire::Forwarded{identity_.member, ticket, command});
+  }
+  forwarded_[ticket] = origin;
+}
+
+void ControlServer::ProposeHere(Timestamp now, const std::string& command, Origin origin) {
+  absl::StatusOr<uint64_t> index = raft_.Propose(now, command);
+  if (index.ok()) {
+    proposals_[*index] = {raft_.term(), origin};
+  }
+}
+
+void ControlServer::Answer(const Origin& origin, const std::string& result) {
+  switch (origin.kind) {
+    case Origin::Kind::kOperator:
+      output_.operators.push_back({origin.ticket, result});
+      break;
+    case Origin::Kind::kPeer:
+      SendToMember(origin.peer, wire::ForwardedReply{origin.ticket, result});
+      break;
+    case Origin::Kind::kLedger: {
+      const Json json = Json::parse(result, nullptr, /*allow_exceptions=*/false);
+      if (!json.is_object() || !json.contains("verdict")) {
+        break;
+      }
+      wire::LedgerReply reply{origin.request, json["verdict"].get<wire::LedgerVerdict>(),
+                              json.value("outcome", "")};
+      output_.sessions.push_back({origin.session, Wrap(std::move(reply))});
+      break;
+    }
+  }
+}
+
+void ControlServer::OnForwarded(Timestamp now, const wire::Forwarded& forwarded) {
+  if (raft_.role() != consensus::Role::kLeader) {
+    return;
+  }
+  Origin origin;
+  origin.kind = Origin::Kind::kPeer;
+  origin.peer = forwarded.origin;
+  origin.ticket = forwarded.ticket;
+  origin.deadline = now + options_.submission_timeout;
+  ProposeHere(now, forwarded.command, origin);
+}
+
+void ControlServer::OnForwardedReply(const wire::ForwardedReply& reply) {
+  const auto it = forwarded_.find(reply.ticket);
+  if (it == forwarded_.end()) {
+    return;
+  }
+  const Origin origin = it->second;
+  forwarded_.erase(it);
+  Answer(origin, reply.result);
+}
+
+void ControlServer::ExpirePending(Timestamp now) {
+  const std::string no_quorum =
+      ResultJson(ResultCode::kNoQuorum,
+                 "no quorum answered in time; resend with the same submission id",
+                 state_.config().version().value);
+  std::erase_if(forwarded_, [&](const auto& item) {
+    const bool expired = now >= item.second.deadline;
+    if (expired) {
+      Answer(item.second, no_quorum);
+    }
+    return expired;
+  });
+  std::erase_if(proposals_, [&](const auto& item) {
+    const bool expired = now >= item.second.origin.deadline;
+    if (expired) {
+      Answer(item.second.origin, no_quorum);
+    }
+    return expired;
+  });
+  std::erase_if(config_reads_, [&](const auto& item) {
+    const bool expired = now >= item.second.deadline;
+    if (expired) {
+      output_.operators.push_back({item.second.ticket, no_quorum});
+    }
+    return expired;
+  });
+}
+
+// ---- The log ------------------------------------------------------------------------------------
+
+void ControlServer::DrainRaft(Timestamp now) {
+  consensus::RaftOutput out = raft_.TakeOutput();
+  if (out.restored.has_value()) {
+    if (!out.restored->state.empty()) {
+      state_.Restore(out.restored->state).IgnoreError();
+    }
+    applied_index_ = out.restored->index;
+  }
+  for (const consensus::Applied& applied : out.applied) {
+    const std::string result = state_.Apply(applied.command);
+    applied_index_ = applied.index;
+    const auto it = proposals_.find(applied.index);
+    if (it != proposals_.end()) {
+      const Proposal proposal = it->second;
+      proposals_.erase(it);
+      // Another term's entry at this index means that ours was replaced: its fate is unknown here.
+      if (proposal.term == applied.term) {
+        Answer(proposal.origin, result);
+      }
+    }
+  }
+  applied_index_ = std::max(applied_index_, raft_.commit_index());
+  if (!out.applied.empty() || out.restored.has_value()) {
+    FeedAll();
+  }
+  for (wire::RaftMessage& message : out.messages) {
+    const MemberId to = message.to;
+    SendToMember(to, std::move(message));
+  }
+  AnswerReads(now);
+  MaybeCompact();
+}
+
+void ControlServer::MaybeCompact() {
+  if (storage_->log_bytes() < options_.snapshot_log_bytes ||
+      applied_index_ <= raft_.snapshot_index()) {
+    return;
+  }
+  raft_.Compact(applied_index_, state_.Serialize()).IgnoreError();
+}
+
+// ---- Reads and the feed -------------------------------------------------------------------------
+
+void ControlServer::ReadConfig(Timestamp now, TicketId ticket) {
+  const uint64_t read = next_ticket_++;
+  config_reads_[read] = {ticket, now + options_.submission_timeout};
+  raft_.RequestRead(now, read);
+  DrainRaft(now);
+}
+
+void ControlServer::AnswerReads(Timestamp now) {
+  for (const consensus::Raft::ReadReady& ready : raft_.TakeReads()) {
+    reads_at_index_.emplace(ready.index, ready.ticket);
+  }
+  while (!reads_at_index_.empty() && reads_at_index_.begin()->first <= applied_index_) {
+    const uint64_t read = reads_at_index_.begin()->second;
+    reads_at_index_.erase(reads_at_index_.begin());
+    if (const auto it = session_reads_.find(read); it != session_reads_.end()) {
+      const auto session = sessions_.find(it->second);
+      if (session != sessions_.end()) {
+        session->second.awaiting_read = false;
+        Feed(session->first, &session->second, /*full=*/true);
+      }
+      session_reads_.erase(it);
+    }
+    if (const auto it = config_reads_.find(read); it != config_reads_.end()) {
+      const bool leads = raft_.role() == consensus::Role::kLeader;
+      // A leader that was frozen between the read and this reply finds its lease gone.
+      if (!leads || raft_.HasLease(now)) {
+        output_.operators.push_back({it->second.ticket, state_.config().Serialize()});
+        config_reads_.erase(it);
+      }
+    }
+  }
+}
+
+bool ControlServer::IsCurrent(Timestamp now) const {
+  if (raft_.role() == consensus::Role::kLeader) {
+    return raft_.HasLease(now);
+  }
+  return raft_.leader() != 0 && now - last_leader_contact_ < 2 * options_.raft.election_timeout;
+}
+
+void ControlServer::OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello) {
+  Session& session = sessions_[id];
+  session.node = hello.node;
+  session.incarnation = hello.incarnation;
+  session.last_heard = now;
+  session.reported_version = hello.version;
+  // A machine cut off from the quorum stays silent, so that the node turns to another one.
+  if (!IsCurrent(now)) {
+    return;
+  }
+  if (hello.starting) {
+    const bool repeat = now - session.read_requested > options_.raft.election_timeout;
+    if (!session.awaiting_read || repeat) {
+      session.awaiting_read = true;
+      session.read_requested = now;
+      std::erase_if(session_reads_, [id](const auto& item) { return item.second == id; });
+      const uint64_t read = next_ticket_++;
+      session_reads_[read] = id;
+      raft_.RequestRead(now, read);
+    }
+    return;
+  }
+  session.sent_version = hello.version;
+  Feed(id, &session, /*full=*/false);
+}
+
+void ControlServer::Feed(SessionId id, Session* session, bool full) {
+  const uint64_t version = state_.config().version().value;
+  wire::ConfigFeed feed;
+  feed.version = version;
+  const auto& changes = state_.changes();
+  const bool has_history =
+      session->sent_version >= version ||
+      (!changes.empty() && changes.front().version <= session->sent_version + 1);
+  if (full || !has_history) {
+    feed.full = true;
+    feed.state = state_.config().Serialize();
+  } else if (session->sent_version < version) {
+    const size_t skip = session->sent_version + 1 - changes.front().version;
+    feed.changes.assign(changes.begin() + static_cast<long>(skip), changes.end());
+  }
+  session->sent_version = version;
+  output_.sessions.push_back({id, Wrap(std::move(feed))});
+}
+
+void ControlServer::FeedAll() {
+  const uint64_t version = state_.config().version().value;
+  for (auto& [id, session] : sessions_) {
+    if (session.sent_version < version && !session.awaiting_read) {
+      Feed(id, &session, /*full=*/false);
+    }
+  }
+}
+
+void ControlServer::OnLedgerRequest(Timestamp now, SessionId id,
+                                    const wire::LedgerRequest& request) {
+  ledger::Operation operation{request.operation, request.key,     request.owner,
+                              request.fingerprint, request.outcome, wall_ms_};
+  Origin origin;
+  origin.kind = Origin::Kind::kLedger;
+  origin.session = id;
+  origin.request = request.request;
+  Route(now, EncodeCommand(operation), origin);
+}
+
+// ---- Replicas -----------------------------------------------------------------------------------
+
+void ControlServer::SendJoin(Timestamp now) {
+  if (raft_.IsMember(identity_.member) || now < next_join_) {
+    return;
+  }
+  next_join_ = now + options_.join_interval;
+  for (const std::string& seed : options_.seeds) {
+    if (seed != options_.address) {
+      const wire::JoinRequest join{identity_.member, identity_.machine, options_.address};
+      output_.peers.push_back({seed, Wrap(join)});
+    }
+  }
+}
+
+void ControlServer::OnJoin(Timestamp now, const wire::JoinRequest& join) {
+  join_addresses_[join.member] = join.address;
+  if (raft_.role() != consensus::Role::kLeader || raft_.IsMember(join.member)) {
+    return;
+  }
+  std::vector<wire::Member> members = raft_.members();
+  // An earlier newcomer of the same machine that never got a vote has been lost as well.
+  std::erase_if(members, [&](const wire::Member& member) {
+    return member.machine == join.machine && !member.voter;
+  });
+  const bool removed_first = members.size() < raft_.members().size();
+  if (!removed_first) {
+    members.push_back({join.member, join.machine, join.address, /*voter=*/false});
+  }
+  raft_.ProposeMembers(now, std::move(members)).status().IgnoreError();
+}
+
+bool ControlServer::CaughtUp(MemberId id, Timestamp now) const {
+  return raft_.RecentlyHeard(id, now) && raft_.MatchIndex(id) >= raft_.commit_index();
+}
+
+void ControlServer::ReplaceLostReplicas(Timestamp now) {
+  const bool may_change = raft_.role() == consensus::Role::kLeader && raft_.MembersCommitted();
+  if (!may_change) {
+    return;
+  }
+  const auto is_voter = [](const wire::Member& member) { return member.voter; };
+  const auto voters = static_cast<size_t>(
+      std::count_if(raft_.members().begin(), raft_.members().end(), is_voter));
+  for (const wire::Member& newcomer : raft_.members()) {
+    const bool ready = CaughtUp(newcomer.id, now) || !options_.catch_up_before_vote;
+    if (newcomer.voter || !ready) {
+      continue;
+    }
+    std::vector<wire::Member> members = raft_.members();
+    const auto lost = std::find_if(members.begin(), members.end(), [&](const auto& member) {
+      return member.machine == newcomer.machine && member.voter;
+    });
+    // The lost incarnation goes before the new one votes: until then a further loss could stop
+    // the group, but two quorums of the same machine can never be formed.
+    if (lost != members.end()) {
+      members.erase(lost);
+    } else if (voters >= options_.seeds.size()) {
+      continue;  // A non-voting relay.
+    } else {
+      const auto self = std::find_if(members.begin(), members.end(), [&](const auto& member) {
+        return member.id == newcomer.id;
+      });
+      self->voter = true;
+    }
+    raft_.ProposeMembers(now, std::move(members)).status().IgnoreError();
+    return;
+  }
+}
+
+bool ControlServer::FullyRedundant(Timestamp now) const {
+  if (raft_.role() != consensus::Role::kLeader || !raft_.HasLease(now) ||
+      !raft_.MembersCommitted()) {
+    return false;
+  }
+  size_t voters = 0;
+  for (const wire::Member& member : raft_.members()) {
+    const bool covered = CaughtUp(member.id, now) || !options_.catch_up_before_vote;
+    if (!member.voter || !covered) {
+      return false;
+    }
+    ++voters;
+  }
+  return voters >= std::max<size_t>(options_.seeds.size(), 1);
+}
+
+std::vector<ReplicaStatus> ControlServer::Replicas(Timestamp now) const {
+  std::vector<ReplicaStatus> replicas;
+  for (const wire::Member& member : raft_.members()) {
+    replicas.push_back({member, raft_.MatchIndex(member.id), raft_.RecentlyHeard(member.id, now)});
+  }
+  return replicas;
+}
+
+std::string ControlServer::StatusJson(Timestamp now) const {
+  const bool leads = raft_.role() == consensus::Role::kLeader && raft_.HasLease(now);
+  Json replicas = Json::array();
+  for (const ReplicaStatus& replica : Replicas(now)) {
+    Json item{{"member", replica.member.id},
+              {"machine", replica.member.machine},
+              {"address", replica.member.address},
+              {"voter", replica.member.voter}};
+    if (leads) {
+      item["match_index"] = replica.match_index;
+      item["alive"] = replica.alive;
+    }
+    replicas.push_back(std::move(item));
+  }
+  Json nodes = Json::array();
+  for (const auto& [id, session] : sessions_) {
+    nodes.push_back({{"node", session.node}, {"version", session.reported_version}});
+  }
+  const wire::Member* leader = FindMember(raft_.leader());
+  return Json{{"code", 0},
+              {"machine", identity_.machine},
+              {"member", identity_.member},
+              {"leads", leads},
+              {"leader", leader == nullptr ? "" : leader->machine},
+              {"term", raft_.term()},
+              {"commit_index", raft_.commit_index()},
+              {"snapshot_index", raft_.snapshot_index()},
+              {"version", state_.config().version().value},
+              {"ledger_entries", state_.ledger().size()},
+              {"fully_redundant", FullyRedundant(now)},
+              {"replicas", std::move(replicas)},
+              {"nodes", std::move(nodes)}}
+      .dump();
+}
+
+// ---- Stopping -----------------------------------------------------------------------------------
+
+void ControlServer::StartShutdown(Timestamp now) {
+  shutting_down_ = true;
+  raft_.TransferLeadership(now);
+  DrainRaft(now);
+}
+
+bool ControlServer::Drained() const {
+  return proposals_.empty() && forwarded_.empty() && config_reads_.empty();
+}
+
+}  // namespace pumicedyke::control
--- /dev/null
+++ b/src/control/control_server.h
@@ -0,0 +1,194 @@
+// One control machine: a replica of the log, the state machine on it, the feed to nodes, operators'
+// submissions, and the replacement of lost replicas. No socket, clock or thread; the owner passes
+// events in and carries the output out.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "common/types.h"
+#include "consensus/raft.h"
+#include "control/control_state.h"
+#include "storage/log_storage.h"
+#include "wire/messages.h"
+
+namespace pumicedyke::control {
+
+struct ControlOptions {
+  std::string cluster;
+  /// Address that peers reach this machine at.
+  std::string address;
+  /// Addresses of the control machines to ask for admission when this one's disk is new.
+  std::vector<std::string> seeds;
+  consensus::RaftOptions raft;
+  ControlStateOptions state;
+  /// The log is replaced by a snapshot beyond this.
+  size_t snapshot_log_bytes = 4 << 20;
+  /// A submission without a quorum's answer by then is answered kNoQuorum.
+  Duration submission_timeout = Seconds(3);
+  Duration join_interval = Milliseconds(300);
+  /// Sessions that greeted nothing for this long count as gone.
+  Duration session_timeout = Seconds(5);
+  /// Off only in simulations that show what the check is for.
+  bool catch_up_before_vote = true;
+};
+
+/// Names one connection of a node to this machine.
+using SessionId = uint64_t;
+/// Names one operator's call that waits for its answer.
+using TicketId = uint64_t;
+
+struct PeerMessage {
+  std::string address;
+  wire::Envelope envelope;
+};
+struct SessionMessage {
+  SessionId session;
+  wire::Envelope envelope;
+};
+struct OperatorReply {
+  TicketId ticket;
+  /// JSON of a config::ChangeResult or of a status document.
+  std::string body;
+};
+
+struct ControlOutput {
+  std::vector<PeerMessage> peers;
+  std::vector<SessionMessage> sessions;
+  std::vector<OperatorReply> operators;
+};
+
+/// What an operator is told about one replica.
+struct ReplicaStatus {
+  wire::Member member;
+  uint64_t match_index = 0;
+  bool alive = false;
+};
+
+class ControlServer {
+ public:
+  /// @param storage holds `recovered`; outlives this object.
+  ControlServer(ControlOptions options, wire::Identity identity, storage::LogStorage* storage,
+                storage::RecoveredState recovered, uint64_t seed, Timestamp now);
+
+  void Tick(Timestamp now);
+  void OnPeerMessage(Timestamp now, const wire::Envelope& envelope);
+  void OnNodeMessage(Timestamp now, SessionId session, const wire::Envelope& envelope);
+  void OnSessionClosed(SessionId session);
+
+  /// An operator's change. The answer comes as an OperatorReply with this ticket, always.
+  /// @param wall_ms wall clock, for the ledger's retention only.
+  void Submit(Timestamp now, TicketId ticket, const config::Change& change);
+  /// A linearizable read of the whole configuration; answered like Submit().
+  void ReadConfig(Timestamp now, TicketId ticket);
+
+  /// Hands leadership over and refuses new submissions; see Drained().
+  void StartShutdown(Timestamp now);
+  /// True when nothing that was admitted waits for an answer any more.
+  bool Drained() const;
+
+  ControlOutput TakeOutput();
+
+  /// @param wall_ms milliseconds since the epoch; kept for ledger claims proposed later.
+  void SetWallClock(int64_t wall_ms) { wall_ms_ = wall_ms; }
+
+  /// True only while every voter of the full set holds everything committed, so that any one of
+  /// them may be lost. Only a leader with a valid lease says so.
+  bool FullyRedundant(Timestamp now) const;
+  std::vector<ReplicaStatus> Replicas(Timestamp now) const;
+  std::string StatusJson(Timestamp now) const;
+
+  const ControlState& state() const { return state_; }
+  const consensus::Raft& raft() const { return raft_; }
+  uint64_t applied_index() const { return applied_index_; }
+  size_t session_count() const { return sessions_.size(); }
+
+ private:
+  struct Session {
+    std::string node;
+    uint64_t incarnation = 0;
+    uint64_t reported_version = 0;
+    uint64_t sent_version = 0;
+    Timestamp last_heard{};
+    /// Waiting for a quorum's read before the first configuration may be sent.
+    bool awaiting_read = false;
+    Timestamp read_requested{};
+  };
+  /// Where the result of a proposed command goes.
+  struct Origin {
+    enum class Kind { kOperator, kLedger, kPeer } kind = Kind::kOperator;
+    TicketId ticket = 0;
+    SessionId session = 0;
+    MemberId peer = 0;
+    uint64_t request = 0;
+    Timestamp deadline{};
+  };
+  struct PendingConfigRead {
+    TicketId ticket;
+    Timestamp deadline;
+  };
+
+  // Commands on their way.
+  void Route(Timestamp now, const std::string& command, Origin origin);
+  void ProposeHere(Timestamp now, const std::string& command, Origin origin);
+  void Answer(const Origin& origin, const std::string& result);
+  void ExpirePending(Timestamp now);
+  void OnForwarded(Timestamp now, const wire::Forwarded& forwarded);
+  void OnForwardedReply(const wire::ForwardedReply& reply);
+
+  // The feed.
+  void OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello);
+  void OnLedgerRequest(Timestamp now, SessionId id, const wire::LedgerRequest& request);
+  void Feed(SessionId id, Session* session, bool full);
+  void FeedAll();
+  bool IsCurrent(Timestamp now) const;
+
+  // Replicas.
+  void OnJoin(Timestamp now, const wire::JoinRequest& join);
+  void SendJoin(Timestamp now);
+  void ReplaceLostReplicas(Timestamp now);
+  bool CaughtUp(MemberId id, Timestamp now) const;
+
+  void DrainRaft(Timestamp now);
+  void AnswerReads(Timestamp now);
+  void MaybeCompact();
+  wire::Envelope Wrap(wire::Body body) const;
+  void SendToMember(MemberId id, wire::Body body);
+  const wire::Member* FindMember(MemberId id) const;
+
+  ControlOptions options_;
+  wire::Identity identity_;
+  storage::LogStorage* storage_;
+  ControlState state_;
+  consensus::Raft raft_;
+  uint64_t applied_index_ = 0;
+  int64_t wall_ms_ = 0;
+
+  std::map<SessionId, Session> sessions_;
+  /// Commands proposed by this leader, by log index; the term tells whether it is still ours.
+  struct Proposal {
+    uint64_t term;
+    Origin origin;
+  };
+  std::map<uint64_t, Proposal> proposals_;
+  /// Commands passed to the leader, by ticket.
+  std::map<uint64_t, Origin> forwarded_;
+  std::map<uint64_t, SessionId> session_reads_;
+  std::map<uint64_t, PendingConfigRead> config_reads_;
+  /// Reads whose index is known but not applied yet: index to read tickets.
+  std::multimap<uint64_t, uint64_t> reads_at_index_;
+  uint64_t next_ticket_ = 1;
+  /// Known addresses of machines that asked to join.
+  std::map<MemberId, std::string> join_addresses_;
+  Timestamp next_join_{};
+  Timestamp last_leader_contact_{};
+  bool shutting_down_ = false;
+  ControlOutput output_;
+};
+
+}  // namespace pumicedyke::control
--- /dev/null
+++ b/src/control/control_state.cc
@@ -0,0 +1,105 @@
+#include "control/control_state.h"
+
+#include "common/json.h"
+#include "common/result_code.h"
+
+namespace pumicedyke::control {
+namespace {
+
+constexpr char kChangeField[] = "change";
+constexpr char kLedgerField[] = "ledger";
+
+}  // namespace
+
+std::string EncodeCommand(const config::Change& change) {
+  return Json{{kChangeField, change}}.dump();
+}
+
+std::string EncodeCommand(const ledger::Operation& operation) {
+  return Json{{kLedgerField, operation}}.dump();
+}
+
+std::string ControlState::Apply(const std::string& command) {
+  const Json json = Json::parse(command, nullptr, /*allow_exceptions=*/false);
+  if (json.is_object() && json.contains(kChangeField)) {
+    absl::StatusOr<config::Change> change = config::ParseChange(json[kChangeField]);
+    if (change.ok()) {
+      return Json(ApplyChange(*change)).dump();
+    }
+  }
+  if (json.is_object() && json.contains(kLedgerField)) {
+    const ledger::Result result = ledger_.Apply(json[kLedgerField].get<ledger::Operation>());
+    return Json{{"verdict", result.verdict}, {"outcome", result.outcome}}.dump();
+  }
+  return Json(config::ChangeResult{static_cast<int>(ResultCode::kCorruptState),
+                                   "command cannot be read", config_.version().value, 0})
+      .dump();
+}
+
+config::ChangeResult ControlState::ApplyChange(const config::Change& change) {
+  const auto known = submissions_.find(change.submission_id);
+  if (known != submissions_.end() && options_.remember_submissions) {
+    return known->second;
+  }
+  const config::ChangeResult result = Decide(change);
+  submissions_[change.submission_id] = result;
+  submission_order_.push_back(change.submission_id);
+  if (submission_order_.size() > kRememberedSubmissions) {
+    submissions_.erase(submission_order_.front());
+    submission_order_.pop_front();
+  }
+  return result;
+}
+
+config::ChangeResult ControlState::Decide(const config::Change& change) {
+  const config::Service* service = config_.FindService(change.service);
+  const uint64_t revision = service == nullptr ? 0 : service->revision;
+  const bool conflict = options_.compare_and_set && change.expected_revision.has_value() &&
+                        *change.expected_revision != revision;
+  if (conflict) {
+    return {static_cast<int>(ResultCode::kRevisionConflict),
+            "field 'expected_revision': the service is at revision " + std::to_string(revision),
+            config_.version().value, revision};
+  }
+  if (absl::Status status = config_.Validate(change); !status.ok()) {
+    return {static_cast<int>(CodeOf(status)), std::string(status.message()),
+            config_.version().value, revision};
+  }
+  config_.Apply(change);
+  changes_.push_back({config_.version().value, Json(change).dump()});
+  if (changes_.size() > kKeptChanges) {
+    changes_.pop_front();
+  }
+  const config::Service* changed = config_.FindService(change.service);
+  return {0, "accepted", config_.version().value, changed == nullptr ? 0 : changed->revision};
+}
+
+std::string ControlState::Serialize() const {
+  return Json{{"config", config_.Serialize()},
+              {"ledger", ledger_.ToJson()},
+              {"submissions", submissions_},
+              {"submission_order", submission_order_}}
+      .dump();
+}
+
+absl::Status ControlState::Restore(const std::string& bytes) {
+  ControlState restored(options_);
+  try {
+    const Json json = Json::parse(bytes);
+    absl::StatusOr<config::ConfigState> config =
+        config::ConfigState::Deserialize(json.at("config").get<std::string>());
+    if (!config.ok()) {
+      return config.status();
+    }
+    restored.config_ = *std::move(config);
+    restored.ledger_.FromJson(json.at("ledger"));
+    json.at("submissions").get_to(restored.submissions_);
+    json.at("submission_order").get_to(restored.submission_order_);
+  } catch (const Json::exception& error) {
+    return MakeStatus(ResultCode::kCorruptState, error.what());
+  }
+  *this = std::move(restored);
+  return absl::OkStatus();
+}
+
+}  // namespace pumicedyke::control
--- /dev/null
+++ b/src/emulator/leaf_model.h
@@ -0,0 +1,118 @@
+// A back end as the brief describes it, for tests, the simulator, benchmarks and the leaf stand-in:
+// slots, stragglers, pauses, cold starts, shedding, draining, cancellation, lagging snapshots.
+// Seeded; no socket, clock or thread.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/types.h"
+#include "query/messages.h"
+
+namespace pumicedyke::emulator {
+
+struct LeafModelOptions {
+  std::string name;
+  uint32_t slots = 2;
+  /// Log-normal service time.
+  double median_ms = 4;
+  double sigma = 0.4;
+  /// Share of sub-requests that take `straggler_min` to `straggler_max` times longer.
+  double straggler_share = 0.01;
+  double straggler_min = 10;
+  double straggler_max = 50;
+  /// The leaf stands still for `pause` every `pause_every`; zero means never.
+  Duration pause{};
+  Duration pause_every = Seconds(10);
+  Duration pause_offset{};
+  /// For this long after its start the leaf is slower by the factor.
+  Duration cold_time{};
+  double cold_factor = 5;
+  /// Sheds what would exceed this many requests per slot, running and queued.
+  double shed_per_slot = 2;
+  size_t results_per_shard = 2;
+  /// True: serves every snapshot and shard it is asked for.
+  bool holds_everything = true;
+  uint64_t seed = 1;
+};
+
+/// What really ran, for checkers.
+struct RunRecord {
+  SubRequestId id;
+  std::string service;
+  std::string idempotency_key;
+  ShardId shard;
+  SnapshotId snapshot;
+  Timestamp started;
+};
+
+class LeafModel {
+ public:
+  LeafModel(LeafModelOptions options, Timestamp now);
+
+  void Submit(Timestamp now, const query::LeafRequest& request);
+  /// Honoured only while the request is still queued.
+  void Cancel(Timestamp now, SubRequestId id);
+  void SetDraining(bool draining) { draining_ = draining; }
+  bool draining() const { return draining_; }
+  void Hold(const std::string& service, SnapshotId snapshot, std::set<ShardId> shards);
+  void Drop(const std::string& service, SnapshotId snapshot);
+
+  /// @return replies that are due.
+  std::vector<query::LeafReply> Advance(Timestamp now);
+  /// When the next reply is due, if any.
+  std::optional<Timestamp> NextEvent() const;
+
+  uint32_t load() const { return static_cast<uint32_t>(running_.size() + queue_.size()); }
+  const std::vector<RunRecord>& runs() const { return runs_; }
+  uint64_t received() const { return received_; }
+  uint64_t shed() const { return shed_; }
+  /// Work accepted while draining; must stay zero a few seconds after draining began.
+  const std::vector<Timestamp>& received_at() const { return received_at_; }
+  void KeepReceivedTimes() { keep_received_times_ = true; }
+
+  /// The results that a shard gives for a query on a snapshot; checkers compare with it.
+  static std::vector<query::ResultItem> ResultsOf(const std::string& service, ShardId shard,
+                                                  SnapshotId snapshot, const std::string& query,
+                                                  size_t count);
+
+ private:
+  struct Job {
+    query::LeafRequest request;
+    Timestamp received;
+  };
+  struct Running {
+    Job job;
+    Timestamp finish;
+  };
+
+  Timestamp AfterPause(Timestamp time) const;
+  Timestamp FinishTime(Timestamp start, Duration service) const;
+  Duration DrawService(Timestamp now);
+  std::optional<query::LeafStatus> Refusal(const query::LeafRequest& request) const;
+  void ReplyAt(Timestamp at, const query::LeafRequest& request, query::LeafStatus status);
+  query::LeafReply MakeReply(const query::LeafRequest& request, query::LeafStatus status) const;
+  void StartQueued(Timestamp now);
+
+  LeafModelOptions options_;
+  std::mt19937_64 random_;
+  Timestamp started_;
+  bool draining_ = false;
+  std::map<std::pair<std::string, SnapshotId>, std::set<ShardId>> held_;
+  std::deque<Job> queue_;
+  std::vector<Running> running_;
+  /// Replies to send at a time: refusals, delayed by a pause.
+  std::multimap<Timestamp, query::LeafReply> replies_;
+  std::vector<RunRecord> runs_;
+  uint64_t received_ = 0;
+  uint64_t shed_ = 0;
+  bool keep_received_times_ = false;
+  std::vector<Timestamp> received_at_;
+};
+
+}  // namespace pumicedyke::emulator
--- /dev/null
+++ b/src/http/metrics.cc
@@ -0,0 +1,57 @@
+#include "http/metrics.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace pumicedyke::http {
+
+void MetricsPage::Counter(const std::string& name, const std::string& help, double value,
+                          const Labels& labels) {
+  samples_.push_back({true, name, help, value, labels});
+}
+
+void MetricsPage::Gauge(const std::string& name, const std::string& help, double value,
+                        const Labels& labels) {
+  samples_.push_back({false, name, help, value, labels});
+}
+
+void MetricsPage::AddProcess() {
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+  };
+  Counter("process_cpu_seconds_total", "User and system processor time.",
+          seconds(usage.ru_utime) + seconds(usage.ru_stime));
+  size_t total_pages = 0;
+  size_t resident_pages = 0;
+  std::ifstream("/proc/self/statm") >> total_pages >> resident_pages;
+  Gauge("process_resident_memory_bytes", "Resident memory.",
+        static_cast<double>(resident_pages) * static_cast<double>(::sysconf(_SC_PAGESIZE)));
+}
+
+std::string MetricsPage::Text() const {
+  std::vector<prometheus::MetricFamily> families;
+  for (const Sample& sample : samples_) {
+    if (families.empty() || families.back().name != sample.name) {
+      prometheus::MetricFamily& family = families.emplace_back();
+      family.name = sample.name;
+      family.help = sample.help;
+      family.type =
+          sample.is_counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
+    }
+    prometheus::ClientMetric& metric = families.back().metric.emplace_back();
+    for (const auto& [name, value] : sample.labels) {
+      metric.label.push_back({name, value});
+    }
+    metric.counter.value = sample.value;
+    metric.gauge.value = sample.value;
+  }
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}  // namespace pumicedyke::http
--- /dev/null
+++ b/src/node/config_subscriber.cc
@@ -0,0 +1,83 @@
+#include "node/config_subscriber.h"
+
+#include <functional>
+#include <utility>
+
+#include "common/json.h"
+
+namespace pumicedyke::node {
+
+ConfigSubscriber::ConfigSubscriber(SubscriberOptions options, Timestamp now)
+    : options_(std::move(options)),
+      control_(std::hash<std::string>{}(options_.node) % options_.control_machines),
+      last_feed_(now),
+      turned_at_(now),
+      next_hello_(now) {}
+
+std::optional<wire::Envelope> ConfigSubscriber::Tick(Timestamp now) {
+  const bool silent = now - last_feed_ > options_.silence_limit &&
+                      now - turned_at_ > options_.silence_limit;
+  if (silent) {
+    TurnToNext(now);
+  }
+  if (now < next_hello_) {
+    return std::nullopt;
+  }
+  next_hello_ = now + options_.hello_interval;
+  wire::NodeHello hello{options_.node, options_.incarnation, config_.version().value, !ready_};
+  return wire::Envelope{options_.cluster, config_.version().value, std::move(hello)};
+}
+
+void ConfigSubscriber::TurnToNext(Timestamp now) {
+  control_ = (control_ + 1) % options_.control_machines;
+  turned_at_ = now;
+  next_hello_ = now;
+}
+
+void ConfigSubscriber::OnDisconnected(Timestamp now) { TurnToNext(now); }
+
+bool ConfigSubscriber::OnFeed(Timestamp now, const wire::ConfigFeed& feed) {
+  const uint64_t before = config_.version().value;
+  if (feed.version < before && options_.monotone_version) {
+    // A replica that restarted and is behind: it vouches for nothing that this node has.
+    return false;
+  }
+  if (feed.full) {
+    absl::StatusOr<config::ConfigState> state = config::ConfigState::Deserialize(feed.state);
+    if (!state.ok()) {
+      return false;
+    }
+    const bool older = state->version().value < before;
+    if (older && options_.monotone_version) {
+      return false;
+    }
+    config_ = *std::move(state);
+    ready_ = true;
+  } else if (!ready_ || !ApplyChanges(feed)) {
+    next_hello_ = now;
+    return config_.version().value != before;
+  }
+  last_feed_ = now;
+  return config_.version().value != before || feed.full;
+}
+
+bool ConfigSubscriber::ApplyChanges(const wire::ConfigFeed& feed) {
+  for (const wire::ConfigChange& change : feed.changes) {
+    const uint64_t version = config_.version().value;
+    if (change.version <= version) {
+      continue;
+    }
+    if (change.version != version + 1) {
+      return false;  // A message was lost; the next greeting says from where to go on.
+    }
+    absl::StatusOr<config::Change> parsed =
+        config::ParseChange(Json::parse(change.command, nullptr, /*allow_exceptions=*/false));
+    if (!parsed.ok()) {
+      return false;
+    }
+    config_.Apply(*parsed);
+  }
+  return config_.version().value >= feed.version;
+}
+
+}  // namespace pumicedyke::node
--- /dev/null
+++ b/src/node/config_subscriber.h
@@ -0,0 +1,58 @@
+// A node's side of the configuration feed: greets a control machine, applies what it sends in
+// order, never goes back, and turns to another machine when one stays silent.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/types.h"
+#include "config/config_state.h"
+#include "wire/messages.h"
+
+namespace pumicedyke::node {
+
+struct SubscriberOptions {
+  std::string cluster;
+  std::string node;
+  uint64_t incarnation = 0;
+  size_t control_machines = 1;
+  Duration hello_interval = Milliseconds(250);
+  /// Silence after which another control machine is tried.
+  Duration silence_limit = Milliseconds(1000);
+  /// Off only in simulations that show what the check is for.
+  bool monotone_version = true;
+};
+
+class ConfigSubscriber {
+ public:
+  ConfigSubscriber(SubscriberOptions options, Timestamp now);
+
+  /// @return the greeting to send now to the machine `control()`, if one is due.
+  std::optional<wire::Envelope> Tick(Timestamp now);
+  /// @return whether the configuration changed.
+  bool OnFeed(Timestamp now, const wire::ConfigFeed& feed);
+  /// The connection broke: the next machine is tried at once.
+  void OnDisconnected(Timestamp now);
+
+  /// Index of the control machine to talk to.
+  size_t control() const { return control_; }
+  bool ready() const { return ready_; }
+  const config::ConfigState& config() const { return config_; }
+  /// Time since a control machine that reaches a quorum vouched for the configuration.
+  Duration Age(Timestamp now) const { return now - last_feed_; }
+
+ private:
+  void TurnToNext(Timestamp now);
+  bool ApplyChanges(const wire::ConfigFeed& feed);
+
+  SubscriberOptions options_;
+  config::ConfigState config_;
+  bool ready_ = false;
+  size_t control_;
+  Timestamp last_feed_;
+  Timestamp turned_at_;
+  Timestamp next_hello_;
+};
+
+}  // namespace pumicedyke::node
--- /dev/null
+++ b/src/node/id_source.h
@@ -0,0 +1,22 @@
+// Ids that never recur, also not after a restart: each carries the process's incarnation.
+#pragma once
+
+#include <cstdint>
+
+namespace pumicedyke::node {
+
+constexpr int kCounterBits = 40;
+constexpr uint64_t kMaxIncarnation = (uint64_t{1} << (64 - kCounterBits)) - 1;
+
+class IdSource {
+ public:
+  /// @param incarnation grows with every start of the process (see incarnation_store.h).
+  explicit IdSource(uint64_t incarnation) : next_((incarnation << kCounterBits) + 1) {}
+
+  uint64_t Next() { return next_++; }
+
+ private:
+  uint64_t next_;
+};
+
+}  // namespace pumicedyke::node
--- /dev/null
+++ b/src/node/node_server.cc
@@ -0,0 +1,528 @@
+#include "node/node_server.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "common/result_code.h"
+
+namespace pumicedyke::node {
+
+using query::Answer;
+using query::RunState;
+
+namespace {
+
+constexpr Duration kOverloadRetryAfter = Milliseconds(200);
+constexpr size_t kMaxLedgerOutcomeBytes = 32 * 1024;
+
+uint64_t Fingerprint(const query::CallerRequest& request) {
+  const std::string text = request.service + '\0' + request.query + '\0' + request.request_class;
+  return XXH64(text.data(), text.size(), 0);
+}
+
+const config::PublishedSnapshot* SnapshotFor(const config::Service& service,
+                                             const query::CallerRequest& request) {
+  if (service.snapshots.empty()) {
+    return nullptr;
+  }
+  return request.snapshot.has_value() ? service.FindSnapshot(*request.snapshot)
+                                      : &service.snapshots.back();
+}
+
+}  // namespace
+
+NodeServer::NodeServer(NodeOptions options, Timestamp now)
+    : options_(std::move(options)),
+      ids_(options_.incarnation),
+      subscriber_(options_.subscriber, now),
+      ledger_(options_.subscriber.cluster, &ids_),
+      pool_(options_.knobs, options_.seed) {}
+
+NodeOutput NodeServer::TakeOutput() { return std::exchange(output_, {}); }
+
+// ---- Configuration ------------------------------------------------------------------------------
+
+void NodeServer::OnControlMessage(Timestamp now, const wire::Envelope& envelope) {
+  if (envelope.cluster != options_.subscriber.cluster) {
+    return;
+  }
+  if (const auto* feed = std::get_if<wire::ConfigFeed>(&envelope.body)) {
+    if (subscriber_.OnFeed(now, *feed)) {
+      ApplyConfig();
+    }
+  } else if (const auto* reply = std::get_if<wire::LedgerReply>(&envelope.body)) {
+    if (const auto verdict = ledger_.OnReply(now, *reply)) {
+      OnClaimVerdict(now, *verdict);
+    }
+  }
+}
+
+void NodeServer::OnControlDisconnected(Timestamp now) { subscriber_.OnDisconnected(now); }
+
+void NodeServer::ApplyConfig() {
+  const config::ConfigState& config = subscriber_.config();
+  for (const auto& [name, service] : config.services()) {
+    ServiceRuntime& runtime = services_[name];
+    const bool unchanged =
+        runtime.service != nullptr && runtime.service->revision == service.revision;
+    if (unchanged) {
+      continue;
+    }
+    runtime.service = std::make_shared<const config::Service>(service);
+    if (runtime.budget == nullptr) {
+      runtime.budget = std::make_shared<balance::ExtraLoadBudget>(options_.knobs.budget_burst);
+      runtime.latencies = std::make_shared<balance::LatencyTracker>(
+          options_.knobs.latency_window, options_.knobs.initial_hedge_delay);
+    }
+    for (const auto& [id, leaf] : service.leafs) {
+      pool_.Configure(id, leaf.slots);
+    }
+    CompilePolicy(&runtime);
+  }
+  std::erase_if(services_, [&](const auto& item) {
+    return config.FindService(item.first) == nullptr;
+  });
+  if (options_.leaving_mark) {
+    pool_.SetLeavingInConfig(config.leaving());
+  }
+}
+
+void NodeServer::CompilePolicy(ServiceRuntime* runtime) {
+  const std::string& source = runtime->service->policy;
+  if (source == runtime->policy_source) {
+    return;
+  }
+  runtime->policy_source = source;
+  // Control accepted the program after trying it. Should it fail here all the same, the one in
+  // force stays: a running policy beats none.
+  auto program = policy::PolicyProgram::Compile(source);
+  if (program.ok()) {
+    runtime->program = *std::move(program);
+  }
+}
+
+// ---- Admission ----------------------------------------------------------------------------------
+
+absl::StatusOr<policy::QueryPlan> NodeServer::PlanFor(const ServiceRuntime& runtime,
+                                                      const query::CallerRequest& request) const {
+  policy::QueryPlan plan;
+  if (options_.plan_override.has_value()) {
+    plan = *options_.plan_override;
+  } else if (runtime.program != nullptr) {
+    const size_t shards = runtime.service->snapshots.back().shards.size();
+    absl::StatusOr<policy::QueryPlan> planned = runtime.program->Plan(
+        {request.request_class, request.deadline, shards, !request.idempotency_key.empty()});
+    if (!planned.ok()) {
+      return MakeStatus(ResultCode::kUnknownRequestClass, std::string(planned.status().message()));
+    }
+    plan = *planned;
+  }
+  // The caller may wait less than the policy allows, never longer.
+  if (request.deadline.count() > 0 && request.deadline < plan.deadline) {
+    plan.deadline = request.deadline;
+    plan.wait = std::min(plan.wait, plan.deadline);
+  }
+  return plan;
+}
+
+std::optional<Duration> NodeServer::RefusalWait(Timestamp now, const policy::QueryPlan& plan,
+                                                const query::CallerRequest& request,
+                                                const config::PublishedSnapshot& snapshot) const {
+  if (active_.size() >= options_.max_in_progress) {
+    return kOverloadRetryAfter;
+  }
+  if (!options_.admission_control) {
+    return std::nullopt;
+  }
+  Duration longest{};
+  for (const config::Shard& shard : snapshot.shards) {
+    const bool wanted = request.shards.empty() ||
+                        std::find(request.shards.begin(), request.shards.end(), shard.id) !=
+                            request.shards.end();
+    if (wanted) {
+      longest = std::max(longest, pool_.ExpectedWait(now, shard.replicas));
+    }
+  }
+  constexpr double kTopPriority = 9.0;
+  const double share =
+      options_.knobs.admission_low + (options_.knobs.admission_high - options_.knobs.admission_low) *
+                                         plan.priority / kTopPriority;
+  const auto bearable = std::chrono::duration_cast<Duration>(plan.deadline * share);
+  if (longest <= bearable) {
+    return std::nullopt;
+  }
+  return std::max(longest - bearable, Milliseconds(1));
+}
+
+void NodeServer::OnCallerRequest(Timestamp now, RequestId id,
+                                 const query::CallerRequest& request) {
+  ++counters_.requests;
+  const auto refuse = [&](ResultCode code, const std::string& message, Duration retry = {}) {
+    Refuse(now, id, code, message, RunState::kNotRun, retry);
+  };
+  if (!subscriber_.ready()) {
+    refuse(ResultCode::kNotReady, "the configuration is not known yet", Milliseconds(500));
+    return;
+  }
+  const auto found = services_.find(request.service);
+  if (found == services_.end()) {
+    refuse(ResultCode::kUnknownService, "field 'service': no service " + request.service);
+    return;
+  }
+  const ServiceRuntime& runtime = found->second;
+  const config::PublishedSnapshot* snapshot = SnapshotFor(*runtime.service, request);
+  if (snapshot == nullptr) {
+    refuse(request.snapshot.has_value() ? ResultCode::kSnapshotGone : ResultCode::kNoSnapshot,
+           "no such snapshot is published");
+    return;
+  }
+  absl::StatusOr<policy::QueryPlan> plan = PlanFor(runtime, request);
+  if (!plan.ok()) {
+    refuse(CodeOf(plan.status()), std::string(plan.status().message()));
+    return;
+  }
+  for (const ShardId& wanted : request.shards) {
+    const bool known = std::any_of(snapshot->shards.begin(), snapshot->shards.end(),
+                                   [&](const config::Shard& shard) { return shard.id == wanted; });
+    if (!known) {
+      refuse(ResultCode::kMalformedRequest,
+             "field 'shards': no shard " + std::to_string(wanted.value));
+      return;
+    }
+  }
+  if (!plan->repeatable && request.idempotency_key.empty()) {
+    refuse(ResultCode::kMissingIdempotencyKey,
+           "this request must not run twice: send an Idempotency-Key header");
+    return;
+  }
+  if (const auto wait = RefusalWait(now, *plan, request, *snapshot)) {
+    refuse(ResultCode::kOverloaded, "the back ends are busy", *wait);
+    return;
+  }
+  Active& active = active_[id];
+  active.request = request;
+  active.plan = *plan;
+  active.program = runtime.program;
+  active.snapshot = snapshot->id;
+  active.deadline = now + plan->deadline;
+  if (plan->repeatable) {
+    // A key on repeatable work is accepted and has no effect.
+    active.request.idempotency_key.clear();
+    StartExecution(now, id, &active);
+  } else if (!options_.ledger_before_dispatch) {
+    StartExecution(now, id, &active);
+  } else {
+    StartClaim(now, id, &active);
+  }
+}
+
+void NodeServer::Refuse(Timestamp now, RequestId id, ResultCode code, const std::string& message,
+                        RunState run, Duration retry_after) {
+  ++counters_.refused;
+  Answer answer;
+  answer.code = code;
+  answer.message = message;
+  answer.run = run;
+  answer.retry_after = retry_after;
+  answer.config_version = subscriber_.config().version();
+  answer.config_age = subscriber_.Age(now);
+  output_.answers.push_back({id, std::move(answer)});
+}
+
+void NodeServer::StartClaim(Timestamp now, RequestId id, Active* active) {
+  active->ledger_key = active->request.service + "/" + active->request.idempotency_key;
+  active->claim_owner = ledger_.Claim(now, active->ledger_key, Fingerprint(active->request));
+  active->claim_pending = true;
+  claims_[active->claim_owner] = id;
+  Schedule(id, active->deadline);
+  for (wire::Envelope& envelope : ledger_.Tick(now)) {
+    output_.control.push_back(std::move(envelope));
+  }
+}
+
+void NodeServer::StartExecution(Timestamp now, RequestId id, Active* active) {
+  const auto found = services_.find(active->request.service);
+  const config::PublishedSnapshot* snapshot =
+      found == services_.end() ? nullptr : found->second.service->FindSnapshot(active->snapshot);
+  if (snapshot == nullptr && found != services_.end()) {
+    // The pinned snapshot went out of use while the claim was pending; nothing has been sent.
+    snapshot = SnapshotFor(*found->second.service, active->request);
+  }
+  if (snapshot == nullptr) {
+    if (active->claim_owner != 0) {
+      ledger_.Release(now, active->claim_owner, active->ledger_key);
+    }
+    Refuse(now, id, ResultCode::kSnapshotGone, "the snapshot is no longer served",
+           RunState::kNotRun, {});
+    Remove(now, id);
+    return;
+  }
+  const ServiceRuntime& runtime = found->second;
+  query::ServiceContext context{&pool_, runtime.budget.get(), runtime.latencies.get(),
+                                [this] { return SubRequestId{ids_.Next()}; }};
+  policy::QueryPlan plan = active->plan;
+  plan.deadline = active->deadline - now;
+  active->execution = std::make_unique<query::RequestExecution>(
+      active->request, plan, active->program.get(), runtime.service, *snapshot,
+      std::move(context), options_.execution, now);
+  active->execution->Advance(now);
+  CollectActions(now, id);
+}
+
+// ---- Progress -----------------------------------------------------------------------------------
+
+void NodeServer::OnClaimVerdict(Timestamp now, const LedgerClient::Verdict& verdict) {
+  const auto claim = claims_.find(verdict.owner);
+  if (claim == claims_.end()) {
+    return;
+  }
+  const RequestId id = claim->second;
+  claims_.erase(claim);
+  Active& active = active_.at(id);
+  active.claim_pending = false;
+  if (verdict.verdict == wire::LedgerVerdict::kGranted) {
+    StartExecution(now, id, &active);
+    return;
+  }
+  AnswerFromLedger(now, id, verdict);
+  Remove(now, id);
+}
+
+void NodeServer::AnswerFromLedger(Timestamp now, RequestId id,
+                                  const LedgerClient::Verdict& verdict) {
+  if (verdict.verdict == wire::LedgerVerdict::kFingerprintMismatch) {
+    Refuse(now, id, ResultCode::kIdempotencyKeyReused,
+           "the Idempotency-Key belongs to another request", RunState::kNotRun, {});
+    return;
+  }
+  if (verdict.verdict == wire::LedgerVerdict::kCompleted) {
+    absl::StatusOr<Answer> recorded = query::AnswerFromJson(verdict.outcome);
+    if (recorded.ok()) {
+      recorded->config_version = subscriber_.config().version();
+      output_.answers.push_back({id, *std::move(recorded)});
+      return;
+    }
+  }
+  Refuse(now, id, ResultCode::kAlreadyRunning,
+         "a request with this Idempotency-Key is running, or its outcome is unknown",
+         RunState::kUnknown, Milliseconds(500));
+}
+
+std::optional<SubRequestId> NodeServer::MatchReply(const query::LeafReply& reply) const {
+  if (options_.reply_id_check) {
+    return request_of_.contains(reply.id) ? std::optional(reply.id) : std::nullopt;
+  }
+  // What a client that trusts the order of replies would do.
+  for (const auto& [id, request] : request_of_) {
+    const auto active = active_.find(request);
+    if (active != active_.end() && active->second.execution != nullptr) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+void NodeServer::OnLeafReply(Timestamp now, const query::LeafReply& reply) {
+  query::LeafReply matched = reply;
+  if (const auto id = MatchReply(reply)) {
+    matched.id = *id;
+  }
+  const std::optional<Duration> latency = pool_.OnReply(now, matched);
+  if (!options_.leaving_mark) {
+    pool_.SetDraining(reply.leaf, false);
+  }
+  const auto found = request_of_.find(matched.id);
+  if (found == request_of_.end()) {
+    ++counters_.late_replies;
+    return;
+  }
+  const RequestId id = found->second;
+  Active& active = active_.at(id);
+  if (latency.has_value() && reply.status == query::LeafStatus::kOk) {
+    const auto service = services_.find(active.request.service);
+    if (service != services_.end()) {
+      service->second.latencies->Record(*latency);
+    }
+  }
+  active.execution->OnReply(now, matched);
+  CollectActions(now, id);
+}
+
+void NodeServer::OnLeafHealth(Timestamp /*now*/, const std::string& leaf, bool draining) {
+  if (options_.leaving_mark) {
+    pool_.SetDraining(leaf, draining);
+  }
+}
+
+void NodeServer::OnPlatformLeaving(const std::set<std::string>& leafs) {
+  if (options_.leaving_mark) {
+    pool_.SetLeavingOnPlatform(leafs);
+  }
+}
+
+void NodeServer::RestartOnOtherSnapshot(Timestamp now, Active* active) {
+  const auto found = services_.find(active->request.service);
+  const config::PublishedSnapshot* choice = nullptr;
+  if (found != services_.end()) {
+    // A newer snapshot if there is one; else the one before, which leafs that lag still hold.
+    for (const config::PublishedSnapshot& snapshot : found->second.service->snapshots) {
+      if (snapshot.id != active->execution->snapshot()) {
+        choice = &snapshot;
+      }
+    }
+  }
+  if (choice == nullptr) {
+    active->execution->DeclineRestart(now);
+    return;
+  }
+  ++counters_.snapshot_restarts;
+  active->execution->Restart(now, found->second.service, *choice);
+}
+
+void NodeServer::CollectActions(Timestamp now, RequestId id) {
+  Active& active = active_.at(id);
+  if (active.execution->NeedsOtherSnapshot()) {
+    RestartOnOtherSnapshot(now, &active);
+  }
+  query::ExecutionActions actions = active.execution->TakeActions();
+  for (query::LeafRequest& request : actions.sends) {
+    request_of_[request.id] = id;
+    active.sub_requests.push_back(request.id);
+    output_.sends.push_back(std::move(request));
+  }
+  for (query::SubRequestCancel& cancel : actions.cancels) {
+    request_of_.erase(cancel.id);
+    output_.cancels.push_back(std::move(cancel));
+  }
+  if (actions.answer.has_value()) {
+    Finish(now, id, &active, *std::move(actions.answer));
+  }
+  const bool settled = active.answered && !active.execution->HasUnknownOutcome();
+  if (settled || (active.answered && active.plan.repeatable)) {
+    RecordOutcome(now, active);
+    Remove(now, id);
+    return;
+  }
+  if (!active.answered) {
+    Schedule(id, active.execution->NextWake(now));
+  }
+}
+
+void NodeServer::Finish(Timestamp now, RequestId id, Active* active, Answer answer) {
+  answer.config_version = subscriber_.config().version();
+  answer.config_age = subscriber_.Age(now);
+  counters_.sub_requests += answer.sub_requests;
+  counters_.extra_sub_requests += answer.extra_sub_requests;
+  if (answer.code == ResultCode::kOk) {
+    ++counters_.answered_ok;
+  } else if (answer.code == ResultCode::kPartial) {
+    ++counters_.answered_partial;
+  } else {
+    ++counters_.refused;
+  }
+  active->answered = true;
+  active->linger_until = now + options_.linger;
+  Schedule(id, active->linger_until);
+  output_.answers.push_back({id, std::move(answer)});
+}
+
+void NodeServer::RecordOutcome(Timestamp now, const Active& active) {
+  if (active.claim_owner == 0) {
+    return;
+  }
+  Answer outcome = active.execution->Snapshot(now);
+  if (outcome.run == RunState::kNotRun) {
+    // Every sub-request is unsent or refused by the leaf's own word: the key may be used again.
+    ledger_.Release(now, active.claim_owner, active.ledger_key);
+    return;
+  }
+  std::string text = query::AnswerToJson(outcome);
+  if (text.size() > kMaxLedgerOutcomeBytes) {
+    outcome.results.clear();
+    outcome.message = "the results were too large to keep for a repeat";
+    text = query::AnswerToJson(outcome);
+  }
+  ledger_.Complete(now, active.claim_owner, active.ledger_key, std::move(text));
+}
+
+void NodeServer::OnCallerGone(Timestamp now, RequestId id) {
+  const auto found = active_.find(id);
+  const bool cancellable = found != active_.end() && found->second.plan.repeatable &&
+                           found->second.execution != nullptr && !found->second.answered;
+  if (!cancellable) {
+    return;
+  }
+  found->second.execution->AbandonAll(now, /*timed_out=*/false);
+  for (query::SubRequestCancel& cancel : found->second.execution->TakeActions().cancels) {
+    output_.cancels.push_back(std::move(cancel));
+  }
+  Remove(now, id);
+}
+
+void NodeServer::Remove(Timestamp now, RequestId id) {
+  const auto found = active_.find(id);
+  if (found == active_.end()) {
+    return;
+  }
+  Active& active = found->second;
+  if (active.execution != nullptr && !active.plan.repeatable) {
+    active.execution->AbandonAll(now, /*timed_out=*/true);
+  }
+  for (const SubRequestId& sub : active.sub_requests) {
+    request_of_.erase(sub);
+  }
+  claims_.erase(active.claim_owner);
+  next_wake_.erase(id);
+  active_.erase(found);
+}
+
+// ---- Time ---------------------------------------------------------------------------------------
+
+void NodeServer::Schedule(RequestId id, Timestamp wake) {
+  next_wake_[id] = wake;
+  wakes_.emplace(wake, id);
+}
+
+void NodeServer::Tick(Timestamp now) {
+  if (auto hello = subscriber_.Tick(now)) {
+    output_.control.push_back(*std::move(hello));
+  }
+  for (wire::Envelope& envelope : ledger_.Tick(now)) {
+    output_.control.push_back(std::move(envelope));
+  }
+  while (!wakes_.empty() && wakes_.top().first <= now) {
+    const auto [wake, id] = wakes_.top();
+    wakes_.pop();
+    const auto planned = next_wake_.find(id);
+    if (planned == next_wake_.end() || planned->second != wake) {
+      continue;  // Superseded by a later call of Schedule().
+    }
+    Active& active = active_.at(id);
+    if (active.claim_pending) {
+      // This attempt never dispatched anything, but an earlier one with the same key may have.
+      ledger_.AbandonClaim(active.claim_owner);
+      Refuse(now, id, ResultCode::kLedgerUnavailable,
+             "the at-most-once ledger did not answer in time", RunState::kUnknown,
+             Milliseconds(500));
+      Remove(now, id);
+    } else if (active.answered) {
+      RecordOutcome(now, active);
+      Remove(now, id);
+    } else {
+      active.execution->Advance(now);
+      CollectActions(now, id);
+    }
+  }
+}
+
+Timestamp NodeServer::NextWake(Timestamp now) const {
+  constexpr Duration kIdleInterval = Milliseconds(50);
+  const Timestamp idle = now + kIdleInterval;
+  return wakes_.empty() ? idle : std::min(idle, wakes_.top().first);
+}
+
+bool NodeServer::Drained() const { return active_.empty() && ledger_.idle(); }
+
+}  // namespace pumicedyke::node
--- /dev/null
+++ b/src/node/node_server.h
@@ -0,0 +1,169 @@
+// One node: the process beside a caller. Admits requests, runs their executions, follows the
+// configuration, claims unrepeatable work in the ledger. No socket, clock or thread; the owner
+// passes events in and carries the output out.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "balance/leaf_pool.h"
+#include "node/config_subscriber.h"
+#include "node/id_source.h"
+#include "node/ledger_client.h"
+#include "policy/policy_program.h"
+#include "query/messages.h"
+#include "query/request_execution.h"
+#include "wire/messages.h"
+
+namespace pumicedyke::node {
+
+struct NodeOptions {
+  SubscriberOptions subscriber;
+  query::ExecutionOptions execution;
+  balance::BalanceKnobs knobs;
+  uint64_t incarnation = 1;
+  uint64_t seed = 1;
+  /// Requests in progress beyond which new ones are refused.
+  size_t max_in_progress = 20000;
+  /// A late outcome of unrepeatable work is waited for this long after the answer.
+  Duration linger = Seconds(30);
+  /// Off for baselines in benchmarks.
+  bool admission_control = true;
+  /// Off only in simulations that show what the checks are for.
+  bool reply_id_check = true;
+  bool ledger_before_dispatch = true;
+  bool leaving_mark = true;
+  /// Used by benchmarks in place of every service's own policy.
+  std::optional<policy::QueryPlan> plan_override;
+};
+
+struct CallerAnswer {
+  RequestId request;
+  query::Answer answer;
+};
+
+struct NodeOutput {
+  std::vector<query::LeafRequest> sends;
+  std::vector<query::SubRequestCancel> cancels;
+  std::vector<CallerAnswer> answers;
+  /// For the control machine control().
+  std::vector<wire::Envelope> control;
+};
+
+struct NodeCounters {
+  uint64_t requests = 0;
+  uint64_t answered_ok = 0;
+  uint64_t answered_partial = 0;
+  uint64_t refused = 0;
+  uint64_t sub_requests = 0;
+  uint64_t extra_sub_requests = 0;
+  uint64_t snapshot_restarts = 0;
+  uint64_t late_replies = 0;
+};
+
+class NodeServer {
+ public:
+  NodeServer(NodeOptions options, Timestamp now);
+
+  void Tick(Timestamp now);
+  /// Admits or refuses a request; its answer comes in the output under `id`, exactly once.
+  void OnCallerRequest(Timestamp now, RequestId id, const query::CallerRequest& request);
+  /// The caller went away: repeatable work is cancelled.
+  void OnCallerGone(Timestamp now, RequestId id);
+  void OnLeafReply(Timestamp now, const query::LeafReply& reply);
+  /// A leaf's health report; `draining` is its own word.
+  void OnLeafHealth(Timestamp now, const std::string& leaf, bool draining);
+  /// The platform's list names these leafs as leaving.
+  void OnPlatformLeaving(const std::set<std::string>& leafs);
+  void OnControlMessage(Timestamp now, const wire::Envelope& envelope);
+  void OnControlDisconnected(Timestamp now);
+
+  NodeOutput TakeOutput();
+
+  /// True when no request is in progress and every ledger outcome is recorded: a stopping process
+  /// may go.
+  bool Drained() const;
+  /// When Tick() must be called next, at the latest.
+  Timestamp NextWake(Timestamp now) const;
+
+  size_t control() const { return subscriber_.control(); }
+  bool ready() const { return subscriber_.ready(); }
+  const config::ConfigState& config() const { return subscriber_.config(); }
+  const NodeCounters& counters() const { return counters_; }
+  const balance::LeafPool& pool() const { return pool_; }
+  size_t in_progress() const { return active_.size(); }
+  Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
+
+ private:
+  /// What a service's configuration compiles to on this node.
+  struct ServiceRuntime {
+    std::shared_ptr<const config::Service> service;
+    std::shared_ptr<policy::PolicyProgram> program;
+    std::string policy_source;
+    std::shared_ptr<balance::ExtraLoadBudget> budget;
+    std::shared_ptr<balance::LatencyTracker> latencies;
+  };
+  struct Active {
+    query::CallerRequest request;
+    std::shared_ptr<policy::PolicyProgram> program;
+    std::unique_ptr<query::RequestExecution> execution;
+    std::vector<SubRequestId> sub_requests;
+    /// Set for unrepeatable work.
+    uint64_t claim_owner = 0;
+    std::string ledger_key;
+    Timestamp deadline{};
+    Timestamp linger_until{};
+    bool claim_pending = false;
+    bool answered = false;
+    policy::QueryPlan plan;
+    SnapshotId snapshot;
+  };
+
+  // Configuration.
+  void ApplyConfig();
+  void CompilePolicy(ServiceRuntime* runtime);
+
+  // Admission.
+  absl::StatusOr<policy::QueryPlan> PlanFor(const ServiceRuntime& runtime,
+                                            const query::CallerRequest& request) const;
+  std::optional<Duration> RefusalWait(Timestamp now, const policy::QueryPlan& plan,
+                                      const query::CallerRequest& request,
+                                      const config::PublishedSnapshot& snapshot) const;
+  void StartClaim(Timestamp now, RequestId id, Active* active);
+  void StartExecution(Timestamp now, RequestId id, Active* active);
+  void Refuse(Timestamp now, RequestId id, ResultCode code, const std::string& message,
+              query::RunState run, Duration retry_after);
+
+  // Progress.
+  void OnClaimVerdict(Timestamp now, const LedgerClient::Verdict& verdict);
+  void AnswerFromLedger(Timestamp now, RequestId id, const LedgerClient::Verdict& verdict);
+  void CollectActions(Timestamp now, RequestId id);
+  void RestartOnOtherSnapshot(Timestamp now, Active* active);
+  void RecordOutcome(Timestamp now, const Active& active);
+  void Finish(Timestamp now, RequestId id, Active* active, query::Answer answer);
+  void Remove(Timestamp now, RequestId id);
+  void Schedule(RequestId id, Timestamp wake);
+  std::optional<SubRequestId> MatchReply(const query::LeafReply& reply) const;
+
+  NodeOptions options_;
+  IdSource ids_;
+  ConfigSubscriber subscriber_;
+  LedgerClient ledger_;
+  balance::LeafPool pool_;
+  std::map<std::string, ServiceRuntime> services_;
+  std::map<RequestId, Active> active_;
+  std::map<SubRequestId, RequestId> request_of_;
+  std::map<uint64_t, RequestId> claims_;
+  using Wake = std::pair<Timestamp, RequestId>;
+  std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes_;
+  std::map<RequestId, Timestamp> next_wake_;
+  NodeCounters counters_;
+  NodeOutput output_;
+};
+
+}  // namespace pumicedyke::node
--- /dev/null
+++ b/src/query/messages.h
@@ -0,0 +1,147 @@
+// What a node says to leafs and hears from them, and what it answers to callers.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/json.h"
+#include "common/result_code.h"
+#include "common/types.h"
+
+namespace pumicedyke::query {
+
+/// One item of a result, ordered by score (highest first), then id.
+struct ResultItem {
+  std::string id;
+  double score = 0;
+  std::string text;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResultItem, id, score, text)
+
+/// One sub-request: one shard of one snapshot, at one leaf.
+struct LeafRequest {
+  SubRequestId id;
+  std::string leaf;
+  std::string service;
+  ShardId shard;
+  SnapshotId snapshot;
+  std::string query;
+  /// Time left for the leaf, shrunk by the hop.
+  Duration budget{};
+  /// Set for work that must not run twice; such a request is sent on a fresh connection.
+  std::string idempotency_key;
+  bool repeatable = true;
+};
+
+enum class LeafStatus {
+  kOk = 0,
+  /// Refused before start, by the leaf's own word.
+  kSnapshotNotHeld = 1,
+  kNotOwner = 2,
+  kShed = 3,
+  kDraining = 4,
+  kCancelledBeforeStart = 5,
+  kDeadlineBeforeStart = 6,
+  /// Nothing reached the leaf: the connection was refused before any byte was sent.
+  kNotSent = 7,
+  /// May have run: it failed, or the connection broke after bytes were sent.
+  kFailed = 8,
+};
+
+/// Whether the status proves that the work never started.
+bool ProvesNotRun(LeafStatus status);
+
+struct LeafReply {
+  SubRequestId id;
+  std::string leaf;
+  ShardId shard;
+  /// The snapshot the reply was computed on.
+  SnapshotId snapshot;
+  LeafStatus status = LeafStatus::kFailed;
+  std::vector<ResultItem> results;
+  /// The leaf stopped early: the shard is not covered.
+  bool truncated = false;
+  /// The leaf is leaving; rides on every response.
+  bool draining = false;
+  /// Requests running and queued at the leaf when it replied.
+  uint32_t load = 0;
+};
+
+enum class MissingReason { kNone = 0, kTimeout, kShed, kSnapshotNotHeld, kUnreachable, kTruncated, kLeaving, kNotSent };
+const char* ReasonName(MissingReason reason);
+
+struct MissingShard {
+  ShardId shard;
+  MissingReason reason = MissingReason::kNone;
+};
+
+/// Which shards of the pinned snapshot's map an answer includes, and why others are missing.
+struct Coverage {
+  std::vector<ShardId> included;
+  std::vector<MissingShard> missing;
+  size_t total() const { return included.size() + missing.size(); }
+  double share() const {
+    return total() == 0 ? 0.0 : static_cast<double>(included.size()) / static_cast<double>(total());
+  }
+};
+
+/// What is certain about the work of a request that gets no complete answer.
+enum class RunState { kRan = 0, kNotRun = 1, kUnknown = 2 };
+const char* RunStateName(RunState state);
+
+/// A caller's request, checked for form.
+struct CallerRequest {
+  std::string service;
+  std::string query;
+  std::string request_class;
+  /// Zero: the policy's own deadline.
+  Duration deadline{};
+  std::string idempotency_key;
+  /// Only these shards; empty means all.
+  std::vector<ShardId> shards;
+  /// From a continuation token: the snapshot to stay on.
+  std::optional<SnapshotId> snapshot;
+  size_t limit = 0;
+};
+
+struct Answer {
+  ResultCode code = ResultCode::kInternal;
+  std::string message;
+  RunState run = RunState::kNotRun;
+  SnapshotId snapshot;
+  Coverage coverage;
+  std::vector<ResultItem> results;
+  ConfigVersion config_version;
+  /// Time since the node last heard of the configuration from a current control machine.
+  Duration config_age{};
+  std::string continuation;
+  Duration retry_after{};
+  /// Sub-requests sent for this answer, of which extra ones (hedges and retries).
+  uint32_t sub_requests = 0;
+  uint32_t extra_sub_requests = 0;
+};
+
+/// Reads a caller's JSON body. @return a numbered error naming the field.
+absl::StatusOr<CallerRequest> ParseCallerRequest(const std::string& body,
+                                                 const std::string& idempotency_key);
+std::string AnswerToJson(const Answer& answer);
+absl::StatusOr<Answer> AnswerFromJson(const std::string& text);
+
+Json LeafRequestToJson(const LeafRequest& request);
+absl::StatusOr<LeafRequest> LeafRequestFromJson(const std::string& text);
+Json LeafReplyToJson(const LeafReply& reply);
+absl::StatusOr<LeafReply> LeafReplyFromJson(const std::string& text);
+
+/// A token with which a caller fetches the missing shards of the same snapshot.
+std::string EncodeContinuation(const std::string& service, SnapshotId snapshot,
+                               const std::vector<MissingShard>& missing);
+struct Continuation {
+  std::string service;
+  SnapshotId snapshot;
+  std::vector<ShardId> shards;
+};
+absl::StatusOr<Continuation> DecodeContinuation(const std::string& token);
+
+}  // namespace pumicedyke::query
--- /dev/null
+++ b/src/query/request_execution.cc
@@ -0,0 +1,488 @@
+#include "query/request_execution.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumicedyke::query {
+namespace {
+
+constexpr double kCoverageEpsilon = 1e-9;
+/// Part of the deadline after which a restart on another snapshot no longer pays.
+constexpr double kRestartWindow = 0.5;
+/// A shard's replicas may all be asked this often in turn when they refuse.
+constexpr size_t kMaxRoundsOverReplicas = 4;
+constexpr Duration kMinRetryAfter = Milliseconds(50);
+
+MissingReason ReasonOf(LeafStatus status) {
+  switch (status) {
+    case LeafStatus::kSnapshotNotHeld:
+    case LeafStatus::kNotOwner:
+      return MissingReason::kSnapshotNotHeld;
+    case LeafStatus::kShed:
+      return MissingReason::kShed;
+    case LeafStatus::kDraining:
+      return MissingReason::kLeaving;
+    case LeafStatus::kNotSent:
+    case LeafStatus::kFailed:
+      return MissingReason::kUnreachable;
+    default:
+      return MissingReason::kTimeout;
+  }
+}
+
+bool BetterResult(const ResultItem& a, const ResultItem& b) {
+  return a.score != b.score ? a.score > b.score : a.id < b.id;
+}
+
+}  // namespace
+
+RequestExecution::RequestExecution(CallerRequest request, policy::QueryPlan plan,
+                                   policy::PolicyProgram* program,
+                                   std::shared_ptr<const config::Service> service,
+                                   const config::PublishedSnapshot& snapshot,
+                                   ServiceContext context, ExecutionOptions options, Timestamp now)
+    : request_(std::move(request)),
+      plan_(plan),
+      program_(program),
+      service_(std::move(service)),
+      context_(std::move(context)),
+      options_(options),
+      started_(now),
+      deadline_(now + plan.deadline) {
+  PinSnapshot(snapshot);
+}
+
+RequestExecution::~RequestExecution() {
+  for (ShardProgress& shard : shards_) {
+    SetWaiting(&shard, false);
+  }
+}
+
+bool RequestExecution::WantsShard(ShardId id) const {
+  const auto& wanted = request_.shards;
+  return wanted.empty() || std::find(wanted.begin(), wanted.end(), id) != wanted.end();
+}
+
+void RequestExecution::PinSnapshot(const config::PublishedSnapshot& snapshot) {
+  snapshot_id_ = snapshot.id;
+  shards_.clear();
+  shard_of_.clear();
+  covered_ = 0;
+  for (const config::Shard& shard : snapshot.shards) {
+    if (WantsShard(shard.id)) {
+      ShardProgress& progress = shards_.emplace_back();
+      progress.shard = shard;
+    }
+  }
+}
+
+void RequestExecution::Restart(Timestamp now, std::shared_ptr<const config::Service> service,
+                               const config::PublishedSnapshot& snapshot) {
+  AbandonAll(now, /*timed_out=*/false);
+  for (ShardProgress& shard : shards_) {
+    SetWaiting(&shard, false);
+  }
+  service_ = std::move(service);
+  restarted_ = true;
+  needs_other_snapshot_ = false;
+  PinSnapshot(snapshot);
+  Advance(now);
+}
+
+void RequestExecution::DeclineRestart(Timestamp now) {
+  restarted_ = true;
+  needs_other_snapshot_ = false;
+  Advance(now);
+}
+
+void RequestExecution::SetWaiting(ShardProgress* shard, bool waiting) {
+  if (shard->waiting != waiting) {
+    shard->waiting = waiting;
+    context_.pool->AddWaiting(shard->shard.replicas, waiting ? 1 : -1);
+  }
+}
+
+size_t RequestExecution::ActiveAttempts(const ShardProgress& shard) const {
+  return static_cast<size_t>(
+      std::count_if(shard.attempts.begin(), shard.attempts.end(), [](const Attempt& attempt) {
+        return attempt.state == AttemptState::kPossiblyRunning;
+      }));
+}
+
+void RequestExecution::Advance(Timestamp now) {
+  if (answered_ || needs_other_snapshot_) {
+    return;
+  }
+  for (ShardProgress& shard : shards_) {
+    AdvanceShard(now, &shard);
+  }
+  Evaluate(now);
+}
+
+void RequestExecution::AdvanceShard(Timestamp now, ShardProgress* shard) {
+  if (shard->covered || shard->given_up || now >= deadline_) {
+    return;
+  }
+  if (ActiveAttempts(*shard) == 0) {
+    SendPrimaryOrRetry(now, shard);
+  } else if (options_.naive_retry_timeout.count() > 0) {
+    MaybeNaiveRetry(now, shard);
+  } else if (plan_.hedge && plan_.repeatable) {
+    MaybeHedge(now, shard);
+  }
+}
+
+bool RequestExecution::AllReplicasTriedOrLeaving(Timestamp now, const ShardProgress& shard) const {
+  const auto& replicas = shard.shard.replicas;
+  return std::all_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
+    return shard.tried.contains(replica) ||
+           context_.pool->AvailabilityOf(replica, now) == balance::Availability::kLeaving;
+  });
+}
+
+bool RequestExecution::MayTryReplicasAgain(const ShardProgress& shard) const {
+  // Shedding passes; a lost connection may. What a leaf does not hold it will not hold soon.
+  const bool passing =
+      shard.reason == MissingReason::kShed || shard.reason == MissingReason::kUnreachable;
+  return passing && shard.attempts.size() < kMaxRoundsOverReplicas * shard.shard.replicas.size();
+}
+
+void RequestExecution::SendPrimaryOrRetry(Timestamp now, ShardProgress* shard) {
+  const bool retry = !shard->attempts.empty();
+  if (!plan_.repeatable && retry) {
+    // Only attempts that provably never started may be followed by another.
+    const bool all_refused =
+        std::all_of(shard->attempts.begin(), shard->attempts.end(), [](const Attempt& attempt) {
+          return attempt.state == AttemptState::kRefused;
+        });
+    if (!all_refused) {
+      shard->given_up = true;
+      SetWaiting(shard, false);
+      return;
+    }
+  }
+  if (AllReplicasTriedOrLeaving(now, *shard)) {
+    if (shard->tried.empty()) {
+      shard->reason = MissingReason::kLeaving;
+    }
+    if (!MayTryReplicasAgain(*shard)) {
+      shard->given_up = true;
+      SetWaiting(shard, false);
+      return;
+    }
+    shard->tried.clear();
+    SetWaiting(shard, true);
+    return;  // Tried again at the next poll, not in a tight loop.
+  }
+  SetWaiting(shard, !SendTo(now, shard, retry));
+}
+
+bool RequestExecution::SendTo(Timestamp now, ShardProgress* shard, bool extra) {
+  std::set<std::string> excluded = shard->tried;
+  for (const Attempt& attempt : shard->attempts) {
+    if (attempt.state == AttemptState::kPossiblyRunning) {
+      excluded.insert(attempt.leaf);
+    }
+  }
+  const std::optional<std::string> leaf =
+      context_.pool->Choose(now, shard->shard.replicas, excluded);
+  if (!leaf.has_value()) {
+    return false;
+  }
+  const bool budgeted =
+      options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
+  if (extra && budgeted && !context_.budget->TrySpend()) {
+    return false;
+  }
+  if (!extra) {
+    context_.budget->Earn(plan_.extra_load);
+  }
+  const SubRequestId id = context_.next_id();
+  const Duration budget = std::max(Duration(0), deadline_ - now - options_.hop);
+  actions_.sends.push_back({id, *leaf, request_.service, shard->shard.id, snapshot_id_,
+                            request_.query, budget, request_.idempotency_key, plan_.repeatable});
+  shard->attempts.push_back({id, *leaf, now});
+  shard_of_[id] = static_cast<size_t>(shard - shards_.data());
+  context_.pool->OnSent(now, *leaf, id);
+  ++sent_;
+  extra_ += extra ? 1 : 0;
+  return true;
+}
+
+Duration RequestExecution::HedgeDelay() const {
+  if (options_.fixed_hedge_delay.count() > 0) {
+    return options_.fixed_hedge_delay;
+  }
+  return context_.latencies->Quantile(plan_.hedge_quantile);
+}
+
+void RequestExecution::MaybeHedge(Timestamp now, ShardProgress* shard) {
+  const bool single = ActiveAttempts(*shard) == 1 && shard->shard.replicas.size() > 1;
+  if (single && now - shard->attempts.back().sent >= HedgeDelay()) {
+    SendTo(now, shard, /*extra=*/true);
+  }
+}
+
+void RequestExecution::MaybeNaiveRetry(Timestamp now, ShardProgress* shard) {
+  if (plan_.repeatable && now - shard->attempts.back().sent >= options_.naive_retry_timeout) {
+    SendTo(now, shard, /*extra=*/true);
+  }
+}
+
+void RequestExecution::OnReply(Timestamp now, const LeafReply& reply) {
+  const auto found = shard_of_.find(reply.id);
+  if (found == shard_of_.end()) {
+    return;
+  }
+  ShardProgress& shard = shards_[found->second];
+  const auto attempt =
+      std::find_if(shard.attempts.begin(), shard.attempts.end(),
+                   [&reply](const Attempt& candidate) { return candidate.id == reply.id; });
+  if (attempt->state != AttemptState::kPossiblyRunning && options_.coverage_dedupe) {
+    return;
+  }
+  if (reply.status == LeafStatus::kOk) {
+    attempt->state = AttemptState::kDone;
+    Merge(now, &shard, reply);
+  } else {
+    const bool refused = ProvesNotRun(reply.status);
+    attempt->state = refused ? AttemptState::kRefused : AttemptState::kFailed;
+    Refused(&shard, reply);
+  }
+  if (!answered_) {
+    Advance(now);
+  }
+}
+
+void RequestExecution::Merge(Timestamp now, ShardProgress* shard, const LeafReply& reply) {
+  const bool wrong_snapshot = reply.snapshot != snapshot_id_ || reply.shard != shard->shard.id;
+  if (wrong_snapshot && options_.snapshot_pin) {
+    shard->reason = MissingReason::kSnapshotNotHeld;
+    shard->tried.insert(reply.leaf);
+    ++shard->not_held;
+    return;
+  }
+  if (reply.truncated) {
+    shard->reason = MissingReason::kTruncated;
+    shard->tried.insert(reply.leaf);
+    return;
+  }
+  if (shard->covered && options_.coverage_dedupe) {
+    return;
+  }
+  shard->covered = true;
+  shard->reason = MissingReason::kNone;
+  ++covered_;
+  shard->results.insert(shard->results.end(), reply.results.begin(), reply.results.end());
+  CancelOthers(now, shard, reply.id);
+}
+
+void RequestExecution::Refused(ShardProgress* shard, const LeafReply& reply) {
+  if (shard->covered) {
+    return;
+  }
+  shard->reason = ReasonOf(reply.status);
+  shard->tried.insert(reply.leaf);
+  const bool not_held =
+      reply.status == LeafStatus::kSnapshotNotHeld || reply.status == LeafStatus::kNotOwner;
+  shard->not_held += not_held ? 1 : 0;
+}
+
+void RequestExecution::CancelOthers(Timestamp now, ShardProgress* shard, SubRequestId winner) {
+  for (Attempt& attempt : shard->attempts) {
+    const bool loser = attempt.id != winner && attempt.state == AttemptState::kPossiblyRunning;
+    if (loser && options_.coverage_dedupe) {
+      actions_.cancels.push_back({attempt.id, attempt.leaf});
+      context_.pool->OnAbandoned(now, attempt.leaf, attempt.id, /*timed_out=*/false);
+      attempt.state = AttemptState::kFailed;
+    }
+  }
+}
+
+bool RequestExecution::PolicySaysAnswer(Timestamp now) {
+  if (program_ == nullptr || !program_->has_decide()) {
+    return now - started_ >= plan_.wait;
+  }
+  const Coverage coverage = CurrentCoverage();
+  const policy::Progress progress{now - started_, coverage.share(), coverage.missing.size(),
+                                  coverage.total()};
+  // A program that fails must not hold the request: what it asked for at least is reached.
+  return program_->Decide(progress).value_or(true) || now - started_ >= plan_.wait;
+}
+
+void RequestExecution::Evaluate(Timestamp now) {
+  if (answered_) {
+    return;
+  }
+  size_t possible = covered_;
+  bool other_snapshot_would_help = false;
+  for (const ShardProgress& shard : shards_) {
+    possible += !shard.covered && !shard.given_up ? 1 : 0;
+    other_snapshot_would_help |= shard.given_up && shard.not_held >= shard.shard.replicas.size();
+  }
+  const auto total = static_cast<double>(shards_.size());
+  const bool restart_pays =
+      now < started_ + std::chrono::duration_cast<Duration>(plan_.deadline * kRestartWindow);
+  const bool may_restart =
+      !restarted_ && plan_.repeatable && !request_.snapshot.has_value() && restart_pays;
+  if (other_snapshot_would_help && may_restart) {
+    needs_other_snapshot_ = true;
+    return;
+  }
+  if (covered_ == shards_.size()) {
+    Finish(now, ResultCode::kOk);
+    return;
+  }
+  const double share = static_cast<double>(covered_) / total;
+  const bool enough = share + kCoverageEpsilon >= plan_.min_coverage;
+  if (possible == covered_) {
+    Finish(now, ResultCode::kCoverageNotReached);
+  } else if (now >= deadline_) {
+    Finish(now, ResultCode::kDeadlineExceeded);
+  } else if (enough && covered_ > 0 && plan_.repeatable && PolicySaysAnswer(now)) {
+    Finish(now, ResultCode::kPartial);
+  } else if (static_cast<double>(possible) / total + kCoverageEpsilon < plan_.min_coverage &&
+             plan_.repeatable) {
+    // The policy's coverage is out of reach: the caller hears so now, not at the deadline.
+    Finish(now, ResultCode::kCoverageNotReached);
+  }
+}
+
+Coverage RequestExecution::CurrentCoverage() const {
+  Coverage coverage;
+  for (const ShardProgress& shard : shards_) {
+    if (shard.covered) {
+      coverage.included.push_back(shard.shard.id);
+      continue;
+    }
+    const bool running = ActiveAttempts(shard) > 0;
+    coverage.missing.push_back({shard.shard.id, running ? MissingReason::kTimeout : shard.reason});
+  }
+  return coverage;
+}
+
+RunState RequestExecution::CurrentRunState() const {
+  bool unknown = false;
+  bool ran = false;
+  for (const ShardProgress& shard : shards_) {
+    for (const Attempt& attempt : shard.attempts) {
+      ran |= attempt.state == AttemptState::kDone;
+      unknown |= attempt.state == AttemptState::kPossiblyRunning ||
+                 attempt.state == AttemptState::kFailed;
+    }
+  }
+  if (!options_.sent_tracking) {
+    return ran ? RunState::kRan : RunState::kNotRun;
+  }
+  if (unknown) {
+    return RunState::kUnknown;
+  }
+  return ran ? RunState::kRan : RunState::kNotRun;
+}
+
+bool RequestExecution::HasUnknownOutcome() const {
+  return std::any_of(shards_.begin(), shards_.end(),
+                     [this](const ShardProgress& shard) { return ActiveAttempts(shard) > 0; });
+}
+
+ResultCode RequestExecution::CodeAtEnd(const Coverage& coverage, ResultCode failure) const {
+  if (coverage.missing.empty()) {
+    return ResultCode::kOk;
+  }
+  if (!plan_.repeatable) {
+    const RunState run = CurrentRunState();
+    if (run == RunState::kUnknown) {
+      return ResultCode::kOutcomeUnknown;
+    }
+    return run == RunState::kRan ? ResultCode::kPartial : failure;
+  }
+  const bool enough = !coverage.included.empty() &&
+                      coverage.share() + kCoverageEpsilon >= plan_.min_coverage;
+  if (enough) {
+    return ResultCode::kPartial;
+  }
+  return failure == ResultCode::kPartial ? ResultCode::kCoverageNotReached : failure;
+}
+
+Answer RequestExecution::Snapshot(Timestamp now) const {
+  Answer answer;
+  answer.snapshot = snapshot_id_;
+  answer.coverage = CurrentCoverage();
+  answer.code = CodeAtEnd(answer.coverage, ResultCode::kDeadlineExceeded);
+  answer.run = answer.coverage.missing.empty() ? RunState::kRan : CurrentRunState();
+  for (const ShardProgress& shard : shards_) {
+    answer.results.insert(answer.results.end(), shard.results.begin(), shard.results.end());
+  }
+  std::sort(answer.results.begin(), answer.results.end(), &BetterResult);
+  if (request_.limit > 0 && answer.results.size() > request_.limit) {
+    answer.results.resize(request_.limit);
+  }
+  answer.sub_requests = sent_;
+  answer.extra_sub_requests = extra_;
+  if (!answer.coverage.missing.empty() && plan_.repeatable) {
+    answer.continuation =
+        EncodeContinuation(request_.service, snapshot_id_, answer.coverage.missing);
+    Duration wait = kMinRetryAfter;
+    for (const ShardProgress& shard : shards_) {
+      if (!shard.covered) {
+        wait = std::max(wait, context_.pool->ExpectedWait(now, shard.shard.replicas));
+      }
+    }
+    answer.retry_after = wait;
+  }
+  return answer;
+}
+
+void RequestExecution::Finish(Timestamp now, ResultCode failure) {
+  Answer answer = Snapshot(now);
+  answer.code = CodeAtEnd(answer.coverage, failure);
+  answered_ = true;
+  actions_.answer = std::move(answer);
+  for (ShardProgress& shard : shards_) {
+    SetWaiting(&shard, false);
+  }
+  // Unrepeatable work is not cancelled: its outcome is still wanted for the ledger.
+  if (plan_.repeatable) {
+    AbandonAll(now, failure == ResultCode::kDeadlineExceeded);
+  }
+}
+
+void RequestExecution::AbandonAll(Timestamp now, bool timed_out) {
+  for (ShardProgress& shard : shards_) {
+    for (Attempt& attempt : shard.attempts) {
+      if (attempt.state == AttemptState::kPossiblyRunning) {
+        actions_.cancels.push_back({attempt.id, attempt.leaf});
+        context_.pool->OnAbandoned(now, attempt.leaf, attempt.id, timed_out);
+      }
+    }
+  }
+}
+
+ExecutionActions RequestExecution::TakeActions() { return std::exchange(actions_, {}); }
+
+Timestamp RequestExecution::NextWake(Timestamp now) const {
+  Timestamp wake = deadline_;
+  const Timestamp wait_over = started_ + plan_.wait;
+  if (wait_over > now) {
+    wake = std::min(wake, wait_over);
+  }
+  const bool asks_program = program_ != nullptr && program_->has_decide();
+  for (const ShardProgress& shard : shards_) {
+    if (shard.covered || shard.given_up) {
+      continue;
+    }
+    const size_t active = ActiveAttempts(shard);
+    if (active == 0 || asks_program) {
+      return std::min(wake, now + options_.poll);
+    }
+    const Timestamp sent = shard.attempts.back().sent;
+    if (options_.naive_retry_timeout.count() > 0) {
+      wake = std::min(wake, std::max(sent + options_.naive_retry_timeout, now + options_.poll));
+    } else if (plan_.hedge && active == 1 && shard.shard.replicas.size() > 1) {
+      wake = std::min(wake, std::max(sent + HedgeDelay(), now + options_.poll));
+    }
+  }
+  return std::max(wake, now);
+}
+
+}  // namespace pumicedyke::query
--- /dev/null
+++ b/src/query/request_execution.h
@@ -0,0 +1,167 @@
+// One caller's request from admission to answer: pins a snapshot, sends a sub-request for every
+// shard, hedges and retries within the budget, merges replies, decides when to stop, and says
+// truthfully what is covered and what may have run. Events in, actions out.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "balance/extra_load_budget.h"
+#include "balance/latency_tracker.h"
+#include "balance/leaf_pool.h"
+#include "common/types.h"
+#include "config/model.h"
+#include "policy/policy_program.h"
+#include "query/messages.h"
+
+namespace pumicedyke::query {
+
+/// How a request is executed; the defaults are the product's. The other settings exist for
+/// baselines in benchmarks and for simulations that show what a check is for.
+struct ExecutionOptions {
+  /// Replies computed on another snapshot than the pinned one are refused.
+  bool snapshot_pin = true;
+  /// A shard's second reply is dropped.
+  bool coverage_dedupe = true;
+  /// Bytes handed to a connection count as possibly run.
+  bool sent_tracking = true;
+  /// The leaf's part of the deadline is shorter by this.
+  Duration hop = Milliseconds(1);
+  /// How often unsent sub-requests look for a free leaf, and a decide() program is asked.
+  Duration poll = Milliseconds(2);
+  /// Baseline: retries after this time-out without a budget; zero means off.
+  Duration naive_retry_timeout{};
+  /// Baseline: hedges after this delay without a budget; zero means off.
+  Duration fixed_hedge_delay{};
+};
+
+/// What the executions of one service on one node share.
+struct ServiceContext {
+  balance::LeafPool* pool = nullptr;
+  balance::ExtraLoadBudget* budget = nullptr;
+  balance::LatencyTracker* latencies = nullptr;
+  std::function<SubRequestId()> next_id;
+};
+
+struct SubRequestCancel {
+  SubRequestId id;
+  std::string leaf;
+};
+
+struct ExecutionActions {
+  std::vector<LeafRequest> sends;
+  std::vector<SubRequestCancel> cancels;
+  std::optional<Answer> answer;
+};
+
+class RequestExecution {
+ public:
+  /// @param program may be null (no decide()); outlives the execution.
+  RequestExecution(CallerRequest request, policy::QueryPlan plan, policy::PolicyProgram* program,
+                   std::shared_ptr<const config::Service> service,
+                   const config::PublishedSnapshot& snapshot, ServiceContext context,
+                   ExecutionOptions options, Timestamp now);
+  ~RequestExecution();
+  RequestExecution(const RequestExecution&) = delete;
+  RequestExecution& operator=(const RequestExecution&) = delete;
+
+  /// Sends what can be sent, hedges, and answers if it is time.
+  void Advance(Timestamp now);
+  void OnReply(Timestamp now, const LeafReply& reply);
+
+  /// True when every replica of a shard said that it does not hold the snapshot and the whole
+  /// request may start again on another one.
+  bool NeedsOtherSnapshot() const { return needs_other_snapshot_; }
+  SnapshotId snapshot() const { return snapshot_id_; }
+  const std::string& service_name() const { return request_.service; }
+  /// Drops everything merged so far and starts on `snapshot`; at most once.
+  void Restart(Timestamp now, std::shared_ptr<const config::Service> service,
+               const config::PublishedSnapshot& snapshot);
+
+  /// There is no other snapshot to start on: goes on with what the pinned one gives.
+  void DeclineRestart(Timestamp now);
+
+  ExecutionActions TakeActions();
+  /// When Advance() must be called next, if no reply comes before.
+  Timestamp NextWake(Timestamp now) const;
+
+  bool answered() const { return answered_; }
+  /// Unrepeatable work: sub-requests without a known outcome after the answer went out.
+  bool HasUnknownOutcome() const;
+  /// What is certain at this moment about the work.
+  RunState CurrentRunState() const;
+  /// The answer as it would be now; for the ledger's record of a late outcome.
+  Answer Snapshot(Timestamp now) const;
+  const policy::QueryPlan& plan() const { return plan_; }
+  bool has_idempotency_key() const { return !request_.idempotency_key.empty(); }
+  /// Gives up what is still out, for instance when a late outcome is no longer waited for.
+  void AbandonAll(Timestamp now, bool timed_out);
+
+ private:
+  enum class AttemptState { kPossiblyRunning, kRefused, kFailed, kDone };
+  struct Attempt {
+    SubRequestId id;
+    std::string leaf;
+    Timestamp sent;
+    AttemptState state = AttemptState::kPossiblyRunning;
+  };
+  struct ShardProgress {
+    config::Shard shard;
+    std::vector<Attempt> attempts;
+    std::set<std::string> tried;
+    std::vector<ResultItem> results;
+    bool covered = false;
+    bool given_up = false;
+    bool waiting = false;
+    MissingReason reason = MissingReason::kNotSent;
+    size_t not_held = 0;
+  };
+
+  void PinSnapshot(const config::PublishedSnapshot& snapshot);
+  bool WantsShard(ShardId id) const;
+  void AdvanceShard(Timestamp now, ShardProgress* shard);
+  bool SendTo(Timestamp now, ShardProgress* shard, bool extra);
+  void SendPrimaryOrRetry(Timestamp now, ShardProgress* shard);
+  void MaybeHedge(Timestamp now, ShardProgress* shard);
+  void MaybeNaiveRetry(Timestamp now, ShardProgress* shard);
+  Duration HedgeDelay() const;
+  void SetWaiting(ShardProgress* shard, bool waiting);
+  bool AllReplicasTriedOrLeaving(Timestamp now, const ShardProgress& shard) const;
+  bool MayTryReplicasAgain(const ShardProgress& shard) const;
+  size_t ActiveAttempts(const ShardProgress& shard) const;
+  void Merge(Timestamp now, ShardProgress* shard, const LeafReply& reply);
+  void Refused(ShardProgress* shard, const LeafReply& reply);
+  void CancelOthers(Timestamp now, ShardProgress* shard, SubRequestId winner);
+  void Evaluate(Timestamp now);
+  bool PolicySaysAnswer(Timestamp now);
+  void Finish(Timestamp now, ResultCode failure);
+  ResultCode CodeAtEnd(const Coverage& coverage, ResultCode failure) const;
+  Coverage CurrentCoverage() const;
+
+  CallerRequest request_;
+  policy::QueryPlan plan_;
+  policy::PolicyProgram* program_;
+  std::shared_ptr<const config::Service> service_;
+  ServiceContext context_;
+  ExecutionOptions options_;
+  Timestamp started_;
+  Timestamp deadline_;
+  SnapshotId snapshot_id_;
+  std::vector<ShardProgress> shards_;
+  /// Which shard an id was sent for; ids of an earlier snapshot are gone from here.
+  std::map<SubRequestId, size_t> shard_of_;
+  size_t covered_ = 0;
+  uint32_t sent_ = 0;
+  uint32_t extra_ = 0;
+  bool restarted_ = false;
+  bool needs_other_snapshot_ = false;
+  bool answered_ = false;
+  ExecutionActions actions_;
+};
+
+}  // namespace pumicedyke::query
--- /dev/null
+++ b/src/server/control_process.cc
@@ -0,0 +1,336 @@
+#include "server/control_process.h"
+
+#include <xxhash.h>
+
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_split.h"
+#include "common/json.h"
+#include "common/log.h"
+#include "common/result_code.h"
+#include "common/settings.h"
+#include "http/metrics.h"
+#include "policy/policy_program.h"
+#include "server/process.h"
+
+namespace pumicedyke::server {
+namespace {
+
+constexpr Duration kTickInterval = Milliseconds(10);
+/// After handing leadership over, a stopping machine stays to answer stragglers.
+constexpr Duration kStopGrace = Milliseconds(300);
+
+struct Machine {
+  std::string name;
+  std::string address;
+};
+
+std::vector<Machine> ParseMachines(const std::vector<std::string>& items) {
+  std::vector<Machine> machines;
+  for (const std::string& item : items) {
+    const std::pair<std::string, std::string> parts = absl::StrSplit(item, absl::MaxSplits('=', 1));
+    machines.push_back({parts.first, parts.second});
+  }
+  return machines;
+}
+
+/// The members of a new cluster get ids that every machine works out alike.
+MemberId FirstMemberId(const std::string& cluster, const std::string& machine) {
+  const std::string text = cluster + "/" + machine;
+  return XXH64(text.data(), text.size(), 1) | 1;
+}
+
+MemberId FreshMemberId() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32 | device()) | 1;
+}
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  return static_cast<uint64_t>(device()) << 32 | device();
+}
+
+}  // namespace
+
+absl::StatusOr<ControlSettings> ReadControlSettings(const std::string& path) {
+  Settings file(path);
+  ControlSettings settings;
+  settings.cluster = file.Required("cluster", "the name of the cluster");
+  settings.machine = file.Required("machine", "the name of this machine");
+  settings.listen = file.Address("listen", "127.0.0.1:7100");
+  settings.operator_listen = file.Address("operator_listen", "127.0.0.1:7200");
+  settings.operator_token_file = file.String("operator_token_file", "");
+  settings.data_folder = file.Required("data_folder", "the folder of this machine's state");
+  settings.port_file = file.String("port_file", "");
+  settings.machines = file.List("machines");
+  settings.snapshot_log_bytes =
+      static_cast<size_t>(file.Integer("snapshot_log_bytes", 4 << 20, 4096, int64_t{1} << 32));
+  settings.election_timeout = Milliseconds(file.Integer("election_timeout_ms", 300, 50, 60000));
+  bool listed = false;
+  for (const Machine& machine : ParseMachines(settings.machines)) {
+    listed |= machine.name == settings.machine;
+    if (machine.name.empty() || !IsAddress(machine.address)) {
+      file.AddError("machines", "must list entries like \"a=127.0.0.1:7100\"");
+    }
+  }
+  if (!listed) {
+    file.AddError("machines", "must list this machine, '" + settings.machine + "', too");
+  }
+  if (absl::Status status = file.Finish(); !status.ok()) {
+    return status;
+  }
+  return settings;
+}
+
+absl::Status FormatControl(const ControlSettings& settings) {
+  if (absl::Status status = storage::PosixFileSystem::CreateFolder(settings.data_folder);
+      !status.ok()) {
+    return status;
+  }
+  wire::SnapshotData initial;
+  for (const Machine& machine : ParseMachines(settings.machines)) {
+    initial.members.push_back({FirstMemberId(settings.cluster, machine.name), machine.name,
+                               machine.address, /*voter=*/true});
+  }
+  storage::PosixFileSystem files(settings.data_folder);
+  storage::LogStorage storage(&files, {});
+  return storage.Format({FirstMemberId(settings.cluster, settings.machine), settings.cluster,
+                         settings.machine},
+                        initial);
+}
+
+ControlProcess::ControlProcess(ControlSettings settings, net::EventLoop* loop)
+    : settings_(std::move(settings)), loop_(loop) {}
+
+absl::Status ControlProcess::OpenStorage(wire::Identity* identity,
+                                         storage::RecoveredState* recovered) {
+  if (absl::Status status = storage::PosixFileSystem::CreateFolder(settings_.data_folder);
+      !status.ok()) {
+    return status;
+  }
+  files_ = std::make_unique<storage::PosixFileSystem>(settings_.data_folder);
+  storage_ = std::make_unique<storage::LogStorage>(files_.get(), storage::LogStorageOptions{});
+  absl::StatusOr<wire::Identity> found = storage_->ReadIdentity();
+  if (absl::IsNotFound(found.status())) {
+    // A lost disk, or a machine that is new: another incarnation, without a vote until the
+    // leader has taken it in and it has caught up.
+    const wire::Identity fresh{FreshMemberId(), settings_.cluster, settings_.machine};
+    if (absl::Status status = storage_->Format(fresh, wire::SnapshotData{}); !status.ok()) {
+      return status;
+    }
+    found = fresh;
+  }
+  if (!found.ok()) {
+    return found.status();
+  }
+  if (found->cluster != settings_.cluster || found->machine != settings_.machine) {
+    return MakeStatus(ResultCode::kWrongCluster, "the data folder belongs to machine " +
+                                                     found->machine + " of cluster " +
+                                                     found->cluster);
+  }
+  *identity = *std::move(found);
+  absl::StatusOr<storage::RecoveredState> state = storage_->Recover();
+  if (!state.ok()) {
+    return state.status();
+  }
+  *recovered = *std::move(state);
+  return absl::OkStatus();
+}
+
+absl::Status ControlProcess::Start() {
+  absl::StatusOr<std::string> token =
+      ReadOperatorToken(settings_.operator_token_file, settings_.operator_listen);
+  if (!token.ok()) {
+    return token.status();
+  }
+  token_ = *token;
+  wire::Identity identity;
+  storage::RecoveredState recovered;
+  if (absl::Status status = OpenStorage(&identity, &recovered); !status.ok()) {
+    return status;
+  }
+  LogEvent("recovered", {{"member", identity.member},
+                         {"snapshot_index", recovered.snapshot.index},
+                         {"entries", recovered.entries.size()},
+                         {"cut_bytes", recovered.cut_bytes}});
+  control::ControlOptions options;
+  options.cluster = settings_.cluster;
+  for (const Machine& machine : ParseMachines(settings_.machines)) {
+    options.seeds.push_back(machine.address);
+    if (machine.name == settings_.machine) {
+      options.address = machine.address;
+    }
+  }
+  options.snapshot_log_bytes = settings_.snapshot_log_bytes;
+  options.raft.election_timeout = settings_.election_timeout;
+  options.raft.heartbeat_interval = settings_.election_timeout / 6;
+  server_ = std::make_unique<control::ControlServer>(options, identity, storage_.get(),
+                                                     std::move(recovered), RandomSeed(),
+                                                     net::EventLoop::Now());
+  frames_ = std::make_unique<net::FrameServer>(
+      loop_, [this](uint64_t session, const wire::Envelope& envelope) { OnFrame(session, envelope); },
+      [this](uint64_t session) { server_->OnSessionClosed(session); });
+  if (absl::Status status = frames_->Listen(settings_.listen); !status.ok()) {
+    return status;
+  }
+  http_ = std::make_unique<http::HttpServer>(
+      loop_, http::HttpServerOptions{.max_body_bytes = 32 << 20},
+      [this](const http::HttpRequest& request, http::Responder responder) {
+        OnOperator(request, std::move(responder));
+      });
+  if (absl::Status status = http_->Listen(settings_.operator_listen); !status.ok()) {
+    return status;
+  }
+  return WritePortFile(settings_.port_file, "control " + std::to_string(frames_->port()) +
+                                                "\noperator " + std::to_string(http_->port()) +
+                                                "\n");
+}
+
+absl::Status ControlProcess::Run() {
+  loop_->Run([this](Timestamp now) { return Tick(now); });
+  return server_->raft().failure();
+}
+
+Timestamp ControlProcess::Tick(Timestamp now) {
+  server_->SetWallClock(net::EventLoop::WallMilliseconds());
+  server_->Tick(now);
+  CarryOut();
+  const bool failed = !server_->raft().failure().ok();
+  const bool drained = stopping_ && now >= stop_not_before_ && server_->Drained() &&
+                       waiting_.empty() && http_->in_flight() == 0;
+  if (failed || drained) {
+    loop_->Stop();
+  }
+  return now + kTickInterval;
+}
+
+void ControlProcess::CarryOut() {
+  control::ControlOutput output = server_->TakeOutput();
+  for (const control::PeerMessage& message : output.peers) {
+    SendToPeer(message.address, message.envelope);
+  }
+  for (const control::SessionMessage& message : output.sessions) {
+    frames_->Send(message.session, message.envelope);
+  }
+  for (const control::OperatorReply& reply : output.operators) {
+    const auto waiting = waiting_.find(reply.ticket);
+    if (waiting == waiting_.end()) {
+      continue;
+    }
+    const Json body = Json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
+    const int code = body.is_object() ? body.value("code", 0) : 0;
+    waiting->second.Send({InfoOf(static_cast<ResultCode>(code)).http_status, reply.body});
+    waiting_.erase(waiting);
+  }
+}
+
+void ControlProcess::SendToPeer(const std::string& address, const wire::Envelope& envelope) {
+  std::unique_ptr<net::FrameClient>& peer = peers_[address];
+  if (peer == nullptr) {
+    peer = std::make_unique<net::FrameClient>(
+        loop_, address, [](const wire::Envelope&) {}, [] {});
+  }
+  peer->Send(envelope);
+}
+
+void ControlProcess::OnFrame(uint64_t session, const wire::Envelope& envelope) {
+  const Timestamp now = net::EventLoop::Now();
+  if (envelope.cluster != settings_.cluster) {
+    LogEvent("wrong_cluster", {{"cluster", envelope.cluster}});
+    frames_->CloseSession(session);
+    return;
+  }
+  const bool from_node = std::holds_alternative<wire::NodeHello>(envelope.body) ||
+                         std::holds_alternative<wire::LedgerRequest>(envelope.body);
+  server_->SetWallClock(net::EventLoop::WallMilliseconds());
+  if (from_node) {
+    server_->OnNodeMessage(now, session, envelope);
+  } else {
+    server_->OnPeerMessage(now, envelope);
+  }
+  CarryOut();
+}
+
+void ControlProcess::OnOperator(const http::HttpRequest& request, http::Responder responder) {
+  const Timestamp now = net::EventLoop::Now();
+  if (request.path == "/healthz") {
+    responder.Send({stopping_ ? 503 : 200, stopping_ ? "stopping\n" : "ok\n", "text/plain"});
+    return;
+  }
+  if (request.path == "/metrics") {
+    responder.Send({200, MetricsText(now), "text/plain; version=0.0.4"});
+    return;
+  }
+  if (!Authorized(token_, request, &responder)) {
+    return;
+  }
+  if (request.path == "/v1/status" && request.method == "GET") {
+    responder.Send({200, server_->StatusJson(now)});
+  } else if (request.path == "/v1/config" && request.method == "GET") {
+    const control::TicketId ticket = next_ticket_++;
+    waiting_.emplace(ticket, std::move(responder));
+    server_->ReadConfig(now, ticket);
+    CarryOut();
+  } else if (request.path == "/v1/changes" && request.method == "POST") {
+    OnChange(request, std::move(responder));
+  } else {
+    responder.Send(ErrorResponse(ResultCode::kUnknownPath, request.method + " " + request.path));
+  }
+}
+
+void ControlProcess::OnChange(const http::HttpRequest& request, http::Responder responder) {
+  absl::StatusOr<Json> json = ParseObject(request.body, "the request body");
+  if (!json.ok()) {
+    responder.Send(ErrorResponse(CodeOf(json.status()), std::string(json.status().message())));
+    return;
+  }
+  absl::StatusOr<config::Change> change = config::ParseChange(*json);
+  if (!change.ok()) {
+    responder.Send(ErrorResponse(CodeOf(change.status()), std::string(change.status().message())));
+    return;
+  }
+  if (change->kind == config::ChangeKind::kPutPolicy) {
+    if (absl::Status status = policy::PolicyProgram::Check(change->policy); !status.ok()) {
+      responder.Send(ErrorResponse(CodeOf(status), std::string(status.message())));
+      return;
+    }
+  }
+  const control::TicketId ticket = next_ticket_++;
+  waiting_.emplace(ticket, std::move(responder));
+  server_->Submit(net::EventLoop::Now(), ticket, *change);
+  CarryOut();
+}
+
+std::string ControlProcess::MetricsText(Timestamp now) const {
+  http::MetricsPage page;
+  const consensus::Raft& raft = server_->raft();
+  page.Gauge("pumicedyke_control_leads", "1 while this machine leads with a valid lease.",
+             raft.HasLease(now) ? 1 : 0);
+  page.Gauge("pumicedyke_control_term", "Term of the replicated log.",
+             static_cast<double>(raft.term()));
+  page.Gauge("pumicedyke_control_commit_index", "Last committed log index.",
+             static_cast<double>(raft.commit_index()));
+  page.Gauge("pumicedyke_control_log_bytes", "Bytes of the log since its last snapshot.",
+             static_cast<double>(storage_->log_bytes()));
+  page.Gauge("pumicedyke_config_version", "Configuration version applied here.",
+             static_cast<double>(server_->state().config().version().value));
+  page.Gauge("pumicedyke_control_sessions", "Nodes that greet this machine.",
+             static_cast<double>(server_->session_count()));
+  page.Gauge("pumicedyke_control_ledger_entries", "Keys in the at-most-once ledger.",
+             static_cast<double>(server_->state().ledger().size()));
+  page.AddProcess();
+  return page.Text();
+}
+
+void ControlProcess::Stop() {
+  const Timestamp now = net::EventLoop::Now();
+  LogEvent("stopping", {});
+  stopping_ = true;
+  stop_not_before_ = now + kStopGrace;
+  http_->StartDraining();
+  server_->StartShutdown(now);
+  CarryOut();
+}
+
+}  // namespace pumicedyke::server
--- /dev/null
+++ b/src/server/leaf_process.h
@@ -0,0 +1,35 @@
+// Stand-in for a back end: a LeafModel behind HTTP. Not part of the product.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "emulator/leaf_model.h"
+#include "http/http_server.h"
+#include "net/event_loop.h"
+
+namespace pumicedyke::server {
+
+class LeafProcess {
+ public:
+  LeafProcess(emulator::LeafModelOptions options, net::EventLoop* loop);
+  absl::Status Start(const std::string& listen, const std::string& port_file);
+  void Run();
+  void Stop();
+
+ private:
+  void OnHttp(const http::HttpRequest& request, http::Responder responder);
+  void OnSearch(const http::HttpRequest& request, http::Responder responder);
+  void OnAdmin(const http::HttpRequest& request, http::Responder responder);
+  Timestamp Tick(Timestamp now);
+  std::string RunsText() const;
+
+  emulator::LeafModel model_;
+  net::EventLoop* loop_;
+  std::unique_ptr<http::HttpServer> http_;
+  std::map<SubRequestId, http::Responder> waiting_;
+  bool stopping_ = false;
+};
+
+}  // namespace pumicedyke::server
--- /dev/null
+++ b/src/server/process.cc
@@ -0,0 +1,94 @@
+#include "server/process.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "common/json.h"
+#include "common/log.h"
+#include "common/result_code.h"
+
+namespace pumicedyke::server {
+
+int ReportFailure(const std::string& process, const absl::Status& status) {
+  const ResultCode code = CodeOf(status);
+  std::cerr << process << ": " << InfoOf(code).name << " (" << static_cast<int>(code)
+            << "):\n" << status.message() << "\n";
+  return static_cast<int>(code == ResultCode::kInvalidConfig ? ExitCode::kBadSettings
+                                                             : ExitCode::kFailed);
+}
+
+void InstallSignals(net::EventLoop* loop, std::function<void()> stop) {
+  auto asked = std::make_shared<bool>(false);
+  auto on_stop = [asked, stop = std::move(stop)] {
+    if (*asked) {
+      LogError("stopped_twice", {{"what", "a second signal came before the planned stop ended"}});
+      std::_Exit(static_cast<int>(ExitCode::kFailed));
+    }
+    *asked = true;
+    stop();
+  };
+  loop->OnSignal(SIGTERM, on_stop);
+  loop->OnSignal(SIGINT, on_stop);
+  loop->OnSignal(SIGUSR1, [] { DumpLog("signal"); });
+}
+
+absl::Status WritePortFile(const std::string& path, const std::string& text) {
+  if (path.empty()) {
+    return absl::OkStatus();
+  }
+  const std::string temporary = path + ".new";
+  std::ofstream(temporary) << text;
+  if (std::rename(temporary.c_str(), path.c_str()) != 0) {
+    return MakeStatus(ResultCode::kInvalidConfig, "field 'port_file': cannot write " + path);
+  }
+  return absl::OkStatus();
+}
+
+http::HttpResponse ErrorResponse(ResultCode code, const std::string& message) {
+  const ResultCodeInfo& info = InfoOf(code);
+  const Json body{{"code", static_cast<int>(code)},
+                  {"result", info.name},
+                  {"run", "not_run"},
+                  {"message", message}};
+  return {info.http_status, body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+bool Authorized(const std::string& token, const http::HttpRequest& request,
+                http::Responder* responder) {
+  if (token.empty() || request.authorization == "Bearer " + token) {
+    return true;
+  }
+  responder->Send(ErrorResponse(ResultCode::kUnauthorized, "the operator token is missing or wrong"));
+  return false;
+}
+
+absl::StatusOr<std::string> ReadOperatorToken(const std::string& path,
+                                              const std::string& address) {
+  if (path.empty()) {
+    if (absl::StartsWith(address, "127.")) {
+      return std::string();
+    }
+    return MakeStatus(ResultCode::kInvalidConfig,
+                      "field 'operator_token_file': must name a file unless operators come over "
+                      "loopback");
+  }
+  std::ifstream file(path);
+  std::stringstream content;
+  content << file.rdbuf();
+  std::string token(absl::StripAsciiWhitespace(content.str()));
+  if (!file || token.empty()) {
+    return MakeStatus(ResultCode::kInvalidConfig,
+                      "field 'operator_token_file': cannot read a token from " + path);
+  }
+  return token;
+}
+
+}  // namespace pumicedyke::server
--- /dev/null
+++ b/src/server/process.h
@@ -0,0 +1,46 @@
+// What every process does alike: flags, settings, logs, signals, exit codes.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "common/result_code.h"
+#include "common/settings.h"
+#include "http/http_server.h"
+#include "net/event_loop.h"
+
+namespace pumicedyke::server {
+
+/// Exit codes of every program; docs/OPERATIONS.md lists them.
+enum class ExitCode : int {
+  kOk = 0,
+  kFailed = 1,
+  kUsage = 2,
+  kBadSettings = 3,
+  kUnavailable = 4,
+  kRefused = 5,
+};
+
+/// Prints a status to standard error. @return the exit code that fits.
+int ReportFailure(const std::string& process, const absl::Status& status);
+
+/// SIGTERM and SIGINT call `stop`, a second one ends the process; SIGUSR1 writes the log ring.
+void InstallSignals(net::EventLoop* loop, std::function<void()> stop);
+
+/// Writes "name port" lines that test fleets read, replacing the file at once; no path, no file.
+absl::Status WritePortFile(const std::string& path, const std::string& text);
+
+/// An error as callers and operators see it.
+http::HttpResponse ErrorResponse(ResultCode code, const std::string& message);
+
+/// @return false, and answers, unless the request carries "Bearer <token>"; an empty token asks
+/// for none.
+bool Authorized(const std::string& token, const http::HttpRequest& request,
+                http::Responder* responder);
+
+/// Reads a token file; it is needed unless `address` is on loopback.
+absl::StatusOr<std::string> ReadOperatorToken(const std::string& path, const std::string& address);
+
+}  // namespace pumicedyke::server
--- /dev/null
+++ b/src/sim/clock_queue.cc
@@ -0,0 +1,25 @@
+#include "sim/clock_queue.h"
+
+#include <algorithm>
+
+namespace pumicedyke::sim {
+
+void ClockQueue::At(Timestamp time, Event event) {
+  items_.push({std::max(time, now_), next_order_++, std::move(event)});
+}
+
+bool ClockQueue::RunNext(Timestamp end) {
+  if (items_.empty() || items_.top().time > end) {
+    now_ = std::max(now_, end);
+    return false;
+  }
+  // The queue gives out const references only; the event is about to be popped anyway.
+  Item item = std::move(const_cast<Item&>(items_.top()));
+  items_.pop();
+  now_ = item.time;
+  ++executed_;
+  item.event();
+  return true;
+}
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/storage/posix_file_system.cc
@@ -0,0 +1,127 @@
+#include "storage/posix_file_system.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "common/result_code.h"
+
+namespace pumicedyke::storage {
+namespace {
+
+absl::Status IoError(const std::string& what, const std::string& path) {
+  return MakeStatus(ResultCode::kStorageFailed, what + " " + path + ": " + std::strerror(errno));
+}
+
+class PosixAppendFile : public AppendFile {
+ public:
+  PosixAppendFile(int descriptor, std::string path)
+      : descriptor_(descriptor), path_(std::move(path)) {}
+  ~PosixAppendFile() override { ::close(descriptor_); }
+  PosixAppendFile(const PosixAppendFile&) = delete;
+  PosixAppendFile& operator=(const PosixAppendFile&) = delete;
+
+  absl::Status Append(std::string_view bytes) override {
+    while (!bytes.empty()) {
+      const ssize_t written = ::write(descriptor_, bytes.data(), bytes.size());
+      if (written < 0 && errno == EINTR) {
+        continue;
+      }
+      if (written < 0) {
+        return IoError("write", path_);
+      }
+      bytes.remove_prefix(static_cast<size_t>(written));
+    }
+    return absl::OkStatus();
+  }
+
+  absl::Status Sync() override {
+    return ::fdatasync(descriptor_) == 0 ? absl::OkStatus() : IoError("fdatasync", path_);
+  }
+
+ private:
+  int descriptor_;
+  std::string path_;
+};
+
+}  // namespace
+
+PosixFileSystem::PosixFileSystem(std::string folder) : folder_(std::move(folder)) {}
+
+absl::Status PosixFileSystem::CreateFolder(const std::string& folder) {
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  if (error) {
+    return MakeStatus(ResultCode::kStorageFailed, "create " + folder + ": " + error.message());
+  }
+  return absl::OkStatus();
+}
+
+absl::StatusOr<std::string> PosixFileSystem::Read(const std::string& name) {
+  std::ifstream file(Path(name), std::ios::binary);
+  if (!file) {
+    return absl::NotFoundError(name);
+  }
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+absl::StatusOr<std::unique_ptr<AppendFile>> PosixFileSystem::OpenAppend(const std::string& name) {
+  const int descriptor = ::open(Path(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (descriptor < 0) {
+    return IoError("open", Path(name));
+  }
+  return std::unique_ptr<AppendFile>(std::make_unique<PosixAppendFile>(descriptor, Path(name)));
+}
+
+absl::Status PosixFileSystem::Truncate(const std::string& name, size_t size) {
+  const int descriptor = ::open(Path(name).c_str(), O_WRONLY | O_CLOEXEC);
+  if (descriptor < 0) {
+    return IoError("open", Path(name));
+  }
+  const bool ok = ::ftruncate(descriptor, static_cast<off_t>(size)) == 0 && ::fsync(descriptor) == 0;
+  absl::Status status = ok ? absl::OkStatus() : IoError("truncate", Path(name));
+  ::close(descriptor);
+  return status;
+}
+
+absl::Status PosixFileSystem::Rename(const std::string& from, const std::string& to) {
+  return std::rename(Path(from).c_str(), Path(to).c_str()) == 0 ? absl::OkStatus()
+                                                                : IoError("rename", Path(from));
+}
+
+absl::Status PosixFileSystem::Remove(const std::string& name) {
+  return ::unlink(Path(name).c_str()) == 0 || errno == ENOENT ? absl::OkStatus()
+                                                              : IoError("unlink", Path(name));
+}
+
+absl::Status PosixFileSystem::SyncDirectory() {
+  const int descriptor = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (descriptor < 0) {
+    return IoError("open", folder_);
+  }
+  absl::Status status = ::fsync(descriptor) == 0 ? absl::OkStatus() : IoError("fsync", folder_);
+  ::close(descriptor);
+  return status;
+}
+
+std::vector<std::string> PosixFileSystem::List() {
+  std::vector<std::string> names;
+  std::error_code error;
+  for (const auto& entry : std::filesystem::directory_iterator(folder_, error)) {
+    names.push_back(entry.path().filename().string());
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+}  // namespace pumicedyke::storage
--- /dev/null
+++ b/src/wire/codec.h
@@ -0,0 +1,20 @@
+// Encodes and decodes wire messages with nanopb.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "wire/messages.h"
+
+namespace pumicedyke::wire {
+
+std::string Encode(const Envelope& envelope);
+std::string Encode(const StorageRecord& record);
+
+/// @return the message, or kMalformedRequest when the bytes are not one.
+absl::StatusOr<Envelope> DecodeEnvelope(std::string_view bytes);
+/// @return the record, or kCorruptState when the bytes are not one.
+absl::StatusOr<StorageRecord> DecodeRecord(std::string_view bytes);
+
+}  // namespace pumicedyke::wire
--- /dev/null
+++ b/src/wire/messages.h
@@ -0,0 +1,158 @@
+// Typed messages between the system's own processes, and the records of the data folder.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/types.h"
+
+namespace pumicedyke::wire {
+
+enum class EntryKind : uint32_t { kNoOp = 0, kCommand = 1, kMembership = 2 };
+
+struct LogEntry {
+  uint64_t index = 0;
+  uint64_t term = 0;
+  EntryKind kind = EntryKind::kNoOp;
+  std::string data;
+  bool operator==(const LogEntry&) const = default;
+};
+
+/// One replica of the control log. Non-voters receive the log and count in no quorum.
+struct Member {
+  MemberId id = 0;
+  std::string machine;
+  std::string address;
+  bool voter = false;
+  bool operator==(const Member&) const = default;
+};
+
+struct SnapshotData {
+  uint64_t index = 0;
+  uint64_t term = 0;
+  std::vector<Member> members;
+  std::string state;
+};
+
+enum class RaftMessageType : uint32_t {
+  kPreVote = 1,
+  kPreVoteReply,
+  kVote,
+  kVoteReply,
+  kAppend,
+  kAppendReply,
+  kSnapshot,
+  kTimeoutNow,
+  kReadIndex,
+  kReadIndexReply,
+};
+
+/// A message of the replicated log (Ongaro, "Consensus: Bridging Theory and Practice", 2014).
+struct RaftMessage {
+  RaftMessageType type = RaftMessageType::kAppend;
+  MemberId from = 0;
+  MemberId to = 0;
+  uint64_t term = 0;
+  uint64_t log_index = 0;
+  uint64_t log_term = 0;
+  uint64_t commit = 0;
+  std::vector<LogEntry> entries;
+  bool reject = false;
+  /// Echoed by the reply: the send time of an append in the sender's clock, or a read's ticket.
+  uint64_t context = 0;
+  SnapshotData snapshot;
+};
+
+struct NodeHello {
+  std::string node;
+  uint64_t incarnation = 0;
+  uint64_t version = 0;
+  /// Set until the node has learned a first configuration: the receiver must then ask a quorum.
+  bool starting = false;
+};
+
+struct ConfigChange {
+  uint64_t version = 0;
+  std::string command;
+};
+
+struct ConfigFeed {
+  uint64_t version = 0;
+  bool full = false;
+  std::string state;
+  std::vector<ConfigChange> changes;
+};
+
+enum class LedgerOperation : uint32_t { kClaim = 1, kComplete = 2, kRelease = 3 };
+
+struct LedgerRequest {
+  LedgerOperation operation = LedgerOperation::kClaim;
+  std::string key;
+  /// The attempt that asks; unique for ever.
+  uint64_t owner = 0;
+  /// Hash of what the key stands for, so that a key used for two requests is noticed.
+  uint64_t fingerprint = 0;
+  std::string outcome;
+  uint64_t request = 0;
+};
+
+enum class LedgerVerdict : uint32_t {
+  kGranted = 1,
+  kHeldByOther = 2,
+  kCompleted = 3,
+  kFingerprintMismatch = 4,
+  kRecorded = 5,
+};
+
+struct LedgerReply {
+  uint64_t request = 0;
+  LedgerVerdict verdict = LedgerVerdict::kHeldByOther;
+  std::string outcome;
+};
+
+struct JoinRequest {
+  MemberId member = 0;
+  std::string machine;
+  std::string address;
+};
+
+/// A command that a follower passes to the leader.
+struct Forwarded {
+  MemberId origin = 0;
+  uint64_t ticket = 0;
+  std::string command;
+};
+
+struct ForwardedReply {
+  uint64_t ticket = 0;
+  std::string result;
+};
+
+using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
+                          JoinRequest, Forwarded, ForwardedReply>;
+
+struct Envelope {
+  std::string cluster;
+  /// The sender's configuration version, so that a stale peer notices at once.
+  uint64_t version = 0;
+  Body body;
+};
+
+struct HardState {
+  uint64_t term = 0;
+  MemberId vote = 0;
+  bool operator==(const HardState&) const = default;
+};
+
+/// What a data folder is: whose, and which incarnation of it.
+struct Identity {
+  MemberId member = 0;
+  std::string cluster;
+  std::string machine;
+};
+
+using StorageRecord = std::variant<LogEntry, HardState, SnapshotData, Identity>;
+
+}  // namespace pumicedyke::wire
