Name sub-requests and ledger claims by the life of the node that made them

Sub-request ids and ledger owners were numbers that start with the incarnation, and two nodes with the same incarnation issue equal ones: a leaf took one node's cancel for the other's, and the ledger one node's claim for a resend of the other's. Ruled out: the leaf model (real leafs keyed by id would do the same), reuse within one node (ids grow), the incarnation store (each node had its own). Change: an origin, node name and incarnation, goes with every sub-request, reply and cancel, and is part of the owner of a claim. Node names must be unique in a cluster.

--- a/src/emulator/leaf_model.cc
+++ b/src/emulator/leaf_model.cc
@@ -25,6 +25,24 @@
   held_.erase({service, snapshot});
 }
 
+void LeafModel::Restart(Timestamp now) {
+  started_ = now;
+  draining_ = false;
+  queue_.clear();
+  running_.clear();
+  replies_.clear();
+}
+
+SnapshotId LeafModel::NewestHeld(const LeafRequest& request) const {
+  SnapshotId newest = request.snapshot;
+  for (const auto& [key, shards] : held_) {
+    if (key.first == request.service && shards.contains(request.shard)) {
+      newest = std::max(newest, key.second);
+    }
+  }
+  return newest;
+}
+
 Timestamp LeafModel::AfterPause(Timestamp time) const {
   if (options_.pause.count() == 0) {
     return time;
@@ -82,6 +100,7 @@
 
 LeafReply LeafModel::MakeReply(const LeafRequest& request, LeafStatus status) const {
   LeafReply reply;
+  reply.origin = request.origin;
   reply.id = request.id;
   reply.leaf = options_.name;
   reply.shard = request.shard;
@@ -133,9 +152,10 @@
   StartQueued(now);
 }
 
-void LeafModel::Cancel(Timestamp now, SubRequestId id) {
-  const auto queued = std::find_if(queue_.begin(), queue_.end(),
-                                   [id](const Job& job) { return job.request.id == id; });
+void LeafModel::Cancel(Timestamp now, const std::string& origin, SubRequestId id) {
+  const auto queued = std::find_if(queue_.begin(), queue_.end(), [&](const Job& job) {
+    return job.request.id == id && job.request.origin == origin;
+  });
   if (queued != queue_.end()) {
     ReplyAt(AfterPause(now), queued->request, LeafStatus::kCancelledBeforeStart);
     queue_.erase(queued);
@@ -151,8 +171,12 @@
       ReplyAt(start, job.request, LeafStatus::kDeadlineBeforeStart);
       continue;
     }
+    std::uniform_real_distribution<double> uniform(0, 1);
+    if (options_.ignores_snapshot > 0 && uniform(random_) < options_.ignores_snapshot) {
+      job.request.snapshot = NewestHeld(job.request);
+    }
     runs_.push_back({job.request.id, job.request.service, job.request.idempotency_key,
-                     job.request.shard, job.request.snapshot, start});
+                     job.request.query, job.request.shard, job.request.snapshot, start});
     running_.push_back({std::move(job), FinishTime(start, DrawService(start))});
   }
 }
--- a/src/emulator/leaf_model.h
+++ b/src/emulator/leaf_model.h
@@ -38,6 +38,8 @@
   size_t results_per_shard = 2;
   /// True: serves every snapshot and shard it is asked for.
   bool holds_everything = true;
+  /// Share of sub-requests answered on the newest held snapshot, whichever was asked for.
+  double ignores_snapshot = 0;
   uint64_t seed = 1;
 };
 
@@ -46,6 +48,7 @@
   SubRequestId id;
   std::string service;
   std::string idempotency_key;
+  std::string query;
   ShardId shard;
   SnapshotId snapshot;
   Timestamp started;
@@ -57,7 +60,7 @@
 
   void Submit(Timestamp now, const query::LeafRequest& request);
   /// Honoured only while the request is still queued.
-  void Cancel(Timestamp now, SubRequestId id);
+  void Cancel(Timestamp now, const std::string& origin, SubRequestId id);
   void SetDraining(bool draining) { draining_ = draining; }
   bool draining() const { return draining_; }
   void Hold(const std::string& service, SnapshotId snapshot, std::set<ShardId> shards);
@@ -65,6 +68,8 @@
 
   /// @return replies that are due.
   std::vector<query::LeafReply> Advance(Timestamp now);
+  /// The process died: everything queued and running is gone.
+  void Restart(Timestamp now);
   /// When the next reply is due, if any.
   std::optional<Timestamp> NextEvent() const;
 
@@ -97,6 +102,7 @@
   std::optional<query::LeafStatus> Refusal(const query::LeafRequest& request) const;
   void ReplyAt(Timestamp at, const query::LeafRequest& request, query::LeafStatus status);
   query::LeafReply MakeReply(const query::LeafRequest& request, query::LeafStatus status) const;
+  SnapshotId NewestHeld(const query::LeafRequest& request) const;
   void StartQueued(Timestamp now);
 
   LeafModelOptions options_;
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -18,7 +18,7 @@
 struct Operation {
   wire::LedgerOperation kind = wire::LedgerOperation::kClaim;
   std::string key;
-  uint64_t owner = 0;
+  std::string owner;
   uint64_t fingerprint = 0;
   std::string outcome;
   /// Wall clock of the leader that proposed it; only retention depends on it.
@@ -32,7 +32,7 @@
 };
 
 struct Entry {
-  uint64_t owner = 0;
+  std::string owner;
   uint64_t fingerprint = 0;
   bool completed = false;
   std::string outcome;
--- a/src/node/ledger_client.cc
+++ b/src/node/ledger_client.cc
@@ -14,13 +14,13 @@
   pending_[request.request] = {request, now, false};
 }
 
-uint64_t LedgerClient::Claim(Timestamp now, const std::string& key, uint64_t fingerprint) {
-  const uint64_t owner = ids_->Next();
+std::string LedgerClient::Claim(Timestamp now, const std::string& key, uint64_t fingerprint) {
+  std::string owner = origin_ + "." + std::to_string(ids_->Next());
   Start(now, {wire::LedgerOperation::kClaim, key, owner, fingerprint, "", 0});
   return owner;
 }
 
-void LedgerClient::AbandonClaim(uint64_t owner) {
+void LedgerClient::AbandonClaim(const std::string& owner) {
   for (auto& [id, pending] : pending_) {
     const bool is_claim = pending.request.operation == wire::LedgerOperation::kClaim;
     if (is_claim && pending.request.owner == owner) {
@@ -29,12 +29,12 @@
   }
 }
 
-void LedgerClient::Complete(Timestamp now, uint64_t owner, const std::string& key,
+void LedgerClient::Complete(Timestamp now, const std::string& owner, const std::string& key,
                             std::string outcome) {
   Start(now, {wire::LedgerOperation::kComplete, key, owner, 0, std::move(outcome), 0});
 }
 
-void LedgerClient::Release(Timestamp now, uint64_t owner, const std::string& key) {
+void LedgerClient::Release(Timestamp now, const std::string& owner, const std::string& key) {
   Start(now, {wire::LedgerOperation::kRelease, key, owner, 0, "", 0});
 }
 
--- a/src/node/ledger_client.h
+++ b/src/node/ledger_client.h
@@ -16,18 +16,21 @@
 
 class LedgerClient {
  public:
-  LedgerClient(std::string cluster, IdSource* ids) : cluster_(std::move(cluster)), ids_(ids) {}
+  /// @param origin names this life of this node (see id_source.h).
+  LedgerClient(std::string cluster, std::string origin, IdSource* ids)
+      : cluster_(std::move(cluster)), origin_(std::move(origin)), ids_(ids) {}
 
   /// Starts a claim. @return the attempt's owner id, under which the verdict comes.
-  uint64_t Claim(Timestamp now, const std::string& key, uint64_t fingerprint);
+  std::string Claim(Timestamp now, const std::string& key, uint64_t fingerprint);
   /// The request of this claim was answered without waiting for the verdict: should the claim be
   /// granted after all it is released, as nothing was dispatched under it.
-  void AbandonClaim(uint64_t owner);
-  void Complete(Timestamp now, uint64_t owner, const std::string& key, std::string outcome);
-  void Release(Timestamp now, uint64_t owner, const std::string& key);
+  void AbandonClaim(const std::string& owner);
+  void Complete(Timestamp now, const std::string& owner, const std::string& key,
+                std::string outcome);
+  void Release(Timestamp now, const std::string& owner, const std::string& key);
 
   struct Verdict {
-    uint64_t owner;
+    std::string owner;
     wire::LedgerVerdict verdict;
     std::string outcome;
   };
@@ -48,6 +51,7 @@
   void Start(Timestamp now, wire::LedgerRequest request);
 
   std::string cluster_;
+  std::string origin_;
   IdSource* ids_;
   /// By request number, which replies echo.
   std::map<uint64_t, Pending> pending_;
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -35,9 +35,10 @@
 
 NodeServer::NodeServer(NodeOptions options, Timestamp now)
     : options_(std::move(options)),
+      origin_(options_.subscriber.node + "." + std::to_string(options_.incarnation)),
       ids_(options_.incarnation),
       subscriber_(options_.subscriber, now),
-      ledger_(options_.subscriber.cluster, &ids_),
+      ledger_(options_.subscriber.cluster, origin_, &ids_),
       pool_(options_.knobs, options_.seed) {}
 
 NodeOutput NodeServer::TakeOutput() { return std::exchange(output_, {}); }
@@ -249,7 +250,7 @@
     snapshot = SnapshotFor(*found->second.service, active->request);
   }
   if (snapshot == nullptr) {
-    if (active->claim_owner != 0) {
+    if (!active->claim_owner.empty()) {
       ledger_.Release(now, active->claim_owner, active->ledger_key);
     }
     Refuse(now, id, ResultCode::kSnapshotGone, "the snapshot is no longer served",
@@ -386,12 +387,14 @@
   }
   query::ExecutionActions actions = active.execution->TakeActions();
   for (query::LeafRequest& request : actions.sends) {
+    request.origin = origin_;
     request_of_[request.id] = id;
     active.sub_requests.push_back(request.id);
     output_.sends.push_back(std::move(request));
   }
   for (query::SubRequestCancel& cancel : actions.cancels) {
     request_of_.erase(cancel.id);
+    cancel.origin = origin_;
     output_.cancels.push_back(std::move(cancel));
   }
   if (actions.answer.has_value()) {
@@ -427,7 +430,7 @@
 }
 
 void NodeServer::RecordOutcome(Timestamp now, const Active& active) {
-  if (active.claim_owner == 0) {
+  if (active.claim_owner.empty()) {
     return;
   }
   Answer outcome = active.execution->Snapshot(now);
@@ -454,6 +457,7 @@
   }
   found->second.execution->AbandonAll(now, /*timed_out=*/false);
   for (query::SubRequestCancel& cancel : found->second.execution->TakeActions().cancels) {
+    cancel.origin = origin_;
     output_.cancels.push_back(std::move(cancel));
   }
   Remove(now, id);
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -114,7 +114,7 @@
     std::unique_ptr<query::RequestExecution> execution;
     std::vector<SubRequestId> sub_requests;
     /// Set for unrepeatable work.
-    uint64_t claim_owner = 0;
+    std::string claim_owner;
     std::string ledger_key;
     Timestamp deadline{};
     Timestamp linger_until{};
@@ -151,6 +151,9 @@
   std::optional<SubRequestId> MatchReply(const query::LeafReply& reply) const;
 
   NodeOptions options_;
+  /// Names this life of this node; ids of two nodes, or of two lives, must never be taken for
+  /// each other, neither in the ledger nor at a leaf.
+  std::string origin_;
   IdSource ids_;
   ConfigSubscriber subscriber_;
   LedgerClient ledger_;
@@ -158,7 +161,7 @@
   std::map<std::string, ServiceRuntime> services_;
   std::map<RequestId, Active> active_;
   std::map<SubRequestId, RequestId> request_of_;
-  std::map<uint64_t, RequestId> claims_;
+  std::map<std::string, RequestId> claims_;
   using Wake = std::pair<Timestamp, RequestId>;
   std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes_;
   std::map<RequestId, Timestamp> next_wake_;
--- a/src/query/messages.cc
+++ b/src/query/messages.cc
@@ -217,7 +217,8 @@
 }
 
 Json LeafRequestToJson(const LeafRequest& request) {
-  return Json{{"id", request.id},
+  return Json{{"origin", request.origin},
+              {"id", request.id},
               {"leaf", request.leaf},
               {"service", request.service},
               {"shard", request.shard},
@@ -240,6 +241,7 @@
     json->at("shard").get_to(request.shard);
     json->at("snapshot").get_to(request.snapshot);
     json->at("query").get_to(request.query);
+    request.origin = json->value("origin", "");
     request.leaf = json->value("leaf", "");
     request.budget = Duration(json->at("budget_us").get<int64_t>());
     request.idempotency_key = json->value("idempotency_key", "");
@@ -251,7 +253,8 @@
 }
 
 Json LeafReplyToJson(const LeafReply& reply) {
-  return Json{{"id", reply.id},
+  return Json{{"origin", reply.origin},
+              {"id", reply.id},
               {"leaf", reply.leaf},
               {"shard", reply.shard},
               {"snapshot", reply.snapshot},
@@ -270,6 +273,7 @@
   LeafReply reply;
   try {
     json->at("id").get_to(reply.id);
+    reply.origin = json->value("origin", "");
     reply.leaf = json->value("leaf", "");
     json->at("shard").get_to(reply.shard);
     json->at("snapshot").get_to(reply.snapshot);
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -22,6 +22,8 @@
 
 /// One sub-request: one shard of one snapshot, at one leaf.
 struct LeafRequest {
+  /// The sending node's life; `id` is unique within it.
+  std::string origin;
   SubRequestId id;
   std::string leaf;
   std::string service;
@@ -54,6 +56,7 @@
 bool ProvesNotRun(LeafStatus status);
 
 struct LeafReply {
+  std::string origin;
   SubRequestId id;
   std::string leaf;
   ShardId shard;
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -197,7 +197,7 @@
   }
   const SubRequestId id = context_.next_id();
   const Duration budget = std::max(Duration(0), deadline_ - now - options_.hop);
-  actions_.sends.push_back({id, *leaf, request_.service, shard->shard.id, snapshot_id_,
+  actions_.sends.push_back({"", id, *leaf, request_.service, shard->shard.id, snapshot_id_,
                             request_.query, budget, request_.idempotency_key, plan_.repeatable});
   shard->attempts.push_back({id, *leaf, now});
   shard_of_[id] = static_cast<size_t>(shard - shards_.data());
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -51,6 +51,7 @@
 struct SubRequestCancel {
   SubRequestId id;
   std::string leaf;
+  std::string origin = {};
 };
 
 struct ExecutionActions {
--- a/src/server/leaf_process.cc
+++ b/src/server/leaf_process.cc
@@ -40,7 +40,7 @@
 
 Timestamp LeafProcess::Tick(Timestamp now) {
   for (const query::LeafReply& reply : model_.Advance(now)) {
-    const auto waiting = waiting_.find(reply.id);
+    const auto waiting = waiting_.find({reply.origin, reply.id});
     if (waiting != waiting_.end()) {
       waiting->second.Send({200, query::LeafReplyToJson(reply).dump()});
       waiting_.erase(waiting);
@@ -58,7 +58,7 @@
   } else if (request.path == "/v1/cancel") {
     const Json json = Json::parse(request.body, nullptr, /*allow_exceptions=*/false);
     if (json.is_object() && json.contains("id") && json["id"].is_number_unsigned()) {
-      model_.Cancel(net::EventLoop::Now(), json["id"].get<SubRequestId>());
+      model_.Cancel(net::EventLoop::Now(), json.value("origin", ""), json["id"].get<SubRequestId>());
     }
     responder.Send({200, "{}"});
   } else if (request.path == "/v1/health") {
@@ -78,7 +78,7 @@
     responder.Send(ErrorResponse(CodeOf(parsed.status()), std::string(parsed.status().message())));
     return;
   }
-  waiting_.insert_or_assign(parsed->id, std::move(responder));
+  waiting_.insert_or_assign(std::pair(parsed->origin, parsed->id), std::move(responder));
   model_.Submit(net::EventLoop::Now(), *parsed);
 }
 
--- a/src/server/leaf_process.h
+++ b/src/server/leaf_process.h
@@ -28,7 +28,7 @@
   emulator::LeafModel model_;
   net::EventLoop* loop_;
   std::unique_ptr<http::HttpServer> http_;
-  std::map<SubRequestId, http::Responder> waiting_;
+  std::map<std::pair<std::string, SubRequestId>, http::Responder> waiting_;
   bool stopping_ = false;
 };
 
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -23,6 +23,7 @@
 
 query::LeafReply FailedReply(const query::LeafRequest& request, bool not_sent) {
   query::LeafReply reply;
+  reply.origin = request.origin;
   reply.id = request.id;
   reply.leaf = request.leaf;
   reply.shard = request.shard;
@@ -156,7 +157,8 @@
   client_->Start(call, [this, request](const http::ClientResponse& response) {
     absl::StatusOr<query::LeafReply> reply = query::LeafReplyFromJson(response.body);
     // Whatever cannot be read may have run; only an unmade connection proves that it did not.
-    const bool usable = response.ok() && reply.ok() && reply->id == request.id;
+    const bool usable = response.ok() && reply.ok() && reply->id == request.id &&
+                        reply->origin == request.origin;
     if (!usable) {
       reply = FailedReply(request, response.not_sent);
     }
@@ -174,7 +176,7 @@
     return;
   }
   call.path = "/v1/cancel";
-  call.body = Json{{"id", cancel.id}}.dump();
+  call.body = Json{{"origin", cancel.origin}, {"id", cancel.id}}.dump();
   call.timeout = kProbeTimeout;
   client_->Start(call, [](const http::ClientResponse&) {});
 }
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -174,7 +174,7 @@
   pumicedyke_wire_LedgerRequest& out = envelope->body.ledger_request;
   out.operation = static_cast<uint32_t>(request.operation);
   out.key = arena->String(request.key);
-  out.owner = request.owner;
+  out.owner = arena->String(request.owner);
   out.fingerprint = request.fingerprint;
   out.outcome = arena->Pieces(request.outcome, &out.outcome_count);
   out.request = request.request;
@@ -182,7 +182,7 @@
 
 LedgerRequest Read(const pumicedyke_wire_LedgerRequest& in) {
   return LedgerRequest{
-      static_cast<LedgerOperation>(in.operation), Text(in.key), in.owner, in.fingerprint,
+      static_cast<LedgerOperation>(in.operation), Text(in.key), Text(in.owner), in.fingerprint,
       Join(in.outcome, in.outcome_count),         in.request};
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -90,8 +90,8 @@
 struct LedgerRequest {
   LedgerOperation operation = LedgerOperation::kClaim;
   std::string key;
-  /// The attempt that asks; unique for ever.
-  uint64_t owner = 0;
+  /// The attempt that asks: node, incarnation and number; unique for ever.
+  std::string owner;
   /// Hash of what the key stands for, so that a key used for two requests is noticed.
   uint64_t fingerprint = 0;
   std::string outcome;
