--- /dev/null
+++ b/src/sim/actors.cc
@@ -0,0 +1,172 @@
+#include "sim/actors.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "query/messages.h"
+
+namespace pumicedyke::sim {
+namespace {
+
+constexpr int kMaxAttempts = 5;
+constexpr int kMaxSends = 10;
+constexpr Duration kAnswerPatience = Milliseconds(1500);
+constexpr Duration kOperatorPatience = Milliseconds(1200);
+
+}  // namespace
+
+// ---- Callers ------------------------------------------------------------------------------------
+
+Caller::Caller(World* world, size_t node, std::string name)
+    : world_(world), node_(node), name_(std::move(name)) {}
+
+void Caller::Start(Timestamp end) {
+  end_ = end;
+  Loop();
+}
+
+size_t Caller::AvailableNode() const {
+  // The caller turns to the other node while its own is stopping or gone.
+  const NodeHost& own = *world_->nodes[node_];
+  const bool usable = own.alive() && !own.stopping();
+  return usable ? node_ : (node_ + 1) % world_->nodes.size();
+}
+
+void Caller::Loop() {
+  if (world_->clock.now() >= end_) {
+    return;
+  }
+  constexpr double kJobShare = 0.15;
+  if (world_->Uniform() < kJobShare) {
+    StartJob();
+  } else {
+    AskRead();
+  }
+  world_->clock.After(Milliseconds(world_->Between(15, 60)), [this] { Loop(); });
+}
+
+void Caller::AskRead() {
+  query::CallerRequest request;
+  request.service = kReadService;
+  request.query = absl::StrCat(name_, " read ", ++asked_);
+  request.request_class = world_->Uniform() < 0.4 ? "full" : "quick";
+  world_->Ask(AvailableNode(), request, [this, request](const query::Answer& answer) {
+    if (!answer.continuation.empty() && world_->Uniform() < 0.5) {
+      FollowContinuation(request, answer);
+    }
+  });
+}
+
+void Caller::FollowContinuation(const query::CallerRequest& request, const query::Answer& answer) {
+  const absl::StatusOr<query::Continuation> token =
+      query::DecodeContinuation(answer.continuation);
+  if (!token.ok()) {
+    world_->history.Fail(Invariant::kOwnCompleteAnswer, world_->clock.now(),
+                         request.query + ": the continuation token cannot be read");
+    return;
+  }
+  query::CallerRequest rest = request;
+  rest.query = request.query + " rest";
+  rest.snapshot = token->snapshot;
+  rest.shards = token->shards;
+  world_->clock.After(Milliseconds(20), [this, rest] {
+    world_->Ask(AvailableNode(), rest, [](const query::Answer&) {});
+  });
+}
+
+void Caller::StartJob() {
+  auto job = std::make_shared<Job>();
+  job->key = absl::StrCat(name_, "-job-", ++asked_);
+  AttemptJob(job, AvailableNode());
+  constexpr double kImpatientShare = 0.2;
+  if (world_->Uniform() < kImpatientShare) {
+    // A second press of the button, which reaches the other node.
+    const size_t other = (node_ + 1) % world_->nodes.size();
+    world_->clock.After(Milliseconds(world_->Between(0, 40)),
+                        [this, job, other] { AttemptJob(job, other); });
+  }
+}
+
+void Caller::AttemptJob(const std::shared_ptr<Job>& job, size_t node) {
+  if (job->settled || ++job->attempts > kMaxAttempts) {
+    return;
+  }
+  query::CallerRequest request;
+  request.service = kJobService;
+  request.query = "work of " + job->key;
+  request.idempotency_key = job->key;
+  auto answered = std::make_shared<bool>(false);
+  world_->Ask(node, request, [this, job, answered, node](const query::Answer& answer) {
+    *answered = true;
+    if (answer.code == ResultCode::kOk) {
+      job->settled = true;
+      return;
+    }
+    world_->clock.After(Milliseconds(world_->Between(50, 400)),
+                        [this, job, node] { AttemptJob(job, node); });
+  });
+  world_->clock.After(kAnswerPatience, [this, job, answered, node] {
+    if (!*answered) {
+      AttemptJob(job, (node + 1) % world_->nodes.size());
+    }
+  });
+}
+
+// ---- Operators ----------------------------------------------------------------------------------
+
+void Operators::Start(Timestamp end) {
+  end_ = end;
+  Loop();
+}
+
+void Operators::Loop() {
+  if (world_->clock.now() >= end_) {
+    return;
+  }
+  ReadThenSubmit("operator-0");
+  if (options_.races) {
+    ReadThenSubmit("operator-1");
+  }
+  constexpr double kRepartitionShare = 0.4;
+  if (options_.repartitions && world_->Uniform() < kRepartitionShare) {
+    world_->Repartition(world_->Uniform() < 0.7 ? kReadService : kJobService);
+  }
+  world_->clock.After(Milliseconds(world_->Between(150, options_.longest_pause.count() / 1000)),
+                      [this] { Loop(); });
+}
+
+void Operators::ReadThenSubmit(const std::string& who) {
+  const size_t control = static_cast<size_t>(world_->Between(0, 2));
+  world_->ReadConfig(who, control, [this, who](const config::ConfigState& config) {
+    const config::Service* service = config.FindService(kReadService);
+    if (service == nullptr) {
+      return;
+    }
+    config::Change change = world_->MakePolicyChange(
+        kReadService, absl::StrCat(who, "-", ++submissions_));
+    change.expected_revision = service->revision;
+    SubmitUntilAnswered(who, change, 0);
+  });
+}
+
+void Operators::SubmitUntilAnswered(const std::string& who, const config::Change& change,
+                                    int sends) {
+  auto answered = std::make_shared<bool>(false);
+  const auto on_result = [answered](const config::ChangeResult& result) {
+    const auto code = static_cast<ResultCode>(result.code);
+    *answered |= code != ResultCode::kNoQuorum && code != ResultCode::kShuttingDown;
+  };
+  const size_t control = static_cast<size_t>(world_->Between(0, 2));
+  world_->Submit(who, control, change, on_result);
+  constexpr double kDoubleSendShare = 0.2;
+  if (world_->Uniform() < kDoubleSendShare) {
+    world_->Submit(who, (control + 1) % world_->controls.size(), change, on_result);
+  }
+  world_->clock.After(kOperatorPatience, [this, who, change, answered, sends] {
+    if (!*answered && sends < kMaxSends) {
+      SubmitUntilAnswered(who, change, sends + 1);
+    }
+  });
+}
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/sim/actors.h
@@ -0,0 +1,63 @@
+// Model callers and operators. Callers ask, follow continuation tokens and repeat unrepeatable jobs
+// under their key; operators read, change and resend, and race each other.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sim/world.h"
+
+namespace pumicedyke::sim {
+
+class Caller {
+ public:
+  Caller(World* world, size_t node, std::string name);
+  void Start(Timestamp end);
+
+ private:
+  struct Job {
+    std::string key;
+    int attempts = 0;
+    bool settled = false;
+  };
+
+  void Loop();
+  void AskRead();
+  void FollowContinuation(const query::CallerRequest& request, const query::Answer& answer);
+  void StartJob();
+  void AttemptJob(const std::shared_ptr<Job>& job, size_t node);
+  size_t AvailableNode() const;
+
+  World* world_;
+  size_t node_;
+  std::string name_;
+  uint64_t asked_ = 0;
+  Timestamp end_{};
+};
+
+struct OperatorOptions {
+  bool races = false;
+  bool repartitions = false;
+  Duration longest_pause = Milliseconds(800);
+};
+
+class Operators {
+ public:
+  Operators(World* world, OperatorOptions options) : world_(world), options_(options) {}
+  void Start(Timestamp end);
+
+ private:
+  void Loop();
+  void ReadThenSubmit(const std::string& who);
+  /// Sends until a definite answer comes; each resend under the same submission id.
+  void SubmitUntilAnswered(const std::string& who, const config::Change& change, int sends);
+
+  World* world_;
+  OperatorOptions options_;
+  Timestamp end_{};
+  uint64_t submissions_ = 0;
+};
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/sim/control_host.cc
@@ -0,0 +1,191 @@
+#include "sim/control_host.h"
+
+#include <utility>
+
+namespace pumicedyke::sim {
+namespace {
+
+constexpr Duration kTickInterval = Milliseconds(10);
+constexpr Duration kStopGrace = Milliseconds(300);
+constexpr size_t kSnapshotLogBytes = 60000;
+constexpr char kCluster[] = "sim";
+
+}  // namespace
+
+ControlHost::ControlHost(ClockQueue* clock, const std::string& name,
+                         std::vector<std::string> machines, const DisabledMechanisms& disabled,
+                         uint64_t seed, Callbacks callbacks)
+    : SimProcess(clock, name),
+      machines_(std::move(machines)),
+      disabled_(disabled),
+      seed_(seed),
+      callbacks_(std::move(callbacks)),
+      disk_(seed) {}
+
+MemberId ControlHost::FirstMemberId(const std::string& machine) const {
+  for (size_t i = 0; i < machines_.size(); ++i) {
+    if (machines_[i] == machine) {
+      return i + 1;
+    }
+  }
+  return 0;
+}
+
+void ControlHost::Format() {
+  wire::SnapshotData initial;
+  for (const std::string& machine : machines_) {
+    initial.members.push_back({FirstMemberId(machine), machine, machine, /*voter=*/true});
+  }
+  storage::LogStorage storage(&disk_, {});
+  storage.Format({FirstMemberId(name()), kCluster, name()}, initial).IgnoreError();
+}
+
+void ControlHost::Start() {
+  MarkStarted();
+  ++starts_;
+  storage::LogStorageOptions storage_options;
+  storage_options.sync_before_ack = !disabled_.contains("sync-before-ack");
+  storage_ = std::make_unique<storage::LogStorage>(&disk_, storage_options);
+  absl::StatusOr<wire::Identity> identity = storage_->ReadIdentity();
+  if (!identity.ok()) {
+    if (disabled_.contains("new-incarnation")) {
+      Format();
+    } else {
+      const MemberId fresh = 1000 * (starts_ + 1) + FirstMemberId(name());
+      storage_->Format({fresh, kCluster, name()}, wire::SnapshotData{}).IgnoreError();
+    }
+    identity = storage_->ReadIdentity();
+  }
+  control::ControlOptions options;
+  options.cluster = kCluster;
+  options.address = name();
+  options.seeds = machines_;
+  options.snapshot_log_bytes = kSnapshotLogBytes;
+  options.raft.lease_check = !disabled_.contains("lease-check");
+  options.state.remember_submissions = !disabled_.contains("submission-id");
+  options.state.compare_and_set = !disabled_.contains("compare-and-set");
+  options.catch_up_before_vote = !disabled_.contains("catch-up-before-vote");
+  storage::RecoveredState recovered = storage_->Recover().value();
+  server_ = std::make_unique<control::ControlServer>(options, *identity, storage_.get(),
+                                                     std::move(recovered),
+                                                     seed_ * 1000 + starts_, LocalNow());
+  open_tickets_ = 0;
+  RunAfter(kTickInterval, [this] { Tick(); });
+  CarryOut();
+}
+
+void ControlHost::Kill() {
+  MarkDead();
+  server_.reset();
+  storage_.reset();
+  stopped_ = nullptr;
+  disk_.Crash();
+}
+
+void ControlHost::LoseDisk() {
+  Kill();
+  disk_.LoseEverything();
+}
+
+void ControlHost::PlannedStop(std::function<void()> done) {
+  stopped_ = std::move(done);
+  stop_not_before_ = LocalNow() + kStopGrace;
+  server_->StartShutdown(LocalNow());
+  CarryOut();
+  if (disabled_.contains("drain-before-exit")) {
+    std::function<void()> stopped = std::move(stopped_);
+    Kill();
+    stopped();
+  }
+}
+
+void ControlHost::Tick() {
+  server_->SetWallClock(LocalNow().time_since_epoch().count() / 1000);
+  server_->Tick(LocalNow());
+  CarryOut();
+  RunAfter(kTickInterval, [this] { Tick(); });
+  CheckPlannedStop();
+}
+
+void ControlHost::CheckPlannedStop() {
+  const bool over = stopped_ != nullptr && LocalNow() >= stop_not_before_ && server_->Drained() &&
+                    open_tickets_ == 0;
+  if (over) {
+    std::function<void()> stopped = std::move(stopped_);
+    Kill();
+    stopped();
+  }
+}
+
+void ControlHost::CarryOut() {
+  control::ControlOutput output = server_->TakeOutput();
+  for (const control::PeerMessage& message : output.peers) {
+    callbacks_.to_peer(message.address, message.envelope);
+  }
+  for (const control::SessionMessage& message : output.sessions) {
+    callbacks_.to_session(message.session, message.envelope);
+  }
+  for (const control::OperatorReply& reply : output.operators) {
+    --open_tickets_;
+    callbacks_.to_operator(reply.ticket, reply.body);
+  }
+}
+
+void ControlHost::Receive(const wire::Envelope& envelope) {
+  Run([this, envelope] {
+    server_->OnPeerMessage(LocalNow(), envelope);
+    CarryOut();
+  });
+}
+
+void ControlHost::ReceiveFromNode(control::SessionId session, const wire::Envelope& envelope) {
+  Run([this, session, envelope] {
+    server_->OnNodeMessage(LocalNow(), session, envelope);
+    CarryOut();
+  });
+}
+
+void ControlHost::Submit(control::TicketId ticket, const config::Change& change) {
+  Run([this, ticket, change] {
+    ++open_tickets_;
+    server_->Submit(LocalNow(), ticket, change);
+    CarryOut();
+  });
+}
+
+void ControlHost::ReadConfig(control::TicketId ticket) {
+  Run([this, ticket] {
+    ++open_tickets_;
+    server_->ReadConfig(LocalNow(), ticket);
+    CarryOut();
+  });
+}
+
+bool ControlHost::Leads() const {
+  return alive() && server_ != nullptr && server_->raft().role() == consensus::Role::kLeader;
+}
+
+bool ControlHost::SaysFullyRedundant() const {
+  return alive() && !frozen() && server_->FullyRedundant(LocalNow());
+}
+
+int64_t ControlHost::DurableVersion() {
+  SimFileSystem copy = disk_.DurableCopy();
+  storage::LogStorage storage(&copy, {});
+  absl::StatusOr<storage::RecoveredState> recovered = storage.Recover();
+  if (!recovered.ok()) {
+    return -1;
+  }
+  control::ControlState state(control::ControlStateOptions{});
+  if (!recovered->snapshot.state.empty()) {
+    state.Restore(recovered->snapshot.state).IgnoreError();
+  }
+  for (const wire::LogEntry& entry : recovered->entries) {
+    if (entry.kind == wire::EntryKind::kCommand) {
+      state.Apply(entry.data);
+    }
+  }
+  return static_cast<int64_t>(state.config().version().value);
+}
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/sim/control_host.h
@@ -0,0 +1,73 @@
+// A control machine in the simulator: the product's ControlServer on a simulated disk.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/control_server.h"
+#include "sim/mechanisms.h"
+#include "sim/sim_file_system.h"
+#include "sim/sim_process.h"
+#include "storage/log_storage.h"
+
+namespace pumicedyke::sim {
+
+class ControlHost : public SimProcess {
+ public:
+  /// Carries a message to the named host; the receiver's part runs in `deliver`.
+  using PeerCb = std::function<void(const std::string& address, const wire::Envelope&)>;
+  using SessionCb = std::function<void(control::SessionId, const wire::Envelope&)>;
+  using OperatorCb = std::function<void(control::TicketId, const std::string& body)>;
+  struct Callbacks {
+    PeerCb to_peer;
+    SessionCb to_session;
+    OperatorCb to_operator;
+  };
+
+  ControlHost(ClockQueue* clock, const std::string& name, std::vector<std::string> machines,
+              const DisabledMechanisms& disabled, uint64_t seed, Callbacks callbacks);
+
+  /// First start of a new cluster.
+  void Format();
+  void Start();
+  void Kill();
+  /// Kill and replace the disk by an empty one.
+  void LoseDisk();
+  /// Stops as the product does on SIGTERM; `done` runs once the process is gone.
+  void PlannedStop(std::function<void()> done);
+
+  void Receive(const wire::Envelope& envelope);
+  void ReceiveFromNode(control::SessionId session, const wire::Envelope& envelope);
+  void Submit(control::TicketId ticket, const config::Change& change);
+  void ReadConfig(control::TicketId ticket);
+
+  bool Leads() const;
+  bool SaysFullyRedundant() const;
+  /// Configuration version that this machine's disk holds, synced, or -1 if it has none.
+  int64_t DurableVersion();
+  control::ControlServer* server() { return server_.get(); }
+  size_t open_tickets() const { return open_tickets_; }
+
+ private:
+  void Tick();
+  void CarryOut();
+  MemberId FirstMemberId(const std::string& machine) const;
+  void CheckPlannedStop();
+
+  std::vector<std::string> machines_;
+  DisabledMechanisms disabled_;
+  uint64_t seed_;
+  uint64_t starts_ = 0;
+  Callbacks callbacks_;
+  SimFileSystem disk_;
+  std::unique_ptr<storage::LogStorage> storage_;
+  std::unique_ptr<control::ControlServer> server_;
+  std::function<void()> stopped_;
+  Timestamp stop_not_before_{};
+  size_t open_tickets_ = 0;
+};
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/sim/history.cc
@@ -0,0 +1,290 @@
+#include "sim/history.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace pumicedyke::sim {
+namespace {
+
+constexpr size_t kRecentLines = 40;
+/// "A few seconds" of the brief, for a leaving back end.
+constexpr Duration kLeavingGrace = Seconds(4);
+
+}  // namespace
+
+void History::Fail(Invariant invariant, Timestamp time, const std::string& what) {
+  Trace(time, absl::StrCat("VIOLATION ", std::string(InvariantName(invariant)), ": ", what));
+  violations_.push_back({invariant, time, what});
+}
+
+void History::Trace(Timestamp time, const std::string& line) {
+  const std::string full = absl::StrCat(time.time_since_epoch().count(), "us ", line);
+  trace_hash_ = XXH64(full.data(), full.size(), trace_hash_);
+  recent_.push_back(full);
+  if (recent_.size() > kRecentLines) {
+    recent_.pop_front();
+  }
+  if (keep_full_trace_) {
+    absl::StrAppend(&full_trace_, full, "\n");
+  }
+}
+
+// ---- Callers ------------------------------------------------------------------------------------
+
+uint64_t History::OnCall(CallRecord call) {
+  for (NotRunClaim& claim : not_run_) {
+    if (claim.query == call.query && !claim.next_attempt.has_value()) {
+      claim.next_attempt = call.sent;
+    }
+  }
+  calls_.push_back(std::move(call));
+  return calls_.size() - 1;
+}
+
+void History::OnAnswer(Timestamp time, uint64_t id, const query::Answer& answer) {
+  CallRecord& call = calls_.at(id);
+  ++call.answers;
+  Trace(time, absl::StrCat("answer ", call.query, " code ", static_cast<int>(answer.code), " run ",
+                           query::RunStateName(answer.run), " snapshot ", answer.snapshot.value,
+                           " coverage ", answer.coverage.included.size(), "/",
+                           answer.coverage.total()));
+  if (call.answers > 1) {
+    Fail(Invariant::kOwnCompleteAnswer, time, "a second answer to " + call.query);
+    return;
+  }
+  complete_answers_ += answer.code == ResultCode::kOk ? 1 : 0;
+  if (answer.snapshot.value != 0) {
+    CheckResults(time, call, answer);
+    CheckCoverage(time, call, answer);
+  }
+  const bool refused = answer.code != ResultCode::kOk && answer.code != ResultCode::kPartial;
+  if (refused && answer.run == query::RunState::kNotRun) {
+    not_run_.push_back({call.query, time, std::nullopt});
+  }
+}
+
+void History::CheckResults(Timestamp time, const CallRecord& call, const query::Answer& answer) {
+  std::map<std::string, query::ResultItem> expected;
+  for (const ShardId& shard : answer.coverage.included) {
+    for (query::ResultItem& item : emulator::LeafModel::ResultsOf(
+             call.service, shard, answer.snapshot, call.query, results_per_shard_)) {
+      expected[item.id] = std::move(item);
+    }
+  }
+  std::set<std::string> seen;
+  for (const query::ResultItem& item : answer.results) {
+    const auto wanted = expected.find(item.id);
+    const bool twice = !seen.insert(item.id).second;
+    if (wanted == expected.end() || twice) {
+      Fail(Invariant::kTruthfulCoverage, time,
+           absl::StrCat(call.query, ": result ", item.id, twice ? " is there twice" : " is of a shard that the coverage does not list"));
+    } else if (item.score != wanted->second.score) {
+      Fail(Invariant::kOwnCompleteAnswer, time,
+           absl::StrCat(call.query, ": result ", item.id, " belongs to another query"));
+    } else if (item.text != wanted->second.text) {
+      Fail(Invariant::kOneSnapshot, time,
+           absl::StrCat(call.query, ": result ", item.id, " is of ", item.text,
+                        ", the answer says ", answer.snapshot.value));
+    }
+  }
+  if (seen.size() < expected.size()) {
+    Fail(Invariant::kTruthfulCoverage, time,
+         call.query + ": a shard counts as covered but its results are missing");
+  }
+}
+
+void History::CheckCoverage(Timestamp time, const CallRecord& call, const query::Answer& answer) {
+  std::set<ShardId> named(answer.coverage.included.begin(), answer.coverage.included.end());
+  for (const query::MissingShard& missing : answer.coverage.missing) {
+    named.insert(missing.shard);
+  }
+  if (named.size() != answer.coverage.total()) {
+    Fail(Invariant::kTruthfulCoverage, time, call.query + ": a shard is named twice");
+  }
+  const bool all_included = answer.coverage.missing.empty();
+  if ((answer.code == ResultCode::kOk) != all_included) {
+    Fail(Invariant::kTruthfulCoverage, time,
+         absl::StrCat(call.query, ": code ", static_cast<int>(answer.code), " with ",
+                      answer.coverage.missing.size(), " shards missing"));
+  }
+  if (call.snapshot.has_value() && answer.snapshot != *call.snapshot) {
+    Fail(Invariant::kOneSnapshot, time, call.query + ": continued on another snapshot");
+  }
+  if (!call.shards.empty() && named != std::set<ShardId>(call.shards.begin(), call.shards.end())) {
+    Fail(Invariant::kTruthfulCoverage, time, call.query + ": other shards than asked for");
+  }
+}
+
+void History::ExcuseCallsAt(const std::string& node) {
+  for (CallRecord& call : calls_) {
+    call.excused |= call.node == node && call.answers == 0;
+  }
+}
+
+void History::OnPlannedStopDone(Timestamp time, const std::string& node) {
+  for (CallRecord& call : calls_) {
+    if (call.node == node && call.answers == 0 && !call.excused) {
+      call.excused = true;
+      Fail(Invariant::kPlannedStop, time, node + " stopped without an answer to " + call.query);
+    }
+  }
+}
+
+// ---- Leafs --------------------------------------------------------------------------------------
+
+void History::OnLeafLeaving(const std::string& leaf, Timestamp time) {
+  leaving_since_.try_emplace(leaf, time);
+}
+
+void History::OnLeafReceived(Timestamp time, const std::string& leaf) {
+  const auto it = leaving_since_.find(leaf);
+  if (it != leaving_since_.end() && time > it->second + kLeavingGrace) {
+    Fail(Invariant::kLeavingGetsNoWork, time,
+         absl::StrCat(leaf, " got work ", ToMilliseconds(time - it->second),
+                      " ms after it began to leave"));
+  }
+}
+
+void History::CheckRuns(Timestamp time,
+                        const std::map<std::string, const emulator::LeafModel*>& leafs) {
+  std::map<std::string, std::vector<Timestamp>> starts_of_query;
+  std::map<std::pair<std::string, ShardId>, int> runs_of_key;
+  for (const auto& [name, leaf] : leafs) {
+    for (const emulator::RunRecord& run : leaf->runs()) {
+      starts_of_query[run.query].push_back(run.started);
+      if (!run.idempotency_key.empty() &&
+          ++runs_of_key[{run.service + "/" + run.idempotency_key, run.shard}] == 2) {
+        Fail(Invariant::kAtMostOnce, time,
+             absl::StrCat(run.idempotency_key, " ran twice on shard ", run.shard.value));
+      }
+    }
+  }
+  for (const NotRunClaim& claim : not_run_) {
+    for (const Timestamp& start : starts_of_query[claim.query]) {
+      if (!claim.next_attempt.has_value() || start < *claim.next_attempt) {
+        Fail(Invariant::kNotRunIsProof, time, claim.query + " was refused as not run, but ran");
+        break;
+      }
+    }
+  }
+}
+
+// ---- Operators and nodes ------------------------------------------------------------------------
+
+void History::OnOperatorAnswer(Timestamp time, const config::Change& change,
+                               const config::ChangeResult& result) {
+  const auto code = static_cast<ResultCode>(result.code);
+  if (code == ResultCode::kNoQuorum || code == ResultCode::kShuttingDown) {
+    return;
+  }
+  Trace(time, absl::StrCat("operator ", change.submission_id, " told ", result.code, " version ",
+                           result.version));
+  const auto [told, first] = told_.try_emplace(change.submission_id, result);
+  if (!first) {
+    const bool same = told->second.code == result.code && told->second.version == result.version;
+    if (!same) {
+      Fail(Invariant::kConfigInForce, time,
+           absl::StrCat(change.submission_id, " was told ", told->second.code, " and then ",
+                        result.code));
+    }
+    return;
+  }
+  if (code != ResultCode::kOk) {
+    if (change.kind == config::ChangeKind::kPutPolicy) {
+      refused_policies_[change.policy] = change.submission_id;
+    }
+    return;
+  }
+  accepted_[change.submission_id] = {change, result};
+  accepted_version_ = std::max(accepted_version_, result.version);
+  const auto [version, fresh] =
+      submission_of_version_.try_emplace(result.version, change.submission_id);
+  if (!fresh) {
+    Fail(Invariant::kConfigInForce, time,
+         absl::StrCat("version ", result.version, " was given to ", version->second, " and ",
+                      change.submission_id));
+  }
+  if (change.expected_revision.has_value()) {
+    const auto [winner, alone] = accepted_on_revision_.try_emplace(
+        {change.service, *change.expected_revision}, change.submission_id);
+    if (!alone) {
+      Fail(Invariant::kConfigInForce, time,
+           absl::StrCat(winner->second, " and ", change.submission_id,
+                        " both won on revision ", *change.expected_revision));
+    }
+  }
+}
+
+void History::OnConfigRead(Timestamp time, uint64_t version, uint64_t accepted_before) {
+  if (version < accepted_before) {
+    Fail(Invariant::kConfigInForce, time,
+         absl::StrCat("an operator read version ", version, " after ", accepted_before,
+                      " was accepted"));
+  }
+}
+
+void History::OnNodeStart(const std::string& node, uint64_t accepted_before) {
+  node_floor_[node] = accepted_before;
+  node_version_[node].reset();
+}
+
+void History::OnNodeVersion(Timestamp time, const std::string& node, uint64_t version) {
+  std::optional<uint64_t>& known = node_version_[node];
+  if (known.has_value() && version < *known) {
+    Fail(Invariant::kConfigInForce, time,
+         absl::StrCat(node, " went back from version ", *known, " to ", version));
+  }
+  if (!known.has_value() && version < node_floor_[node]) {
+    Fail(Invariant::kConfigInForce, time,
+         absl::StrCat(node, " started with version ", version, " after ", node_floor_[node],
+                      " was accepted"));
+  }
+  known = version;
+}
+
+void History::OnPolicyInForce(const std::string& service, const std::string& policy) {
+  policies_in_force_.insert(service + "\n" + policy);
+}
+
+void History::CheckFinalConfig(Timestamp time, const std::string& node,
+                               const std::map<std::string, config::Service>& services) {
+  const uint64_t in_force = node_version_[node].value_or(0);
+  if (in_force < accepted_version_) {
+    Fail(Invariant::kConfigInForce, time,
+         absl::StrCat(node, " is at version ", in_force, ", ", accepted_version_,
+                      " was accepted"));
+  }
+  for (const auto& [policy, submission] : refused_policies_) {
+    for (const auto& [name, service] : services) {
+      if (service.policy == policy || policies_in_force_.contains(name + "\n" + policy)) {
+        Fail(Invariant::kConfigInForce, time, submission + " was refused, but is in force");
+      }
+    }
+  }
+  // The newest accepted change of each service's policy, if nothing newer was told.
+  std::map<std::string, const Accepted*> newest;
+  for (const auto& [id, accepted] : accepted_) {
+    const Accepted*& best = newest[accepted.change.service];
+    const bool is_policy = accepted.change.kind == config::ChangeKind::kPutPolicy;
+    if (is_policy && (best == nullptr || accepted.result.version > best->result.version)) {
+      best = &accepted;
+    }
+  }
+  for (const auto& [name, best] : newest) {
+    const auto service = services.find(name);
+    const bool lost = best != nullptr && (service == services.end() ||
+                                          service->second.policy_version.value <
+                                              best->result.version);
+    if (lost) {
+      Fail(Invariant::kConfigInForce, time,
+           absl::StrCat(best->change.submission_id, " was accepted, but is not in force at ",
+                        node));
+    }
+  }
+}
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/sim/node_host.h
@@ -0,0 +1,60 @@
+// A node in the simulator: the product's NodeServer, with simulated connections to leafs and
+// control machines.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "node/node_server.h"
+#include "sim/mechanisms.h"
+#include "sim/sim_process.h"
+
+namespace pumicedyke::sim {
+
+class NodeHost : public SimProcess {
+ public:
+  struct Callbacks {
+    std::function<void(NodeHost*, const query::LeafRequest&)> to_leaf;
+    std::function<void(NodeHost*, const query::SubRequestCancel&)> cancel;
+    std::function<void(NodeHost*, size_t control, const wire::Envelope&)> to_control;
+    std::function<void(NodeHost*, RequestId, const query::Answer&)> to_caller;
+    std::function<void(NodeHost*)> stepped;
+  };
+
+  NodeHost(ClockQueue* clock, const std::string& name, node::NodeOptions options,
+           const DisabledMechanisms& disabled, Callbacks callbacks);
+
+  void Start();
+  void Kill();
+  /// Stops as the product does on SIGTERM.
+  void PlannedStop(std::function<void()> done);
+  bool stopping() const { return stopped_ != nullptr; }
+
+  void Ask(RequestId id, const query::CallerRequest& request);
+  /// Replies to an earlier life come too: ids must tell them apart.
+  void Reply(const query::LeafReply& reply);
+  void Health(const std::string& leaf, bool draining);
+  void PlatformLeaving(const std::set<std::string>& leafs);
+  void ReceiveFromControl(const wire::Envelope& envelope);
+
+  uint64_t incarnation() const { return incarnation_; }
+  node::NodeServer* server() { return server_.get(); }
+
+ private:
+  void Step();
+  void CarryOut();
+  void ScheduleTick();
+
+  node::NodeOptions options_;
+  DisabledMechanisms disabled_;
+  Callbacks callbacks_;
+  uint64_t incarnation_ = 0;
+  std::unique_ptr<node::NodeServer> server_;
+  std::function<void()> stopped_;
+  Timestamp stop_not_before_{};
+  Timestamp next_tick_{};
+};
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/sim/scenario.cc
@@ -0,0 +1,244 @@
+#include "sim/scenario.h"
+
+#include <algorithm>
+#include <memory>
+
+#include "absl/strings/str_cat.h"
+
+namespace pumicedyke::sim {
+namespace {
+
+constexpr Duration kSettle = Seconds(6);
+constexpr Duration kProbe = Seconds(3);
+
+/// After everything healed, each node must serve both services completely and the group must
+/// accept a change: what was lost for good shows here.
+class FinalProbe {
+ public:
+  explicit FinalProbe(World* world) : world_(world) {}
+
+  void Start() {
+    for (size_t node = 0; node < world_->nodes.size(); ++node) {
+      Ask(node, kReadService);
+      Ask(node, kJobService);
+    }
+    world_->SubmitPatiently(world_->MakePolicyChange(kReadService, "final-probe"),
+                            [this] { accepted_ = true; });
+  }
+
+  void Check() {
+    if (answers_ < 2 * world_->nodes.size()) {
+      world_->history.Fail(Invariant::kOwnCompleteAnswer, world_->clock.now(),
+                           "a node gives no complete answer after everything healed");
+    }
+    if (!accepted_) {
+      world_->history.Fail(Invariant::kConfigInForce, world_->clock.now(),
+                           "no change is accepted after everything healed");
+    }
+  }
+
+ private:
+  void Ask(size_t node, const std::string& service) {
+    query::CallerRequest request;
+    request.service = service;
+    request.query = absl::StrCat("probe ", node, " ", service, " ", ++asked_);
+    request.request_class = "full";
+    if (service == kJobService) {
+      request.idempotency_key = request.query;
+    }
+    // A straggler may cost one probe its deadline; the next one must do.
+    constexpr int kTries = 20;
+    world_->Ask(node, request, [this, node, service](const query::Answer& answer) {
+      if (answer.code == ResultCode::kOk) {
+        ++answers_;
+      } else if (asked_ < kTries * 4) {
+        world_->clock.After(Milliseconds(50), [this, node, service] { Ask(node, service); });
+      }
+    });
+  }
+
+  World* world_;
+  size_t answers_ = 0;
+  int asked_ = 0;
+  bool accepted_ = false;
+};
+
+void SkewClocks(World* world) {
+  constexpr double kSkew = 0.045;
+  const auto rate = [world] { return 1.0 - kSkew + 2 * kSkew * world->Uniform(); };
+  for (const auto& control : world->controls) {
+    control->SetClockRate(rate());
+  }
+  for (const auto& node : world->nodes) {
+    node->SetClockRate(rate());
+  }
+}
+
+/// Submits changes one after the other; each waits for the one before.
+void SubmitInTurn(World* world, int remaining, const std::shared_ptr<bool>& done) {
+  if (remaining == 0) {
+    *done = true;
+    return;
+  }
+  world->SubmitPatiently(
+      world->MakePolicyChange(kReadService, absl::StrCat("first-", remaining)),
+      [world, remaining, done] { SubmitInTurn(world, remaining - 1, done); });
+}
+
+}  // namespace
+
+const std::vector<Scenario>& AllScenarios() {
+  using enum Fault;
+  const OperatorOptions racing{.races = true, .longest_pause = Milliseconds(500)};
+  const OperatorOptions repartitioning{.repartitions = true};
+  static const auto* const scenarios = new std::vector<Scenario>{
+      {.name = "calm", .what = "no failures"},
+      {.name = "stragglers",
+       .what = "leafs straggle, pause and stand still",
+       .faults = {kFreezeLeaf},
+       .fault_interval = Milliseconds(500),
+       .nasty_leafs = true},
+      {.name = "lost-replica",
+       .what = "leafs are lost and come back",
+       .faults = {kKillLeaf, kFreezeLeaf},
+       .fault_interval = Milliseconds(400)},
+      {.name = "repartition",
+       .what = "snapshots with other partition maps are published under traffic; leafs lag",
+       .faults = {kKillLeaf},
+       .fault_interval = Seconds(2),
+       .operators = repartitioning,
+       .nasty_leafs = true},
+      {.name = "node-restart",
+       .what = "nodes are killed or stand still, and callers press again",
+       .faults = {kKillNode, kFreezeNode},
+       .fault_interval = Milliseconds(600)},
+      {.name = "control-crash",
+       .what = "the leader or all control machines crash",
+       .faults = {kKillControl, kKillAllControls},
+       .fault_interval = Milliseconds(1300)},
+      {.name = "cut-leader",
+       .what = "the leader is cut off from its peers and does not know; nodes restart meanwhile",
+       .faults = {kCutLeader, kKillNode, kOneWayCut},
+       .fault_interval = Milliseconds(500)},
+      {.name = "frozen-leader",
+       .what = "the leader stands still past its lease and goes on",
+       .faults = {kFreezeLeader, kKillNode},
+       .fault_interval = Milliseconds(700)},
+      {.name = "lost-disk",
+       .what = "a disk is lost while another machine is cut off; a second right after the repair",
+       .faults = {kLoseDisk},
+       .fault_interval = Milliseconds(1500),
+       .length = Seconds(9)},
+      {.name = "racing-operators",
+       .what = "two operators submit on one revision, and resend when answers are lost",
+       .faults = {kBadNetwork, kKillControl},
+       .fault_interval = Milliseconds(1200),
+       .operators = racing},
+      {.name = "drain",
+       .what = "leafs leave by configuration, platform list or own word; nodes lose control",
+       .faults = {kLeaveLeaf, kCutControlFromNodes},
+       .fault_interval = Milliseconds(1000),
+       .length = Seconds(10)},
+      {.name = "planned-stop",
+       .what = "nodes and the leader are stopped as planned, under load",
+       .faults = {kPlannedStopNode, kPlannedStopControl},
+       .fault_interval = Milliseconds(900),
+       .operators = racing},
+      {.name = "many-changes",
+       .what = "control restarts after hundreds of changes",
+       .faults = {kKillAllControls, kKillNode},
+       .fault_interval = Milliseconds(1500),
+       .changes_first = 300,
+       .length = Seconds(4)},
+      {.name = "bad-network",
+       .what = "messages are lost, doubled and overtaken",
+       .faults = {kBadNetwork, kOneWayCut, kCutControlFromNodes},
+       .fault_interval = Milliseconds(700),
+       .operators = racing},
+      {.name = "skewed-clocks",
+       .what = "clocks run at rates up to 9% apart while the leader is cut off or stands still",
+       .faults = {kCutLeader, kFreezeLeader, kKillNode},
+       .fault_interval = Milliseconds(800),
+       .skewed_clocks = true},
+      {.name = "storm",
+       .what = "all of it at once, and twice",
+       .faults = {kKillLeaf, kFreezeLeaf, kLeaveLeaf, kKillNode, kFreezeNode, kPlannedStopNode,
+                  kKillControl, kKillAllControls, kFreezeLeader, kCutLeader, kCutControlFromNodes,
+                  kOneWayCut, kLoseDisk, kPlannedStopControl, kBadNetwork},
+       .fault_interval = Milliseconds(300),
+       .operators = {.races = true, .repartitions = true},
+       .nasty_leafs = true,
+       .skewed_clocks = true,
+       .length = Seconds(9)},
+  };
+  return *scenarios;
+}
+
+const Scenario* FindScenario(std::string_view name) {
+  const auto& all = AllScenarios();
+  const auto found = std::find_if(all.begin(), all.end(),
+                                  [name](const Scenario& item) { return item.name == name; });
+  return found == all.end() ? nullptr : &*found;
+}
+
+RunResult RunScenario(const Scenario& scenario, uint64_t seed, const DisabledMechanisms& disabled,
+                      bool keep_trace) {
+  World world({seed, disabled, scenario.nasty_leafs});
+  if (keep_trace) {
+    world.history.KeepFullTrace();
+  }
+  if (scenario.skewed_clocks) {
+    SkewClocks(&world);
+  }
+  world.Boot();
+  if (scenario.changes_first > 0) {
+    auto done = std::make_shared<bool>(false);
+    SubmitInTurn(&world, scenario.changes_first, done);
+    const Timestamp latest = world.clock.now() + Seconds(60);
+    while (!*done && world.clock.RunNext(latest)) {
+    }
+  }
+  const Timestamp end = world.clock.now() + scenario.length;
+  std::vector<std::unique_ptr<Caller>> callers;
+  for (size_t node = 0; node < world.nodes.size(); ++node) {
+    callers.push_back(std::make_unique<Caller>(&world, node, absl::StrCat("caller-", node)));
+    callers.back()->Start(end);
+  }
+  Operators operators(&world, scenario.operators);
+  operators.Start(end);
+  Nemesis nemesis(&world, scenario.faults, scenario.fault_interval);
+  nemesis.Start(end);
+  world.RunUntil(end);
+  world.HealEverything();
+  world.RunUntil(end + kSettle);
+  // A fault whose undoing was still under way has healed by now.
+  world.HealEverything();
+  world.RunUntil(end + 2 * kSettle);
+  FinalProbe probe(&world);
+  probe.Start();
+  world.RunUntil(end + 2 * kSettle + kProbe);
+  probe.Check();
+  std::map<std::string, const emulator::LeafModel*> models;
+  for (const auto& [name, leaf] : world.leafs) {
+    models[name] = leaf->model();
+  }
+  world.history.CheckRuns(world.clock.now(), models);
+  for (const auto& node : world.nodes) {
+    world.history.CheckFinalConfig(world.clock.now(), node->name(),
+                                   node->server()->config().services());
+  }
+  RunResult result;
+  result.scenario = std::string(scenario.name);
+  result.seed = seed;
+  result.events = world.clock.executed();
+  result.calls = world.history.calls();
+  result.complete_answers = world.history.complete_answers();
+  result.changes = world.history.accepted_changes();
+  result.trace_hash = world.history.trace_hash();
+  result.violations = world.history.violations();
+  result.recent.assign(world.history.recent().begin(), world.history.recent().end());
+  result.full_trace = world.history.full_trace();
+  return result;
+}
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/sim/sim_network.cc
@@ -0,0 +1,41 @@
+#include "sim/sim_network.h"
+
+namespace pumicedyke::sim {
+
+void SimNetwork::CutBoth(const std::string& a, const std::string& b) {
+  Cut(a, b);
+  Cut(b, a);
+}
+
+bool SimNetwork::Chance(double share) {
+  return share > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < share;
+}
+
+Duration SimNetwork::DrawDelay() {
+  std::uniform_int_distribution<int64_t> delay(options_.min_delay.count(),
+                                               options_.max_delay.count());
+  Duration total(delay(random_));
+  if (Chance(options_.slow)) {
+    std::uniform_int_distribution<int64_t> extra(0, options_.slow_delay.count());
+    total += Duration(extra(random_));
+  }
+  return total;
+}
+
+void SimNetwork::Send(const std::string& from, const std::string& to,
+                      std::function<void()> deliver) {
+  if (IsCut(from, to) || Chance(options_.loss)) {
+    return;
+  }
+  const int copies = Chance(options_.duplicate) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    clock_->After(DrawDelay(), [this, from, to, deliver] {
+      // A cut also swallows what is on its way.
+      if (!IsCut(from, to)) {
+        deliver();
+      }
+    });
+  }
+}
+
+}  // namespace pumicedyke::sim
--- /dev/null
+++ b/src/sim/world.cc
@@ -0,0 +1,630 @@
+#include "sim/world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "common/json.h"
+
+namespace pumicedyke::sim {
+namespace {
+
+constexpr size_t kControls = 3;
+constexpr size_t kNodes = 2;
+constexpr uint64_t kReadLeafs = 4;
+constexpr uint64_t kJobLeafs = 3;
+constexpr uint64_t kJobShards = 2;
+constexpr uint32_t kSlots = 3;
+constexpr size_t kResultsPerShard = 1;
+constexpr Duration kRefusedConnection = Milliseconds(1);
+constexpr Duration kLateReply = Milliseconds(500);
+constexpr Duration kPollInterval = Seconds(1);
+constexpr Duration kObserveInterval = Milliseconds(50);
+/// Leafs that lie about draining tell their state of this long ago.
+constexpr Duration kPlatformLag = Milliseconds(700);
+
+query::LeafReply FailedReply(const query::LeafRequest& request, query::LeafStatus status) {
+  query::LeafReply reply;
+  reply.origin = request.origin;
+  reply.id = request.id;
+  reply.leaf = request.leaf;
+  reply.shard = request.shard;
+  reply.status = status;
+  return reply;
+}
+
+}  // namespace
+
+World::World(const WorldOptions& options)
+    : network(&clock, options.seed * 7919 + 1),
+      history(kResultsPerShard),
+      random(options.seed * 104729 + 3),
+      options_(options) {
+  MakeControls();
+  MakeNodes();
+  MakeLeafs();
+}
+
+void World::MakeControls() {
+  std::vector<std::string> machines;
+  for (size_t i = 0; i < kControls; ++i) {
+    machines.push_back(absl::StrCat("control-", i));
+  }
+  for (size_t i = 0; i < kControls; ++i) {
+    const std::string name = machines[i];
+    ControlHost::Callbacks callbacks;
+    callbacks.to_peer = [this, name](const std::string& address, const wire::Envelope& envelope) {
+      network.Send(name, address, [this, address, envelope] {
+        for (const auto& control : controls) {
+          if (control->name() == address) {
+            control->Receive(envelope);
+          }
+        }
+      });
+    };
+    callbacks.to_session = [this, name](control::SessionId session,
+                                        const wire::Envelope& envelope) {
+      ToSession(name, session, envelope);
+    };
+    callbacks.to_operator = [this](control::TicketId ticket, const std::string& body) {
+      const auto waiting = operators_.find(ticket);
+      if (waiting != operators_.end()) {
+        const auto answer = std::move(waiting->second);
+        operators_.erase(waiting);
+        answer(body);
+      }
+    };
+    controls.push_back(std::make_unique<ControlHost>(&clock, name, machines, options_.disabled,
+                                                     options_.seed * 31 + i, callbacks));
+  }
+}
+
+void World::MakeNodes() {
+  for (size_t i = 0; i < kNodes; ++i) {
+    node::NodeOptions options;
+    options.seed = options_.seed * 17 + i;
+    options.subscriber.control_machines = kControls;
+    NodeHost::Callbacks callbacks;
+    callbacks.to_leaf = [this](NodeHost* node, const query::LeafRequest& request) {
+      ToLeaf(node, request);
+    };
+    callbacks.cancel = [this](NodeHost* node, const query::SubRequestCancel& cancel) {
+      network.Send(node->name(), cancel.leaf,
+                   [this, cancel] { leafs.at(cancel.leaf)->Cancel(cancel.origin, cancel.id); });
+    };
+    callbacks.to_control = [this](NodeHost* node, size_t control, const wire::Envelope& envelope) {
+      ToControl(node, control, envelope);
+    };
+    callbacks.to_caller = [this](NodeHost* /*node*/, RequestId id, const query::Answer& answer) {
+      const auto caller = callers_.find(id.value);
+      if (caller != callers_.end()) {
+        caller->second(answer);
+      }
+    };
+    callbacks.stepped = [this](NodeHost* node) { ObserveNode(node); };
+    nodes.push_back(std::make_unique<NodeHost>(&clock, absl::StrCat("node-", i), options,
+                                               options_.disabled, callbacks));
+  }
+}
+
+std::vector<std::string> World::LeafNames(const std::string& service) const {
+  std::vector<std::string> names;
+  const uint64_t count = service == kReadService ? kReadLeafs : kJobLeafs;
+  for (uint64_t i = 0; i < count; ++i) {
+    names.push_back(absl::StrCat(service, "-leaf-", i));
+  }
+  return names;
+}
+
+void World::MakeLeafs() {
+  for (const std::string service : {kReadService, kJobService}) {
+    for (const std::string& name : LeafNames(service)) {
+      emulator::LeafModelOptions options;
+      options.name = name;
+      options.slots = kSlots;
+      options.median_ms = 3;
+      options.straggler_share = options_.nasty_leafs ? 0.08 : 0.01;
+      options.ignores_snapshot = options_.nasty_leafs ? 0.02 : 0;
+      options.pause = options_.nasty_leafs ? Milliseconds(300) : Duration(0);
+      options.pause_every = Seconds(3);
+      options.pause_offset = Milliseconds(Between(0, 3000));
+      options.results_per_shard = kResultsPerShard;
+      options.holds_everything = false;
+      options.seed = options_.seed * 131 + leafs.size();
+      leafs[name] = std::make_unique<LeafHost>(
+          &clock, options, [this](const query::LeafReply& reply) { ReplyToNode(reply); });
+    }
+  }
+}
+
+std::vector<config::Shard> World::PartitionMap(const std::string& service,
+                                               uint64_t snapshot) const {
+  const std::vector<std::string> names = LeafNames(service);
+  const uint64_t shards = service == kReadService ? kReadLeafs : kJobShards;
+  std::vector<config::Shard> map;
+  for (uint64_t shard = 0; shard < shards; ++shard) {
+    // Each snapshot turns the map on by one leaf.
+    const std::string& first = names[(shard + snapshot) % names.size()];
+    const std::string& second = names[(shard + snapshot + 1) % names.size()];
+    map.push_back({ShardId{shard + 1}, {first, second}});
+  }
+  return map;
+}
+
+void World::HoldEverywhere(const std::string& service, uint64_t snapshot) {
+  for (const std::string& name : LeafNames(service)) {
+    std::set<ShardId> shards;
+    for (const config::Shard& shard : PartitionMap(service, snapshot)) {
+      if (std::find(shard.replicas.begin(), shard.replicas.end(), name) != shard.replicas.end()) {
+        shards.insert(shard.id);
+      }
+    }
+    leafs.at(name)->model()->Hold(service, SnapshotId{snapshot}, std::move(shards));
+  }
+}
+
+config::Change World::MakeSnapshotChange(const std::string& service,
+                                         const std::string& submission) {
+  config::Change change;
+  change.kind = config::ChangeKind::kPublishSnapshot;
+  change.service = service;
+  change.submission_id = submission;
+  const uint64_t snapshot = ++newest_snapshot_[service];
+  change.snapshot = {SnapshotId{snapshot}, PartitionMap(service, snapshot)};
+  return change;
+}
+
+config::Change World::MakePolicyChange(const std::string& service, const std::string& submission) {
+  config::Change change;
+  change.kind = config::ChangeKind::kPutPolicy;
+  change.service = service;
+  change.submission_id = submission;
+  const std::string plan =
+      service == kReadService
+          ? "local full = request.class == 'full'\n"
+            "  return { deadline_ms = full and 900 or 300, coverage = full and 1 or 0.5,\n"
+            "    wait_ms = full and 900 or 60, extra_load = 0.3, hedge_quantile = 0.7 }"
+          : "return { deadline_ms = 700, repeatable = false }";
+  change.policy =
+      absl::StrCat("-- marker ", ++policy_markers_, "\nfunction plan(request)\n  ", plan, "\nend\n");
+  return change;
+}
+
+void World::SubmitPatiently(config::Change change, const std::function<void()>& done) {
+  auto finished = std::make_shared<bool>(false);
+  for (size_t i = 0; i < kControls; ++i) {
+    Submit("operator-patient", i, change, [=](const config::ChangeResult& result) {
+      const auto code = static_cast<ResultCode>(result.code);
+      const bool definite = code != ResultCode::kNoQuorum && code != ResultCode::kShuttingDown;
+      if (definite && !*finished) {
+        *finished = true;
+        if (code == ResultCode::kOk) {
+          done();
+        }
+      }
+    });
+  }
+  clock.After(Milliseconds(700), [=, this] {
+    if (!*finished) {
+      SubmitPatiently(change, done);
+    }
+  });
+}
+
+void World::Boot() {
+  for (const auto& control : controls) {
+    control->Format();
+    control->Start();
+  }
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    StartNode(i);
+  }
+  std::vector<config::Change> changes;
+  for (const std::string service : {kReadService, kJobService}) {
+    config::Change change;
+    change.kind = config::ChangeKind::kPutService;
+    change.service = service;
+    change.submission_id = absl::StrCat("boot-", service);
+    for (const std::string& name : LeafNames(service)) {
+      change.leafs.push_back({name, "127.0.0.1:1", "zone", kSlots});
+      leafs.at(name)->Start();
+    }
+    changes.push_back(change);
+    changes.push_back(MakeSnapshotChange(service, absl::StrCat("boot-snapshot-", service)));
+    HoldEverywhere(service, 1);
+    changes.push_back(MakePolicyChange(service, absl::StrCat("boot-policy-", service)));
+  }
+  auto remaining = std::make_shared<std::vector<config::Change>>(changes);
+  auto next = std::make_shared<std::function<void()>>();
+  auto booted = std::make_shared<bool>(false);
+  *next = [this, remaining, next, booted] {
+    if (remaining->empty()) {
+      *booted = true;
+      return;
+    }
+    const config::Change change = remaining->front();
+    remaining->erase(remaining->begin());
+    SubmitPatiently(change, *next);
+  };
+  (*next)();
+  const Timestamp latest = clock.now() + Seconds(20);
+  while (!*booted && clock.RunNext(latest)) {
+  }
+  *next = nullptr;
+  RunUntil(clock.now() + Milliseconds(600));
+  PollLeafs();
+  PollPlatform();
+  CheckFullyRedundant();
+}
+
+void World::RunUntil(Timestamp end) {
+  while (clock.RunNext(end)) {
+  }
+}
+
+// ---- Callers ------------------------------------------------------------------------------------
+
+bool World::Ask(size_t index, const query::CallerRequest& request, AnswerCb on_answer) {
+  NodeHost* node = nodes[index].get();
+  if (!node->alive()) {
+    return false;
+  }
+  CallRecord record{request.query, request.service, request.idempotency_key, request.shards,
+                    request.snapshot, clock.now(), node->name()};
+  const uint64_t call = history.OnCall(std::move(record));
+  const uint64_t id = next_call_++;
+  callers_[id] = [this, call, id, on_answer = std::move(on_answer)](const query::Answer& answer) {
+    history.OnAnswer(clock.now(), call, answer);
+    const AnswerCb callback = on_answer;
+    callback(answer);
+  };
+  node->Ask(RequestId{id}, request);
+  return true;
+}
+
+// ---- Leafs --------------------------------------------------------------------------------------
+
+void World::ToLeaf(NodeHost* node, const query::LeafRequest& request) {
+  const PendingKey key{request.origin, request.id};
+  pending_[key] = {node, request};
+  LeafHost* leaf = leafs.at(request.leaf).get();
+  network.Send(node->name(), request.leaf, [this, node, leaf, request, key] {
+    if (!leaf->alive()) {
+      clock.After(kRefusedConnection, [this, node, request, key] {
+        pending_.erase(key);
+        node->Reply(FailedReply(request, query::LeafStatus::kNotSent));
+      });
+      return;
+    }
+    history.OnLeafReceived(clock.now(), request.leaf);
+    leaf->Submit(request);
+  });
+  // A connection on which nothing comes back is given up.
+  clock.After(request.budget + kLateReply, [this, node, request, key] {
+    if (pending_.erase(key) > 0) {
+      node->Reply(FailedReply(request, query::LeafStatus::kFailed));
+    }
+  });
+}
+
+void World::ReplyToNode(const query::LeafReply& reply) {
+  const PendingKey key{reply.origin, reply.id};
+  const auto pending = pending_.find(key);
+  if (pending == pending_.end()) {
+    return;
+  }
+  NodeHost* node = pending->second.node;
+  network.Send(reply.leaf, node->name(), [this, node, reply, key] {
+    pending_.erase(key);
+    node->Reply(reply);
+  });
+}
+
+void World::FailPending(const std::string& leaf) {
+  std::erase_if(pending_, [&](const auto& item) {
+    const Pending& pending = item.second;
+    if (pending.request.leaf != leaf) {
+      return false;
+    }
+    clock.After(kRefusedConnection, [node = pending.node, request = pending.request] {
+      node->Reply(FailedReply(request, query::LeafStatus::kFailed));
+    });
+    return true;
+  });
+}
+
+void World::PollLeafs() {
+  for (const auto& [name, leaf] : leafs) {
+    const bool draining = leaf->model()->draining();
+    // One report in five is two seconds old when it arrives.
+    const Duration lag = Uniform() < 0.2 ? Seconds(2) : Duration(0);
+    for (const auto& node : nodes) {
+      network.Send(name, node->name(), [this, node = node.get(), leaf = leaf.get(), draining, lag] {
+        clock.After(lag, [node, leaf, draining] {
+          if (leaf->alive() && !leaf->frozen()) {
+            node->Health(leaf->name(), draining);
+          }
+        });
+      });
+    }
+  }
+  clock.After(kPollInterval, [this] { PollLeafs(); });
+}
+
+void World::PollPlatform() {
+  std::set<std::string> listed;
+  for (const auto& [leaf, how] : leaving_) {
+    if (how == LeaveBy::kPlatform) {
+      listed.insert(leaf);
+    }
+  }
+  clock.After(kPlatformLag, [this, listed] {
+    for (const auto& node : nodes) {
+      node->PlatformLeaving(listed);
+    }
+  });
+  clock.After(kPollInterval, [this] { PollPlatform(); });
+}
+
+void World::MakeLeafLeave(const std::string& name, LeaveBy how) {
+  if (leaving_.contains(name)) {
+    return;
+  }
+  leaving_[name] = how;
+  history.Trace(clock.now(), absl::StrCat("leaf leaves ", name, " by ", static_cast<int>(how)));
+  if (how == LeaveBy::kOwnWord) {
+    leafs.at(name)->model()->SetDraining(true);
+    history.OnLeafLeaving(name, clock.now());
+  } else if (how == LeaveBy::kPlatform) {
+    history.OnLeafLeaving(name, clock.now());
+  } else {
+    config::Change change;
+    change.kind = config::ChangeKind::kMarkLeaving;
+    change.leaf = name;
+    change.submission_id = absl::StrCat("leave-", name, "-", clock.now().time_since_epoch().count());
+    SubmitPatiently(change, [this, name] {
+      if (leaving_.contains(name)) {
+        history.OnLeafLeaving(name, clock.now());
+      }
+    });
+  }
+}
+
+void World::LeafStays(const std::string& name) {
+  const auto it = leaving_.find(name);
+  if (it == leaving_.end()) {
+    return;
+  }
+  if (it->second == LeaveBy::kConfig) {
+    config::Change change;
+    change.kind = config::ChangeKind::kClearLeaving;
+    change.leaf = name;
+    change.submission_id = absl::StrCat("stay-", name, "-", clock.now().time_since_epoch().count());
+    SubmitPatiently(change, [] {});
+  }
+  leafs.at(name)->model()->SetDraining(false);
+  leaving_.erase(it);
+  history.OnLeafBack(name);
+}
+
+void World::Repartition(const std::string& service) {
+  config::Change change = MakeSnapshotChange(
+      service, absl::StrCat("repartition-", service, "-", newest_snapshot_[service] + 1));
+  const uint64_t snapshot = change.snapshot.id.value;
+  history.Trace(clock.now(), absl::StrCat("repartition ", service, " to ", snapshot));
+  for (const std::string& name : LeafNames(service)) {
+    LeafHost* leaf = leafs.at(name).get();
+    std::set<ShardId> shards;
+    for (const config::Shard& shard : change.snapshot.shards) {
+      if (std::find(shard.replicas.begin(), shard.replicas.end(), name) != shard.replicas.end()) {
+        shards.insert(shard.id);
+      }
+    }
+    clock.After(Milliseconds(Between(0, 900)), [leaf, service, snapshot, shards] {
+      leaf->model()->Hold(service, SnapshotId{snapshot}, shards);
+    });
+    clock.After(Milliseconds(Between(1500, 2500)), [leaf, service, snapshot] {
+      leaf->model()->Drop(service, SnapshotId{snapshot - 1});
+    });
+  }
+  clock.After(Milliseconds(300), [this, change] { SubmitPatiently(change, [] {}); });
+}
+
+void World::KillLeaf(const std::string& name) {
+  if (leafs.at(name)->alive()) {
+    history.Trace(clock.now(), "kill " + name);
+    leafs.at(name)->Kill();
+    FailPending(name);
+  }
+}
+
+void World::StartLeaf(const std::string& name) {
+  if (!leafs.at(name)->alive()) {
+    history.Trace(clock.now(), "start " + name);
+    leafs.at(name)->Start();
+    if (leaving_.contains(name) && leaving_.at(name) == LeaveBy::kOwnWord) {
+      leafs.at(name)->model()->SetDraining(true);
+    }
+  }
+}
+
+// ---- Control and nodes --------------------------------------------------------------------------
+
+void World::ToControl(NodeHost* node, size_t control, const wire::Envelope& envelope) {
+  ControlHost* host = controls[control].get();
+  // One session for each life of a node at each machine.
+  const auto node_index = static_cast<uint64_t>(node->name().back() - '0');
+  const control::SessionId session = node->incarnation() * 10 + node_index;
+  network.Send(node->name(), host->name(),
+               [host, session, envelope] { host->ReceiveFromNode(session, envelope); });
+}
+
+void World::ToSession(const std::string& control, control::SessionId session,
+                      const wire::Envelope& envelope) {
+  NodeHost* node = nodes[session % 10].get();
+  network.Send(control, node->name(), [node, session, envelope] {
+    if (node->incarnation() == session / 10) {
+      node->ReceiveFromControl(envelope);
+    }
+  });
+}
+
+void World::ObserveNode(NodeHost* node) {
+  if (!node->alive() || node->server() == nullptr || !node->server()->ready()) {
+    return;
+  }
+  const config::ConfigState& config = node->server()->config();
+  history.OnNodeVersion(clock.now(), node->name(), config.version().value);
+  for (const auto& [name, service] : config.services()) {
+    history.OnPolicyInForce(name, service.policy);
+  }
+}
+
+void World::Submit(const std::string& from, size_t control, const config::Change& change,
+                   ResultCb on_result) {
+  ControlHost* host = controls[control].get();
+  const control::TicketId ticket = next_ticket_++;
+  operators_[ticket] = [this, from, host, change,
+                        on_result = std::move(on_result)](const std::string& body) {
+    network.Send(host->name(), from, [this, change, body, on_result] {
+      const Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+      const auto result = json.get<config::ChangeResult>();
+      history.OnOperatorAnswer(clock.now(), change, result);
+      on_result(result);
+    });
+  };
+  network.Send(from, host->name(), [host, ticket, change] { host->Submit(ticket, change); });
+}
+
+void World::ReadConfig(const std::string& from, size_t control, VersionCb on_read) {
+  ControlHost* host = controls[control].get();
+  const control::TicketId ticket = next_ticket_++;
+  const uint64_t accepted = history.accepted_version();
+  operators_[ticket] = [this, from, host, accepted,
+                        on_read = std::move(on_read)](const std::string& body) {
+    network.Send(host->name(), from, [this, body, accepted, on_read] {
+      absl::StatusOr<config::ConfigState> state = config::ConfigState::Deserialize(body);
+      if (state.ok()) {
+        history.OnConfigRead(clock.now(), state->version().value, accepted);
+        on_read(*state);
+      }
+    });
+  };
+  network.Send(from, host->name(), [host, ticket] { host->ReadConfig(ticket); });
+}
+
+void World::KillControl(size_t index) {
+  if (controls[index]->alive()) {
+    history.Trace(clock.now(), "kill " + controls[index]->name());
+    controls[index]->Kill();
+  }
+}
+
+void World::LoseDisk(size_t index) {
+  history.Trace(clock.now(), "lose disk of " + controls[index]->name());
+  controls[index]->LoseDisk();
+  repair_pending = true;
+}
+
+void World::StartControl(size_t index) {
+  if (!controls[index]->alive()) {
+    history.Trace(clock.now(), "start " + controls[index]->name());
+    controls[index]->Start();
+  }
+}
+
+void World::PlannedStopControl(size_t index) {
+  ControlHost* host = controls[index].get();
+  if (!host->alive() || host->frozen()) {
+    return;
+  }
+  history.Trace(clock.now(), "planned stop of " + host->name());
+  host->PlannedStop([this, host] {
+    if (host->open_tickets() > 0) {
+      history.Fail(Invariant::kPlannedStop, clock.now(),
+                   host->name() + " stopped without answering an operator");
+    }
+    history.Trace(clock.now(), "stopped " + host->name());
+  });
+}
+
+void World::KillNode(size_t index) {
+  if (nodes[index]->alive()) {
+    history.Trace(clock.now(), "kill " + nodes[index]->name());
+    history.ExcuseCallsAt(nodes[index]->name());
+    nodes[index]->Kill();
+  }
+}
+
+void World::StartNode(size_t index) {
+  if (!nodes[index]->alive()) {
+    history.Trace(clock.now(), "start " + nodes[index]->name());
+    history.OnNodeStart(nodes[index]->name(), history.accepted_version());
+    nodes[index]->Start();
+  }
+}
+
+void World::PlannedStopNode(size_t index) {
+  NodeHost* node = nodes[index].get();
+  if (!node->alive() || node->frozen() || node->stopping()) {
+    return;
+  }
+  history.Trace(clock.now(), "planned stop of " + node->name());
+  node->PlannedStop([this, node] {
+    history.OnPlannedStopDone(clock.now(), node->name());
+    history.Trace(clock.now(), "stopped " + node->name());
+  });
+}
+
+std::optional<size_t> World::LeaderIndex() const {
+  std::optional<size_t> leader;
+  uint64_t term = 0;
+  for (size_t i = 0; i < controls.size(); ++i) {
+    if (controls[i]->Leads() && controls[i]->server()->raft().term() >= term) {
+      leader = i;
+      term = controls[i]->server()->raft().term();
+    }
+  }
+  return leader;
+}
+
+void World::CheckFullyRedundant() {
+  for (const auto& control : controls) {
+    const bool reported = repair_pending && control->SaysFullyRedundant();
+    if (!reported) {
+      continue;
+    }
+    repair_pending = false;
+    ++repairs;
+    history.Trace(clock.now(), control->name() + " reports full redundancy");
+    for (const auto& holder : controls) {
+      const int64_t held = holder->DurableVersion();
+      if (held < static_cast<int64_t>(history.accepted_version())) {
+        history.Fail(Invariant::kConfigInForce, clock.now(),
+                     absl::StrCat("full redundancy was reported, but ", holder->name(), " holds ",
+                                  held, " of ", history.accepted_version()));
+      }
+    }
+  }
+  clock.After(kObserveInterval, [this] { CheckFullyRedundant(); });
+}
+
+void World::HealEverything() {
+  history.Trace(clock.now(), "heal everything");
+  network.HealAll();
+  network.SetOptions({});
+  for (size_t i = 0; i < controls.size(); ++i) {
+    controls[i]->Thaw();
+    StartControl(i);
+  }
+  for (const auto& [name, leaf] : leafs) {
+    leaf->Thaw();
+    StartLeaf(name);
+  }
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    nodes[i]->Thaw();
+    StartNode(i);
+  }
+}
+
+}  // namespace pumicedyke::sim
