Mend what the simulator found in refusals, redundancy reports and node starts

Tickets start at a random number. Checkers corrected, as strict as before: the simulated network doubled HTTP exchanges, which TCP does not (lost replies and resends stay); a run is now told apart by the node life that sent it, so that two presses of one button are not taken for one attempt.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -87,6 +87,11 @@
   return it != progress_.end() && now - it->second.last_heard < options_.election_timeout;
 }
 
+bool Raft::HeardSince(MemberId id, Timestamp since) const {
+  const auto it = progress_.find(id);
+  return id == self_ || (it != progress_.end() && it->second.acknowledged >= since);
+}
+
 void Raft::RecomputeMembers() {
   members_ = snapshot_.members;
   members_index_ = snapshot_.index;
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -106,6 +106,8 @@
   bool MembersCommitted() const { return members_index_ <= commit_index_; }
   /// Last index known to be synced at a member; only a leader knows.
   uint64_t MatchIndex(MemberId id) const;
+  /// Leader: whether the member has answered a message that was sent at `since` or later.
+  bool HeardSince(MemberId id, Timestamp since) const;
   /// Leader: whether the member has answered within an election timeout.
   bool RecentlyHeard(MemberId id, Timestamp now) const;
 
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -1,6 +1,7 @@
 #include "control/control_server.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "common/json.h"
@@ -9,6 +10,9 @@
 namespace pumicedyke::control {
 namespace {
 
+/// A machine that is heard at all answers within this; one that is not is not counted on.
+constexpr Duration kStatusPatience = Milliseconds(500);
+
 std::string ResultJson(ResultCode code, const std::string& message, uint64_t version) {
   return Json(config::ChangeResult{static_cast<int>(code), message, version, 0}).dump();
 }
@@ -23,7 +27,7 @@
       storage_(storage),
       state_(options_.state),
       raft_(identity_.member, options_.raft, storage, std::move(recovered), seed, now),
-      next_ticket_(seed | 1) {
+      next_ticket_(std::mt19937_64(seed)()) {
   DrainRaft(now);
 }
 
@@ -238,6 +242,7 @@
     SendToMember(to, std::move(message));
   }
   AnswerReads(now);
+  AnswerStatusReads(now);
   MaybeCompact();
 }
 
@@ -269,6 +274,7 @@
       const auto session = sessions_.find(it->second);
       if (session != sessions_.end()) {
         session->second.awaiting_read = false;
+        session->second.admitted = true;
         Feed(session->first, &session->second, /*full=*/true);
       }
       session_reads_.erase(it);
@@ -313,6 +319,7 @@
     }
     return;
   }
+  session.admitted = true;
   session.sent_version = hello.version;
   Feed(id, &session, /*full=*/false);
 }
@@ -339,7 +346,7 @@
 void ControlServer::FeedAll() {
   const uint64_t version = state_.config().version().value;
   for (auto& [id, session] : sessions_) {
-    if (session.sent_version < version && !session.awaiting_read) {
+    if (session.admitted && session.sent_version < version) {
       Feed(id, &session, /*full=*/false);
     }
   }
@@ -425,15 +432,34 @@
   }
 }
 
-bool ControlServer::FullyRedundant(Timestamp now) const {
+void ControlServer::ReadStatus(Timestamp now, TicketId ticket) {
+  status_reads_.push_back({ticket, now});
+  AnswerStatusReads(now);
+}
+
+void ControlServer::AnswerStatusReads(Timestamp now) {
+  const bool leads = raft_.role() == consensus::Role::kLeader && raft_.HasLease(now);
+  std::erase_if(status_reads_, [&](const StatusRead& read) {
+    const bool redundant = FullyRedundantSince(read.asked, now);
+    const bool over = redundant || !leads || now - read.asked >= kStatusPatience;
+    if (over) {
+      output_.operators.push_back({read.ticket, StatusJson(now, redundant)});
+    }
+    return over;
+  });
+}
+
+bool ControlServer::FullyRedundantSince(Timestamp asked, Timestamp now) const {
   if (raft_.role() != consensus::Role::kLeader || !raft_.HasLease(now) ||
       !raft_.MembersCommitted()) {
     return false;
   }
   size_t voters = 0;
   for (const wire::Member& member : raft_.members()) {
-    const bool covered = CaughtUp(member.id, now) || !options_.catch_up_before_vote;
-    if (!member.voter || !covered) {
+    // What was heard before the question says nothing about a machine lost since.
+    const bool holds_all =
+        raft_.HeardSince(member.id, asked) && raft_.MatchIndex(member.id) >= raft_.commit_index();
+    if (!member.voter || (!holds_all && options_.catch_up_before_vote)) {
       return false;
     }
     ++voters;
@@ -449,7 +475,7 @@
   return replicas;
 }
 
-std::string ControlServer::StatusJson(Timestamp now) const {
+std::string ControlServer::StatusJson(Timestamp now, bool fully_redundant) const {
   const bool leads = raft_.role() == consensus::Role::kLeader && raft_.HasLease(now);
   Json replicas = Json::array();
   for (const ReplicaStatus& replica : Replicas(now)) {
@@ -478,7 +504,7 @@
               {"snapshot_index", raft_.snapshot_index()},
               {"version", state_.config().version().value},
               {"ledger_entries", state_.ledger().size()},
-              {"fully_redundant", FullyRedundant(now)},
+              {"fully_redundant", fully_redundant},
               {"replicas", std::move(replicas)},
               {"nodes", std::move(nodes)}}
       .dump();
@@ -493,7 +519,8 @@
 }
 
 bool ControlServer::Drained() const {
-  return proposals_.empty() && forwarded_.empty() && config_reads_.empty();
+  return proposals_.empty() && forwarded_.empty() && config_reads_.empty() &&
+         status_reads_.empty();
 }
 
 }  // namespace pumicedyke::control
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -97,11 +97,11 @@
   /// @param wall_ms milliseconds since the epoch; kept for ledger claims proposed later.
   void SetWallClock(int64_t wall_ms) { wall_ms_ = wall_ms; }
 
-  /// True only while every voter of the full set holds everything committed, so that any one of
-  /// them may be lost. Only a leader with a valid lease says so.
-  bool FullyRedundant(Timestamp now) const;
+  /// Status of this machine and, on the leader, of the group; answered like Submit(), and within
+  /// kStatusPatience. "fully_redundant" is true only if every voter of the full set was heard after
+  /// the question and holds everything committed, so that any one of them may be lost.
+  void ReadStatus(Timestamp now, TicketId ticket);
   std::vector<ReplicaStatus> Replicas(Timestamp now) const;
-  std::string StatusJson(Timestamp now) const;
 
   const ControlState& state() const { return state_; }
   const consensus::Raft& raft() const { return raft_; }
@@ -115,7 +115,9 @@
     uint64_t reported_version = 0;
     uint64_t sent_version = 0;
     Timestamp last_heard{};
-    /// Waiting for a quorum's read before the first configuration may be sent.
+    /// A node that starts is fed only after a quorum's read: this machine may be behind.
+    bool admitted = false;
+    /// Waiting for that read.
     bool awaiting_read = false;
     Timestamp read_requested{};
   };
@@ -153,6 +155,9 @@
   void SendJoin(Timestamp now);
   void ReplaceLostReplicas(Timestamp now);
   bool CaughtUp(MemberId id, Timestamp now) const;
+  bool FullyRedundantSince(Timestamp asked, Timestamp now) const;
+  std::string StatusJson(Timestamp now, bool fully_redundant) const;
+  void AnswerStatusReads(Timestamp now);
 
   void DrainRaft(Timestamp now);
   void AnswerReads(Timestamp now);
@@ -180,9 +185,15 @@
   std::map<uint64_t, Origin> forwarded_;
   std::map<uint64_t, SessionId> session_reads_;
   std::map<uint64_t, PendingConfigRead> config_reads_;
+  struct StatusRead {
+    TicketId ticket;
+    Timestamp asked;
+  };
+  std::vector<StatusRead> status_reads_;
   /// Reads whose index is known but not applied yet: index to read tickets.
   std::multimap<uint64_t, uint64_t> reads_at_index_;
-  uint64_t next_ticket_ = 1;
+  /// Starts at a random number: a late reply to an earlier life must match nothing here.
+  uint64_t next_ticket_;
   /// Known addresses of machines that asked to join.
   std::map<MemberId, std::string> join_addresses_;
   Timestamp next_join_{};
--- a/src/emulator/leaf_model.h
+++ b/src/emulator/leaf_model.h
@@ -45,6 +45,7 @@
 
 /// What really ran, for checkers.
 struct RunRecord {
+  std::string origin;
   SubRequestId id;
   std::string service;
   std::string idempotency_key;
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -82,6 +82,8 @@
   for (ShardProgress& shard : shards_) {
     SetWaiting(&shard, false);
   }
+  // What was sent for the snapshot left behind has run, or may have.
+  run_before_restart_ = CurrentRunState();
   service_ = std::move(service);
   restarted_ = true;
   needs_other_snapshot_ = false;
@@ -360,8 +362,8 @@
 }
 
 RunState RequestExecution::CurrentRunState() const {
-  bool unknown = false;
-  bool ran = false;
+  bool unknown = run_before_restart_ == RunState::kUnknown;
+  bool ran = run_before_restart_ == RunState::kRan;
   for (const ShardProgress& shard : shards_) {
     for (const Attempt& attempt : shard.attempts) {
       ran |= attempt.state == AttemptState::kDone;
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -160,6 +160,7 @@
   uint32_t sent_ = 0;
   uint32_t extra_ = 0;
   bool restarted_ = false;
+  RunState run_before_restart_ = RunState::kNotRun;
   bool needs_other_snapshot_ = false;
   bool answered_ = false;
   ExecutionActions actions_;
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -266,7 +266,10 @@
     return;
   }
   if (request.path == "/v1/status" && request.method == "GET") {
-    responder.Send({200, server_->StatusJson(now)});
+    const control::TicketId ticket = next_ticket_++;
+    waiting_.emplace(ticket, std::move(responder));
+    server_->ReadStatus(now, ticket);
+    CarryOut();
   } else if (request.path == "/v1/config" && request.method == "GET") {
     const control::TicketId ticket = next_ticket_++;
     waiting_.emplace(ticket, std::move(responder));
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -165,8 +165,12 @@
   return alive() && server_ != nullptr && server_->raft().role() == consensus::Role::kLeader;
 }
 
-bool ControlHost::SaysFullyRedundant() const {
-  return alive() && !frozen() && server_->FullyRedundant(LocalNow());
+void ControlHost::ReadStatus(control::TicketId ticket) {
+  Run([this, ticket] {
+    ++open_tickets_;
+    server_->ReadStatus(LocalNow(), ticket);
+    CarryOut();
+  });
 }
 
 int64_t ControlHost::DurableVersion() {
--- a/src/sim/control_host.h
+++ b/src/sim/control_host.h
@@ -43,9 +43,9 @@
   void ReceiveFromNode(control::SessionId session, const wire::Envelope& envelope);
   void Submit(control::TicketId ticket, const config::Change& change);
   void ReadConfig(control::TicketId ticket);
+  void ReadStatus(control::TicketId ticket);
 
   bool Leads() const;
-  bool SaysFullyRedundant() const;
   /// Configuration version that this machine's disk holds, synced, or -1 if it has none.
   int64_t DurableVersion();
   control::ControlServer* server() { return server_.get(); }
--- a/src/sim/history.cc
+++ b/src/sim/history.cc
@@ -36,11 +36,7 @@
 // ---- Callers ------------------------------------------------------------------------------------
 
 uint64_t History::OnCall(CallRecord call) {
-  for (NotRunClaim& claim : not_run_) {
-    if (claim.query == call.query && !claim.next_attempt.has_value()) {
-      claim.next_attempt = call.sent;
-    }
-  }
+  calls_of_query_[call.query].push_back(calls_.size());
   calls_.push_back(std::move(call));
   return calls_.size() - 1;
 }
@@ -48,6 +44,7 @@
 void History::OnAnswer(Timestamp time, uint64_t id, const query::Answer& answer) {
   CallRecord& call = calls_.at(id);
   ++call.answers;
+  call.answered = time;
   Trace(time, absl::StrCat("answer ", call.query, " code ", static_cast<int>(answer.code), " run ",
                            query::RunStateName(answer.run), " snapshot ", answer.snapshot.value,
                            " coverage ", answer.coverage.included.size(), "/",
@@ -63,7 +60,7 @@
   }
   const bool refused = answer.code != ResultCode::kOk && answer.code != ResultCode::kPartial;
   if (refused && answer.run == query::RunState::kNotRun) {
-    not_run_.push_back({call.query, time, std::nullopt});
+    not_run_.push_back({id, time});
   }
 }
 
@@ -151,11 +148,11 @@
 
 void History::CheckRuns(Timestamp time,
                         const std::map<std::string, const emulator::LeafModel*>& leafs) {
-  std::map<std::string, std::vector<Timestamp>> starts_of_query;
+  std::map<std::string, std::vector<const emulator::RunRecord*>> runs_of_query;
   std::map<std::pair<std::string, ShardId>, int> runs_of_key;
   for (const auto& [name, leaf] : leafs) {
     for (const emulator::RunRecord& run : leaf->runs()) {
-      starts_of_query[run.query].push_back(run.started);
+      runs_of_query[run.query].push_back(&run);
       if (!run.idempotency_key.empty() &&
           ++runs_of_key[{run.service + "/" + run.idempotency_key, run.shard}] == 2) {
         Fail(Invariant::kAtMostOnce, time,
@@ -164,15 +161,27 @@
     }
   }
   for (const NotRunClaim& claim : not_run_) {
-    for (const Timestamp& start : starts_of_query[claim.query]) {
-      if (!claim.next_attempt.has_value() || start < *claim.next_attempt) {
-        Fail(Invariant::kNotRunIsProof, time, claim.query + " was refused as not run, but ran");
+    const std::string& query = calls_[claim.call].query;
+    for (const emulator::RunRecord* run : runs_of_query[query]) {
+      if (run->started < claim.told || !BelongsToOtherAttempt(claim, *run)) {
+        Fail(Invariant::kNotRunIsProof, time, query + " was refused as not run, but ran");
         break;
       }
     }
   }
 }
 
+bool History::BelongsToOtherAttempt(const NotRunClaim& claim,
+                                    const emulator::RunRecord& run) const {
+  const std::vector<uint64_t>& attempts = calls_of_query_.at(calls_[claim.call].query);
+  return std::any_of(attempts.begin(), attempts.end(), [&](uint64_t id) {
+    const CallRecord& attempt = calls_[id];
+    const bool open_then = !attempt.answered.has_value() || *attempt.answered > claim.told;
+    return id != claim.call && open_then && attempt.sent <= run.started &&
+           run.origin.starts_with(attempt.node + ".");
+  });
+}
+
 // ---- Operators and nodes ------------------------------------------------------------------------
 
 void History::OnOperatorAnswer(Timestamp time, const config::Change& change,
--- a/src/sim/history.h
+++ b/src/sim/history.h
@@ -32,6 +32,7 @@
   Timestamp sent;
   std::string node;
   int answers = 0;
+  std::optional<Timestamp> answered = std::nullopt;
   /// The node died without a planned stop: no answer is owed.
   bool excused = false;
 };
@@ -78,13 +79,14 @@
   uint64_t accepted_changes() const { return accepted_.size(); }
 
  private:
+  /// A call that was refused as "not run".
   struct NotRunClaim {
-    std::string query;
+    uint64_t call;
     Timestamp told;
-    /// The caller's next attempt at the same work, if any: runs from then on belong to it.
-    std::optional<Timestamp> next_attempt;
   };
 
+  /// Whether another attempt at the same work, at the same node, accounts for the run.
+  bool BelongsToOtherAttempt(const NotRunClaim& claim, const emulator::RunRecord& run) const;
   void CheckResults(Timestamp time, const CallRecord& call, const query::Answer& answer);
   void CheckCoverage(Timestamp time, const CallRecord& call, const query::Answer& answer);
 
@@ -96,6 +98,7 @@
   uint64_t trace_hash_ = 1469598103934665603ULL;
 
   std::vector<CallRecord> calls_;
+  std::map<std::string, std::vector<uint64_t>> calls_of_query_;
   std::vector<NotRunClaim> not_run_;
   std::map<std::string, Timestamp> leaving_since_;
   uint64_t complete_answers_ = 0;
--- a/src/sim/sim_network.cc
+++ b/src/sim/sim_network.cc
@@ -22,20 +22,29 @@
   return total;
 }
 
+void SimNetwork::DeliverLater(const std::string& from, const std::string& to,
+                              std::function<void()> deliver) {
+  clock_->After(DrawDelay(), [this, from, to, deliver = std::move(deliver)] {
+    // A cut also swallows what is on its way.
+    if (!IsCut(from, to)) {
+      deliver();
+    }
+  });
+}
+
+void SimNetwork::SendOnce(const std::string& from, const std::string& to,
+                          std::function<void()> deliver) {
+  if (!IsCut(from, to) && !Chance(options_.loss)) {
+    DeliverLater(from, to, std::move(deliver));
+  }
+}
+
 void SimNetwork::Send(const std::string& from, const std::string& to,
                       std::function<void()> deliver) {
-  if (IsCut(from, to) || Chance(options_.loss)) {
-    return;
-  }
-  const int copies = Chance(options_.duplicate) ? 2 : 1;
-  for (int i = 0; i < copies; ++i) {
-    clock_->After(DrawDelay(), [this, from, to, deliver] {
-      // A cut also swallows what is on its way.
-      if (!IsCut(from, to)) {
-        deliver();
-      }
-    });
+  if (Chance(options_.duplicate)) {
+    SendOnce(from, to, deliver);
   }
+  SendOnce(from, to, std::move(deliver));
 }
 
 }  // namespace pumicedyke::sim
--- a/src/sim/sim_network.h
+++ b/src/sim/sim_network.h
@@ -27,6 +27,8 @@
   SimNetwork(ClockQueue* clock, uint64_t seed) : clock_(clock), random_(seed) {}
 
   void SetOptions(const NetworkOptions& options) { options_ = options; }
+  /// Like Send(), but never delivers twice: an HTTP exchange on a connection is sent once.
+  void SendOnce(const std::string& from, const std::string& to, std::function<void()> deliver);
   /// `deliver` runs at the receiver after the delay, unless the message is lost or cut.
   void Send(const std::string& from, const std::string& to, std::function<void()> deliver);
 
@@ -39,6 +41,8 @@
   }
 
  private:
+  void DeliverLater(const std::string& from, const std::string& to,
+                    std::function<void()> deliver);
   Duration DrawDelay();
   bool Chance(double share);
 
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -89,7 +89,7 @@
       ToLeaf(node, request);
     };
     callbacks.cancel = [this](NodeHost* node, const query::SubRequestCancel& cancel) {
-      network.Send(node->name(), cancel.leaf,
+      network.SendOnce(node->name(), cancel.leaf,
                    [this, cancel] { leafs.at(cancel.leaf)->Cancel(cancel.origin, cancel.id); });
     };
     callbacks.to_control = [this](NodeHost* node, size_t control, const wire::Envelope& envelope) {
@@ -254,7 +254,7 @@
   RunUntil(clock.now() + Milliseconds(600));
   PollLeafs();
   PollPlatform();
-  CheckFullyRedundant();
+  WatchRedundancy();
 }
 
 void World::RunUntil(Timestamp end) {
@@ -288,7 +288,7 @@
   const PendingKey key{request.origin, request.id};
   pending_[key] = {node, request};
   LeafHost* leaf = leafs.at(request.leaf).get();
-  network.Send(node->name(), request.leaf, [this, node, leaf, request, key] {
+  network.SendOnce(node->name(), request.leaf, [this, node, leaf, request, key] {
     if (!leaf->alive()) {
       clock.After(kRefusedConnection, [this, node, request, key] {
         pending_.erase(key);
@@ -314,7 +314,7 @@
     return;
   }
   NodeHost* node = pending->second.node;
-  network.Send(reply.leaf, node->name(), [this, node, reply, key] {
+  network.SendOnce(reply.leaf, node->name(), [this, node, reply, key] {
     pending_.erase(key);
     node->Reply(reply);
   });
@@ -524,6 +524,7 @@
   history.Trace(clock.now(), "lose disk of " + controls[index]->name());
   controls[index]->LoseDisk();
   repair_pending = true;
+  ++losses_;
 }
 
 void World::StartControl(size_t index) {
@@ -588,25 +589,36 @@
   return leader;
 }
 
-void World::CheckFullyRedundant() {
+void World::WatchRedundancy() {
   for (const auto& control : controls) {
-    const bool reported = repair_pending && control->SaysFullyRedundant();
-    if (!reported) {
-      continue;
+    if (!repair_pending) {
+      break;
     }
-    repair_pending = false;
-    ++repairs;
-    history.Trace(clock.now(), control->name() + " reports full redundancy");
-    for (const auto& holder : controls) {
-      const int64_t held = holder->DurableVersion();
-      if (held < static_cast<int64_t>(history.accepted_version())) {
-        history.Fail(Invariant::kConfigInForce, clock.now(),
-                     absl::StrCat("full redundancy was reported, but ", holder->name(), " holds ",
-                                  held, " of ", history.accepted_version()));
+    const control::TicketId ticket = next_ticket_++;
+    operators_[ticket] = [this, name = control->name(), losses = losses_](const std::string& body) {
+      const Json status = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+      const bool about_this_loss = repair_pending && losses == losses_;
+      if (about_this_loss && status.value("fully_redundant", false)) {
+        OnRedundancyReported(name);
       }
+    };
+    control->ReadStatus(ticket);
+  }
+  clock.After(kObserveInterval, [this] { WatchRedundancy(); });
+}
+
+void World::OnRedundancyReported(const std::string& control) {
+  repair_pending = false;
+  ++repairs;
+  history.Trace(clock.now(), control + " reports full redundancy");
+  for (const auto& holder : controls) {
+    const int64_t held = holder->DurableVersion();
+    if (held < static_cast<int64_t>(history.accepted_version())) {
+      history.Fail(Invariant::kConfigInForce, clock.now(),
+                   absl::StrCat("full redundancy was reported, but ", holder->name(), " holds ",
+                                held, " of ", history.accepted_version()));
     }
   }
-  clock.After(kObserveInterval, [this] { CheckFullyRedundant(); });
 }
 
 void World::HealEverything() {
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -106,7 +106,8 @@
   void PollLeafs();
   void PollPlatform();
   void ObserveNode(NodeHost* node);
-  void CheckFullyRedundant();
+  void WatchRedundancy();
+  void OnRedundancyReported(const std::string& control);
 
   WorldOptions options_;
   /// Sub-requests out at leafs: who asked for what.
@@ -123,6 +124,7 @@
   std::map<std::string, LeaveBy> leaving_;
   std::map<std::string, uint64_t> newest_snapshot_;
   uint64_t policy_markers_ = 0;
+  uint64_t losses_ = 0;
 
  public:
   /// Set while a lost disk has not been reported as replaced.
