Bound how stale a node may be, and let a starting node wait for word of leaving leafs

Ruled out: stale reports overtaking newer ones (two seconds at most), the leaf itself coming back. Change: a leaf gets no work before its first health report, a node none before the platform's list, each for two seconds at most; a node that no control machine in touch with a quorum has vouched for refuses with stale_configuration after max_config_age_ms (10 s; 0 serves on). The age counts from the greeting that the feed echoes, not from a message that may have been under way for long. The price of the age limit, refusing while cut off, is the operator's to set.

--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -33,6 +33,9 @@
   Duration ejection_time = Milliseconds(500);
   Duration max_ejection_time = Seconds(8);
 
+  /// A leaf gets no work before its first health report, for this long at most; zero: at once.
+  Duration first_report_patience{};
+
   /// Tokens that the extra-load budget can save up.
   double budget_burst = 10.0;
 
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -12,12 +12,15 @@
 
 }  // namespace
 
-void LeafPool::Configure(const std::string& leaf, uint32_t slots) {
+void LeafPool::Configure(Timestamp now, const std::string& leaf, uint32_t slots) {
   auto [it, inserted] = leafs_.try_emplace(leaf);
   LeafState& state = it->second;
   if (!inserted && state.slots == slots) {
     return;
   }
+  if (inserted) {
+    state.configured_at = now;
+  }
   state.slots = slots;
   state.limit = std::max(1.0, slots * knobs_.initial_limit_per_slot);
   state.latency = knobs_.initial_latency;
@@ -39,10 +42,11 @@
   }
 }
 
-void LeafPool::SetDraining(const std::string& leaf, bool draining) {
+void LeafPool::OnHealth(const std::string& leaf, std::optional<bool> draining) {
   const auto it = leafs_.find(leaf);
   if (it != leafs_.end()) {
-    it->second.draining = draining;
+    it->second.reported = true;
+    it->second.draining = draining.value_or(it->second.draining);
   }
 }
 
@@ -104,7 +108,10 @@
   if (state.draining || state.leaving_in_config || state.leaving_on_platform) {
     return Availability::kLeaving;
   }
-  return HasRoom(state, now) ? Availability::kReady : Availability::kBusy;
+  // A leaf that this node knows nothing of may have begun to leave long ago.
+  const bool waits_for_report =
+      !state.reported && now - state.configured_at < knobs_.first_report_patience;
+  return !waits_for_report && HasRoom(state, now) ? Availability::kReady : Availability::kBusy;
 }
 
 std::optional<std::string> LeafPool::Choose(Timestamp now, const std::vector<std::string>& replicas,
@@ -188,6 +195,7 @@
   const bool spoke =
       reply.status != query::LeafStatus::kFailed && reply.status != query::LeafStatus::kNotSent;
   if (spoke) {
+    state.reported = true;
     state.draining = reply.draining || reply.status == query::LeafStatus::kDraining;
     state.load = reply.load;
     state.load_at = now;
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -28,13 +28,14 @@
   LeafPool(BalanceKnobs knobs, uint64_t seed) : knobs_(knobs), random_(seed) {}
 
   /// Adds a leaf or sets its slots anew.
-  void Configure(const std::string& leaf, uint32_t slots);
+  void Configure(Timestamp now, const std::string& leaf, uint32_t slots);
 
   /// The sources of "leaving"; any one of them is enough (brief: a leaving back end gets no new
   /// work). A source takes back only its own mark.
   void SetLeavingInConfig(const std::set<std::string>& leafs);
   void SetLeavingOnPlatform(const std::set<std::string>& leafs);
-  void SetDraining(const std::string& leaf, bool draining);
+  /// A health report was read, or could not be (nothing).
+  void OnHealth(const std::string& leaf, std::optional<bool> draining);
 
   Availability AvailabilityOf(const std::string& leaf, Timestamp now) const;
 
@@ -60,6 +61,9 @@
  private:
   struct LeafState {
     uint32_t slots = 1;
+    Timestamp configured_at{};
+    /// Whether the leaf's own word on leaving has come, or was asked for in vain.
+    bool reported = false;
     double limit = 1;
     /// Send times of what is out, by id; ids grow with time, so the first is the oldest.
     std::map<SubRequestId, Timestamp> out;
--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -42,6 +42,8 @@
        "A request with the same Idempotency-Key is running or its outcome is unknown."},
       {kOutcomeUnknown, "outcome_unknown", 504, "The work may have run."},
       {kSnapshotGone, "snapshot_gone", 410, "The snapshot is no longer served."},
+      {kStaleConfiguration, "stale_configuration", 503,
+       "No control machine in touch with a quorum was reached for too long."},
       {kRevisionConflict, "revision_conflict", 409, "The object has another revision by now."},
       {kInvalidConfig, "invalid_config", 400, "A field of the change is not allowed."},
       {kPolicyRejected, "policy_rejected", 400, "The policy program was refused; see the message."},
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -33,6 +33,7 @@
   kAlreadyRunning = 207,
   kOutcomeUnknown = 208,
   kSnapshotGone = 209,
+  kStaleConfiguration = 210,
   // Operators' requests.
   kRevisionConflict = 300,
   kInvalidConfig = 301,
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -303,6 +303,7 @@
   session.incarnation = hello.incarnation;
   session.last_heard = now;
   session.reported_version = hello.version;
+  session.greeting = hello.sent;
   // A machine cut off from the quorum stays silent, so that the node turns to another one.
   if (!IsCurrent(now)) {
     return;
@@ -328,6 +329,7 @@
   const uint64_t version = state_.config().version().value;
   wire::ConfigFeed feed;
   feed.version = version;
+  feed.echo = std::exchange(session->greeting, 0);
   const auto& changes = state_.changes();
   const bool has_history =
       session->sent_version >= version ||
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -114,6 +114,8 @@
     uint64_t incarnation = 0;
     uint64_t reported_version = 0;
     uint64_t sent_version = 0;
+    /// `sent` of a greeting not answered yet, or 0.
+    uint64_t greeting = 0;
     Timestamp last_heard{};
     /// A node that starts is fed only after a quorum's read: this machine may be behind.
     bool admitted = false;
--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -1,5 +1,6 @@
 #include "node/config_subscriber.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -11,6 +12,7 @@
     : options_(std::move(options)),
       control_(std::hash<std::string>{}(options_.node) % options_.control_machines),
       last_feed_(now),
+      vouched_at_(now),
       turned_at_(now),
       next_hello_(now) {}
 
@@ -24,7 +26,9 @@
     return std::nullopt;
   }
   next_hello_ = now + options_.hello_interval;
-  wire::NodeHello hello{options_.node, options_.incarnation, config_.version().value, !ready_};
+  const auto sent = static_cast<uint64_t>(now.time_since_epoch().count());
+  wire::NodeHello hello{options_.node, options_.incarnation, config_.version().value, !ready_,
+                        sent};
   return wire::Envelope{options_.cluster, config_.version().value, std::move(hello)};
 }
 
@@ -58,6 +62,9 @@
     return config_.version().value != before;
   }
   last_feed_ = now;
+  // Only the answer to a greeting shows how fresh it is: a message can be under way for long.
+  const Timestamp vouched{Duration(static_cast<int64_t>(feed.echo))};
+  vouched_at_ = std::max(vouched_at_, vouched);
   return config_.version().value != before || feed.full;
 }
 
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -39,8 +39,9 @@
   size_t control() const { return control_; }
   bool ready() const { return ready_; }
   const config::ConfigState& config() const { return config_; }
-  /// Time since a control machine that reaches a quorum vouched for the configuration.
-  Duration Age(Timestamp now) const { return now - last_feed_; }
+  /// Time since the newest greeting that a control machine in touch with a quorum answered: no
+  /// change accepted before that is missing here.
+  Duration Age(Timestamp now) const { return now - vouched_at_; }
 
  private:
   void TurnToNext(Timestamp now);
@@ -51,6 +52,7 @@
   bool ready_ = false;
   size_t control_;
   Timestamp last_feed_;
+  Timestamp vouched_at_;
   Timestamp turned_at_;
   Timestamp next_hello_;
 };
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Duration kOverloadRetryAfter = Milliseconds(200);
+constexpr Duration kNotReadyRetryAfter = Milliseconds(500);
 constexpr size_t kMaxLedgerOutcomeBytes = 32 * 1024;
 
 uint64_t Fingerprint(const query::CallerRequest& request) {
@@ -35,6 +36,7 @@
 
 NodeServer::NodeServer(NodeOptions options, Timestamp now)
     : options_(std::move(options)),
+      started_(now),
       origin_(options_.subscriber.node + "." + std::to_string(options_.incarnation)),
       ids_(options_.incarnation),
       subscriber_(options_.subscriber, now),
@@ -51,7 +53,7 @@
   }
   if (const auto* feed = std::get_if<wire::ConfigFeed>(&envelope.body)) {
     if (subscriber_.OnFeed(now, *feed)) {
-      ApplyConfig();
+      ApplyConfig(now);
     }
   } else if (const auto* reply = std::get_if<wire::LedgerReply>(&envelope.body)) {
     if (const auto verdict = ledger_.OnReply(now, *reply)) {
@@ -62,7 +64,7 @@
 
 void NodeServer::OnControlDisconnected(Timestamp now) { subscriber_.OnDisconnected(now); }
 
-void NodeServer::ApplyConfig() {
+void NodeServer::ApplyConfig(Timestamp now) {
   const config::ConfigState& config = subscriber_.config();
   for (const auto& [name, service] : config.services()) {
     ServiceRuntime& runtime = services_[name];
@@ -78,7 +80,7 @@
           options_.knobs.latency_window, options_.knobs.initial_hedge_delay);
     }
     for (const auto& [id, leaf] : service.leafs) {
-      pool_.Configure(id, leaf.slots);
+      pool_.Configure(now, id, leaf.slots);
     }
     CompilePolicy(&runtime);
   }
@@ -103,6 +105,12 @@
   }
 }
 
+bool NodeServer::Ready(Timestamp now) const {
+  const bool platform_ready = !options_.wait_for_platform || platform_known_ ||
+                              now - started_ >= options_.knobs.first_report_patience;
+  return subscriber_.ready() && platform_ready;
+}
+
 // ---- Admission ----------------------------------------------------------------------------------
 
 absl::StatusOr<policy::QueryPlan> NodeServer::PlanFor(const ServiceRuntime& runtime,
@@ -164,8 +172,14 @@
   const auto refuse = [&](ResultCode code, const std::string& message, Duration retry = {}) {
     Refuse(now, id, code, message, run, retry);
   };
-  if (!subscriber_.ready()) {
-    refuse(ResultCode::kNotReady, "the configuration is not known yet", Milliseconds(500));
+  if (!Ready(now)) {
+    refuse(ResultCode::kNotReady, "the configuration is not known yet", kNotReadyRetryAfter);
+    return;
+  }
+  const bool stale =
+      options_.max_config_age.count() > 0 && subscriber_.Age(now) > options_.max_config_age;
+  if (stale) {
+    refuse(ResultCode::kStaleConfiguration, "control is out of reach", kNotReadyRetryAfter);
     return;
   }
   const auto found = services_.find(request.service);
@@ -333,7 +347,7 @@
   }
   const std::optional<Duration> latency = pool_.OnReply(now, matched);
   if (!options_.leaving_mark) {
-    pool_.SetDraining(reply.leaf, false);
+    pool_.OnHealth(reply.leaf, false);
   }
   const auto found = request_of_.find(matched.id);
   if (found == request_of_.end()) {
@@ -352,13 +366,13 @@
   CollectActions(now, id);
 }
 
-void NodeServer::OnLeafHealth(Timestamp /*now*/, const std::string& leaf, bool draining) {
-  if (options_.leaving_mark) {
-    pool_.SetDraining(leaf, draining);
-  }
+void NodeServer::OnLeafHealth(const std::string& leaf, std::optional<bool> draining) {
+  const bool trusted = draining.has_value() && options_.leaving_mark;
+  pool_.OnHealth(leaf, trusted ? draining : std::nullopt);
 }
 
 void NodeServer::OnPlatformLeaving(const std::set<std::string>& leafs) {
+  platform_known_ = true;
   if (options_.leaving_mark) {
     pool_.SetLeavingOnPlatform(leafs);
   }
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -30,6 +30,11 @@
   uint64_t seed = 1;
   /// Requests in progress beyond which new ones are refused.
   size_t max_in_progress = 20000;
+  /// Refuses work once the configuration is not vouched for in this time (brief: in force
+  /// everywhere within seconds). Zero: serves on with the last one known.
+  Duration max_config_age{};
+  /// Admits nothing before the platform's list was read, or `knobs.first_report_patience` passed.
+  bool wait_for_platform = false;
   /// A late outcome of unrepeatable work is waited for this long after the answer.
   Duration linger = Seconds(30);
   /// Off for baselines in benchmarks.
@@ -76,8 +81,8 @@
   /// The caller went away: repeatable work is cancelled.
   void OnCallerGone(Timestamp now, RequestId id);
   void OnLeafReply(Timestamp now, const query::LeafReply& reply);
-  /// A leaf's health report; `draining` is its own word.
-  void OnLeafHealth(Timestamp now, const std::string& leaf, bool draining);
+  /// A leaf's health report: whether it says that it drains; nothing if it could not be read.
+  void OnLeafHealth(const std::string& leaf, std::optional<bool> draining);
   /// The platform's list names these leafs as leaving.
   void OnPlatformLeaving(const std::set<std::string>& leafs);
   void OnControlMessage(Timestamp now, const wire::Envelope& envelope);
@@ -92,7 +97,8 @@
   Timestamp NextWake(Timestamp now) const;
 
   size_t control() const { return subscriber_.control(); }
-  bool ready() const { return subscriber_.ready(); }
+  /// Whether the configuration is known and, where it is waited for, the platform's list.
+  bool Ready(Timestamp now) const;
   const config::ConfigState& config() const { return subscriber_.config(); }
   const NodeCounters& counters() const { return counters_; }
   const balance::LeafPool& pool() const { return pool_; }
@@ -125,7 +131,7 @@
   };
 
   // Configuration.
-  void ApplyConfig();
+  void ApplyConfig(Timestamp now);
   void CompilePolicy(ServiceRuntime* runtime);
 
   // Admission.
@@ -151,6 +157,8 @@
   std::optional<SubRequestId> MatchReply(const query::LeafReply& reply) const;
 
   NodeOptions options_;
+  Timestamp started_;
+  bool platform_known_ = false;
   /// Names this life of this node; ids of two nodes, or of two lives, must never be taken for
   /// each other, neither in the ledger nor at a leaf.
   std::string origin_;
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -101,7 +101,7 @@
 }
 
 ControlProcess::ControlProcess(ControlSettings settings, net::EventLoop* loop)
-    : settings_(std::move(settings)), loop_(loop) {}
+    : settings_(std::move(settings)), loop_(loop), stop_(kStopGrace) {}
 
 absl::Status ControlProcess::OpenStorage(wire::Identity* identity,
                                          storage::RecoveredState* recovered) {
@@ -197,8 +197,8 @@
   server_->Tick(now);
   CarryOut();
   const bool failed = !server_->raft().failure().ok();
-  const bool drained = stopping_ && now >= stop_not_before_ && server_->Drained() &&
-                       waiting_.empty() && http_->in_flight() == 0;
+  const bool drained =
+      stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty());
   if (failed || drained) {
     loop_->Stop();
   }
@@ -255,7 +255,7 @@
 void ControlProcess::OnOperator(const http::HttpRequest& request, http::Responder responder) {
   const Timestamp now = net::EventLoop::Now();
   if (request.path == "/healthz") {
-    responder.Send({stopping_ ? 503 : 200, stopping_ ? "stopping\n" : "ok\n", "text/plain"});
+    responder.Send({stop_.started() ? 503 : 200, stop_.started() ? "stopping\n" : "ok\n", "text/plain"});
     return;
   }
   if (request.path == "/metrics") {
@@ -329,9 +329,7 @@
 void ControlProcess::Stop() {
   const Timestamp now = net::EventLoop::Now();
   LogEvent("stopping", {});
-  stopping_ = true;
-  stop_not_before_ = now + kStopGrace;
-  http_->StartDraining();
+  stop_.Start(now, http_.get());
   server_->StartShutdown(now);
   CarryOut();
 }
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -10,6 +10,7 @@
 #include "http/http_server.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
+#include "server/graceful_stop.h"
 #include "storage/log_storage.h"
 #include "storage/posix_file_system.h"
 
@@ -66,8 +67,7 @@
   std::map<std::string, std::unique_ptr<net::FrameClient>> peers_;
   std::map<control::TicketId, http::Responder> waiting_;
   control::TicketId next_ticket_ = 1;
-  bool stopping_ = false;
-  Timestamp stop_not_before_{};
+  GracefulStop stop_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/leaf_process.cc
+++ b/src/server/leaf_process.cc
@@ -34,7 +34,7 @@
 }
 
 void LeafProcess::Stop() {
-  stopping_ = true;
+  stop_.Start(net::EventLoop::Now(), http_.get());
   model_.SetDraining(true);
 }
 
@@ -46,7 +46,7 @@
       waiting_.erase(waiting);
     }
   }
-  if (stopping_ && waiting_.empty() && http_->in_flight() == 0) {
+  if (stop_.started() && stop_.Done(now, waiting_.empty())) {
     loop_->Stop();
   }
   return model_.NextEvent().value_or(now + kIdleTick);
--- a/src/server/leaf_process.h
+++ b/src/server/leaf_process.h
@@ -8,6 +8,7 @@
 #include "emulator/leaf_model.h"
 #include "http/http_server.h"
 #include "net/event_loop.h"
+#include "server/graceful_stop.h"
 
 namespace pumicedyke::server {
 
@@ -19,6 +20,9 @@
   void Stop();
 
  private:
+  /// Long enough for nodes to read the health report that says "draining".
+  static constexpr Duration kStopGrace = Milliseconds(1500);
+
   void OnHttp(const http::HttpRequest& request, http::Responder responder);
   void OnSearch(const http::HttpRequest& request, http::Responder responder);
   void OnAdmin(const http::HttpRequest& request, http::Responder responder);
@@ -29,7 +33,7 @@
   net::EventLoop* loop_;
   std::unique_ptr<http::HttpServer> http_;
   std::map<std::pair<std::string, SubRequestId>, http::Responder> waiting_;
-  bool stopping_ = false;
+  GracefulStop stop_{kStopGrace};
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -18,6 +18,7 @@
 constexpr Duration kHealthInterval = Milliseconds(1000);
 constexpr Duration kPlatformInterval = Milliseconds(1000);
 constexpr Duration kProbeTimeout = Milliseconds(800);
+constexpr Duration kFirstReportPatience = Seconds(2);
 /// Beyond its deadline a sub-request's connection is kept this long for the reply.
 constexpr Duration kLateReply = Seconds(2);
 
@@ -46,6 +47,8 @@
   settings.platform = file.String("platform", "");
   settings.max_connections_per_leaf = file.Integer("max_connections_per_leaf", 32, 1, 10000);
   settings.max_in_progress = file.Integer("max_in_progress", 20000, 1, 1000000);
+  settings.max_config_age =
+      Milliseconds(file.Integer("max_config_age_ms", 10000, 0, 86400000));
   settings.drain_grace = Milliseconds(file.Integer("drain_grace_ms", 500, 0, 600000));
   if (settings.control.empty()) {
     file.AddError("control", "must list the address of at least one control machine");
@@ -60,7 +63,7 @@
 }
 
 NodeProcess::NodeProcess(NodeSettings settings, net::EventLoop* loop)
-    : settings_(std::move(settings)), loop_(loop) {}
+    : settings_(std::move(settings)), loop_(loop), stop_(settings_.drain_grace) {}
 
 absl::Status NodeProcess::Start() {
   if (absl::Status status = storage::PosixFileSystem::CreateFolder(settings_.data_folder);
@@ -81,6 +84,9 @@
   options.subscriber.control_machines = settings_.control.size();
   options.incarnation = *incarnation;
   options.seed = *incarnation;
+  options.max_config_age = settings_.max_config_age;
+  options.wait_for_platform = !settings_.platform.empty();
+  options.knobs.first_report_patience = kFirstReportPatience;
   options.max_in_progress = static_cast<size_t>(settings_.max_in_progress);
   server_ = std::make_unique<node::NodeServer>(options, net::EventLoop::Now());
   client_ = std::make_unique<http::HttpClient>(loop_, settings_.max_connections_per_leaf);
@@ -106,13 +112,11 @@
   PollHealth(now);
   PollPlatform(now);
   CarryOut();
-  const bool drained =
-      stopping_ && now >= stop_not_before_ && server_->Drained() && http_->in_flight() == 0;
-  if (drained) {
+  if (stop_.started() && stop_.Done(now, server_->Drained())) {
     loop_->Stop();
   }
   constexpr Duration kStopPoll = Milliseconds(10);
-  return stopping_ ? now + kStopPoll : server_->NextWake(now);
+  return stop_.started() ? now + kStopPoll : server_->NextWake(now);
 }
 
 void NodeProcess::CarryOut() {
@@ -215,9 +219,9 @@
   if (request.path == "/v1/query" && request.method == "POST") {
     OnQuery(request, std::move(responder));
   } else if (request.path == "/healthz") {
-    const bool well = server_->ready() && !stopping_;
+    const bool well = server_->Ready(now) && !stop_.started();
     responder.Send({well ? 200 : 503,
-                    stopping_ ? "stopping\n"
+                    stop_.started() ? "stopping\n"
                     : well    ? "ok\n"
                               : "starting\n",
                     "text/plain"});
@@ -244,10 +248,13 @@
 }
 
 void NodeProcess::PollHealth(Timestamp now) {
-  if (now < next_health_) {
+  // Leafs that the configuration just named are asked at once.
+  const uint64_t version = server_->config().version().value;
+  if (now < next_health_ && version == health_version_) {
     return;
   }
   next_health_ = now + kHealthInterval;
+  health_version_ = version;
   for (const std::string& leaf : server_->pool().Names()) {
     const std::string address = LeafAddress(leaf);
     if (address.empty() || !health_calls_.insert(leaf).second) {
@@ -262,9 +269,8 @@
       const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
       const bool readable = response.ok() && json.is_object() && json.contains("draining") &&
                             json["draining"].is_boolean();
-      if (readable) {
-        server_->OnLeafHealth(net::EventLoop::Now(), leaf, json["draining"].get<bool>());
-      }
+      server_->OnLeafHealth(
+          leaf, readable ? std::optional<bool>(json["draining"].get<bool>()) : std::nullopt);
     });
   }
 }
@@ -296,8 +302,8 @@
 std::string NodeProcess::StatusText(Timestamp now) const {
   return Json{{"node", settings_.node},
               {"zone", settings_.zone},
-              {"ready", server_->ready()},
-              {"stopping", stopping_},
+              {"ready", server_->Ready(now)},
+              {"stopping", stop_.started()},
               {"config_version", server_->config().version()},
               {"config_age_ms", ToMilliseconds(server_->ConfigAge(now))},
               {"in_progress", server_->in_progress()}}
@@ -337,10 +343,7 @@
 
 void NodeProcess::Stop() {
   LogEvent("stopping", {{"in_progress", server_->in_progress()}});
-  stopping_ = true;
-  stop_not_before_ = net::EventLoop::Now() + settings_.drain_grace;
-  // Requests that still arrive are served; their answers tell the callers to go elsewhere.
-  http_->StartDraining();
+  stop_.Start(net::EventLoop::Now(), http_.get());
 }
 
 }  // namespace pumicedyke::server
--- a/src/server/node_process.h
+++ b/src/server/node_process.h
@@ -13,6 +13,7 @@
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
 #include "node/node_server.h"
+#include "server/graceful_stop.h"
 
 namespace pumicedyke::server {
 
@@ -28,6 +29,7 @@
   std::string platform;
   int64_t max_connections_per_leaf = 0;
   int64_t max_in_progress = 0;
+  Duration max_config_age{};
   Duration drain_grace{};
 };
 
@@ -69,10 +71,10 @@
   uint64_t addresses_version_ = 0;
   std::set<std::string> health_calls_;
   Timestamp next_health_{};
+  uint64_t health_version_ = 0;
   Timestamp next_platform_{};
   bool platform_call_ = false;
-  bool stopping_ = false;
-  Timestamp stop_not_before_{};
+  GracefulStop stop_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/sim/leaf_host.h
+++ b/src/sim/leaf_host.h
@@ -40,6 +40,9 @@
       Pump();
     });
   }
+  void AskHealth(const std::function<void(bool draining)>& on_report) {
+    Run([this, on_report] { on_report(model_.draining()); });
+  }
   emulator::LeafModel* model() { return &model_; }
 
  private:
--- a/src/sim/node_host.cc
+++ b/src/sim/node_host.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kStopGrace = Milliseconds(500);
+constexpr Duration kFirstReportPatience = Seconds(2);
+constexpr Duration kMaxConfigAge = Seconds(3);
 constexpr Duration kShortestTick = Milliseconds(1);
 
 }  // namespace
@@ -25,6 +27,9 @@
   options_.execution.sent_tracking = !disabled_.contains("sent-tracking");
   options_.reply_id_check = !disabled_.contains("reply-id-check");
   options_.ledger_before_dispatch = !disabled_.contains("ledger-before-dispatch");
+  options_.wait_for_platform = true;
+  options_.knobs.first_report_patience = kFirstReportPatience;
+  options_.max_config_age = kMaxConfigAge;
   options_.leaving_mark = !disabled_.contains("leaving-mark");
 }
 
@@ -117,8 +122,8 @@
   });
 }
 
-void NodeHost::Health(const std::string& leaf, bool draining) {
-  Run([this, leaf, draining] { server_->OnLeafHealth(LocalNow(), leaf, draining); });
+void NodeHost::Health(const std::string& leaf, std::optional<bool> draining) {
+  Run([this, leaf, draining] { server_->OnLeafHealth(leaf, draining); });
 }
 
 void NodeHost::PlatformLeaving(const std::set<std::string>& leafs) {
--- a/src/sim/node_host.h
+++ b/src/sim/node_host.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "node/node_server.h"
@@ -35,7 +36,7 @@
   void Ask(RequestId id, const query::CallerRequest& request);
   /// Replies to an earlier life come too: ids must tell them apart.
   void Reply(const query::LeafReply& reply);
-  void Health(const std::string& leaf, bool draining);
+  void Health(const std::string& leaf, std::optional<bool> draining);
   void PlatformLeaving(const std::set<std::string>& leafs);
   void ReceiveFromControl(const wire::Envelope& envelope);
 
--- a/src/sim/sim_process.h
+++ b/src/sim/sim_process.h
@@ -42,18 +42,29 @@
   /// Runs `work` after a delay in this life of the process.
   void RunAfter(Duration delay, std::function<void()> work) {
     clock_->After(delay, [this, life = life_, work = std::move(work)]() mutable {
-      if (life == life_) {
-        Run(std::move(work));
+      if (life != life_) {
+        return;
+      }
+      if (frozen_) {
+        overdue_.push_back(std::move(work));
+      } else {
+        work();
       }
     });
   }
 
   void Freeze() { frozen_ = alive_; }
+  /// As in the event loop, what arrived comes before timers that ran out.
   void Thaw() {
     frozen_ = false;
-    std::deque<std::function<void()>> backlog = std::exchange(backlog_, {});
-    for (auto& work : backlog) {
-      Run(std::move(work));
+    std::deque<std::function<void()>> due = std::exchange(backlog_, {});
+    const std::deque<std::function<void()>> overdue = std::exchange(overdue_, {});
+    due.insert(due.end(), overdue.begin(), overdue.end());
+    const uint64_t life = life_;
+    for (const auto& work : due) {
+      if (life == life_) {
+        work();
+      }
     }
   }
 
@@ -63,12 +74,14 @@
     alive_ = true;
     frozen_ = false;
     backlog_.clear();
+    overdue_.clear();
   }
   void MarkDead() {
     ++life_;
     alive_ = false;
     frozen_ = false;
     backlog_.clear();
+    overdue_.clear();
   }
 
   ClockQueue* clock_;
@@ -80,6 +93,7 @@
   uint64_t life_ = 0;
   double clock_rate_ = 1.0;
   std::deque<std::function<void()>> backlog_;
+  std::deque<std::function<void()>> overdue_;
 };
 
 }  // namespace pumicedyke::sim
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -252,8 +252,7 @@
   }
   *next = nullptr;
   RunUntil(clock.now() + Milliseconds(600));
-  PollLeafs();
-  PollPlatform();
+  PollLoop();
   WatchRedundancy();
 }
 
@@ -333,37 +332,41 @@
   });
 }
 
-void World::PollLeafs() {
+void World::PollLeafsFor(NodeHost* node) {
   for (const auto& [name, leaf] : leafs) {
-    const bool draining = leaf->model()->draining();
-    // One report in five is two seconds old when it arrives.
-    const Duration lag = Uniform() < 0.2 ? Seconds(2) : Duration(0);
-    for (const auto& node : nodes) {
-      network.Send(name, node->name(), [this, node = node.get(), leaf = leaf.get(), draining, lag] {
-        clock.After(lag, [node, leaf, draining] {
-          if (leaf->alive() && !leaf->frozen()) {
-            node->Health(leaf->name(), draining);
-          }
+    network.Send(node->name(), name, [this, node, leaf = leaf.get()] {
+      if (!leaf->alive()) {
+        node->Health(leaf->name(), std::nullopt);
+        return;
+      }
+      leaf->AskHealth([this, node, leaf](bool draining) {
+        // One report in five is two seconds old when it arrives.
+        const Duration lag = Uniform() < 0.2 ? Seconds(2) : Duration(0);
+        clock.After(lag, [this, node, leaf, draining] {
+          network.Send(leaf->name(), node->name(),
+                       [node, leaf, draining] { node->Health(leaf->name(), draining); });
         });
       });
-    }
+    });
   }
-  clock.After(kPollInterval, [this] { PollLeafs(); });
 }
 
-void World::PollPlatform() {
+void World::PollPlatformFor(NodeHost* node) {
   std::set<std::string> listed;
   for (const auto& [leaf, how] : leaving_) {
     if (how == LeaveBy::kPlatform) {
       listed.insert(leaf);
     }
   }
-  clock.After(kPlatformLag, [this, listed] {
-    for (const auto& node : nodes) {
-      node->PlatformLeaving(listed);
-    }
-  });
-  clock.After(kPollInterval, [this] { PollPlatform(); });
+  clock.After(kPlatformLag, [node, listed] { node->PlatformLeaving(listed); });
+}
+
+void World::PollLoop() {
+  for (const auto& node : nodes) {
+    PollLeafsFor(node.get());
+    PollPlatformFor(node.get());
+  }
+  clock.After(kPollInterval, [this] { PollLoop(); });
 }
 
 void World::MakeLeafLeave(const std::string& name, LeaveBy how) {
@@ -470,7 +473,7 @@
 }
 
 void World::ObserveNode(NodeHost* node) {
-  if (!node->alive() || node->server() == nullptr || !node->server()->ready()) {
+  if (!node->alive() || node->server() == nullptr || !node->server()->Ready(node->LocalNow())) {
     return;
   }
   const config::ConfigState& config = node->server()->config();
@@ -562,6 +565,8 @@
     history.Trace(clock.now(), "start " + nodes[index]->name());
     history.OnNodeStart(nodes[index]->name(), history.accepted_version());
     nodes[index]->Start();
+    PollLeafsFor(nodes[index].get());
+    PollPlatformFor(nodes[index].get());
   }
 }
 
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -103,8 +103,10 @@
   void ToControl(NodeHost* node, size_t control, const wire::Envelope& envelope);
   void ToSession(const std::string& control, control::SessionId session,
                  const wire::Envelope& envelope);
-  void PollLeafs();
-  void PollPlatform();
+  /// What a node asks of leafs and of the platform when it starts, and every second.
+  void PollLeafsFor(NodeHost* node);
+  void PollPlatformFor(NodeHost* node);
+  void PollLoop();
   void ObserveNode(NodeHost* node);
   void WatchRedundancy();
   void OnRedundancyReported(const std::string& control);
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -143,13 +143,14 @@
 void Fill(const NodeHello& hello, Arena* arena, pumicedyke_wire_Envelope* envelope) {
   envelope->which_body = pumicedyke_wire_Envelope_hello_tag;
   envelope->body.hello = {arena->String(hello.node), hello.incarnation, hello.version,
-                          hello.starting};
+                          hello.starting, hello.sent};
 }
 
 void Fill(const ConfigFeed& feed, Arena* arena, pumicedyke_wire_Envelope* envelope) {
   envelope->which_body = pumicedyke_wire_Envelope_feed_tag;
   pumicedyke_wire_ConfigFeed& out = envelope->body.feed;
   out.version = feed.version;
+  out.echo = feed.echo;
   out.full = feed.full;
   out.state = arena->Pieces(feed.state, &out.state_count);
   out.changes_count = static_cast<pb_size_t>(feed.changes.size());
@@ -161,7 +162,7 @@
 }
 
 ConfigFeed Read(const pumicedyke_wire_ConfigFeed& in) {
-  ConfigFeed feed{in.version, in.full, Join(in.state, in.state_count), {}};
+  ConfigFeed feed{in.version, in.full, Join(in.state, in.state_count), {}, in.echo};
   for (pb_size_t i = 0; i < in.changes_count; ++i) {
     const pumicedyke_wire_ConfigChange& change = in.changes[i];
     feed.changes.push_back({change.version, Join(change.command, change.command_count)});
@@ -220,7 +221,8 @@
       return Body(Read(in.body.raft));
     case pumicedyke_wire_Envelope_hello_tag:
       return Body(NodeHello{Text(in.body.hello.node), in.body.hello.incarnation,
-                            in.body.hello.version, in.body.hello.starting});
+                            in.body.hello.version, in.body.hello.starting,
+                            in.body.hello.sent});
     case pumicedyke_wire_Envelope_feed_tag:
       return Body(Read(in.body.feed));
     case pumicedyke_wire_Envelope_ledger_request_tag:
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -71,6 +71,8 @@
   uint64_t version = 0;
   /// Set until the node has learned a first configuration: the receiver must then ask a quorum.
   bool starting = false;
+  /// The node's own clock in microseconds; the feed that answers this greeting echoes it.
+  uint64_t sent = 0;
 };
 
 struct ConfigChange {
@@ -83,6 +85,8 @@
   bool full = false;
   std::string state;
   std::vector<ConfigChange> changes;
+  /// `sent` of the greeting this answers; 0 if it answers none.
+  uint64_t echo = 0;
 };
 
 enum class LedgerOperation : uint32_t { kClaim = 1, kComplete = 2, kRelease = 3 };
