Answer every operator, let a stopping control machine go, and free released ledger keys

Word that it does not drain now counts only three seconds after word that it does. Owners that gave a key back are remembered. Ruled out: exponential resends (a first try closed a session for each message; a node repeats its requests on a close: out of memory in storm). One close for each greeting, and 25 ms between them.

--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -35,6 +35,9 @@
 
   /// A leaf gets no work before its first health report, for this long at most; zero: at once.
   Duration first_report_patience{};
+  /// Word that a leaf does not drain counts only this long after word that it does: reports are up
+  /// to two seconds late and overtake each other.
+  Duration draining_hold = Seconds(3);
 
   /// Tokens that the extra-load budget can save up.
   double budget_burst = 10.0;
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -42,11 +42,20 @@
   }
 }
 
-void LeafPool::OnHealth(const std::string& leaf, std::optional<bool> draining) {
+void LeafPool::NoteWord(LeafState* state, Timestamp now, bool draining) const {
+  state->reported = true;
+  if (draining) {
+    state->draining = true;
+    state->said_draining = now;
+  } else if (now - state->said_draining >= knobs_.draining_hold) {
+    state->draining = false;
+  }
+}
+
+void LeafPool::OnHealth(Timestamp now, const std::string& leaf, bool draining) {
   const auto it = leafs_.find(leaf);
   if (it != leafs_.end()) {
-    it->second.reported = true;
-    it->second.draining = draining.value_or(it->second.draining);
+    NoteWord(&it->second, now, draining);
   }
 }
 
@@ -195,8 +204,7 @@
   const bool spoke =
       reply.status != query::LeafStatus::kFailed && reply.status != query::LeafStatus::kNotSent;
   if (spoke) {
-    state.reported = true;
-    state.draining = reply.draining || reply.status == query::LeafStatus::kDraining;
+    NoteWord(&state, now, reply.draining || reply.status == query::LeafStatus::kDraining);
     state.load = reply.load;
     state.load_at = now;
   }
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -34,8 +34,8 @@
   /// work). A source takes back only its own mark.
   void SetLeavingInConfig(const std::set<std::string>& leafs);
   void SetLeavingOnPlatform(const std::set<std::string>& leafs);
-  /// A health report was read, or could not be (nothing).
-  void OnHealth(const std::string& leaf, std::optional<bool> draining);
+  /// A health report of the leaf was read.
+  void OnHealth(Timestamp now, const std::string& leaf, bool draining);
 
   Availability AvailabilityOf(const std::string& leaf, Timestamp now) const;
 
@@ -62,7 +62,7 @@
   struct LeafState {
     uint32_t slots = 1;
     Timestamp configured_at{};
-    /// Whether the leaf's own word on leaving has come, or was asked for in vain.
+    /// Whether the leaf's own word on leaving has come.
     bool reported = false;
     double limit = 1;
     /// Send times of what is out, by id; ids grow with time, so the first is the oldest.
@@ -78,6 +78,7 @@
     Timestamp ejected_until{};
     Duration ejection{};
     bool draining = false;
+    Timestamp said_draining{};
     bool leaving_in_config = false;
     bool leaving_on_platform = false;
   };
@@ -87,6 +88,7 @@
   bool Stalled(const LeafState& state, Timestamp now) const;
   bool HasRoom(const LeafState& state, Timestamp now) const;
   double Score(const LeafState& state, Timestamp now) const;
+  void NoteWord(LeafState* state, Timestamp now, bool draining) const;
   void Decrease(LeafState* state, Timestamp now, double factor);
   void NoteFailure(LeafState* state, Timestamp now);
   void NoteSuccess(LeafState* state, Timestamp now, Duration latency, uint32_t load);
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -93,6 +93,13 @@
   if (envelope.cluster != options_.cluster) {
     return;
   }
+  if (shutting_down_) {
+    // One close for each greeting, not for each request: the node repeats its requests on a close.
+    if (std::holds_alternative<wire::NodeHello>(envelope.body)) {
+      output_.closed_sessions.push_back(session);
+    }
+    return;
+  }
   if (const auto* hello = std::get_if<wire::NodeHello>(&envelope.body)) {
     OnHello(now, session, *hello);
   } else if (const auto* request = std::get_if<wire::LedgerRequest>(&envelope.body)) {
@@ -103,6 +110,11 @@
 
 void ControlServer::OnSessionClosed(SessionId session) { sessions_.erase(session); }
 
+std::string ControlServer::ShuttingDownJson() const {
+  return ResultJson(ResultCode::kShuttingDown, "this control machine is stopping",
+                    state_.config().version().value);
+}
+
 // ---- Commands -----------------------------------------------------------------------------------
 
 void ControlServer::Submit(Timestamp now, TicketId ticket, const config::Change& change) {
@@ -110,8 +122,7 @@
   origin.kind = Origin::Kind::kOperator;
   origin.ticket = ticket;
   if (shutting_down_) {
-    Answer(origin, ResultJson(ResultCode::kShuttingDown, "this control machine is stopping",
-                              state_.config().version().value));
+    Answer(origin, ShuttingDownJson());
     return;
   }
   Route(now, EncodeCommand(change), origin);
@@ -135,9 +146,23 @@
 
 void ControlServer::ProposeHere(Timestamp now, const std::string& command, Origin origin) {
   absl::StatusOr<uint64_t> index = raft_.Propose(now, command);
-  if (index.ok()) {
-    proposals_[*index] = {raft_.term(), origin};
+  if (!index.ok()) {
+    AnswerNoQuorum(origin);
+    return;
+  }
+  Proposal& proposal = proposals_[*index];
+  if (proposal.term != 0) {
+    // An entry of an earlier term at this index was cut off; whether it lives on elsewhere is
+    // unknown here.
+    AnswerNoQuorum(proposal.origin);
   }
+  proposal = {raft_.term(), origin};
+}
+
+void ControlServer::AnswerNoQuorum(const Origin& origin) {
+  Answer(origin, ResultJson(ResultCode::kNoQuorum,
+                            "no quorum answered in time; resend with the same submission id",
+                            state_.config().version().value));
 }
 
 void ControlServer::Answer(const Origin& origin, const std::string& result) {
@@ -184,27 +209,26 @@
 }
 
 void ControlServer::ExpirePending(Timestamp now) {
-  const std::string no_quorum = ResultJson(
-      ResultCode::kNoQuorum, "no quorum answered in time; resend with the same submission id",
-      state_.config().version().value);
   std::erase_if(forwarded_, [&](const auto& item) {
     const bool expired = now >= item.second.deadline;
     if (expired) {
-      Answer(item.second, no_quorum);
+      AnswerNoQuorum(item.second);
     }
     return expired;
   });
   std::erase_if(proposals_, [&](const auto& item) {
     const bool expired = now >= item.second.origin.deadline;
     if (expired) {
-      Answer(item.second.origin, no_quorum);
+      AnswerNoQuorum(item.second.origin);
     }
     return expired;
   });
   std::erase_if(config_reads_, [&](const auto& item) {
     const bool expired = now >= item.second.deadline;
     if (expired) {
-      output_.operators.push_back({item.second.ticket, no_quorum});
+      Origin reader;
+      reader.ticket = item.second.ticket;
+      AnswerNoQuorum(reader);
     }
     return expired;
   });
@@ -230,6 +254,8 @@
       // Another term's entry at this index means that ours was replaced: its fate is unknown here.
       if (proposal.term == applied.term) {
         Answer(proposal.origin, result);
+      } else {
+        AnswerNoQuorum(proposal.origin);
       }
     }
   }
@@ -257,6 +283,10 @@
 // ---- Reads and the feed -------------------------------------------------------------------------
 
 void ControlServer::ReadConfig(Timestamp now, TicketId ticket) {
+  if (shutting_down_) {
+    output_.operators.push_back({ticket, ShuttingDownJson()});
+    return;
+  }
   const uint64_t read = next_ticket_++;
   config_reads_[read] = {ticket, now + options_.submission_timeout};
   raft_.RequestRead(now, read);
@@ -443,7 +473,8 @@
   const bool leads = raft_.role() == consensus::Role::kLeader && raft_.HasLease(now);
   std::erase_if(status_reads_, [&](const StatusRead& read) {
     const bool redundant = FullyRedundantSince(read.asked, now);
-    const bool over = redundant || !leads || now - read.asked >= kStatusPatience;
+    const bool over =
+        redundant || !leads || shutting_down_ || now - read.asked >= kStatusPatience;
     if (over) {
       output_.operators.push_back({read.ticket, StatusJson(now, redundant)});
     }
@@ -516,6 +547,11 @@
 
 void ControlServer::StartShutdown(Timestamp now) {
   shutting_down_ = true;
+  // The nodes repeat what they wait for at another machine, at once.
+  for (const auto& [id, session] : sessions_) {
+    output_.closed_sessions.push_back(id);
+  }
+  sessions_.clear();
   raft_.TransferLeadership(now);
   DrainRaft(now);
 }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -61,6 +61,8 @@
   std::vector<PeerMessage> peers;
   std::vector<SessionMessage> sessions;
   std::vector<OperatorReply> operators;
+  /// Connections of nodes to close.
+  std::vector<SessionId> closed_sessions;
 };
 
 /// What an operator is told about one replica.
@@ -87,7 +89,7 @@
   /// A linearizable read of the whole configuration; answered like Submit().
   void ReadConfig(Timestamp now, TicketId ticket);
 
-  /// Hands leadership over and refuses new submissions; see Drained().
+  /// Hands leadership over, sends the nodes away and refuses new submissions; see Drained().
   void StartShutdown(Timestamp now);
   /// True when nothing that was admitted waits for an answer any more.
   bool Drained() const;
@@ -141,6 +143,8 @@
   void Route(Timestamp now, const std::string& command, Origin origin);
   void ProposeHere(Timestamp now, const std::string& command, Origin origin);
   void Answer(const Origin& origin, const std::string& result);
+  /// The command's fate is unknown here.
+  void AnswerNoQuorum(const Origin& origin);
   void ExpirePending(Timestamp now);
   void OnForwarded(Timestamp now, const wire::Forwarded& forwarded);
   void OnForwardedReply(const wire::ForwardedReply& reply);
@@ -161,6 +165,7 @@
   std::string StatusJson(Timestamp now, bool fully_redundant) const;
   void AnswerStatusReads(Timestamp now);
 
+  std::string ShuttingDownJson() const;
   void DrainRaft(Timestamp now);
   void AnswerReads(Timestamp now);
   void MaybeCompact();
@@ -179,7 +184,7 @@
   std::map<SessionId, Session> sessions_;
   /// Commands proposed by this leader, by log index; the term tells whether it is still ours.
   struct Proposal {
-    uint64_t term;
+    uint64_t term = 0;
     Origin origin;
   };
   std::map<uint64_t, Proposal> proposals_;
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -1,6 +1,7 @@
 #include "ledger/ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pumicedyke::ledger {
 
@@ -21,7 +22,7 @@
   if (operation.kind == LedgerOperation::kRelease) {
     // Only an attempt that knows that nothing of it ran gives its claim back.
     if (!it->second.completed) {
-      entries_.erase(it);
+      it->second.released.insert(std::exchange(it->second.owner, ""));
     }
     return {LedgerVerdict::kRecorded, ""};
   }
@@ -31,13 +32,17 @@
 }
 
 Result Ledger::Claim(const Operation& operation) {
-  const auto it = entries_.find(operation.key);
-  if (it == entries_.end()) {
-    entries_[operation.key] = {operation.owner, operation.fingerprint, false, "", newest_ms_};
-    order_.push_back(operation.key);
+  Entry& entry = entries_[operation.key];
+  if (entry.released.contains(operation.owner)) {
+    return {LedgerVerdict::kHeldByOther, ""};
+  }
+  if (entry.owner.empty()) {
+    entry.owner = operation.owner;
+    entry.fingerprint = operation.fingerprint;
+    entry.claimed_ms = newest_ms_;
+    order_.emplace_back(newest_ms_, operation.key);
     return {LedgerVerdict::kGranted, ""};
   }
-  const Entry& entry = it->second;
   if (entry.fingerprint != operation.fingerprint) {
     return {LedgerVerdict::kFingerprintMismatch, ""};
   }
@@ -50,12 +55,9 @@
 }
 
 void Ledger::Expire() {
-  while (!order_.empty()) {
-    const auto it = entries_.find(order_.front());
-    if (it != entries_.end() && newest_ms_ - it->second.claimed_ms < kRetentionMilliseconds) {
-      return;
-    }
-    if (it != entries_.end()) {
+  while (!order_.empty() && newest_ms_ - order_.front().first >= kRetentionMilliseconds) {
+    const auto it = entries_.find(order_.front().second);
+    if (it != entries_.end() && it->second.claimed_ms == order_.front().first) {
       entries_.erase(it);
     }
     order_.pop_front();
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "common/json.h"
 #include "wire/messages.h"
@@ -32,13 +34,18 @@
 };
 
 struct Entry {
+  /// Empty while the key is free.
   std::string owner;
+  /// Attempts that gave the key back: a late copy of their claim must not take it again, as nobody
+  /// waits for the verdict any more.
+  std::set<std::string> released;
   uint64_t fingerprint = 0;
   bool completed = false;
   std::string outcome;
   int64_t claimed_ms = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Entry, owner, fingerprint, completed, outcome, claimed_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Entry, owner, released, fingerprint, completed, outcome,
+                                   claimed_ms)
 
 class Ledger {
  public:
@@ -53,8 +60,8 @@
   void Expire();
 
   std::map<std::string, Entry> entries_;
-  /// Keys in order of their claims.
-  std::deque<std::string> order_;
+  /// Claims in order of time; a key claimed again is there twice.
+  std::deque<std::pair<int64_t, std::string>> order_;
   int64_t newest_ms_ = 0;
 };
 
--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -26,6 +26,7 @@
     return std::nullopt;
   }
   next_hello_ = now + options_.hello_interval;
+  last_hello_ = now;
   const auto sent = static_cast<uint64_t>(now.time_since_epoch().count());
   wire::NodeHello hello{options_.node, options_.incarnation, config_.version().value, !ready_,
                         sent};
@@ -35,7 +36,8 @@
 void ConfigSubscriber::TurnToNext(Timestamp now) {
   control_ = (control_ + 1) % options_.control_machines;
   turned_at_ = now;
-  next_hello_ = now;
+  // With every machine down or stopping, turning must not become a busy loop.
+  next_hello_ = std::max(now, last_hello_ + options_.shortest_hello_interval);
 }
 
 void ConfigSubscriber::OnDisconnected(Timestamp now) { TurnToNext(now); }
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -18,6 +18,7 @@
   uint64_t incarnation = 0;
   size_t control_machines = 1;
   Duration hello_interval = Milliseconds(250);
+  Duration shortest_hello_interval = Milliseconds(25);
   /// Silence after which another control machine is tried.
   Duration silence_limit = Milliseconds(1000);
   /// Off only in simulations that show what the check is for.
@@ -55,6 +56,7 @@
   Timestamp vouched_at_;
   Timestamp turned_at_;
   Timestamp next_hello_;
+  Timestamp last_hello_{};
 };
 
 }  // namespace pumicedyke::node
--- a/src/node/ledger_client.cc
+++ b/src/node/ledger_client.cc
@@ -58,6 +58,12 @@
   return Verdict{pending.request.owner, reply.verdict, reply.outcome};
 }
 
+void LedgerClient::RepeatAll(Timestamp now) {
+  for (auto& [id, pending] : pending_) {
+    pending.next_send = now;
+  }
+}
+
 std::vector<wire::Envelope> LedgerClient::Tick(Timestamp now) {
   std::vector<wire::Envelope> due;
   for (auto& [id, pending] : pending_) {
--- a/src/node/ledger_client.h
+++ b/src/node/ledger_client.h
@@ -29,6 +29,9 @@
                 std::string outcome);
   void Release(Timestamp now, const std::string& owner, const std::string& key);
 
+  /// What is pending goes out again at the next tick: the connection it was sent on is gone.
+  void RepeatAll(Timestamp now);
+
   struct Verdict {
     std::string owner;
     wire::LedgerVerdict verdict;
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -62,7 +62,10 @@
   }
 }
 
-void NodeServer::OnControlDisconnected(Timestamp now) { subscriber_.OnDisconnected(now); }
+void NodeServer::OnControlDisconnected(Timestamp now) {
+  subscriber_.OnDisconnected(now);
+  ledger_.RepeatAll(now);
+}
 
 void NodeServer::ApplyConfig(Timestamp now) {
   const config::ConfigState& config = subscriber_.config();
@@ -345,10 +348,8 @@
   if (const auto id = MatchReply(reply)) {
     matched.id = *id;
   }
+  matched.draining &= options_.leaving_mark;
   const std::optional<Duration> latency = pool_.OnReply(now, matched);
-  if (!options_.leaving_mark) {
-    pool_.OnHealth(reply.leaf, false);
-  }
   const auto found = request_of_.find(matched.id);
   if (found == request_of_.end()) {
     ++counters_.late_replies;
@@ -366,9 +367,8 @@
   CollectActions(now, id);
 }
 
-void NodeServer::OnLeafHealth(const std::string& leaf, std::optional<bool> draining) {
-  const bool trusted = draining.has_value() && options_.leaving_mark;
-  pool_.OnHealth(leaf, trusted ? draining : std::nullopt);
+void NodeServer::OnLeafHealth(Timestamp now, const std::string& leaf, bool draining) {
+  pool_.OnHealth(now, leaf, draining && options_.leaving_mark);
 }
 
 void NodeServer::OnPlatformLeaving(const std::set<std::string>& leafs) {
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -81,8 +81,8 @@
   /// The caller went away: repeatable work is cancelled.
   void OnCallerGone(Timestamp now, RequestId id);
   void OnLeafReply(Timestamp now, const query::LeafReply& reply);
-  /// A leaf's health report: whether it says that it drains; nothing if it could not be read.
-  void OnLeafHealth(const std::string& leaf, std::optional<bool> draining);
+  /// A leaf's health report: whether it says that it drains.
+  void OnLeafHealth(Timestamp now, const std::string& leaf, bool draining);
   /// The platform's list names these leafs as leaving.
   void OnPlatformLeaving(const std::set<std::string>& leafs);
   void OnControlMessage(Timestamp now, const wire::Envelope& envelope);
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -213,6 +213,9 @@
   for (const control::SessionMessage& message : output.sessions) {
     frames_->Send(message.session, message.envelope);
   }
+  for (const control::SessionId session : output.closed_sessions) {
+    frames_->CloseSession(session);
+  }
   for (const control::OperatorReply& reply : output.operators) {
     const auto waiting = waiting_.find(reply.ticket);
     if (waiting == waiting_.end()) {
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -18,7 +18,7 @@
 constexpr Duration kHealthInterval = Milliseconds(1000);
 constexpr Duration kPlatformInterval = Milliseconds(1000);
 constexpr Duration kProbeTimeout = Milliseconds(800);
-constexpr Duration kFirstReportPatience = Seconds(2);
+constexpr Duration kFirstReportPatience = Seconds(5);
 /// Beyond its deadline a sub-request's connection is kept this long for the reply.
 constexpr Duration kLateReply = Seconds(2);
 
@@ -269,8 +269,9 @@
       const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
       const bool readable = response.ok() && json.is_object() && json.contains("draining") &&
                             json["draining"].is_boolean();
-      server_->OnLeafHealth(
-          leaf, readable ? std::optional<bool>(json["draining"].get<bool>()) : std::nullopt);
+      if (readable) {
+        server_->OnLeafHealth(net::EventLoop::Now(), leaf, json["draining"].get<bool>());
+      }
     });
   }
 }
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -125,6 +125,9 @@
   for (const control::SessionMessage& message : output.sessions) {
     callbacks_.to_session(message.session, message.envelope);
   }
+  for (const control::SessionId session : output.closed_sessions) {
+    callbacks_.close_session(session);
+  }
   for (const control::OperatorReply& reply : output.operators) {
     --open_tickets_;
     callbacks_.to_operator(reply.ticket, reply.body);
--- a/src/sim/control_host.h
+++ b/src/sim/control_host.h
@@ -25,6 +25,7 @@
     PeerCb to_peer;
     SessionCb to_session;
     OperatorCb to_operator;
+    std::function<void(control::SessionId)> close_session;
   };
 
   ControlHost(ClockQueue* clock, const std::string& name, std::vector<std::string> machines,
--- a/src/sim/node_host.cc
+++ b/src/sim/node_host.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Duration kStopGrace = Milliseconds(500);
-constexpr Duration kFirstReportPatience = Seconds(2);
+constexpr Duration kFirstReportPatience = Seconds(5);
 constexpr Duration kMaxConfigAge = Seconds(3);
 constexpr Duration kShortestTick = Milliseconds(1);
 
@@ -122,8 +122,8 @@
   });
 }
 
-void NodeHost::Health(const std::string& leaf, std::optional<bool> draining) {
-  Run([this, leaf, draining] { server_->OnLeafHealth(leaf, draining); });
+void NodeHost::Health(const std::string& leaf, bool draining) {
+  Run([this, leaf, draining] { server_->OnLeafHealth(LocalNow(), leaf, draining); });
 }
 
 void NodeHost::PlatformLeaving(const std::set<std::string>& leafs) {
@@ -138,4 +138,13 @@
   });
 }
 
+void NodeHost::ControlClosed(size_t control) {
+  Run([this, control] {
+    if (server_->control() == control) {
+      server_->OnControlDisconnected(LocalNow());
+      Step();
+    }
+  });
+}
+
 }  // namespace pumicedyke::sim
--- a/src/sim/node_host.h
+++ b/src/sim/node_host.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "node/node_server.h"
@@ -36,9 +35,11 @@
   void Ask(RequestId id, const query::CallerRequest& request);
   /// Replies to an earlier life come too: ids must tell them apart.
   void Reply(const query::LeafReply& reply);
-  void Health(const std::string& leaf, std::optional<bool> draining);
+  void Health(const std::string& leaf, bool draining);
   void PlatformLeaving(const std::set<std::string>& leafs);
   void ReceiveFromControl(const wire::Envelope& envelope);
+  /// The control machine of this index closed the connection.
+  void ControlClosed(size_t control);
 
   uint64_t incarnation() const { return incarnation_; }
   node::NodeServer* server() { return server_.get(); }
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kSettle = Seconds(6);
+constexpr Duration kRestart = Seconds(1);
 constexpr Duration kProbe = Seconds(3);
 
 /// After everything healed, each node must serve both services completely and the group must
@@ -90,6 +91,7 @@
 const std::vector<Scenario>& AllScenarios() {
   using enum Fault;
   const OperatorOptions racing{.races = true, .longest_pause = Milliseconds(500)};
+  const OperatorOptions busy{.longest_pause = Milliseconds(200)};
   const OperatorOptions repartitioning{.repartitions = true};
   static const auto* const scenarios = new std::vector<Scenario>{
       {.name = "calm", .what = "no failures"},
@@ -119,7 +121,8 @@
       {.name = "cut-leader",
        .what = "the leader is cut off from its peers and does not know; nodes restart meanwhile",
        .faults = {kCutLeader, kKillNode, kOneWayCut},
-       .fault_interval = Milliseconds(500)},
+       .fault_interval = Milliseconds(500),
+       .operators = busy},
       {.name = "frozen-leader",
        .what = "the leader stands still past its lease and goes on",
        .faults = {kFreezeLeader, kKillNode},
@@ -214,9 +217,12 @@
   // A fault whose undoing was still under way has healed by now.
   world.HealEverything();
   world.RunUntil(end + 2 * kSettle);
+  // A planned stop that had to wait for a quorum is over as well.
+  world.HealEverything();
+  world.RunUntil(end + 2 * kSettle + kRestart);
   FinalProbe probe(&world);
   probe.Start();
-  world.RunUntil(end + 2 * kSettle + kProbe);
+  world.RunUntil(end + 2 * kSettle + kRestart + kProbe);
   probe.Check();
   std::map<std::string, const emulator::LeafModel*> models;
   for (const auto& [name, leaf] : world.leafs) {
@@ -224,6 +230,9 @@
   }
   world.history.CheckRuns(world.clock.now(), models);
   for (const auto& node : world.nodes) {
+    if (!node->alive()) {
+      continue;  // The probe above has said so.
+    }
     world.history.CheckFinalConfig(world.clock.now(), node->name(),
                                    node->server()->config().services());
   }
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -16,6 +16,8 @@
 constexpr uint64_t kJobShards = 2;
 constexpr uint32_t kSlots = 3;
 constexpr size_t kResultsPerShard = 1;
+/// Session numbers: a node's life times this, plus the node's index.
+constexpr uint64_t kSessionsPerLife = 10;
 constexpr Duration kRefusedConnection = Milliseconds(1);
 constexpr Duration kLateReply = Milliseconds(500);
 constexpr Duration kPollInterval = Seconds(1);
@@ -66,6 +68,14 @@
                                         const wire::Envelope& envelope) {
       ToSession(name, session, envelope);
     };
+    callbacks.close_session = [this, name, i](control::SessionId session) {
+      NodeHost* node = nodes[session % kSessionsPerLife].get();
+      network.Send(name, node->name(), [node, session, i] {
+        if (node->incarnation() == session / kSessionsPerLife) {
+          node->ControlClosed(i);
+        }
+      });
+    };
     callbacks.to_operator = [this](control::TicketId ticket, const std::string& body) {
       const auto waiting = operators_.find(ticket);
       if (waiting != operators_.end()) {
@@ -335,10 +345,6 @@
 void World::PollLeafsFor(NodeHost* node) {
   for (const auto& [name, leaf] : leafs) {
     network.Send(node->name(), name, [this, node, leaf = leaf.get()] {
-      if (!leaf->alive()) {
-        node->Health(leaf->name(), std::nullopt);
-        return;
-      }
       leaf->AskHealth([this, node, leaf](bool draining) {
         // One report in five is two seconds old when it arrives.
         const Duration lag = Uniform() < 0.2 ? Seconds(2) : Duration(0);
@@ -457,16 +463,16 @@
   ControlHost* host = controls[control].get();
   // One session for each life of a node at each machine.
   const auto node_index = static_cast<uint64_t>(node->name().back() - '0');
-  const control::SessionId session = node->incarnation() * 10 + node_index;
+  const control::SessionId session = node->incarnation() * kSessionsPerLife + node_index;
   network.Send(node->name(), host->name(),
                [host, session, envelope] { host->ReceiveFromNode(session, envelope); });
 }
 
 void World::ToSession(const std::string& control, control::SessionId session,
                       const wire::Envelope& envelope) {
-  NodeHost* node = nodes[session % 10].get();
+  NodeHost* node = nodes[session % kSessionsPerLife].get();
   network.Send(control, node->name(), [node, session, envelope] {
-    if (node->incarnation() == session / 10) {
+    if (node->incarnation() == session / kSessionsPerLife) {
       node->ReceiveFromControl(envelope);
     }
   });
