--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -51,6 +51,15 @@
     output_.peers.push_back({member->address, Wrap(std::move(body))});
   } else if (joined != join_addresses_.end()) {
     output_.peers.push_back({joined->second, Wrap(std::move(body))});
+  } else {
+    // A replica that is just joining does not know where the members are, but the message names
+    // its receiver: the others drop it.
+    const wire::Envelope envelope = Wrap(std::move(body));
+    for (const std::string& seed : options_.seeds) {
+      if (seed != options_.address) {
+        output_.peers.push_back({seed, envelope});
+      }
+    }
   }
 }
 
--- /dev/null
+++ b/test/consensus/raft_test.cc
@@ -0,0 +1,208 @@
+// The replicated log, three replicas in one process on simulated disks.
+#include "consensus/raft.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sim/sim_file_system.h"
+
+namespace pumicedyke::consensus {
+namespace {
+
+constexpr Duration kStep = Milliseconds(10);
+
+/// Replicas 1 to 3 and a network that delivers at once, except from and to cut-off ones.
+class Group {
+ public:
+  Group() {
+    for (MemberId id = 1; id <= 3; ++id) {
+      wire::SnapshotData initial;
+      for (MemberId member = 1; member <= 3; ++member) {
+        initial.members.push_back({member, "m" + std::to_string(member), "", /*voter=*/true});
+      }
+      Replica& replica = replicas_[id];
+      replica.files = std::make_unique<sim::SimFileSystem>(id);
+      replica.storage = std::make_unique<storage::LogStorage>(replica.files.get(),
+                                                              storage::LogStorageOptions{});
+      CPPUNIT_ASSERT(replica.storage->Format({id, "test", ""}, initial).ok());
+      Start(id);
+    }
+  }
+
+  void Start(MemberId id) {
+    Replica& replica = replicas_[id];
+    replica.applied.clear();
+    replica.storage = std::make_unique<storage::LogStorage>(replica.files.get(),
+                                                            storage::LogStorageOptions{});
+    replica.raft = std::make_unique<Raft>(id, RaftOptions{}, replica.storage.get(),
+                                          *replica.storage->Recover(), id * 7, now_);
+  }
+
+  void RunFor(Duration time) {
+    for (const Timestamp end = now_ + time; now_ < end; now_ += kStep) {
+      for (auto& [id, replica] : replicas_) {
+        replica.raft->Tick(now_);
+      }
+      Deliver();
+    }
+  }
+
+  void Deliver() {
+    for (bool moved = true; moved;) {
+      moved = false;
+      std::deque<wire::RaftMessage> messages;
+      for (auto& [id, replica] : replicas_) {
+        RaftOutput output = replica.raft->TakeOutput();
+        if (output.restored.has_value()) {
+          replica.applied = {output.restored->state};
+        }
+        for (const Applied& applied : output.applied) {
+          replica.applied.push_back(applied.command);
+        }
+        messages.insert(messages.end(), output.messages.begin(), output.messages.end());
+      }
+      for (const wire::RaftMessage& message : messages) {
+        moved = true;
+        const bool delivered = replicas_.contains(message.to) && !cut_.contains(message.from) &&
+                               !cut_.contains(message.to);
+        if (delivered) {
+          replicas_.at(message.to).raft->Receive(now_, message);
+        }
+      }
+    }
+  }
+
+  MemberId Leader() const {
+    for (const auto& [id, replica] : replicas_) {
+      if (replica.raft->role() == Role::kLeader && !cut_.contains(id)) {
+        return id;
+      }
+    }
+    return 0;
+  }
+  MemberId WaitForLeader() {
+    for (int i = 0; i < 500 && Leader() == 0; ++i) {
+      RunFor(kStep);
+    }
+    CPPUNIT_ASSERT(Leader() != 0);
+    return Leader();
+  }
+  void Propose(const std::string& command) {
+    CPPUNIT_ASSERT(at(WaitForLeader()).Propose(now_, command).ok());
+    Deliver();
+    RunFor(Milliseconds(100));
+  }
+
+  Raft& at(MemberId id) { return *replicas_.at(id).raft; }
+  std::vector<std::string> applied(MemberId id) { return replicas_.at(id).applied; }
+  void Cut(MemberId id) { cut_.insert(id); }
+  void Heal() { cut_.clear(); }
+  Timestamp now() const { return now_; }
+  MemberId Other(MemberId id) const { return id % 3 + 1; }
+
+ private:
+  struct Replica {
+    std::unique_ptr<sim::SimFileSystem> files;
+    std::unique_ptr<storage::LogStorage> storage;
+    std::unique_ptr<Raft> raft;
+    std::vector<std::string> applied;
+  };
+  std::map<MemberId, Replica> replicas_;
+  std::set<MemberId> cut_;
+  Timestamp now_{Seconds(100)};
+};
+
+}  // namespace
+
+class RaftTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RaftTest);
+  CPPUNIT_TEST(CommandsReachEveryReplicaInOrder);
+  CPPUNIT_TEST(CutOffLeaderLosesItsLeaseBeforeAnotherLeads);
+  CPPUNIT_TEST(TransferNeedsNoElectionTimeout);
+  CPPUNIT_TEST(LaggingReplicaGetsASnapshot);
+  CPPUNIT_TEST(RestartKeepsWhatWasCommitted);
+  CPPUNIT_TEST(MembershipChangesOneByOne);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CommandsReachEveryReplicaInOrder() {
+    Group group;
+    group.Propose("a");
+    group.Propose("b");
+    for (MemberId id = 1; id <= 3; ++id) {
+      CPPUNIT_ASSERT(group.applied(id) == (std::vector<std::string>{"a", "b"}));
+    }
+  }
+
+  void CutOffLeaderLosesItsLeaseBeforeAnotherLeads() {
+    Group group;
+    const MemberId old_leader = group.WaitForLeader();
+    group.RunFor(Milliseconds(200));
+    CPPUNIT_ASSERT(group.at(old_leader).HasLease(group.now()));
+    group.Cut(old_leader);
+    while (group.Leader() == 0) {
+      group.RunFor(kStep);
+    }
+    CPPUNIT_ASSERT(!group.at(old_leader).HasLease(group.now()));
+    group.Heal();
+    group.RunFor(Milliseconds(500));
+    CPPUNIT_ASSERT(group.at(old_leader).role() == Role::kFollower);
+  }
+
+  void TransferNeedsNoElectionTimeout() {
+    Group group;
+    const MemberId old_leader = group.WaitForLeader();
+    group.RunFor(Milliseconds(200));
+    group.at(old_leader).TransferLeadership(group.now());
+    group.Deliver();
+    CPPUNIT_ASSERT(group.Leader() != 0 && group.Leader() != old_leader);
+  }
+
+  void LaggingReplicaGetsASnapshot() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    const MemberId behind = group.Other(leader);
+    group.Cut(behind);
+    group.Propose("a");
+    CPPUNIT_ASSERT(group.at(leader).Compact(group.at(leader).commit_index(), "image").ok());
+    group.Heal();
+    group.RunFor(Seconds(2));
+    CPPUNIT_ASSERT(group.applied(behind) == (std::vector<std::string>{"image"}));
+    group.Propose("b");
+    CPPUNIT_ASSERT(group.applied(behind) == (std::vector<std::string>{"image", "b"}));
+  }
+
+  void RestartKeepsWhatWasCommitted() {
+    Group group;
+    group.Propose("a");
+    for (MemberId id = 1; id <= 3; ++id) {
+      group.Start(id);
+    }
+    group.Propose("b");
+    CPPUNIT_ASSERT(group.applied(1) == (std::vector<std::string>{"a", "b"}));
+  }
+
+  void MembershipChangesOneByOne() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    group.RunFor(Milliseconds(200));
+    std::vector<wire::Member> members = group.at(leader).members();
+    members.push_back({4, "m4", "", /*voter=*/false});
+    CPPUNIT_ASSERT(group.at(leader).ProposeMembers(group.now(), members).ok());
+    // The first change is not committed yet.
+    CPPUNIT_ASSERT(!group.at(leader).ProposeMembers(group.now(), {members[0]}).ok());
+    group.Deliver();
+    CPPUNIT_ASSERT(group.at(leader).MembersCommitted());
+    CPPUNIT_ASSERT(group.at(leader).IsMember(4));
+    CPPUNIT_ASSERT(!group.at(leader).IsVoter(4));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RaftTest);
+
+}  // namespace pumicedyke::consensus
