--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -72,12 +72,20 @@
       }
       return absl::OkStatus();
     case ChangeKind::kMarkLeaving:
+      return HasLeaf(change.leaf)
+                 ? absl::OkStatus()
+                 : MakeStatus(ResultCode::kUnknownObject, "field 'leaf': no leaf " + change.leaf);
     case ChangeKind::kClearLeaving:
       return absl::OkStatus();
   }
   return absl::OkStatus();
 }
 
+bool ConfigState::HasLeaf(const std::string& id) const {
+  return std::any_of(services_.begin(), services_.end(),
+                     [&id](const auto& item) { return item.second.leafs.contains(id); });
+}
+
 void ConfigState::Apply(const Change& change) {
   ++version_.value;
   switch (change.kind) {
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -34,6 +34,7 @@
   static absl::StatusOr<ConfigState> Deserialize(const std::string& bytes);
 
  private:
+  bool HasLeaf(const std::string& id) const;
   absl::Status ValidateService(const Change& change) const;
   absl::Status ValidateSnapshot(const Change& change) const;
 
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -482,8 +482,7 @@
   const bool leads = raft_.role() == consensus::Role::kLeader && raft_.HasLease(now);
   std::erase_if(status_reads_, [&](const StatusRead& read) {
     const bool redundant = FullyRedundantSince(read.asked, now);
-    const bool over =
-        redundant || !leads || shutting_down_ || now - read.asked >= kStatusPatience;
+    const bool over = redundant || !leads || shutting_down_ || now - read.asked >= kStatusPatience;
     if (over) {
       output_.operators.push_back({read.ticket, StatusJson(now, redundant)});
     }
@@ -566,8 +565,7 @@
 }
 
 bool ControlServer::Drained() const {
-  return proposals_.empty() && forwarded_.empty() && config_reads_.empty() &&
-         status_reads_.empty();
+  return proposals_.empty() && forwarded_.empty() && config_reads_.empty() && status_reads_.empty();
 }
 
 }  // namespace pumicedyke::control
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -1,5 +1,7 @@
 #include "control/control_state.h"
 
+#include <xxhash.h>
+
 #include "common/json.h"
 #include "common/result_code.h"
 
@@ -37,12 +39,18 @@
 }
 
 config::ChangeResult ControlState::ApplyChange(const config::Change& change) {
+  const std::string text = Json(change).dump();
+  const uint64_t fingerprint = XXH64(text.data(), text.size(), 0);
   const auto known = submissions_.find(change.submission_id);
   if (known != submissions_.end() && options_.remember_submissions) {
-    return known->second;
+    if (known->second.fingerprint == fingerprint) {
+      return known->second.result;
+    }
+    return {static_cast<int>(ResultCode::kInvalidConfig),
+            "field 'submission_id': was used for another change", config_.version().value, 0};
   }
   config::ChangeResult result = Decide(change);
-  submissions_[change.submission_id] = result;
+  submissions_[change.submission_id] = {fingerprint, result};
   submission_order_.push_back(change.submission_id);
   if (submission_order_.size() > kRememberedSubmissions) {
     submissions_.erase(submission_order_.front());
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -17,6 +17,14 @@
 /// Accepted changes kept for nodes that are a little behind; others get the whole state.
 constexpr size_t kKeptChanges = 2000;
 
+/// A submission that was decided.
+struct Submission {
+  /// Hash of the change, so that an id used for two changes is noticed.
+  uint64_t fingerprint = 0;
+  config::ChangeResult result;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Submission, fingerprint, result)
+
 struct ControlStateOptions {
   /// Off only in simulations that show what the checks are for.
   bool remember_submissions = true;
@@ -49,7 +57,7 @@
   ControlStateOptions options_;
   config::ConfigState config_;
   ledger::Ledger ledger_;
-  std::map<std::string, config::ChangeResult> submissions_;
+  std::map<std::string, Submission> submissions_;
   std::deque<std::string> submission_order_;
   std::deque<wire::ConfigChange> changes_;
 };
--- a/src/emulator/leaf_model.cc
+++ b/src/emulator/leaf_model.cc
@@ -175,8 +175,9 @@
     if (options_.ignores_snapshot > 0 && uniform(random_) < options_.ignores_snapshot) {
       job.request.snapshot = NewestHeld(job.request);
     }
-    runs_.push_back({job.request.origin, job.request.id, job.request.service, job.request.idempotency_key,
-                     job.request.query, job.request.shard, job.request.snapshot, start});
+    runs_.push_back({job.request.origin, job.request.id, job.request.service,
+                     job.request.idempotency_key, job.request.query, job.request.shard,
+                     job.request.snapshot, start});
     running_.push_back({std::move(job), FinishTime(start, DrawService(start))});
   }
 }
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -170,8 +170,7 @@
 void NodeServer::OnCallerRequest(Timestamp now, RequestId id, const query::CallerRequest& request) {
   ++counters_.requests;
   // An earlier attempt under the same key may have run; only the ledger could tell.
-  const RunState run =
-      request.idempotency_key.empty() ? RunState::kNotRun : RunState::kUnknown;
+  const RunState run = request.idempotency_key.empty() ? RunState::kNotRun : RunState::kUnknown;
   const auto refuse = [&](ResultCode code, const std::string& message, Duration retry = {}) {
     Refuse(now, id, code, message, run, retry);
   };
--- a/src/programs/pumicedyke_node_main.cc
+++ b/src/programs/pumicedyke_node_main.cc
@@ -20,7 +20,8 @@
 DEFINE_string(platform, "", "IP:port of the platform's list of machines");
 DEFINE_string(max_connections_per_leaf, "", "bound of the connection pool per leaf");
 DEFINE_string(max_in_progress, "", "requests in progress beyond which new ones are refused");
-DEFINE_string(max_config_age_ms, "", "age of the configuration beyond which work is refused; 0: never");
+DEFINE_string(max_config_age_ms, "",
+              "age of the configuration beyond which work is refused; 0: never");
 DEFINE_string(drain_grace_ms, "", "a stopping node goes on serving for at least this long");
 
 int main(int argc, char** argv) {
--- a/src/programs/pumicedyke_sim_main.cc
+++ b/src/programs/pumicedyke_sim_main.cc
@@ -52,8 +52,8 @@
   }
   std::cout << "mechanisms (with the invariant that misses them):\n";
   for (const Mechanism& mechanism : AllMechanisms()) {
-    std::cout << "  " << mechanism.name << " [" << InvariantName(mechanism.guards)
-              << ", shown by " << mechanism.scenario << "]: " << mechanism.what << "\n";
+    std::cout << "  " << mechanism.name << " [" << InvariantName(mechanism.guards) << ", shown by "
+              << mechanism.scenario << "]: " << mechanism.what << "\n";
   }
   return kHolds;
 }
@@ -67,8 +67,7 @@
   const Violation& first = result.violations.front();
   std::cout << "BROKEN " << InvariantName(first.invariant) << " in " << result.scenario
             << " with seed " << result.seed << ": " << first.what << "\n";
-  const size_t skip =
-      result.recent.size() > kTraceLines ? result.recent.size() - kTraceLines : 0;
+  const size_t skip = result.recent.size() > kTraceLines ? result.recent.size() - kTraceLines : 0;
   for (size_t i = skip; i < result.recent.size(); ++i) {
     std::cout << "    " << result.recent[i] << "\n";
   }
@@ -81,8 +80,7 @@
   Totals totals;
   const auto work = [&] {
     for (size_t i = next++; i < jobs.size() && !stop; i = next++) {
-      const RunResult result =
-          RunScenario(*jobs[i].scenario, jobs[i].seed, disabled, FLAGS_trace);
+      const RunResult result = RunScenario(*jobs[i].scenario, jobs[i].seed, disabled, FLAGS_trace);
       const std::lock_guard lock(mutex);
       ++totals.runs;
       totals.events += result.events;
@@ -103,8 +101,8 @@
       }
     }
   };
-  const int count = FLAGS_threads > 0 ? FLAGS_threads
-                                      : static_cast<int>(std::thread::hardware_concurrency());
+  const int count =
+      FLAGS_threads > 0 ? FLAGS_threads : static_cast<int>(std::thread::hardware_concurrency());
   std::vector<std::thread> threads;
   for (int i = 0; i < count; ++i) {
     threads.emplace_back(work);
@@ -165,8 +163,9 @@
 }  // namespace pumicedyke::sim
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage("simulates a cluster under failures; exit 0: all invariants hold, "
-                          "1: one is broken, 2: usage");
+  gflags::SetUsageMessage(
+      "simulates a cluster under failures; exit 0: all invariants hold, "
+      "1: one is broken, 2: usage");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return pumicedyke::sim::Main();
 }
--- a/src/query/messages.cc
+++ b/src/query/messages.cc
@@ -253,16 +253,11 @@
 }
 
 Json LeafReplyToJson(const LeafReply& reply) {
-  return Json{{"origin", reply.origin},
-              {"id", reply.id},
-              {"leaf", reply.leaf},
-              {"shard", reply.shard},
-              {"snapshot", reply.snapshot},
-              {"status", static_cast<int>(reply.status)},
-              {"results", reply.results},
-              {"truncated", reply.truncated},
-              {"draining", reply.draining},
-              {"load", reply.load}};
+  return Json{{"origin", reply.origin},     {"id", reply.id},
+              {"leaf", reply.leaf},         {"shard", reply.shard},
+              {"snapshot", reply.snapshot}, {"status", static_cast<int>(reply.status)},
+              {"results", reply.results},   {"truncated", reply.truncated},
+              {"draining", reply.draining}, {"load", reply.load}};
 }
 
 absl::StatusOr<LeafReply> LeafReplyFromJson(const std::string& text) {
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -61,6 +61,13 @@
   settings.listen = file.Address("listen", "127.0.0.1:7100");
   settings.operator_listen = file.Address("operator_listen", "127.0.0.1:7200");
   settings.operator_token_file = file.String("operator_token_file", "");
+  const absl::StatusOr<std::string> token =
+      ReadOperatorToken(settings.operator_token_file, settings.operator_listen);
+  if (token.ok()) {
+    settings.operator_token = *token;
+  } else {
+    file.AddError("operator_token_file", std::string(token.status().message()));
+  }
   settings.data_folder = file.Required("data_folder", "the folder of this machine's state");
   settings.port_file = file.String("port_file", "");
   settings.machines = file.List("machines");
@@ -139,12 +146,6 @@
 }
 
 absl::Status ControlProcess::Start() {
-  absl::StatusOr<std::string> token =
-      ReadOperatorToken(settings_.operator_token_file, settings_.operator_listen);
-  if (!token.ok()) {
-    return token.status();
-  }
-  token_ = *token;
   wire::Identity identity;
   storage::RecoveredState recovered;
   if (absl::Status status = OpenStorage(&identity, &recovered); !status.ok()) {
@@ -197,8 +198,7 @@
   server_->Tick(now);
   CarryOut();
   const bool failed = !server_->raft().failure().ok();
-  const bool drained =
-      stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty());
+  const bool drained = stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty());
   if (failed || drained) {
     loop_->Stop();
   }
@@ -258,14 +258,15 @@
 void ControlProcess::OnOperator(const http::HttpRequest& request, http::Responder responder) {
   const Timestamp now = net::EventLoop::Now();
   if (request.path == "/healthz") {
-    responder.Send({stop_.started() ? 503 : 200, stop_.started() ? "stopping\n" : "ok\n", "text/plain"});
+    responder.Send(
+        {stop_.started() ? 503 : 200, stop_.started() ? "stopping\n" : "ok\n", "text/plain"});
     return;
   }
   if (request.path == "/metrics") {
     responder.Send({200, MetricsText(now), "text/plain; version=0.0.4"});
     return;
   }
-  if (!Authorized(token_, request, &responder)) {
+  if (!Authorized(settings_.operator_token, request, &responder)) {
     return;
   }
   if (request.path == "/v1/status" && request.method == "GET") {
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -22,6 +22,8 @@
   std::string listen;
   std::string operator_listen;
   std::string operator_token_file;
+  /// Content of that file; empty: operators come over loopback and need none.
+  std::string operator_token;
   std::string data_folder;
   std::string port_file;
   /// "machine=IP:port" of every control machine, this one too.
@@ -58,7 +60,6 @@
 
   ControlSettings settings_;
   net::EventLoop* loop_;
-  std::string token_;
   std::unique_ptr<storage::PosixFileSystem> files_;
   std::unique_ptr<storage::LogStorage> storage_;
   std::unique_ptr<control::ControlServer> server_;
--- a/src/server/leaf_process.cc
+++ b/src/server/leaf_process.cc
@@ -58,7 +58,8 @@
   } else if (request.path == "/v1/cancel") {
     const Json json = Json::parse(request.body, nullptr, /*allow_exceptions=*/false);
     if (json.is_object() && json.contains("id") && json["id"].is_number_unsigned()) {
-      model_.Cancel(net::EventLoop::Now(), json.value("origin", ""), json["id"].get<SubRequestId>());
+      model_.Cancel(net::EventLoop::Now(), json.value("origin", ""),
+                    json["id"].get<SubRequestId>());
     }
     responder.Send({200, "{}"});
   } else if (request.path == "/v1/health") {
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -47,8 +47,7 @@
   settings.platform = file.String("platform", "");
   settings.max_connections_per_leaf = file.Integer("max_connections_per_leaf", 32, 1, 10000);
   settings.max_in_progress = file.Integer("max_in_progress", 20000, 1, 1000000);
-  settings.max_config_age =
-      Milliseconds(file.Integer("max_config_age_ms", 10000, 0, 86400000));
+  settings.max_config_age = Milliseconds(file.Integer("max_config_age_ms", 10000, 0, 86400000));
   settings.drain_grace = Milliseconds(file.Integer("drain_grace_ms", 500, 0, 600000));
   if (settings.control.empty()) {
     file.AddError("control", "must list the address of at least one control machine");
@@ -161,8 +160,8 @@
   client_->Start(call, [this, request](const http::ClientResponse& response) {
     absl::StatusOr<query::LeafReply> reply = query::LeafReplyFromJson(response.body);
     // Whatever cannot be read may have run; only an unmade connection proves that it did not.
-    const bool usable = response.ok() && reply.ok() && reply->id == request.id &&
-                        reply->origin == request.origin;
+    const bool usable =
+        response.ok() && reply.ok() && reply->id == request.id && reply->origin == request.origin;
     if (!usable) {
       reply = FailedReply(request, response.not_sent);
     }
@@ -222,8 +221,8 @@
     const bool well = server_->Ready(now) && !stop_.started();
     responder.Send({well ? 200 : 503,
                     stop_.started() ? "stopping\n"
-                    : well    ? "ok\n"
-                              : "starting\n",
+                    : well          ? "ok\n"
+                                    : "starting\n",
                     "text/plain"});
   } else if (request.path == "/metrics") {
     responder.Send({200, MetricsText(now), "text/plain; version=0.0.4"});
--- a/src/server/process.cc
+++ b/src/server/process.cc
@@ -77,16 +77,14 @@
       return std::string();
     }
     return MakeStatus(ResultCode::kInvalidConfig,
-                      "field 'operator_token_file': must name a file unless operators come over "
-                      "loopback");
+                      "must name a file unless operators come over loopback");
   }
   std::ifstream file(path);
   std::stringstream content;
   content << file.rdbuf();
   std::string token(absl::StripAsciiWhitespace(content.str()));
   if (!file || token.empty()) {
-    return MakeStatus(ResultCode::kInvalidConfig,
-                      "field 'operator_token_file': cannot read a token from " + path);
+    return MakeStatus(ResultCode::kInvalidConfig, "holds no token that can be read: " + path);
   }
   return token;
 }
--- a/src/sim/actors.cc
+++ b/src/sim/actors.cc
@@ -58,8 +58,7 @@
 }
 
 void Caller::FollowContinuation(const query::CallerRequest& request, const query::Answer& answer) {
-  const absl::StatusOr<query::Continuation> token =
-      query::DecodeContinuation(answer.continuation);
+  const absl::StatusOr<query::Continuation> token = query::DecodeContinuation(answer.continuation);
   if (!token.ok()) {
     world_->history.Fail(Invariant::kOwnCompleteAnswer, world_->clock.now(),
                          request.query + ": the continuation token cannot be read");
@@ -142,8 +141,8 @@
     if (service == nullptr) {
       return;
     }
-    config::Change change = world_->MakePolicyChange(
-        kReadService, absl::StrCat(who, "-", ++submissions_));
+    config::Change change =
+        world_->MakePolicyChange(kReadService, absl::StrCat(who, "-", ++submissions_));
     change.expected_revision = service->revision;
     SubmitUntilAnswered(who, change, 0);
   });
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -66,9 +66,8 @@
   options.state.compare_and_set = !disabled_.contains("compare-and-set");
   options.catch_up_before_vote = !disabled_.contains("catch-up-before-vote");
   storage::RecoveredState recovered = storage_->Recover().value();
-  server_ = std::make_unique<control::ControlServer>(options, *identity, storage_.get(),
-                                                     std::move(recovered),
-                                                     seed_ * 1000 + starts_, LocalNow());
+  server_ = std::make_unique<control::ControlServer>(
+      options, *identity, storage_.get(), std::move(recovered), seed_ * 1000 + starts_, LocalNow());
   open_tickets_ = 0;
   RunAfter(kTickInterval, [this] { Tick(); });
   CarryOut();
--- a/src/sim/history.cc
+++ b/src/sim/history.cc
@@ -45,10 +45,10 @@
   CallRecord& call = calls_.at(id);
   ++call.answers;
   call.answered = time;
-  Trace(time, absl::StrCat("answer ", call.query, " code ", static_cast<int>(answer.code), " run ",
-                           query::RunStateName(answer.run), " snapshot ", answer.snapshot.value,
-                           " coverage ", answer.coverage.included.size(), "/",
-                           answer.coverage.total()));
+  Trace(time,
+        absl::StrCat("answer ", call.query, " code ", static_cast<int>(answer.code), " run ",
+                     query::RunStateName(answer.run), " snapshot ", answer.snapshot.value,
+                     " coverage ", answer.coverage.included.size(), "/", answer.coverage.total()));
   if (call.answers > 1) {
     Fail(Invariant::kOwnCompleteAnswer, time, "a second answer to " + call.query);
     return;
@@ -78,7 +78,9 @@
     const bool twice = !seen.insert(item.id).second;
     if (wanted == expected.end() || twice) {
       Fail(Invariant::kTruthfulCoverage, time,
-           absl::StrCat(call.query, ": result ", item.id, twice ? " is there twice" : " is of a shard that the coverage does not list"));
+           absl::StrCat(
+               call.query, ": result ", item.id,
+               twice ? " is there twice" : " is of a shard that the coverage does not list"));
     } else if (item.score != wanted->second.score) {
       Fail(Invariant::kOwnCompleteAnswer, time,
            absl::StrCat(call.query, ": result ", item.id, " belongs to another query"));
@@ -222,8 +224,8 @@
         {change.service, *change.expected_revision}, change.submission_id);
     if (!alone) {
       Fail(Invariant::kConfigInForce, time,
-           absl::StrCat(winner->second, " and ", change.submission_id,
-                        " both won on revision ", *change.expected_revision));
+           absl::StrCat(winner->second, " and ", change.submission_id, " both won on revision ",
+                        *change.expected_revision));
     }
   }
 }
@@ -264,8 +266,7 @@
   const uint64_t in_force = node_version_[node].value_or(0);
   if (in_force < accepted_version_) {
     Fail(Invariant::kConfigInForce, time,
-         absl::StrCat(node, " is at version ", in_force, ", ", accepted_version_,
-                      " was accepted"));
+         absl::StrCat(node, " is at version ", in_force, ", ", accepted_version_, " was accepted"));
   }
   for (const auto& [policy, submission] : refused_policies_) {
     for (const auto& [name, service] : services) {
@@ -285,13 +286,13 @@
   }
   for (const auto& [name, best] : newest) {
     const auto service = services.find(name);
-    const bool lost = best != nullptr && (service == services.end() ||
-                                          service->second.policy_version.value <
-                                              best->result.version);
+    const bool lost =
+        best != nullptr &&
+        (service == services.end() || service->second.policy_version.value < best->result.version);
     if (lost) {
-      Fail(Invariant::kConfigInForce, time,
-           absl::StrCat(best->change.submission_id, " was accepted, but is not in force at ",
-                        node));
+      Fail(
+          Invariant::kConfigInForce, time,
+          absl::StrCat(best->change.submission_id, " was accepted, but is not in force at ", node));
     }
   }
 }
--- a/src/sim/mechanisms.cc
+++ b/src/sim/mechanisms.cc
@@ -7,7 +7,7 @@
 
 std::string_view InvariantName(Invariant invariant) {
   constexpr std::array<std::string_view, 8> kNames = {
-      "one-snapshot", "truthful-coverage",     "own-complete-answer", "not-run-is-proof",
+      "one-snapshot", "truthful-coverage",    "own-complete-answer", "not-run-is-proof",
       "at-most-once", "leaving-gets-no-work", "planned-stop",        "config-in-force"};
   return kNames.at(static_cast<size_t>(invariant));
 }
--- a/src/sim/node_host.cc
+++ b/src/sim/node_host.cc
@@ -62,8 +62,7 @@
 void NodeHost::Step() {
   server_->Tick(LocalNow());
   CarryOut();
-  const bool over =
-      stopped_ != nullptr && LocalNow() >= stop_not_before_ && server_->Drained();
+  const bool over = stopped_ != nullptr && LocalNow() >= stop_not_before_ && server_->Drained();
   if (over) {
     std::function<void()> stopped = std::move(stopped_);
     Kill();
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -81,9 +81,8 @@
     *done = true;
     return;
   }
-  world->SubmitPatiently(
-      world->MakePolicyChange(kReadService, absl::StrCat("first-", remaining)),
-      [world, remaining, done] { SubmitInTurn(world, remaining - 1, done); });
+  world->SubmitPatiently(world->MakePolicyChange(kReadService, absl::StrCat("first-", remaining)),
+                         [world, remaining, done] { SubmitInTurn(world, remaining - 1, done); });
 }
 
 }  // namespace
--- a/src/sim/sim_network.h
+++ b/src/sim/sim_network.h
@@ -41,8 +41,7 @@
   }
 
  private:
-  void DeliverLater(const std::string& from, const std::string& to,
-                    std::function<void()> deliver);
+  void DeliverLater(const std::string& from, const std::string& to, std::function<void()> deliver);
   Duration DrawDelay();
   bool Chance(double share);
 
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -100,7 +100,7 @@
     };
     callbacks.cancel = [this](NodeHost* node, const query::SubRequestCancel& cancel) {
       network.SendOnce(node->name(), cancel.leaf,
-                   [this, cancel] { leafs.at(cancel.leaf)->Cancel(cancel.origin, cancel.id); });
+                       [this, cancel] { leafs.at(cancel.leaf)->Cancel(cancel.origin, cancel.id); });
     };
     callbacks.to_control = [this](NodeHost* node, size_t control, const wire::Envelope& envelope) {
       ToControl(node, control, envelope);
@@ -195,8 +195,8 @@
             "  return { deadline_ms = full and 900 or 300, coverage = full and 1 or 0.5,\n"
             "    wait_ms = full and 900 or 60, extra_load = 0.3, hedge_quantile = 0.7 }"
           : "return { deadline_ms = 700, repeatable = false }";
-  change.policy =
-      absl::StrCat("-- marker ", ++policy_markers_, "\nfunction plan(request)\n  ", plan, "\nend\n");
+  change.policy = absl::StrCat("-- marker ", ++policy_markers_, "\nfunction plan(request)\n  ",
+                               plan, "\nend\n");
   return change;
 }
 
@@ -278,8 +278,9 @@
   if (!node->alive()) {
     return false;
   }
-  CallRecord record{request.query, request.service, request.idempotency_key, request.shards,
-                    request.snapshot, clock.now(), node->name()};
+  CallRecord record{request.query,  request.service,  request.idempotency_key,
+                    request.shards, request.snapshot, clock.now(),
+                    node->name()};
   const uint64_t call = history.OnCall(std::move(record));
   const uint64_t id = next_call_++;
   callers_[id] = [this, call, id, on_answer = std::move(on_answer)](const query::Answer& answer) {
@@ -390,7 +391,8 @@
     config::Change change;
     change.kind = config::ChangeKind::kMarkLeaving;
     change.leaf = name;
-    change.submission_id = absl::StrCat("leave-", name, "-", clock.now().time_since_epoch().count());
+    change.submission_id =
+        absl::StrCat("leave-", name, "-", clock.now().time_since_epoch().count());
     SubmitPatiently(change, [this, name] {
       if (leaving_.contains(name)) {
         history.OnLeafLeaving(name, clock.now());
--- a/src/storage/log_storage.cc
+++ b/src/storage/log_storage.cc
@@ -40,8 +40,8 @@
     return std::nullopt;
   }
   const std::string_view payload = rest.substr(0, header.length);
-  const bool intact = header.length > 0 && header.reserved == 0 &&
-                      Checksum(payload) == header.checksum;
+  const bool intact =
+      header.length > 0 && header.reserved == 0 && Checksum(payload) == header.checksum;
   if (!intact) {
     return std::nullopt;
   }
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -221,8 +221,7 @@
       return Body(Read(in.body.raft));
     case pumicedyke_wire_Envelope_hello_tag:
       return Body(NodeHello{Text(in.body.hello.node), in.body.hello.incarnation,
-                            in.body.hello.version, in.body.hello.starting,
-                            in.body.hello.sent});
+                            in.body.hello.version, in.body.hello.starting, in.body.hello.sent});
     case pumicedyke_wire_Envelope_feed_tag:
       return Body(Read(in.body.feed));
     case pumicedyke_wire_Envelope_ledger_request_tag:
--- a/test/consensus/raft_test.cc
+++ b/test/consensus/raft_test.cc
@@ -28,8 +28,8 @@
       }
       Replica& replica = replicas_[id];
       replica.files = std::make_unique<sim::SimFileSystem>(id);
-      replica.storage = std::make_unique<storage::LogStorage>(replica.files.get(),
-                                                              storage::LogStorageOptions{});
+      replica.storage =
+          std::make_unique<storage::LogStorage>(replica.files.get(), storage::LogStorageOptions{});
       CPPUNIT_ASSERT(replica.storage->Format({id, "test", ""}, initial).ok());
       Start(id);
     }
@@ -38,8 +38,8 @@
   void Start(MemberId id) {
     Replica& replica = replicas_[id];
     replica.applied.clear();
-    replica.storage = std::make_unique<storage::LogStorage>(replica.files.get(),
-                                                            storage::LogStorageOptions{});
+    replica.storage =
+        std::make_unique<storage::LogStorage>(replica.files.get(), storage::LogStorageOptions{});
     replica.raft = std::make_unique<Raft>(id, RaftOptions{}, replica.storage.get(),
                                           *replica.storage->Recover(), id * 7, now_);
   }
--- a/test/e2e/failure_test.cc
+++ b/test/e2e/failure_test.cc
@@ -169,7 +169,8 @@
       }
       return true;
     });
-    CPPUNIT_ASSERT_EQUAL(0, fleet.Query(0, {{"service", "desk"}, {"query", "x"}})["code"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(0,
+                         fleet.Query(0, {{"service", "desk"}, {"query", "x"}})["code"].get<int>());
   }
 
   void PlannedStopOfNodesUnderLoadFailsNothing() {
@@ -266,10 +267,8 @@
   }
 
   void CutOffNodeRefusesAndCatchesUp() {
-    Fleet fleet({.controls = 3,
-                 .nodes = 1,
-                 .leafs = 2,
-                 .node_flags = {"--max_config_age_ms", "1500"}});
+    Fleet fleet(
+        {.controls = 3, .nodes = 1, .leafs = 2, .node_flags = {"--max_config_age_ms", "1500"}});
     std::vector<std::unique_ptr<TcpProxy>> links;
     for (std::string& address : fleet.control_seen_by_nodes) {
       links.push_back(std::make_unique<TcpProxy>(address));
@@ -341,8 +340,12 @@
     const std::string platform = fleet.processes.at("platform")->Address("http");
     const std::string leaf = fleet.processes.at("leaf0")->Address("http");
     const std::vector<std::pair<std::function<void()>, std::function<void()>>> ways = {
-        {[&] { fleet.Submit({{"kind", "mark_leaving"}, {"leaf", "leaf0"}}); },
-         [&] { fleet.Submit({{"kind", "clear_leaving"}, {"leaf", "leaf0"}}); }},
+        {[&] {
+           fleet.Submit({{"kind", "mark_leaving"}, {"leaf", "leaf0"}});
+         },
+         [&] {
+           fleet.Submit({{"kind", "clear_leaving"}, {"leaf", "leaf0"}});
+         }},
         {[&] { Post(platform, "/v1/machines", R"({"live":[],"leaving":["leaf0"]})"); },
          [&] { Post(platform, "/v1/machines", R"({"live":[],"leaving":[]})"); }},
         {[&] { Post(leaf, "/v1/admin", R"({"draining":true})"); },
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -170,14 +170,14 @@
     StartControl(i);
   }
   for (int i = 0; i < options.leafs; ++i) {
-    std::vector<std::string> flags = {"--name", absl::StrCat("leaf", i), "--seed",
-                                      std::to_string(i + 1), "--slots", "8"};
+    std::vector<std::string> flags = {
+        "--name", absl::StrCat("leaf", i), "--seed", std::to_string(i + 1), "--slots", "8"};
     flags.insert(flags.end(), options.leaf_flags.begin(), options.leaf_flags.end());
     const std::string name = absl::StrCat("leaf", i);
     processes[name] = std::make_unique<Process>(name, "pumicedyke-leaf", flags, folder_);
   }
-  processes["platform"] =
-      std::make_unique<Process>("platform", "pumicedyke-platform", std::vector<std::string>{}, folder_);
+  processes["platform"] = std::make_unique<Process>("platform", "pumicedyke-platform",
+                                                    std::vector<std::string>{}, folder_);
 }
 
 Fleet::~Fleet() {
@@ -187,10 +187,20 @@
 }
 
 std::vector<std::string> Fleet::ControlFlags(int index) const {
-  return {"--cluster",         "e2e",         "--machine",       absl::StrCat("c", index),
-          "--listen",          control_addresses_.at(static_cast<size_t>(index)),
-          "--operator_listen", "127.0.0.1:0", "--data_folder",   DataFolder(index),
-          "--machines",        machines_,     "--snapshot_log_bytes", "65536"};
+  return {"--cluster",
+          "e2e",
+          "--machine",
+          absl::StrCat("c", index),
+          "--listen",
+          control_addresses_.at(static_cast<size_t>(index)),
+          "--operator_listen",
+          "127.0.0.1:0",
+          "--data_folder",
+          DataFolder(index),
+          "--machines",
+          machines_,
+          "--snapshot_log_bytes",
+          "65536"};
 }
 
 void Fleet::StartControl(int index) {
@@ -255,9 +265,9 @@
     absl::StrAppend(&control, control.empty() ? "" : ",", address);
   }
   std::vector<std::string> flags = {
-      "--cluster",     "e2e",   "--node",     name,
-      "--listen",      "127.0.0.1:0", "--data_folder", absl::StrCat(folder_, "/data-", name),
-      "--control",     control, "--platform", processes.at("platform")->Address("http")};
+      "--cluster", "e2e",         "--node",        name,
+      "--listen",  "127.0.0.1:0", "--data_folder", absl::StrCat(folder_, "/data-", name),
+      "--control", control,       "--platform",    processes.at("platform")->Address("http")};
   flags.insert(flags.end(), options.node_flags.begin(), options.node_flags.end());
   processes[name] = std::make_unique<Process>(name, "pumicedyke-node", flags, folder_);
 }
@@ -282,14 +292,13 @@
   Json shards = Json::array();
   for (int i = 0; i < options.leafs; ++i) {
     const std::string name = absl::StrCat("leaf", i);
-    leafs.push_back({{"id", name},
-                     {"address", processes.at(name)->Address("http")},
-                     {"slots", 8}});
+    leafs.push_back({{"id", name}, {"address", processes.at(name)->Address("http")}, {"slots", 8}});
     const std::string next = absl::StrCat("leaf", (i + 1) % options.leafs);
     shards.push_back({{"id", i + 1}, {"replicas", {name, next}}});
   }
   CPPUNIT_ASSERT_EQUAL(
-      0, Submit({{"kind", "put_service"}, {"service", "desk"}, {"leafs", leafs}})["code"].get<int>());
+      0,
+      Submit({{"kind", "put_service"}, {"service", "desk"}, {"leafs", leafs}})["code"].get<int>());
   CPPUNIT_ASSERT_EQUAL(0, Submit({{"kind", "publish_snapshot"},
                                   {"service", "desk"},
                                   {"snapshot", {{"id", 1}, {"shards", shards}}}})["code"]
--- a/test/sim/simulation_test.cc
+++ b/test/sim/simulation_test.cc
@@ -34,8 +34,7 @@
     for (const Scenario& scenario : AllScenarios()) {
       for (uint64_t seed = 5001; seed <= 5003; ++seed) {
         const RunResult result = RunScenario(scenario, seed, {}, /*keep_trace=*/false);
-        const std::string broken =
-            result.violations.empty() ? "" : result.violations.front().what;
+        const std::string broken = result.violations.empty() ? "" : result.violations.front().what;
         CPPUNIT_ASSERT_EQUAL_MESSAGE(absl::StrCat(result.scenario, " with seed ", seed),
                                      std::string(), broken);
         CPPUNIT_ASSERT(result.complete_answers > 0);
