--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -13,6 +13,8 @@
   Duration latency_half_life = Seconds(2);
   /// Reported load loses half of its weight in this time: reports lag.
   Duration load_half_life = Milliseconds(50);
+  /// Off for baselines: replicas are chosen at random.
+  bool choose_by_load = true;
   /// A request out this many times longer than usual marks the leaf as stalled.
   double stall_factor = 4.0;
   Duration stall_minimum = Milliseconds(15);
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -133,7 +133,8 @@
       continue;
     }
     // The jitter keeps nodes that see the same reports from all choosing the same replica.
-    const double score = Score(leafs_.at(replica), now) * jitter(random_);
+    const double own_score = knobs_.choose_by_load ? Score(leafs_.at(replica), now) : 1.0;
+    const double score = own_score * jitter(random_);
     if (!best.has_value() || score < best_score) {
       best = replica;
       best_score = score;
--- /dev/null
+++ b/src/bench/variant.h
@@ -0,0 +1,35 @@
+// What a benchmark runs: the product, or a baseline that shares its cores.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "emulator/leaf_model.h"
+#include "node/node_server.h"
+
+namespace pumicedyke::bench {
+
+enum class Variant {
+  kProduct,
+  /// Sends once, to a replica chosen at random, and waits.
+  kWaitForAll,
+  /// Retries after a fixed time-out, without a budget.
+  kNaiveRetry,
+  /// Hedges after a fixed delay, without a budget.
+  kFixedHedge,
+  /// The product on back ends that never straggle or pause: the limit.
+  kOracle,
+};
+
+struct VariantInfo {
+  Variant variant;
+  std::string name;
+};
+const std::vector<VariantInfo>& AllVariants();
+const VariantInfo* FindVariant(const std::string& name);
+
+/// Sets what the variant does differently from the product.
+void ApplyVariant(Variant variant, node::NodeOptions* options);
+void ApplyVariant(Variant variant, emulator::LeafModelOptions* options);
+
+}  // namespace pumicedyke::bench
--- a/src/emulator/leaf_model.cc
+++ b/src/emulator/leaf_model.cc
@@ -162,6 +162,11 @@
   }
 }
 
+void LeafModel::NoteRun(const LeafRequest& request, Timestamp start) {
+  runs_.push_back({request.origin, request.id, request.service, request.idempotency_key,
+                   request.query, request.shard, request.snapshot, start});
+}
+
 void LeafModel::StartQueued(Timestamp now) {
   while (!queue_.empty() && running_.size() < options_.slots) {
     Job job = std::move(queue_.front());
@@ -175,9 +180,9 @@
     if (options_.ignores_snapshot > 0 && uniform(random_) < options_.ignores_snapshot) {
       job.request.snapshot = NewestHeld(job.request);
     }
-    runs_.push_back({job.request.origin, job.request.id, job.request.service,
-                     job.request.idempotency_key, job.request.query, job.request.shard,
-                     job.request.snapshot, start});
+    if (options_.keep_runs) {
+      NoteRun(job.request, start);
+    }
     running_.push_back({std::move(job), FinishTime(start, DrawService(start))});
   }
 }
--- a/src/emulator/leaf_model.h
+++ b/src/emulator/leaf_model.h
@@ -40,6 +40,8 @@
   bool holds_everything = true;
   /// Share of sub-requests answered on the newest held snapshot, whichever was asked for.
   double ignores_snapshot = 0;
+  /// Remembers everything that ran, for checkers.
+  bool keep_runs = true;
   uint64_t seed = 1;
 };
 
@@ -104,6 +106,7 @@
   void ReplyAt(Timestamp at, const query::LeafRequest& request, query::LeafStatus status);
   query::LeafReply MakeReply(const query::LeafRequest& request, query::LeafStatus status) const;
   SnapshotId NewestHeld(const query::LeafRequest& request) const;
+  void NoteRun(const query::LeafRequest& request, Timestamp start);
   void StartQueued(Timestamp now);
 
   LeafModelOptions options_;
