Keep the evidence of a stalled leaf, let retries after refusals overdraw, cap everyday hedges

Cause (p99 by second): a cancelled loser took the evidence of a standstill with it, so that the next request went to the stalled leaf again; refused shards found no budget left, because hedges at the 95% quantile use the whole 5%.

--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -22,6 +22,16 @@
     return true;
   }
 
+  /// Pays for a sub-request that replaces one which a leaf refused unseen. It is no extra load on a
+  /// slot, so that it may run the budget into debt as deep as the burst; hedges wait meanwhile.
+  bool TryOverdraw() {
+    if (tokens_ <= -burst_) {
+      return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+  }
+
   double tokens() const { return tokens_; }
 
  private:
--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -18,6 +18,8 @@
   /// A request out this many times longer than usual marks the leaf as stalled.
   double stall_factor = 4.0;
   Duration stall_minimum = Milliseconds(15);
+  /// How long a leaf counts as stalled that left a given-up request unanswered; any reply ends it.
+  Duration suspicion = Milliseconds(500);
 
   /// Adaptive concurrency (additive increase, multiplicative decrease) per leaf and node.
   double initial_limit_per_slot = 1.0;
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -72,15 +72,17 @@
   return std::max(reported, static_cast<double>(state.out.size()));
 }
 
+Duration LeafPool::Patience(const LeafState& state, Timestamp now) const {
+  const auto usual = static_cast<double>(LatencyOf(state, now).count());
+  return std::max(knobs_.stall_minimum,
+                  Duration(static_cast<int64_t>(knobs_.stall_factor * usual)));
+}
+
 bool LeafPool::Stalled(const LeafState& state, Timestamp now) const {
-  if (state.out.empty()) {
-    return false;
+  if (now < state.suspect_until) {
+    return true;
   }
-  const Duration usual = LatencyOf(state, now);
-  const auto patience = std::max(
-      knobs_.stall_minimum,
-      Duration(static_cast<int64_t>(knobs_.stall_factor * static_cast<double>(usual.count()))));
-  return now - state.out.begin()->second > patience;
+  return !state.out.empty() && now - state.out.begin()->second > Patience(state, now);
 }
 
 bool LeafPool::HasRoom(const LeafState& state, Timestamp now) const {
@@ -205,6 +207,7 @@
   const bool spoke =
       reply.status != query::LeafStatus::kFailed && reply.status != query::LeafStatus::kNotSent;
   if (spoke) {
+    state.suspect_until = Timestamp{};
     NoteWord(&state, now, reply.draining || reply.status == query::LeafStatus::kDraining);
     state.load = reply.load;
     state.load_at = now;
@@ -235,11 +238,21 @@
 void LeafPool::OnAbandoned(Timestamp now, const std::string& leaf, SubRequestId id,
                            bool timed_out) {
   const auto it = leafs_.find(leaf);
-  if (it == leafs_.end() || it->second.out.erase(id) == 0) {
+  if (it == leafs_.end()) {
+    return;
+  }
+  LeafState& state = it->second;
+  const auto out = state.out.find(id);
+  if (out == state.out.end()) {
     return;
   }
+  // The evidence of a standstill must outlive the request that gave it.
+  if (now - out->second > Patience(state, now)) {
+    state.suspect_until = now + knobs_.suspicion;
+  }
+  state.out.erase(out);
   if (timed_out) {
-    NoteFailure(&it->second, now);
+    NoteFailure(&state, now);
   }
 }
 
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -74,6 +74,9 @@
     Timestamp load_at{};
     Timestamp last_decrease{};
     Timestamp last_sent{};
+    /// A sub-request was given up unanswered after too long, and nothing was heard since: other
+    /// replicas are preferred until then.
+    Timestamp suspect_until{};
     int failures = 0;
     Timestamp ejected_until{};
     Duration ejection{};
@@ -85,6 +88,7 @@
 
   Duration LatencyOf(const LeafState& state, Timestamp now) const;
   double LoadOf(const LeafState& state, Timestamp now) const;
+  Duration Patience(const LeafState& state, Timestamp now) const;
   bool Stalled(const LeafState& state, Timestamp now) const;
   bool HasRoom(const LeafState& state, Timestamp now) const;
   double Score(const LeafState& state, Timestamp now) const;
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -9,8 +9,12 @@
 constexpr double kCoverageEpsilon = 1e-9;
 /// Part of the deadline after which a restart on another snapshot no longer pays.
 constexpr double kRestartWindow = 0.5;
-/// A shard's replicas may all be asked this often in turn when they refuse.
-constexpr size_t kMaxRoundsOverReplicas = 4;
+/// A shard's replicas may all be asked this often in turn when they refuse, with growing pauses.
+constexpr int kMaxRounds = 8;
+constexpr Duration kFirstRoundPause = Milliseconds(2);
+constexpr Duration kLongestRoundPause = Milliseconds(32);
+/// Part of the extra-load budget that hedges may use when nothing is wrong.
+constexpr double kHedgeShare = 0.25;
 constexpr Duration kMinRetryAfter = Milliseconds(50);
 
 MissingReason ReasonOf(LeafStatus status) {
@@ -145,21 +149,21 @@
   // Shedding passes; a lost connection may. What a leaf does not hold it will not hold soon.
   const bool passing =
       shard.reason == MissingReason::kShed || shard.reason == MissingReason::kUnreachable;
-  return passing && shard.attempts.size() < kMaxRoundsOverReplicas * shard.shard.replicas.size();
+  return passing && shard.rounds < kMaxRounds;
 }
 
 void RequestExecution::SendPrimaryOrRetry(Timestamp now, ShardProgress* shard) {
-  const bool retry = !shard->attempts.empty();
-  if (!plan_.repeatable && retry) {
-    // Only attempts that provably never started may be followed by another.
-    const bool all_refused =
-        std::all_of(shard->attempts.begin(), shard->attempts.end(),
-                    [](const Attempt& attempt) { return attempt.state == AttemptState::kRefused; });
-    if (!all_refused) {
-      shard->given_up = true;
-      SetWaiting(shard, false);
-      return;
-    }
+  const bool all_refused =
+      std::all_of(shard->attempts.begin(), shard->attempts.end(),
+                  [](const Attempt& attempt) { return attempt.state == AttemptState::kRefused; });
+  // Of unrepeatable work only attempts that provably never started may be followed by another.
+  if (!plan_.repeatable && !all_refused) {
+    shard->given_up = true;
+    SetWaiting(shard, false);
+    return;
+  }
+  if (now < shard->next_round) {
+    return;
   }
   if (AllReplicasTriedOrLeaving(now, *shard)) {
     if (shard->tried.empty()) {
@@ -171,13 +175,29 @@
       return;
     }
     shard->tried.clear();
+    const Duration pause = kFirstRoundPause * (1 << shard->rounds);
+    shard->next_round = now + std::min(pause, kLongestRoundPause);
+    ++shard->rounds;
     SetWaiting(shard, true);
-    return;  // Tried again at the next poll, not in a tight loop.
+    return;
   }
-  SetWaiting(shard, !SendTo(now, shard, retry));
+  const SendKind kind = shard->attempts.empty() ? SendKind::kFirst
+                        : all_refused           ? SendKind::kReplacement
+                                                : SendKind::kExtra;
+  SetWaiting(shard, !SendTo(now, shard, kind));
 }
 
-bool RequestExecution::SendTo(Timestamp now, ShardProgress* shard, bool extra) {
+bool RequestExecution::MayPay(SendKind kind) const {
+  const bool budgeted =
+      options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
+  if (!budgeted || kind == SendKind::kFirst) {
+    return true;
+  }
+  return kind == SendKind::kReplacement ? context_.budget->TryOverdraw()
+                                        : context_.budget->TrySpend();
+}
+
+bool RequestExecution::SendTo(Timestamp now, ShardProgress* shard, SendKind kind) {
   std::set<std::string> excluded = shard->tried;
   for (const Attempt& attempt : shard->attempts) {
     if (attempt.state == AttemptState::kPossiblyRunning) {
@@ -189,12 +209,10 @@
   if (!leaf.has_value()) {
     return false;
   }
-  const bool budgeted =
-      options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
-  if (extra && budgeted && !context_.budget->TrySpend()) {
+  if (!MayPay(kind)) {
     return false;
   }
-  if (!extra) {
+  if (kind == SendKind::kFirst) {
     context_.budget->Earn(plan_.extra_load);
   }
   const SubRequestId id = context_.next_id();
@@ -205,7 +223,7 @@
   shard_of_[id] = static_cast<size_t>(shard - shards_.data());
   context_.pool->OnSent(now, *leaf, id);
   ++sent_;
-  extra_ += extra ? 1 : 0;
+  extra_ += kind == SendKind::kFirst ? 0 : 1;
   return true;
 }
 
@@ -213,19 +231,21 @@
   if (options_.fixed_hedge_delay.count() > 0) {
     return options_.fixed_hedge_delay;
   }
-  return context_.latencies->Quantile(plan_.hedge_quantile);
+  // Everyday hedges leave part of the budget for the moments when a replica stands still.
+  const double quantile = std::max(plan_.hedge_quantile, 1 - kHedgeShare * plan_.extra_load);
+  return context_.latencies->Quantile(quantile);
 }
 
 void RequestExecution::MaybeHedge(Timestamp now, ShardProgress* shard) {
   const bool single = ActiveAttempts(*shard) == 1 && shard->shard.replicas.size() > 1;
   if (single && now - shard->attempts.back().sent >= HedgeDelay()) {
-    SendTo(now, shard, /*extra=*/true);
+    SendTo(now, shard, SendKind::kExtra);
   }
 }
 
 void RequestExecution::MaybeNaiveRetry(Timestamp now, ShardProgress* shard) {
   if (plan_.repeatable && now - shard->attempts.back().sent >= options_.naive_retry_timeout) {
-    SendTo(now, shard, /*extra=*/true);
+    SendTo(now, shard, SendKind::kExtra);
   }
 }
 
@@ -473,7 +493,8 @@
     }
     const size_t active = ActiveAttempts(shard);
     if (active == 0 || asks_program) {
-      return std::min(wake, now + options_.poll);
+      wake = std::min(wake, std::max(shard.next_round, now + options_.poll));
+      continue;
     }
     const Timestamp sent = shard.attempts.back().sent;
     if (options_.naive_retry_timeout.count() > 0) {
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -121,12 +121,23 @@
     bool waiting = false;
     MissingReason reason = MissingReason::kNotSent;
     size_t not_held = 0;
+    /// Times that every replica was tried in vain, and when to try them again.
+    int rounds = 0;
+    Timestamp next_round{};
   };
 
   void PinSnapshot(const config::PublishedSnapshot& snapshot);
   bool WantsShard(ShardId id) const;
   void AdvanceShard(Timestamp now, ShardProgress* shard);
-  bool SendTo(Timestamp now, ShardProgress* shard, bool extra);
+  enum class SendKind {
+    kFirst,
+    /// After attempts that all provably never started.
+    kReplacement,
+    /// A hedge, or a retry after an attempt that may have run.
+    kExtra,
+  };
+  bool MayPay(SendKind kind) const;
+  bool SendTo(Timestamp now, ShardProgress* shard, SendKind kind);
   void SendPrimaryOrRetry(Timestamp now, ShardProgress* shard);
   void MaybeHedge(Timestamp now, ShardProgress* shard);
   void MaybeNaiveRetry(Timestamp now, ShardProgress* shard);
