Refuse whole queries at once by how full the leafs of each shard are

Cause: past saturation each leaf shed on its own, and a query needs every shard, so that nearly none was complete: goodput 580 of 1789 queries/s at 130%. A limit per node cannot help, since 70 nodes have 0.07 sub-requests out at a leaf on average. Ruled out: the choice of replica (weights by load, half lives of 10 and 50 ms, sharpness 1 and 2: the same within the noise; sheds come from stragglers that fill slots). Change: an integral controller per shard and node on the fullness that rides on replies (target 1.2 per slot, averaged over 300 ms); queries are refused before any work is sent, with the time to come back.

--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -25,7 +25,7 @@
   /// Pays for a sub-request that replaces one which a leaf refused unseen. It is no extra load on a
   /// slot, so that it may run the budget into debt as deep as the burst; hedges wait meanwhile.
   bool TryOverdraw() {
-    if (tokens_ <= -burst_) {
+    if (tokens_ <= -kDeepestDebt * burst_) {
       return false;
     }
     tokens_ -= 1.0;
@@ -35,6 +35,8 @@
   double tokens() const { return tokens_; }
 
  private:
+  static constexpr double kDeepestDebt = 100;
+
   double burst_;
   double tokens_;
 };
--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -12,9 +12,11 @@
   Duration initial_latency = Milliseconds(5);
   Duration latency_half_life = Seconds(2);
   /// Reported load loses half of its weight in this time: reports lag.
-  Duration load_half_life = Milliseconds(50);
+  Duration load_half_life = Milliseconds(10);
   /// Off for baselines: replicas are chosen at random.
   bool choose_by_load = true;
+  /// A replica of half the score is drawn this power of two times as often.
+  double choice_sharpness = 2.0;
   /// A request out this many times longer than usual marks the leaf as stalled.
   double stall_factor = 4.0;
   Duration stall_minimum = Milliseconds(15);
@@ -51,6 +53,14 @@
   Duration initial_hedge_delay = Milliseconds(20);
   Duration min_hedge_delay = Milliseconds(1);
 
+  /// Admission follows how full leafs say they are (running and queued per slot, averaged over
+  /// `fullness_time`): towards `throttle_target`, by `throttle_gain` a second and unit of error.
+  Duration fullness_time = Milliseconds(300);
+  Duration throttle_interval = Milliseconds(20);
+  double throttle_target = 1.2;
+  double throttle_gain = 1.0;
+  double throttle_minimum = 0.05;
+
   /// A request is refused when the expected wait for a free leaf exceeds this part of its deadline
   /// (priority 0 and 9; in between by line).
   double admission_low = 0.10;
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -127,22 +127,23 @@
 
 std::optional<std::string> LeafPool::Choose(Timestamp now, const std::vector<std::string>& replicas,
                                             const std::set<std::string>& excluded) {
-  std::optional<std::string> best;
-  double best_score = 0;
-  std::uniform_real_distribution<double> jitter(1.0, 1.05);
+  // Drawn at random with weights: nodes that all took the best by the same late reports would
+  // flood it together.
+  const std::string* choice = nullptr;
+  double total = 0;
+  std::uniform_real_distribution<double> uniform(0, 1);
   for (const std::string& replica : replicas) {
     if (excluded.contains(replica) || AvailabilityOf(replica, now) != Availability::kReady) {
       continue;
     }
-    // The jitter keeps nodes that see the same reports from all choosing the same replica.
-    const double own_score = knobs_.choose_by_load ? Score(leafs_.at(replica), now) : 1.0;
-    const double score = own_score * jitter(random_);
-    if (!best.has_value() || score < best_score) {
-      best = replica;
-      best_score = score;
+    const double score = knobs_.choose_by_load ? Score(leafs_.at(replica), now) : 1.0;
+    const double weight = std::pow(score, -knobs_.choice_sharpness);
+    total += weight;
+    if (uniform(random_) * total < weight) {
+      choice = &replica;
     }
   }
-  return best;
+  return choice == nullptr ? std::nullopt : std::optional(*choice);
 }
 
 void LeafPool::OnSent(Timestamp now, const std::string& leaf, SubRequestId id) {
@@ -209,6 +210,9 @@
   if (spoke) {
     state.suspect_until = Timestamp{};
     NoteWord(&state, now, reply.draining || reply.status == query::LeafStatus::kDraining);
+    const double kept = std::exp(-ToMilliseconds(now - state.load_at) /
+                                 ToMilliseconds(knobs_.fullness_time));
+    state.fullness = state.fullness * kept + (1 - kept) * reply.load / state.slots;
     state.load = reply.load;
     state.load_at = now;
   }
@@ -284,6 +288,20 @@
   return Duration(static_cast<int64_t>(std::max(0.0, best)));
 }
 
+double LeafPool::Fullness(Timestamp now, const std::vector<std::string>& replicas) const {
+  double least = -1;
+  for (const std::string& replica : replicas) {
+    const auto it = leafs_.find(replica);
+    const bool usable = it != leafs_.end() &&
+                        AvailabilityOf(replica, now) != Availability::kLeaving &&
+                        !Stalled(it->second, now) && now >= it->second.ejected_until;
+    if (usable) {
+      least = least < 0 ? it->second.fullness : std::min(least, it->second.fullness);
+    }
+  }
+  return std::max(least, 0.0);
+}
+
 uint32_t LeafPool::Outstanding(const std::string& leaf) const {
   const auto it = leafs_.find(leaf);
   return it == leafs_.end() ? 0 : static_cast<uint32_t>(it->second.out.size());
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -54,6 +54,9 @@
   /// Expected wait until one of `replicas` is free for one more sub-request.
   Duration ExpectedWait(Timestamp now, const std::vector<std::string>& replicas) const;
 
+  /// Requests per slot at the least full of `replicas` that can be used; 0 if none can.
+  double Fullness(Timestamp now, const std::vector<std::string>& replicas) const;
+
   uint32_t Outstanding(const std::string& leaf) const;
   double Limit(const std::string& leaf) const;
   std::vector<std::string> Names() const;
@@ -72,6 +75,7 @@
     Timestamp latency_at{};
     double load = 0;
     Timestamp load_at{};
+    double fullness = 0;
     Timestamp last_decrease{};
     Timestamp last_sent{};
     /// A sub-request was given up unanswered after too long, and nothing was heard since: other
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Duration kOverloadRetryAfter = Milliseconds(200);
+constexpr Duration kLongestRetryAfter = Seconds(5);
 constexpr Duration kNotReadyRetryAfter = Milliseconds(500);
 constexpr size_t kMaxLedgerOutcomeBytes = 32 * 1024;
 
@@ -41,7 +42,8 @@
       ids_(options_.incarnation),
       subscriber_(options_.subscriber, now),
       ledger_(options_.subscriber.cluster, origin_, &ids_),
-      pool_(options_.knobs, options_.seed) {}
+      pool_(options_.knobs, options_.seed),
+      random_(options_.seed) {}
 
 NodeOutput NodeServer::TakeOutput() { return std::exchange(output_, {}); }
 
@@ -81,6 +83,7 @@
       runtime.budget = std::make_shared<balance::ExtraLoadBudget>(options_.knobs.budget_burst);
       runtime.latencies = std::make_shared<balance::LatencyTracker>(
           options_.knobs.latency_window, options_.knobs.initial_hedge_delay);
+      runtime.throttle = std::make_shared<balance::AdmissionThrottle>(options_.knobs);
     }
     for (const auto& [id, leaf] : service.leafs) {
       pool_.Configure(now, id, leaf.slots);
@@ -140,13 +143,22 @@
 
 std::optional<Duration> NodeServer::RefusalWait(Timestamp now, const policy::QueryPlan& plan,
                                                 const query::CallerRequest& request,
-                                                const config::PublishedSnapshot& snapshot) const {
+                                                const config::PublishedSnapshot& snapshot,
+                                                balance::AdmissionThrottle* throttle) {
   if (active_.size() >= options_.max_in_progress) {
     return kOverloadRetryAfter;
   }
   if (!options_.admission_control) {
     return std::nullopt;
   }
+  throttle->Update(now, snapshot.shards, pool_);
+  const double share = throttle->AdmittedShare(request.shards, plan.priority);
+  if (std::uniform_real_distribution<double>(0, 1)(random_) >= share) {
+    // The fewer are admitted, the later the next try makes sense.
+    return std::min(Duration(static_cast<int64_t>(
+                        static_cast<double>(kOverloadRetryAfter.count()) / std::max(share, 0.01))),
+                    kLongestRetryAfter);
+  }
   Duration longest{};
   for (const config::Shard& shard : snapshot.shards) {
     const bool wanted =
@@ -157,10 +169,10 @@
     }
   }
   constexpr double kTopPriority = 9.0;
-  const double share =
+  const double patience =
       options_.knobs.admission_low +
       (options_.knobs.admission_high - options_.knobs.admission_low) * plan.priority / kTopPriority;
-  const auto bearable = std::chrono::duration_cast<Duration>(plan.deadline * share);
+  const auto bearable = std::chrono::duration_cast<Duration>(plan.deadline * patience);
   if (longest <= bearable) {
     return std::nullopt;
   }
@@ -215,7 +227,7 @@
            "this request must not run twice: send an Idempotency-Key header");
     return;
   }
-  if (const auto wait = RefusalWait(now, *plan, request, *snapshot)) {
+  if (const auto wait = RefusalWait(now, *plan, request, *snapshot, runtime.throttle.get())) {
     refuse(ResultCode::kOverloaded, "the back ends are busy", *wait);
     return;
   }
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -7,10 +7,12 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "balance/admission_throttle.h"
 #include "balance/leaf_pool.h"
 #include "node/config_subscriber.h"
 #include "node/id_source.h"
@@ -113,6 +115,7 @@
     std::string policy_source;
     std::shared_ptr<balance::ExtraLoadBudget> budget;
     std::shared_ptr<balance::LatencyTracker> latencies;
+    std::shared_ptr<balance::AdmissionThrottle> throttle;
   };
   struct Active {
     query::CallerRequest request;
@@ -139,7 +142,8 @@
                                             const query::CallerRequest& request) const;
   std::optional<Duration> RefusalWait(Timestamp now, const policy::QueryPlan& plan,
                                       const query::CallerRequest& request,
-                                      const config::PublishedSnapshot& snapshot) const;
+                                      const config::PublishedSnapshot& snapshot,
+                                      balance::AdmissionThrottle* throttle);
   void StartClaim(Timestamp now, RequestId id, Active* active);
   void StartExecution(Timestamp now, RequestId id, Active* active);
   void Refuse(Timestamp now, RequestId id, ResultCode code, const std::string& message,
@@ -166,6 +170,7 @@
   ConfigSubscriber subscriber_;
   LedgerClient ledger_;
   balance::LeafPool pool_;
+  std::mt19937_64 random_;
   std::map<std::string, ServiceRuntime> services_;
   std::map<RequestId, Active> active_;
   std::map<SubRequestId, RequestId> request_of_;
