--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -1,5 +1,6 @@
 // One token budget for hedges and retries together: a fixed share of the regular sub-requests, so
-// that extra load stays bounded when everything is slow at once.
+// that extra load stays bounded when everything is slow at once. A sub-request that replaces one
+// which a leaf refused unseen is no extra load on a slot and costs no token; rounds bound it.
 #pragma once
 
 #include <algorithm>
@@ -22,21 +23,9 @@
     return true;
   }
 
-  /// Pays for a sub-request that replaces one which a leaf refused unseen. It is no extra load on a
-  /// slot, so that it may run the budget into debt as deep as the burst; hedges wait meanwhile.
-  bool TryOverdraw() {
-    if (tokens_ <= -kDeepestDebt * burst_) {
-      return false;
-    }
-    tokens_ -= 1.0;
-    return true;
-  }
-
   double tokens() const { return tokens_; }
 
  private:
-  static constexpr double kDeepestDebt = 100;
-
   double burst_;
   double tokens_;
 };
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -39,6 +39,8 @@
   /// be called again at the latest.
   void Run(const std::function<Timestamp(Timestamp now)>& tick);
   void Stop() { stopped_ = true; }
+  /// Lets Run() be called again after Stop().
+  void Resume() { stopped_ = false; }
 
   int handle_signal(int signal_number, siginfo_t* info, ucontext_t* context) override;
   int handle_exception(ACE_HANDLE handle) override;
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -190,11 +190,7 @@
 bool RequestExecution::MayPay(SendKind kind) const {
   const bool budgeted =
       options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
-  if (!budgeted || kind == SendKind::kFirst) {
-    return true;
-  }
-  return kind == SendKind::kReplacement ? context_.budget->TryOverdraw()
-                                        : context_.budget->TrySpend();
+  return !budgeted || kind != SendKind::kExtra || context_.budget->TrySpend();
 }
 
 bool RequestExecution::SendTo(Timestamp now, ShardProgress* shard, SendKind kind) {
