Ask the tried replicas again when the others are ejected; a silent leaf has no room

And the throttle took a dead leaf's last report for room. Change: a round ends when no untried replica is ready; reports older than a second are no room; suspicion doubles while a leaf stays silent.

--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -21,7 +21,10 @@
   double stall_factor = 4.0;
   Duration stall_minimum = Milliseconds(15);
   /// How long a leaf counts as stalled that left a given-up request unanswered; any reply ends it.
+  /// Doubles while it stays silent.
   Duration suspicion = Milliseconds(500);
+  /// Reports older than this say nothing about a leaf's room.
+  Duration fresh_report = Milliseconds(1000);
 
   /// Adaptive concurrency (additive increase, multiplicative decrease) per leaf and node.
   double initial_limit_per_slot = 1.0;
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -209,6 +209,7 @@
       reply.status != query::LeafStatus::kFailed && reply.status != query::LeafStatus::kNotSent;
   if (spoke) {
     state.suspect_until = Timestamp{};
+    state.suspicion = Duration(0);
     NoteWord(&state, now, reply.draining || reply.status == query::LeafStatus::kDraining);
     const double kept = std::exp(-ToMilliseconds(now - state.load_at) /
                                  ToMilliseconds(knobs_.fullness_time));
@@ -252,7 +253,10 @@
   }
   // The evidence of a standstill must outlive the request that gave it.
   if (now - out->second > Patience(state, now)) {
-    state.suspect_until = now + knobs_.suspicion;
+    state.suspicion = state.suspicion == Duration(0)
+                          ? knobs_.suspicion
+                          : std::min(2 * state.suspicion, knobs_.max_ejection_time);
+    state.suspect_until = now + state.suspicion;
   }
   state.out.erase(out);
   if (timed_out) {
@@ -292,9 +296,10 @@
   double least = -1;
   for (const std::string& replica : replicas) {
     const auto it = leafs_.find(replica);
+    // A leaf that is gone or stands still says nothing; what it said before is no room.
     const bool usable = it != leafs_.end() &&
                         AvailabilityOf(replica, now) != Availability::kLeaving &&
-                        !Stalled(it->second, now) && now >= it->second.ejected_until;
+                        !Stalled(it->second, now) && now - it->second.load_at < knobs_.fresh_report;
     if (usable) {
       least = least < 0 ? it->second.fullness : std::min(least, it->second.fullness);
     }
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -81,6 +81,7 @@
     /// A sub-request was given up unanswered after too long, and nothing was heard since: other
     /// replicas are preferred until then.
     Timestamp suspect_until{};
+    Duration suspicion{};
     int failures = 0;
     Timestamp ejected_until{};
     Duration ejection{};
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -145,6 +145,14 @@
   });
 }
 
+bool RequestExecution::AnyUntriedReady(Timestamp now, const ShardProgress& shard) const {
+  const auto& replicas = shard.shard.replicas;
+  return std::any_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
+    return !shard.tried.contains(replica) &&
+           context_.pool->AvailabilityOf(replica, now) == balance::Availability::kReady;
+  });
+}
+
 bool RequestExecution::MayTryReplicasAgain(const ShardProgress& shard) const {
   // Shedding passes; a lost connection may. What a leaf does not hold it will not hold soon.
   const bool passing =
@@ -165,7 +173,10 @@
   if (now < shard->next_round) {
     return;
   }
-  if (AllReplicasTriedOrLeaving(now, *shard)) {
+  const bool exhausted = AllReplicasTriedOrLeaving(now, *shard);
+  // An untried replica that is ejected may stay so for long: the tried ones are asked again.
+  const bool others_unusable = !shard->tried.empty() && !AnyUntriedReady(now, *shard);
+  if (exhausted || (others_unusable && MayTryReplicasAgain(*shard))) {
     if (shard->tried.empty()) {
       shard->reason = MissingReason::kLeaving;
     }
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -144,6 +144,7 @@
   Duration HedgeDelay() const;
   void SetWaiting(ShardProgress* shard, bool waiting);
   bool AllReplicasTriedOrLeaving(Timestamp now, const ShardProgress& shard) const;
+  bool AnyUntriedReady(Timestamp now, const ShardProgress& shard) const;
   bool MayTryReplicasAgain(const ShardProgress& shard) const;
   size_t ActiveAttempts(const ShardProgress& shard) const;
   void Merge(Timestamp now, ShardProgress* shard, const LeafReply& reply);
