--- a/src/balance/admission_throttle.cc
+++ b/src/balance/admission_throttle.cc
@@ -18,12 +18,12 @@
   }
   updated_ = now;
   // After a pause without queries the measurements say nothing; one interval's worth is enough.
-  const double seconds =
-      ToMilliseconds(std::min(elapsed, 4 * knobs_.throttle_interval)) / 1000.0;
+  const double seconds = ToMilliseconds(std::min(elapsed, 4 * knobs_.throttle_interval)) / 1000.0;
   for (const config::Shard& shard : shards) {
     double& share = share_.try_emplace(shard.id, 1.0).first->second;
     const double error = knobs_.throttle_target - pool.Fullness(now, shard.replicas);
-    share = std::clamp(share + knobs_.throttle_gain * error * seconds, knobs_.throttle_minimum, 1.0);
+    share =
+        std::clamp(share + knobs_.throttle_gain * error * seconds, knobs_.throttle_minimum, 1.0);
   }
   if (share_.size() > 2 * shards.size()) {
     share_.clear();  // Snapshots with other shards have come and gone.
--- a/src/balance/admission_throttle.h
+++ b/src/balance/admission_throttle.h
@@ -1,7 +1,7 @@
 // Decides which share of a service's queries a node admits, from how full the leafs of each shard
-// say they are: an integral controller per shard. Every query needs every shard, so that the fullest
-// shard decides; a query is refused whole, before any of its work is sent. Nodes that cannot see
-// each other arrive at the same share, because they hear the same leafs.
+// say they are: an integral controller per shard. Every query needs every shard, so that the
+// fullest shard decides; a query is refused whole, before any of its work is sent. Nodes that
+// cannot see each other arrive at the same share, because they hear the same leafs.
 #pragma once
 
 #include <map>
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -211,8 +211,8 @@
     state.suspect_until = Timestamp{};
     state.suspicion = Duration(0);
     NoteWord(&state, now, reply.draining || reply.status == query::LeafStatus::kDraining);
-    const double kept = std::exp(-ToMilliseconds(now - state.load_at) /
-                                 ToMilliseconds(knobs_.fullness_time));
+    const double kept =
+        std::exp(-ToMilliseconds(now - state.load_at) / ToMilliseconds(knobs_.fullness_time));
     state.fullness = state.fullness * kept + (1 - kept) * reply.load / state.slots;
     state.load = reply.load;
     state.load_at = now;
--- a/src/bench/bench_scenario.cc
+++ b/src/bench/bench_scenario.cc
@@ -42,8 +42,8 @@
 }
 
 double BenchScenario::CapacityQueries() const {
-  const double sub_requests = static_cast<double>(leafs) * slots * 1e6 /
-                              static_cast<double>(MeanServiceTime().count());
+  const double sub_requests =
+      static_cast<double>(leafs) * slots * 1e6 / static_cast<double>(MeanServiceTime().count());
   return sub_requests / static_cast<double>(shards);
 }
 
--- a/src/bench/report.cc
+++ b/src/bench/report.cc
@@ -152,8 +152,11 @@
 
 /// The latency distributions of one load, first seed.
 Plot PlotDistribution(const Report& report, double load) {
-  Plot plot{absl::StrFormat("latency distribution at load %.2f", load), "share of queries",
-            "latency, ms", {}, true};
+  Plot plot{absl::StrFormat("latency distribution at load %.2f", load),
+            "share of queries",
+            "latency, ms",
+            {},
+            true};
   std::set<std::string> drawn;
   for (const RunReport& run : report.runs) {
     if (run.load != load || !drawn.insert(run.variant).second) {
@@ -230,9 +233,9 @@
 }
 
 std::string Table(const Report& report) {
-  std::string text = absl::StrFormat("%s (%s), disturbance %s, 100%% load = %.0f queries/s\n",
-                                     report.scenario, report.reading, report.disturbance,
-                                     report.capacity_queries_per_s);
+  std::string text =
+      absl::StrFormat("%s (%s), disturbance %s, 100%% load = %.0f queries/s\n", report.scenario,
+                      report.reading, report.disturbance, report.capacity_queries_per_s);
   absl::StrAppendFormat(&text, "%-13s %5s", "variant", "load");
   for (const Metric& metric : AllMetrics()) {
     absl::StrAppendFormat(&text, " %14s", metric.name);
@@ -245,8 +248,7 @@
       }
       absl::StrAppendFormat(&text, "%-13s %5.2f", variant, load);
       for (const Metric& metric : AllMetrics()) {
-        absl::StrAppendFormat(&text, " %14.4f",
-                              SpreadOf(report, variant, load, metric.value).mean);
+        absl::StrAppendFormat(&text, " %14.4f", SpreadOf(report, variant, load, metric.value).mean);
       }
       text += "\n";
     }
@@ -271,8 +273,9 @@
   for (const double load : loads) {
     page += Draw(PlotSeconds(report, load, absl::StrFormat("p99 by second at load %.2f, ms", load),
                              true, &RunReport::p99_by_second_ms));
-    page += Draw(PlotSeconds(report, load, absl::StrFormat("good answers by second at load %.2f", load),
-                             false, &RunReport::goodput_by_second));
+    page +=
+        Draw(PlotSeconds(report, load, absl::StrFormat("good answers by second at load %.2f", load),
+                         false, &RunReport::goodput_by_second));
   }
   return absl::StrCat(page, "<pre>", Table(report), "</pre>\n");
 }
@@ -310,7 +313,8 @@
     }
   }
   if (compared == 0) {
-    return "nothing to compare: both reports need two seeds or more of the same variants and loads\n";
+    return "nothing to compare: both reports need two seeds or more of the same variants and "
+           "loads\n";
   }
   return text.empty() ? "no change beyond the noise\n" : text;
 }
--- a/src/bench/simulated_run.cc
+++ b/src/bench/simulated_run.cc
@@ -1,6 +1,7 @@
 #include "bench/simulated_run.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ctime>
 #include <map>
 #include <memory>
@@ -33,7 +34,7 @@
     return 0;
   }
   const auto last = static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<size_t>(quantile * last + 0.5)];
+  return sorted[static_cast<size_t>(std::lround(quantile * last))];
 }
 
 config::ConfigState MakeConfig(const BenchScenario& scenario) {
@@ -248,9 +249,8 @@
       }
     });
     if (leafs_.at(copy.leaf).frozen) {
-      clock_.After(give_up, [this, node, copy] {
-        Reply(node, Failed(copy, query::LeafStatus::kFailed));
-      });
+      clock_.After(give_up,
+                   [this, node, copy] { Reply(node, Failed(copy, query::LeafStatus::kFailed)); });
     }
   }
 
@@ -272,9 +272,8 @@
 
   void Pump(Leaf* leaf) {
     for (query::LeafReply& reply : leaf->model->Advance(clock_.now())) {
-      clock_.After(scenario_.leaf_delay, [this, reply = std::move(reply)] {
-        Reply(origins_.at(reply.origin), reply);
-      });
+      clock_.After(scenario_.leaf_delay,
+                   [this, reply = std::move(reply)] { Reply(origins_.at(reply.origin), reply); });
     }
     const std::optional<Timestamp> next = leaf->model->NextEvent();
     const bool planned = leaf->next_pump > clock_.now() && next && leaf->next_pump <= *next;
@@ -368,8 +367,7 @@
     report.p999_ms = Quantile(latencies, 0.999);
     report.refusal_p99_ms = Quantile(refusals, 0.99);
     for (size_t i = 0; i <= kCurvePoints; ++i) {
-      report.latency_curve_ms.push_back(
-          Quantile(latencies, static_cast<double>(i) / kCurvePoints));
+      report.latency_curve_ms.push_back(Quantile(latencies, static_cast<double>(i) / kCurvePoints));
     }
     for (auto& [second, values] : by_second) {
       std::sort(values.begin(), values.end());
--- a/src/bench/simulated_run.h
+++ b/src/bench/simulated_run.h
@@ -63,11 +63,13 @@
   double cpu_s = 0;
   uint64_t sub_requests = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    RunReport, variant, load, seed, offered_per_s, complete_per_s, goodput_per_s, queries,
-    refused_share, complete_share, mean_coverage, extra_share, p50_ms, p90_ms, p99_ms, p999_ms,
-    refusal_p99_ms, shed_share, latency_curve_ms, p99_by_second_ms, goodput_by_second, cpu_s,
-    sub_requests)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(RunReport, variant, load, seed, offered_per_s,
+                                                complete_per_s, goodput_per_s, queries,
+                                                refused_share, complete_share, mean_coverage,
+                                                extra_share, p50_ms, p90_ms, p99_ms, p999_ms,
+                                                refusal_p99_ms, shed_share, latency_curve_ms,
+                                                p99_by_second_ms, goodput_by_second, cpu_s,
+                                                sub_requests)
 
 RunReport RunSimulated(const BenchScenario& scenario, const RunOptions& options);
 
--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -521,6 +521,7 @@
   }
   BecomeFollower(now, message.term, message.from);
   leader_heard_ = now;
+  leader_commit_ = message.commit;
   RaftMessage reply = MakeMessage(RaftMessageType::kAppendReply, message.from);
   reply.context = message.context;
   const std::optional<uint64_t> local_term = TermAt(message.log_index);
@@ -606,6 +607,7 @@
   }
   BecomeFollower(now, message.term, message.from);
   leader_heard_ = now;
+  leader_commit_ = message.commit;
   RaftMessage reply = MakeMessage(RaftMessageType::kAppendReply, message.from);
   reply.context = message.context;
   if (message.snapshot.index > commit_index_) {
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -101,6 +101,8 @@
   uint64_t last_index() const;
   uint64_t snapshot_index() const { return snapshot_.index; }
   const std::vector<wire::Member>& members() const { return members_; }
+  /// Follower: whether the newest append left nothing that the leader had committed missing here.
+  bool CaughtUpWithLeader() const { return commit_index_ >= leader_commit_; }
   bool IsMember(MemberId id) const;
   bool IsVoter(MemberId id) const;
   bool MembersCommitted() const { return members_index_ <= commit_index_; }
@@ -181,6 +183,7 @@
   /// Log index that set `members_`.
   uint64_t members_index_ = 0;
   uint64_t commit_index_ = 0;
+  uint64_t leader_commit_ = 0;
 
   Role role_ = Role::kFollower;
   MemberId leader_ = 0;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -314,7 +314,8 @@
       if (session != sessions_.end()) {
         session->second.awaiting_read = false;
         session->second.admitted = true;
-        Feed(session->first, &session->second, /*full=*/true);
+        session->second.full_sent = now;
+        Feed(session->first, &session->second, /*full=*/true, session->second.read_greeting);
       }
       session_reads_.erase(it);
     }
@@ -333,7 +334,8 @@
   if (raft_.role() == consensus::Role::kLeader) {
     return raft_.HasLease(now);
   }
-  return raft_.leader() != 0 && now - last_leader_contact_ < 2 * options_.raft.election_timeout;
+  return raft_.leader() != 0 && raft_.CaughtUpWithLeader() &&
+         now - last_leader_contact_ < 2 * options_.raft.election_timeout;
 }
 
 void ControlServer::OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello) {
@@ -342,16 +344,20 @@
   session.incarnation = hello.incarnation;
   session.last_heard = now;
   session.reported_version = hello.version;
-  session.greeting = hello.sent;
   // A machine cut off from the quorum stays silent, so that the node turns to another one.
   if (!IsCurrent(now)) {
     return;
   }
   if (hello.starting) {
+    // The first state is still on its way; it may be large.
+    if (session.admitted && now - session.full_sent < options_.full_feed_patience) {
+      return;
+    }
     const bool repeat = now - session.read_requested > options_.raft.election_timeout;
     if (!session.awaiting_read || repeat) {
       session.awaiting_read = true;
       session.read_requested = now;
+      session.read_greeting = hello.sent;
       std::erase_if(session_reads_, [id](const auto& item) { return item.second == id; });
       const uint64_t read = next_ticket_++;
       session_reads_[read] = id;
@@ -361,14 +367,14 @@
   }
   session.admitted = true;
   session.sent_version = hello.version;
-  Feed(id, &session, /*full=*/false);
+  Feed(id, &session, /*full=*/false, hello.sent);
 }
 
-void ControlServer::Feed(SessionId id, Session* session, bool full) {
+void ControlServer::Feed(SessionId id, Session* session, bool full, uint64_t greeting) {
   const uint64_t version = state_.config().version().value;
   wire::ConfigFeed feed;
   feed.version = version;
-  feed.echo = std::exchange(session->greeting, 0);
+  feed.echo = greeting;
   const auto& changes = state_.changes();
   const bool has_history =
       session->sent_version >= version ||
@@ -388,7 +394,8 @@
   const uint64_t version = state_.config().version().value;
   for (auto& [id, session] : sessions_) {
     if (session.admitted && session.sent_version < version) {
-      Feed(id, &session, /*full=*/false);
+      // Vouches for nothing: a machine that catches up pushes what it learns, too.
+      Feed(id, &session, /*full=*/false, /*greeting=*/0);
     }
   }
 }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -34,6 +34,8 @@
   Duration join_interval = Milliseconds(300);
   /// Sessions that greeted nothing for this long count as gone.
   Duration session_timeout = Seconds(5);
+  /// A starting node that greets again gets its first state again only after this.
+  Duration full_feed_patience = Seconds(2);
   /// Off only in simulations that show what the check is for.
   bool catch_up_before_vote = true;
 };
@@ -116,14 +118,15 @@
     uint64_t incarnation = 0;
     uint64_t reported_version = 0;
     uint64_t sent_version = 0;
-    /// `sent` of a greeting not answered yet, or 0.
-    uint64_t greeting = 0;
     Timestamp last_heard{};
     /// A node that starts is fed only after a quorum's read: this machine may be behind.
     bool admitted = false;
+    Timestamp full_sent{};
     /// Waiting for that read.
     bool awaiting_read = false;
     Timestamp read_requested{};
+    /// `sent` of the greeting that asked for it.
+    uint64_t read_greeting = 0;
   };
   /// Where the result of a proposed command goes.
   struct Origin {
@@ -152,7 +155,8 @@
   // The feed.
   void OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello);
   void OnLedgerRequest(Timestamp now, SessionId id, const wire::LedgerRequest& request);
-  void Feed(SessionId id, Session* session, bool full);
+  /// @param greeting `sent` of the greeting that this answers, or 0.
+  void Feed(SessionId id, Session* session, bool full, uint64_t greeting);
   void FeedAll();
   bool IsCurrent(Timestamp now) const;
 
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -155,8 +155,8 @@
   const double share = throttle->AdmittedShare(request.shards, plan.priority);
   if (std::uniform_real_distribution<double>(0, 1)(random_) >= share) {
     // The fewer are admitted, the later the next try makes sense.
-    return std::min(Duration(static_cast<int64_t>(
-                        static_cast<double>(kOverloadRetryAfter.count()) / std::max(share, 0.01))),
+    return std::min(Duration(static_cast<int64_t>(static_cast<double>(kOverloadRetryAfter.count()) /
+                                                  std::max(share, 0.01))),
                     kLongestRetryAfter);
   }
   Duration longest{};
--- a/src/programs/pumicedyke_sim_main.cc
+++ b/src/programs/pumicedyke_sim_main.cc
@@ -104,6 +104,7 @@
   const int count =
       FLAGS_threads > 0 ? FLAGS_threads : static_cast<int>(std::thread::hardware_concurrency());
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     threads.emplace_back(work);
   }
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -72,6 +72,8 @@
   shards_.clear();
   shard_of_.clear();
   covered_ = 0;
+  given_up_ = 0;
+  held_nowhere_ = false;
   for (const config::Shard& shard : snapshot.shards) {
     if (WantsShard(shard.id)) {
       ShardProgress& progress = shards_.emplace_back();
@@ -114,12 +116,21 @@
       [](const Attempt& attempt) { return attempt.state == AttemptState::kPossiblyRunning; }));
 }
 
+void RequestExecution::GiveUp(ShardProgress* shard) {
+  shard->given_up = true;
+  ++given_up_;
+  held_nowhere_ |= shard->not_held >= shard->shard.replicas.size();
+  SetWaiting(shard, false);
+}
+
 void RequestExecution::Advance(Timestamp now) {
   if (answered_ || needs_other_snapshot_) {
     return;
   }
+  wake_ = deadline_;
   for (ShardProgress& shard : shards_) {
     AdvanceShard(now, &shard);
+    wake_ = std::min(wake_, ShardWake(now, shard));
   }
   Evaluate(now);
 }
@@ -166,8 +177,7 @@
                   [](const Attempt& attempt) { return attempt.state == AttemptState::kRefused; });
   // Of unrepeatable work only attempts that provably never started may be followed by another.
   if (!plan_.repeatable && !all_refused) {
-    shard->given_up = true;
-    SetWaiting(shard, false);
+    GiveUp(shard);
     return;
   }
   if (now < shard->next_round) {
@@ -181,8 +191,7 @@
       shard->reason = MissingReason::kLeaving;
     }
     if (!MayTryReplicasAgain(*shard)) {
-      shard->given_up = true;
-      SetWaiting(shard, false);
+      GiveUp(shard);
       return;
     }
     shard->tried.clear();
@@ -276,8 +285,11 @@
     attempt->state = refused ? AttemptState::kRefused : AttemptState::kFailed;
     Refused(&shard, reply);
   }
-  if (!answered_) {
-    Advance(now);
+  if (!answered_ && !needs_other_snapshot_) {
+    // Only this shard has changed: with hundreds of them, looking at all for each reply is dear.
+    AdvanceShard(now, &shard);
+    wake_ = std::min(wake_, ShardWake(now, shard));
+    Evaluate(now);
   }
 }
 
@@ -341,18 +353,13 @@
   if (answered_) {
     return;
   }
-  size_t possible = covered_;
-  bool other_snapshot_would_help = false;
-  for (const ShardProgress& shard : shards_) {
-    possible += !shard.covered && !shard.given_up ? 1 : 0;
-    other_snapshot_would_help |= shard.given_up && shard.not_held >= shard.shard.replicas.size();
-  }
+  const size_t possible = shards_.size() - given_up_;
   const auto total = static_cast<double>(shards_.size());
   const bool restart_pays =
       now < started_ + std::chrono::duration_cast<Duration>(plan_.deadline * kRestartWindow);
   const bool may_restart =
       !restarted_ && plan_.repeatable && !request_.snapshot.has_value() && restart_pays;
-  if (other_snapshot_would_help && may_restart) {
+  if (held_nowhere_ && may_restart) {
     needs_other_snapshot_ = true;
     return;
   }
@@ -487,28 +494,31 @@
 
 ExecutionActions RequestExecution::TakeActions() { return std::exchange(actions_, {}); }
 
+Timestamp RequestExecution::ShardWake(Timestamp now, const ShardProgress& shard) const {
+  if (shard.covered || shard.given_up) {
+    return deadline_;
+  }
+  const size_t active = ActiveAttempts(shard);
+  if (active == 0) {
+    return std::max(shard.next_round, now + options_.poll);
+  }
+  const Timestamp sent = shard.attempts.back().sent;
+  if (options_.naive_retry_timeout.count() > 0) {
+    return std::max(sent + options_.naive_retry_timeout, now + options_.poll);
+  }
+  const bool may_hedge = plan_.hedge && active == 1 && shard.shard.replicas.size() > 1;
+  return may_hedge ? std::max(sent + HedgeDelay(), now + options_.poll) : deadline_;
+}
+
 Timestamp RequestExecution::NextWake(Timestamp now) const {
-  Timestamp wake = deadline_;
+  Timestamp wake = std::min(deadline_, wake_);
   const Timestamp wait_over = started_ + plan_.wait;
   if (wait_over > now) {
     wake = std::min(wake, wait_over);
   }
   const bool asks_program = program_ != nullptr && program_->has_decide();
-  for (const ShardProgress& shard : shards_) {
-    if (shard.covered || shard.given_up) {
-      continue;
-    }
-    const size_t active = ActiveAttempts(shard);
-    if (active == 0 || asks_program) {
-      wake = std::min(wake, std::max(shard.next_round, now + options_.poll));
-      continue;
-    }
-    const Timestamp sent = shard.attempts.back().sent;
-    if (options_.naive_retry_timeout.count() > 0) {
-      wake = std::min(wake, std::max(sent + options_.naive_retry_timeout, now + options_.poll));
-    } else if (plan_.hedge && active == 1 && shard.shard.replicas.size() > 1) {
-      wake = std::min(wake, std::max(sent + HedgeDelay(), now + options_.poll));
-    }
+  if (asks_program) {
+    wake = std::min(wake, now + options_.poll);
   }
   return std::max(wake, now);
 }
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -127,6 +127,8 @@
   };
 
   void PinSnapshot(const config::PublishedSnapshot& snapshot);
+  void GiveUp(ShardProgress* shard);
+  Timestamp ShardWake(Timestamp now, const ShardProgress& shard) const;
   bool WantsShard(ShardId id) const;
   void AdvanceShard(Timestamp now, ShardProgress* shard);
   enum class SendKind {
@@ -169,6 +171,11 @@
   /// Which shard an id was sent for; ids of an earlier snapshot are gone from here.
   std::map<SubRequestId, size_t> shard_of_;
   size_t covered_ = 0;
+  size_t given_up_ = 0;
+  /// No replica of some shard holds the pinned snapshot.
+  bool held_nowhere_ = false;
+  /// When some shard may have to be looked at again; may be too early, never too late.
+  Timestamp wake_{};
   uint32_t sent_ = 0;
   uint32_t extra_ = 0;
   bool restarted_ = false;
--- a/src/sim/history.cc
+++ b/src/sim/history.cc
@@ -270,7 +270,8 @@
   }
   for (const auto& [policy, submission] : refused_policies_) {
     for (const auto& [name, service] : services) {
-      if (service.policy == policy || policies_in_force_.contains(name + "\n" + policy)) {
+      if (service.policy == policy ||
+          policies_in_force_.contains(absl::StrCat(name, "\n", policy))) {
         Fail(Invariant::kConfigInForce, time, submission + " was refused, but is in force");
       }
     }
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -200,7 +200,7 @@
   return change;
 }
 
-void World::SubmitPatiently(config::Change change, const std::function<void()>& done) {
+void World::SubmitPatiently(const config::Change& change, const std::function<void()>& done) {
   auto finished = std::make_shared<bool>(false);
   for (size_t i = 0; i < kControls; ++i) {
     Submit("operator-patient", i, change, [=](const config::ChangeResult& result) {
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -85,7 +85,7 @@
   bool disabled(std::string_view mechanism) const { return options_.disabled.contains(mechanism); }
 
   /// Submits until accepted, as a patient operator; for the boot and the final probe.
-  void SubmitPatiently(config::Change change, const std::function<void()>& done);
+  void SubmitPatiently(const config::Change& change, const std::function<void()>& done);
   config::Change MakePolicyChange(const std::string& service, const std::string& submission);
   config::Change MakeSnapshotChange(const std::string& service, const std::string& submission);
 
--- a/test/common/settings_test.cc
+++ b/test/common/settings_test.cc
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "common/result_code.h"
 
 namespace pumicedyke {
@@ -54,7 +55,7 @@
     const std::string message(status.message());
     for (const std::string part : {":1: field 'name'", ":2: field 'address'", ":3: field 'count'",
                                    ":4: field 'colour'", "field 'folder'"}) {
-      CPPUNIT_ASSERT_MESSAGE(part + " is not in: " + message,
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(part, " is not in: ", message),
                              message.find(part) != std::string::npos);
     }
   }
--- a/test/e2e/contract_test.cc
+++ b/test/e2e/contract_test.cc
@@ -353,7 +353,8 @@
     CPPUNIT_ASSERT(code != 0);
     for (const std::string part : {":1: field 'cluster'", ":2: field 'listen'", "'node'",
                                    "'data_folder'", "'control'", ":3: field 'speed'"}) {
-      CPPUNIT_ASSERT_MESSAGE(part + " not in " + output, output.find(part) != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(part, " not in ", output),
+                             output.find(part) != std::string::npos);
     }
     CPPUNIT_ASSERT_EQUAL(2, RunProgram("pumicectl", {"no-such-command"}));
     CPPUNIT_ASSERT_EQUAL(2, RunProgram("pumicedyke-sim", {"--scenario", "none"}));
--- a/test/e2e/failure_test.cc
+++ b/test/e2e/failure_test.cc
@@ -225,6 +225,7 @@
     for (int race = 0; race < kRaces; ++race) {
       std::vector<Json> results(2);
       std::vector<std::thread> operators;
+      operators.reserve(results.size());
       for (int who = 0; who < 2; ++who) {
         operators.emplace_back([&, who] {
           Json change = PolicyChange(2 * race + who);
@@ -303,8 +304,10 @@
     CPPUNIT_ASSERT_EQUAL(Number(ResultCode::kMissingIdempotencyKey),
                          fleet.Query(0, body)["code"].get<int>());
     // Impatient people press the button again, here and there, and one node dies.
+    constexpr int kPresses = 8;
     std::vector<std::thread> presses;
-    for (int i = 0; i < 8; ++i) {
+    presses.reserve(kPresses);
+    for (int i = 0; i < kPresses; ++i) {
       presses.emplace_back([&, i] { fleet.Query(i % 2, body, "job-1"); });
     }
     for (std::thread& press : presses) {
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -56,8 +56,7 @@
 
 std::string FreshFolder() {
   static std::atomic<int> count{0};
-  const std::string folder =
-      absl::StrCat(BINARY_DIR, "/../e2e/", getpid(), "-", count.fetch_add(1));
+  std::string folder = absl::StrCat(BINARY_DIR, "/../e2e/", getpid(), "-", count.fetch_add(1));
   std::filesystem::create_directories(folder);
   return folder;
 }
@@ -88,7 +87,7 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  ::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
+  CPPUNIT_ASSERT(::bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
   ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(socket);
   return absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
--- a/test/e2e/tcp_proxy.cc
+++ b/test/e2e/tcp_proxy.cc
@@ -20,7 +20,9 @@
 int ConnectTo(const std::string& target) {
   std::string host;
   uint16_t port = 0;
-  http::SplitAddress(target, &host, &port);
+  if (!http::SplitAddress(target, &host, &port)) {
+    return -1;
+  }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
