--- /dev/null
+++ b/src/control/control_replicas.cc
@@ -0,0 +1,162 @@
+// The replacement of lost replicas, and what is said of redundancy: the part of ControlServer that
+// looks after the group itself.
+#include <algorithm>
+#include <utility>
+
+#include "common/json.h"
+#include "control/control_server.h"
+
+namespace pumicedyke::control {
+namespace {
+
+/// A machine that is heard at all answers within this; one that is not is not counted on.
+constexpr Duration kStatusPatience = Milliseconds(500);
+
+}  // namespace
+
+void ControlServer::SendJoin(Timestamp now) {
+  if (raft_.IsMember(identity_.member) || now < next_join_) {
+    return;
+  }
+  next_join_ = now + options_.join_interval;
+  for (const std::string& seed : options_.seeds) {
+    if (seed != options_.address) {
+      const wire::JoinRequest join{identity_.member, identity_.machine, options_.address};
+      output_.peers.push_back({seed, Wrap(join)});
+    }
+  }
+}
+
+void ControlServer::OnJoin(Timestamp now, const wire::JoinRequest& join) {
+  join_addresses_[join.member] = join.address;
+  if (raft_.role() != consensus::Role::kLeader || raft_.IsMember(join.member)) {
+    return;
+  }
+  std::vector<wire::Member> members = raft_.members();
+  // An earlier newcomer of the same machine that never got a vote has been lost as well.
+  std::erase_if(members, [&](const wire::Member& member) {
+    return member.machine == join.machine && !member.voter;
+  });
+  const bool removed_first = members.size() < raft_.members().size();
+  if (!removed_first) {
+    members.push_back({join.member, join.machine, join.address, /*voter=*/false});
+  }
+  raft_.ProposeMembers(now, members).status().IgnoreError();
+}
+
+bool ControlServer::CaughtUp(MemberId id, Timestamp now) const {
+  return raft_.RecentlyHeard(id, now) && raft_.MatchIndex(id) >= raft_.commit_index();
+}
+
+void ControlServer::ReplaceLostReplicas(Timestamp now) {
+  const bool may_change = raft_.role() == consensus::Role::kLeader && raft_.MembersCommitted();
+  if (!may_change) {
+    return;
+  }
+  const auto is_voter = [](const wire::Member& member) { return member.voter; };
+  const auto voters =
+      static_cast<size_t>(std::count_if(raft_.members().begin(), raft_.members().end(), is_voter));
+  for (const wire::Member& newcomer : raft_.members()) {
+    const bool ready = CaughtUp(newcomer.id, now) || !options_.catch_up_before_vote;
+    if (newcomer.voter || !ready) {
+      continue;
+    }
+    std::vector<wire::Member> members = raft_.members();
+    const auto lost = std::find_if(members.begin(), members.end(), [&](const auto& member) {
+      return member.machine == newcomer.machine && member.voter;
+    });
+    // The lost incarnation goes before the new one votes: until then a further loss could stop
+    // the group, but two quorums of the same machine can never be formed.
+    if (lost != members.end()) {
+      members.erase(lost);
+    } else if (voters >= options_.seeds.size()) {
+      continue;  // A non-voting relay.
+    } else {
+      const auto self = std::find_if(members.begin(), members.end(),
+                                     [&](const auto& member) { return member.id == newcomer.id; });
+      self->voter = true;
+    }
+    raft_.ProposeMembers(now, members).status().IgnoreError();
+    return;
+  }
+}
+
+void ControlServer::ReadStatus(Timestamp now, TicketId ticket) {
+  status_reads_.push_back({ticket, now});
+  AnswerStatusReads(now);
+}
+
+void ControlServer::AnswerStatusReads(Timestamp now) {
+  const bool leads = raft_.role() == consensus::Role::kLeader && raft_.HasLease(now);
+  std::erase_if(status_reads_, [&](const StatusRead& read) {
+    const bool redundant = FullyRedundantSince(read.asked, now);
+    const bool over = redundant || !leads || shutting_down_ || now - read.asked >= kStatusPatience;
+    if (over) {
+      output_.operators.push_back({read.ticket, StatusJson(now, redundant)});
+    }
+    return over;
+  });
+}
+
+bool ControlServer::FullyRedundantSince(Timestamp asked, Timestamp now) const {
+  if (raft_.role() != consensus::Role::kLeader || !raft_.HasLease(now) ||
+      !raft_.MembersCommitted()) {
+    return false;
+  }
+  size_t voters = 0;
+  for (const wire::Member& member : raft_.members()) {
+    // What was heard before the question says nothing about a machine lost since.
+    const bool holds_all =
+        raft_.HeardSince(member.id, asked) && raft_.MatchIndex(member.id) >= raft_.commit_index();
+    if (!member.voter || (!holds_all && options_.catch_up_before_vote)) {
+      return false;
+    }
+    ++voters;
+  }
+  return voters >= std::max<size_t>(options_.seeds.size(), 1);
+}
+
+std::vector<ReplicaStatus> ControlServer::Replicas(Timestamp now) const {
+  std::vector<ReplicaStatus> replicas;
+  for (const wire::Member& member : raft_.members()) {
+    replicas.push_back({member, raft_.MatchIndex(member.id), raft_.RecentlyHeard(member.id, now)});
+  }
+  return replicas;
+}
+
+std::string ControlServer::StatusJson(Timestamp now, bool fully_redundant) const {
+  const bool leads = raft_.role() == consensus::Role::kLeader && raft_.HasLease(now);
+  Json replicas = Json::array();
+  for (const ReplicaStatus& replica : Replicas(now)) {
+    Json item{{"member", replica.member.id},
+              {"machine", replica.member.machine},
+              {"address", replica.member.address},
+              {"voter", replica.member.voter}};
+    if (leads) {
+      item["match_index"] = replica.match_index;
+      item["alive"] = replica.alive;
+    }
+    replicas.push_back(std::move(item));
+  }
+  Json nodes = Json::array();
+  for (const auto& [id, session] : sessions_) {
+    nodes.push_back({{"node", session.node}, {"version", session.reported_version}});
+  }
+  const wire::Member* leader = FindMember(raft_.leader());
+  return Json{{"code", 0},
+              {"machine", identity_.machine},
+              {"member", identity_.member},
+              {"leads", leads},
+              {"leader", leader == nullptr ? "" : leader->machine},
+              {"term", raft_.term()},
+              {"commit_index", raft_.commit_index()},
+              {"snapshot_index", raft_.snapshot_index()},
+              {"version", state_.config().version().value},
+              {"ledger_entries", state_.ledger().size()},
+              {"fully_redundant", fully_redundant},
+              {"replicas", std::move(replicas)},
+              {"nodes", std::move(nodes)}}
+      .dump();
+}
+
+}  // namespace pumicedyke::control
--- a/src/sim/mechanisms.cc
+++ b/src/sim/mechanisms.cc
@@ -39,7 +39,7 @@
        "a resend gets the first submission's result"},
       {"compare-and-set", kConfigInForce, "racing-operators",
        "of two changes on one revision one wins"},
-      {"monotone-version", kConfigInForce, "bad-network",
+      {"monotone-version", kConfigInForce, "cut-leader",
        "a node never goes back to an older configuration"},
   };
   return *mechanisms;
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -90,6 +90,9 @@
   config::Change MakeSnapshotChange(const std::string& service, const std::string& submission);
 
  private:
+  /// Session numbers: a node's life times this, plus the node's index.
+  static constexpr uint64_t kSessionsPerLife = 10;
+
   void MakeControls();
   void MakeNodes();
   void MakeLeafs();
