--- a/src/bench/bench_scenario.cc
+++ b/src/bench/bench_scenario.cc
@@ -73,8 +73,10 @@
   }
   const std::filesystem::path policy_path =
       std::filesystem::path(path).parent_path() / scenario.policy_file;
-  std::ifstream policy(policy_path);
-  scenario.policy.assign(std::istreambuf_iterator<char>(policy), {});
+  if (std::filesystem::is_regular_file(policy_path)) {
+    std::ifstream policy(policy_path);
+    scenario.policy.assign(std::istreambuf_iterator<char>(policy), {});
+  }
   if (absl::Status status = policy::PolicyProgram::Check(scenario.policy);
       scenario.policy.empty() || !status.ok()) {
     file.AddError("policy", absl::StrCat("must name a policy program that is accepted: ",
