--- /dev/null
+++ b/src/query/request_answer.cc
@@ -0,0 +1,102 @@
+// What RequestExecution says at a moment: coverage, run state and the answer made of them.
+#include <algorithm>
+
+#include "query/request_execution.h"
+
+namespace pumicedyke::query {
+namespace {
+
+constexpr Duration kMinRetryAfter = Milliseconds(50);
+
+bool BetterResult(const ResultItem& a, const ResultItem& b) {
+  return a.score != b.score ? a.score > b.score : a.id < b.id;
+}
+
+}  // namespace
+
+Coverage RequestExecution::CurrentCoverage() const {
+  Coverage coverage;
+  for (const ShardProgress& shard : shards_) {
+    if (shard.covered) {
+      coverage.included.push_back(shard.shard.id);
+      continue;
+    }
+    const bool running = ActiveAttempts(shard) > 0;
+    coverage.missing.push_back({shard.shard.id, running ? MissingReason::kTimeout : shard.reason});
+  }
+  return coverage;
+}
+
+RunState RequestExecution::CurrentRunState() const {
+  bool unknown = run_before_restart_ == RunState::kUnknown;
+  bool ran = run_before_restart_ == RunState::kRan;
+  for (const ShardProgress& shard : shards_) {
+    for (const Attempt& attempt : shard.attempts) {
+      ran |= attempt.state == AttemptState::kDone;
+      unknown |=
+          attempt.state == AttemptState::kPossiblyRunning || attempt.state == AttemptState::kFailed;
+    }
+  }
+  if (!options_.sent_tracking) {
+    return ran ? RunState::kRan : RunState::kNotRun;
+  }
+  if (unknown) {
+    return RunState::kUnknown;
+  }
+  return ran ? RunState::kRan : RunState::kNotRun;
+}
+
+bool RequestExecution::HasUnknownOutcome() const {
+  return std::any_of(shards_.begin(), shards_.end(),
+                     [this](const ShardProgress& shard) { return ActiveAttempts(shard) > 0; });
+}
+
+ResultCode RequestExecution::CodeAtEnd(const Coverage& coverage, ResultCode failure) const {
+  if (coverage.missing.empty()) {
+    return ResultCode::kOk;
+  }
+  if (!plan_.repeatable) {
+    const RunState run = CurrentRunState();
+    if (run == RunState::kUnknown) {
+      return ResultCode::kOutcomeUnknown;
+    }
+    return run == RunState::kRan ? ResultCode::kPartial : failure;
+  }
+  const bool enough =
+      !coverage.included.empty() && coverage.share() + kCoverageEpsilon >= plan_.min_coverage;
+  if (enough) {
+    return ResultCode::kPartial;
+  }
+  return failure == ResultCode::kPartial ? ResultCode::kCoverageNotReached : failure;
+}
+
+Answer RequestExecution::Snapshot(Timestamp now) const {
+  Answer answer;
+  answer.snapshot = snapshot_id_;
+  answer.coverage = CurrentCoverage();
+  answer.code = CodeAtEnd(answer.coverage, ResultCode::kDeadlineExceeded);
+  answer.run = answer.coverage.missing.empty() ? RunState::kRan : CurrentRunState();
+  for (const ShardProgress& shard : shards_) {
+    answer.results.insert(answer.results.end(), shard.results.begin(), shard.results.end());
+  }
+  std::sort(answer.results.begin(), answer.results.end(), &BetterResult);
+  if (request_.limit > 0 && answer.results.size() > request_.limit) {
+    answer.results.resize(request_.limit);
+  }
+  answer.sub_requests = sent_;
+  answer.extra_sub_requests = extra_;
+  if (!answer.coverage.missing.empty() && plan_.repeatable) {
+    answer.continuation =
+        EncodeContinuation(request_.service, snapshot_id_, answer.coverage.missing);
+    Duration wait = kMinRetryAfter;
+    for (const ShardProgress& shard : shards_) {
+      if (!shard.covered) {
+        wait = std::max(wait, context_.pool->ExpectedWait(now, shard.shard.replicas));
+      }
+    }
+    answer.retry_after = wait;
+  }
+  return answer;
+}
+
+}  // namespace pumicedyke::query
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -6,7 +6,6 @@
 namespace pumicedyke::query {
 namespace {
 
-constexpr double kCoverageEpsilon = 1e-9;
 /// Part of the deadline after which a restart on another snapshot no longer pays.
 constexpr double kRestartWindow = 0.5;
 /// A shard's replicas may all be asked this often in turn when they refuse, with growing pauses.
@@ -15,7 +14,6 @@
 constexpr Duration kLongestRoundPause = Milliseconds(32);
 /// Part of the extra-load budget that hedges may use when nothing is wrong.
 constexpr double kHedgeShare = 0.25;
-constexpr Duration kMinRetryAfter = Milliseconds(50);
 
 MissingReason ReasonOf(LeafStatus status) {
   switch (status) {
@@ -34,10 +32,6 @@
   }
 }
 
-bool BetterResult(const ResultItem& a, const ResultItem& b) {
-  return a.score != b.score ? a.score > b.score : a.id < b.id;
-}
-
 }  // namespace
 
 RequestExecution::RequestExecution(CallerRequest request, policy::QueryPlan plan,
@@ -382,91 +376,6 @@
   }
 }
 
-Coverage RequestExecution::CurrentCoverage() const {
-  Coverage coverage;
-  for (const ShardProgress& shard : shards_) {
-    if (shard.covered) {
-      coverage.included.push_back(shard.shard.id);
-      continue;
-    }
-    const bool running = ActiveAttempts(shard) > 0;
-    coverage.missing.push_back({shard.shard.id, running ? MissingReason::kTimeout : shard.reason});
-  }
-  return coverage;
-}
-
-RunState RequestExecution::CurrentRunState() const {
-  bool unknown = run_before_restart_ == RunState::kUnknown;
-  bool ran = run_before_restart_ == RunState::kRan;
-  for (const ShardProgress& shard : shards_) {
-    for (const Attempt& attempt : shard.attempts) {
-      ran |= attempt.state == AttemptState::kDone;
-      unknown |=
-          attempt.state == AttemptState::kPossiblyRunning || attempt.state == AttemptState::kFailed;
-    }
-  }
-  if (!options_.sent_tracking) {
-    return ran ? RunState::kRan : RunState::kNotRun;
-  }
-  if (unknown) {
-    return RunState::kUnknown;
-  }
-  return ran ? RunState::kRan : RunState::kNotRun;
-}
-
-bool RequestExecution::HasUnknownOutcome() const {
-  return std::any_of(shards_.begin(), shards_.end(),
-                     [this](const ShardProgress& shard) { return ActiveAttempts(shard) > 0; });
-}
-
-ResultCode RequestExecution::CodeAtEnd(const Coverage& coverage, ResultCode failure) const {
-  if (coverage.missing.empty()) {
-    return ResultCode::kOk;
-  }
-  if (!plan_.repeatable) {
-    const RunState run = CurrentRunState();
-    if (run == RunState::kUnknown) {
-      return ResultCode::kOutcomeUnknown;
-    }
-    return run == RunState::kRan ? ResultCode::kPartial : failure;
-  }
-  const bool enough =
-      !coverage.included.empty() && coverage.share() + kCoverageEpsilon >= plan_.min_coverage;
-  if (enough) {
-    return ResultCode::kPartial;
-  }
-  return failure == ResultCode::kPartial ? ResultCode::kCoverageNotReached : failure;
-}
-
-Answer RequestExecution::Snapshot(Timestamp now) const {
-  Answer answer;
-  answer.snapshot = snapshot_id_;
-  answer.coverage = CurrentCoverage();
-  answer.code = CodeAtEnd(answer.coverage, ResultCode::kDeadlineExceeded);
-  answer.run = answer.coverage.missing.empty() ? RunState::kRan : CurrentRunState();
-  for (const ShardProgress& shard : shards_) {
-    answer.results.insert(answer.results.end(), shard.results.begin(), shard.results.end());
-  }
-  std::sort(answer.results.begin(), answer.results.end(), &BetterResult);
-  if (request_.limit > 0 && answer.results.size() > request_.limit) {
-    answer.results.resize(request_.limit);
-  }
-  answer.sub_requests = sent_;
-  answer.extra_sub_requests = extra_;
-  if (!answer.coverage.missing.empty() && plan_.repeatable) {
-    answer.continuation =
-        EncodeContinuation(request_.service, snapshot_id_, answer.coverage.missing);
-    Duration wait = kMinRetryAfter;
-    for (const ShardProgress& shard : shards_) {
-      if (!shard.covered) {
-        wait = std::max(wait, context_.pool->ExpectedWait(now, shard.shard.replicas));
-      }
-    }
-    answer.retry_after = wait;
-  }
-  return answer;
-}
-
 void RequestExecution::Finish(Timestamp now, ResultCode failure) {
   Answer answer = Snapshot(now);
   answer.code = CodeAtEnd(answer.coverage, failure);
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -104,6 +104,9 @@
   void AbandonAll(Timestamp now, bool timed_out);
 
  private:
+  /// Shares are compared with this much tolerance.
+  static constexpr double kCoverageEpsilon = 1e-9;
+
   enum class AttemptState { kPossiblyRunning, kRefused, kFailed, kDone };
   struct Attempt {
     SubRequestId id;
