--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -29,6 +29,8 @@
       {kUnknownPath, "unknown_path", 404, "No such resource."},
       {kIdempotencyKeyReused, "idempotency_key_reused", 422,
        "The Idempotency-Key was used before with another request."},
+      {kHeadersTooLarge, "headers_too_large", 431, "The headers exceed the limit."},
+      {kRequestTimeout, "request_timeout", 408, "The request did not arrive whole in time."},
       {kOverloaded, "overloaded", 429, "Refused before any work was sent; see Retry-After."},
       {kDeadlineExceeded, "deadline_exceeded", 504, "The deadline passed."},
       {kCoverageNotReached, "coverage_not_reached", 504,
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -22,6 +22,8 @@
   kUnknownRequestClass = 106,
   kUnknownPath = 107,
   kIdempotencyKeyReused = 108,
+  kHeadersTooLarge = 109,
+  kRequestTimeout = 110,
   // Requests that could not be served.
   kOverloaded = 200,
   kDeadlineExceeded = 201,
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,292 +1,376 @@
 #include "http/http_client.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <mutex>
+#include <deque>
 #include <utility>
 
+#include "absl/strings/numbers.h"
+#include "http/message_parser.h"
+#include "net/byte_stream.h"
+
 namespace pumicedyke::http {
 namespace {
 
-constexpr size_t kIdleHandles = 256;
-constexpr size_t kMaxResponseBytes = 64U << 20;
+/// Closed this much before the peer's own idle limit, so that no request crosses its close.
+constexpr Duration kIdleMargin = Milliseconds(700);
 
-size_t AppendBody(char* data, size_t size, size_t count, void* user) {
-  auto* response = static_cast<ClientResponse*>(user);
-  const size_t bytes = size * count;
-  if (response->body.size() + bytes > kMaxResponseBytes) {
-    return 0;
+/// @return the peer's idle limit from "Keep-Alive: timeout=N", or zero.
+Duration KeepAliveTimeout(const Headers& headers) {
+  const std::string* value = FindHeader(headers, "Keep-Alive");
+  if (value == nullptr) {
+    return Duration(0);
+  }
+  const std::string key = "timeout=";
+  const size_t at = value->find(key);
+  if (at == std::string::npos) {
+    return Duration(0);
   }
-  response->body.append(data, bytes);
-  return bytes;
+  const size_t begin = at + key.size();
+  const size_t end = value->find_first_not_of("0123456789", begin);
+  int64_t seconds = 0;
+  return absl::SimpleAtoi(value->substr(begin, end - begin), &seconds) ? Seconds(seconds)
+                                                                       : Duration(0);
 }
 
-void InitializeCurlOnce() {
-  static std::once_flag once;
-  std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+Duration RetryAfter(const Headers& headers) {
+  const std::string* value = FindHeader(headers, "Retry-After");
+  double seconds = 0;
+  const bool readable = value != nullptr && absl::SimpleAtod(*value, &seconds) && seconds > 0;
+  constexpr double kMicroseconds = 1e6;
+  return readable ? Duration(static_cast<int64_t>(seconds * kMicroseconds)) : Duration(0);
 }
 
-/// Sets everything but the callbacks. @return the headers, to be freed after the exchange.
-curl_slist* Configure(CURL* easy, const ClientRequest& request) {
-  const std::string url = "http://" + request.address + request.path;
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   std::max<long>(1, static_cast<long>(request.timeout.count() / 1000)));
-  // No "Expect: 100-continue" round trip, and no chance to send twice on its account.
-  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
-  if (!request.body.empty()) {
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
-    curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request.body.c_str());
-    headers = curl_slist_append(headers, "Content-Type: application/json");
+RequestMessage ToMessage(const ClientRequest& request) {
+  RequestMessage message;
+  message.method = request.method;
+  if (message.method.empty()) {
+    message.method = request.body.empty() ? "GET" : "POST";
   }
-  if (!request.idempotency_key.empty()) {
-    headers = curl_slist_append(headers, ("Idempotency-Key: " + request.idempotency_key).c_str());
+  message.target = request.path;
+  if (FindHeader(request.headers, "Host") == nullptr) {
+    message.headers.push_back({"Host", request.address});
   }
-  if (!request.authorization.empty()) {
-    headers = curl_slist_append(headers, ("Authorization: " + request.authorization).c_str());
+  message.headers.insert(message.headers.end(), request.headers.begin(), request.headers.end());
+  if (request.method.empty() && !request.body.empty()) {
+    message.headers.push_back({"Content-Type", "application/json"});
   }
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
-  if (request.unrepeatable) {
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  if (!request.idempotency_key.empty()) {
+    message.headers.push_back({"Idempotency-Key", request.idempotency_key});
   }
-  return headers;
-}
-
-void ReadOutcome(CURL* easy, CURLcode code, ClientResponse* response) {
-  if (code == CURLE_OK) {
-    long status = 0;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    curl_off_t retry_after = 0;
-    curl_easy_getinfo(easy, CURLINFO_RETRY_AFTER, &retry_after);
-    response->status = static_cast<int>(status);
-    response->retry_after = Seconds(retry_after);
-    return;
+  if (!request.authorization.empty()) {
+    message.headers.push_back({"Authorization", request.authorization});
   }
-  long request_bytes = 0;
-  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
-  response->error = curl_easy_strerror(code);
-  // Only a connection that was never made proves that nothing was sent.
-  response->not_sent = code == CURLE_COULDNT_CONNECT && request_bytes == 0;
+  message.body = request.body;
+  return message;
 }
 
 }  // namespace
 
 struct HttpClient::Call {
   CallId id = 0;
-  CURL* easy = nullptr;
-  curl_slist* headers = nullptr;
-  ClientResponse response;
+  ClientRequest request;
   DoneCb done;
+  Host* host = nullptr;
+  std::shared_ptr<Connection> connection;
+  net::EventLoop::TimerId timer = 0;
+  bool abandoned = false;
 };
 
-class HttpClient::SocketHandler : public ACE_Event_Handler {
+struct HttpClient::Host {
+  std::string address;
+  std::vector<std::shared_ptr<Connection>> connections;
+  std::deque<std::shared_ptr<Call>> waiting;
+};
+
+/// One connection to a peer: one exchange at a time.
+class HttpClient::Connection {
  public:
-  SocketHandler(HttpClient* client, curl_socket_t socket) : client_(client), socket_(socket) {}
-  ACE_HANDLE get_handle() const override { return socket_; }
-  int handle_input(ACE_HANDLE /*handle*/) override {
-    client_->Act(socket_, CURL_CSELECT_IN);
-    return 0;
+  Connection(HttpClient* client, Host* host)
+      : client_(client),
+        host_(host),
+        stream_(client->loop_, host->address,
+                {.on_bytes = [this](std::string* input) { OnBytes(input); },
+                 .on_end = [this](net::StreamEnd end) { OnEnd(end); },
+                 .on_drained = {}}) {
+    connect_timer_ = client_->loop_->RunAt(
+        net::EventLoop::Now() + client_->options_.connect_timeout, [this] { OnConnectTimeout(); });
   }
-  int handle_output(ACE_HANDLE /*handle*/) override {
-    client_->Act(socket_, CURL_CSELECT_OUT);
-    return 0;
+  ~Connection() {
+    client_->loop_->CancelTimer(connect_timer_);
+    client_->loop_->CancelTimer(idle_timer_);
   }
-  bool registered = false;
 
- private:
-  HttpClient* client_;
-  curl_socket_t socket_;
-};
+  void Begin(const std::shared_ptr<Call>& call) {
+    client_->loop_->CancelTimer(idle_timer_);
+    idle_timer_ = 0;
+    call_ = call;
+    const RequestMessage message = ToMessage(call->request);
+    parser_ = std::make_unique<ResponseParser>(MessageLimits{}, message.method == "HEAD");
+    const std::string* echo = FindHeader(message.headers, call->request.echoed_header);
+    expected_echo_ = echo == nullptr ? std::string() : *echo;
+    stream_.Write(EncodeRequest(message));
+  }
 
-class HttpClient::TimerHandler : public ACE_Event_Handler {
- public:
-  explicit TimerHandler(HttpClient* client) : client_(client) {}
-  int handle_timeout(const ACE_Time_Value& /*now*/, const void* /*argument*/) override {
-    timer_id = -1;
-    client_->Act(CURL_SOCKET_TIMEOUT, 0);
-    return 0;
+  void Close() {
+    stream_.Close();
+    client_->OnClosed(this);
   }
-  long timer_id = -1;
+  bool idle() const { return call_ == nullptr && stream_.open(); }
+  bool used() const { return served_ > 0; }
+  /// The stream hands bytes to the system only once it is connected.
+  bool was_connected() const { return stream_.was_connected(); }
+  Host* host() const { return host_; }
 
  private:
-  HttpClient* client_;
-};
+  void OnConnectTimeout() {
+    connect_timer_ = 0;
+    if (!stream_.connected()) {
+      OnEnd(net::StreamEnd::kBroken);
+    }
+  }
 
-HttpClient::HttpClient(net::EventLoop* loop, long max_connections_per_host) : loop_(loop) {
-  InitializeCurlOnce();
-  multi_ = curl_multi_init();
-  timer_ = std::make_unique<TimerHandler>(this);
-  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &HttpClient::OnSocket);
-  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &HttpClient::OnTimer);
-  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-  curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, max_connections_per_host);
-  constexpr long kPooledConnections = 4096;
-  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kPooledConnections);
-}
+  void OnBytes(std::string* input) {
+    if (call_ == nullptr) {
+      // Nobody asked: bytes on an idle connection belong to no request.
+      Close();
+      return;
+    }
+    while (call_ != nullptr && !input->empty()) {
+      const ParseState state = parser_->Consume(input);
+      if (state == ParseState::kFailed) {
+        Fail("the response cannot be read");
+        return;
+      }
+      if (state != ParseState::kComplete) {
+        return;
+      }
+      Complete(*input);
+    }
+  }
 
-HttpClient::~HttpClient() {
-  while (!calls_.empty()) {
-    Cancel(calls_.begin()->first);
+  void Complete(const std::string& rest) {
+    ResponseMessage message = parser_->Take();
+    constexpr int kFirstFinalStatus = 200;
+    if (message.status < kFirstFinalStatus) {
+      return;
+    }
+    const std::string* echo = FindHeader(message.headers, call_->request.echoed_header);
+    const bool foreign = !expected_echo_.empty() && echo != nullptr && *echo != expected_echo_;
+    if (foreign) {
+      // A surplus answer to an earlier request; ours is still to come.
+      return;
+    }
+    ClientResponse response;
+    response.status = message.status;
+    response.reason = std::move(message.reason);
+    response.body = std::move(message.body);
+    response.headers = std::move(message.headers);
+    response.retry_after = RetryAfter(response.headers);
+    response.reused_connection = used();
+    const bool written = stream_.unwritten() == 0;
+    const bool reusable =
+        message.keep_alive && rest.empty() && written && !call_->request.unrepeatable;
+    const Duration keep_alive = KeepAliveTimeout(response.headers);
+    if (keep_alive.count() > 0) {
+      idle_limit_ = std::max(Duration(0), keep_alive - kIdleMargin);
+    }
+    ++served_;
+    const std::shared_ptr<Call> call = std::exchange(call_, nullptr);
+    if (reusable) {
+      ArmIdleTimer();
+      client_->OnIdle(this);
+    } else {
+      Close();
+    }
+    client_->Finish(call, std::move(response));
   }
-  for (CURL* easy : idle_handles_) {
-    curl_easy_cleanup(easy);
+
+  void ArmIdleTimer() {
+    const Duration limit = idle_limit_.count() > 0
+                               ? std::min(idle_limit_, client_->options_.idle_limit)
+                               : client_->options_.idle_limit;
+    idle_timer_ = client_->loop_->RunAt(net::EventLoop::Now() + limit, [this] {
+      idle_timer_ = 0;
+      Close();
+    });
   }
-  curl_multi_cleanup(multi_);
-  if (timer_->timer_id >= 0) {
-    loop_->ace()->cancel_timer(timer_->timer_id);
+
+  void OnEnd(net::StreamEnd end) {
+    if (call_ != nullptr && end == net::StreamEnd::kClosed && parser_ != nullptr) {
+      const bool started = parser_->state() != ParseState::kEmpty;
+      if (started && parser_->ConsumeEnd() == ParseState::kComplete) {
+        Complete("");
+        if (call_ == nullptr) {
+          stream_.Close();
+          client_->OnClosed(this);
+          return;
+        }
+      }
+    }
+    Fail(end == net::StreamEnd::kClosed ? "the connection was closed before the response"
+                                        : "the connection broke");
   }
-}
 
-CURL* HttpClient::TakeHandle() {
-  if (idle_handles_.empty()) {
-    return curl_easy_init();
+  void Fail(const char* why) {
+    ClientResponse response;
+    response.error = why;
+    response.reused_connection = used();
+    response.not_sent = !was_connected();
+    const std::shared_ptr<Call> call = std::exchange(call_, nullptr);
+    Close();
+    if (call != nullptr) {
+      client_->Finish(call, std::move(response));
+    }
   }
-  CURL* easy = idle_handles_.back();
-  idle_handles_.pop_back();
-  return easy;
-}
 
-void HttpClient::ReturnHandle(CURL* easy) {
-  if (idle_handles_.size() >= kIdleHandles) {
-    curl_easy_cleanup(easy);
-    return;
+  HttpClient* client_;
+  Host* host_;
+  std::shared_ptr<Call> call_;
+  std::unique_ptr<ResponseParser> parser_;
+  std::string expected_echo_;
+  uint64_t served_ = 0;
+  Duration idle_limit_{};
+  net::EventLoop::TimerId connect_timer_ = 0;
+  net::EventLoop::TimerId idle_timer_ = 0;
+  net::ByteStream stream_;
+};
+
+HttpClient::HttpClient(net::EventLoop* loop, HttpClientOptions options)
+    : loop_(loop), options_(options) {}
+
+HttpClient::~HttpClient() {
+  for (const auto& [id, call] : calls_) {
+    loop_->CancelTimer(call->timer);
+    call->connection.reset();
   }
-  curl_easy_reset(easy);
-  idle_handles_.push_back(easy);
 }
 
-HttpClient::CallId HttpClient::Start(const ClientRequest& request, DoneCb done) {
-  auto call = std::make_unique<Call>();
-  call->id = next_id_++;
-  call->easy = TakeHandle();
-  call->headers = Configure(call->easy, request);
+size_t HttpClient::in_flight() const {
+  return static_cast<size_t>(std::count_if(
+      calls_.begin(), calls_.end(), [](const auto& item) { return !item.second->abandoned; }));
+}
+
+HttpClient::CallId HttpClient::Start(ClientRequest request, DoneCb done) {
+  const CallId id = next_id_++;
+  std::unique_ptr<Host>& host = hosts_[request.address];
+  if (host == nullptr) {
+    host = std::make_unique<Host>();
+    host->address = request.address;
+  }
+  auto call = std::make_shared<Call>();
+  call->id = id;
+  call->request = std::move(request);
   call->done = std::move(done);
-  curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, &AppendBody);
-  curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, &call->response);
-  curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call.get());
-  const CallId id = call->id;
-  CURL* easy = call->easy;
-  calls_[id] = std::move(call);
-  curl_multi_add_handle(multi_, easy);
+  call->host = host.get();
+  call->timer = loop_->RunAt(net::EventLoop::Now() + call->request.timeout,
+                             [this, id] { OnTimeout(id); });
+  calls_[id] = call;
+  host->waiting.push_back(std::move(call));
+  Dispatch(host.get());
   return id;
 }
 
-void HttpClient::Cancel(CallId id) {
-  const auto it = calls_.find(id);
-  if (it == calls_.end()) {
-    return;
+void HttpClient::Dispatch(Host* host) {
+  while (!host->waiting.empty()) {
+    const std::shared_ptr<Call> call = host->waiting.front();
+    std::shared_ptr<Connection> connection;
+    if (!call->request.unrepeatable) {
+      // The newest first: the others may then reach their idle limit.
+      const auto idle = std::find_if(host->connections.rbegin(), host->connections.rend(),
+                                     [](const auto& item) { return item->idle(); });
+      connection = idle == host->connections.rend() ? nullptr : *idle;
+    }
+    const bool may_open = call->request.unrepeatable ||
+                          host->connections.size() < options_.max_connections_per_host;
+    if (connection == nullptr && !may_open) {
+      return;
+    }
+    if (connection == nullptr) {
+      connection = std::make_shared<Connection>(this, host);
+      host->connections.push_back(connection);
+      ++connections_opened_;
+    }
+    host->waiting.pop_front();
+    call->connection = connection;
+    connection->Begin(call);
   }
-  const std::unique_ptr<Call> call = std::move(it->second);
-  calls_.erase(it);
-  // Removing a handle in mid-exchange makes libcurl close its connection.
-  curl_multi_remove_handle(multi_, call->easy);
-  curl_slist_free_all(call->headers);
-  ReturnHandle(call->easy);
 }
 
-int HttpClient::OnSocket(CURL* /*easy*/, curl_socket_t socket, int what, void* self,
-                         void* handler) {
-  static_cast<HttpClient*>(self)->SetSocket(socket, what, static_cast<SocketHandler*>(handler));
-  return 0;
+void HttpClient::OnIdle(Connection* connection) {
+  loop_->Defer([this, host = connection->host()] { Dispatch(host); });
 }
 
-void HttpClient::SetSocket(curl_socket_t socket, int what, SocketHandler* handler) {
-  ACE_Reactor* reactor = loop_->ace();
-  if (what == CURL_POLL_REMOVE) {
-    if (handler != nullptr) {
-      reactor->remove_handler(handler,
-                              ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
-      curl_multi_assign(multi_, socket, nullptr);
-      const auto it = sockets_.find(socket);
-      if (it != sockets_.end()) {
-        // The handler may be the one that runs now: it goes when the loop is back at the top.
-        std::shared_ptr<SocketHandler> dead = std::move(it->second);
-        sockets_.erase(it);
-        loop_->Post([dead] {});
-      }
-    }
+void HttpClient::OnClosed(Connection* connection) {
+  std::vector<std::shared_ptr<Connection>>& all = connection->host()->connections;
+  const auto it = std::find_if(all.begin(), all.end(),
+                               [&](const auto& item) { return item.get() == connection; });
+  if (it == all.end()) {
     return;
   }
-  if (handler == nullptr) {
-    auto fresh = std::make_unique<SocketHandler>(this, socket);
-    handler = fresh.get();
-    sockets_[socket] = std::move(fresh);
-    curl_multi_assign(multi_, socket, handler);
-  }
-  ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
-  if ((what & CURL_POLL_IN) != 0) {
-    mask |= ACE_Event_Handler::READ_MASK;
-  }
-  if ((what & CURL_POLL_OUT) != 0) {
-    mask |= ACE_Event_Handler::WRITE_MASK;
-  }
-  if (!handler->registered) {
-    reactor->register_handler(handler, mask);
-    handler->registered = true;
-  } else {
-    reactor->mask_ops(handler, mask, ACE_Reactor::SET_MASK);
-  }
+  // It may be the one that calls: it goes when the loop is back at the top.
+  loop_->Defer([this, dead = *it, host = connection->host()] { Dispatch(host); });
+  all.erase(it);
 }
 
-int HttpClient::OnTimer(CURLM* /*multi*/, long timeout_ms, void* self) {
-  auto* client = static_cast<HttpClient*>(self);
-  ACE_Reactor* reactor = client->loop_->ace();
-  TimerHandler* timer = client->timer_.get();
-  if (timer->timer_id >= 0) {
-    reactor->cancel_timer(timer->timer_id);
-    timer->timer_id = -1;
+void HttpClient::Finish(const std::shared_ptr<Call>& call, ClientResponse response) {
+  loop_->CancelTimer(call->timer);
+  call->connection.reset();
+  if (calls_.erase(call->id) > 0 && !call->abandoned) {
+    call->done(std::move(response));
   }
-  if (timeout_ms >= 0) {
-    const ACE_Time_Value delay(timeout_ms / 1000, (timeout_ms % 1000) * 1000);
-    timer->timer_id = reactor->schedule_timer(timer, nullptr, delay);
+}
+
+void HttpClient::OnTimeout(CallId id) {
+  const std::shared_ptr<Call> call = calls_.at(id);
+  const bool unsent = call->connection == nullptr || !call->connection->was_connected();
+  ClientResponse response;
+  response.error = "timed out";
+  response.not_sent = unsent;
+  Cancel(id);
+  if (!call->abandoned) {
+    call->done(std::move(response));
   }
-  return 0;
 }
 
-void HttpClient::Act(curl_socket_t socket, int events) {
-  int running = 0;
-  curl_multi_socket_action(multi_, socket, events, &running);
-  ReapFinished();
+void HttpClient::Cancel(CallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) {
+    return;
+  }
+  const std::shared_ptr<Call> call = it->second;
+  calls_.erase(it);
+  loop_->CancelTimer(call->timer);
+  std::erase(call->host->waiting, call);
+  if (const auto connection = std::exchange(call->connection, nullptr)) {
+    connection->Close();
+  }
 }
 
-void HttpClient::ReapFinished() {
-  int queued = 0;
-  while (CURLMsg* message = curl_multi_info_read(multi_, &queued)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
-    }
-    CURL* easy = message->easy_handle;
-    const CURLcode code = message->data.result;
-    Call* finished = nullptr;
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &finished);
-    const auto it = calls_.find(finished->id);
-    const std::unique_ptr<Call> call = std::move(it->second);
-    calls_.erase(it);
-    ReadOutcome(easy, code, &call->response);
-    curl_multi_remove_handle(multi_, easy);
-    curl_slist_free_all(call->headers);
-    ReturnHandle(easy);
-    call->done(std::move(call->response));
+void HttpClient::Abandon(CallId id, Duration patience) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) {
+    return;
+  }
+  const std::shared_ptr<Call> call = it->second;
+  if (call->connection == nullptr) {
+    Cancel(id);
+    return;
   }
+  call->abandoned = true;
+  loop_->CancelTimer(call->timer);
+  call->timer = loop_->RunAt(net::EventLoop::Now() + patience, [this, id] { OnTimeout(id); });
 }
 
 ClientResponse FetchBlocking(const ClientRequest& request) {
-  InitializeCurlOnce();
-  CURL* easy = curl_easy_init();
-  ClientResponse response;
-  curl_slist* headers = Configure(easy, request);
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &AppendBody);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &response);
-  const CURLcode code = curl_easy_perform(easy);
-  ReadOutcome(easy, code, &response);
-  curl_slist_free_all(headers);
-  curl_easy_cleanup(easy);
-  return response;
+  net::EventLoop loop;
+  HttpClient client(&loop, {});
+  ClientResponse result;
+  client.Start(request, [&](ClientResponse response) {
+    result = std::move(response);
+    loop.Stop();
+  });
+  loop.Run([](Timestamp now) { return now + Seconds(1); });
+  return result;
 }
 
 }  // namespace pumicedyke::http
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -1,8 +1,8 @@
-// HTTP client over libcurl's multi interface, driven by the event loop's reactor.
+// HTTP/1.1 client on the event loop, with warm connections per address. A request is put on one
+// connection once and never sent again by the client itself: what a failure means is for the caller
+// to decide.
 #pragma once
 
-#include <curl/curl.h>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "common/types.h"
+#include "http/message.h"
 #include "net/event_loop.h"
 
 namespace pumicedyke::http {
@@ -18,15 +19,21 @@
 struct ClientRequest {
   /// IP number and port.
   std::string address;
+  /// Path and query.
   std::string path;
-  /// Empty: GET; else POST.
+  /// With no method given: empty means GET, else POST.
   std::string body;
   Duration timeout = Seconds(5);
   std::string idempotency_key;
   std::string authorization;
-  /// Work that must not run twice: sent on a fresh connection, because libcurl silently sends a
-  /// POST again when a reused connection closes before the reply.
+  /// Work that must not run twice: sent on a fresh connection, whose close before the reply is rarer.
   bool unrepeatable = false;
+  std::string method;
+  /// Sent as they stand, after Host (unless they hold one).
+  Headers headers;
+  /// A response whose header of this name has another value than the request's belongs to an earlier
+  /// request of the connection and is dropped. Empty: none is expected.
+  std::string echoed_header;
 };
 
 struct ClientResponse {
@@ -37,49 +44,64 @@
   /// Set if not one byte of the request can have reached the peer.
   bool not_sent = false;
   std::string error;
+  std::string reason;
+  Headers headers;
+  /// The response came on a connection that had served before.
+  bool reused_connection = false;
   bool ok() const { return status != 0; }
 };
 
+struct HttpClientOptions {
+  /// Warm connections kept per address, and connections in use beyond which calls wait their turn.
+  size_t max_connections_per_host = 8;
+  /// Idle connections are closed after this, or a little before the peer's own limit.
+  Duration idle_limit = Seconds(60);
+  Duration connect_timeout = Milliseconds(1000);
+};
+
 class HttpClient {
  public:
   using DoneCb = std::function<void(ClientResponse)>;
   using CallId = uint64_t;
 
-  /// @param max_connections_per_host bounds the pool of warm connections per address.
-  HttpClient(net::EventLoop* loop, long max_connections_per_host);
+  /// @param loop must not run any more once this object is gone.
+  HttpClient(net::EventLoop* loop, HttpClientOptions options);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// `done` is called once on the loop's thread, unless the call is cancelled before.
-  CallId Start(const ClientRequest& request, DoneCb done);
+  CallId Start(ClientRequest request, DoneCb done);
   /// Ends the call and closes its connection: a reply that comes late must meet no other request.
   void Cancel(CallId id);
-  size_t in_flight() const { return calls_.size(); }
+  /// The reply is no longer wanted, but the connection is: it is read to its end for up to `patience`.
+  void Abandon(CallId id, Duration patience);
+  /// Calls whose `done` is still to come.
+  size_t in_flight() const;
+  uint64_t connections_opened() const { return connections_opened_; }
 
  private:
+  class Connection;
   struct Call;
-  class SocketHandler;
-  class TimerHandler;
+  struct Host;
+  friend class Connection;
 
-  static int OnSocket(CURL* easy, curl_socket_t socket, int what, void* self, void* handler);
-  static int OnTimer(CURLM* multi, long timeout_ms, void* self);
-  void SetSocket(curl_socket_t socket, int what, SocketHandler* handler);
-  void Act(curl_socket_t socket, int events);
-  void ReapFinished();
-  CURL* TakeHandle();
-  void ReturnHandle(CURL* easy);
+  void Dispatch(Host* host);
+  void Assign(const std::shared_ptr<Call>& call, const std::shared_ptr<Connection>& connection);
+  void Finish(const std::shared_ptr<Call>& call, ClientResponse response);
+  void OnIdle(Connection* connection);
+  void OnClosed(Connection* connection);
+  void OnTimeout(CallId id);
 
   net::EventLoop* loop_;
-  CURLM* multi_;
-  std::unique_ptr<TimerHandler> timer_;
-  std::map<curl_socket_t, std::unique_ptr<SocketHandler>> sockets_;
-  std::map<CallId, std::unique_ptr<Call>> calls_;
-  std::vector<CURL*> idle_handles_;
+  HttpClientOptions options_;
+  std::map<std::string, std::unique_ptr<Host>> hosts_;
+  std::map<CallId, std::shared_ptr<Call>> calls_;
   CallId next_id_ = 1;
+  uint64_t connections_opened_ = 0;
 };
 
-/// One blocking exchange, for command line tools.
+/// One blocking exchange, for command line tools and tests.
 ClientResponse FetchBlocking(const ClientRequest& request);
 
 }  // namespace pumicedyke::http
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,68 +1,28 @@
 #include "http/http_server.h"
 
 #include <arpa/inet.h>
-#include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
-#include <atomic>
+#include <algorithm>
+#include <cerrno>
 #include <cmath>
-#include <cstdlib>
 #include <cstring>
-#include <mutex>
-#include <optional>
 #include <utility>
 
 #include "absl/strings/numbers.h"
 #include "common/result_code.h"
+#include "net/byte_stream.h"
 
 namespace pumicedyke::http {
-
-/// What outlives single exchanges; answers may come after the server object is gone.
-struct HttpServer::Shared {
-  HttpServerOptions options;
-  Handler handler;
-  net::EventLoop* loop = nullptr;
-  std::atomic<bool> draining{false};
-  std::atomic<size_t> in_flight{0};
-  std::mutex mutex;
-  bool closed = false;
-};
-
 namespace {
 
-/// One request and its answer. Owned by MHD's connection and by whoever answers.
-struct Exchange {
-  HttpRequest request;
-  MHD_Connection* connection = nullptr;
-  bool dispatched = false;
-  bool too_large = false;
-  std::optional<HttpResponse> response;
-};
-
-std::string Header(MHD_Connection* connection, const char* name) {
-  const char* value = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
-  return value == nullptr ? std::string() : std::string(value);
-}
-
-MHD_Result QueueResponse(HttpServer::Shared* shared, MHD_Connection* connection,
-                         const HttpResponse& response) {
-  MHD_Response* out = MHD_create_response_from_buffer(
-      response.body.size(), const_cast<char*>(response.body.data()), MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header(out, MHD_HTTP_HEADER_CONTENT_TYPE, response.content_type.c_str());
-  if (response.retry_after.count() > 0) {
-    const double seconds = std::ceil(ToMilliseconds(response.retry_after) / 1000.0);
-    MHD_add_response_header(out, MHD_HTTP_HEADER_RETRY_AFTER,
-                            std::to_string(static_cast<int64_t>(seconds)).c_str());
-  }
-  if (shared->draining) {
-    MHD_add_response_header(out, MHD_HTTP_HEADER_CONNECTION, "close");
-  }
-  const MHD_Result result =
-      MHD_queue_response(connection, static_cast<unsigned>(response.status), out);
-  MHD_destroy_response(out);
-  return result;
-}
+constexpr int kBacklog = 1024;
+constexpr int kAcceptsPerTurn = 16;
+constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+/// A client that was refused in mid-request may still be sending: it gets this long to read.
+constexpr Duration kLingerAfterError = Milliseconds(500);
 
 HttpResponse ErrorResponse(ResultCode code) {
   const ResultCodeInfo& info = InfoOf(code);
@@ -73,80 +33,240 @@
   return {info.http_status, body};
 }
 
-void Dispatch(const std::shared_ptr<HttpServer::Shared>& shared,
-              const std::shared_ptr<Exchange>& exchange) {
-  exchange->dispatched = true;
-  MHD_suspend_connection(exchange->connection);
-  const auto send = [shared, exchange](HttpResponse response) {
-    const std::lock_guard lock(shared->mutex);
-    if (shared->closed || exchange->response.has_value()) {
+ResultCode CodeOfError(ParseError error) {
+  switch (error) {
+    case ParseError::kBodyTooLarge:
+      return ResultCode::kBodyTooLarge;
+    case ParseError::kHeaderTooLarge:
+      return ResultCode::kHeadersTooLarge;
+    default:
+      return ResultCode::kMalformedRequest;
+  }
+}
+
+std::string ValueOf(const Headers& headers, const char* name) {
+  const std::string* value = FindHeader(headers, name);
+  return value == nullptr ? std::string() : *value;
+}
+
+HttpRequest ToRequest(RequestMessage message) {
+  HttpRequest request;
+  request.method = std::move(message.method);
+  request.path = message.target.substr(0, message.target.find('?'));
+  request.target = std::move(message.target);
+  request.body = std::move(message.body);
+  request.idempotency_key = ValueOf(message.headers, "Idempotency-Key");
+  request.authorization = ValueOf(message.headers, "Authorization");
+  request.headers = std::move(message.headers);
+  return request;
+}
+
+ResponseMessage ToMessage(HttpResponse response, bool keep_alive) {
+  ResponseMessage message;
+  message.status = response.status;
+  message.reason = std::move(response.reason);
+  message.headers = std::move(response.headers);
+  message.body = std::move(response.body);
+  message.keep_alive = keep_alive;
+  if (!response.content_type.empty()) {
+    message.headers.push_back({"Content-Type", response.content_type});
+  }
+  if (response.retry_after.count() > 0) {
+    const double seconds = std::ceil(ToMilliseconds(response.retry_after) / 1000.0);
+    message.headers.push_back({"Retry-After", std::to_string(static_cast<int64_t>(seconds))});
+  }
+  return message;
+}
+
+}  // namespace
+
+/// One client connection: requests one after the other, each answered before the next is read.
+class HttpServer::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(HttpServer* server, uint64_t id, ACE_HANDLE handle)
+      : server_(server),
+        loop_(server->loop_),
+        id_(id),
+        parser_(Limits(server->options_)),
+        stream_(server->loop_, handle,
+                {.on_bytes = [this](std::string* input) { OnBytes(input); },
+                 .on_end = [this](net::StreamEnd) { OnEnd(); },
+                 .on_drained = {}}) {
+    Rearm();
+  }
+  ~Connection() { loop_->CancelTimer(timer_); }
+
+  /// Part of a request is here, or a whole one is not answered.
+  bool busy() const {
+    return serving_ || parser_.state() != ParseState::kEmpty || stream_.unwritten() > 0;
+  }
+  /// The server goes away: answers that come later meet nothing.
+  void Detach() {
+    server_ = nullptr;
+    stream_.Close();
+  }
+
+ private:
+  static MessageLimits Limits(const HttpServerOptions& options) {
+    return {static_cast<uint32_t>(options.max_header_bytes), options.max_body_bytes};
+  }
+
+  void OnBytes(std::string* input) {
+    if (serving_ || closing_) {
+      // Pipelined: stays in the input until the answer is out. After an error it is dropped.
+      if (closing_) {
+        input->clear();
+      }
+      input_ = input;
       return;
     }
-    exchange->response = std::move(response);
-    MHD_resume_connection(exchange->connection);
-  };
-  shared->loop->Post(
-      [shared, exchange, send] { shared->handler(std::move(exchange->request), Responder(send)); });
-}
+    input_ = input;
+    ReadRequests();
+  }
+
+  void ReadRequests() {
+    while (!serving_ && !closing_ && input_ != nullptr && !input_->empty()) {
+      const bool fresh = parser_.state() == ParseState::kEmpty;
+      const ParseState state = parser_.Consume(input_);
+      if (fresh) {
+        request_started_ = net::EventLoop::Now();
+        Rearm();
+      }
+      if (state == ParseState::kFailed) {
+        Refuse(CodeOfError(parser_.error()));
+        return;
+      }
+      if (state == ParseState::kBody && !continued_ && parser_.ExpectsContinue()) {
+        continued_ = true;
+        stream_.Write(kContinue);
+      }
+      if (state != ParseState::kComplete) {
+        return;
+      }
+      Dispatch();
+    }
+  }
+
+  void Dispatch() {
+    RequestMessage message = parser_.Take();
+    keep_alive_ = message.keep_alive;
+    head_only_ = message.method == "HEAD";
+    continued_ = false;
+    serving_ = true;
+    Rearm();
+    const uint64_t number = ++request_number_;
+    const std::weak_ptr<Connection> self = weak_from_this();
+    server_->handler_(ToRequest(std::move(message)),
+                      Responder(
+                          [self, number](HttpResponse response) {
+                            if (const auto connection = self.lock()) {
+                              connection->Answer(number, std::move(response));
+                            }
+                          },
+                          [self, number](std::function<void()> on_gone) {
+                            const auto connection = self.lock();
+                            if (connection && connection->request_number_ == number) {
+                              connection->on_gone_ = std::move(on_gone);
+                            }
+                          }));
+  }
 
-MHD_Result OnAccess(void* cls, MHD_Connection* connection, const char* url, const char* method,
-                    const char* /*version*/, const char* upload_data, size_t* upload_data_size,
-                    void** connection_state) {
-  const auto& shared = *static_cast<std::shared_ptr<HttpServer::Shared>*>(cls);
-  if (*connection_state == nullptr) {
-    auto exchange = std::make_shared<Exchange>();
-    exchange->request.method = method;
-    exchange->request.path = url;
-    exchange->request.idempotency_key = Header(connection, "Idempotency-Key");
-    exchange->request.authorization = Header(connection, "Authorization");
-    exchange->connection = connection;
-    *connection_state = new std::shared_ptr<Exchange>(exchange);
-    ++shared->in_flight;
-    uint64_t length = 0;
-    const bool announced_too_large =
-        absl::SimpleAtoi(Header(connection, "Content-Length"), &length) &&
-        length > shared->options.max_body_bytes;
-    if (announced_too_large) {
-      return QueueResponse(shared.get(), connection, ErrorResponse(ResultCode::kBodyTooLarge));
+  void Answer(uint64_t number, HttpResponse response) {
+    if (!serving_ || number != request_number_ || server_ == nullptr) {
+      return;
     }
-    return MHD_YES;
-  }
-  const auto& exchange = *static_cast<std::shared_ptr<Exchange>*>(*connection_state);
-  if (*upload_data_size > 0) {
-    exchange->too_large |=
-        exchange->request.body.size() + *upload_data_size > shared->options.max_body_bytes;
-    if (!exchange->too_large) {
-      exchange->request.body.append(upload_data, *upload_data_size);
+    serving_ = false;
+    on_gone_ = {};
+    const bool keep = keep_alive_ && !server_->draining_;
+    stream_.Write(EncodeResponse(ToMessage(std::move(response), keep), head_only_));
+    Rearm();
+    if (!keep) {
+      closing_ = true;
+      stream_.CloseWhenDrained();
+      return;
+    }
+    if (input_ != nullptr && !input_->empty()) {
+      loop_->Defer([self = weak_from_this()] {
+        if (const auto connection = self.lock()) {
+          connection->ReadRequests();
+        }
+      });
     }
-    *upload_data_size = 0;
-    return MHD_YES;
   }
-  if (exchange->too_large) {
-    return QueueResponse(shared.get(), connection, ErrorResponse(ResultCode::kBodyTooLarge));
+
+  /// Answers what cannot be read as a request. The close waits a little: closing with unread bytes
+  /// resets the connection, and the answer would be lost with it.
+  void Refuse(ResultCode code) {
+    closing_ = true;
+    stream_.Write(EncodeResponse(ToMessage(ErrorResponse(code), /*keep_alive=*/false), false));
+    input_->clear();
+    loop_->CancelTimer(timer_);
+    timer_ = loop_->RunAt(net::EventLoop::Now() + kLingerAfterError, [this] { OnEnd(); });
   }
-  if (!exchange->dispatched) {
-    Dispatch(shared, exchange);
-    return MHD_YES;
+
+  Timestamp Deadline() const {
+    if (serving_) {
+      return Timestamp::max();
+    }
+    if (parser_.state() != ParseState::kEmpty) {
+      return request_started_ + server_->options_.request_timeout;
+    }
+    return idle_since_ + Seconds(server_->options_.idle_seconds);
   }
-  const std::lock_guard lock(shared->mutex);
-  if (!exchange->response.has_value()) {
-    return MHD_YES;
+
+  void Rearm() {
+    idle_since_ = net::EventLoop::Now();
+    if (timer_ == 0) {
+      timer_ = loop_->RunAt(idle_since_ + Seconds(1), [this] { OnTimer(); });
+    }
   }
-  return QueueResponse(shared.get(), connection, *exchange->response);
-}
 
-void OnCompleted(void* cls, MHD_Connection* /*connection*/, void** connection_state,
-                 MHD_RequestTerminationCode /*code*/) {
-  const auto& shared = *static_cast<std::shared_ptr<HttpServer::Shared>*>(cls);
-  auto* exchange = static_cast<std::shared_ptr<Exchange>*>(*connection_state);
-  if (exchange != nullptr) {
-    --shared->in_flight;
-    delete exchange;
-    *connection_state = nullptr;
+  void OnTimer() {
+    timer_ = 0;
+    const Timestamp now = net::EventLoop::Now();
+    if (now >= Deadline()) {
+      if (parser_.state() != ParseState::kEmpty) {
+        Refuse(ResultCode::kRequestTimeout);
+      } else {
+        OnEnd();
+      }
+      return;
+    }
+    const Timestamp soon = now + Seconds(1);
+    timer_ = loop_->RunAt(std::min(soon, Deadline()), [this] { OnTimer(); });
   }
-}
 
-}  // namespace
+  void OnEnd() {
+    stream_.Close();
+    loop_->CancelTimer(timer_);
+    timer_ = 0;
+    if (std::exchange(serving_, false) && on_gone_) {
+      const auto on_gone = std::move(on_gone_);
+      on_gone_ = {};
+      on_gone();
+    }
+    if (server_ != nullptr) {
+      server_->Remove(id_);
+    }
+  }
+
+  HttpServer* server_;
+  net::EventLoop* loop_;
+  uint64_t id_;
+  RequestParser parser_;
+  std::string* input_ = nullptr;
+  bool serving_ = false;
+  bool closing_ = false;
+  bool keep_alive_ = true;
+  bool head_only_ = false;
+  bool continued_ = false;
+  uint64_t request_number_ = 0;
+  std::function<void()> on_gone_;
+  Timestamp idle_since_{};
+  Timestamp request_started_{};
+  net::EventLoop::TimerId timer_ = 0;
+  net::ByteStream stream_;
+};
 
 bool SplitAddress(const std::string& address, std::string* host, uint16_t* port) {
   const size_t colon = address.rfind(':');
@@ -161,23 +281,12 @@
 }
 
 HttpServer::HttpServer(net::EventLoop* loop, HttpServerOptions options, Handler handler)
-    : loop_(loop), shared_(std::make_shared<Shared>()) {
-  shared_->options = options;
-  shared_->handler = std::move(handler);
-  shared_->loop = loop_;
-}
+    : loop_(loop), options_(options), handler_(std::move(handler)) {}
 
 HttpServer::~HttpServer() {
-  if (daemon_ == nullptr) {
-    return;
-  }
-  {
-    const std::lock_guard lock(shared_->mutex);
-    shared_->closed = true;
-  }
-  MHD_stop_daemon(daemon_);
-  if (quiesced_socket_ >= 0) {
-    ::close(quiesced_socket_);
+  StopListening();
+  for (const auto& [id, connection] : connections_) {
+    connection->Detach();
   }
 }
 
@@ -192,32 +301,59 @@
     return MakeStatus(ResultCode::kInvalidConfig, address + " is not an IPv4 number and a port");
   }
   local.sin_port = htons(port);
-  const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
-  daemon_ = MHD_start_daemon(
-      flags, port, nullptr, nullptr, &OnAccess, &shared_, MHD_OPTION_SOCK_ADDR,
-      reinterpret_cast<sockaddr*>(&local), MHD_OPTION_NOTIFY_COMPLETED, &OnCompleted, &shared_,
-      MHD_OPTION_CONNECTION_LIMIT, shared_->options.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-      shared_->options.idle_seconds, MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
-  if (daemon_ == nullptr) {
-    return MakeStatus(ResultCode::kInvalidConfig,
-                      "cannot listen on " + address + ": " + std::strerror(errno));
-  }
-  port_ = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
+  listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  socklen_t size = sizeof(local);
+  const bool listening = ::bind(listener_, reinterpret_cast<sockaddr*>(&local), size) == 0 &&
+                         ::listen(listener_, kBacklog) == 0;
+  if (!listening) {
+    const std::string why = std::strerror(errno);
+    ::close(std::exchange(listener_, ACE_INVALID_HANDLE));
+    return MakeStatus(ResultCode::kInvalidConfig, "cannot listen on " + address + ": " + why);
+  }
+  ::getsockname(listener_, reinterpret_cast<sockaddr*>(&local), &size);
+  port_ = ntohs(local.sin_port);
+  loop_->ace()->register_handler(this, ACE_Event_Handler::ACCEPT_MASK);
   return absl::OkStatus();
 }
 
-void HttpServer::StartDraining() { shared_->draining = true; }
+int HttpServer::handle_input(ACE_HANDLE /*handle*/) {
+  for (int accepted = 0; accepted < kAcceptsPerTurn; ++accepted) {
+    const ACE_HANDLE handle = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (handle == ACE_INVALID_HANDLE) {
+      return 0;
+    }
+    if (connections_.size() >= options_.max_connections) {
+      ::close(handle);
+      continue;
+    }
+    const uint64_t id = next_connection_++;
+    connections_.emplace(id, std::make_shared<Connection>(this, id, handle));
+  }
+  return 0;
+}
 
-void HttpServer::StopListening() {
-  if (daemon_ != nullptr && quiesced_socket_ < 0) {
-    quiesced_socket_ = MHD_quiesce_daemon(daemon_);
+void HttpServer::Remove(uint64_t id) {
+  const auto it = connections_.find(id);
+  if (it != connections_.end()) {
+    // It may be the one that calls: it goes when the loop is back at the top.
+    loop_->Defer([connection = it->second] {});
+    connections_.erase(it);
   }
 }
 
-size_t HttpServer::in_flight() const { return shared_->in_flight; }
+void HttpServer::StopListening() {
+  if (listener_ != ACE_INVALID_HANDLE) {
+    loop_->ace()->remove_handler(this,
+                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    ::close(std::exchange(listener_, ACE_INVALID_HANDLE));
+  }
+}
 
-unsigned HttpServer::connections() const {
-  return MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+size_t HttpServer::in_flight() const {
+  return static_cast<size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                           [](const auto& item) { return item.second->busy(); }));
 }
 
 }  // namespace pumicedyke::http
--- /dev/null
+++ b/src/net/byte_stream.cc
@@ -0,0 +1,194 @@
+#include "net/byte_stream.h"
+
+#include <ace/INET_Addr.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace pumicedyke::net {
+namespace {
+
+constexpr size_t kReadBytes = 16 * 1024;
+/// Reads of one turn of the loop, so that a fast peer does not starve the others.
+constexpr int kReadsPerTurn = 4;
+/// Unacknowledged bytes end a connection after this: a peer behind a cut says nothing.
+constexpr unsigned kUserTimeoutMilliseconds = 4000;
+
+void Prepare(ACE_HANDLE handle) {
+  const int flags = ::fcntl(handle, F_GETFL);
+  ::fcntl(handle, F_SETFL, flags | O_NONBLOCK);
+  const int on = 1;
+  ::setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
+               sizeof(kUserTimeoutMilliseconds));
+}
+
+bool WouldBlock() { return errno == EWOULDBLOCK || errno == EAGAIN || errno == EINTR; }
+
+}  // namespace
+
+ByteStream::ByteStream(EventLoop* loop, ACE_HANDLE handle, Callbacks callbacks)
+    : loop_(loop), handle_(handle), callbacks_(std::move(callbacks)), was_connected_(true) {
+  Prepare(handle_);
+  Register(ACE_Event_Handler::READ_MASK);
+}
+
+ByteStream::ByteStream(EventLoop* loop, const std::string& address, Callbacks callbacks)
+    : loop_(loop), callbacks_(std::move(callbacks)) {
+  handle_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (handle_ != ACE_INVALID_HANDLE) {
+    Prepare(handle_);
+    const ACE_INET_Addr remote(address.c_str());
+    const int result =
+        ::connect(handle_, static_cast<sockaddr*>(remote.get_addr()), sizeof(sockaddr_in));
+    connecting_ = result != 0 && errno == EINPROGRESS;
+    if (result == 0 || connecting_) {
+      wants_writes_ = connecting_;
+      was_connected_ = !connecting_;
+      Register(connecting_ ? ACE_Event_Handler::WRITE_MASK : ACE_Event_Handler::READ_MASK);
+      return;
+    }
+  }
+  // The owner must not be called back before it holds this object.
+  loop_->Defer([end = callbacks_.on_end] { end(StreamEnd::kBroken); });
+  callbacks_ = {};
+  Close();
+}
+
+ByteStream::~ByteStream() { Close(); }
+
+void ByteStream::Register(ACE_Reactor_Mask mask) {
+  registered_ = loop_->ace()->register_handler(this, mask) == 0;
+}
+
+void ByteStream::Close() {
+  if (registered_) {
+    registered_ = false;
+    loop_->ace()->remove_handler(this,
+                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+  }
+  if (handle_ != ACE_INVALID_HANDLE) {
+    ::close(std::exchange(handle_, ACE_INVALID_HANDLE));
+  }
+}
+
+void ByteStream::CloseWhenDrained() {
+  close_when_drained_ = true;
+  if (output_.empty() && open()) {
+    End(StreamEnd::kClosed);
+  }
+}
+
+void ByteStream::End(StreamEnd end) {
+  if (!open()) {
+    return;
+  }
+  Close();
+  if (callbacks_.on_end) {
+    callbacks_.on_end(end);
+  }
+}
+
+void ByteStream::WantWrites(bool want) {
+  if (want != wants_writes_ && open()) {
+    wants_writes_ = want;
+    loop_->ace()->mask_ops(this, ACE_Event_Handler::WRITE_MASK,
+                           want ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
+  }
+}
+
+void ByteStream::Write(std::string_view bytes) {
+  if (!open()) {
+    return;
+  }
+  output_.append(bytes);
+  if (!connecting_ && !wants_writes_) {
+    Flush();
+  }
+}
+
+void ByteStream::Flush() {
+  size_t offset = 0;
+  while (offset < output_.size()) {
+    const ssize_t written =
+        ::send(handle_, output_.data() + offset, output_.size() - offset, MSG_NOSIGNAL);
+    if (written > 0) {
+      offset += static_cast<size_t>(written);
+      continue;
+    }
+    if (WouldBlock()) {
+      break;
+    }
+    // What the peer sent before it went away may still be there to read; the read ends the stream.
+    output_.clear();
+    WantWrites(false);
+    return;
+  }
+  output_.erase(0, offset);
+  WantWrites(!output_.empty());
+  if (!output_.empty()) {
+    return;
+  }
+  if (callbacks_.on_drained) {
+    callbacks_.on_drained();
+  }
+  if (close_when_drained_) {
+    End(StreamEnd::kClosed);
+  }
+}
+
+bool ByteStream::FinishConnecting() {
+  int error = 0;
+  socklen_t length = sizeof(error);
+  ::getsockopt(handle_, SOL_SOCKET, SO_ERROR, &error, &length);
+  if (error != 0) {
+    End(StreamEnd::kBroken);
+    return false;
+  }
+  connecting_ = false;
+  was_connected_ = true;
+  loop_->ace()->mask_ops(this, ACE_Event_Handler::READ_MASK, ACE_Reactor::ADD_MASK);
+  return true;
+}
+
+int ByteStream::handle_output(ACE_HANDLE /*handle*/) {
+  if (!open()) {
+    return 0;
+  }
+  if (connecting_ && !FinishConnecting()) {
+    return 0;
+  }
+  Flush();
+  return 0;
+}
+
+int ByteStream::handle_input(ACE_HANDLE /*handle*/) {
+  if (connecting_) {
+    return handle_output(handle_);
+  }
+  std::array<char, kReadBytes> buffer;
+  for (int reads = 0; reads < kReadsPerTurn && open(); ++reads) {
+    const ssize_t received = ::recv(handle_, buffer.data(), buffer.size(), 0);
+    if (received < 0 && WouldBlock()) {
+      return 0;
+    }
+    if (received <= 0) {
+      End(received == 0 ? StreamEnd::kClosed : StreamEnd::kBroken);
+      return 0;
+    }
+    input_.append(buffer.data(), static_cast<size_t>(received));
+    callbacks_.on_bytes(&input_);
+    if (static_cast<size_t>(received) < buffer.size()) {
+      return 0;
+    }
+  }
+  return 0;
+}
+
+}  // namespace pumicedyke::net
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -4,6 +4,7 @@
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/OS_NS_Thread.h>
 #include <ace/Signal.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <chrono>
@@ -13,14 +14,30 @@
 namespace pumicedyke::net {
 namespace {
 
-constexpr size_t kMaxHandles = 16384;
+/// Handles that the reactor has room for, unless the process may open fewer.
+constexpr rlim_t kMaxHandles = 16384;
 constexpr Duration kLongestSleep = Milliseconds(200);
 
+/// The reactor refuses to open with room for more handles than the process may have.
+int HandleLimit() {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return static_cast<int>(kMaxHandles);
+  }
+  return static_cast<int>(std::min(limit.rlim_cur, kMaxHandles));
+}
+
 }  // namespace
 
 EventLoop::EventLoop() {
-  ACE::set_handle_limit(static_cast<int>(kMaxHandles));
-  auto* implementation = new ACE_Dev_Poll_Reactor(kMaxHandles, /*restart=*/false);
+  rlimit limit{};
+  const bool may_raise = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < kMaxHandles &&
+                         limit.rlim_max > limit.rlim_cur;
+  if (may_raise) {
+    ACE::set_handle_limit(static_cast<int>(std::min(limit.rlim_max, kMaxHandles)));
+  }
+  auto* implementation =
+      new ACE_Dev_Poll_Reactor(static_cast<size_t>(HandleLimit()), /*restart=*/false);
   reactor_ = std::make_unique<ACE_Reactor>(implementation, /*delete_implementation=*/true);
   std::signal(SIGPIPE, SIG_IGN);
 }
@@ -42,7 +59,7 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
 }
 
-void EventLoop::Post(std::function<void()> task) {
+void EventLoop::Post(Task task) {
   bool wake = false;
   {
     const std::lock_guard lock(mutex_);
@@ -55,7 +72,7 @@
 }
 
 void EventLoop::RunPosted() {
-  std::deque<std::function<void()>> tasks;
+  std::deque<Task> tasks;
   {
     const std::lock_guard lock(mutex_);
     tasks.swap(posted_);
@@ -65,12 +82,45 @@
   }
 }
 
+void EventLoop::RunDeferred() {
+  std::vector<Task> tasks;
+  tasks.swap(deferred_);
+  for (const Task& task : tasks) {
+    task();
+  }
+}
+
+EventLoop::TimerId EventLoop::RunAt(Timestamp when, Task task) {
+  const TimerId id = next_timer_++;
+  timers_.emplace(std::pair(when, id), std::move(task));
+  timer_due_.emplace(id, when);
+  return id;
+}
+
+void EventLoop::CancelTimer(TimerId id) {
+  const auto due = timer_due_.find(id);
+  if (due != timer_due_.end()) {
+    timers_.erase(std::pair(due->second, id));
+    timer_due_.erase(due);
+  }
+}
+
+void EventLoop::RunTimers(Timestamp now) {
+  while (!timers_.empty() && timers_.begin()->first.first <= now) {
+    const auto first = timers_.begin();
+    const Task task = std::move(first->second);
+    timer_due_.erase(first->first.second);
+    timers_.erase(first);
+    task();
+  }
+}
+
 int EventLoop::handle_exception(ACE_HANDLE /*handle*/) {
   RunPosted();
   return 0;
 }
 
-void EventLoop::OnSignal(int signal_number, std::function<void()> task) {
+void EventLoop::OnSignal(int signal_number, Task task) {
   signal_tasks_[signal_number] = std::move(task);
   reactor_->register_handler(signal_number, this);
 }
@@ -94,11 +144,16 @@
   reactor_->owner(ACE_OS::thr_self());
   while (!stopped_) {
     const Timestamp before = Now();
-    const Timestamp wake = std::min(tick(before), before + kLongestSleep);
-    const Duration sleep = std::max(Duration(0), wake - Now());
+    RunTimers(before);
+    Timestamp wake = std::min(tick(before), before + kLongestSleep);
+    if (!timers_.empty()) {
+      wake = std::min(wake, timers_.begin()->first.first);
+    }
+    const Duration sleep = deferred_.empty() ? std::max(Duration(0), wake - Now()) : Duration(0);
     ACE_Time_Value timeout(sleep);
     reactor_->handle_events(timeout);
     RunPosted();
+    RunDeferred();
     RunSignalTasks();
   }
 }
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -88,7 +88,9 @@
   options.knobs.first_report_patience = kFirstReportPatience;
   options.max_in_progress = static_cast<size_t>(settings_.max_in_progress);
   server_ = std::make_unique<node::NodeServer>(options, net::EventLoop::Now());
-  client_ = std::make_unique<http::HttpClient>(loop_, settings_.max_connections_per_leaf);
+  client_ = std::make_unique<http::HttpClient>(
+      loop_, http::HttpClientOptions{.max_connections_per_host =
+                                         static_cast<size_t>(settings_.max_connections_per_leaf)});
   http_ = std::make_unique<http::HttpServer>(
       loop_, http::HttpServerOptions{},
       [this](const http::HttpRequest& request, http::Responder responder) {
