--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -1,21 +1,36 @@
-// One token budget for hedges and retries together: a fixed share of the regular sub-requests, so
-// that extra load stays bounded when everything is slow at once. A sub-request that replaces one
-// which a leaf refused unseen is no extra load on a slot and costs no token; rounds bound it.
+// Budgets for hedges and retries together, so that extra load stays bounded when everything is slow
+// at once.
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <cstdint>
+
+#include "common/types.h"
 
 namespace pumicedyke::balance {
 
-class ExtraLoadBudget {
+/// Decides whether one more extra sub-request may be sent.
+class ExtraLoadLimit {
+ public:
+  virtual ~ExtraLoadLimit() = default;
+  /// A regular sub-request was sent under a policy that allows `share` extra ones for it.
+  virtual void OnRegular(Timestamp now, double share) = 0;
+  /// @return whether one extra sub-request may be sent; it is then paid for.
+  virtual bool TrySpend(Timestamp now) = 0;
+};
+
+/// A token bucket: a fixed share of the regular sub-requests. A sub-request that replaces one which
+/// a leaf refused unseen is no extra load on a slot and costs no token; rounds bound it.
+class ExtraLoadBudget : public ExtraLoadLimit {
  public:
   explicit ExtraLoadBudget(double burst) : burst_(burst), tokens_(burst / 2) {}
 
-  /// A regular sub-request was sent under a policy that allows `share` extra ones for it.
-  void Earn(double share) { tokens_ = std::min(burst_, tokens_ + share); }
+  void OnRegular(Timestamp /*now*/, double share) override {
+    tokens_ = std::min(burst_, tokens_ + share);
+  }
 
-  /// @return whether one extra sub-request may be sent; it is then paid for.
-  bool TrySpend() {
+  bool TrySpend(Timestamp /*now*/) override {
     if (tokens_ < 1.0) {
       return false;
     }
@@ -30,4 +45,62 @@
   double tokens_;
 };
 
+/// Extra sub-requests of any time window: a share of the window's regular ones and a fixed number.
+/// The window slides in steps, and one step more than the window counts as spent: the bound holds
+/// wherever a window lies. The policy's own share is not used.
+class SlidingWindowBudget : public ExtraLoadLimit {
+ public:
+  /// @param window length of the window. @param ratio extra per regular sub-request.
+  SlidingWindowBudget(Duration window, double ratio) : step_(window / kSteps), ratio_(ratio) {}
+
+  /// @param allowance extra ones beyond the share; may change at any time.
+  void SetAllowance(double allowance) { allowance_ = allowance; }
+
+  void OnRegular(Timestamp now, double /*share*/) override { Current(now).regular += 1; }
+
+  bool TrySpend(Timestamp now) override {
+    Current(now);
+    double regular = 0;
+    double extra = 0;
+    for (size_t i = 0; i < steps_.size(); ++i) {
+      extra += steps_[i].extra;
+      // The oldest step may lie outside the window already: it earns nothing.
+      regular += i == OldestStep() ? 0 : steps_[i].regular;
+    }
+    if (extra + 1 > ratio_ * regular + allowance_) {
+      return false;
+    }
+    Current(now).extra += 1;
+    return true;
+  }
+
+ private:
+  static constexpr int kSteps = 20;
+  struct Step {
+    double regular = 0;
+    double extra = 0;
+  };
+
+  size_t OldestStep() const { return static_cast<size_t>((number_ + 1) % (kSteps + 1)); }
+
+  Step& Current(Timestamp now) {
+    const int64_t number = now.time_since_epoch() / step_;
+    if (number - number_ > kSteps) {
+      steps_ = {};
+      number_ = number;
+    }
+    while (number_ < number) {
+      ++number_;
+      steps_[static_cast<size_t>(number_ % (kSteps + 1))] = {};
+    }
+    return steps_[static_cast<size_t>(number_ % (kSteps + 1))];
+  }
+
+  Duration step_;
+  double ratio_;
+  double allowance_ = 0;
+  int64_t number_ = 0;
+  std::array<Step, kSteps + 1> steps_{};
+};
+
 }  // namespace pumicedyke::balance
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -30,6 +30,9 @@
   /// Adds a leaf or sets its slots anew.
   void Configure(Timestamp now, const std::string& leaf, uint32_t slots);
 
+  /// The leaf has ended; replies that are still to come from it say nothing.
+  void Remove(const std::string& leaf) { leafs_.erase(leaf); }
+
   /// The sources of "leaving"; any one of them is enough (brief: a leaving back end gets no new
   /// work). A source takes back only its own mark.
   void SetLeavingInConfig(const std::set<std::string>& leafs);
--- a/src/common/settings.cc
+++ b/src/common/settings.cc
@@ -112,6 +112,26 @@
   return value;
 }
 
+bool Settings::Boolean(const std::string& field, bool fallback) {
+  const toml::node* node = Find(field);
+  std::string text;
+  if (FlagValue(field, &text)) {
+    if (text != "true" && text != "false") {
+      AddError(field, "must be true or false");
+      return fallback;
+    }
+    return text == "true";
+  }
+  if (node == nullptr) {
+    return fallback;
+  }
+  if (!node->is_boolean()) {
+    AddError(field, "must be true or false");
+    return fallback;
+  }
+  return node->as_boolean()->get();
+}
+
 double Settings::Number(const std::string& field, double fallback, double low, double high) {
   const toml::node* node = Find(field);
   double value = fallback;
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -23,6 +23,7 @@
   /// IP number and port.
   std::string Address(const std::string& field, const std::string& fallback);
   int64_t Integer(const std::string& field, int64_t fallback, int64_t low, int64_t high);
+  bool Boolean(const std::string& field, bool fallback);
   double Number(const std::string& field, double fallback, double low, double high);
   std::vector<std::string> List(const std::string& field);
   std::vector<std::string> AddressList(const std::string& field);
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -76,6 +76,8 @@
                  ? absl::OkStatus()
                  : MakeStatus(ResultCode::kUnknownObject, "field 'leaf': no leaf " + change.leaf);
     case ChangeKind::kClearLeaving:
+    case ChangeKind::kRetireLeaf:
+    case ChangeKind::kPutDocument:
       return absl::OkStatus();
   }
   return absl::OkStatus();
@@ -86,6 +88,24 @@
                      [&id](const auto& item) { return item.second.leafs.contains(id); });
 }
 
+bool ConfigState::IsSettled(const Change& change) const {
+  if (change.kind == ChangeKind::kRetireLeaf) {
+    return retired_.contains(change.leaf);
+  }
+  return change.kind == ChangeKind::kPutDocument && change.document.version <= document_.version;
+}
+
+void ConfigState::Retire(const std::string& leaf) {
+  if (!retired_.insert(leaf).second) {
+    return;
+  }
+  retired_order_.push_back(leaf);
+  if (retired_order_.size() > kKeptRetired) {
+    retired_.erase(retired_order_.front());
+    retired_order_.pop_front();
+  }
+}
+
 void ConfigState::Apply(const Change& change) {
   ++version_.value;
   switch (change.kind) {
@@ -124,11 +144,23 @@
     case ChangeKind::kClearLeaving:
       leaving_.erase(change.leaf);
       break;
+    case ChangeKind::kRetireLeaf:
+      Retire(change.leaf);
+      break;
+    case ChangeKind::kPutDocument:
+      document_ = change.document;
+      break;
   }
 }
 
 std::string ConfigState::Serialize() const {
-  return Json{{"version", version_}, {"services", services_}, {"leaving", leaving_}}.dump();
+  return Json{{"version", version_},
+              {"services", services_},
+              {"leaving", leaving_},
+              {"retired", retired_order_},
+              {"document_version", document_.version},
+              {"document", document_.text}}
+      .dump();
 }
 
 absl::StatusOr<ConfigState> ConfigState::Deserialize(const std::string& bytes) {
@@ -138,6 +170,11 @@
     json.at("version").get_to(state.version_);
     json.at("services").get_to(state.services_);
     json.at("leaving").get_to(state.leaving_);
+    // Absent in what was written before leafs reported by themselves.
+    state.retired_order_ = json.value("retired", std::deque<std::string>());
+    state.retired_.insert(state.retired_order_.begin(), state.retired_order_.end());
+    state.document_.version = json.value("document_version", uint64_t{0});
+    state.document_.text = json.value("document", "");
   } catch (const Json::exception& error) {
     return MakeStatus(ResultCode::kCorruptState, error.what());
   }
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -2,6 +2,7 @@
 // give the same state on every control machine and every node.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -14,6 +15,8 @@
 
 /// How many published snapshots of a service stay usable for running and continued requests.
 constexpr size_t kKeptSnapshots = 3;
+/// How many retired leafs are remembered. One that is forgotten has long ended.
+constexpr size_t kKeptRetired = 4096;
 
 class ConfigState {
  public:
@@ -22,11 +25,18 @@
   const Service* FindService(const std::string& name) const;
   bool IsLeaving(const std::string& leaf) const { return leaving_.contains(leaf); }
   const std::set<std::string>& leaving() const { return leaving_; }
+  /// Leafs that said for good that they leave; the newest kKeptRetired of them.
+  const std::set<std::string>& retired() const { return retired_; }
+  const RouteDocument& document() const { return document_; }
 
   /// Whether `change` may be applied now, except for its expected revision.
   /// @return kInvalidConfig or kUnknownObject naming the field.
   absl::Status Validate(const Change& change) const;
 
+  /// Whether applying `change` would leave everything as it is (an older document, a leaf that is
+  /// retired already).
+  bool IsSettled(const Change& change) const;
+
   /// Applies a valid change and counts the version up.
   void Apply(const Change& change);
 
@@ -35,12 +45,17 @@
 
  private:
   bool HasLeaf(const std::string& id) const;
+  void Retire(const std::string& leaf);
   absl::Status ValidateService(const Change& change) const;
   absl::Status ValidateSnapshot(const Change& change) const;
 
   ConfigVersion version_;
   std::map<std::string, Service> services_;
   std::set<std::string> leaving_;
+  std::set<std::string> retired_;
+  /// The same, oldest first.
+  std::deque<std::string> retired_order_;
+  RouteDocument document_;
 };
 
 }  // namespace pumicedyke::config
--- a/src/config/model.cc
+++ b/src/config/model.cc
@@ -15,13 +15,15 @@
 constexpr size_t kMaxPolicyBytes = 16 * 1024;
 constexpr uint32_t kMaxSlots = 10000;
 
-constexpr std::array<std::pair<ChangeKind, const char*>, 6> kKindNames = {{
+constexpr std::array<std::pair<ChangeKind, const char*>, 8> kKindNames = {{
     {ChangeKind::kPutService, "put_service"},
     {ChangeKind::kRemoveService, "remove_service"},
     {ChangeKind::kPublishSnapshot, "publish_snapshot"},
     {ChangeKind::kPutPolicy, "put_policy"},
     {ChangeKind::kMarkLeaving, "mark_leaving"},
     {ChangeKind::kClearLeaving, "clear_leaving"},
+    {ChangeKind::kRetireLeaf, "retire_leaf"},
+    {ChangeKind::kPutDocument, "put_document"},
 }};
 
 absl::Status FieldError(const std::string& field, const std::string& allowed) {
@@ -172,6 +174,19 @@
                                            : FieldError("policy", "must be at most 16 KiB");
 }
 
+absl::Status ReadDocument(const Json& json, RouteDocument* document) {
+  if (absl::Status status =
+          ReadUnsigned(json, "document_version", "document_version", &document->version);
+      !status.ok()) {
+    return status;
+  }
+  if (!json.contains("document") || !json["document"].is_string()) {
+    return FieldError("document", "must be the text of a document of routes");
+  }
+  document->text = json["document"].get<std::string>();
+  return absl::OkStatus();
+}
+
 absl::Status ReadBody(const Json& json, Change* change) {
   switch (change->kind) {
     case ChangeKind::kPutService:
@@ -182,19 +197,27 @@
       return ReadPolicy(json, &change->policy);
     case ChangeKind::kMarkLeaving:
     case ChangeKind::kClearLeaving:
+    case ChangeKind::kRetireLeaf:
       return ReadName(json, "leaf", "leaf", &change->leaf);
+    case ChangeKind::kPutDocument:
+      return ReadDocument(json, &change->document);
     case ChangeKind::kRemoveService:
       break;
   }
   return absl::OkStatus();
 }
 
-bool ConcernsLeaf(ChangeKind kind) {
-  return kind == ChangeKind::kMarkLeaving || kind == ChangeKind::kClearLeaving;
+bool ConcernsService(ChangeKind kind) {
+  return kind == ChangeKind::kPutService || kind == ChangeKind::kRemoveService ||
+         kind == ChangeKind::kPublishSnapshot || kind == ChangeKind::kPutPolicy;
 }
 
 }  // namespace
 
+bool IsIdempotent(ChangeKind kind) {
+  return kind == ChangeKind::kRetireLeaf || kind == ChangeKind::kPutDocument;
+}
+
 const PublishedSnapshot* Service::FindSnapshot(SnapshotId id) const {
   for (const PublishedSnapshot& snapshot : snapshots) {
     if (snapshot.id == id) {
@@ -210,11 +233,13 @@
       json["kind"] = name;
     }
   }
-  json["submission_id"] = change.submission_id;
+  if (!IsIdempotent(change.kind)) {
+    json["submission_id"] = change.submission_id;
+  }
   if (change.expected_revision.has_value()) {
     json["expected_revision"] = *change.expected_revision;
   }
-  if (!ConcernsLeaf(change.kind)) {
+  if (ConcernsService(change.kind)) {
     json["service"] = change.service;
   }
   switch (change.kind) {
@@ -229,8 +254,13 @@
       break;
     case ChangeKind::kMarkLeaving:
     case ChangeKind::kClearLeaving:
+    case ChangeKind::kRetireLeaf:
       json["leaf"] = change.leaf;
       break;
+    case ChangeKind::kPutDocument:
+      json["document_version"] = change.document.version;
+      json["document"] = change.document.text;
+      break;
     case ChangeKind::kRemoveService:
       break;
   }
@@ -248,9 +278,12 @@
     return kind.status();
   }
   change.kind = *kind;
-  if (absl::Status status = ReadName(json, "submission_id", "submission_id", &change.submission_id);
-      !status.ok()) {
-    return status;
+  if (!IsIdempotent(change.kind)) {
+    if (absl::Status status =
+            ReadName(json, "submission_id", "submission_id", &change.submission_id);
+        !status.ok()) {
+      return status;
+    }
   }
   if (json.contains("expected_revision")) {
     uint64_t revision = 0;
@@ -261,7 +294,7 @@
     }
     change.expected_revision = revision;
   }
-  if (!ConcernsLeaf(change.kind)) {
+  if (ConcernsService(change.kind)) {
     if (absl::Status status = ReadName(json, "service", "service", &change.service); !status.ok()) {
       return status;
     }
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -49,6 +49,14 @@
   const PublishedSnapshot* FindSnapshot(SnapshotId id) const;
 };
 
+/// Routes as operators put them, whole: kept byte for byte. What the bytes mean is for the
+/// routing::DocumentReader of the process that uses them.
+struct RouteDocument {
+  /// Zero: there is none yet.
+  uint64_t version = 0;
+  std::string text;
+};
+
 enum class ChangeKind {
   kPutService,
   kRemoveService,
@@ -56,8 +64,15 @@
   kPutPolicy,
   kMarkLeaving,
   kClearLeaving,
+  /// A leaf that reports by heartbeats is leaving for good; its id never comes back.
+  kRetireLeaf,
+  /// A whole numbered document of routes; the highest number wins.
+  kPutDocument,
 };
 
+/// Whether a change may be applied twice without harm, so that it needs no submission id.
+bool IsIdempotent(ChangeKind kind);
+
 /// One change as an operator submits it.
 struct Change {
   ChangeKind kind = ChangeKind::kPutService;
@@ -69,8 +84,9 @@
   std::vector<Leaf> leafs;
   PublishedSnapshot snapshot;
   std::string policy;
-  /// The leaf of kMarkLeaving and kClearLeaving.
+  /// The leaf of kMarkLeaving, kClearLeaving and kRetireLeaf.
   std::string leaf;
+  RouteDocument document;
 };
 
 /// What became of a submission.
--- a/src/control/control_replicas.cc
+++ b/src/control/control_replicas.cc
@@ -27,6 +27,15 @@
   }
 }
 
+void ControlServer::LearnSeeds(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    const auto known = std::find(options_.seeds.begin(), options_.seeds.end(), address);
+    if (known == options_.seeds.end()) {
+      options_.seeds.push_back(address);
+    }
+  }
+}
+
 void ControlServer::OnJoin(Timestamp now, const wire::JoinRequest& join) {
   join_addresses_[join.member] = join.address;
   if (raft_.role() != consensus::Role::kLeader || raft_.IsMember(join.member)) {
@@ -48,7 +57,35 @@
   return raft_.RecentlyHeard(id, now) && raft_.MatchIndex(id) >= raft_.commit_index();
 }
 
+size_t ControlServer::WantedVoters() const {
+  return options_.voters == 0 ? options_.seeds.size() : options_.voters;
+}
+
+void ControlServer::NoteHeard(Timestamp now) {
+  const bool fresh_term = member_heard_term_ != raft_.term();
+  if (fresh_term) {
+    member_heard_.clear();
+    member_heard_term_ = raft_.term();
+  }
+  if (raft_.role() != consensus::Role::kLeader) {
+    return;
+  }
+  for (const wire::Member& member : raft_.members()) {
+    const bool heard = member.id == raft_.self() || raft_.RecentlyHeard(member.id, now);
+    if (heard || !member_heard_.contains(member.id)) {
+      member_heard_[member.id] = now;
+    }
+  }
+}
+
+bool ControlServer::SilentForLong(const wire::Member& member, Timestamp now) const {
+  const auto heard = member_heard_.find(member.id);
+  return options_.replace_silent_after.count() > 0 && heard != member_heard_.end() &&
+         now - heard->second >= options_.replace_silent_after;
+}
+
 void ControlServer::ReplaceLostReplicas(Timestamp now) {
+  NoteHeard(now);
   const bool may_change = raft_.role() == consensus::Role::kLeader && raft_.MembersCommitted();
   if (!may_change) {
     return;
@@ -69,8 +106,15 @@
     // the group, but two quorums of the same machine can never be formed.
     if (lost != members.end()) {
       members.erase(lost);
-    } else if (voters >= options_.seeds.size()) {
-      continue;  // A non-voting relay.
+    } else if (voters >= WantedVoters()) {
+      const auto silent = std::find_if(members.begin(), members.end(), [&](const auto& member) {
+        return member.voter && SilentForLong(member, now);
+      });
+      if (silent == members.end()) {
+        continue;  // A non-voting relay.
+      }
+      // As above: one voter less for a moment, never two majorities.
+      members.erase(silent);
     } else {
       const auto self = std::find_if(members.begin(), members.end(),
                                      [&](const auto& member) { return member.id == newcomer.id; });
@@ -113,7 +157,7 @@
     }
     ++voters;
   }
-  return voters >= std::max<size_t>(options_.seeds.size(), 1);
+  return voters >= std::max<size_t>(WantedVoters(), 1);
 }
 
 std::vector<ReplicaStatus> ControlServer::Replicas(Timestamp now) const {
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -289,12 +289,27 @@
 // ---- Reads and the feed -------------------------------------------------------------------------
 
 void ControlServer::ReadConfig(Timestamp now, TicketId ticket) {
+  StartConfigRead(now, ticket, /*document_only=*/false);
+}
+
+void ControlServer::ReadDocument(Timestamp now, TicketId ticket) {
+  StartConfigRead(now, ticket, /*document_only=*/true);
+}
+
+OperatorReply ControlServer::ReadReply(const PendingConfigRead& read) const {
+  if (read.document_only) {
+    return {read.ticket, "", state_.config().document()};
+  }
+  return {read.ticket, state_.config().Serialize()};
+}
+
+void ControlServer::StartConfigRead(Timestamp now, TicketId ticket, bool document_only) {
   if (shutting_down_) {
     output_.operators.push_back({ticket, ShuttingDownJson()});
     return;
   }
   const uint64_t read = next_ticket_++;
-  config_reads_[read] = {ticket, now + options_.submission_timeout};
+  config_reads_[read] = {ticket, now + options_.submission_timeout, document_only};
   raft_.RequestRead(now, read);
   DrainRaft(now);
 }
@@ -320,7 +335,7 @@
       const bool leads = raft_.role() == consensus::Role::kLeader;
       // A leader that was frozen between the read and this reply finds its lease gone.
       if (!leads || raft_.HasLease(now)) {
-        output_.operators.push_back({it->second.ticket, state_.config().Serialize()});
+        output_.operators.push_back(ReadReply(it->second));
         config_reads_.erase(it);
       }
     }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -27,6 +27,11 @@
   std::vector<std::string> seeds;
   consensus::RaftOptions raft;
   ControlStateOptions state;
+  /// Voters that the group grows to and keeps; zero: as many as there are seeds.
+  size_t voters = 0;
+  /// A voter that stays silent this long is replaced by a newcomer of another machine that has
+  /// caught up, if there is one; zero: only by a newcomer of its own machine.
+  Duration replace_silent_after{};
   /// The log is replaced by a snapshot beyond this.
   size_t snapshot_log_bytes = 4 << 20;
   /// A submission without a quorum's answer by then is answered kNoQuorum.
@@ -57,6 +62,8 @@
   TicketId ticket;
   /// JSON of a config::ChangeResult or of a status document.
   std::string body;
+  /// The answer to ReadDocument(), if the read succeeded.
+  std::optional<config::RouteDocument> document = std::nullopt;
 };
 
 struct ControlOutput {
@@ -90,6 +97,10 @@
   void Submit(Timestamp now, TicketId ticket, const config::Change& change);
   /// A linearizable read of the whole configuration; answered like Submit().
   void ReadConfig(Timestamp now, TicketId ticket);
+  /// A linearizable read of the document of routes alone.
+  void ReadDocument(Timestamp now, TicketId ticket);
+  /// Whether this machine is in touch with a quorum, as far as it can know.
+  bool IsCurrent(Timestamp now) const;
 
   /// Hands leadership over, sends the nodes away and refuses new submissions; see Drained().
   void StartShutdown(Timestamp now);
@@ -107,6 +118,9 @@
   void ReadStatus(Timestamp now, TicketId ticket);
   std::vector<ReplicaStatus> Replicas(Timestamp now) const;
 
+  /// Further machines to ask for admission and to look for unknown members at.
+  void LearnSeeds(const std::vector<std::string>& addresses);
+
   const ControlState& state() const { return state_; }
   const consensus::Raft& raft() const { return raft_; }
   uint64_t applied_index() const { return applied_index_; }
@@ -140,6 +154,7 @@
   struct PendingConfigRead {
     TicketId ticket;
     Timestamp deadline;
+    bool document_only = false;
   };
 
   // Commands on their way.
@@ -158,12 +173,16 @@
   /// @param greeting `sent` of the greeting that this answers, or 0.
   void Feed(SessionId id, Session* session, bool full, uint64_t greeting);
   void FeedAll();
-  bool IsCurrent(Timestamp now) const;
+  void StartConfigRead(Timestamp now, TicketId ticket, bool document_only);
+  OperatorReply ReadReply(const PendingConfigRead& read) const;
 
   // Replicas.
   void OnJoin(Timestamp now, const wire::JoinRequest& join);
   void SendJoin(Timestamp now);
   void ReplaceLostReplicas(Timestamp now);
+  size_t WantedVoters() const;
+  bool SilentForLong(const wire::Member& member, Timestamp now) const;
+  void NoteHeard(Timestamp now);
   bool CaughtUp(MemberId id, Timestamp now) const;
   bool FullyRedundantSince(Timestamp asked, Timestamp now) const;
   std::string StatusJson(Timestamp now, bool fully_redundant) const;
@@ -207,6 +226,9 @@
   uint64_t next_ticket_;
   /// Known addresses of machines that asked to join.
   std::map<MemberId, std::string> join_addresses_;
+  /// Leader: when each member was last known to answer; starts anew with each term.
+  std::map<MemberId, Timestamp> member_heard_;
+  uint64_t member_heard_term_ = 0;
   Timestamp next_join_{};
   Timestamp last_leader_contact_{};
   bool shutting_down_ = false;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -39,6 +39,12 @@
 }
 
 config::ChangeResult ControlState::ApplyChange(const config::Change& change) {
+  if (config::IsIdempotent(change.kind)) {
+    if (config_.IsSettled(change)) {
+      return {0, "was in force already", config_.version().value, 0};
+    }
+    return Decide(change);
+  }
   const std::string text = Json(change).dump();
   const uint64_t fingerprint = XXH64(text.data(), text.size(), 0);
   const auto known = submissions_.find(change.submission_id);
@@ -74,14 +80,21 @@
             config_.version().value, revision};
   }
   config_.Apply(change);
-  changes_.push_back({config_.version().value, Json(change).dump()});
-  if (changes_.size() > kKeptChanges) {
-    changes_.pop_front();
-  }
+  Keep({config_.version().value, Json(change).dump()});
   const config::Service* changed = config_.FindService(change.service);
   return {0, "accepted", config_.version().value, changed == nullptr ? 0 : changed->revision};
 }
 
+void ControlState::Keep(wire::ConfigChange change) {
+  kept_bytes_ += change.command.size();
+  changes_.push_back(std::move(change));
+  while (changes_.size() > 1 &&
+         (changes_.size() > kKeptChanges || kept_bytes_ > kKeptChangeBytes)) {
+    kept_bytes_ -= changes_.front().command.size();
+    changes_.pop_front();
+  }
+}
+
 std::string ControlState::Serialize() const {
   return Json{{"config", config_.Serialize()},
               {"ledger", ledger_.ToJson()},
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -16,6 +16,7 @@
 constexpr size_t kRememberedSubmissions = 20000;
 /// Accepted changes kept for nodes that are a little behind; others get the whole state.
 constexpr size_t kKeptChanges = 2000;
+constexpr size_t kKeptChangeBytes = 4 << 20;
 
 /// A submission that was decided.
 struct Submission {
@@ -53,6 +54,7 @@
  private:
   config::ChangeResult ApplyChange(const config::Change& change);
   config::ChangeResult Decide(const config::Change& change);
+  void Keep(wire::ConfigChange change);
 
   ControlStateOptions options_;
   config::ConfigState config_;
@@ -60,6 +62,7 @@
   std::map<std::string, Submission> submissions_;
   std::deque<std::string> submission_order_;
   std::deque<wire::ConfigChange> changes_;
+  size_t kept_bytes_ = 0;
 };
 
 }  // namespace pumicedyke::control
--- /dev/null
+++ b/src/control/discovery_server.h
@@ -0,0 +1,70 @@
+// A control machine's part in finding things: leafs report to it, gateways greet it and are told of
+// leafs, clients are told of gateways. Beside ControlServer, which holds what must survive; nothing
+// here does. No socket, clock or thread.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "control/control_server.h"
+#include "directory/gateway_directory.h"
+#include "registry/leaf_registry.h"
+
+namespace pumicedyke::control {
+
+struct DiscoveryOptions {
+  std::string cluster;
+  registry::RegistryOptions registry;
+  directory::DirectoryOptions directory;
+};
+
+class DiscoveryServer {
+ public:
+  explicit DiscoveryServer(DiscoveryOptions options)
+      : options_(options), registry_(options.registry), directory_(options.directory) {}
+
+  /// @param current whether this machine is in touch with a quorum. While it is not, leafs are told
+  /// to report elsewhere, and their silence means nothing.
+  void Tick(Timestamp now, bool current);
+
+  /// A heartbeat of a leaf. Draining must have been committed before this is called with it, so
+  /// that whoever hears of it here may rely on it.
+  registry::ReportVerdict OnLeafReport(Timestamp now, const registry::LeafReport& report);
+  /// A leaf's departure was committed.
+  void OnLeafRetired(Timestamp now, const std::string& leaf);
+
+  void OnPresence(Timestamp now, SessionId session, const wire::GatewayPresence& presence);
+  void OnSessionClosed(SessionId session);
+
+  /// Frame addresses of all control machines, for gateways that know only some.
+  void SetControlAddresses(std::vector<std::string> addresses);
+
+  /// Where a client in `zone` may go, best first. Empty: no gateway is known.
+  std::vector<std::string> GatewaysFor(Timestamp now, const std::string& zone) const {
+    return directory_.AddressesFor(now, zone);
+  }
+
+  std::vector<SessionMessage> TakeMessages();
+  const registry::LeafRegistry& registry() const { return registry_; }
+  const directory::GatewayDirectory& directory() const { return directory_; }
+
+ private:
+  struct Session {
+    std::string node;
+    uint64_t incarnation = 0;
+    uint64_t sent_version = 0;
+  };
+
+  void Feed(SessionId id, Session* session);
+  void FeedAll();
+
+  DiscoveryOptions options_;
+  registry::LeafRegistry registry_;
+  directory::GatewayDirectory directory_;
+  std::map<SessionId, Session> sessions_;
+  std::vector<std::string> control_addresses_;
+  std::vector<SessionMessage> messages_;
+};
+
+}  // namespace pumicedyke::control
--- /dev/null
+++ b/src/gateway/dialect.h
@@ -0,0 +1,33 @@
+// Pure interface between the gateway and one protocol that clients and leafs speak: values in,
+// values out. Implementations hold no state and decide nothing.
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "gateway/messages.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "routing/route_table.h"
+
+namespace pumicedyke::gateway {
+
+class Dialect {
+ public:
+  virtual ~Dialect() = default;
+
+  /// @return kMalformedRequest naming what is missing.
+  virtual absl::StatusOr<PayloadRequest> ReadRequest(http::HttpRequest request) const = 0;
+  virtual http::HttpResponse WriteAnswer(const GatewayAnswer& answer) const = 0;
+  /// The answer to a request that ReadRequest() refused.
+  virtual http::HttpResponse WriteRefusal(const absl::Status& why) const = 0;
+
+  virtual http::ClientRequest WriteLeafRequest(const LeafSend& send) const = 0;
+  /// @param response may be a failure of the connection.
+  virtual query::LeafReply ReadLeafReply(const LeafSend& send,
+                                         http::ClientResponse response) const = 0;
+
+  /// Whether the request asks if this gateway is ready.
+  virtual bool IsReadinessProbe(const http::HttpRequest& request) const = 0;
+  virtual const routing::DocumentReader& documents() const = 0;
+};
+
+}  // namespace pumicedyke::gateway
--- /dev/null
+++ b/src/gateway/gateway_server.cc
@@ -0,0 +1,405 @@
+#include "gateway/gateway_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/record_merge.h"
+
+namespace pumicedyke::gateway {
+namespace {
+
+/// A client's own deadline counts from when it sent: this much of it is taken to be used up.
+constexpr Duration kClientHop = Milliseconds(10);
+/// The delay before the first hedges of a route, as a part of its objective.
+constexpr int kInitialHedgePart = 3;
+constexpr Duration kRetryWhenNotReady = Milliseconds(250);
+constexpr Duration kRetryWhenOverloaded = Milliseconds(200);
+constexpr Duration kLongestSleep = Milliseconds(200);
+
+}  // namespace
+
+GatewayServer::GatewayServer(GatewayOptions options, const routing::DocumentReader* documents,
+                             Timestamp now)
+    : options_(std::move(options)),
+      documents_(documents),
+      subscriber_({.cluster = options_.cluster,
+                   .node = options_.node,
+                   .incarnation = options_.incarnation,
+                   .control_machines = options_.control.size()},
+                  now),
+      ids_(options_.incarnation),
+      view_(options_.leaf_view),
+      pool_(options_.knobs.balance, options_.incarnation) {
+  LearnControl(options_.control);
+}
+
+GatewayServer::~GatewayServer() = default;
+
+GatewayOutput GatewayServer::TakeOutput() { return std::exchange(output_, {}); }
+
+// ---- Control ------------------------------------------------------------------------------------
+
+void GatewayServer::AddControl(const std::string& address) {
+  if (links_.try_emplace(address).second) {
+    control_.push_back(address);
+    subscriber_.SetControlMachines(control_.size());
+  }
+}
+
+void GatewayServer::LearnControl(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    AddControl(address);
+  }
+}
+
+wire::Envelope GatewayServer::Presence(const std::string& address) const {
+  wire::GatewayPresence presence{options_.node,    options_.incarnation,
+                                 options_.address, options_.zone,
+                                 ready(),          view_.VersionOf(address)};
+  return {options_.cluster, subscriber_.config().version().value, std::move(presence)};
+}
+
+void GatewayServer::GreetControl(Timestamp now) {
+  for (auto& [address, link] : links_) {
+    const Timestamp last = std::max(link.last_heard, link.last_reset);
+    if (now - last >= options_.knobs.control_silence) {
+      link.last_reset = now;
+      view_.OnSourceLost(now, address);
+      output_.reconnect.push_back(address);
+    }
+    if (now >= link.next_presence) {
+      link.next_presence = now + options_.knobs.presence_interval;
+      output_.control.push_back({address, Presence(address)});
+    }
+  }
+  if (std::optional<wire::Envelope> hello = subscriber_.Tick(now)) {
+    output_.control.push_back({control_[subscriber_.control()], *std::move(hello)});
+  }
+}
+
+void GatewayServer::OnControlMessage(Timestamp now, const std::string& address,
+                                     const wire::Envelope& envelope) {
+  if (envelope.cluster != options_.cluster) {
+    return;
+  }
+  if (const auto* feed = std::get_if<wire::ConfigFeed>(&envelope.body)) {
+    OnConfigFeed(now, *feed);
+  } else if (const auto* leafs = std::get_if<wire::LeafFeed>(&envelope.body)) {
+    OnLeafFeed(now, address, *leafs);
+  }
+}
+
+void GatewayServer::OnControlDisconnected(Timestamp now, const std::string& address) {
+  view_.OnSourceLost(now, address);
+  links_[address].next_presence = now;
+  if (control_[subscriber_.control()] == address) {
+    subscriber_.OnDisconnected(now);
+  }
+}
+
+void GatewayServer::OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed) {
+  if (!subscriber_.OnFeed(now, feed)) {
+    return;
+  }
+  view_.SetRetired(subscriber_.config().retired());
+  SyncPool(now);
+  AdoptDocument();
+}
+
+void GatewayServer::OnLeafFeed(Timestamp now, const std::string& address,
+                               const wire::LeafFeed& feed) {
+  links_[address].last_heard = now;
+  gateways_ = std::max(1U, feed.gateways);
+  LearnControl(feed.control);
+  if (!view_.OnFeed(now, address, feed)) {
+    links_[address].next_presence = now;
+  }
+  SyncPool(now);
+}
+
+void GatewayServer::AdoptDocument() {
+  const config::RouteDocument& document = subscriber_.config().document();
+  if (document.version <= document_version()) {
+    return;
+  }
+  absl::StatusOr<routing::RouteSet> set = documents_->Read(document.text);
+  if (!set.ok()) {
+    return;
+  }
+  const bool was_ready = ready();
+  set->version = document.version;
+  table_ = std::make_shared<const routing::RouteTable>(*std::move(set));
+  targets_.clear();
+  if (!was_ready) {
+    for (auto& [address, link] : links_) {
+      link.next_presence = Timestamp{};
+    }
+  }
+}
+
+void GatewayServer::SyncPool(Timestamp now) {
+  if (pool_version_ == view_.version()) {
+    return;
+  }
+  pool_version_ = view_.version();
+  std::set<std::string> leaving;
+  for (const auto& [leaf, record] : view_.leafs()) {
+    pool_.Configure(now, leaf, std::max(1U, record.slots));
+    if (record.draining) {
+      leaving.insert(leaf);
+    }
+  }
+  for (const std::string& leaf : pool_.Names()) {
+    if (!view_.leafs().contains(leaf)) {
+      pool_.Remove(leaf);
+    }
+  }
+  pool_.SetLeavingOnPlatform(leaving);
+}
+
+void GatewayServer::StartDraining(Timestamp now) {
+  draining_ = true;
+  for (auto& [address, link] : links_) {
+    link.next_presence = now;
+  }
+  GreetControl(now);
+}
+
+// ---- Requests -----------------------------------------------------------------------------------
+
+uint32_t GatewayServer::SharingGateways() const {
+  return gateways_ + options_.knobs.spare_gateways;
+}
+
+balance::ExtraLoadLimit* GatewayServer::BudgetOf(const std::string& service) {
+  std::unique_ptr<balance::SlidingWindowBudget>& budget = budgets_[service];
+  if (budget == nullptr) {
+    budget = std::make_unique<balance::SlidingWindowBudget>(options_.extra_load.window,
+                                                            options_.extra_load.ratio);
+  }
+  budget->SetAllowance(options_.extra_load.allowance / SharingGateways());
+  return budget.get();
+}
+
+size_t GatewayServer::ConnectionShare(const std::string& service) const {
+  const routing::ServiceSpec* spec = table_->FindService(service);
+  const size_t all = spec == nullptr ? 0 : spec->max_connections;
+  return std::max<size_t>(1, all / SharingGateways());
+}
+
+const GatewayServer::Target& GatewayServer::TargetOf(const std::vector<std::string>& services) {
+  Target& target = targets_[services];
+  if (target.service != nullptr && target.view_version == view_.version()) {
+    return target;
+  }
+  target.view_version = view_.version();
+  target.service = std::make_shared<config::Service>();
+  target.budgets.clear();
+  config::PublishedSnapshot snapshot{SnapshotId{table_->version()}, {}};
+  for (size_t i = 0; i < services.size(); ++i) {
+    snapshot.shards.push_back({ShardId{i}, view_.UsableLeafs(services[i])});
+    target.budgets.push_back(BudgetOf(services[i]));
+  }
+  target.service->snapshots.push_back(std::move(snapshot));
+  return target;
+}
+
+GatewayServer::RouteRuntime& GatewayServer::RuntimeOf(const routing::Route& route) {
+  RouteRuntime& runtime = runtimes_[route.name];
+  if (runtime.latencies == nullptr) {
+    runtime.latencies = std::make_unique<balance::LatencyTracker>(
+        options_.knobs.balance.latency_window, route.objective / kInitialHedgePart);
+  }
+  return runtime;
+}
+
+policy::QueryPlan GatewayServer::PlanFor(const routing::Route& route,
+                                         const PayloadRequest& request) const {
+  policy::QueryPlan plan;
+  const Duration patience =
+      request.deadline.count() > 0 ? request.deadline - kClientHop : options_.knobs.longest_wait;
+  plan.deadline = std::max(Duration(0), std::min(route.timeout, patience));
+  const double objective = static_cast<double>(route.objective.count());
+  plan.wait =
+      std::min(plan.deadline, Duration(static_cast<int64_t>(objective * options_.knobs.answer_by)));
+  plan.min_coverage = route.gathers() ? route.min_coverage : 1.0;
+  plan.extra_load = options_.extra_load.ratio;
+  plan.hedge_quantile = options_.knobs.hedge_quantile;
+  plan.repeatable = route.repeatable;
+  plan.max_attempts = std::max(1U, route.max_attempts);
+  return plan;
+}
+
+void GatewayServer::OnRequest(Timestamp now, RequestId id,
+                              std::shared_ptr<const PayloadRequest> request) {
+  if (table_ == nullptr) {
+    Refuse(id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
+    return;
+  }
+  const routing::Route* route = table_->Find(request->host, request->path());
+  if (route == nullptr) {
+    Refuse(id, std::move(request), ResultCode::kUnknownPath, Duration(0));
+    return;
+  }
+  if (active_.size() >= options_.knobs.max_in_progress) {
+    Refuse(id, std::move(request), ResultCode::kOverloaded, kRetryWhenOverloaded);
+    return;
+  }
+  StartExecution(now, id, *route, std::move(request));
+}
+
+void GatewayServer::StartExecution(Timestamp now, RequestId id, const routing::Route& route,
+                                   std::shared_ptr<const PayloadRequest> request) {
+  Active& active = active_[id];
+  active.request = std::move(request);
+  active.table = table_;
+  active.route = &route;
+  active.runtime = &RuntimeOf(route);
+  const std::vector<std::string> services =
+      route.gathers() ? route.shards
+                      : std::vector<std::string>{active.runtime->choice.Next(route.services)};
+  const Target& target = TargetOf(services);
+  const config::PublishedSnapshot& snapshot = target.service->snapshots.back();
+  query::CallerRequest caller;
+  caller.service = route.name;
+  // The shards of one document answer a request, whatever comes meanwhile.
+  caller.snapshot = snapshot.id;
+  query::ServiceContext context{&pool_, target.budgets.front(), active.runtime->latencies.get(),
+                                [this] { return SubRequestId{ids_.Next()}; }, target.budgets};
+  active.execution = std::make_unique<query::RequestExecution>(
+      std::move(caller), PlanFor(route, *active.request), nullptr, target.service, snapshot,
+      std::move(context), options_.execution, now);
+  active.execution->Advance(now);
+  Collect(now, id);
+}
+
+void GatewayServer::OnClientGone(Timestamp now, RequestId id) {
+  const auto it = active_.find(id);
+  if (it == active_.end()) {
+    return;
+  }
+  it->second.execution->AbandonAll(now, /*timed_out=*/false);
+  for (const query::SubRequestCancel& cancel : it->second.execution->TakeActions().cancels) {
+    output_.cancels.push_back({cancel.id, /*stop_work=*/true});
+  }
+  Remove(id);
+}
+
+void GatewayServer::OnLeafReply(Timestamp now, const query::LeafReply& reply) {
+  const std::optional<Duration> latency = pool_.OnReply(now, reply);
+  const auto found = request_of_.find(reply.id);
+  if (found == request_of_.end()) {
+    return;
+  }
+  const RequestId id = found->second;
+  Active& active = active_.at(id);
+  if (latency.has_value() && reply.status == query::LeafStatus::kOk) {
+    active.runtime->latencies->Record(*latency);
+  }
+  query::LeafReply known = reply;
+  known.snapshot = active.execution->snapshot();
+  active.execution->OnReply(now, known);
+  Collect(now, id);
+}
+
+void GatewayServer::Collect(Timestamp now, RequestId id) {
+  Active& active = active_.at(id);
+  query::ExecutionActions actions = active.execution->TakeActions();
+  for (const query::LeafRequest& send : actions.sends) {
+    const wire::LeafRecord& record = view_.leafs().at(send.leaf);
+    request_of_[send.id] = id;
+    active.out.push_back(send.id);
+    output_.sends.push_back({send.id, send.leaf, record.address, active.request, send.budget,
+                             active.route->repeatable, ConnectionShare(record.service),
+                             send.shard});
+  }
+  for (const query::SubRequestCancel& cancel : actions.cancels) {
+    output_.cancels.push_back({cancel.id, /*stop_work=*/false});
+  }
+  if (actions.answer.has_value()) {
+    Answer(id, active, *actions.answer);
+    Remove(id);
+    return;
+  }
+  Schedule(id, active.execution->NextWake(now));
+}
+
+void GatewayServer::Answer(RequestId id, const Active& active, const query::Answer& answer) {
+  GatewayAnswer out;
+  out.id = id;
+  out.request = active.request;
+  out.code = answer.code;
+  out.run = answer.run;
+  out.retry_after = answer.retry_after;
+  const bool success = answer.code == ResultCode::kOk || answer.code == ResultCode::kPartial;
+  if (!active.route->gathers()) {
+    out.payload = success ? answer.payloads.front().payload : answer.failure;
+  } else if (success) {
+    out.gathered = true;
+    std::vector<std::string_view> parts;
+    for (const query::ShardPayload& part : answer.payloads) {
+      parts.push_back(part.payload->body);
+      out.signatures.push_back(part.payload->signature);
+    }
+    out.records = MergeGreatest(parts, active.route->top_records);
+    out.missing_shards = answer.coverage.missing.size();
+  }
+  output_.answers.push_back(std::move(out));
+}
+
+void GatewayServer::Refuse(RequestId id, std::shared_ptr<const PayloadRequest> request,
+                           ResultCode code, Duration retry_after) {
+  GatewayAnswer answer;
+  answer.id = id;
+  answer.request = std::move(request);
+  answer.code = code;
+  answer.retry_after = retry_after;
+  output_.answers.push_back(std::move(answer));
+}
+
+void GatewayServer::Schedule(RequestId id, Timestamp wake) {
+  Active& active = active_.at(id);
+  wakes_.erase({active.wake, id});
+  active.wake = wake;
+  wakes_.insert({wake, id});
+}
+
+void GatewayServer::Remove(RequestId id) {
+  const auto it = active_.find(id);
+  wakes_.erase({it->second.wake, id});
+  for (const SubRequestId out : it->second.out) {
+    request_of_.erase(out);
+  }
+  active_.erase(it);
+}
+
+// ---- Time ---------------------------------------------------------------------------------------
+
+void GatewayServer::Tick(Timestamp now) {
+  view_.Tick(now);
+  SyncPool(now);
+  GreetControl(now);
+  while (!wakes_.empty() && wakes_.begin()->first <= now) {
+    const RequestId id = wakes_.begin()->second;
+    active_.at(id).execution->Advance(now);
+    Collect(now, id);
+    const auto it = active_.find(id);
+    if (it != active_.end() && it->second.wake <= now) {
+      // Asks to be called at once again: the loop's next turn is soon enough.
+      Schedule(id, now + Milliseconds(1));
+    }
+  }
+}
+
+Timestamp GatewayServer::NextWake(Timestamp now) const {
+  Timestamp wake = now + kLongestSleep;
+  if (!wakes_.empty()) {
+    wake = std::min(wake, wakes_.begin()->first);
+  }
+  for (const auto& [address, link] : links_) {
+    wake = std::min(wake, link.next_presence);
+  }
+  return wake;
+}
+
+}  // namespace pumicedyke::gateway
--- /dev/null
+++ b/src/gateway/leaf_view.cc
@@ -0,0 +1,112 @@
+#include "gateway/leaf_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumicedyke::gateway {
+
+bool LeafView::OnFeed(Timestamp now, const std::string& source, const wire::LeafFeed& feed) {
+  Source& state = sources_[source];
+  state.lost = false;
+  if (feed.from_version != 0 && feed.from_version > state.version) {
+    state.version = 0;
+    return false;
+  }
+  const bool nothing_new = feed.from_version != 0 && feed.records.empty() && feed.gone.empty();
+  state.version = feed.version;
+  if (nothing_new) {
+    return true;
+  }
+  if (feed.from_version == 0) {
+    state.unconfirmed.merge(state.records);
+    state.unconfirmed_until = now + options_.unconfirmed_patience;
+    state.records.clear();
+  }
+  for (const wire::LeafRecord& record : feed.records) {
+    state.records[record.leaf] = record;
+    state.unconfirmed.erase(record.leaf);
+  }
+  for (const std::string& leaf : feed.gone) {
+    state.records.erase(leaf);
+    state.unconfirmed.erase(leaf);
+  }
+  Rebuild();
+  return true;
+}
+
+void LeafView::OnSourceLost(Timestamp now, const std::string& source) {
+  const auto it = sources_.find(source);
+  if (it != sources_.end() && !it->second.lost) {
+    it->second.lost = true;
+    it->second.lost_at = now;
+    // A control machine that restarts counts anew.
+    it->second.version = 0;
+  }
+}
+
+void LeafView::SetRetired(const std::set<std::string>& retired) {
+  if (retired != retired_) {
+    retired_ = retired;
+    Rebuild();
+  }
+}
+
+void LeafView::Tick(Timestamp now) {
+  const bool any_live = std::any_of(sources_.begin(), sources_.end(),
+                                    [](const auto& item) { return !item.second.lost; });
+  if (!any_live) {
+    return;
+  }
+  size_t forgotten = 0;
+  for (auto& [name, source] : sources_) {
+    const bool over = !source.unconfirmed.empty() && now >= source.unconfirmed_until;
+    if (over && !source.lost) {
+      source.unconfirmed.clear();
+      ++forgotten;
+    }
+  }
+  forgotten += std::erase_if(sources_, [&](const auto& item) {
+    return item.second.lost && now - item.second.lost_at >= options_.lost_source_patience;
+  });
+  if (forgotten > 0) {
+    Rebuild();
+  }
+}
+
+uint64_t LeafView::VersionOf(const std::string& source) const {
+  const auto it = sources_.find(source);
+  return it == sources_.end() ? 0 : it->second.version;
+}
+
+bool LeafView::IsLeaving(const std::string& leaf) const {
+  const auto it = leafs_.find(leaf);
+  return it == leafs_.end() || it->second.draining;
+}
+
+const std::vector<std::string>& LeafView::UsableLeafs(const std::string& service) const {
+  static const auto* const none = new std::vector<std::string>();
+  const auto it = by_service_.find(service);
+  return it == by_service_.end() ? *none : it->second;
+}
+
+void LeafView::Rebuild() {
+  leafs_.clear();
+  by_service_.clear();
+  for (const auto& [name, source] : sources_) {
+    for (const auto* records : {&source.records, &source.unconfirmed}) {
+      for (const auto& [leaf, record] : *records) {
+        const auto [it, inserted] = leafs_.emplace(leaf, record);
+        // The most pessimistic word wins: draining is never taken back.
+        it->second.draining |= record.draining || retired_.contains(leaf);
+      }
+    }
+  }
+  for (const auto& [leaf, record] : leafs_) {
+    if (!record.draining) {
+      by_service_[record.service].push_back(leaf);
+    }
+  }
+  ++version_;
+}
+
+}  // namespace pumicedyke::gateway
--- /dev/null
+++ b/src/gateway/messages.h
@@ -0,0 +1,71 @@
+// What a gateway takes from clients, sends to leafs and answers, as values without a protocol.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/result_code.h"
+#include "common/types.h"
+#include "http/message.h"
+#include "query/messages.h"
+
+namespace pumicedyke::gateway {
+
+/// A client's request, passed on unread.
+struct PayloadRequest {
+  /// The client's own name for this attempt.
+  std::string request_id;
+  std::string method;
+  /// Path and query, as they came.
+  std::string target;
+  std::string host;
+  http::Headers headers;
+  std::string body;
+  /// How long the client waits; zero: it did not say.
+  Duration deadline{};
+
+  std::string path() const { return target.substr(0, target.find('?')); }
+};
+
+/// One request at one leaf.
+struct LeafSend {
+  SubRequestId id;
+  std::string leaf;
+  /// IP number and port.
+  std::string address;
+  std::shared_ptr<const PayloadRequest> request;
+  /// Time left for the leaf.
+  Duration budget{};
+  bool repeatable = true;
+  /// Connections that this gateway may hold to the leaf.
+  size_t max_connections = 1;
+  ShardId shard;
+};
+
+struct LeafCancel {
+  SubRequestId id;
+  /// Nobody waits for the outcome: the leaf's work must end. Otherwise the leaf may finish, so that
+  /// the connection lives on.
+  bool stop_work = false;
+};
+
+/// The answer to a client's request.
+struct GatewayAnswer {
+  RequestId id;
+  std::shared_ptr<const PayloadRequest> request;
+  ResultCode code = ResultCode::kInternal;
+  query::RunState run = query::RunState::kNotRun;
+  /// One leaf's answer, to be passed on as it stands (its failures, too); null if there is none.
+  std::shared_ptr<const query::LeafPayload> payload;
+  /// Set if the route gathers from shards and the answer is a success.
+  bool gathered = false;
+  std::string records;
+  std::vector<std::string> signatures;
+  size_t missing_shards = 0;
+  /// When it makes sense to come back; zero: not said.
+  Duration retry_after{};
+};
+
+}  // namespace pumicedyke::gateway
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -262,8 +262,8 @@
   call->request = std::move(request);
   call->done = std::move(done);
   call->host = host.get();
-  call->timer = loop_->RunAt(net::EventLoop::Now() + call->request.timeout,
-                             [this, id] { OnTimeout(id); });
+  call->timer =
+      loop_->RunAt(net::EventLoop::Now() + call->request.timeout, [this, id] { OnTimeout(id); });
   calls_[id] = call;
   host->waiting.push_back(std::move(call));
   Dispatch(host.get());
@@ -280,8 +280,9 @@
                                      [](const auto& item) { return item->idle(); });
       connection = idle == host->connections.rend() ? nullptr : *idle;
     }
-    const bool may_open = call->request.unrepeatable ||
-                          host->connections.size() < options_.max_connections_per_host;
+    const size_t most = call->request.max_connections > 0 ? call->request.max_connections
+                                                          : options_.max_connections_per_host;
+    const bool may_open = call->request.unrepeatable || host->connections.size() < most;
     if (connection == nullptr && !may_open) {
       return;
     }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -26,14 +26,18 @@
   Duration timeout = Seconds(5);
   std::string idempotency_key;
   std::string authorization;
-  /// Work that must not run twice: sent on a fresh connection, whose close before the reply is rarer.
+  /// Work that must not run twice: sent on a fresh connection, whose close before the reply is
+  /// rarer.
   bool unrepeatable = false;
   std::string method;
   /// Sent as they stand, after Host (unless they hold one).
   Headers headers;
-  /// A response whose header of this name has another value than the request's belongs to an earlier
-  /// request of the connection and is dropped. Empty: none is expected.
+  /// A response whose header of this name has another value than the request's belongs to an
+  /// earlier request of the connection and is dropped. Empty: none is expected.
   std::string echoed_header;
+  /// Connections to the address that may be open for this call to go out; zero: as the client's
+  /// options say.
+  size_t max_connections = 0;
 };
 
 struct ClientResponse {
@@ -74,7 +78,8 @@
   CallId Start(ClientRequest request, DoneCb done);
   /// Ends the call and closes its connection: a reply that comes late must meet no other request.
   void Cancel(CallId id);
-  /// The reply is no longer wanted, but the connection is: it is read to its end for up to `patience`.
+  /// The reply is no longer wanted, but the connection is: it is read to its end for up to
+  /// `patience`.
   void Abandon(CallId id, Duration patience);
   /// Calls whose `done` is still to come.
   size_t in_flight() const;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,5 +1,5 @@
-// HTTP/1.1 server on the event loop. A request is handed over whole; its answer may come at any later
-// time. A client that leaves before its answer is noticed at once.
+// HTTP/1.1 server on the event loop. A request is handed over whole; its answer may come at any
+// later time. A client that leaves before its answer is noticed at once.
 #pragma once
 
 #include <ace/Event_Handler.h>
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 8> kConnectionHeaders = {
-    "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
-    "upgrade",    "expect"};
+    "connection", "keep-alive",        "proxy-connection", "te",
+    "trailer",    "transfer-encoding", "upgrade",          "expect"};
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr size_t kHeadReserve = 512;
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -36,6 +36,9 @@
   /// The connection broke: the next machine is tried at once.
   void OnDisconnected(Timestamp now);
 
+  /// More control machines are known than at the start.
+  void SetControlMachines(size_t count) { options_.control_machines = count; }
+
   /// Index of the control machine to talk to.
   size_t control() const { return control_; }
   bool ready() const { return ready_; }
--- a/src/policy/policy_program.h
+++ b/src/policy/policy_program.h
@@ -46,6 +46,8 @@
   bool repeatable = true;
   /// Higher goes first when leafs are short; 0 to 9.
   int priority = 5;
+  /// Sub-requests of one shard at most, refused ones included; zero: as many as the budget allows.
+  uint32_t max_attempts = 0;
 };
 
 /// What decide() is told while replies come in.
--- a/src/programs/pumicedyke_control_main.cc
+++ b/src/programs/pumicedyke_control_main.cc
@@ -1,10 +1,12 @@
 // One control machine. See docs/OPERATIONS.md.
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <iostream>
 
 #include "common/log.h"
 #include "net/event_loop.h"
+#include "platform/control_dialect.h"
 #include "server/control_process.h"
 #include "server/process.h"
 
@@ -27,7 +29,7 @@
   gflags::SetUsageMessage("runs one control machine of a pumicedyke cluster");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   StartLog("pumicedyke-control");
-  auto settings = server::ReadControlSettings(FLAGS_settings);
+  auto settings = server::ReadControlSettings(server::SettingsPath(FLAGS_settings));
   if (!settings.ok()) {
     return server::ReportFailure("pumicedyke-control", settings.status());
   }
@@ -39,12 +41,14 @@
     const absl::Status status = server::FormatControl(*settings);
     return status.ok() ? 0 : server::ReportFailure("pumicedyke-control", status);
   }
+  const platform::ControlDialect dialect;
   net::EventLoop loop;
-  server::ControlProcess process(*settings, &loop);
+  server::ControlProcess process(*settings, &dialect, &loop);
   if (absl::Status status = process.Start(); !status.ok()) {
     return server::ReportFailure("pumicedyke-control", status);
   }
   server::InstallSignals(&loop, [&process] { process.Stop(); });
+  loop.OnSignal(SIGHUP, [&process] { process.Reload(); });
   if (absl::Status status = process.Run(); !status.ok()) {
     LogError("data_folder_failed", {{"error", std::string(status.message())}});
     return server::ReportFailure("pumicedyke-control", status);
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "common/json.h"
 #include "common/result_code.h"
 #include "common/types.h"
+#include "query/leaf_payload.h"
 
 namespace pumicedyke::query {
 
@@ -70,6 +72,8 @@
   bool draining = false;
   /// Requests running and queued at the leaf when it replied.
   uint32_t load = 0;
+  /// The whole answer, for requests that are passed on unread; null if there was none.
+  std::shared_ptr<const LeafPayload> payload = nullptr;
 };
 
 enum class MissingReason {
@@ -99,6 +103,12 @@
   }
 };
 
+/// The whole answer of one shard's leaf.
+struct ShardPayload {
+  ShardId shard;
+  std::shared_ptr<const LeafPayload> payload;
+};
+
 /// What is certain about the work of a request that gets no complete answer.
 enum class RunState { kRan = 0, kNotRun = 1, kUnknown = 2 };
 const char* RunStateName(RunState state);
@@ -133,6 +143,10 @@
   /// Sub-requests sent for this answer, of which extra ones (hedges and retries).
   uint32_t sub_requests = 0;
   uint32_t extra_sub_requests = 0;
+  /// For requests that are passed on unread: one for each included shard.
+  std::vector<ShardPayload> payloads = {};
+  /// The newest failure that a leaf answered with, if a shard is missing because of it.
+  std::shared_ptr<const LeafPayload> failure = nullptr;
 };
 
 /// Reads a caller's JSON body. @return a numbered error naming the field.
--- a/src/query/request_answer.cc
+++ b/src/query/request_answer.cc
@@ -77,6 +77,11 @@
   answer.code = CodeAtEnd(answer.coverage, ResultCode::kDeadlineExceeded);
   answer.run = answer.coverage.missing.empty() ? RunState::kRan : CurrentRunState();
   for (const ShardProgress& shard : shards_) {
+    if (shard.payload != nullptr) {
+      answer.payloads.push_back({shard.shard.id, shard.payload});
+    } else if (shard.failure != nullptr) {
+      answer.failure = shard.failure;
+    }
     answer.results.insert(answer.results.end(), shard.results.begin(), shard.results.end());
   }
   std::sort(answer.results.begin(), answer.results.end(), &BetterResult);
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -170,7 +170,7 @@
       std::all_of(shard->attempts.begin(), shard->attempts.end(),
                   [](const Attempt& attempt) { return attempt.state == AttemptState::kRefused; });
   // Of unrepeatable work only attempts that provably never started may be followed by another.
-  if (!plan_.repeatable && !all_refused) {
+  if ((!plan_.repeatable && !all_refused) || !MayAttemptAgain(*shard)) {
     GiveUp(shard);
     return;
   }
@@ -201,10 +201,21 @@
   SetWaiting(shard, !SendTo(now, shard, kind));
 }
 
-bool RequestExecution::MayPay(SendKind kind) const {
+balance::ExtraLoadLimit* RequestExecution::BudgetOf(const ShardProgress& shard) const {
+  const auto index = static_cast<size_t>(&shard - shards_.data());
+  return index < context_.shard_budgets.size() ? context_.shard_budgets[index] : context_.budget;
+}
+
+bool RequestExecution::MayPay(Timestamp now, const ShardProgress& shard, SendKind kind) const {
   const bool budgeted =
       options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
-  return !budgeted || kind != SendKind::kExtra || context_.budget->TrySpend();
+  const bool charged =
+      kind == SendKind::kExtra || (kind == SendKind::kReplacement && options_.charge_replacements);
+  return !budgeted || !charged || BudgetOf(shard)->TrySpend(now);
+}
+
+bool RequestExecution::MayAttemptAgain(const ShardProgress& shard) const {
+  return plan_.max_attempts == 0 || shard.attempts.size() < plan_.max_attempts;
 }
 
 bool RequestExecution::SendTo(Timestamp now, ShardProgress* shard, SendKind kind) {
@@ -219,11 +230,11 @@
   if (!leaf.has_value()) {
     return false;
   }
-  if (!MayPay(kind)) {
+  if (!MayPay(now, *shard, kind)) {
     return false;
   }
   if (kind == SendKind::kFirst) {
-    context_.budget->Earn(plan_.extra_load);
+    BudgetOf(*shard)->OnRegular(now, plan_.extra_load);
   }
   const SubRequestId id = context_.next_id();
   const Duration budget = std::max(Duration(0), deadline_ - now - options_.hop);
@@ -248,7 +259,7 @@
 
 void RequestExecution::MaybeHedge(Timestamp now, ShardProgress* shard) {
   const bool single = ActiveAttempts(*shard) == 1 && shard->shard.replicas.size() > 1;
-  if (single && now - shard->attempts.back().sent >= HedgeDelay()) {
+  if (single && MayAttemptAgain(*shard) && now - shard->attempts.back().sent >= HedgeDelay()) {
     SendTo(now, shard, SendKind::kExtra);
   }
 }
@@ -304,6 +315,7 @@
     return;
   }
   shard->covered = true;
+  shard->payload = reply.payload;
   shard->reason = MissingReason::kNone;
   ++covered_;
   shard->results.insert(shard->results.end(), reply.results.begin(), reply.results.end());
@@ -315,6 +327,9 @@
     return;
   }
   shard->reason = ReasonOf(reply.status);
+  if (reply.payload != nullptr) {
+    shard->failure = reply.payload;
+  }
   shard->tried.insert(reply.leaf);
   const bool not_held =
       reply.status == LeafStatus::kSnapshotNotHeld || reply.status == LeafStatus::kNotOwner;
@@ -415,7 +430,8 @@
   if (options_.naive_retry_timeout.count() > 0) {
     return std::max(sent + options_.naive_retry_timeout, now + options_.poll);
   }
-  const bool may_hedge = plan_.hedge && active == 1 && shard.shard.replicas.size() > 1;
+  const bool may_hedge =
+      plan_.hedge && active == 1 && shard.shard.replicas.size() > 1 && MayAttemptAgain(shard);
   return may_hedge ? std::max(sent + HedgeDelay(), now + options_.poll) : deadline_;
 }
 
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -34,6 +34,8 @@
   Duration hop = Milliseconds(1);
   /// How often unsent sub-requests look for a free leaf, and a decide() program is asked.
   Duration poll = Milliseconds(2);
+  /// A sub-request that replaces a refused one is charged to the budget, too.
+  bool charge_replacements = false;
   /// Baseline: retries after this time-out without a budget; zero means off.
   Duration naive_retry_timeout{};
   /// Baseline: hedges after this delay without a budget; zero means off.
@@ -43,9 +45,12 @@
 /// What the executions of one service on one node share.
 struct ServiceContext {
   balance::LeafPool* pool = nullptr;
-  balance::ExtraLoadBudget* budget = nullptr;
+  balance::ExtraLoadLimit* budget = nullptr;
   balance::LatencyTracker* latencies = nullptr;
   std::function<SubRequestId()> next_id;
+  /// Where each shard is a service of its own: its budget, in the order of the snapshot's shards.
+  /// Empty: all share `budget`.
+  std::vector<balance::ExtraLoadLimit*> shard_budgets = {};
 };
 
 struct SubRequestCancel {
@@ -119,6 +124,8 @@
     std::vector<Attempt> attempts;
     std::set<std::string> tried;
     std::vector<ResultItem> results;
+    std::shared_ptr<const LeafPayload> payload;
+    std::shared_ptr<const LeafPayload> failure;
     bool covered = false;
     bool given_up = false;
     bool waiting = false;
@@ -141,7 +148,9 @@
     /// A hedge, or a retry after an attempt that may have run.
     kExtra,
   };
-  bool MayPay(SendKind kind) const;
+  bool MayPay(Timestamp now, const ShardProgress& shard, SendKind kind) const;
+  balance::ExtraLoadLimit* BudgetOf(const ShardProgress& shard) const;
+  bool MayAttemptAgain(const ShardProgress& shard) const;
   bool SendTo(Timestamp now, ShardProgress* shard, SendKind kind);
   void SendPrimaryOrRetry(Timestamp now, ShardProgress* shard);
   void MaybeHedge(Timestamp now, ShardProgress* shard);
--- /dev/null
+++ b/src/routing/route_table.cc
@@ -0,0 +1,119 @@
+#include "routing/route_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "common/result_code.h"
+
+namespace pumicedyke::routing {
+namespace {
+
+absl::Status Invalid(const Route& route, const std::string& field, const std::string& why) {
+  return MakeStatus(ResultCode::kInvalidConfig,
+                    "route '" + route.name + "', field '" + field + "': " + why);
+}
+
+std::string LowerCase(std::string_view text) {
+  return absl::AsciiStrToLower(absl::string_view(text.data(), text.size()));
+}
+
+/// The host of a Host header: without its port, in lower case.
+std::string HostName(std::string_view host) { return LowerCase(host.substr(0, host.find(':'))); }
+
+absl::Status ValidateTargets(const Route& route, const std::set<std::string>& known) {
+  double weights = 0;
+  for (const WeightedService& target : route.services) {
+    if (!known.contains(target.service)) {
+      return Invalid(route, "services", "no service " + target.service);
+    }
+    if (target.weight < 0) {
+      return Invalid(route, "services", "a weight is negative");
+    }
+    weights += target.weight;
+  }
+  for (const std::string& shard : route.shards) {
+    if (!known.contains(shard)) {
+      return Invalid(route, "shards", "no service " + shard);
+    }
+  }
+  if (route.services.empty() && route.shards.empty()) {
+    return Invalid(route, "services", "must name a service");
+  }
+  if (!route.services.empty() && weights <= 0) {
+    return Invalid(route, "services", "the weights add up to 0");
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace
+
+absl::Status Validate(const RouteSet& set) {
+  std::set<std::string> known;
+  for (const ServiceSpec& service : set.services) {
+    known.insert(service.name);
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : set.routes) {
+    if (absl::Status status = ValidateTargets(route, known); !status.ok()) {
+      return status;
+    }
+    if (!places.emplace(HostName(route.host), route.prefix).second) {
+      return Invalid(route, "prefix", "another route has the same host and prefix");
+    }
+    if (route.timeout.count() <= 0) {
+      return Invalid(route, "timeout", "must be above 0");
+    }
+  }
+  return absl::OkStatus();
+}
+
+RouteTable::RouteTable(RouteSet set) : set_(std::move(set)) {
+  for (const Route& route : set_.routes) {
+    by_host_[HostName(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : by_host_) {
+    std::stable_sort(routes.begin(), routes.end(), [](const Route* a, const Route* b) {
+      return a->prefix.size() > b->prefix.size();
+    });
+  }
+  for (const ServiceSpec& service : set_.services) {
+    services_[service.name] = &service;
+  }
+}
+
+const Route* RouteTable::Find(std::string_view host, std::string_view path) const {
+  const auto it = by_host_.find(HostName(host));
+  if (it == by_host_.end()) {
+    return nullptr;
+  }
+  for (const Route* route : it->second) {
+    if (path.substr(0, route->prefix.size()) == route->prefix) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const ServiceSpec* RouteTable::FindService(const std::string& name) const {
+  const auto it = services_.find(name);
+  return it == services_.end() ? nullptr : it->second;
+}
+
+const std::string& WeightedChoice::Next(const std::vector<WeightedService>& services) {
+  credit_.resize(services.size(), 0);
+  double total = 0;
+  size_t best = 0;
+  for (size_t i = 0; i < services.size(); ++i) {
+    credit_[i] += services[i].weight;
+    total += services[i].weight;
+    if (credit_[i] > credit_[best]) {
+      best = i;
+    }
+  }
+  credit_[best] -= total;
+  return services[best].service;
+}
+
+}  // namespace pumicedyke::routing
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -35,6 +36,24 @@
   return machines;
 }
 
+/// The machines that a new cluster starts with. Seeds are named by their address's host.
+std::vector<Machine> FirstMachines(const ControlSettings& settings) {
+  if (!settings.machines.empty()) {
+    return ParseMachines(settings.machines);
+  }
+  std::vector<Machine> machines;
+  for (const std::string& seed : settings.seeds) {
+    machines.push_back({seed.substr(0, seed.rfind(':')), seed});
+  }
+  return machines;
+}
+
+bool IsFirstMachine(const ControlSettings& settings) {
+  const std::vector<Machine> machines = FirstMachines(settings);
+  return std::any_of(machines.begin(), machines.end(),
+                     [&](const Machine& machine) { return machine.name == settings.machine; });
+}
+
 /// The members of a new cluster get ids that every machine works out alike.
 MemberId FirstMemberId(const std::string& cluster, const std::string& machine) {
   const std::string text = cluster + "/" + machine;
@@ -46,6 +65,18 @@
   return (static_cast<uint64_t>(device()) << 32 | device()) | 1;
 }
 
+int CodeOfReply(const control::OperatorReply& reply) {
+  const Json body = Json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
+  return body.is_object() ? body.value("code", 0) : 0;
+}
+
+/// Passes a reply on to an operator who speaks the product's own interface.
+std::function<void(const control::OperatorReply&)> SendReply(http::Responder responder) {
+  return [responder](const control::OperatorReply& reply) mutable {
+    responder.Send({InfoOf(static_cast<ResultCode>(CodeOfReply(reply))).http_status, reply.body});
+  };
+}
+
 uint64_t RandomSeed() {
   std::random_device device;
   return static_cast<uint64_t>(device()) << 32 | device();
@@ -70,7 +101,22 @@
   }
   settings.data_folder = file.Required("data_folder", "the folder of this machine's state");
   settings.port_file = file.String("port_file", "");
+  settings.path = path;
+  settings.service_listen = file.String("service_listen", "");
+  settings.directory_listen = file.String("directory_listen", "");
+  constexpr int64_t kMaxMilliseconds = 3600 * 1000;
+  settings.directory_time_to_live =
+      Milliseconds(file.Integer("directory_time_to_live_ms", 2000, 1, kMaxMilliseconds));
+  settings.leaf_silence_limit =
+      Milliseconds(file.Integer("leaf_silence_limit_ms", 6000, 1, kMaxMilliseconds));
   settings.machines = file.List("machines");
+  settings.seeds = ReadControlAddresses(&file);
+  settings.bootstrap = file.Boolean("bootstrap", false);
+  constexpr int64_t kMostTolerated = 4;
+  const int64_t tolerated = file.Integer("tolerated_failures", 0, 0, kMostTolerated);
+  settings.voters = tolerated > 0 ? static_cast<size_t>(2 * tolerated + 1) : 0;
+  settings.replace_silent_after =
+      Milliseconds(file.Integer("replace_silent_after_ms", 0, 0, kMaxMilliseconds));
   settings.snapshot_log_bytes =
       static_cast<size_t>(file.Integer("snapshot_log_bytes", 4 << 20, 4096, int64_t{1} << 32));
   settings.election_timeout = Milliseconds(file.Integer("election_timeout_ms", 300, 50, 60000));
@@ -81,7 +127,8 @@
       file.AddError("machines", "must list entries like \"a=127.0.0.1:7100\"");
     }
   }
-  if (!listed) {
+  const bool by_seeds = settings.machines.empty() && !settings.seeds.empty();
+  if (!listed && !by_seeds) {
     file.AddError("machines", "must list this machine, '" + settings.machine + "', too");
   }
   if (absl::Status status = file.Finish(); !status.ok()) {
@@ -96,7 +143,7 @@
     return status;
   }
   wire::SnapshotData initial;
-  for (const Machine& machine : ParseMachines(settings.machines)) {
+  for (const Machine& machine : FirstMachines(settings)) {
     initial.members.push_back({FirstMemberId(settings.cluster, machine.name), machine.name,
                                machine.address, /*voter=*/true});
   }
@@ -107,8 +154,13 @@
       initial);
 }
 
-ControlProcess::ControlProcess(ControlSettings settings, net::EventLoop* loop)
-    : settings_(std::move(settings)), loop_(loop), stop_(kStopGrace) {}
+ControlProcess::ControlProcess(ControlSettings settings, const control::Dialect* dialect,
+                               net::EventLoop* loop)
+    : settings_(std::move(settings)),
+      loop_(loop),
+      dialect_(dialect),
+      watch_(settings_.path),
+      stop_(kStopGrace) {}
 
 absl::Status ControlProcess::OpenStorage(wire::Identity* identity,
                                          storage::RecoveredState* recovered) {
@@ -119,6 +171,12 @@
   files_ = std::make_unique<storage::PosixFileSystem>(settings_.data_folder);
   storage_ = std::make_unique<storage::LogStorage>(files_.get(), storage::LogStorageOptions{});
   absl::StatusOr<wire::Identity> found = storage_->ReadIdentity();
+  if (absl::IsNotFound(found.status()) && settings_.bootstrap && IsFirstMachine(settings_)) {
+    if (absl::Status status = FormatControl(settings_); !status.ok()) {
+      return status;
+    }
+    found = storage_->ReadIdentity();
+  }
   if (absl::IsNotFound(found.status())) {
     // A lost disk, or a machine that is new: another incarnation, without a vote until the
     // leader has taken it in and it has caught up.
@@ -157,21 +215,29 @@
                          {"cut_bytes", recovered.cut_bytes}});
   control::ControlOptions options;
   options.cluster = settings_.cluster;
-  for (const Machine& machine : ParseMachines(settings_.machines)) {
+  options.address = settings_.listen;
+  for (const Machine& machine : FirstMachines(settings_)) {
     options.seeds.push_back(machine.address);
     if (machine.name == settings_.machine) {
       options.address = machine.address;
     }
   }
+  options.voters = settings_.voters;
+  options.replace_silent_after = settings_.replace_silent_after;
   options.snapshot_log_bytes = settings_.snapshot_log_bytes;
   options.raft.election_timeout = settings_.election_timeout;
   options.raft.heartbeat_interval = settings_.election_timeout / 6;
   server_ = std::make_unique<control::ControlServer>(
       options, identity, storage_.get(), std::move(recovered), RandomSeed(), net::EventLoop::Now());
+  discovery_ = std::make_unique<control::DiscoveryServer>(control::DiscoveryOptions{
+      settings_.cluster, {.silence_limit = settings_.leaf_silence_limit}, {}});
   frames_ = std::make_unique<net::FrameServer>(
       loop_,
       [this](uint64_t session, const wire::Envelope& envelope) { OnFrame(session, envelope); },
-      [this](uint64_t session) { server_->OnSessionClosed(session); });
+      [this](uint64_t session) {
+        server_->OnSessionClosed(session);
+        discovery_->OnSessionClosed(session);
+      });
   if (absl::Status status = frames_->Listen(settings_.listen); !status.ok()) {
     return status;
   }
@@ -183,6 +249,9 @@
   if (absl::Status status = http_->Listen(settings_.operator_listen); !status.ok()) {
     return status;
   }
+  if (absl::Status status = ListenForDialect(); !status.ok()) {
+    return status;
+  }
   return WritePortFile(settings_.port_file, "control " + std::to_string(frames_->port()) +
                                                 "\noperator " + std::to_string(http_->port()) +
                                                 "\n");
@@ -195,7 +264,16 @@
 
 Timestamp ControlProcess::Tick(Timestamp now) {
   server_->SetWallClock(net::EventLoop::WallMilliseconds());
+  if (watch_.Changed(now)) {
+    Reload();
+  }
   server_->Tick(now);
+  std::vector<std::string> addresses;
+  for (const wire::Member& member : server_->raft().members()) {
+    addresses.push_back(member.address);
+  }
+  discovery_->SetControlAddresses(std::move(addresses));
+  discovery_->Tick(now, server_->IsCurrent(now));
   CarryOut();
   const bool failed = !server_->raft().failure().ok();
   const bool drained = stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty());
@@ -213,6 +291,9 @@
   for (const control::SessionMessage& message : output.sessions) {
     frames_->Send(message.session, message.envelope);
   }
+  for (const control::SessionMessage& message : discovery_->TakeMessages()) {
+    frames_->Send(message.session, message.envelope);
+  }
   for (const control::SessionId session : output.closed_sessions) {
     frames_->CloseSession(session);
   }
@@ -221,13 +302,18 @@
     if (waiting == waiting_.end()) {
       continue;
     }
-    const Json body = Json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
-    const int code = body.is_object() ? body.value("code", 0) : 0;
-    waiting->second.Send({InfoOf(static_cast<ResultCode>(code)).http_status, reply.body});
+    const ReplyCb on_reply = std::move(waiting->second);
     waiting_.erase(waiting);
+    on_reply(reply);
   }
 }
 
+control::TicketId ControlProcess::Await(ReplyCb on_reply) {
+  const control::TicketId ticket = next_ticket_++;
+  waiting_.emplace(ticket, std::move(on_reply));
+  return ticket;
+}
+
 void ControlProcess::SendToPeer(const std::string& address, const wire::Envelope& envelope) {
   std::unique_ptr<net::FrameClient>& peer = peers_[address];
   if (peer == nullptr) {
@@ -244,6 +330,11 @@
     frames_->CloseSession(session);
     return;
   }
+  if (const auto* presence = std::get_if<wire::GatewayPresence>(&envelope.body)) {
+    discovery_->OnPresence(now, session, *presence);
+    CarryOut();
+    return;
+  }
   const bool from_node = std::holds_alternative<wire::NodeHello>(envelope.body) ||
                          std::holds_alternative<wire::LedgerRequest>(envelope.body);
   server_->SetWallClock(net::EventLoop::WallMilliseconds());
@@ -270,14 +361,10 @@
     return;
   }
   if (request.path == "/v1/status" && request.method == "GET") {
-    const control::TicketId ticket = next_ticket_++;
-    waiting_.emplace(ticket, std::move(responder));
-    server_->ReadStatus(now, ticket);
+    server_->ReadStatus(now, Await(SendReply(std::move(responder))));
     CarryOut();
   } else if (request.path == "/v1/config" && request.method == "GET") {
-    const control::TicketId ticket = next_ticket_++;
-    waiting_.emplace(ticket, std::move(responder));
-    server_->ReadConfig(now, ticket);
+    server_->ReadConfig(now, Await(SendReply(std::move(responder))));
     CarryOut();
   } else if (request.path == "/v1/changes" && request.method == "POST") {
     OnChange(request, std::move(responder));
@@ -303,9 +390,7 @@
       return;
     }
   }
-  const control::TicketId ticket = next_ticket_++;
-  waiting_.emplace(ticket, std::move(responder));
-  server_->Submit(net::EventLoop::Now(), ticket, *change);
+  server_->Submit(net::EventLoop::Now(), Await(SendReply(std::move(responder))), *change);
   CarryOut();
 }
 
@@ -330,10 +415,25 @@
   return page.Text();
 }
 
+void ControlProcess::Reload() {
+  absl::StatusOr<ControlSettings> settings = ReadControlSettings(settings_.path);
+  if (!settings.ok()) {
+    LogEvent("reload_refused", {{"why", std::string(settings.status().message())}});
+    return;
+  }
+  LogEvent("reloaded", {{"seeds", settings->seeds}});
+  server_->LearnSeeds(settings->seeds);
+}
+
 void ControlProcess::Stop() {
   const Timestamp now = net::EventLoop::Now();
   LogEvent("stopping", {});
   stop_.Start(now, http_.get());
+  for (const auto& http : {service_http_.get(), directory_http_.get()}) {
+    if (http != nullptr) {
+      http->StartDraining();
+    }
+  }
   server_->StartShutdown(now);
   CarryOut();
 }
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -1,16 +1,20 @@
 // The control program: a ControlServer behind TCP frames (peers and nodes) and HTTP (operators).
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "control/control_server.h"
+#include "control/dialect.h"
+#include "control/discovery_server.h"
 #include "http/http_server.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
 #include "server/graceful_stop.h"
+#include "server/settings_watch.h"
 #include "storage/log_storage.h"
 #include "storage/posix_file_system.h"
 
@@ -21,6 +25,14 @@
   std::string machine;
   std::string listen;
   std::string operator_listen;
+  /// Where leafs and operators come who speak the dialect; empty: none do.
+  std::string service_listen;
+  /// Where clients ask for gateways; empty: with `service_listen`.
+  std::string directory_listen;
+  /// How long a client may rely on the gateways it was told.
+  Duration directory_time_to_live{};
+  /// A leaf that sent no heartbeat for this long counts as gone.
+  Duration leaf_silence_limit{};
   std::string operator_token_file;
   /// Content of that file; empty: operators come over loopback and need none.
   std::string operator_token;
@@ -28,6 +40,15 @@
   std::string port_file;
   /// "machine=IP:port" of every control machine, this one too.
   std::vector<std::string> machines;
+  /// Instead of `machines`: frame addresses of some control machines. The others join through them.
+  std::vector<std::string> seeds;
+  /// First start of a new cluster: a seed with an empty data folder prepares it itself.
+  bool bootstrap = false;
+  /// Voters to grow to; zero: as many as `machines`.
+  size_t voters = 0;
+  Duration replace_silent_after{};
+  /// The file these were read from; empty: flags only.
+  std::string path;
   size_t snapshot_log_bytes = 0;
   Duration election_timeout{};
 };
@@ -40,15 +61,20 @@
 
 class ControlProcess {
  public:
-  ControlProcess(ControlSettings settings, net::EventLoop* loop);
+  /// @param dialect may be null if nobody speaks one; outlives this object.
+  ControlProcess(ControlSettings settings, const control::Dialect* dialect, net::EventLoop* loop);
 
   /// Recovers the data folder and starts listening.
   absl::Status Start();
   /// Runs until a planned stop is over. @return failure of the data folder, if any.
   absl::Status Run();
   void Stop();
+  /// Reads the settings file again; only the seeds may have changed.
+  void Reload();
 
  private:
+  using ReplyCb = std::function<void(const control::OperatorReply&)>;
+
   absl::Status OpenStorage(wire::Identity* identity, storage::RecoveredState* recovered);
   Timestamp Tick(Timestamp now);
   void CarryOut();
@@ -57,6 +83,19 @@
   void OnOperator(const http::HttpRequest& request, http::Responder responder);
   void OnChange(const http::HttpRequest& request, http::Responder responder);
   std::string MetricsText(Timestamp now) const;
+  /// Remembers who waits for a reply. @return the ticket to ask with.
+  control::TicketId Await(ReplyCb on_reply);
+  absl::Status ListenForDialect();
+  void OnDialect(const http::HttpRequest& request, http::Responder responder);
+  void Run(control::PutDocument command, http::Responder responder);
+  void Run(control::GetDocument command, http::Responder responder);
+  void Run(control::ReportLeaf command, http::Responder responder);
+  void Run(control::RetireLeaf command, http::Responder responder);
+  void Run(control::FindGateways command, http::Responder responder);
+  /// Submits a change; answers with acceptance or the refusal. @param then runs before the answer
+  /// if the change is in force.
+  void SubmitFor(const config::Change& change, http::Responder responder,
+                 std::function<void()> then);
 
   ControlSettings settings_;
   net::EventLoop* loop_;
@@ -66,8 +105,13 @@
   std::unique_ptr<net::FrameServer> frames_;
   std::unique_ptr<http::HttpServer> http_;
   std::map<std::string, std::unique_ptr<net::FrameClient>> peers_;
-  std::map<control::TicketId, http::Responder> waiting_;
+  const control::Dialect* dialect_;
+  std::unique_ptr<control::DiscoveryServer> discovery_;
+  std::unique_ptr<http::HttpServer> service_http_;
+  std::unique_ptr<http::HttpServer> directory_http_;
+  std::map<control::TicketId, ReplyCb> waiting_;
   control::TicketId next_ticket_ = 1;
+  SettingsWatch watch_;
   GracefulStop stop_;
 };
 
--- /dev/null
+++ b/src/server/gateway_process.cc
@@ -0,0 +1,237 @@
+#include "server/gateway_process.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "common/log.h"
+#include "common/settings.h"
+#include "server/process.h"
+
+namespace pumicedyke::server {
+namespace {
+
+/// A sub-request whose result is no longer wanted may end on its connection for this long.
+constexpr Duration kAbandonPatience = Milliseconds(400);
+constexpr Duration kStopPoll = Milliseconds(20);
+constexpr uint64_t kIncarnationMask = (uint64_t{1} << 24) - 1;
+
+/// A gateway has no disk: the number of its life is drawn, not counted.
+uint64_t DrawIncarnation() {
+  std::random_device device;
+  return (device() & kIncarnationMask) | 1;
+}
+
+}  // namespace
+
+absl::StatusOr<GatewaySettings> ReadGatewaySettings(const std::string& path) {
+  Settings file(path);
+  GatewaySettings settings;
+  settings.path = path;
+  settings.cluster = file.Required("cluster", "the name of the cluster");
+  settings.node = file.Required("node", "the name of this gateway");
+  settings.zone = file.String("zone", "");
+  settings.listen = file.Address("listen", "127.0.0.1:7400");
+  settings.ready_listen = file.String("ready_listen", "");
+  settings.control = ReadControlAddresses(&file);
+  if (settings.control.empty()) {
+    file.AddError("control", "must list at least one control machine, or name 'seeds'");
+  }
+  constexpr int64_t kMaxMilliseconds = 3600 * 1000;
+  settings.extra_load.window =
+      Milliseconds(file.Integer("extra_load_window_ms", 10000, 100, kMaxMilliseconds));
+  settings.extra_load.ratio = file.Number("extra_load_ratio", 0.1, 0, 10);
+  settings.extra_load.allowance = file.Number("extra_load_allowance", 10, 0, 1e9);
+  settings.drain_grace = Milliseconds(file.Integer("drain_grace_ms", 3000, 0, kMaxMilliseconds));
+  if (absl::Status status = file.Finish(); !status.ok()) {
+    return status;
+  }
+  return settings;
+}
+
+GatewayProcess::GatewayProcess(GatewaySettings settings, const gateway::Dialect* dialect,
+                               net::EventLoop* loop)
+    : settings_(std::move(settings)),
+      dialect_(dialect),
+      loop_(loop),
+      watch_(settings_.path),
+      stop_(settings_.drain_grace) {}
+
+absl::Status GatewayProcess::Start() {
+  gateway::GatewayOptions options;
+  options.cluster = settings_.cluster;
+  options.node = settings_.node;
+  options.zone = settings_.zone;
+  options.address = settings_.listen;
+  options.incarnation = DrawIncarnation();
+  options.control = settings_.control;
+  options.extra_load = settings_.extra_load;
+  server_ = std::make_unique<gateway::GatewayServer>(options, &dialect_->documents(),
+                                                     net::EventLoop::Now());
+  client_ = std::make_unique<http::HttpClient>(loop_, http::HttpClientOptions{});
+  const auto handler = [this](http::HttpRequest request, http::Responder responder) {
+    OnHttp(std::move(request), std::move(responder));
+  };
+  http_ = std::make_unique<http::HttpServer>(loop_, http::HttpServerOptions{}, handler);
+  if (absl::Status status = http_->Listen(settings_.listen); !status.ok()) {
+    return status;
+  }
+  if (!settings_.ready_listen.empty()) {
+    ready_http_ = std::make_unique<http::HttpServer>(loop_, http::HttpServerOptions{}, handler);
+    if (absl::Status status = ready_http_->Listen(settings_.ready_listen); !status.ok()) {
+      return status;
+    }
+  }
+  LogEvent("started", {{"incarnation", options.incarnation}, {"listen", settings_.listen}});
+  return absl::OkStatus();
+}
+
+void GatewayProcess::Run() {
+  loop_->Run([this](Timestamp now) { return Tick(now); });
+}
+
+Timestamp GatewayProcess::Tick(Timestamp now) {
+  if (watch_.Changed(now)) {
+    Reload();
+  }
+  server_->Tick(now);
+  CarryOut();
+  AdoptLimits();
+  if (stop_.started() && stop_.Done(now, server_->Drained())) {
+    loop_->Stop();
+  }
+  return stop_.started() ? std::min(now + kStopPoll, server_->NextWake(now))
+                         : server_->NextWake(now);
+}
+
+void GatewayProcess::AdoptLimits() {
+  if (server_->document_version() == limits_version_) {
+    return;
+  }
+  limits_version_ = server_->document_version();
+  const routing::ClientLimits& limits = server_->table()->set().limits;
+  http::HttpServerOptions options;
+  options.max_header_bytes = limits.max_header_bytes;
+  options.max_body_bytes = limits.max_body_bytes;
+  options.request_timeout = limits.header_timeout;
+  options.idle_seconds =
+      static_cast<unsigned>(std::chrono::ceil<std::chrono::seconds>(limits.idle_timeout).count());
+  http_->SetOptions(options);
+  LogEvent("routes_adopted", {{"document_version", limits_version_},
+                              {"routes", server_->table()->set().routes.size()}});
+}
+
+void GatewayProcess::CarryOutSoon() {
+  if (!carry_out_due_) {
+    carry_out_due_ = true;
+    loop_->Defer([this] { CarryOut(); });
+  }
+}
+
+void GatewayProcess::CarryOut() {
+  carry_out_due_ = false;
+  const gateway::GatewayOutput output = server_->TakeOutput();
+  for (const gateway::LeafSend& send : output.sends) {
+    SendToLeaf(send);
+  }
+  for (const gateway::LeafCancel& cancel : output.cancels) {
+    CancelAtLeaf(cancel);
+  }
+  for (const gateway::GatewayAnswer& answer : output.answers) {
+    const auto waiting = waiting_.find(answer.id);
+    if (waiting != waiting_.end()) {
+      waiting->second.Send(dialect_->WriteAnswer(answer));
+      waiting_.erase(waiting);
+    }
+  }
+  for (const std::string& address : output.reconnect) {
+    control_.erase(address);
+  }
+  for (const gateway::ControlMessage& message : output.control) {
+    SendToControl(message);
+  }
+}
+
+void GatewayProcess::SendToLeaf(const gateway::LeafSend& send) {
+  calls_[send.id] =
+      client_->Start(dialect_->WriteLeafRequest(send), [this, send](http::ClientResponse response) {
+        calls_.erase(send.id);
+        server_->OnLeafReply(net::EventLoop::Now(),
+                             dialect_->ReadLeafReply(send, std::move(response)));
+        CarryOutSoon();
+      });
+}
+
+void GatewayProcess::CancelAtLeaf(const gateway::LeafCancel& cancel) {
+  const auto call = calls_.find(cancel.id);
+  if (call == calls_.end()) {
+    return;
+  }
+  if (cancel.stop_work) {
+    client_->Cancel(call->second);
+  } else {
+    client_->Abandon(call->second, kAbandonPatience);
+  }
+  calls_.erase(call);
+}
+
+void GatewayProcess::SendToControl(const gateway::ControlMessage& message) {
+  std::unique_ptr<net::FrameClient>& link = control_[message.address];
+  if (link == nullptr) {
+    const std::string address = message.address;
+    link = std::make_unique<net::FrameClient>(
+        loop_, address,
+        [this, address](const wire::Envelope& envelope) {
+          server_->OnControlMessage(net::EventLoop::Now(), address, envelope);
+          CarryOutSoon();
+        },
+        [this, address] {
+          server_->OnControlDisconnected(net::EventLoop::Now(), address);
+          CarryOutSoon();
+        });
+  }
+  link->Send(message.envelope);
+}
+
+void GatewayProcess::OnHttp(http::HttpRequest request, http::Responder responder) {
+  if (dialect_->IsReadinessProbe(request)) {
+    const bool ready = server_->ready();
+    responder.Send({ready ? 200 : 503, ready ? "ready\n" : "not ready\n", "text/plain"});
+    return;
+  }
+  absl::StatusOr<gateway::PayloadRequest> payload = dialect_->ReadRequest(std::move(request));
+  if (!payload.ok()) {
+    responder.Send(dialect_->WriteRefusal(payload.status()));
+    return;
+  }
+  const RequestId id{next_request_++};
+  responder.WatchClient([this, id] {
+    waiting_.erase(id);
+    server_->OnClientGone(net::EventLoop::Now(), id);
+    CarryOutSoon();
+  });
+  waiting_.emplace(id, std::move(responder));
+  server_->OnRequest(net::EventLoop::Now(), id,
+                     std::make_shared<const gateway::PayloadRequest>(*std::move(payload)));
+  CarryOutSoon();
+}
+
+void GatewayProcess::Reload() {
+  absl::StatusOr<GatewaySettings> settings = ReadGatewaySettings(settings_.path);
+  if (!settings.ok()) {
+    LogEvent("reload_refused", {{"why", std::string(settings.status().message())}});
+    return;
+  }
+  LogEvent("reloaded", {{"control", settings->control}});
+  server_->LearnControl(settings->control);
+}
+
+void GatewayProcess::Stop() {
+  LogEvent("stopping", {});
+  const Timestamp now = net::EventLoop::Now();
+  stop_.Start(now, http_.get());
+  server_->StartDraining(now);
+  CarryOut();
+}
+
+}  // namespace pumicedyke::server
--- /dev/null
+++ b/src/server/gateway_process.h
@@ -0,0 +1,78 @@
+// The gateway program: a GatewayServer behind an HTTP front, with HTTP to leafs and frames to the
+// control machines.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/dialect.h"
+#include "gateway/gateway_server.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "net/event_loop.h"
+#include "net/frame_socket.h"
+#include "server/graceful_stop.h"
+#include "server/settings_watch.h"
+
+namespace pumicedyke::server {
+
+struct GatewaySettings {
+  std::string cluster;
+  std::string node;
+  std::string zone;
+  /// Where clients come.
+  std::string listen;
+  /// Where readiness is asked for; empty: with the clients.
+  std::string ready_listen;
+  /// Frame addresses of control machines.
+  std::vector<std::string> control;
+  gateway::ExtraLoadBound extra_load;
+  Duration drain_grace{};
+  /// The file these were read from; empty: flags only.
+  std::string path;
+};
+
+absl::StatusOr<GatewaySettings> ReadGatewaySettings(const std::string& path);
+
+class GatewayProcess {
+ public:
+  /// @param dialect outlives this object.
+  GatewayProcess(GatewaySettings settings, const gateway::Dialect* dialect, net::EventLoop* loop);
+
+  absl::Status Start();
+  void Run();
+  void Stop();
+  /// Reads the settings file again; only the control machines may have changed.
+  void Reload();
+
+ private:
+  Timestamp Tick(Timestamp now);
+  void CarryOut();
+  /// Carries out what is ready once the current event is dealt with.
+  void CarryOutSoon();
+  void SendToLeaf(const gateway::LeafSend& send);
+  void CancelAtLeaf(const gateway::LeafCancel& cancel);
+  void SendToControl(const gateway::ControlMessage& message);
+  void OnHttp(http::HttpRequest request, http::Responder responder);
+  void AdoptLimits();
+
+  GatewaySettings settings_;
+  const gateway::Dialect* dialect_;
+  net::EventLoop* loop_;
+  std::unique_ptr<gateway::GatewayServer> server_;
+  std::unique_ptr<http::HttpServer> http_;
+  std::unique_ptr<http::HttpServer> ready_http_;
+  std::unique_ptr<http::HttpClient> client_;
+  std::map<std::string, std::unique_ptr<net::FrameClient>> control_;
+  std::map<RequestId, http::Responder> waiting_;
+  std::map<SubRequestId, http::HttpClient::CallId> calls_;
+  uint64_t next_request_ = 1;
+  uint64_t limits_version_ = 0;
+  bool carry_out_due_ = false;
+  SettingsWatch watch_;
+  GracefulStop stop_;
+};
+
+}  // namespace pumicedyke::server
--- a/src/server/process.cc
+++ b/src/server/process.cc
@@ -17,6 +17,23 @@
 
 namespace pumicedyke::server {
 
+std::string SettingsPath(const std::string& flag) {
+  const char* path = std::getenv("PUMICEDYKE_CONFIG");
+  return !flag.empty() || path == nullptr ? flag : std::string(path);
+}
+
+std::vector<std::string> ReadControlAddresses(Settings* settings) {
+  constexpr int64_t kDefaultPort = 7100;
+  constexpr int64_t kHighestPort = 65535;
+  std::vector<std::string> addresses = settings->AddressList("control");
+  const std::vector<std::string> seeds = settings->AddressList("seeds");
+  const int64_t port = settings->Integer("internal_port", kDefaultPort, 1, kHighestPort);
+  for (const std::string& seed : seeds) {
+    addresses.push_back(seed.substr(0, seed.rfind(':')) + ":" + std::to_string(port));
+  }
+  return addresses;
+}
+
 int ReportFailure(const std::string& process, const absl::Status& status) {
   const ResultCode code = CodeOf(status);
   std::cerr << process << ": " << InfoOf(code).name << " (" << static_cast<int>(code) << "):\n"
--- a/src/server/process.h
+++ b/src/server/process.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
@@ -23,6 +24,13 @@
   kRefused = 5,
 };
 
+/// @return `flag`, or else the path in the environment variable PUMICEDYKE_CONFIG, or nothing.
+std::string SettingsPath(const std::string& flag);
+
+/// Reads where the control machines listen for frames: `control` lists addresses; `seeds` lists any
+/// addresses of control machines, whose frame port is `internal_port`.
+std::vector<std::string> ReadControlAddresses(Settings* settings);
+
 /// Prints a status to standard error. @return the exit code that fits.
 int ReportFailure(const std::string& process, const absl::Status& status);
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -31,6 +31,15 @@
     return pieces.data();
   }
 
+  char** Strings(const std::vector<std::string>& texts, pb_size_t* count) {
+    *count = static_cast<pb_size_t>(texts.size());
+    char** list = Array<char*>(texts.size());
+    for (size_t i = 0; i < texts.size(); ++i) {
+      list[i] = String(texts[i]);
+    }
+    return list;
+  }
+
   template <typename T>
   T* Array(size_t count) {
     auto storage = std::make_shared<std::vector<T>>(count);
@@ -215,6 +224,65 @@
   out.result = arena->Pieces(reply.result, &out.result_count);
 }
 
+void Fill(const GatewayPresence& presence, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_presence_tag;
+  pumicedyke_wire_GatewayPresence& out = envelope->body.presence;
+  out.node = arena->String(presence.node);
+  out.incarnation = presence.incarnation;
+  out.address = arena->String(presence.address);
+  out.zone = arena->String(presence.zone);
+  out.serving = presence.serving;
+  out.leaf_version = presence.leaf_version;
+}
+
+GatewayPresence Read(const pumicedyke_wire_GatewayPresence& in) {
+  return {Text(in.node), in.incarnation, Text(in.address),
+          Text(in.zone), in.serving,     in.leaf_version};
+}
+
+void Fill(const LeafFeed& feed, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_leaf_feed_tag;
+  pumicedyke_wire_LeafFeed& out = envelope->body.leaf_feed;
+  out.from_version = feed.from_version;
+  out.version = feed.version;
+  out.gateways = feed.gateways;
+  out.records_count = static_cast<pb_size_t>(feed.records.size());
+  out.records = arena->Array<pumicedyke_wire_LeafRecord>(feed.records.size());
+  for (size_t i = 0; i < feed.records.size(); ++i) {
+    const LeafRecord& record = feed.records[i];
+    out.records[i] = {arena->String(record.leaf),
+                      arena->String(record.service),
+                      arena->String(record.address),
+                      arena->String(record.zone),
+                      record.slots,
+                      record.draining,
+                      record.cold_milliseconds};
+  }
+  out.gone = arena->Strings(feed.gone, &out.gone_count);
+  out.control = arena->Strings(feed.control, &out.control_count);
+}
+
+std::vector<std::string> Texts(char* const* texts, pb_size_t count) {
+  std::vector<std::string> list;
+  for (pb_size_t i = 0; i < count; ++i) {
+    list.push_back(Text(texts[i]));
+  }
+  return list;
+}
+
+LeafFeed Read(const pumicedyke_wire_LeafFeed& in) {
+  LeafFeed feed{in.from_version, in.version, {}, {}, {}, in.gateways};
+  for (pb_size_t i = 0; i < in.records_count; ++i) {
+    const pumicedyke_wire_LeafRecord& record = in.records[i];
+    feed.records.push_back({Text(record.leaf), Text(record.service), Text(record.address),
+                            Text(record.zone), record.slots, record.draining,
+                            record.cold_milliseconds});
+  }
+  feed.gone = Texts(in.gone, in.gone_count);
+  feed.control = Texts(in.control, in.control_count);
+  return feed;
+}
+
 absl::StatusOr<Body> ReadBody(const pumicedyke_wire_Envelope& in) {
   switch (in.which_body) {
     case pumicedyke_wire_Envelope_raft_tag:
@@ -243,6 +311,10 @@
       const auto& reply = in.body.forwarded_reply;
       return Body(ForwardedReply{reply.ticket, Join(reply.result, reply.result_count)});
     }
+    case pumicedyke_wire_Envelope_presence_tag:
+      return Body(Read(in.body.presence));
+    case pumicedyke_wire_Envelope_leaf_feed_tag:
+      return Body(Read(in.body.leaf_feed));
     default:
       return MakeStatus(ResultCode::kMalformedRequest, "frame without a known body");
   }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -134,8 +134,49 @@
   std::string result;
 };
 
+/// A leaf as one control machine knows it from the leaf's heartbeats.
+struct LeafRecord {
+  std::string leaf;
+  std::string service;
+  /// IP number and port.
+  std::string address;
+  std::string zone;
+  uint32_t slots = 1;
+  bool draining = false;
+  /// How much longer the leaf is slow from its start, when it was first heard of.
+  uint64_t cold_milliseconds = 0;
+  bool operator==(const LeafRecord&) const = default;
+};
+
+/// A gateway's word to a control machine that it is there; its heartbeat.
+struct GatewayPresence {
+  std::string node;
+  uint64_t incarnation = 0;
+  /// Where clients reach it.
+  std::string address;
+  std::string zone;
+  /// False: clients must not be sent there (any more).
+  bool serving = false;
+  /// Version of this control machine's leafs that the gateway holds.
+  uint64_t leaf_version = 0;
+};
+
+/// What changed among the leafs that report to one control machine.
+struct LeafFeed {
+  /// Zero: `records` is everything; else what changed since that version.
+  uint64_t from_version = 0;
+  uint64_t version = 0;
+  std::vector<LeafRecord> records;
+  /// Leafs that are gone or silent.
+  std::vector<std::string> gone;
+  /// Frame addresses of the control machines known to the sender.
+  std::vector<std::string> control;
+  /// Gateways known to the sender.
+  uint32_t gateways = 0;
+};
+
 using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
-                          JoinRequest, Forwarded, ForwardedReply>;
+                          JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed>;
 
 struct Envelope {
   std::string cluster;
--- a/test/balance/leaf_pool_test.cc
+++ b/test/balance/leaf_pool_test.cc
@@ -110,9 +110,9 @@
       double extra = 0;
       for (const bool wants_extra : tries) {
         if (wants_extra) {
-          extra += budget.TrySpend() ? 1 : 0;
+          extra += budget.TrySpend(Timestamp{}) ? 1 : 0;
         } else {
-          budget.Earn(kShare);
+          budget.OnRegular(Timestamp{}, kShare);
           ++regular;
         }
         RC_ASSERT(extra <= kBurst + kShare * regular);
