--- /dev/null
+++ b/test/gateway/leaf_view_test.cc
@@ -0,0 +1,89 @@
+// The leafs that a gateway may use, by word of several control machines that come and go.
+#include "gateway/leaf_view.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pumicedyke::gateway {
+namespace {
+
+constexpr Timestamp kStart{Seconds(100)};
+
+wire::LeafRecord Record(const std::string& leaf, bool draining = false) {
+  return {leaf, "desk", "10.0.0.1:80", "north", 2, draining, 0};
+}
+
+wire::LeafFeed Full(uint64_t version, std::vector<wire::LeafRecord> records) {
+  return {0, version, std::move(records), {}, {}, 1};
+}
+
+}  // namespace
+
+class LeafViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeafViewTest);
+  CPPUNIT_TEST(AnyWordOfLeavingIsEnough);
+  CPPUNIT_TEST(RetiredLeafIsNotUsable);
+  CPPUNIT_TEST(GapInChangesIsNoticed);
+  CPPUNIT_TEST(RestartedSourceForgetsNothingAtOnce);
+  CPPUNIT_TEST(LostSourceCountsOnWhileNobodyElseReports);
+  CPPUNIT_TEST(LeafReportedElsewhereSurvivesItsOldSource);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AnyWordOfLeavingIsEnough() {
+    LeafView view({});
+    view.OnFeed(kStart, "c1", Full(1, {Record("a", true)}));
+    view.OnFeed(kStart, "c2", Full(1, {Record("a", false)}));
+    CPPUNIT_ASSERT(view.UsableLeafs("desk").empty());
+    CPPUNIT_ASSERT(view.IsLeaving("a"));
+  }
+
+  void RetiredLeafIsNotUsable() {
+    LeafView view({});
+    view.OnFeed(kStart, "c1", Full(1, {Record("a"), Record("b")}));
+    view.SetRetired({"a"});
+    CPPUNIT_ASSERT(std::vector<std::string>{"b"} == view.UsableLeafs("desk"));
+  }
+
+  void GapInChangesIsNoticed() {
+    LeafView view({});
+    view.OnFeed(kStart, "c1", Full(3, {Record("a")}));
+    CPPUNIT_ASSERT(!view.OnFeed(kStart, "c1", {5, 6, {Record("b")}, {}, {}, 1}));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, view.VersionOf("c1"));
+    CPPUNIT_ASSERT(view.OnFeed(kStart, "c1", Full(6, {Record("a"), Record("b")})));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, view.UsableLeafs("desk").size());
+  }
+
+  /// All control machines restart at once: the leafs are still there while they report again.
+  void RestartedSourceForgetsNothingAtOnce() {
+    LeafView view({.unconfirmed_patience = Seconds(8)});
+    view.OnFeed(kStart, "c1", Full(9, {Record("a"), Record("b")}));
+    view.OnSourceLost(kStart, "c1");
+    view.OnFeed(kStart + Seconds(1), "c1", Full(1, {}));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, view.UsableLeafs("desk").size());
+    view.OnFeed(kStart + Seconds(2), "c1", {1, 2, {Record("b")}, {}, {}, 1});
+    view.Tick(kStart + Seconds(9));
+    CPPUNIT_ASSERT(std::vector<std::string>{"b"} == view.UsableLeafs("desk"));
+  }
+
+  void LostSourceCountsOnWhileNobodyElseReports() {
+    LeafView view({.lost_source_patience = Seconds(15)});
+    view.OnFeed(kStart, "c1", Full(1, {Record("a")}));
+    view.OnSourceLost(kStart, "c1");
+    view.Tick(kStart + Seconds(1000));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, view.UsableLeafs("desk").size());
+    view.OnFeed(kStart + Seconds(1000), "c2", Full(1, {Record("b")}));
+    view.Tick(kStart + Seconds(1001));
+    CPPUNIT_ASSERT(std::vector<std::string>{"b"} == view.UsableLeafs("desk"));
+  }
+
+  void LeafReportedElsewhereSurvivesItsOldSource() {
+    LeafView view({});
+    view.OnFeed(kStart, "c1", Full(1, {Record("a")}));
+    view.OnFeed(kStart, "c2", Full(1, {Record("a")}));
+    view.OnFeed(kStart, "c1", {1, 2, {}, {"a"}, {}, 1});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, view.UsableLeafs("desk").size());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LeafViewTest);
+
+}  // namespace pumicedyke::gateway
--- /dev/null
+++ b/test/http/message_parser_test.cc
@@ -0,0 +1,194 @@
+// Requests and responses as they come off a connection: whole, in pieces, malformed, surplus.
+#include "http/message_parser.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace pumicedyke::http {
+namespace {
+
+ParseState ParseRequest(std::string text, RequestMessage* message, std::string* rest,
+                        MessageLimits limits = {}) {
+  RequestParser parser(limits);
+  const ParseState state = parser.Consume(&text);
+  if (state == ParseState::kComplete) {
+    *message = parser.Take();
+  }
+  *rest = text;
+  return state;
+}
+
+}  // namespace
+
+class MessageParserTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MessageParserTest);
+  CPPUNIT_TEST(RequestsAreReadWhole);
+  CPPUNIT_TEST(MalformedRequestsFail);
+  CPPUNIT_TEST(LimitsAreKept);
+  CPPUNIT_TEST(ResponsesEndWhereTheySay);
+  CPPUNIT_TEST(PiecesMakeTheSameMessages);
+  CPPUNIT_TEST(GarbageDoesNoHarm);
+  CPPUNIT_TEST(WhatIsWrittenIsReadBack);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RequestsAreReadWhole() {
+    RequestMessage message;
+    std::string rest;
+    CPPUNIT_ASSERT(ParseRequest("POST /a/b?c=%20d HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                                "3\r\n\r\nabcGET /next",
+                                &message, &rest) == ParseState::kComplete);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=%20d"), message.target);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), message.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /next"), rest);
+    CPPUNIT_ASSERT(ParseRequest("PUT / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+                                &message, &rest) == ParseState::kComplete);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), message.body);
+    CPPUNIT_ASSERT(ParseRequest("GET / HTTP/1.0\r\n\r\n", &message, &rest) ==
+                   ParseState::kComplete);
+    CPPUNIT_ASSERT(!message.keep_alive);
+  }
+
+  void MalformedRequestsFail() {
+    const char* const cases[] = {
+        "\x16\x03\x01 hello\r\n\r\n",
+        "GET\r\n\r\n",
+        "GET / HTTP/9.9\r\n\r\n",
+        "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: 3, 4\r\n\r\nabc",
+        "GET / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "GET / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "GET / HTTP/1.1\r\n: empty\r\n\r\n",
+    };
+    for (const char* text : cases) {
+      RequestMessage message;
+      std::string rest;
+      CPPUNIT_ASSERT_MESSAGE(text, ParseRequest(text, &message, &rest) == ParseState::kFailed);
+    }
+  }
+
+  void LimitsAreKept() {
+    const MessageLimits limits{.header_bytes = 200, .body_bytes = 10};
+    RequestParser headers(limits);
+    std::string text = "GET / HTTP/1.1\r\nA: " + std::string(300, 'a') + "\r\n\r\n";
+    CPPUNIT_ASSERT(headers.Consume(&text) == ParseState::kFailed);
+    CPPUNIT_ASSERT(headers.error() == ParseError::kHeaderTooLarge);
+    RequestParser announced(limits);
+    text = "PUT / HTTP/1.1\r\nContent-Length: 11\r\n\r\n";
+    CPPUNIT_ASSERT(announced.Consume(&text) == ParseState::kFailed);
+    CPPUNIT_ASSERT(announced.error() == ParseError::kBodyTooLarge);
+    RequestParser chunked(limits);
+    text = "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nabcdefghijk\r\n0\r\n\r\n";
+    CPPUNIT_ASSERT(chunked.Consume(&text) == ParseState::kFailed);
+    CPPUNIT_ASSERT(chunked.error() == ParseError::kBodyTooLarge);
+  }
+
+  void ResponsesEndWhereTheySay() {
+    std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+    ResponseParser counted({}, false);
+    CPPUNIT_ASSERT(counted.Consume(&text) == ParseState::kComplete);
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200 OK\r\n"), text);
+    // Without a length the orderly end of the connection completes it, and only that.
+    ResponseParser open({}, false);
+    text = "HTTP/1.1 200 OK\r\n\r\npart";
+    CPPUNIT_ASSERT(open.Consume(&text) == ParseState::kBody);
+    CPPUNIT_ASSERT(open.ConsumeEnd() == ParseState::kComplete);
+    const ResponseMessage message = open.Take();
+    CPPUNIT_ASSERT_EQUAL(std::string("part"), message.body);
+    CPPUNIT_ASSERT(!message.keep_alive);
+    ResponseParser cut({}, false);
+    text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+    cut.Consume(&text);
+    CPPUNIT_ASSERT(cut.ConsumeEnd() == ParseState::kFailed);
+    ResponseParser head({}, true);
+    text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n";
+    CPPUNIT_ASSERT(head.Consume(&text) == ParseState::kComplete);
+  }
+
+  void PiecesMakeTheSameMessages() {
+    const std::string text =
+        "POST /a HTTP/1.1\r\nHost: x\r\nX-Y: 1\r\nContent-Length: 5\r\n\r\nhello"
+        "GET /b HTTP/1.1\r\nHost: x\r\n\r\n"
+        "PUT /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    const bool held = rc::check("pieces make the same messages", [&text] {
+      RequestParser parser({});
+      std::string input;
+      std::string seen;
+      for (size_t at = 0; at < text.size();) {
+        const auto step = static_cast<size_t>(*rc::gen::inRange(1, 30));
+        input += text.substr(at, step);
+        at += step;
+        while (!input.empty() && parser.Consume(&input) == ParseState::kComplete) {
+          const RequestMessage message = parser.Take();
+          seen += message.method + message.target + message.body + " ";
+        }
+      }
+      RC_ASSERT(seen == "POST/ahello GET/b PUT/cabc ");
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
+  /// Sound messages with bytes changed, cut out or doubled: the parser fails or reads something,
+  /// and never takes more than it was given.
+  void GarbageDoesNoHarm() {
+    const std::string request =
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTE: a, b\r\n\r\nhello";
+    const std::string response =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: x\r\n\r\n";
+    const bool held = rc::check("garbage does no harm", [&] {
+      for (const std::string* sound : {&request, &response}) {
+        std::string text = *sound;
+        const int changes = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < changes && !text.empty(); ++i) {
+          const auto at = static_cast<size_t>(*rc::gen::inRange(0, static_cast<int>(text.size())));
+          switch (*rc::gen::inRange(0, 3)) {
+            case 0:
+              text[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+              break;
+            case 1:
+              text.erase(at, static_cast<size_t>(*rc::gen::inRange(1, 8)));
+              break;
+            default:
+              text.insert(at, text.substr(at, 8));
+          }
+        }
+        const size_t size = text.size();
+        RequestParser requests({.header_bytes = 512, .body_bytes = 64});
+        std::string input = text;
+        requests.Consume(&input);
+        RC_ASSERT(input.size() <= size);
+        ResponseParser responses({.header_bytes = 512, .body_bytes = 64}, false);
+        input = text;
+        if (responses.Consume(&input) != ParseState::kComplete) {
+          responses.ConsumeEnd();
+        }
+        RC_ASSERT(input.size() <= size);
+      }
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
+  void WhatIsWrittenIsReadBack() {
+    RequestMessage request{"POST", "/x?y", {{"Host", "h"}, {"A", "b"}}, "body", true};
+    RequestMessage read;
+    std::string rest;
+    CPPUNIT_ASSERT(ParseRequest(EncodeRequest(request), &read, &rest) == ParseState::kComplete);
+    CPPUNIT_ASSERT_EQUAL(request.body, read.body);
+    CPPUNIT_ASSERT(read.keep_alive);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), *FindHeader(read.headers, "a"));
+    ResponseMessage response{503, "", {{"Retry-After", "0.250"}}, "later", false};
+    std::string text = EncodeResponse(response, /*head_only=*/false);
+    ResponseParser parser({}, false);
+    CPPUNIT_ASSERT(parser.Consume(&text) == ParseState::kComplete);
+    const ResponseMessage back = parser.Take();
+    CPPUNIT_ASSERT_EQUAL(std::string("Service Unavailable"), back.reason);
+    CPPUNIT_ASSERT_EQUAL(std::string("later"), back.body);
+    CPPUNIT_ASSERT(!back.keep_alive);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(MessageParserTest);
+
+}  // namespace pumicedyke::http
--- /dev/null
+++ b/test/routing/route_table_test.cc
@@ -0,0 +1,136 @@
+// Which route a request takes, which sets of routes make sense, and shares by weight.
+#include "routing/route_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+
+#include "common/result_code.h"
+
+namespace pumicedyke::routing {
+namespace {
+
+Route MakeRoute(const std::string& name, const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = host;
+  route.prefix = prefix;
+  route.timeout = Seconds(1);
+  route.services = {{"desk", 1}};
+  return route;
+}
+
+RouteSet MakeSet(std::vector<Route> routes) {
+  RouteSet set;
+  set.version = 1;
+  set.routes = std::move(routes);
+  set.services = {{"desk", 26, "/healthz"}, {"store", 26, "/healthz"}};
+  return set;
+}
+
+std::string NameOf(const Route* route) { return route == nullptr ? "" : route->name; }
+
+}  // namespace
+
+class RouteTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RouteTableTest);
+  CPPUNIT_TEST(LongestPrefixOfTheHostWins);
+  CPPUNIT_TEST(InvalidSetsAreRefused);
+  CPPUNIT_TEST(SharesAreExact);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LongestPrefixOfTheHostWins() {
+    const RouteTable table(
+        MakeSet({MakeRoute("root", "a.example", "/"), MakeRoute("deep", "a.example", "/x/y/"),
+                 MakeRoute("mid", "a.example", "/x/"), MakeRoute("other", "b.example", "/x/")}));
+    struct Case {
+      const char* host;
+      const char* path;
+      const char* route;
+    };
+    const Case cases[] = {
+        {"a.example", "/x/y/z", "deep"},   {"a.example", "/x/yy", "mid"},
+        {"a.example", "/x/y", "mid"},      {"a.example", "/z", "root"},
+        {"A.Example:8080", "/x/1", "mid"}, {"b.example", "/x/1", "other"},
+        {"b.example", "/y/1", ""},         {"c.example", "/x/1", ""},
+    };
+    for (const Case& item : cases) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(item.host) + item.path, std::string(item.route),
+                                   NameOf(table.Find(item.host, item.path)));
+    }
+  }
+
+  void InvalidSetsAreRefused() {
+    struct Case {
+      const char* what;
+      std::function<void(RouteSet*)> spoil;
+      const char* field;
+    };
+    const Case cases[] = {
+        {"unknown service",
+         [](RouteSet* s) {
+           s->routes[0].services = {{"nobody", 1}};
+         },
+         "services"},
+        {"unknown shard",
+         [](RouteSet* s) {
+           s->routes[0].services.clear();
+           s->routes[0].shards = {"desk", "nobody"};
+         },
+         "shards"},
+        {"no target", [](RouteSet* s) { s->routes[0].services.clear(); }, "services"},
+        {"same place", [](RouteSet* s) { s->routes.push_back(s->routes[0]); }, "prefix"},
+        {"weights add up to 0",
+         [](RouteSet* s) {
+           s->routes[0].services = {{"desk", 0}, {"store", 0}};
+         },
+         "services"},
+        {"negative weight",
+         [](RouteSet* s) {
+           s->routes[0].services = {{"desk", 2}, {"store", -1}};
+         },
+         "services"},
+        {"no time", [](RouteSet* s) { s->routes[0].timeout = Duration(0); }, "timeout"},
+    };
+    const RouteSet sound = MakeSet({MakeRoute("r", "a.example", "/")});
+    CPPUNIT_ASSERT(Validate(sound).ok());
+    for (const Case& item : cases) {
+      RouteSet set = sound;
+      item.spoil(&set);
+      const absl::Status status = Validate(set);
+      CPPUNIT_ASSERT_MESSAGE(item.what, CodeOf(status) == ResultCode::kInvalidConfig);
+      CPPUNIT_ASSERT_MESSAGE(std::string(status.message()),
+                             status.message().find(item.field) != absl::string_view::npos);
+    }
+  }
+
+  void SharesAreExact() {
+    const bool held = rc::check("each service is within one of its share", [] {
+      std::vector<WeightedService> services;
+      double total = 0;
+      const int count = *rc::gen::inRange(1, 5);
+      for (int i = 0; i < count; ++i) {
+        const double weight = *rc::gen::inRange(i == 0 ? 1 : 0, 100);
+        services.push_back({"s" + std::to_string(i), weight});
+        total += weight;
+      }
+      WeightedChoice choice;
+      std::map<std::string, int> picks;
+      const int requests = *rc::gen::inRange(1, 400);
+      for (int i = 0; i < requests; ++i) {
+        ++picks[choice.Next(services)];
+      }
+      for (const WeightedService& item : services) {
+        const double share = requests * item.weight / total;
+        RC_ASSERT(std::abs(picks[item.service] - share) < static_cast<double>(count));
+        RC_ASSERT(item.weight > 0 || picks[item.service] == 0);
+      }
+    });
+    CPPUNIT_ASSERT(held);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
+
+}  // namespace pumicedyke::routing
