Write structured logs to standard output: a bounded sink that never blocks; gateways and control say what they believe

Cause: a failed request left no trace; the recovery after a final fault could not be followed. Change: the ring of logs in memory is gone (it repeated what is written now); one line for each failed or partial answer within a rate, one success in 64 by its id, one for each change of role, quorum, members, reporters, routes in force, leafs, control links.

--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -1,14 +1,24 @@
 #include "common/log.h"
 
+#include <unistd.h>
+
+#include <cstdlib>
 #include <memory>
 
-#include "spdlog/sinks/stdout_sinks.h"
+#include "common/nonblocking_sink.h"
 #include "spdlog/spdlog.h"
 
 namespace pumicedyke {
 namespace {
 
-constexpr size_t kRingEvents = 512;
+/// Bytes that may wait for the reader of standard output.
+constexpr size_t kWaitingBytes = 256 * 1024;
+
+std::shared_ptr<NonblockingSink>& Sink() {
+  static auto* const sink =
+      new auto(std::make_shared<NonblockingSink>(STDOUT_FILENO, kWaitingBytes));
+  return *sink;
+}
 
 std::string Line(const std::string& event, Json fields) {
   fields["event"] = event;
@@ -18,30 +28,45 @@
 }  // namespace
 
 void StartLog(const std::string& process) {
-  auto logger =
-      std::make_shared<spdlog::logger>(process, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  auto logger = std::make_shared<spdlog::logger>(process, Sink());
   logger->set_pattern(
       R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","process":"%n","pid":%P,"level":"%l","log":%v})",
       spdlog::pattern_time_type::utc);
-  logger->set_level(spdlog::level::warn);
-  logger->enable_backtrace(kRingEvents);
+  logger->set_level(spdlog::level::info);
   spdlog::set_default_logger(logger);
+  std::atexit(&FlushLog);
 }
 
 void LogEvent(const std::string& event, const Json& fields) {
-  spdlog::default_logger()->info(Line(event, fields));
+  spdlog::default_logger_raw()->info(Line(event, fields));
 }
 
 void LogError(const std::string& event, const Json& fields) {
-  DumpLog(event);
-  spdlog::default_logger()->error(Line(event, fields));
-  spdlog::default_logger()->flush();
+  spdlog::default_logger_raw()->error(Line(event, fields));
+  spdlog::default_logger_raw()->flush();
+}
+
+void FlushLog() { Sink()->Drain(); }
+
+uint64_t DroppedLogLines() { return Sink()->dropped(); }
+
+bool LogLimiter::Allow(int64_t now_seconds) {
+  if (now_seconds != second_) {
+    second_ = now_seconds;
+    written_ = 0;
+  }
+  if (written_ >= limit_) {
+    ++left_out_;
+    return false;
+  }
+  ++written_;
+  return true;
 }
 
-void DumpLog(const std::string& reason) {
-  spdlog::default_logger()->warn(Line("log_ring", {{"reason", reason}}));
-  spdlog::default_logger()->dump_backtrace();
-  spdlog::default_logger()->flush();
+uint64_t LogLimiter::TakeLeftOut() {
+  const uint64_t left_out = left_out_;
+  left_out_ = 0;
+  return left_out;
 }
 
 }  // namespace pumicedyke
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -317,20 +317,27 @@
     output_.cancels.push_back({cancel.id, /*stop_work=*/false});
   }
   if (actions.answer.has_value()) {
-    Answer(id, active, *actions.answer);
+    Answer(now, id, active, *actions.answer);
     Remove(id);
     return;
   }
   Schedule(id, active.execution->NextWake(now));
 }
 
-void GatewayServer::Answer(RequestId id, const Active& active, const query::Answer& answer) {
+void GatewayServer::Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer) {
   GatewayAnswer out;
   out.id = id;
   out.request = active.request;
   out.code = answer.code;
   out.run = answer.run;
   out.retry_after = answer.retry_after;
+  out.trace.route = active.route->name;
+  out.trace.document_version = active.table->version();
+  out.trace.config_age = subscriber_.Age(now);
+  out.trace.elapsed = now - active.execution->started();
+  out.trace.extra_sub_requests = answer.extra_sub_requests;
+  out.trace.attempts = active.execution->Attempts();
+  out.trace.missing = answer.coverage.missing;
   const bool success = answer.code == ResultCode::kOk || answer.code == ResultCode::kPartial;
   if (!active.route->gathers()) {
     out.payload = success ? answer.payloads.front().payload : answer.failure;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -159,7 +159,7 @@
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                       std::shared_ptr<const PayloadRequest> request);
   void Collect(Timestamp now, RequestId id);
-  void Answer(RequestId id, const Active& active, const query::Answer& answer);
+  void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
   void Refuse(RequestId id, std::shared_ptr<const PayloadRequest> request, ResultCode code,
               Duration retry_after);
   void Schedule(RequestId id, Timestamp wake);
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -51,6 +51,17 @@
   bool stop_work = false;
 };
 
+/// How a request came to its answer, for the log.
+struct RequestTrace {
+  std::string route;
+  uint64_t document_version = 0;
+  Duration config_age{};
+  Duration elapsed{};
+  uint32_t extra_sub_requests = 0;
+  std::vector<query::AttemptRecord> attempts;
+  std::vector<query::MissingShard> missing;
+};
+
 /// The answer to a client's request.
 struct GatewayAnswer {
   RequestId id;
@@ -66,6 +77,7 @@
   size_t missing_shards = 0;
   /// When it makes sense to come back; zero: not said.
   Duration retry_after{};
+  RequestTrace trace;
 };
 
 }  // namespace pumicedyke::gateway
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -11,6 +11,8 @@
 #include <csignal>
 #include <utility>
 
+#include "common/log.h"
+
 namespace pumicedyke::net {
 namespace {
 
@@ -150,6 +152,7 @@
       wake = std::min(wake, timers_.begin()->first.first);
     }
     const Duration sleep = deferred_.empty() ? std::max(Duration(0), wake - Now()) : Duration(0);
+    FlushLog();
     ACE_Time_Value timeout(sleep);
     reactor_->handle_events(timeout);
     RunPosted();
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -109,6 +109,16 @@
   std::shared_ptr<const LeafPayload> payload;
 };
 
+/// What became of one sub-request, for whoever explains a request afterwards.
+struct AttemptRecord {
+  ShardId shard;
+  std::string leaf;
+  /// Since the request came.
+  Duration sent{};
+  /// "running", "refused", "failed" or "done".
+  const char* state = "";
+};
+
 /// What is certain about the work of a request that gets no complete answer.
 enum class RunState { kRan = 0, kNotRun = 1, kUnknown = 2 };
 const char* RunStateName(RunState state);
--- a/src/query/request_answer.cc
+++ b/src/query/request_answer.cc
@@ -27,6 +27,29 @@
   return coverage;
 }
 
+std::vector<AttemptRecord> RequestExecution::Attempts() const {
+  const auto name_of = [](AttemptState state) {
+    switch (state) {
+      case AttemptState::kRefused:
+        return "refused";
+      case AttemptState::kFailed:
+        return "failed";
+      case AttemptState::kDone:
+        return "done";
+      default:
+        return "running";
+    }
+  };
+  std::vector<AttemptRecord> records;
+  for (const ShardProgress& shard : shards_) {
+    for (const Attempt& attempt : shard.attempts) {
+      records.push_back(
+          {shard.shard.id, attempt.leaf, attempt.sent - started_, name_of(attempt.state)});
+    }
+  }
+  return records;
+}
+
 RunState RequestExecution::CurrentRunState() const {
   bool unknown = run_before_restart_ == RunState::kUnknown;
   bool ran = run_before_restart_ == RunState::kRan;
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -104,6 +104,9 @@
   /// The answer as it would be now; for the ledger's record of a late outcome.
   Answer Snapshot(Timestamp now) const;
   const policy::QueryPlan& plan() const { return plan_; }
+  /// Every sub-request so far, shard by shard.
+  std::vector<AttemptRecord> Attempts() const;
+  Timestamp started() const { return started_; }
   bool has_idempotency_key() const { return !request_.idempotency_key.empty(); }
   /// Gives up what is still out, for instance when a late outcome is no longer waited for.
   void AbandonAll(Timestamp now, bool timed_out);
--- /dev/null
+++ b/src/server/control_log.cc
@@ -0,0 +1,58 @@
+#include "server/control_log.h"
+
+#include <algorithm>
+
+#include "common/log.h"
+
+namespace pumicedyke::server {
+namespace {
+
+const char* RoleName(consensus::Role role) {
+  switch (role) {
+    case consensus::Role::kLeader:
+      return "leader";
+    case consensus::Role::kCandidate:
+      return "candidate";
+    case consensus::Role::kPreCandidate:
+      return "pre_candidate";
+    default:
+      return "follower";
+  }
+}
+
+}  // namespace
+
+void ControlLog::OnState(Timestamp now, const control::ControlServer& server,
+                         const control::DiscoveryServer& discovery) {
+  const consensus::Raft& raft = server.raft();
+  if (raft.role() != role_ || raft.term() != term_ || raft.leader() != leader_) {
+    role_ = raft.role();
+    term_ = raft.term();
+    leader_ = raft.leader();
+    LogEvent("role_changed", {{"role", RoleName(role_)},
+                              {"term", term_},
+                              {"leader", leader_},
+                              {"commit_index", raft.commit_index()}});
+  }
+  const bool current = server.IsCurrent(now);
+  if (current != current_) {
+    current_ = current;
+    LogEvent(current ? "quorum_regained" : "quorum_lost",
+             {{"term", term_}, {"commit_index", raft.commit_index()}});
+  }
+  const auto voters = static_cast<size_t>(
+      std::count_if(raft.members().begin(), raft.members().end(),
+                    [](const wire::Member& member) { return member.voter; }));
+  if (raft.members().size() != members_ || voters != voters_) {
+    members_ = raft.members().size();
+    voters_ = voters;
+    LogEvent("members_changed", {{"members", members_}, {"voters", voters_}});
+  }
+  if (discovery.registry().size() != leafs_ || discovery.directory().size() != gateways_) {
+    leafs_ = discovery.registry().size();
+    gateways_ = discovery.directory().size();
+    LogEvent("reporters_changed", {{"leafs", leafs_}, {"gateways", gateways_}});
+  }
+}
+
+}  // namespace pumicedyke::server
--- /dev/null
+++ b/src/server/control_log.h
@@ -0,0 +1,28 @@
+// What a control machine writes to its log when what it believes changes.
+#pragma once
+
+#include <cstdint>
+
+#include "control/control_server.h"
+#include "control/discovery_server.h"
+
+namespace pumicedyke::server {
+
+class ControlLog {
+ public:
+  /// Compares what the machine believes with what it believed at the last call.
+  void OnState(Timestamp now, const control::ControlServer& server,
+               const control::DiscoveryServer& discovery);
+
+ private:
+  consensus::Role role_ = consensus::Role::kFollower;
+  uint64_t term_ = 0;
+  MemberId leader_ = 0;
+  bool current_ = false;
+  size_t members_ = 0;
+  size_t voters_ = 0;
+  size_t leafs_ = 0;
+  size_t gateways_ = 0;
+};
+
+}  // namespace pumicedyke::server
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -275,6 +275,7 @@
   discovery_->SetControlAddresses(std::move(addresses));
   discovery_->Tick(now, server_->IsCurrent(now));
   CarryOut();
+  log_.OnState(now, *server_, *discovery_);
   const bool failed = !server_->raft().failure().ok();
   const bool drained = stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty());
   if (failed || drained) {
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -13,6 +13,7 @@
 #include "http/http_server.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
+#include "server/control_log.h"
 #include "server/graceful_stop.h"
 #include "server/settings_watch.h"
 #include "storage/log_storage.h"
@@ -111,6 +112,7 @@
   std::unique_ptr<http::HttpServer> directory_http_;
   std::map<control::TicketId, ReplyCb> waiting_;
   control::TicketId next_ticket_ = 1;
+  ControlLog log_;
   SettingsWatch watch_;
   GracefulStop stop_;
 };
--- /dev/null
+++ b/src/server/gateway_log.cc
@@ -0,0 +1,117 @@
+#include "server/gateway_log.h"
+
+#include <xxhash.h>
+
+#include "common/result_code.h"
+
+namespace pumicedyke::server {
+namespace {
+
+bool Sampled(const std::string& request_id) {
+  return XXH64(request_id.data(), request_id.size(), 0) % GatewayLog::kSampledOneIn == 0;
+}
+
+/// Only sub-requests that tell something: those of missing shards and those sent again.
+Json AttemptsJson(const gateway::RequestTrace& trace, bool all) {
+  Json list = Json::array();
+  for (const query::AttemptRecord& attempt : trace.attempts) {
+    const bool telling = all || std::string_view(attempt.state) != "done";
+    if (telling) {
+      list.push_back({{"shard", attempt.shard.value},
+                      {"leaf", attempt.leaf},
+                      {"sent_ms", ToMilliseconds(attempt.sent)},
+                      {"state", attempt.state}});
+    }
+  }
+  return list;
+}
+
+Json MissingJson(const gateway::RequestTrace& trace) {
+  Json list = Json::array();
+  for (const query::MissingShard& shard : trace.missing) {
+    list.push_back({{"shard", shard.shard.value}, {"reason", query::ReasonName(shard.reason)}});
+  }
+  return list;
+}
+
+}  // namespace
+
+bool GatewayLog::Allow(Timestamp now) {
+  constexpr Duration kSecond = Seconds(1);
+  if (!limiter_.Allow(now.time_since_epoch() / kSecond)) {
+    return false;
+  }
+  if (const uint64_t left_out = limiter_.TakeLeftOut(); left_out > 0) {
+    LogEvent("lines_left_out", {{"lines", left_out}, {"dropped", DroppedLogLines()}});
+  }
+  return true;
+}
+
+void GatewayLog::OnAnswer(Timestamp now, const gateway::GatewayAnswer& answer, int status) {
+  const std::string& request_id = answer.request->request_id;
+  const bool sampled = Sampled(request_id);
+  const bool whole = answer.code == ResultCode::kOk;
+  if ((whole && !sampled) || !Allow(now)) {
+    return;
+  }
+  const gateway::RequestTrace& trace = answer.trace;
+  LogEvent("request_answered",
+           {{"request", request_id},
+            {"route", trace.route},
+            {"result", InfoOf(answer.code).name},
+            {"status", status},
+            {"run", query::RunStateName(answer.run)},
+            {"elapsed_ms", ToMilliseconds(trace.elapsed)},
+            {"document_version", trace.document_version},
+            {"config_age_ms", ToMilliseconds(trace.config_age)},
+            {"retry_after_ms", ToMilliseconds(answer.retry_after)},
+            {"extra", trace.extra_sub_requests},
+            {"missing", MissingJson(trace)},
+            {"attempts", AttemptsJson(trace, sampled)}});
+}
+
+void GatewayLog::OnClientGone(Timestamp now, const std::string& request_id) {
+  if (Allow(now)) {
+    LogEvent("client_left", {{"request", request_id}});
+  }
+}
+
+void GatewayLog::OnControlLink(const std::string& address, bool up) {
+  LogEvent(up ? "control_regained" : "control_lost", {{"control", address}});
+}
+
+void GatewayLog::OnState(Timestamp now, const gateway::GatewayServer& server) {
+  if (ready_ != server.ready() || document_version_ != server.document_version()) {
+    ready_ = server.ready();
+    document_version_ = server.document_version();
+    LogEvent("routes_in_force", {{"ready", ready_},
+                                 {"document_version", document_version_},
+                                 {"config_age_ms", ToMilliseconds(server.ConfigAge(now))}});
+  }
+  if (leafs_version_ == server.leafs().version()) {
+    return;
+  }
+  leafs_version_ = server.leafs().version();
+  std::map<std::string, bool> leafs;
+  size_t usable = 0;
+  for (const auto& [leaf, record] : server.leafs().leafs()) {
+    leafs[leaf] = record.draining;
+    usable += record.draining ? 0 : 1;
+    const auto before = leafs_.find(leaf);
+    if (before != leafs_.end() && before->second != record.draining) {
+      LogEvent("leaf_leaving", {{"leaf", leaf}, {"service", record.service}});
+    }
+  }
+  for (const auto& [leaf, draining] : leafs_) {
+    if (!leafs.contains(leaf)) {
+      LogEvent("leaf_gone", {{"leaf", leaf}, {"was_leaving", draining}});
+    }
+  }
+  const bool grown = leafs.size() > leafs_.size();
+  leafs_ = std::move(leafs);
+  if (grown) {
+    LogEvent("leafs_known", {{"leafs", leafs_.size()}, {"usable", usable}});
+  }
+}
+
+}  // namespace pumicedyke::server
--- /dev/null
+++ b/src/server/gateway_log.h
@@ -0,0 +1,35 @@
+// What a gateway writes to its log: the fate of requests, and changes of what it believes.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "common/log.h"
+#include "gateway/gateway_server.h"
+
+namespace pumicedyke::server {
+
+class GatewayLog {
+ public:
+  /// A request that was answered: always a line for a failure or a partial answer, within a rate; for
+  /// successes one in kSampledOneIn by the request's id, the same ones in every process.
+  void OnAnswer(Timestamp now, const gateway::GatewayAnswer& answer, int status);
+  void OnClientGone(Timestamp now, const std::string& request_id);
+  void OnControlLink(const std::string& address, bool up);
+  /// Compares what the gateway believes with what it believed at the last call.
+  void OnState(Timestamp now, const gateway::GatewayServer& server);
+
+  static constexpr uint64_t kSampledOneIn = 64;
+
+ private:
+  static constexpr uint32_t kLinesPerSecond = 20;
+  bool Allow(Timestamp now);
+
+  LogLimiter limiter_{kLinesPerSecond};
+  bool ready_ = false;
+  uint64_t document_version_ = 0;
+  uint64_t leafs_version_ = 0;
+  std::map<std::string, bool> leafs_;
+};
+
+}  // namespace pumicedyke::server
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -97,6 +97,7 @@
   server_->Tick(now);
   CarryOut();
   AdoptLimits();
+  log_.OnState(now, *server_);
   if (stop_.started() && stop_.Done(now, server_->Drained())) {
     loop_->Stop();
   }
@@ -117,8 +118,6 @@
   options.idle_seconds =
       static_cast<unsigned>(std::chrono::ceil<std::chrono::seconds>(limits.idle_timeout).count());
   http_->SetOptions(options);
-  LogEvent("routes_adopted", {{"document_version", limits_version_},
-                              {"routes", server_->table()->set().routes.size()}});
 }
 
 void GatewayProcess::CarryOutSoon() {
@@ -140,11 +139,14 @@
   for (const gateway::GatewayAnswer& answer : output.answers) {
     const auto waiting = waiting_.find(answer.id);
     if (waiting != waiting_.end()) {
-      waiting->second.Send(dialect_->WriteAnswer(answer));
+      http::HttpResponse response = dialect_->WriteAnswer(answer);
+      log_.OnAnswer(net::EventLoop::Now(), answer, response.status);
+      waiting->second.Send(std::move(response));
       waiting_.erase(waiting);
     }
   }
   for (const std::string& address : output.reconnect) {
+    log_.OnControlLink(address, /*up=*/false);
     control_.erase(address);
   }
   for (const gateway::ControlMessage& message : output.control) {
@@ -186,6 +188,7 @@
           CarryOutSoon();
         },
         [this, address] {
+          log_.OnControlLink(address, /*up=*/false);
           server_->OnControlDisconnected(net::EventLoop::Now(), address);
           CarryOutSoon();
         });
@@ -205,8 +208,9 @@
     return;
   }
   const RequestId id{next_request_++};
-  responder.WatchClient([this, id] {
+  responder.WatchClient([this, id, request_id = payload->request_id] {
     waiting_.erase(id);
+    log_.OnClientGone(net::EventLoop::Now(), request_id);
     server_->OnClientGone(net::EventLoop::Now(), id);
     CarryOutSoon();
   });
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -13,6 +13,7 @@
 #include "http/http_server.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
+#include "server/gateway_log.h"
 #include "server/graceful_stop.h"
 #include "server/settings_watch.h"
 
@@ -71,6 +72,7 @@
   uint64_t next_request_ = 1;
   uint64_t limits_version_ = 0;
   bool carry_out_due_ = false;
+  GatewayLog log_;
   SettingsWatch watch_;
   GracefulStop stop_;
 };
--- a/src/server/process.cc
+++ b/src/server/process.cc
@@ -54,7 +54,6 @@
   };
   loop->OnSignal(SIGTERM, on_stop);
   loop->OnSignal(SIGINT, on_stop);
-  loop->OnSignal(SIGUSR1, [] { DumpLog("signal"); });
 }
 
 absl::Status WritePortFile(const std::string& path, const std::string& text) {
--- a/src/server/process.h
+++ b/src/server/process.h
@@ -34,7 +34,7 @@
 /// Prints a status to standard error. @return the exit code that fits.
 int ReportFailure(const std::string& process, const absl::Status& status);
 
-/// SIGTERM and SIGINT call `stop`, a second one ends the process; SIGUSR1 writes the log ring.
+/// SIGTERM and SIGINT call `stop`, a second one ends the process.
 void InstallSignals(net::EventLoop* loop, std::function<void()> stop);
 
 /// Writes "name port" lines that test fleets read, replacing the file at once; no path, no file.
