--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -41,7 +41,10 @@
   // A replica that restarts may just have helped a leader's lease: it keeps from voting for as
   // long as that lease can last.
   leader_heard_ = now;
-  ResetElectionTimer(now);
+  // All may have restarted together: whoever stands for election soon after that time shortens the
+  // pause, and pre-votes keep it from disturbing a leader that is there.
+  std::uniform_int_distribution<int64_t> spread(0, options_.election_timeout.count() / 4);
+  election_deadline_ = now + options_.election_timeout + Duration(spread(random_));
   if (snapshot_.index > 0 || !snapshot_.state.empty()) {
     output_.restored = RestoredSnapshot{snapshot_.index, snapshot_.state};
   }
--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -19,6 +19,8 @@
 constexpr Duration kReconnectInterval = Milliseconds(100);
 constexpr Duration kConnectTimeout = Milliseconds(1000);
 constexpr size_t kReadBytes = 64 * 1024;
+/// Messages kept for a connection that is being made.
+constexpr size_t kMaxWaiting = 16;
 
 struct FrameHeader {
   uint32_t magic;
@@ -252,6 +254,7 @@
                                  ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
     connecting_.close();
     is_connecting_ = false;
+    waiting_.clear();
   }
   if (is_connecting_ || now < retry_at_) {
     return;
@@ -289,6 +292,7 @@
   ::getsockopt(connecting_.get_handle(), SOL_SOCKET, SO_ERROR, &error, &length);
   if (error != 0) {
     connecting_.close();
+    waiting_.clear();
     return 0;
   }
   ACE_SOCK_Stream stream;
@@ -298,6 +302,11 @@
   if (!socket_->Start()) {
     socket_.reset();
   }
+  for (const wire::Envelope& envelope : std::exchange(waiting_, {})) {
+    if (socket_ != nullptr) {
+      socket_->Send(envelope);
+    }
+  }
   return 0;
 }
 
@@ -307,6 +316,8 @@
   }
   if (socket_ != nullptr) {
     socket_->Send(envelope);
+  } else if (is_connecting_ && waiting_.size() < kMaxWaiting) {
+    waiting_.push_back(envelope);
   }
 }
 
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
@@ -90,8 +91,8 @@
   std::map<uint64_t, std::unique_ptr<FrameSocket>> sessions_;
 };
 
-/// A connection to one address that is made anew when it breaks. Messages sent while it is down
-/// are dropped: every protocol above repeats what matters.
+/// A connection to one address that is made anew when it breaks. The first few messages sent while it is
+/// being made wait for it; others are dropped: every protocol above repeats what matters.
 class FrameClient : public ACE_Event_Handler {
  public:
   FrameClient(EventLoop* loop, std::string address, FrameSocket::MessageCb on_message,
@@ -116,6 +117,7 @@
   FrameSocket::MessageCb on_message_;
   FrameSocket::ClosedCb on_closed_;
   ACE_SOCK_Stream connecting_;
+  std::vector<wire::Envelope> waiting_;
   bool is_connecting_ = false;
   Timestamp started_{};
   Timestamp retry_at_{};
