Commit the leafs that report, so that whoever starts knows them at once

Ruled out: a local unsynced file at each control machine (two wiped disks lose their part); gossip. Change: batched changes report_leafs and forget_leafs; a leaf's reporter alone, or the leader for a reporter that is gone, may take it back. Liveness stays soft state.

--- a/src/common/log.h
+++ b/src/common/log.h
@@ -1,6 +1,6 @@
-// Structured logs on standard output: one JSON object a line, one line for each decision that changes
-// what the process believes or that ends a request. Never blocks: lines wait in a bounded buffer and
-// are dropped, and counted, when the reader of standard output falls behind.
+// Structured logs on standard output: one JSON object a line, one line for each decision that
+// changes what the process believes or that ends a request. Never blocks: lines wait in a bounded
+// buffer and are dropped, and counted, when the reader of standard output falls behind.
 #pragma once
 
 #include <cstdint>
@@ -18,8 +18,8 @@
 /// For faults of the process itself.
 void LogError(const std::string& event, const Json& fields);
 
-/// Writes what is buffered, as far as standard output takes it now. Called on every turn of the event
-/// loop and before a process ends.
+/// Writes what is buffered, as far as standard output takes it now. Called on every turn of the
+/// event loop and before a process ends.
 void FlushLog();
 
 /// Lines dropped so far because standard output did not take them.
--- a/src/common/nonblocking_sink.cc
+++ b/src/common/nonblocking_sink.cc
@@ -47,8 +47,8 @@
 void NonblockingSink::Write() {
   size_t written = 0;
   while (written < waiting_.size()) {
-    // The descriptor is shared with other processes, so it is not made non-blocking: a pipe that polls
-    // writable takes PIPE_BUF bytes at once.
+    // The descriptor is shared with other processes, so it is not made non-blocking: a pipe that
+    // polls writable takes PIPE_BUF bytes at once.
     pollfd ready{descriptor_, POLLOUT, 0};
     if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
       break;
--- a/src/common/nonblocking_sink.h
+++ b/src/common/nonblocking_sink.h
@@ -12,8 +12,7 @@
 class NonblockingSink : public spdlog::sinks::base_sink<std::mutex> {
  public:
   /// @param descriptor not owned. @param capacity bytes that may wait.
-  NonblockingSink(int descriptor, size_t capacity)
-      : descriptor_(descriptor), capacity_(capacity) {}
+  NonblockingSink(int descriptor, size_t capacity) : descriptor_(descriptor), capacity_(capacity) {}
 
   /// Lines that found no room.
   uint64_t dropped();
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -78,6 +78,8 @@
     case ChangeKind::kClearLeaving:
     case ChangeKind::kRetireLeaf:
     case ChangeKind::kPutDocument:
+    case ChangeKind::kReportLeafs:
+    case ChangeKind::kForgetLeafs:
       return absl::OkStatus();
   }
   return absl::OkStatus();
@@ -89,13 +91,30 @@
 }
 
 bool ConfigState::IsSettled(const Change& change) const {
+  const auto is_known = [this](const ReportedLeaf& leaf) {
+    const auto it = reported_.find(leaf.id);
+    return retired_.contains(leaf.id) || (it != reported_.end() && it->second == leaf);
+  };
+  if (change.kind == ChangeKind::kReportLeafs) {
+    return std::all_of(change.reported.begin(), change.reported.end(), is_known);
+  }
+  if (change.kind == ChangeKind::kForgetLeafs) {
+    return std::none_of(change.reported.begin(), change.reported.end(),
+                        [this](const ReportedLeaf& leaf) { return IsReportedBy(leaf); });
+  }
   if (change.kind == ChangeKind::kRetireLeaf) {
     return retired_.contains(change.leaf);
   }
   return change.kind == ChangeKind::kPutDocument && change.document.version <= document_.version;
 }
 
+bool ConfigState::IsReportedBy(const ReportedLeaf& leaf) const {
+  const auto it = reported_.find(leaf.id);
+  return it != reported_.end() && it->second.reporter == leaf.reporter;
+}
+
 void ConfigState::Retire(const std::string& leaf) {
+  reported_.erase(leaf);
   if (!retired_.insert(leaf).second) {
     return;
   }
@@ -150,6 +169,20 @@
     case ChangeKind::kPutDocument:
       document_ = change.document;
       break;
+    case ChangeKind::kReportLeafs:
+      for (const ReportedLeaf& leaf : change.reported) {
+        if (!retired_.contains(leaf.id)) {
+          reported_[leaf.id] = leaf;
+        }
+      }
+      break;
+    case ChangeKind::kForgetLeafs:
+      for (const ReportedLeaf& leaf : change.reported) {
+        if (IsReportedBy(leaf)) {
+          reported_.erase(leaf.id);
+        }
+      }
+      break;
   }
 }
 
@@ -159,7 +192,8 @@
               {"leaving", leaving_},
               {"retired", retired_order_},
               {"document_version", document_.version},
-              {"document", document_.text}}
+              {"document", document_.text},
+              {"reported", reported_}}
       .dump();
 }
 
@@ -175,6 +209,7 @@
     state.retired_.insert(state.retired_order_.begin(), state.retired_order_.end());
     state.document_.version = json.value("document_version", uint64_t{0});
     state.document_.text = json.value("document", "");
+    state.reported_ = json.value("reported", std::map<std::string, ReportedLeaf>());
   } catch (const Json::exception& error) {
     return MakeStatus(ResultCode::kCorruptState, error.what());
   }
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -28,13 +28,15 @@
   /// Leafs that said for good that they leave; the newest kKeptRetired of them.
   const std::set<std::string>& retired() const { return retired_; }
   const RouteDocument& document() const { return document_; }
+  /// Leafs that report by heartbeats and have neither retired nor fallen silent, by id.
+  const std::map<std::string, ReportedLeaf>& reported() const { return reported_; }
 
   /// Whether `change` may be applied now, except for its expected revision.
   /// @return kInvalidConfig or kUnknownObject naming the field.
   absl::Status Validate(const Change& change) const;
 
   /// Whether applying `change` would leave everything as it is (an older document, a leaf that is
-  /// retired already).
+  /// retired already, leafs that are known).
   bool IsSettled(const Change& change) const;
 
   /// Applies a valid change and counts the version up.
@@ -46,6 +48,8 @@
  private:
   bool HasLeaf(const std::string& id) const;
   void Retire(const std::string& leaf);
+  /// Whether the committed word on a leaf is by its reporter, who alone may take it back.
+  bool IsReportedBy(const ReportedLeaf& leaf) const;
   absl::Status ValidateService(const Change& change) const;
   absl::Status ValidateSnapshot(const Change& change) const;
 
@@ -56,6 +60,7 @@
   /// The same, oldest first.
   std::deque<std::string> retired_order_;
   RouteDocument document_;
+  std::map<std::string, ReportedLeaf> reported_;
 };
 
 }  // namespace pumicedyke::config
--- a/src/config/model.cc
+++ b/src/config/model.cc
@@ -15,7 +15,7 @@
 constexpr size_t kMaxPolicyBytes = 16 * 1024;
 constexpr uint32_t kMaxSlots = 10000;
 
-constexpr std::array<std::pair<ChangeKind, const char*>, 8> kKindNames = {{
+constexpr std::array<std::pair<ChangeKind, const char*>, 10> kKindNames = {{
     {ChangeKind::kPutService, "put_service"},
     {ChangeKind::kRemoveService, "remove_service"},
     {ChangeKind::kPublishSnapshot, "publish_snapshot"},
@@ -24,6 +24,8 @@
     {ChangeKind::kClearLeaving, "clear_leaving"},
     {ChangeKind::kRetireLeaf, "retire_leaf"},
     {ChangeKind::kPutDocument, "put_document"},
+    {ChangeKind::kReportLeafs, "report_leafs"},
+    {ChangeKind::kForgetLeafs, "forget_leafs"},
 }};
 
 absl::Status FieldError(const std::string& field, const std::string& allowed) {
@@ -187,6 +189,15 @@
   return absl::OkStatus();
 }
 
+absl::Status ReadReported(const Json& json, std::vector<ReportedLeaf>* reported) {
+  try {
+    json.at("reported").get_to(*reported);
+  } catch (const Json::exception& error) {
+    return FieldError("reported", error.what());
+  }
+  return absl::OkStatus();
+}
+
 absl::Status ReadBody(const Json& json, Change* change) {
   switch (change->kind) {
     case ChangeKind::kPutService:
@@ -201,6 +212,9 @@
       return ReadName(json, "leaf", "leaf", &change->leaf);
     case ChangeKind::kPutDocument:
       return ReadDocument(json, &change->document);
+    case ChangeKind::kReportLeafs:
+    case ChangeKind::kForgetLeafs:
+      return ReadReported(json, &change->reported);
     case ChangeKind::kRemoveService:
       break;
   }
@@ -215,7 +229,8 @@
 }  // namespace
 
 bool IsIdempotent(ChangeKind kind) {
-  return kind == ChangeKind::kRetireLeaf || kind == ChangeKind::kPutDocument;
+  return !ConcernsService(kind) && kind != ChangeKind::kMarkLeaving &&
+         kind != ChangeKind::kClearLeaving;
 }
 
 const PublishedSnapshot* Service::FindSnapshot(SnapshotId id) const {
@@ -261,6 +276,10 @@
       json["document_version"] = change.document.version;
       json["document"] = change.document.text;
       break;
+    case ChangeKind::kReportLeafs:
+    case ChangeKind::kForgetLeafs:
+      json["reported"] = change.reported;
+      break;
     case ChangeKind::kRemoveService:
       break;
   }
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -49,6 +49,20 @@
   const PublishedSnapshot* FindSnapshot(SnapshotId id) const;
 };
 
+/// A leaf that reports by heartbeats, as committed: whoever starts learns of it without waiting for
+/// its next heartbeat. Whether it still lives is soft state (registry/).
+struct ReportedLeaf {
+  std::string id;
+  std::string service;
+  /// IP number and port.
+  std::string address;
+  std::string zone;
+  uint32_t slots = 1;
+  /// The control machine that it reports to, and the only one that may say it is gone.
+  MemberId reporter = 0;
+  bool operator==(const ReportedLeaf&) const = default;
+};
+
 /// Routes as operators put them, whole: kept byte for byte. What the bytes mean is for the
 /// routing::DocumentReader of the process that uses them.
 struct RouteDocument {
@@ -68,6 +82,10 @@
   kRetireLeaf,
   /// A whole numbered document of routes; the highest number wins.
   kPutDocument,
+  /// Leafs that were heard of for the first time, or at another control machine.
+  kReportLeafs,
+  /// Leafs that fell silent at the control machine they report to.
+  kForgetLeafs,
 };
 
 /// Whether a change may be applied twice without harm, so that it needs no submission id.
@@ -87,6 +105,8 @@
   /// The leaf of kMarkLeaving, kClearLeaving and kRetireLeaf.
   std::string leaf;
   RouteDocument document;
+  /// The leafs of kReportLeafs and kForgetLeafs; of the latter only id and reporter count.
+  std::vector<ReportedLeaf> reported;
 };
 
 /// What became of a submission.
@@ -102,6 +122,7 @@
 void to_json(Json& json, const Change& change);
 void from_json(const Json& json, Change& change);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Leaf, id, address, zone, slots)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportedLeaf, id, service, address, zone, slots, reporter)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Shard, id, replicas)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PublishedSnapshot, id, shards)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Service, name, revision, leafs, snapshots, policy,
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -101,7 +101,7 @@
   if (!subscriber_.OnFeed(now, feed)) {
     return;
   }
-  view_.SetRetired(subscriber_.config().retired());
+  view_.SetCommitted(subscriber_.config().reported(), subscriber_.config().retired());
   SyncPool(now);
   AdoptDocument();
 }
@@ -324,7 +324,8 @@
   Schedule(id, active.execution->NextWake(now));
 }
 
-void GatewayServer::Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer) {
+void GatewayServer::Answer(Timestamp now, RequestId id, const Active& active,
+                           const query::Answer& answer) {
   GatewayAnswer out;
   out.id = id;
   out.request = active.request;
--- a/src/gateway/leaf_view.cc
+++ b/src/gateway/leaf_view.cc
@@ -44,9 +44,11 @@
   }
 }
 
-void LeafView::SetRetired(const std::set<std::string>& retired) {
-  if (retired != retired_) {
+void LeafView::SetCommitted(const std::map<std::string, config::ReportedLeaf>& reported,
+                            const std::set<std::string>& retired) {
+  if (retired != retired_ || reported != reported_) {
     retired_ = retired;
+    reported_ = reported;
     Rebuild();
   }
 }
@@ -92,6 +94,9 @@
 void LeafView::Rebuild() {
   leafs_.clear();
   by_service_.clear();
+  for (const auto& [id, leaf] : reported_) {
+    leafs_[id] = {id, leaf.service, leaf.address, leaf.zone, leaf.slots, retired_.contains(id), 0};
+  }
   for (const auto& [name, source] : sources_) {
     for (const auto* records : {&source.records, &source.unconfirmed}) {
       for (const auto& [leaf, record] : *records) {
--- a/src/gateway/leaf_view.h
+++ b/src/gateway/leaf_view.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "common/types.h"
+#include "config/model.h"
 #include "wire/messages.h"
 
 namespace pumicedyke::gateway {
@@ -30,8 +31,10 @@
   bool OnFeed(Timestamp now, const std::string& source, const wire::LeafFeed& feed);
   /// The control machine cannot be reached.
   void OnSourceLost(Timestamp now, const std::string& source);
-  /// Leafs that said for good that they leave.
-  void SetRetired(const std::set<std::string>& retired);
+  /// Takes over what is committed: the leafs that report, and those that said for good that they
+  /// leave.
+  void SetCommitted(const std::map<std::string, config::ReportedLeaf>& reported,
+                    const std::set<std::string>& retired);
   /// Forgets control machines that were lost long ago.
   void Tick(Timestamp now);
 
@@ -59,6 +62,7 @@
 
   LeafViewOptions options_;
   std::map<std::string, Source> sources_;
+  std::map<std::string, config::ReportedLeaf> reported_;
   std::set<std::string> retired_;
   std::map<std::string, wire::LeafRecord> leafs_;
   std::map<std::string, std::vector<std::string>> by_service_;
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -91,8 +91,8 @@
   std::map<uint64_t, std::unique_ptr<FrameSocket>> sessions_;
 };
 
-/// A connection to one address that is made anew when it breaks. The first few messages sent while it is
-/// being made wait for it; others are dropped: every protocol above repeats what matters.
+/// A connection to one address that is made anew when it breaks. The first few messages sent while
+/// it is being made wait for it; others are dropped: every protocol above repeats what matters.
 class FrameClient : public ACE_Event_Handler {
  public:
   FrameClient(EventLoop* loop, std::string address, FrameSocket::MessageCb on_message,
--- a/src/registry/leaf_registry.cc
+++ b/src/registry/leaf_registry.cc
@@ -67,6 +67,12 @@
   }
 }
 
+void LeafRegistry::ForEach(const std::function<void(const wire::LeafRecord&)>& visit) const {
+  for (const auto& [leaf, entry] : leafs_) {
+    visit(entry.record);
+  }
+}
+
 const wire::LeafRecord* LeafRegistry::Find(const std::string& leaf) const {
   const auto it = leafs_.find(leaf);
   return it == leafs_.end() ? nullptr : &it->second.record;
--- a/src/registry/leaf_registry.h
+++ b/src/registry/leaf_registry.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -53,6 +54,7 @@
   /// Counts changes.
   uint64_t version() const { return version_; }
   size_t size() const { return leafs_.size(); }
+  void ForEach(const std::function<void(const wire::LeafRecord&)>& visit) const;
   const wire::LeafRecord* Find(const std::string& leaf) const;
   /// What changed since `version`; everything if that is zero or too long ago. Fields `control` and
   /// `gateways` are left empty.
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -40,9 +40,9 @@
     LogEvent(current ? "quorum_regained" : "quorum_lost",
              {{"term", term_}, {"commit_index", raft.commit_index()}});
   }
-  const auto voters = static_cast<size_t>(
-      std::count_if(raft.members().begin(), raft.members().end(),
-                    [](const wire::Member& member) { return member.voter; }));
+  const auto voters =
+      static_cast<size_t>(std::count_if(raft.members().begin(), raft.members().end(),
+                                        [](const wire::Member& member) { return member.voter; }));
   if (raft.members().size() != members_ || voters != voters_) {
     members_ = raft.members().size();
     voters_ = voters;
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -3,7 +3,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <optional>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "absl/strings/str_split.h"
@@ -229,6 +231,8 @@
   options.raft.heartbeat_interval = settings_.election_timeout / 6;
   server_ = std::make_unique<control::ControlServer>(
       options, identity, storage_.get(), std::move(recovered), RandomSeed(), net::EventLoop::Now());
+  leaf_committer_ = std::make_unique<control::LeafCommitter>(
+      control::LeafCommitterOptions{}, identity.member, net::EventLoop::Now());
   discovery_ = std::make_unique<control::DiscoveryServer>(control::DiscoveryOptions{
       settings_.cluster, {.silence_limit = settings_.leaf_silence_limit}, {}});
   frames_ = std::make_unique<net::FrameServer>(
@@ -274,6 +278,7 @@
   }
   discovery_->SetControlAddresses(std::move(addresses));
   discovery_->Tick(now, server_->IsCurrent(now));
+  CommitLeafs(now);
   CarryOut();
   log_.OnState(now, *server_, *discovery_);
   const bool failed = !server_->raft().failure().ok();
@@ -284,6 +289,24 @@
   return now + kTickInterval;
 }
 
+void ControlProcess::CommitLeafs(Timestamp now) {
+  if (!server_->IsCurrent(now) || stop_.started()) {
+    return;
+  }
+  std::set<MemberId> members;
+  for (const wire::Member& member : server_->raft().members()) {
+    members.insert(member.id);
+  }
+  const bool leads = server_->raft().role() == consensus::Role::kLeader;
+  const std::optional<config::Change> change = leaf_committer_->Propose(
+      now, discovery_->registry(), server_->state().config(), members, leads);
+  if (change.has_value()) {
+    server_->Submit(now,
+                    Await([this](const control::OperatorReply&) { leaf_committer_->OnAnswer(); }),
+                    *change);
+  }
+}
+
 void ControlProcess::CarryOut() {
   control::ControlOutput output = server_->TakeOutput();
   for (const control::PeerMessage& message : output.peers) {
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -10,6 +10,7 @@
 #include "control/control_server.h"
 #include "control/dialect.h"
 #include "control/discovery_server.h"
+#include "control/leaf_committer.h"
 #include "http/http_server.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
@@ -86,6 +87,7 @@
   std::string MetricsText(Timestamp now) const;
   /// Remembers who waits for a reply. @return the ticket to ask with.
   control::TicketId Await(ReplyCb on_reply);
+  void CommitLeafs(Timestamp now);
   absl::Status ListenForDialect();
   void OnDialect(const http::HttpRequest& request, http::Responder responder);
   void Run(control::PutDocument command, http::Responder responder);
@@ -108,6 +110,7 @@
   std::map<std::string, std::unique_ptr<net::FrameClient>> peers_;
   const control::Dialect* dialect_;
   std::unique_ptr<control::DiscoveryServer> discovery_;
+  std::unique_ptr<control::LeafCommitter> leaf_committer_;
   std::unique_ptr<http::HttpServer> service_http_;
   std::unique_ptr<http::HttpServer> directory_http_;
   std::map<control::TicketId, ReplyCb> waiting_;
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -55,19 +55,18 @@
     return;
   }
   const gateway::RequestTrace& trace = answer.trace;
-  LogEvent("request_answered",
-           {{"request", request_id},
-            {"route", trace.route},
-            {"result", InfoOf(answer.code).name},
-            {"status", status},
-            {"run", query::RunStateName(answer.run)},
-            {"elapsed_ms", ToMilliseconds(trace.elapsed)},
-            {"document_version", trace.document_version},
-            {"config_age_ms", ToMilliseconds(trace.config_age)},
-            {"retry_after_ms", ToMilliseconds(answer.retry_after)},
-            {"extra", trace.extra_sub_requests},
-            {"missing", MissingJson(trace)},
-            {"attempts", AttemptsJson(trace, sampled)}});
+  LogEvent("request_answered", {{"request", request_id},
+                                {"route", trace.route},
+                                {"result", InfoOf(answer.code).name},
+                                {"status", status},
+                                {"run", query::RunStateName(answer.run)},
+                                {"elapsed_ms", ToMilliseconds(trace.elapsed)},
+                                {"document_version", trace.document_version},
+                                {"config_age_ms", ToMilliseconds(trace.config_age)},
+                                {"retry_after_ms", ToMilliseconds(answer.retry_after)},
+                                {"extra", trace.extra_sub_requests},
+                                {"missing", MissingJson(trace)},
+                                {"attempts", AttemptsJson(trace, sampled)}});
 }
 
 void GatewayLog::OnClientGone(Timestamp now, const std::string& request_id) {
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -11,8 +11,8 @@
 
 class GatewayLog {
  public:
-  /// A request that was answered: always a line for a failure or a partial answer, within a rate; for
-  /// successes one in kSampledOneIn by the request's id, the same ones in every process.
+  /// A request that was answered: always a line for a failure or a partial answer, within a rate;
+  /// for successes one in kSampledOneIn by the request's id, the same ones in every process.
   void OnAnswer(Timestamp now, const gateway::GatewayAnswer& answer, int status);
   void OnClientGone(Timestamp now, const std::string& request_id);
   void OnControlLink(const std::string& address, bool up);
--- /dev/null
+++ b/test/control/leaf_committer_test.cc
@@ -0,0 +1,145 @@
+// Which leafs a control machine proposes to commit and to forget.
+#include "control/leaf_committer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pumicedyke::control {
+namespace {
+
+constexpr Timestamp kStart{Seconds(100)};
+constexpr MemberId kSelf = 7;
+constexpr MemberId kOther = 8;
+
+registry::LeafReport Report(const std::string& leaf, uint64_t sequence) {
+  registry::LeafReport report;
+  report.record = {leaf, "desk", "10.0.0.1:80", "north", 2, false, 0};
+  report.sequence = sequence;
+  return report;
+}
+
+/// One control machine's committer over a state that applies what it proposes at once.
+struct Harness {
+  explicit Harness(MemberId self = kSelf)
+      : registry({.silence_limit = Seconds(6)}), committer({}, self, kStart) {}
+
+  std::optional<config::Change> Propose(Timestamp now, bool leads = false,
+                                        const std::set<MemberId>& members = {kSelf, kOther}) {
+    auto change = committer.Propose(now, registry, state, members, leads);
+    if (change.has_value()) {
+      state.Apply(*change);
+      committer.OnAnswer();
+    }
+    return change;
+  }
+  void Commit(const std::string& leaf, MemberId reporter) {
+    config::Change change;
+    change.kind = config::ChangeKind::kReportLeafs;
+    change.reported = {{leaf, "desk", "10.0.0.1:80", "north", 2, reporter}};
+    state.Apply(change);
+  }
+
+  registry::LeafRegistry registry;
+  config::ConfigState state;
+  LeafCommitter committer;
+};
+
+}  // namespace
+
+class LeafCommitterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LeafCommitterTest);
+  CPPUNIT_TEST(CrowdSharesOneProposal);
+  CPPUNIT_TEST(SilentLeafIsForgotten);
+  CPPUNIT_TEST(RestartLeavesTimeToReportAgain);
+  CPPUNIT_TEST(LeafThatMovedIsNotForgottenByItsOldMachine);
+  CPPUNIT_TEST(LeaderForgetsLeafsOfMachinesThatAreGone);
+  CPPUNIT_TEST(RetiredLeafIsNotCommittedAgain);
+  CPPUNIT_TEST(StateSurvivesItsText);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CrowdSharesOneProposal() {
+    Harness h;
+    for (int i = 0; i < 100; ++i) {
+      h.registry.OnReport(kStart, Report("leaf" + std::to_string(i), 1));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{100}, h.Propose(kStart + Seconds(1))->reported.size());
+    CPPUNIT_ASSERT(!h.Propose(kStart + Seconds(2)).has_value());
+  }
+
+  void SilentLeafIsForgotten() {
+    Harness h;
+    h.registry.OnReport(kStart, Report("a", 1));
+    h.Propose(kStart + Seconds(1));
+    h.registry.DropSilent(kStart + Seconds(20));
+    CPPUNIT_ASSERT(h.Propose(kStart + Seconds(20))->kind == config::ChangeKind::kForgetLeafs);
+    CPPUNIT_ASSERT(h.state.reported().empty());
+  }
+
+  void RestartLeavesTimeToReportAgain() {
+    Harness h;
+    h.Commit("a", kSelf);
+    CPPUNIT_ASSERT(!h.Propose(kStart + Seconds(9)).has_value());
+    CPPUNIT_ASSERT(h.Propose(kStart + Seconds(10)).has_value());
+    CPPUNIT_ASSERT(h.state.reported().empty());
+  }
+
+  void LeafThatMovedIsNotForgottenByItsOldMachine() {
+    Harness h;
+    h.Commit("a", kSelf);
+    // The old machine decides to forget it while the new one commits that it reports there.
+    auto forget = h.committer.Propose(kStart + Seconds(20), h.registry, h.state, {kSelf}, false);
+    h.Commit("a", kOther);
+    h.state.Apply(*forget);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.state.reported().size());
+    CPPUNIT_ASSERT(h.state.IsSettled(*forget));
+  }
+
+  void LeaderForgetsLeafsOfMachinesThatAreGone() {
+    Harness h;
+    h.Commit("a", kOther);
+    CPPUNIT_ASSERT(!h.Propose(kStart + Seconds(20), /*leads=*/false, {kSelf}).has_value());
+    CPPUNIT_ASSERT(!h.Propose(kStart + Seconds(20), /*leads=*/true, {kSelf, kOther}).has_value());
+    CPPUNIT_ASSERT(!h.Propose(kStart + Seconds(20), /*leads=*/true, {kSelf}).has_value());
+    CPPUNIT_ASSERT(h.Propose(kStart + Seconds(30), /*leads=*/true, {kSelf}).has_value());
+  }
+
+  void RetiredLeafIsNotCommittedAgain() {
+    Harness h;
+    config::Change retire;
+    retire.kind = config::ChangeKind::kRetireLeaf;
+    retire.leaf = "a";
+    h.Commit("a", kSelf);
+    h.state.Apply(retire);
+    CPPUNIT_ASSERT(h.state.reported().empty());
+    h.registry.OnReport(kStart, Report("a", 1));
+    CPPUNIT_ASSERT(!h.Propose(kStart + Seconds(1)).has_value());
+    h.Commit("a", kOther);
+    CPPUNIT_ASSERT(h.state.reported().empty());
+  }
+
+  void StateSurvivesItsText() {
+    Harness h;
+    h.Commit("a", kOther);
+    config::Change change;
+    change.kind = config::ChangeKind::kRetireLeaf;
+    change.leaf = "b";
+    h.state.Apply(change);
+    change.kind = config::ChangeKind::kPutDocument;
+    change.document = {4, "{\"text\": \"\\u00e9\"}"};
+    h.state.Apply(change);
+    const auto read = config::ConfigState::Deserialize(h.state.Serialize());
+    CPPUNIT_ASSERT(read.ok());
+    CPPUNIT_ASSERT(read->reported() == h.state.reported());
+    CPPUNIT_ASSERT(read->retired() == h.state.retired());
+    CPPUNIT_ASSERT_EQUAL(h.state.document().text, read->document().text);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4}, read->document().version);
+    // An older document, and the same number with other content, change nothing.
+    for (const uint64_t version : {uint64_t{3}, uint64_t{4}}) {
+      change.document = {version, "other"};
+      CPPUNIT_ASSERT(h.state.IsSettled(change));
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LeafCommitterTest);
+
+}  // namespace pumicedyke::control
--- a/test/gateway/leaf_view_test.cc
+++ b/test/gateway/leaf_view_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(RestartedSourceForgetsNothingAtOnce);
   CPPUNIT_TEST(LostSourceCountsOnWhileNobodyElseReports);
   CPPUNIT_TEST(LeafReportedElsewhereSurvivesItsOldSource);
+  CPPUNIT_TEST(CommittedLeafsAreUsableBeforeAnyReport);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -40,7 +41,7 @@
   void RetiredLeafIsNotUsable() {
     LeafView view({});
     view.OnFeed(kStart, "c1", Full(1, {Record("a"), Record("b")}));
-    view.SetRetired({"a"});
+    view.SetCommitted({}, {"a"});
     CPPUNIT_ASSERT(std::vector<std::string>{"b"} == view.UsableLeafs("desk"));
   }
 
@@ -83,6 +84,15 @@
     view.OnFeed(kStart, "c1", {1, 2, {}, {"a"}, {}, 1});
     CPPUNIT_ASSERT_EQUAL(size_t{1}, view.UsableLeafs("desk").size());
   }
+
+  /// All machines lost power: the first configuration brings the leafs along.
+  void CommittedLeafsAreUsableBeforeAnyReport() {
+    LeafView view({});
+    view.SetCommitted({{"a", {"a", "desk", "10.0.0.1:80", "north", 2, 7}},
+                       {"b", {"b", "desk", "10.0.0.2:80", "north", 2, 7}}},
+                      {"b"});
+    CPPUNIT_ASSERT(std::vector<std::string>{"a"} == view.UsableLeafs("desk"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(LeafViewTest);
 
