--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -17,8 +17,8 @@
       next_hello_(now) {}
 
 std::optional<wire::Envelope> ConfigSubscriber::Tick(Timestamp now) {
-  const bool silent =
-      now - last_feed_ > options_.silence_limit && now - turned_at_ > options_.silence_limit;
+  const Duration limit = ready_ ? options_.silence_limit : options_.starting_silence_limit;
+  const bool silent = now - last_feed_ > limit && now - turned_at_ > limit;
   if (silent) {
     TurnToNext(now);
   }
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -21,6 +21,8 @@
   Duration shortest_hello_interval = Milliseconds(25);
   /// Silence after which another control machine is tried.
   Duration silence_limit = Milliseconds(1000);
+  /// The same until the first configuration came.
+  Duration starting_silence_limit = Milliseconds(400);
   /// Off only in simulations that show what the check is for.
   bool monotone_version = true;
 };
