--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -186,9 +186,11 @@
   }
 
   void ArmIdleTimer() {
-    const Duration limit = idle_limit_.count() > 0
-                               ? std::min(idle_limit_, client_->options_.idle_limit)
-                               : client_->options_.idle_limit;
+    Duration limit = host_->connections.size() > 1 ? client_->options_.surplus_idle_limit
+                                                   : client_->options_.idle_limit;
+    if (idle_limit_.count() > 0) {
+      limit = std::min(limit, idle_limit_);
+    }
     idle_timer_ = client_->loop_->RunAt(net::EventLoop::Now() + limit, [this] {
       idle_timer_ = 0;
       Close();
