--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -220,8 +220,10 @@
       request.deadline.count() > 0 ? request.deadline - kClientHop : options_.knobs.longest_wait;
   plan.deadline = std::max(Duration(0), std::min(route.timeout, patience));
   const double objective = static_cast<double>(route.objective.count());
-  plan.wait =
-      std::min(plan.deadline, Duration(static_cast<int64_t>(objective * options_.knobs.answer_by)));
+  const auto longest_margin =
+      Duration(static_cast<int64_t>(objective * options_.knobs.longest_margin));
+  const Duration margin = std::min(options_.knobs.answer_margin, longest_margin);
+  plan.wait = std::min(plan.deadline, route.objective - margin);
   plan.min_coverage = route.gathers() ? route.min_coverage : 1.0;
   plan.extra_load = options_.extra_load.ratio;
   plan.hedge_quantile = options_.knobs.hedge_quantile;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -34,8 +34,11 @@
 
 struct GatewayKnobs {
   balance::BalanceKnobs balance{.max_limit_per_slot = 1.0};
-  /// Part of a route's objective after which an answer with enough shards goes out.
-  double answer_by = 0.9;
+  /// An answer with enough shards goes out this long before the route's objective is over: the way of
+  /// the request and of the answer, the making of the client's connection among it.
+  Duration answer_margin = Milliseconds(15);
+  /// The margin is no more than this part of the objective.
+  double longest_margin = 0.3;
   /// Latency quantile after which a shard is asked a second time.
   double hedge_quantile = 0.95;
   /// Longest time that a client without a deadline of its own is taken to wait.
