--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -36,9 +36,9 @@
   balance::BalanceKnobs balance{.max_limit_per_slot = 1.0};
   /// An answer with enough shards goes out this long before the route's objective is over: the way of
   /// the request and of the answer, the making of the client's connection among it.
-  Duration answer_margin = Milliseconds(15);
+  Duration answer_margin = Milliseconds(20);
   /// The margin is no more than this part of the objective.
-  double longest_margin = 0.3;
+  double longest_margin = 0.36;
   /// Latency quantile after which a shard is asked a second time.
   double hedge_quantile = 0.95;
   /// Longest time that a client without a deadline of its own is taken to wait.
