Prefer leafs of the gateway's own zone

Change: the score by which a replica is drawn is 2.5 times worse in another zone (knob; 1 elsewhere).

--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -17,6 +17,8 @@
   bool choose_by_load = true;
   /// A replica of half the score is drawn this power of two times as often.
   double choice_sharpness = 2.0;
+  /// The score of a replica in another zone is this many times worse: bytes between zones cost.
+  double remote_penalty = 1.0;
   /// A request out this many times longer than usual marks the leaf as stalled.
   double stall_factor = 4.0;
   Duration stall_minimum = Milliseconds(15);
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -12,9 +12,10 @@
 
 }  // namespace
 
-void LeafPool::Configure(Timestamp now, const std::string& leaf, uint32_t slots) {
+void LeafPool::Configure(Timestamp now, const std::string& leaf, uint32_t slots, bool remote) {
   auto [it, inserted] = leafs_.try_emplace(leaf);
   LeafState& state = it->second;
+  state.remote = remote;
   if (!inserted && state.slots == slots) {
     return;
   }
@@ -105,7 +106,9 @@
 
 double LeafPool::Score(const LeafState& state, Timestamp now) const {
   const double queue = LoadOf(state, now) / static_cast<double>(state.slots);
-  const double score = (1.0 + queue) * static_cast<double>(LatencyOf(state, now).count());
+  const double distance = state.remote ? knobs_.remote_penalty : 1.0;
+  const double score =
+      distance * (1.0 + queue) * static_cast<double>(LatencyOf(state, now).count());
   constexpr double kStalledPenalty = 100.0;
   return Stalled(state, now) ? score * kStalledPenalty : score;
 }
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -27,8 +27,8 @@
  public:
   LeafPool(BalanceKnobs knobs, uint64_t seed) : knobs_(knobs), random_(seed) {}
 
-  /// Adds a leaf or sets its slots anew.
-  void Configure(Timestamp now, const std::string& leaf, uint32_t slots);
+  /// Adds a leaf or sets its slots anew. @param remote it is in another zone than this node.
+  void Configure(Timestamp now, const std::string& leaf, uint32_t slots, bool remote = false);
 
   /// The leaf has ended; replies that are still to come from it say nothing.
   void Remove(const std::string& leaf) { leafs_.erase(leaf); }
@@ -67,6 +67,7 @@
  private:
   struct LeafState {
     uint32_t slots = 1;
+    bool remote = false;
     Timestamp configured_at{};
     /// Whether the leaf's own word on leaving has come.
     bool reported = false;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -144,7 +144,8 @@
   pool_version_ = view_.version();
   std::set<std::string> leaving;
   for (const auto& [leaf, record] : view_.leafs()) {
-    pool_.Configure(now, leaf, std::max(1U, record.slots));
+    const bool remote = record.zone != options_.zone;
+    pool_.Configure(now, leaf, std::max(1U, record.slots), remote);
     if (record.draining) {
       leaving.insert(leaf);
     }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -33,7 +33,7 @@
 };
 
 struct GatewayKnobs {
-  balance::BalanceKnobs balance{.max_limit_per_slot = 1.0};
+  balance::BalanceKnobs balance{.remote_penalty = 2.5, .max_limit_per_slot = 1.0};
   /// An answer with enough shards goes out this long before the route's objective is over: the way of
   /// the request and of the answer, the making of the client's connection among it.
   Duration answer_margin = Milliseconds(20);
