--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -34,8 +34,8 @@
 
 struct GatewayKnobs {
   balance::BalanceKnobs balance{.remote_penalty = 2.5, .max_limit_per_slot = 1.0};
-  /// An answer with enough shards goes out this long before the route's objective is over: the way of
-  /// the request and of the answer, the making of the client's connection among it.
+  /// An answer with enough shards goes out this long before the route's objective is over: the way
+  /// of the request and of the answer, the making of the client's connection among it.
   Duration answer_margin = Milliseconds(20);
   /// The margin is no more than this part of the objective.
   double longest_margin = 0.36;
--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -17,7 +17,8 @@
 
 constexpr uint32_t kMagic = 0x504d4b31;  // "PMK1"
 constexpr Duration kReconnectInterval = Milliseconds(100);
-/// A machine that is just coming up has dropped the opening packet; TCP itself repeats it after a second.
+/// A machine that is just coming up has dropped the opening packet; TCP itself repeats it after a
+/// second.
 constexpr Duration kConnectTimeout = Milliseconds(300);
 constexpr size_t kReadBytes = 64 * 1024;
 /// Messages kept for a connection that is being made.
--- a/src/programs/pumicedyke_gateway_main.cc
+++ b/src/programs/pumicedyke_gateway_main.cc
@@ -11,6 +11,7 @@
 #include "server/process.h"
 
 DEFINE_string(settings, "", "settings file (TOML)");
+DEFINE_string(port_file, "", "file to write the ports to");
 DEFINE_bool(check_settings, false, "check the settings and exit");
 
 int main(int argc, char** argv) {
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -32,6 +32,7 @@
   settings.node = file.Required("node", "the name of this gateway");
   settings.zone = file.String("zone", "");
   settings.listen = file.Address("listen", "127.0.0.1:7400");
+  settings.port_file = file.String("port_file", "");
   settings.ready_listen = file.String("ready_listen", "");
   settings.control = ReadControlAddresses(&file);
   if (settings.control.empty()) {
@@ -83,7 +84,7 @@
     }
   }
   LogEvent("started", {{"incarnation", options.incarnation}, {"listen", settings_.listen}});
-  return absl::OkStatus();
+  return WritePortFile(settings_.port_file, "http " + std::to_string(http_->port()) + "\n");
 }
 
 void GatewayProcess::Run() {
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -31,6 +31,7 @@
   std::vector<std::string> control;
   gateway::ExtraLoadBound extra_load;
   Duration drain_grace{};
+  std::string port_file;
   /// The file these were read from; empty: flags only.
   std::string path;
 };
--- /dev/null
+++ b/test/platform/platform_end_to_end_test.cc
@@ -0,0 +1,254 @@
+// The whole path on real processes: documents, heartbeats, the directory, requests, and what must
+// not happen when something leaves, is killed or talks nonsense.
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+
+#include "common/json.h"
+#include "platform/platform_fleet.h"
+
+namespace pumicedyke::platform {
+namespace {
+
+std::string Document(uint64_t version) {
+  return Json{{"version", version},
+              {"routes",
+               {{{"name", "one"},
+                 {"host", "desk.example"},
+                 {"path_prefix", "/one/"},
+                 {"type", "idempotent"},
+                 {"timeout_ms", 2000},
+                 {"slo_ms", 500},
+                 {"priority", 1},
+                 {"backend", "s0"},
+                 {"max_attempts", 2}},
+                {{"name", "all"},
+                 {"host", "desk.example"},
+                 {"path_prefix", "/all/"},
+                 {"type", "idempotent"},
+                 {"timeout_ms", 2000},
+                 {"slo_ms", 500},
+                 {"priority", 1},
+                 {"gather", {"s0", "s1"}},
+                 {"max_attempts", 2},
+                 {"top_k", 1},
+                 {"min_coverage", 0.5}}}},
+              {"backends",
+               {{{"name", "s0"}, {"health_path", "/healthz"}, {"max_conns", 26}},
+                {{"name", "s1"}, {"health_path", "/healthz"}, {"max_conns", 26}}}},
+              {"limits",
+               {{"max_header_bytes", 4096},
+                {"max_body_bytes", 1000},
+                {"header_timeout_ms", 3000},
+                {"idle_timeout_ms", 15000}}}}
+      .dump();
+}
+
+std::string Header(const http::ClientResponse& response, const std::string& name) {
+  const std::string* value = http::FindHeader(response.headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+/// Sends bytes on a connection of its own. @return what came back until the peer closed.
+std::string Raw(const std::string& address, const std::string& bytes) {
+  std::string host;
+  uint16_t port = 0;
+  CPPUNIT_ASSERT(http::SplitAddress(address, &host, &port));
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in remote{};
+  remote.sin_family = AF_INET;
+  remote.sin_port = htons(port);
+  ::inet_pton(AF_INET, host.c_str(), &remote.sin_addr);
+  CPPUNIT_ASSERT(::connect(socket, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) == 0);
+  CPPUNIT_ASSERT(::write(socket, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
+  std::string answer;
+  char buffer[4096];
+  for (ssize_t got = ::read(socket, buffer, sizeof(buffer)); got > 0;
+       got = ::read(socket, buffer, sizeof(buffer))) {
+    answer.append(buffer, static_cast<size_t>(got));
+  }
+  ::close(socket);
+  return answer;
+}
+
+}  // namespace
+
+class PlatformEndToEndTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformEndToEndTest);
+  CPPUNIT_TEST(WholePathServes);
+  CPPUNIT_TEST(InvalidDocumentIsNeverInForce);
+  CPPUNIT_TEST(NonsenseCostsNobodyElse);
+  CPPUNIT_TEST(DrainingLeafGetsNoMoreWork);
+  CPPUNIT_TEST(LeavingClientStopsItsWork);
+  CPPUNIT_TEST(ControlKilledWholeLosesNothing);
+  CPPUNIT_TEST(StoppingGatewayFinishesWhatItHas);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void WholePathServes() {
+    PlatformFleet fleet;
+    StandInLeaf leaf0("leaf-a", "s0");
+    StandInLeaf leaf1("leaf-b", "s1");
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(7)));
+    fleet.Beat({&leaf0, &leaf1});
+    fleet.WaitServed("/all/1");
+    const http::ClientResponse one = fleet.Ask("/one/x?y=z");
+    CPPUNIT_ASSERT_EQUAL(200, one.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("leaf-a.") + Header(one, "X-Request-Id"),
+                         Header(one, "X-Server-Stamp"));
+    const http::ClientResponse all = fleet.Ask("/all/1");
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), Header(all, "X-Missing-Parts"));
+    CPPUNIT_ASSERT_EQUAL(std::string("leaf-b.........."), all.body);
+    CPPUNIT_ASSERT_EQUAL(404, fleet.Ask("/nowhere/1").status);
+    // The directory names the gateway, the document reads back byte for byte at every machine.
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      e2e::WaitFor("the directory", [&] {
+        const auto found =
+            e2e::Get(fleet.DirectoryAddress(i), "/v1/resolve?name=x&region=r&zone=north");
+        return found.status == 200 &&
+               Json::parse(found.body)["addrs"][0] == fleet.gateway_address();
+      });
+      CPPUNIT_ASSERT_EQUAL(Document(7), e2e::Get(fleet.ServiceAddress(i), "/v1/config/get").body);
+    }
+    CPPUNIT_ASSERT_EQUAL(200, e2e::Get(fleet.ready_address(), "/v1/readyz").status);
+  }
+
+  void InvalidDocumentIsNeverInForce() {
+    PlatformFleet fleet;
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(7)));
+    Json bad = Json::parse(Document(8));
+    bad["routes"][0]["backend"] = "nobody";
+    CPPUNIT_ASSERT_EQUAL(400, fleet.Put(bad.dump()));
+    // An older number, and the same one with other content, are acknowledged and change nothing.
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(6)));
+    Json other = Json::parse(Document(7));
+    other["routes"].erase(1);
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(other.dump()));
+    CPPUNIT_ASSERT_EQUAL(Document(7), e2e::Get(fleet.ServiceAddress(1), "/v1/config/get").body);
+  }
+
+  void NonsenseCostsNobodyElse() {
+    PlatformFleet fleet;
+    StandInLeaf leaf("leaf-a", "s0");
+    fleet.Put(Document(1));
+    fleet.Beat({&leaf});
+    fleet.WaitServed("/one/1");
+    struct Case {
+      std::string bytes;
+      const char* status;
+    };
+    const std::string head = "GET /one/1 HTTP/1.1\r\nHost: desk.example\r\n";
+    const Case cases[] = {
+        {"\x16\x03\x01nonsense\r\n\r\n", "400"},
+        {"GET /one/1 HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\r\n", "400"},
+        {head + "X-Request-Id: 1\r\nX-Deadline-Ms: soon\r\nConnection: close\r\n\r\n", "400"},
+        {head + "X-Request-Id: 1\r\nA: " + std::string(5000, 'a') + "\r\n\r\n", "431"},
+        {head + "X-Request-Id: 1\r\nContent-Length: 5000\r\n\r\n", "413"},
+        {head + "X-Request-Id: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+    };
+    for (const Case& item : cases) {
+      const std::string answer = Raw(fleet.gateway_address(), item.bytes);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, std::string("HTTP/1.1 ") + item.status,
+                                   answer.substr(0, 12));
+      CPPUNIT_ASSERT_EQUAL(200, fleet.Ask("/one/1").status);
+    }
+    CPPUNIT_ASSERT_EQUAL(
+        400, e2e::Post(fleet.ServiceAddress(0), "/v1/instances/x/heartbeat", "{]").status);
+    CPPUNIT_ASSERT_EQUAL(404, e2e::Get(fleet.ServiceAddress(0), "/v1/nothing").status);
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Ask("/one/1").status);
+  }
+
+  void DrainingLeafGetsNoMoreWork() {
+    PlatformFleet fleet;
+    StandInLeaf stays("leaf-a", "s0");
+    StandInLeaf leaves("leaf-b", "s0");
+    fleet.Put(Document(1));
+    fleet.Beat({&stays, &leaves});
+    e2e::WaitFor("both leafs to be used", [&] {
+      return fleet.Ask("/one/1").status == 200 && stays.runs() > 0 && leaves.runs() > 0;
+    });
+    e2e::WaitFor("the leave to be taken",
+                 [&] { return leaves.Beat(fleet.ServiceAddress(1), /*draining=*/true) == 200; });
+    // The gateway hears of it within a moment; then not one request goes there.
+    e2e::WaitFor("the gateway to hear of it", [&] {
+      const int before = leaves.runs();
+      for (int i = 0; i < 20; ++i) {
+        CPPUNIT_ASSERT_EQUAL(200, fleet.Ask("/one/1").status);
+      }
+      return leaves.runs() == before;
+    });
+    // A late heartbeat that still says ready changes nothing, at any machine.
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      leaves.Beat(fleet.ServiceAddress(i));
+    }
+    const int before = leaves.runs();
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fleet.Ask("/one/1").status);
+    }
+    CPPUNIT_ASSERT_EQUAL(before, leaves.runs());
+  }
+
+  void LeavingClientStopsItsWork() {
+    PlatformFleet fleet;
+    StandInLeaf leaf("leaf-a", "s0");
+    fleet.Put(Document(1));
+    fleet.Beat({&leaf});
+    fleet.WaitServed("/one/1");
+    leaf.Hold();
+    http::ClientRequest request;
+    request.address = fleet.gateway_address();
+    request.path = "/one/1";
+    request.timeout = Milliseconds(200);
+    request.headers = {
+        {"Host", "desk.example"}, {"X-Request-Id", "leaves"}, {"X-Deadline-Ms", "60000"}};
+    CPPUNIT_ASSERT(!http::FetchBlocking(request).ok());
+    e2e::WaitFor("the leaf to be told", [&] { return leaf.given_up() > 0; });
+  }
+
+  void ControlKilledWholeLosesNothing() {
+    PlatformFleet fleet;
+    StandInLeaf leaf("leaf-a", "s0");
+    fleet.Put(Document(5));
+    fleet.Beat({&leaf});
+    fleet.WaitServed("/one/1");
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      fleet.processes.at("c" + std::to_string(i))->Kill();
+    }
+    // The gateway serves on with what it knows.
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Ask("/one/1").status);
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      fleet.StartControl(i, /*bootstrap=*/false);
+    }
+    e2e::WaitFor("the document to be read again", [&] {
+      const auto read = e2e::Get(fleet.ServiceAddress(2), "/v1/config/get");
+      return read.status == 200 && read.body == Document(5);
+    });
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Ask("/one/1").status);
+    // A gateway that starts now learns of the leaf, though it has not reported again.
+    fleet.processes.at("gateway")->Kill();
+    fleet.StartGateway();
+    fleet.WaitServed("/one/1");
+  }
+
+  void StoppingGatewayFinishesWhatItHas() {
+    PlatformFleet fleet;
+    StandInLeaf leaf("leaf-a", "s0");
+    fleet.Put(Document(1));
+    fleet.Beat({&leaf});
+    fleet.WaitServed("/one/1");
+    e2e::Process& gateway = *fleet.processes.at("gateway");
+    gateway.Signal(SIGTERM);
+    e2e::WaitFor("not ready",
+                 [&] { return e2e::Get(fleet.ready_address(), "/v1/readyz").status != 200; });
+    const http::ClientResponse last = fleet.Ask("/one/1");
+    CPPUNIT_ASSERT(last.status == 200 || last.not_sent);
+    CPPUNIT_ASSERT_EQUAL(0, gateway.Wait());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformEndToEndTest);
+
+}  // namespace pumicedyke::platform
--- /dev/null
+++ b/test/platform/platform_fleet.cc
@@ -0,0 +1,187 @@
+#include "platform/platform_fleet.h"
+
+#include <cppunit/TestAssert.h>
+#include <stdlib.h>
+
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+#include "common/json.h"
+#include "http/http_client.h"
+
+namespace pumicedyke::platform {
+namespace {
+
+constexpr char kHost[] = "desk.example";
+
+std::string PortOf(const std::string& address) { return address.substr(address.rfind(':') + 1); }
+
+std::string HostOf(int index) { return "127.0.0." + std::to_string(index + 1); }
+
+std::string Value(const http::Headers& headers, const std::string& name) {
+  const std::string* value = http::FindHeader(headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+}  // namespace
+
+// ---- StandInLeaf --------------------------------------------------------------------------------
+
+StandInLeaf::StandInLeaf(std::string id, std::string service)
+    : id_(std::move(id)), service_(std::move(service)) {
+  std::atomic<bool> listening{false};
+  thread_ = std::thread([this, &listening] {
+    net::EventLoop loop;
+    http::HttpServer server(&loop, {},
+                            [this](http::HttpRequest request, http::Responder responder) {
+                              OnRequest(request, std::move(responder));
+                            });
+    CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
+    port_ = server.port();
+    listening = true;
+    loop.Run([this, &loop](Timestamp now) {
+      if (stop_) {
+        loop.Stop();
+      }
+      return now + Milliseconds(10);
+    });
+  });
+  e2e::WaitFor("a leaf", [&] { return listening.load(); });
+}
+
+StandInLeaf::~StandInLeaf() {
+  stop_ = true;
+  thread_.join();
+}
+
+void StandInLeaf::OnRequest(const http::HttpRequest& request, http::Responder responder) {
+  http::HttpResponse response;
+  const std::string request_id = Value(request.headers, "X-Request-Id");
+  response.headers = {{"X-Instance-Id", id_}, {"X-Request-Id", request_id}};
+  if (Value(request.headers, "X-Expect-Instance") != id_) {
+    response.status = 421;
+    responder.Send(std::move(response));
+    return;
+  }
+  if (shed_) {
+    response.status = 503;
+    response.headers.push_back({"X-Not-Executed", "1"});
+    responder.Send(std::move(response));
+    return;
+  }
+  ++runs_;
+  if (hold_) {
+    responder.WatchClient([this] { ++given_up_; });
+    return;
+  }
+  response.headers.push_back({"X-Server-Stamp", id_ + "." + request_id});
+  response.headers.push_back({"X-Server-Load", "1,0,2"});
+  constexpr size_t kRecordBytes = 16;
+  response.body = (id_ + "................").substr(0, kRecordBytes);
+  responder.Send(std::move(response));
+}
+
+int StandInLeaf::Beat(const std::string& control, bool draining) {
+  const Json body{{"backend", service_}, {"address", address()},
+                  {"zone", "north"},     {"version", "v1"},
+                  {"slots", 2},          {"state", draining ? "draining" : "ready"},
+                  {"cold_left_ms", 0},   {"seq", ++sequence_}};
+  return e2e::Post(control, "/v1/instances/" + id_ + "/heartbeat", body.dump()).status;
+}
+
+// ---- PlatformFleet ------------------------------------------------------------------------------
+
+PlatformFleet::PlatformFleet()
+    : internal_port_(PortOf(e2e::FreeAddress())),
+      service_port_(PortOf(e2e::FreeAddress())),
+      directory_port_(PortOf(e2e::FreeAddress())),
+      gateway_address_(e2e::FreeAddress()),
+      ready_address_(e2e::FreeAddress()) {
+  char path[] = "/tmp/pumicedyke-platform-XXXXXX";
+  CPPUNIT_ASSERT(::mkdtemp(path) != nullptr);
+  folder_ = path;
+  for (int i = 0; i < kControls; ++i) {
+    StartControl(i, /*bootstrap=*/true);
+  }
+  StartGateway();
+}
+
+PlatformFleet::~PlatformFleet() {
+  processes.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string PlatformFleet::ServiceAddress(int index) const {
+  return HostOf(index) + ":" + service_port_;
+}
+
+std::string PlatformFleet::DirectoryAddress(int index) const {
+  return HostOf(index) + ":" + directory_port_;
+}
+
+void PlatformFleet::StartControl(int index, bool bootstrap) {
+  const std::string name = "c" + std::to_string(index);
+  const std::string file = folder_ + "/" + name + ".toml";
+  std::ofstream settings(file);
+  settings << "cluster = \"test\"\nmachine = \"" << HostOf(index) << "\"\nlisten = \""
+           << HostOf(index) << ":" << internal_port_ << "\"\noperator_listen = \"127.0.0.1:0\"\n"
+           << "service_listen = \"" << ServiceAddress(index) << "\"\ndirectory_listen = \""
+           << DirectoryAddress(index) << "\"\ndata_folder = \"" << folder_ << "/data-" << name
+           << "\"\nseeds = [\"" << ServiceAddress(0) << "\", \"" << ServiceAddress(1) << "\", \""
+           << ServiceAddress(2) << "\"]\ninternal_port = " << internal_port_
+           << "\nbootstrap = " << (bootstrap ? "true" : "false") << "\ntolerated_failures = 1\n";
+  settings.close();
+  processes[name] = std::make_unique<e2e::Process>(
+      name, "pumicedyke-control", std::vector<std::string>{"--settings", file}, folder_);
+}
+
+void PlatformFleet::StartGateway() {
+  const std::string file = folder_ + "/gateway.toml";
+  std::ofstream settings(file);
+  settings << "cluster = \"test\"\nnode = \"g0\"\nzone = \"north\"\nlisten = \"" << gateway_address_
+           << "\"\nready_listen = \"" << ready_address_ << "\"\nseeds = [\"" << ServiceAddress(0)
+           << "\", \"" << ServiceAddress(1) << "\"]\ninternal_port = " << internal_port_
+           << "\ndrain_grace_ms = 300\n";
+  settings.close();
+  processes["gateway"] = std::make_unique<e2e::Process>(
+      "gateway", "pumicedyke-gateway", std::vector<std::string>{"--settings", file}, folder_);
+}
+
+int PlatformFleet::Put(const std::string& document) {
+  int status = 0;
+  e2e::WaitFor("the document to be answered", [&] {
+    for (int i = 0; i < kControls && status != 200; ++i) {
+      if (processes.at("c" + std::to_string(i))->running()) {
+        status = e2e::Post(ServiceAddress(i), "/v1/config/put", document).status;
+      }
+    }
+    constexpr int kFirstServerError = 500;
+    return status > 0 && status < kFirstServerError;
+  });
+  return status;
+}
+
+void PlatformFleet::Beat(const std::vector<StandInLeaf*>& leafs) {
+  for (StandInLeaf* leaf : leafs) {
+    e2e::WaitFor("a heartbeat to be taken", [&] { return leaf->Beat(ServiceAddress(0)) == 200; });
+  }
+}
+
+http::ClientResponse PlatformFleet::Ask(const std::string& path, int64_t deadline_ms) {
+  http::ClientRequest request;
+  request.address = gateway_address_;
+  request.path = path;
+  request.method = "GET";
+  request.headers = {{"Host", kHost},
+                     {"X-Request-Id", "test-" + std::to_string(++asked_)},
+                     {"X-Deadline-Ms", std::to_string(deadline_ms)}};
+  return http::FetchBlocking(request);
+}
+
+void PlatformFleet::WaitServed(const std::string& path) {
+  e2e::WaitFor(path + " to be served", [&] { return Ask(path).status == 200; });
+}
+
+}  // namespace pumicedyke::platform
