--- /dev/null
+++ b/test/gateway/gateway_harness.h
@@ -0,0 +1,166 @@
+// A gateway with the words of one control machine, for tests without sockets.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/json.h"
+#include "config/config_state.h"
+#include "gateway/gateway_server.h"
+
+namespace pumicedyke::gateway {
+
+inline constexpr Timestamp kStart{Seconds(100)};
+inline constexpr char kControl[] = "10.0.0.1:7100";
+inline constexpr char kHost[] = "desk.example";
+
+/// Documents are JSON lists of [name, prefix, repeatable, shards...] here; one shard means a plain
+/// route.
+class TestReader : public routing::DocumentReader {
+ public:
+  absl::StatusOr<routing::RouteSet> Read(std::string_view text) const override {
+    routing::RouteSet set;
+    for (const Json& item : Json::parse(text)) {
+      routing::Route route;
+      route.name = item[0].get<std::string>();
+      route.host = kHost;
+      route.prefix = item[1].get<std::string>();
+      route.repeatable = item[2].get<bool>();
+      route.timeout = Seconds(2);
+      route.objective = Milliseconds(100);
+      route.max_attempts = 2;
+      route.min_coverage = 0.5;
+      route.top_records = 2;
+      for (size_t i = 3; i < item.size(); ++i) {
+        const auto service = item[i].get<std::string>();
+        set.services.push_back({service, 26, ""});
+        route.shards.push_back(service);
+      }
+      if (route.shards.size() == 1) {
+        route.services = {{route.shards.front(), 1}};
+        route.shards.clear();
+      }
+      set.routes.push_back(std::move(route));
+    }
+    return set;
+  }
+};
+
+/// A gateway with the words of one control machine.
+class GatewayHarness {
+ public:
+  GatewayHarness() : server(Options(), &reader_, kStart) {}
+
+  static GatewayOptions Options() {
+    GatewayOptions options;
+    options.cluster = "test";
+    options.node = "g1";
+    options.address = "10.0.0.9:80";
+    options.incarnation = 5;
+    options.control = {kControl};
+    return options;
+  }
+
+  void Put(uint64_t version, const std::string& text) {
+    config::Change change;
+    change.kind = config::ChangeKind::kPutDocument;
+    change.document = {version, text};
+    Apply(change);
+  }
+  void Retire(const std::string& leaf) {
+    config::Change change;
+    change.kind = config::ChangeKind::kRetireLeaf;
+    change.leaf = leaf;
+    Apply(change);
+  }
+  void Report(std::vector<wire::LeafRecord> records) {
+    server.OnControlMessage(now, kControl,
+                            {"test", 0, wire::LeafFeed{0, ++leaf_version_, records, {}, {}, 1}});
+  }
+  static wire::LeafRecord Leaf(const std::string& id, const std::string& service) {
+    return {id, service, id + ":80", "north", 2, false, 0};
+  }
+
+  /// @return the request's id.
+  RequestId Ask(const std::string& target, Duration deadline = Seconds(1)) {
+    auto request = std::make_shared<PayloadRequest>();
+    request->request_id = "r" + std::to_string(++asked_);
+    request->method = "GET";
+    request->target = target;
+    request->host = kHost;
+    request->deadline = deadline;
+    const RequestId id{asked_};
+    server.OnRequest(now, id, std::move(request));
+    Take();
+    return id;
+  }
+  void Reply(const LeafSend& send, query::LeafStatus status, const std::string& body = "",
+             int http_status = 200) {
+    query::LeafReply reply;
+    reply.id = send.id;
+    reply.leaf = send.leaf;
+    reply.shard = send.shard;
+    reply.status = status;
+    if (!body.empty()) {
+      auto payload = std::make_shared<query::LeafPayload>();
+      payload->status = http_status;
+      payload->body = body;
+      payload->signature = "sig-" + send.leaf;
+      reply.payload = std::move(payload);
+    }
+    server.OnLeafReply(now, reply);
+    Take();
+  }
+  void Pass(Duration time) {
+    const Timestamp end = now + time;
+    while (now < end) {
+      now = std::min(end, std::max(now + Milliseconds(1), server.NextWake(now)));
+      server.Tick(now);
+      Take();
+    }
+  }
+  void Take() {
+    GatewayOutput output = server.TakeOutput();
+    for (LeafSend& send : output.sends) {
+      sends.push_back(std::move(send));
+    }
+    for (GatewayAnswer& answer : output.answers) {
+      answers.push_back(std::move(answer));
+    }
+    for (const LeafCancel& cancel : output.cancels) {
+      cancels.push_back(cancel);
+    }
+    for (ControlMessage& message : output.control) {
+      control.push_back(std::move(message));
+    }
+  }
+
+  Timestamp now = kStart;
+
+ private:
+  void Apply(const config::Change& change) {
+    state_.Apply(change);
+    wire::ConfigFeed feed;
+    feed.version = state_.version().value;
+    feed.full = true;
+    feed.state = state_.Serialize();
+    server.OnControlMessage(now, kControl, {"test", feed.version, feed});
+    Take();
+  }
+
+  TestReader reader_;
+  config::ConfigState state_;
+  uint64_t leaf_version_ = 0;
+  uint64_t asked_ = 0;
+
+ public:
+  GatewayServer server;
+  std::vector<LeafSend> sends;
+  std::vector<GatewayAnswer> answers;
+  std::vector<LeafCancel> cancels;
+  std::vector<ControlMessage> control;
+};
+
+}  // namespace pumicedyke::gateway
