Send silent members bare heartbeats; let two machines not take a leaf from each other; end frame connections behind a cut

Change: entries go to a probed member only once it is heard; a leaf is proposed again only after another heartbeat; unacknowledged frames end their connection after 1.5 s. Tests, failing first: SilentMemberIsSentNoEntriesAgainAndAgain, TwoMachinesDoNotTakeALeafFromEachOther.

--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -89,7 +89,9 @@
   message.log_term = TermAt(progress.next - 1).value_or(0);
   message.commit = commit_index_;
   message.context = static_cast<uint64_t>(now.time_since_epoch().count());
-  const bool may_carry_entries = !progress.probing || heartbeat;
+  // A member that says nothing gets bare heartbeats; its first answer starts the replication. What
+  // is sent to a member behind a cut piles up and comes all at once when the cut heals.
+  const bool may_carry_entries = !progress.probing || (heartbeat && RecentlyHeard(id, now));
   size_t bytes = 0;
   for (uint64_t index = progress.next; may_carry_entries && index <= last_index(); ++index) {
     const LogEntry& entry = EntryAt(index);
--- a/src/control/leaf_committer.cc
+++ b/src/control/leaf_committer.cc
@@ -24,19 +24,27 @@
   return change;
 }
 
-std::optional<config::Change> LeafCommitter::ProposeReports(
-    const registry::LeafRegistry& registry, const config::ConfigState& committed) const {
+std::optional<config::Change> LeafCommitter::ProposeReports(const registry::LeafRegistry& registry,
+                                                            const config::ConfigState& committed) {
   config::Change change;
   change.kind = config::ChangeKind::kReportLeafs;
-  registry.ForEach([&](const wire::LeafRecord& record) {
+  std::map<std::string, Timestamp> proposed_as_of;
+  registry.ForEach([&](const wire::LeafRecord& record, Timestamp heard) {
     const config::ReportedLeaf leaf{record.leaf, record.service, record.address,
                                     record.zone, record.slots,   self_};
     const auto known = committed.reported().find(record.leaf);
     const bool settled = known != committed.reported().end() && known->second == leaf;
-    if (!record.draining && !settled && !committed.retired().contains(record.leaf)) {
+    const auto before = proposed_as_of_.find(record.leaf);
+    const bool tried = before != proposed_as_of_.end() && before->second == heard;
+    if (record.draining || committed.retired().contains(record.leaf)) {
+      return;
+    }
+    if (!settled && !tried) {
       change.reported.push_back(leaf);
     }
+    proposed_as_of[record.leaf] = heard;
   });
+  proposed_as_of_ = std::move(proposed_as_of);
   return change.reported.empty() ? std::nullopt : std::optional(std::move(change));
 }
 
--- a/src/control/leaf_committer.h
+++ b/src/control/leaf_committer.h
@@ -39,7 +39,7 @@
 
  private:
   std::optional<config::Change> ProposeReports(const registry::LeafRegistry& registry,
-                                               const config::ConfigState& committed) const;
+                                               const config::ConfigState& committed);
   std::optional<config::Change> ProposeForgetting(Timestamp now,
                                                   const registry::LeafRegistry& registry,
                                                   const config::ConfigState& committed,
@@ -48,6 +48,10 @@
   LeafCommitterOptions options_;
   MemberId self_;
   Timestamp started_;
+  /// When each leaf had been heard of last as it was proposed or found settled. A leaf that reports
+  /// elsewhere by now is proposed again only after another heartbeat: else two machines would take
+  /// it from each other.
+  std::map<std::string, Timestamp> proposed_as_of_;
   bool pending_ = false;
   Timestamp proposed_{};
   /// Reporters that are no members, and since when this machine has seen that.
--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -37,9 +37,15 @@
   return frame;
 }
 
-void SetNoDelay(ACE_SOCK_Stream* stream) {
+/// Unacknowledged bytes end a connection after this, so that a fresh one is there soon after a cut
+/// heals: TCP's own repeats grow seconds apart.
+constexpr unsigned kUserTimeoutMilliseconds = 1500;
+
+void SetOptions(ACE_SOCK_Stream* stream) {
   int on = 1;
   stream->set_option(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  unsigned timeout = kUserTimeoutMilliseconds;
+  stream->set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
 }  // namespace
@@ -57,7 +63,7 @@
 
 bool FrameSocket::Start() {
   stream_.enable(ACE_NONBLOCK);
-  SetNoDelay(&stream_);
+  SetOptions(&stream_);
   open_ = loop_->ace()->register_handler(this, ACE_Event_Handler::READ_MASK) == 0;
   return open_;
 }
--- a/src/registry/leaf_registry.cc
+++ b/src/registry/leaf_registry.cc
@@ -67,9 +67,10 @@
   }
 }
 
-void LeafRegistry::ForEach(const std::function<void(const wire::LeafRecord&)>& visit) const {
+void LeafRegistry::ForEach(
+    const std::function<void(const wire::LeafRecord&, Timestamp heard)>& visit) const {
   for (const auto& [leaf, entry] : leafs_) {
-    visit(entry.record);
+    visit(entry.record, entry.heard);
   }
 }
 
--- a/src/registry/leaf_registry.h
+++ b/src/registry/leaf_registry.h
@@ -54,7 +54,8 @@
   /// Counts changes.
   uint64_t version() const { return version_; }
   size_t size() const { return leafs_.size(); }
-  void ForEach(const std::function<void(const wire::LeafRecord&)>& visit) const;
+  /// @param visit also gets when the leaf was heard of last.
+  void ForEach(const std::function<void(const wire::LeafRecord&, Timestamp heard)>& visit) const;
   const wire::LeafRecord* Find(const std::string& leaf) const;
   /// What changed since `version`; everything if that is zero or too long ago. Fields `control` and
   /// `gateways` are left empty.
--- a/test/consensus/raft_test.cc
+++ b/test/consensus/raft_test.cc
@@ -69,6 +69,9 @@
       }
       for (const wire::RaftMessage& message : messages) {
         moved = true;
+        if (cut_.contains(message.to)) {
+          entries_into_the_cut_ += message.entries.size();
+        }
         const bool delivered = replicas_.contains(message.to) && !cut_.contains(message.from) &&
                                !cut_.contains(message.to);
         if (delivered) {
@@ -103,6 +106,8 @@
   std::vector<std::string> applied(MemberId id) { return replicas_.at(id).applied; }
   void Cut(MemberId id) { cut_.insert(id); }
   void Heal() { cut_.clear(); }
+  /// Log entries that were sent to members behind a cut.
+  size_t entries_into_the_cut() const { return entries_into_the_cut_; }
   Timestamp now() const { return now_; }
   MemberId Other(MemberId id) const { return id % 3 + 1; }
 
@@ -115,6 +120,7 @@
   };
   std::map<MemberId, Replica> replicas_;
   std::set<MemberId> cut_;
+  size_t entries_into_the_cut_ = 0;
   Timestamp now_{Seconds(100)};
 };
 
@@ -128,9 +134,30 @@
   CPPUNIT_TEST(LaggingReplicaGetsASnapshot);
   CPPUNIT_TEST(RestartKeepsWhatWasCommitted);
   CPPUNIT_TEST(MembershipChangesOneByOne);
+  CPPUNIT_TEST(SilentMemberIsSentNoEntriesAgainAndAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// A new leader that has never heard of a member behind a cut must not fill the connection to it:
+  /// what piles up there comes all at once when the cut heals.
+  void SilentMemberIsSentNoEntriesAgainAndAgain() {
+    Group group;
+    const MemberId old_leader = group.WaitForLeader();
+    group.Propose("a");
+    group.Cut(old_leader);
+    group.RunFor(Seconds(1));
+    group.WaitForLeader();
+    constexpr int kCommands = 20;
+    for (int i = 0; i < kCommands; ++i) {
+      group.Propose("b");
+    }
+    group.RunFor(Seconds(2));
+    CPPUNIT_ASSERT(group.entries_into_the_cut() <= kCommands + 2);
+    group.Heal();
+    group.RunFor(Seconds(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{kCommands + 1}, group.applied(old_leader).size());
+  }
+
   void CommandsReachEveryReplicaInOrder() {
     Group group;
     group.Propose("a");
--- a/test/control/leaf_committer_test.cc
+++ b/test/control/leaf_committer_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(SilentLeafIsForgotten);
   CPPUNIT_TEST(RestartLeavesTimeToReportAgain);
   CPPUNIT_TEST(LeafThatMovedIsNotForgottenByItsOldMachine);
+  CPPUNIT_TEST(TwoMachinesDoNotTakeALeafFromEachOther);
   CPPUNIT_TEST(LeaderForgetsLeafsOfMachinesThatAreGone);
   CPPUNIT_TEST(RetiredLeafIsNotCommittedAgain);
   CPPUNIT_TEST(StateSurvivesItsText);
@@ -94,6 +95,33 @@
     CPPUNIT_ASSERT(h.state.IsSettled(*forget));
   }
 
+  /// A leaf has moved: for some seconds both machines hold it, the old one without new heartbeats.
+  void TwoMachinesDoNotTakeALeafFromEachOther() {
+    Harness old_machine(kSelf);
+    Harness new_machine(kOther);
+    old_machine.registry.OnReport(kStart, Report("a", 1));
+    int proposals = 0;
+    for (int i = 0; i < 5; ++i) {
+      if (const auto change = old_machine.Propose(kStart + Milliseconds(200) * (i + 1))) {
+        ++proposals;
+        new_machine.state.Apply(*change);
+      }
+    }
+    new_machine.registry.OnReport(kStart + Seconds(1), Report("a", 2));
+    for (int i = 0; i < 50; ++i) {
+      const Timestamp now = kStart + Seconds(2) + Milliseconds(100) * i;
+      for (Harness* machine : {&old_machine, &new_machine}) {
+        if (const auto change = machine->Propose(now)) {
+          ++proposals;
+          old_machine.state.Apply(*change);
+          new_machine.state.Apply(*change);
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(2, proposals);
+    CPPUNIT_ASSERT_EQUAL(kOther, old_machine.state.reported().at("a").reporter);
+  }
+
   void LeaderForgetsLeafsOfMachinesThatAreGone() {
     Harness h;
     h.Commit("a", kOther);
--- a/test/gateway/gateway_property_test.cc
+++ b/test/gateway/gateway_property_test.cc
@@ -1,5 +1,6 @@
-// Random histories of one gateway: requests, replies of every kind in any order, leafs that come, retire
-// and fall silent, clients that leave, documents that change. What must hold, holds after each.
+// Random histories of one gateway: requests, replies of every kind in any order, leafs that come,
+// retire and fall silent, clients that leave, documents that change. What must hold, holds after
+// each.
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
