--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -236,16 +236,16 @@
 void GatewayServer::OnRequest(Timestamp now, RequestId id,
                               std::shared_ptr<const PayloadRequest> request) {
   if (table_ == nullptr) {
-    Refuse(id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
+    Refuse(now, id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
     return;
   }
   const routing::Route* route = table_->Find(request->host, request->path());
   if (route == nullptr) {
-    Refuse(id, std::move(request), ResultCode::kUnknownPath, Duration(0));
+    Refuse(now, id, std::move(request), ResultCode::kUnknownPath, Duration(0));
     return;
   }
   if (active_.size() >= options_.knobs.max_in_progress) {
-    Refuse(id, std::move(request), ResultCode::kOverloaded, kRetryWhenOverloaded);
+    Refuse(now, id, std::move(request), ResultCode::kOverloaded, kRetryWhenOverloaded);
     return;
   }
   StartExecution(now, id, *route, std::move(request));
@@ -358,13 +358,16 @@
   output_.answers.push_back(std::move(out));
 }
 
-void GatewayServer::Refuse(RequestId id, std::shared_ptr<const PayloadRequest> request,
-                           ResultCode code, Duration retry_after) {
+void GatewayServer::Refuse(Timestamp now, RequestId id,
+                           std::shared_ptr<const PayloadRequest> request, ResultCode code,
+                           Duration retry_after) {
   GatewayAnswer answer;
   answer.id = id;
   answer.request = std::move(request);
   answer.code = code;
   answer.retry_after = retry_after;
+  answer.trace.document_version = document_version();
+  answer.trace.config_age = subscriber_.Age(now);
   output_.answers.push_back(std::move(answer));
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -163,8 +163,8 @@
                       std::shared_ptr<const PayloadRequest> request);
   void Collect(Timestamp now, RequestId id);
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
-  void Refuse(RequestId id, std::shared_ptr<const PayloadRequest> request, ResultCode code,
-              Duration retry_after);
+  void Refuse(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
+              ResultCode code, Duration retry_after);
   void Schedule(RequestId id, Timestamp wake);
   void Remove(RequestId id);
 
