--- a/test/gateway/gateway_property_test.cc
+++ b/test/gateway/gateway_property_test.cc
@@ -56,7 +56,8 @@
         Retire();
         break;
       case 4:
-        h_.Put(++version_, version_ % 2 == 0 ? kSecondDocument : kFirstDocument);
+        ++version_;
+        h_.Put(version_, version_ % 2 == 0 ? kSecondDocument : kFirstDocument);
         break;
       default:
         h_.server.Tick(h_.now);
@@ -90,7 +91,8 @@
   void Ask() {
     const std::string kind = *rc::gen::element<std::string>("one", "job", "all");
     // What the call sends and answers at once is observed with it.
-    asked_[next_] = {kind, h_.now};
+    asked_[next_].kind = kind;
+    asked_[next_].at = h_.now;
     ++next_;
     h_.Ask("/" + kind + "/x", Seconds(10));
   }
