--- /dev/null
+++ b/test/http/surplus_answer_test.cc
@@ -0,0 +1,171 @@
+// A peer that answers a request once more, late, in the place of the next answer; one that ends an
+// answer with a reset; one that answers before it has the whole request.
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "http/http_client.h"
+#include "net/event_loop.h"
+
+namespace pumicedyke::http {
+namespace {
+
+/// A peer that serves one connection at a time by a script and then ends.
+class ScriptedPeer {
+ public:
+  using Script = std::function<void(int connection)>;
+
+  /// @param connections how many are served, each by `script`.
+  ScriptedPeer(int connections, Script script) {
+    socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    CPPUNIT_ASSERT(::bind(socket_, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    ::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    CPPUNIT_ASSERT(::listen(socket_, 16) == 0);
+    thread_ = std::thread([this, connections, script] {
+      for (int i = 0; i < connections; ++i) {
+        const int connection = ::accept(socket_, nullptr, nullptr);
+        if (connection < 0) {
+          return;
+        }
+        script(connection);
+        ::close(connection);
+      }
+    });
+  }
+  ~ScriptedPeer() {
+    ::shutdown(socket_, SHUT_RDWR);
+    thread_.join();
+    ::close(socket_);
+  }
+
+  const std::string& address() const { return address_; }
+
+  /// Reads until the end of a request's head.
+  static void ReadHead(int connection) {
+    std::string text;
+    char byte = 0;
+    while (!text.ends_with("\r\n\r\n") && ::read(connection, &byte, 1) == 1) {
+      text += byte;
+    }
+  }
+  static void Write(int connection, const std::string& text) {
+    (void)!::write(connection, text.data(), text.size());
+  }
+  static std::string Answer(const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(id.size()) +
+           "\r\n\r\n" + id;
+  }
+
+ private:
+  int socket_ = -1;
+  std::string address_;
+  std::thread thread_;
+};
+
+ClientRequest RequestWithId(const std::string& address, const std::string& id) {
+  ClientRequest request;
+  request.address = address;
+  request.path = "/";
+  request.headers = {{"X-Id", id}};
+  request.echoed_header = "X-Id";
+  return request;
+}
+
+/// Makes the calls one after the other on one client.
+std::vector<ClientResponse> Exchange(const std::vector<ClientRequest>& requests) {
+  net::EventLoop loop;
+  HttpClient client(&loop, {.max_connections_per_host = 1});
+  std::vector<ClientResponse> responses;
+  std::function<void()> next = [&] {
+    client.Start(requests[responses.size()], [&](ClientResponse response) {
+      responses.push_back(std::move(response));
+      if (responses.size() == requests.size()) {
+        loop.Stop();
+      } else {
+        loop.Post(next);
+      }
+    });
+  };
+  loop.Post(next);
+  loop.Run([](Timestamp now) { return now + Milliseconds(50); });
+  return responses;
+}
+
+}  // namespace
+
+class SurplusAnswerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SurplusAnswerTest);
+  CPPUNIT_TEST(LateSurplusIsDroppedByItsId);
+  CPPUNIT_TEST(EarlySurplusEndsTheConnection);
+  CPPUNIT_TEST(ResetAnswerIsNotWhole);
+  CPPUNIT_TEST(EndOfConnectionCompletesAnUnframedAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LateSurplusIsDroppedByItsId() {
+    ScriptedPeer peer(1, [](int connection) {
+      ScriptedPeer::ReadHead(connection);
+      ScriptedPeer::Write(connection, ScriptedPeer::Answer("one"));
+      ScriptedPeer::ReadHead(connection);
+      // Once more for the first request, in the place of the second's answer.
+      ScriptedPeer::Write(connection, ScriptedPeer::Answer("one"));
+      ScriptedPeer::Write(connection, ScriptedPeer::Answer("two"));
+      ScriptedPeer::ReadHead(connection);
+    });
+    const auto responses =
+        Exchange({RequestWithId(peer.address(), "one"), RequestWithId(peer.address(), "two")});
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), responses[0].body);
+    CPPUNIT_ASSERT_EQUAL(std::string("two"), responses[1].body);
+    CPPUNIT_ASSERT(responses[1].reused_connection);
+  }
+
+  void EarlySurplusEndsTheConnection() {
+    int served = 0;
+    ScriptedPeer peer(2, [&served](int connection) {
+      const std::string id = ++served == 1 ? "one" : "two";
+      ScriptedPeer::ReadHead(connection);
+      ScriptedPeer::Write(connection, ScriptedPeer::Answer(id) + (served == 1 ? "HTTP/1.1 2" : ""));
+      ScriptedPeer::ReadHead(connection);
+    });
+    const auto responses =
+        Exchange({RequestWithId(peer.address(), "one"), RequestWithId(peer.address(), "two")});
+    CPPUNIT_ASSERT_EQUAL(std::string("one"), responses[0].body);
+    CPPUNIT_ASSERT_EQUAL(std::string("two"), responses[1].body);
+    CPPUNIT_ASSERT(!responses[1].reused_connection);
+  }
+
+  void ResetAnswerIsNotWhole() {
+    ScriptedPeer peer(1, [](int connection) {
+      ScriptedPeer::ReadHead(connection);
+      ScriptedPeer::Write(connection, "HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\npart");
+      const linger reset{1, 0};
+      ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    });
+    const auto responses = Exchange({RequestWithId(peer.address(), "one")});
+    CPPUNIT_ASSERT(!responses[0].ok());
+    CPPUNIT_ASSERT(!responses[0].not_sent);
+  }
+
+  void EndOfConnectionCompletesAnUnframedAnswer() {
+    ScriptedPeer peer(1, [](int connection) {
+      ScriptedPeer::ReadHead(connection);
+      ScriptedPeer::Write(connection, "HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\nwhole");
+    });
+    const auto responses = Exchange({RequestWithId(peer.address(), "one")});
+    CPPUNIT_ASSERT_EQUAL(std::string("whole"), responses[0].body);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(SurplusAnswerTest);
+
+}  // namespace pumicedyke::http
