--- a/src/control/discovery_server.h
+++ b/src/control/discovery_server.h
@@ -21,7 +21,7 @@
 
 class DiscoveryServer {
  public:
-  explicit DiscoveryServer(DiscoveryOptions options)
+  explicit DiscoveryServer(const DiscoveryOptions& options)
       : options_(options), registry_(options.registry), directory_(options.directory) {}
 
   /// @param current whether this machine is in touch with a quorum. While it is not, leafs are told
--- a/src/server/control_dialect_calls.cc
+++ b/src/server/control_dialect_calls.cc
@@ -53,7 +53,7 @@
 }
 
 void ControlProcess::SubmitFor(const config::Change& change, http::Responder responder,
-                               std::function<void()> then) {
+                               const std::function<void()>& then) {
   const auto on_reply = [this, responder, then](const control::OperatorReply& reply) mutable {
     const absl::Status status = StatusOfReply(reply);
     if (!status.ok()) {
@@ -79,7 +79,7 @@
   });
 }
 
-void ControlProcess::Run(control::GetDocument /*command*/, http::Responder responder) {
+void ControlProcess::Run(const control::GetDocument& /*command*/, http::Responder responder) {
   const auto on_reply = [this, responder](const control::OperatorReply& reply) mutable {
     if (!reply.document.has_value()) {
       responder.Send(dialect_->WriteRefusal(StatusOfReply(reply)));
@@ -119,7 +119,7 @@
   CarryOut();
 }
 
-void ControlProcess::Run(control::RetireLeaf command, http::Responder responder) {
+void ControlProcess::Run(const control::RetireLeaf& command, http::Responder responder) {
   config::Change change;
   change.kind = config::ChangeKind::kRetireLeaf;
   change.leaf = command.leaf;
@@ -129,7 +129,7 @@
   });
 }
 
-void ControlProcess::Run(control::FindGateways command, http::Responder responder) {
+void ControlProcess::Run(const control::FindGateways& command, http::Responder responder) {
   const std::vector<std::string> addresses =
       discovery_->GatewaysFor(net::EventLoop::Now(), command.zone);
   if (addresses.empty()) {
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -91,14 +91,14 @@
   absl::Status ListenForDialect();
   void OnDialect(const http::HttpRequest& request, http::Responder responder);
   void Run(control::PutDocument command, http::Responder responder);
-  void Run(control::GetDocument command, http::Responder responder);
+  void Run(const control::GetDocument& command, http::Responder responder);
   void Run(control::ReportLeaf command, http::Responder responder);
-  void Run(control::RetireLeaf command, http::Responder responder);
-  void Run(control::FindGateways command, http::Responder responder);
+  void Run(const control::RetireLeaf& command, http::Responder responder);
+  void Run(const control::FindGateways& command, http::Responder responder);
   /// Submits a change; answers with acceptance or the refusal. @param then runs before the answer
   /// if the change is in force.
   void SubmitFor(const config::Change& change, http::Responder responder,
-                 std::function<void()> then);
+                 const std::function<void()>& then);
 
   ControlSettings settings_;
   net::EventLoop* loop_;
--- a/test/http/surplus_answer_test.cc
+++ b/test/http/surplus_answer_test.cc
@@ -22,7 +22,7 @@
   using Script = std::function<void(int connection)>;
 
   /// @param connections how many are served, each by `script`.
-  ScriptedPeer(int connections, Script script) {
+  ScriptedPeer(int connections, const Script& script) {
     socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -34,7 +34,7 @@
   thread_ = std::thread([this, &listening] {
     net::EventLoop loop;
     http::HttpServer server(&loop, {},
-                            [this](http::HttpRequest request, http::Responder responder) {
+                            [this](const http::HttpRequest& request, http::Responder responder) {
                               OnRequest(request, std::move(responder));
                             });
     CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
--- a/test/registry/leaf_registry_test.cc
+++ b/test/registry/leaf_registry_test.cc
@@ -102,7 +102,7 @@
         now += Milliseconds(*rc::gen::inRange(0, 1500));
         const std::string leaf = "leaf" + std::to_string(*rc::gen::inRange(0, 6));
         registry.OnReport(now,
-                          Report(leaf, static_cast<uint64_t>(i + 1), *rc::gen::arbitrary<bool>()));
+                          Report(leaf, static_cast<uint64_t>(i) + 1, *rc::gen::arbitrary<bool>()));
         registry.DropSilent(now);
         // The receiver hears of some moments only.
         if (*rc::gen::inRange(0, 3) == 0) {
