Let libevent wait for sockets in place of ACE's reactor

Change: net/poller on libevent's core, level-triggered, all that is ready in one wait; signals and posted tasks wake it by an eventfd.

--- a/src/common/types.h
+++ b/src/common/types.h
@@ -21,6 +21,7 @@
 };
 using Timestamp = std::chrono::time_point<MonotonicTimeline, Duration>;
 
+constexpr Duration Microseconds(int64_t count) { return Duration(count); }
 constexpr Duration Milliseconds(int64_t count) { return std::chrono::milliseconds(count); }
 constexpr Duration Seconds(int64_t count) { return std::chrono::seconds(count); }
 constexpr double ToMilliseconds(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -314,7 +314,7 @@
   }
   ::getsockname(listener_, reinterpret_cast<sockaddr*>(&local), &size);
   port_ = ntohs(local.sin_port);
-  loop_->ace()->register_handler(this, ACE_Event_Handler::ACCEPT_MASK);
+  loop_->poller()->Watch(this, ACE_Event_Handler::ACCEPT_MASK);
   return absl::OkStatus();
 }
 
@@ -345,8 +345,7 @@
 
 void HttpServer::StopListening() {
   if (listener_ != ACE_INVALID_HANDLE) {
-    loop_->ace()->remove_handler(this,
-                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    loop_->poller()->Remove(this);
     ::close(std::exchange(listener_, ACE_INVALID_HANDLE));
   }
 }
--- a/src/net/byte_stream.cc
+++ b/src/net/byte_stream.cc
@@ -64,14 +64,13 @@
 ByteStream::~ByteStream() { Close(); }
 
 void ByteStream::Register(ACE_Reactor_Mask mask) {
-  registered_ = loop_->ace()->register_handler(this, mask) == 0;
+  registered_ = loop_->poller()->Watch(this, mask);
 }
 
 void ByteStream::Close() {
   if (registered_) {
     registered_ = false;
-    loop_->ace()->remove_handler(this,
-                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    loop_->poller()->Remove(this);
   }
   if (handle_ != ACE_INVALID_HANDLE) {
     ::close(std::exchange(handle_, ACE_INVALID_HANDLE));
@@ -98,8 +97,7 @@
 void ByteStream::WantWrites(bool want) {
   if (want != wants_writes_ && open()) {
     wants_writes_ = want;
-    loop_->ace()->mask_ops(this, ACE_Event_Handler::WRITE_MASK,
-                           want ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
+    loop_->poller()->Watch(this, want ? kReadAndWrite : kReadOnly);
   }
 }
 
@@ -153,8 +151,12 @@
   }
   connecting_ = false;
   was_connected_ = true;
-  loop_->ace()->mask_ops(this, ACE_Event_Handler::READ_MASK, ACE_Reactor::ADD_MASK);
-  return true;
+  wants_writes_ = false;
+  loop_->poller()->Watch(this, ACE_Event_Handler::READ_MASK);
+  if (callbacks_.on_connected) {
+    callbacks_.on_connected();
+  }
+  return open();
 }
 
 int ByteStream::handle_output(ACE_HANDLE /*handle*/) {
--- a/src/net/byte_stream.h
+++ b/src/net/byte_stream.h
@@ -31,6 +31,8 @@
     std::function<void(StreamEnd end)> on_end;
     /// Everything written so far is with the operating system.
     std::function<void()> on_drained;
+    /// The connection that this side began is made.
+    std::function<void()> on_connected = {};
   };
 
   /// @param handle an accepted socket; owned from now on.
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -1,12 +1,11 @@
 #include "net/event_loop.h"
 
-#include <ace/ACE.h>
-#include <ace/Dev_Poll_Reactor.h>
-#include <ace/OS_NS_Thread.h>
-#include <ace/Signal.h>
+#include <sys/eventfd.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <utility>
@@ -16,39 +15,53 @@
 namespace pumicedyke::net {
 namespace {
 
-/// Handles that the reactor has room for, unless the process may open fewer.
+/// Handles that a process asks to be allowed.
 constexpr rlim_t kMaxHandles = 16384;
 constexpr Duration kLongestSleep = Milliseconds(200);
+/// A wait shorter than this found something ready at once.
+constexpr Duration kShortestSleep = Microseconds(100);
+
+/// Bit n: signal n came.
+std::atomic<uint64_t> pending_signals{0};
+/// Written to by the signal handler; -1 while no loop asks for signals.
+std::atomic<int> signal_wake_handle{-1};
+
+/// Runs in the signal handler itself: no locks, no memory.
+void NoteSignal(int signal_number) {
+  pending_signals.fetch_or(uint64_t{1} << static_cast<unsigned>(signal_number));
+  const int handle = signal_wake_handle.load();
+  if (handle >= 0) {
+    const int saved = errno;
+    eventfd_write(handle, 1);
+    errno = saved;
+  }
+}
 
-/// The reactor refuses to open with room for more handles than the process may have.
-int HandleLimit() {
+void RaiseHandleLimit() {
   rlimit limit{};
-  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
-    return static_cast<int>(kMaxHandles);
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < kMaxHandles) {
+    limit.rlim_cur = std::min(limit.rlim_max, kMaxHandles);
+    ::setrlimit(RLIMIT_NOFILE, &limit);
   }
-  return static_cast<int>(std::min(limit.rlim_cur, kMaxHandles));
 }
 
 }  // namespace
 
-EventLoop::EventLoop() {
-  rlimit limit{};
-  const bool may_raise = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < kMaxHandles &&
-                         limit.rlim_max > limit.rlim_cur;
-  if (may_raise) {
-    ACE::set_handle_limit(static_cast<int>(std::min(limit.rlim_max, kMaxHandles)));
-  }
-  auto* implementation =
-      new ACE_Dev_Poll_Reactor(static_cast<size_t>(HandleLimit()), /*restart=*/false);
-  reactor_ = std::make_unique<ACE_Reactor>(implementation, /*delete_implementation=*/true);
+EventLoop::EventLoop()
+    : poller_([this] { NoteArrival(); }), wake_handle_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+  RaiseHandleLimit();
+  poller_.Watch(this, ACE_Event_Handler::READ_MASK);
   std::signal(SIGPIPE, SIG_IGN);
 }
 
 EventLoop::~EventLoop() {
   for (const auto& [number, task] : signal_tasks_) {
-    reactor_->remove_handler(number, static_cast<ACE_Sig_Action*>(nullptr));
+    std::signal(number, SIG_DFL);
   }
-  reactor_->purge_pending_notifications(this);
+  int own = wake_handle_;
+  signal_wake_handle.compare_exchange_strong(own, -1);
+  poller_.Remove(this);
+  ::close(wake_handle_);
 }
 
 Timestamp EventLoop::Now() {
@@ -69,10 +82,12 @@
     posted_.push_back(std::move(task));
   }
   if (wake) {
-    reactor_->notify(this, ACE_Event_Handler::EXCEPT_MASK);
+    Wake();
   }
 }
 
+void EventLoop::Wake() const { eventfd_write(wake_handle_, 1); }
+
 void EventLoop::RunPosted() {
   std::deque<Task> tasks;
   {
@@ -117,24 +132,26 @@
   }
 }
 
-int EventLoop::handle_exception(ACE_HANDLE /*handle*/) {
-  RunPosted();
+int EventLoop::handle_input(ACE_HANDLE handle) {
+  eventfd_t count = 0;
+  eventfd_read(handle, &count);
   return 0;
 }
 
 void EventLoop::OnSignal(int signal_number, Task task) {
   signal_tasks_[signal_number] = std::move(task);
-  reactor_->register_handler(signal_number, this);
-}
-
-int EventLoop::handle_signal(int signal_number, siginfo_t* /*info*/, ucontext_t* /*context*/) {
-  // Runs in the signal handler itself: no locks, no memory.
-  pending_signals_.fetch_or(uint64_t{1} << static_cast<unsigned>(signal_number));
-  return 0;
+  signal_wake_handle = wake_handle_;
+  struct sigaction action {};
+  action.sa_handler = NoteSignal;
+  action.sa_flags = SA_RESTART;
+  ::sigaction(signal_number, &action, nullptr);
 }
 
 void EventLoop::RunSignalTasks() {
-  const uint64_t pending = pending_signals_.exchange(0);
+  if (signal_tasks_.empty()) {
+    return;
+  }
+  const uint64_t pending = pending_signals.exchange(0);
   for (const auto& [number, task] : signal_tasks_) {
     if ((pending & (uint64_t{1} << static_cast<unsigned>(number))) != 0) {
       task();
@@ -142,8 +159,14 @@
   }
 }
 
+void EventLoop::NoteArrival() {
+  const Timestamp now = Now();
+  const bool slept = now - wait_began_ >= kShortestSleep;
+  earliest_arrival_ = slept ? now : wait_ended_;
+  wait_ended_ = now;
+}
+
 void EventLoop::Run(const std::function<Timestamp(Timestamp now)>& tick) {
-  reactor_->owner(ACE_OS::thr_self());
   while (!stopped_) {
     const Timestamp before = Now();
     RunTimers(before);
@@ -151,10 +174,11 @@
     if (!timers_.empty()) {
       wake = std::min(wake, timers_.begin()->first.first);
     }
-    const Duration sleep = deferred_.empty() ? std::max(Duration(0), wake - Now()) : Duration(0);
     FlushLog();
-    ACE_Time_Value timeout(sleep);
-    reactor_->handle_events(timeout);
+    wait_began_ = Now();
+    const Duration sleep =
+        deferred_.empty() ? std::max(Duration(0), wake - wait_began_) : Duration(0);
+    poller_.Poll(sleep);
     RunPosted();
     RunDeferred();
     RunSignalTasks();
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -1,8 +1,7 @@
-// The one thread of a process that runs decision code, over an ACE reactor.
+// The one thread of a process that runs decision code: sockets, timers, signals and tasks.
 #pragma once
 
 #include <ace/Event_Handler.h>
-#include <ace/Reactor.h>
 
 #include <atomic>
 #include <deque>
@@ -14,6 +13,7 @@
 #include <vector>
 
 #include "common/types.h"
+#include "net/poller.h"
 
 namespace pumicedyke::net {
 
@@ -33,7 +33,12 @@
   /// Milliseconds since the epoch.
   static int64_t WallMilliseconds();
 
-  ACE_Reactor* ace() { return reactor_.get(); }
+  /// Where sockets are watched.
+  Poller* poller() { return &poller_; }
+
+  /// The earliest time at which what is being read now may have arrived: when the loop last looked,
+  /// unless it slept since.
+  Timestamp earliest_arrival() const { return earliest_arrival_; }
 
   /// Runs `task` on the loop's thread, soon. May be called from any thread.
   void Post(Task task);
@@ -53,16 +58,27 @@
   /// Lets Run() be called again after Stop().
   void Resume() { stopped_ = false; }
 
-  int handle_signal(int signal_number, siginfo_t* info, ucontext_t* context) override;
-  int handle_exception(ACE_HANDLE handle) override;
+  /// Something was posted or a signal came.
+  int handle_input(ACE_HANDLE handle) override;
+  ACE_HANDLE get_handle() const override { return wake_handle_; }
 
  private:
   void RunPosted();
   void RunDeferred();
   void RunTimers(Timestamp now);
   void RunSignalTasks();
+  /// Ends a wait; may be called from any thread.
+  void Wake() const;
+
+  void NoteArrival();
 
-  std::unique_ptr<ACE_Reactor> reactor_;
+  Poller poller_;
+  /// When the loop last began and ended to wait for sockets.
+  Timestamp wait_began_{};
+  Timestamp wait_ended_{};
+  /// An eventfd.
+  ACE_HANDLE wake_handle_;
+  Timestamp earliest_arrival_{};
   std::mutex mutex_;
   std::deque<Task> posted_;
   std::vector<Task> deferred_;
@@ -71,8 +87,6 @@
   std::map<TimerId, Timestamp> timer_due_;
   TimerId next_timer_ = 1;
   std::map<int, Task> signal_tasks_;
-  /// Bit n: signal n came. The only thing the signal handler touches.
-  std::atomic<uint64_t> pending_signals_{0};
   bool stopped_ = false;
 };
 
--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -64,15 +64,14 @@
 bool FrameSocket::Start() {
   stream_.enable(ACE_NONBLOCK);
   SetOptions(&stream_);
-  open_ = loop_->ace()->register_handler(this, ACE_Event_Handler::READ_MASK) == 0;
+  open_ = loop_->poller()->Watch(this, ACE_Event_Handler::READ_MASK);
   return open_;
 }
 
 void FrameSocket::Close() {
   if (open_) {
     open_ = false;
-    loop_->ace()->remove_handler(this,
-                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    loop_->poller()->Remove(this);
   }
   stream_.close();
 }
@@ -116,8 +115,7 @@
   const bool want = !output_.empty();
   if (want != writing_) {
     writing_ = want;
-    loop_->ace()->mask_ops(this, ACE_Event_Handler::WRITE_MASK,
-                           want ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
+    loop_->poller()->Watch(this, want ? kReadAndWrite : kReadOnly);
   }
 }
 
@@ -175,8 +173,7 @@
 FrameServer::~FrameServer() {
   sessions_.clear();
   if (port_ != 0) {
-    loop_->ace()->remove_handler(this,
-                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    loop_->poller()->Remove(this);
     acceptor_.close();
   }
 }
@@ -190,7 +187,7 @@
   acceptor_.get_local_addr(local);
   port_ = local.get_port_number();
   acceptor_.enable(ACE_NONBLOCK);
-  loop_->ace()->register_handler(this, ACE_Event_Handler::ACCEPT_MASK);
+  loop_->poller()->Watch(this, ACE_Event_Handler::ACCEPT_MASK);
   return absl::OkStatus();
 }
 
@@ -240,8 +237,7 @@
 
 FrameClient::~FrameClient() {
   if (is_connecting_) {
-    loop_->ace()->remove_handler(this,
-                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    loop_->poller()->Remove(this);
     connecting_.close();
   }
 }
@@ -258,8 +254,7 @@
 void FrameClient::StartConnecting() {
   const Timestamp now = EventLoop::Now();
   if (is_connecting_ && now - started_ > kConnectTimeout) {
-    loop_->ace()->remove_handler(this,
-                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    loop_->poller()->Remove(this);
     connecting_.close();
     is_connecting_ = false;
     waiting_.clear();
@@ -279,8 +274,7 @@
   }
   if (errno == EWOULDBLOCK || errno == EINPROGRESS || errno == ETIME) {
     is_connecting_ = true;
-    loop_->ace()->register_handler(this,
-                                   ACE_Event_Handler::WRITE_MASK | ACE_Event_Handler::READ_MASK);
+    loop_->poller()->Watch(this, ACE_Event_Handler::WRITE_MASK | ACE_Event_Handler::READ_MASK);
     return;
   }
   connecting_.close();
@@ -292,8 +286,7 @@
 int FrameClient::FinishConnecting() {
   if (is_connecting_) {
     is_connecting_ = false;
-    loop_->ace()->remove_handler(this,
-                                 ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    loop_->poller()->Remove(this);
   }
   int error = 0;
   socklen_t length = sizeof(error);
