Tell leafs the time left when a request is written, not when it was asked for

The header was made when the gateway decided; the request then waited for one of the few connections to the leaf, or for its connection to be made. Ruled out: the client's own deadline read wrongly (right at the first arrival); a clock that jumps. Change: the HTTP client writes the header from a budget that counts from Start(), and writes nothing before the connection is made. The part of a request that all leafs share is encoded once; a gathered answer's headers are not copied. Test, failing first: WorkBudgetTest (second request told as much as the first, 80 ms later). Two tests of messages ask for the same facts in their new places.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -313,8 +313,8 @@
     request_of_[send.id] = id;
     active.out.push_back(send.id);
     output_.sends.push_back({send.id, send.leaf, record.address, active.request, send.budget,
-                             active.route->repeatable, ConnectionShare(record.service),
-                             send.shard});
+                             active.route->repeatable, ConnectionShare(record.service), send.shard,
+                             /*keep_headers=*/!active.route->gathers()});
   }
   for (const query::SubRequestCancel& cancel : actions.cancels) {
     output_.cancels.push_back({cancel.id, /*stop_work=*/false});
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -22,6 +22,8 @@
   std::string target;
   std::string host;
   http::Headers headers;
+  /// Method, target and headers in the form in which they go to every leaf; made once.
+  std::string encoded_head;
   std::string body;
   /// How long the client waits; zero: it did not say.
   Duration deadline{};
@@ -42,6 +44,8 @@
   /// Connections that this gateway may hold to the leaf.
   size_t max_connections = 1;
   ShardId shard;
+  /// The leaf's headers are passed on with its answer.
+  bool keep_headers = true;
 };
 
 struct LeafCancel {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -40,28 +40,40 @@
   return readable ? Duration(static_cast<int64_t>(seconds * kMicroseconds)) : Duration(0);
 }
 
-RequestMessage ToMessage(const ClientRequest& request) {
-  RequestMessage message;
-  message.method = request.method;
-  if (message.method.empty()) {
-    message.method = request.body.empty() ? "GET" : "POST";
+std::string MethodOf(const ClientRequest& request) {
+  if (!request.method.empty()) {
+    return request.method;
   }
-  message.target = request.path;
+  return request.body.empty() ? "GET" : "POST";
+}
+
+std::string EncodeOwnHead(const ClientRequest& request) {
+  Headers headers;
   if (FindHeader(request.headers, "Host") == nullptr) {
-    message.headers.push_back({"Host", request.address});
+    headers.push_back({"Host", request.address});
+  }
+  return EncodeHead(MethodOf(request), request.path, headers);
+}
+
+/// @param spent time since the request was asked for.
+std::string Encode(const ClientRequest& request, Duration spent) {
+  std::string text = request.shared_head != nullptr ? *request.shared_head : EncodeOwnHead(request);
+  AppendHeaders(request.headers, &text);
+  if (!request.budget_header.empty()) {
+    const auto left = static_cast<int64_t>(ToMilliseconds(request.budget - spent));
+    AppendHeader(request.budget_header, std::to_string(std::max<int64_t>(1, left)), &text);
   }
-  message.headers.insert(message.headers.end(), request.headers.begin(), request.headers.end());
   if (request.method.empty() && !request.body.empty()) {
-    message.headers.push_back({"Content-Type", "application/json"});
+    AppendHeader("Content-Type", "application/json", &text);
   }
   if (!request.idempotency_key.empty()) {
-    message.headers.push_back({"Idempotency-Key", request.idempotency_key});
+    AppendHeader("Idempotency-Key", request.idempotency_key, &text);
   }
   if (!request.authorization.empty()) {
-    message.headers.push_back({"Authorization", request.authorization});
+    AppendHeader("Authorization", request.authorization, &text);
   }
-  message.body = request.body;
-  return message;
+  AppendBody(MethodOf(request), request.body, /*keep_alive=*/true, &text);
+  return text;
 }
 
 }  // namespace
@@ -70,6 +82,7 @@
   CallId id = 0;
   ClientRequest request;
   DoneCb done;
+  Timestamp started{};
   Host* host = nullptr;
   std::shared_ptr<Connection> connection;
   net::EventLoop::TimerId timer = 0;
@@ -91,7 +104,8 @@
         stream_(client->loop_, host->address,
                 {.on_bytes = [this](std::string* input) { OnBytes(input); },
                  .on_end = [this](net::StreamEnd end) { OnEnd(end); },
-                 .on_drained = {}}) {
+                 .on_drained = {},
+                 .on_connected = [this] { WriteRequest(); }}) {
     connect_timer_ = client_->loop_->RunAt(
         net::EventLoop::Now() + client_->options_.connect_timeout, [this] { OnConnectTimeout(); });
   }
@@ -104,11 +118,10 @@
     client_->loop_->CancelTimer(idle_timer_);
     idle_timer_ = 0;
     call_ = call;
-    const RequestMessage message = ToMessage(call->request);
-    parser_ = std::make_unique<ResponseParser>(MessageLimits{}, message.method == "HEAD");
-    const std::string* echo = FindHeader(message.headers, call->request.echoed_header);
-    expected_echo_ = echo == nullptr ? std::string() : *echo;
-    stream_.Write(EncodeRequest(message));
+    parser_ = std::make_unique<ResponseParser>(MessageLimits{}, call->request.method == "HEAD");
+    if (stream_.connected()) {
+      WriteRequest();
+    }
   }
 
   void Close() {
@@ -122,6 +135,13 @@
   Host* host() const { return host_; }
 
  private:
+  /// Not before the connection is made: what is left of the budget is told as of now.
+  void WriteRequest() {
+    if (call_ != nullptr) {
+      stream_.Write(Encode(call_->request, net::EventLoop::Now() - call_->started));
+    }
+  }
+
   void OnConnectTimeout() {
     connect_timer_ = 0;
     if (!stream_.connected()) {
@@ -154,8 +174,11 @@
     if (message.status < kFirstFinalStatus) {
       return;
     }
-    const std::string* echo = FindHeader(message.headers, call_->request.echoed_header);
-    const bool foreign = !expected_echo_.empty() && echo != nullptr && *echo != expected_echo_;
+    const ClientRequest& request = call_->request;
+    const std::string* echo = request.echoed_header.empty()
+                                  ? nullptr
+                                  : FindHeader(message.headers, request.echoed_header);
+    const bool foreign = echo != nullptr && *echo != request.expected_echo;
     if (foreign) {
       // A surplus answer to an earlier request; ours is still to come.
       return;
@@ -229,7 +252,6 @@
   Host* host_;
   std::shared_ptr<Call> call_;
   std::unique_ptr<ResponseParser> parser_;
-  std::string expected_echo_;
   uint64_t served_ = 0;
   Duration idle_limit_{};
   net::EventLoop::TimerId connect_timer_ = 0;
@@ -264,8 +286,8 @@
   call->request = std::move(request);
   call->done = std::move(done);
   call->host = host.get();
-  call->timer =
-      loop_->RunAt(net::EventLoop::Now() + call->request.timeout, [this, id] { OnTimeout(id); });
+  call->started = net::EventLoop::Now();
+  call->timer = loop_->RunAt(call->started + call->request.timeout, [this, id] { OnTimeout(id); });
   calls_[id] = call;
   host->waiting.push_back(std::move(call));
   Dispatch(host.get());
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -5,9 +5,9 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "common/types.h"
@@ -32,9 +32,17 @@
   std::string method;
   /// Sent as they stand, after Host (unless they hold one).
   Headers headers;
-  /// A response whose header of this name has another value than the request's belongs to an
+  /// Request line and headers by EncodeHead(), Host among them, for requests to many peers that
+  /// differ in little; `path` is unused then, and `headers` come after it. Null: there is none.
+  std::shared_ptr<const std::string> shared_head;
+  /// A response whose header of this name has another value than `expected_echo` belongs to an
   /// earlier request of the connection and is dropped. Empty: none is expected.
   std::string echoed_header;
+  std::string expected_echo;
+  /// The peer is told in this header how many whole milliseconds of `budget`, which counts from
+  /// Start(), are left when the request is written. Empty: it is not told.
+  std::string budget_header;
+  Duration budget{};
   /// Connections to the address that may be open for this call to go out; zero: as the client's
   /// options say.
   size_t max_connections = 0;
@@ -103,8 +111,8 @@
 
   net::EventLoop* loop_;
   HttpClientOptions options_;
-  std::map<std::string, std::unique_ptr<Host>> hosts_;
-  std::map<CallId, std::shared_ptr<Call>> calls_;
+  std::unordered_map<std::string, std::unique_ptr<Host>> hosts_;
+  std::unordered_map<CallId, std::shared_ptr<Call>> calls_;
   CallId next_id_ = 1;
   uint64_t connections_opened_ = 0;
 };
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -20,6 +20,8 @@
 
 absl::string_view View(std::string_view text) { return {text.data(), text.size()}; }
 
+}  // namespace
+
 void AppendHeader(std::string_view name, std::string_view value, std::string* text) {
   text->append(name).append(": ").append(value).append("\r\n");
 }
@@ -30,8 +32,6 @@
   }
 }
 
-}  // namespace
-
 bool SameName(std::string_view a, std::string_view b) {
   return absl::EqualsIgnoreCase(View(a), View(b));
 }
@@ -70,20 +70,29 @@
   return {phrase.data(), phrase.size()};
 }
 
-std::string EncodeRequest(const RequestMessage& request) {
+std::string EncodeHead(std::string_view method, std::string_view target, const Headers& headers) {
   std::string text;
-  text.reserve(kHeadReserve + request.body.size());
-  text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-  AppendHeaders(request.headers, &text);
-  const bool expects_body =
-      request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-  if (!request.body.empty() || expects_body) {
-    AppendHeader("Content-Length", std::to_string(request.body.size()), &text);
+  text.reserve(kHeadReserve);
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  AppendHeaders(headers, &text);
+  return text;
+}
+
+void AppendBody(std::string_view method, std::string_view body, bool keep_alive,
+                std::string* text) {
+  const bool expects_body = method == "POST" || method == "PUT" || method == "PATCH";
+  if (!body.empty() || expects_body) {
+    AppendHeader("Content-Length", std::to_string(body.size()), text);
   }
-  if (!request.keep_alive) {
-    AppendHeader("Connection", "close", &text);
+  if (!keep_alive) {
+    AppendHeader("Connection", "close", text);
   }
-  text.append("\r\n").append(request.body);
+  text->append("\r\n").append(body);
+}
+
+std::string EncodeRequest(const RequestMessage& request) {
+  std::string text = EncodeHead(request.method, request.target, request.headers);
+  AppendBody(request.method, request.body, request.keep_alive, &text);
   return text;
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -44,6 +44,13 @@
 /// The usual reason phrase; "Unknown" for numbers without one.
 std::string_view ReasonPhrase(int status);
 
+/// The request line and headers, without the empty line that ends a head.
+std::string EncodeHead(std::string_view method, std::string_view target, const Headers& headers);
+/// Ends a head: Content-Length if there is a body or the method expects one, the empty line, the
+/// body. @param keep_alive the sender means to use the connection again.
+void AppendBody(std::string_view method, std::string_view body, bool keep_alive, std::string* text);
+void AppendHeader(std::string_view name, std::string_view value, std::string* text);
+void AppendHeaders(const Headers& headers, std::string* text);
 /// The text of a request with Content-Length if there is a body or the method expects one.
 std::string EncodeRequest(const RequestMessage& request);
 /// The text of an answer. @param head_only the answer to HEAD: length without body.
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -130,9 +130,9 @@
 
 void GatewayProcess::CarryOut() {
   carry_out_due_ = false;
-  const gateway::GatewayOutput output = server_->TakeOutput();
-  for (const gateway::LeafSend& send : output.sends) {
-    SendToLeaf(send);
+  gateway::GatewayOutput output = server_->TakeOutput();
+  for (gateway::LeafSend& send : output.sends) {
+    SendToLeaf(std::move(send));
   }
   for (const gateway::LeafCancel& cancel : output.cancels) {
     CancelAtLeaf(cancel);
@@ -155,14 +155,15 @@
   }
 }
 
-void GatewayProcess::SendToLeaf(const gateway::LeafSend& send) {
-  calls_[send.id] =
-      client_->Start(dialect_->WriteLeafRequest(send), [this, send](http::ClientResponse response) {
-        calls_.erase(send.id);
-        server_->OnLeafReply(net::EventLoop::Now(),
-                             dialect_->ReadLeafReply(send, std::move(response)));
-        CarryOutSoon();
-      });
+void GatewayProcess::SendToLeaf(gateway::LeafSend send) {
+  http::ClientRequest request = dialect_->WriteLeafRequest(send);
+  const SubRequestId id = send.id;
+  calls_[id] = client_->Start(std::move(request), [this, send = std::move(send)](
+                                                      http::ClientResponse response) {
+    calls_.erase(send.id);
+    server_->OnLeafReply(net::EventLoop::Now(), dialect_->ReadLeafReply(send, std::move(response)));
+    CarryOutSoon();
+  });
 }
 
 void GatewayProcess::CancelAtLeaf(const gateway::LeafCancel& cancel) {
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -54,7 +54,7 @@
   void CarryOut();
   /// Carries out what is ready once the current event is dealt with.
   void CarryOutSoon();
-  void SendToLeaf(const gateway::LeafSend& send);
+  void SendToLeaf(gateway::LeafSend send);
   void CancelAtLeaf(const gateway::LeafCancel& cancel);
   void SendToControl(const gateway::ControlMessage& message);
   void OnHttp(http::HttpRequest request, http::Responder responder);
--- a/test/http/surplus_answer_test.cc
+++ b/test/http/surplus_answer_test.cc
@@ -79,6 +79,7 @@
   request.path = "/";
   request.headers = {{"X-Id", id}};
   request.echoed_header = "X-Id";
+  request.expected_echo = id;
   return request;
 }
 
--- /dev/null
+++ b/test/http/work_budget_test.cc
@@ -0,0 +1,98 @@
+// The time that a request tells its peer to have left is what is left when it is written, not when
+// it was asked for: it may have waited for a connection meanwhile.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "net/event_loop.h"
+
+namespace pumicedyke::http {
+namespace {
+
+constexpr Duration kBudget = Seconds(10);
+constexpr Duration kHold = Milliseconds(80);
+
+int64_t LeftAt(const HttpRequest& request) {
+  int64_t left = -1;
+  const std::string* value = FindHeader(request.headers, "X-Left");
+  CPPUNIT_ASSERT(value != nullptr && absl::SimpleAtoi(*value, &left));
+  return left;
+}
+
+}  // namespace
+
+class WorkBudgetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WorkBudgetTest);
+  CPPUNIT_TEST(TimeSpentWaitingForAConnectionIsTakenOff);
+  CPPUNIT_TEST(SharedHeadComesBeforeOwnHeaders);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TimeSpentWaitingForAConnectionIsTakenOff() {
+    net::EventLoop loop;
+    std::vector<int64_t> left;
+    HttpServer server(&loop, {}, [&](const HttpRequest& request, Responder responder) {
+      left.push_back(LeftAt(request));
+      loop.RunAt(net::EventLoop::Now() + kHold, [responder]() mutable {
+        responder.Send({200, "{}"});
+      });
+    });
+    CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
+    HttpClient client(&loop, {.max_connections_per_host = 1});
+    int done = 0;
+    for (int i = 0; i < 2; ++i) {
+      ClientRequest request;
+      request.address = "127.0.0.1:" + std::to_string(server.port());
+      request.path = "/";
+      request.timeout = kBudget;
+      request.budget = kBudget;
+      request.budget_header = "X-Left";
+      client.Start(request, [&](const ClientResponse& response) {
+        CPPUNIT_ASSERT_EQUAL(200, response.status);
+        if (++done == 2) {
+          loop.Stop();
+        }
+      });
+    }
+    loop.Run([](Timestamp now) { return now + Seconds(1); });
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, left.size());
+    const auto hold = std::chrono::duration_cast<std::chrono::milliseconds>(kHold).count();
+    CPPUNIT_ASSERT(left[1] <= left[0] - hold);
+    CPPUNIT_ASSERT(left[1] > 0);
+  }
+
+  void SharedHeadComesBeforeOwnHeaders() {
+    net::EventLoop loop;
+    HttpRequest seen;
+    HttpServer server(&loop, {}, [&](HttpRequest request, Responder responder) {
+      seen = std::move(request);
+      responder.Send({200, "{}"});
+    });
+    CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
+    HttpClient client(&loop, {});
+    ClientRequest request;
+    request.address = "127.0.0.1:" + std::to_string(server.port());
+    request.shared_head = std::make_shared<const std::string>(
+        EncodeHead("PUT", "/x?y=1", {{"Host", "desk.example"}, {"X-Id", "7"}}));
+    request.method = "PUT";
+    request.headers = {{"X-Own", "1"}};
+    request.body = "abc";
+    client.Start(request, [&](const ClientResponse&) { loop.Stop(); });
+    loop.Run([](Timestamp now) { return now + Seconds(1); });
+    CPPUNIT_ASSERT_EQUAL(std::string("PUT"), seen.method);
+    CPPUNIT_ASSERT_EQUAL(std::string("/x?y=1"), seen.target);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), seen.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("desk.example"), *FindHeader(seen.headers, "Host"));
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), *FindHeader(seen.headers, "X-Id"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), *FindHeader(seen.headers, "X-Own"));
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), *FindHeader(seen.headers, "Content-Length"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkBudgetTest);
+
+}  // namespace pumicedyke::http
--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -169,11 +169,16 @@
     const http::ClientRequest call = dialect.WriteLeafRequest(send);
     CPPUNIT_ASSERT_EQUAL(std::string("POST"), call.method);
     CPPUNIT_ASSERT_EQUAL(std::string("body"), call.body);
-    CPPUNIT_ASSERT_EQUAL(std::string("640"), Value(call.headers, "X-Deadline-Ms"));
+    CPPUNIT_ASSERT_EQUAL(std::string("X-Deadline-Ms"), call.budget_header);
+    CPPUNIT_ASSERT(call.budget == Milliseconds(640));
     CPPUNIT_ASSERT_EQUAL(std::string("i-7"), Value(call.headers, "X-Expect-Instance"));
-    CPPUNIT_ASSERT_EQUAL(std::string("9c41"), Value(call.headers, "X-Request-Id"));
-    CPPUNIT_ASSERT_EQUAL(std::string("desk.example"), Value(call.headers, "Host"));
+    const std::string head = *call.shared_head;
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, head.find("POST /x/1 HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT(head.find("\r\nX-Request-Id: 9c41\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(head.find("\r\nHost: desk.example\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(head.find("X-Deadline-Ms") == std::string::npos);
     CPPUNIT_ASSERT_EQUAL(std::string("X-Request-Id"), call.echoed_header);
+    CPPUNIT_ASSERT_EQUAL(std::string("9c41"), call.expected_echo);
   }
 
   void LeafAnswersAreUnderstood() {
