Compare leafs by their latencies over the median of the kind of request

Cause, from the code: a leaf's average mixed requests of 28 and of 9 ms, and drifted back to 5 ms while it was not asked, so that every leaf left alone for two seconds looked several times faster than those in use, slow ones too. Change: the average is of latency over the route's median ("slowness") and drifts back to 1. A gateway's unsent or unhedged shards are looked at each 10 ms in place of 2. Nodes keep one expected figure for all.

--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -8,9 +8,11 @@
 struct BalanceKnobs {
   /// Weight of the newest latency sample in a leaf's moving average.
   double latency_weight = 0.2;
-  /// A leaf without samples, and one not asked for a while, counts as this fast.
+  /// What is expected of a sub-request of which nothing better is known.
   Duration initial_latency = Milliseconds(5);
-  Duration latency_half_life = Seconds(2);
+  /// A leaf's slowness, its latencies over the expected ones, drifts back to 1 with this half life
+  /// while nothing refreshes it.
+  Duration slowness_half_life = Seconds(2);
   /// Reported load loses half of its weight in this time: reports lag.
   Duration load_half_life = Milliseconds(10);
   /// Off for baselines: replicas are chosen at random.
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -10,6 +10,10 @@
   return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(half_life.count()));
 }
 
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<int64_t>(factor * static_cast<double>(duration.count())));
+}
+
 }  // namespace
 
 void LeafPool::Configure(Timestamp now, const std::string& leaf, uint32_t slots, bool remote) {
@@ -24,7 +28,8 @@
   }
   state.slots = slots;
   state.limit = std::max(1.0, slots * knobs_.initial_limit_per_slot);
-  state.latency = knobs_.initial_latency;
+  state.slowness = 1;
+  state.expected = knobs_.initial_latency;
   state.leaving_in_config = config_leaving_.contains(leaf);
   state.leaving_on_platform = platform_leaving_.contains(leaf);
 }
@@ -60,12 +65,14 @@
   }
 }
 
-Duration LeafPool::LatencyOf(const LeafState& state, Timestamp now) const {
+double LeafPool::SlownessOf(const LeafState& state, Timestamp now) const {
   // An average that nothing refreshed drifts back, so that a leaf that was slow gets tried again.
-  const double weight = Decay(now - state.latency_at, knobs_.latency_half_life);
-  const auto known = static_cast<double>(state.latency.count());
-  const auto initial = static_cast<double>(knobs_.initial_latency.count());
-  return Duration(static_cast<int64_t>(known * weight + initial * (1 - weight)));
+  const double weight = Decay(now - state.slowness_at, knobs_.slowness_half_life);
+  return state.slowness * weight + 1.0 * (1 - weight);
+}
+
+Duration LeafPool::LatencyOf(const LeafState& state, Timestamp now) const {
+  return Scale(state.expected, SlownessOf(state, now));
 }
 
 double LeafPool::LoadOf(const LeafState& state, Timestamp now) const {
@@ -73,17 +80,20 @@
   return std::max(reported, static_cast<double>(state.out.size()));
 }
 
-Duration LeafPool::Patience(const LeafState& state, Timestamp now) const {
-  const auto usual = static_cast<double>(LatencyOf(state, now).count());
-  return std::max(knobs_.stall_minimum,
-                  Duration(static_cast<int64_t>(knobs_.stall_factor * usual)));
+Duration LeafPool::Patience(const LeafState& state, const InFlight& out, Timestamp now) const {
+  const double usual = SlownessOf(state, now) * knobs_.stall_factor;
+  return std::max(knobs_.stall_minimum, Scale(out.expected, usual));
 }
 
 bool LeafPool::Stalled(const LeafState& state, Timestamp now) const {
   if (now < state.suspect_until) {
     return true;
   }
-  return !state.out.empty() && now - state.out.begin()->second > Patience(state, now);
+  if (state.out.empty()) {
+    return false;
+  }
+  const InFlight& oldest = state.out.begin()->second;
+  return now - oldest.sent > Patience(state, oldest, now);
 }
 
 bool LeafPool::HasRoom(const LeafState& state, Timestamp now) const {
@@ -99,16 +109,14 @@
     return static_cast<double>(state.out.size()) + 1.0 <= state.limit;
   }
   // Less than one request at a time: a pause between requests stands for the fraction.
-  const auto pause = Duration(static_cast<int64_t>(
-      static_cast<double>(LatencyOf(state, now).count()) * (1.0 / state.limit - 1.0)));
+  const Duration pause = Scale(LatencyOf(state, now), 1.0 / state.limit - 1.0);
   return state.out.empty() && now - state.last_sent >= pause;
 }
 
 double LeafPool::Score(const LeafState& state, Timestamp now) const {
   const double queue = LoadOf(state, now) / static_cast<double>(state.slots);
   const double distance = state.remote ? knobs_.remote_penalty : 1.0;
-  const double score =
-      distance * (1.0 + queue) * static_cast<double>(LatencyOf(state, now).count());
+  const double score = distance * (1.0 + queue) * SlownessOf(state, now);
   constexpr double kStalledPenalty = 100.0;
   return Stalled(state, now) ? score * kStalledPenalty : score;
 }
@@ -149,11 +157,13 @@
   return choice == nullptr ? std::nullopt : std::optional(*choice);
 }
 
-void LeafPool::OnSent(Timestamp now, const std::string& leaf, SubRequestId id) {
+void LeafPool::OnSent(Timestamp now, const std::string& leaf, SubRequestId id, Duration expected) {
   const auto it = leafs_.find(leaf);
   if (it != leafs_.end()) {
-    it->second.out[id] = now;
-    it->second.last_sent = now;
+    LeafState& state = it->second;
+    state.expected = expected.count() > 0 ? expected : knobs_.initial_latency;
+    state.out[id] = {now, state.expected};
+    state.last_sent = now;
   }
 }
 
@@ -177,17 +187,16 @@
   state->ejected_until = now + state->ejection;
 }
 
-void LeafPool::NoteSuccess(LeafState* state, Timestamp now, Duration latency, uint32_t load) {
+void LeafPool::NoteSuccess(LeafState* state, Timestamp now, double slowness, uint32_t load) {
   if (state->failures >= knobs_.ejection_failures) {
     // Back from ejection: start from one request at a time.
     state->limit = 1.0;
   }
   state->failures = 0;
   state->ejection = Duration(0);
-  const auto sample = static_cast<double>(latency.count());
-  const auto old = static_cast<double>(LatencyOf(*state, now).count());
-  state->latency = Duration(static_cast<int64_t>(old + knobs_.latency_weight * (sample - old)));
-  state->latency_at = now;
+  const double old = SlownessOf(*state, now);
+  state->slowness = old + knobs_.latency_weight * (slowness - old);
+  state->slowness_at = now;
   const bool queues = load > state->slots * knobs_.queue_tolerance;
   if (queues) {
     Decrease(state, now, knobs_.queue_decrease);
@@ -224,11 +233,13 @@
   if (out == state.out.end()) {
     return std::nullopt;
   }
-  const Duration latency = now - out->second;
+  const Duration latency = now - out->second.sent;
+  const double slowness =
+      static_cast<double>(latency.count()) / static_cast<double>(out->second.expected.count());
   state.out.erase(out);
   switch (reply.status) {
     case query::LeafStatus::kOk:
-      NoteSuccess(&state, now, latency, reply.load);
+      NoteSuccess(&state, now, slowness, reply.load);
       break;
     case query::LeafStatus::kShed:
       Decrease(&state, now, knobs_.shed_decrease);
@@ -255,7 +266,7 @@
     return;
   }
   // The evidence of a standstill must outlive the request that gave it.
-  if (now - out->second > Patience(state, now)) {
+  if (now - out->second.sent > Patience(state, out->second, now)) {
     state.suspicion = state.suspicion == Duration(0)
                           ? knobs_.suspicion
                           : std::min(2 * state.suspicion, knobs_.max_ejection_time);
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "balance/knobs.h"
@@ -46,7 +47,9 @@
   std::optional<std::string> Choose(Timestamp now, const std::vector<std::string>& replicas,
                                     const std::set<std::string>& excluded);
 
-  void OnSent(Timestamp now, const std::string& leaf, SubRequestId id);
+  /// @param expected how long such a sub-request usually takes, at whatever leaf; leafs are
+  /// compared by how their latencies relate to this. Zero: the knob `initial_latency`.
+  void OnSent(Timestamp now, const std::string& leaf, SubRequestId id, Duration expected = {});
   /// @return the latency, unless the id was not out at the leaf.
   std::optional<Duration> OnReply(Timestamp now, const query::LeafReply& reply);
   /// The sub-request was given up; its reply is not waited for.
@@ -65,6 +68,11 @@
   std::vector<std::string> Names() const;
 
  private:
+  struct InFlight {
+    Timestamp sent;
+    /// How long such a sub-request usually takes.
+    Duration expected;
+  };
   struct LeafState {
     uint32_t slots = 1;
     bool remote = false;
@@ -72,11 +80,14 @@
     /// Whether the leaf's own word on leaving has come.
     bool reported = false;
     double limit = 1;
-    /// Send times of what is out, by id; ids grow with time, so the first is the oldest.
-    std::map<SubRequestId, Timestamp> out;
+    /// What is out, by id; ids grow with time, so the first is the oldest.
+    std::map<SubRequestId, InFlight> out;
     double waiting = 0;
-    Duration latency{};
-    Timestamp latency_at{};
+    /// Moving average of latencies, as multiples of what was expected.
+    double slowness = 1;
+    Timestamp slowness_at{};
+    /// What was expected of the newest sub-request.
+    Duration expected{};
     double load = 0;
     Timestamp load_at{};
     double fullness = 0;
@@ -95,20 +106,21 @@
     bool leaving_on_platform = false;
   };
 
+  double SlownessOf(const LeafState& state, Timestamp now) const;
   Duration LatencyOf(const LeafState& state, Timestamp now) const;
   double LoadOf(const LeafState& state, Timestamp now) const;
-  Duration Patience(const LeafState& state, Timestamp now) const;
+  Duration Patience(const LeafState& state, const InFlight& out, Timestamp now) const;
   bool Stalled(const LeafState& state, Timestamp now) const;
   bool HasRoom(const LeafState& state, Timestamp now) const;
   double Score(const LeafState& state, Timestamp now) const;
   void NoteWord(LeafState* state, Timestamp now, bool draining) const;
   void Decrease(LeafState* state, Timestamp now, double factor);
   void NoteFailure(LeafState* state, Timestamp now);
-  void NoteSuccess(LeafState* state, Timestamp now, Duration latency, uint32_t load);
+  void NoteSuccess(LeafState* state, Timestamp now, double slowness, uint32_t load);
 
   BalanceKnobs knobs_;
   std::mt19937_64 random_;
-  std::map<std::string, LeafState> leafs_;
+  std::unordered_map<std::string, LeafState> leafs_;
   std::set<std::string> config_leaving_;
   std::set<std::string> platform_leaving_;
 };
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -64,7 +65,8 @@
   ExtraLoadBound extra_load;
   GatewayKnobs knobs;
   LeafViewOptions leaf_view;
-  query::ExecutionOptions execution{.charge_replacements = true};
+  query::ExecutionOptions execution{
+      .poll = Milliseconds(10), .expect_median = true, .charge_replacements = true};
 };
 
 /// A message to one control machine.
@@ -185,7 +187,7 @@
   bool draining_ = false;
   std::map<RequestId, Active> active_;
   std::set<std::pair<Timestamp, RequestId>> wakes_;
-  std::map<SubRequestId, RequestId> request_of_;
+  std::unordered_map<SubRequestId, RequestId> request_of_;
   GatewayOutput output_;
 };
 
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -12,6 +12,7 @@
 constexpr int kMaxRounds = 8;
 constexpr Duration kFirstRoundPause = Milliseconds(2);
 constexpr Duration kLongestRoundPause = Milliseconds(32);
+constexpr double kMedian = 0.5;
 /// Part of the extra-load budget that hedges may use when nothing is wrong.
 constexpr double kHedgeShare = 0.25;
 
@@ -242,12 +243,16 @@
                             request_.query, budget, request_.idempotency_key, plan_.repeatable});
   shard->attempts.push_back({id, *leaf, now});
   shard_of_[id] = static_cast<size_t>(shard - shards_.data());
-  context_.pool->OnSent(now, *leaf, id);
+  context_.pool->OnSent(now, *leaf, id, ExpectedLatency());
   ++sent_;
   extra_ += kind == SendKind::kFirst ? 0 : 1;
   return true;
 }
 
+Duration RequestExecution::ExpectedLatency() const {
+  return options_.expect_median ? context_.latencies->Quantile(kMedian) : Duration(0);
+}
+
 Duration RequestExecution::HedgeDelay() const {
   if (options_.fixed_hedge_delay.count() > 0) {
     return options_.fixed_hedge_delay;
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -34,6 +34,9 @@
   Duration hop = Milliseconds(1);
   /// How often unsent sub-requests look for a free leaf, and a decide() program is asked.
   Duration poll = Milliseconds(2);
+  /// Leafs are compared by their latencies over the median of the requests of the same kind;
+  /// otherwise over one figure for all kinds.
+  bool expect_median = false;
   /// A sub-request that replaces a refused one is charged to the budget, too.
   bool charge_replacements = false;
   /// Baseline: retries after this time-out without a budget; zero means off.
@@ -158,6 +161,8 @@
   void SendPrimaryOrRetry(Timestamp now, ShardProgress* shard);
   void MaybeHedge(Timestamp now, ShardProgress* shard);
   void MaybeNaiveRetry(Timestamp now, ShardProgress* shard);
+  /// How long a sub-request of this kind usually takes; zero: not known here.
+  Duration ExpectedLatency() const;
   Duration HedgeDelay() const;
   void SetWaiting(ShardProgress* shard, bool waiting);
   bool AllReplicasTriedOrLeaving(Timestamp now, const ShardProgress& shard) const;
