Stop sub-requests that are long overdue when nobody waits for them any more

Closing their connection makes a leaf drop them, for one new connection (6 ms of a slot). Change: what is out for twice as long as expected, 50 ms at least, is stopped; the rest may end, so that its connection lives on.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -317,7 +317,7 @@
                              /*keep_headers=*/!active.route->gathers()});
   }
   for (const query::SubRequestCancel& cancel : actions.cancels) {
-    output_.cancels.push_back({cancel.id, /*stop_work=*/false});
+    output_.cancels.push_back({cancel.id, /*stop_work=*/cancel.overdue});
   }
   if (actions.answer.has_value()) {
     Answer(now, id, active, *actions.answer);
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -341,11 +341,17 @@
   shard->not_held += not_held ? 1 : 0;
 }
 
+bool RequestExecution::Overdue(Timestamp now, const Attempt& attempt) const {
+  const Duration expected = ExpectedLatency();
+  return expected.count() > 0 && now - attempt.sent >= std::max(expected * options_.overdue_factor,
+                                                                options_.overdue_minimum);
+}
+
 void RequestExecution::CancelOthers(Timestamp now, ShardProgress* shard, SubRequestId winner) {
   for (Attempt& attempt : shard->attempts) {
     const bool loser = attempt.id != winner && attempt.state == AttemptState::kPossiblyRunning;
     if (loser && options_.coverage_dedupe) {
-      actions_.cancels.push_back({attempt.id, attempt.leaf});
+      actions_.cancels.push_back({attempt.id, attempt.leaf, {}, Overdue(now, attempt)});
       context_.pool->OnAbandoned(now, attempt.leaf, attempt.id, /*timed_out=*/false);
       attempt.state = AttemptState::kFailed;
     }
@@ -414,7 +420,7 @@
   for (ShardProgress& shard : shards_) {
     for (Attempt& attempt : shard.attempts) {
       if (attempt.state == AttemptState::kPossiblyRunning) {
-        actions_.cancels.push_back({attempt.id, attempt.leaf});
+        actions_.cancels.push_back({attempt.id, attempt.leaf, {}, Overdue(now, attempt)});
         context_.pool->OnAbandoned(now, attempt.leaf, attempt.id, timed_out);
       }
     }
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -37,6 +37,10 @@
   /// Leafs are compared by their latencies over the median of the requests of the same kind;
   /// otherwise over one figure for all kinds.
   bool expect_median = false;
+  /// With `expect_median`: a sub-request out this many times longer than expected is overdue, but
+  /// not before it is out for `overdue_minimum`: stopping it costs the leaf a new connection.
+  int overdue_factor = 2;
+  Duration overdue_minimum = Milliseconds(50);
   /// A sub-request that replaces a refused one is charged to the budget, too.
   bool charge_replacements = false;
   /// Baseline: retries after this time-out without a budget; zero means off.
@@ -60,6 +64,8 @@
   SubRequestId id;
   std::string leaf;
   std::string origin = {};
+  /// It is out for so long that its end is not near: stopping it frees more than it costs.
+  bool overdue = false;
 };
 
 struct ExecutionActions {
@@ -164,6 +170,7 @@
   /// How long a sub-request of this kind usually takes; zero: not known here.
   Duration ExpectedLatency() const;
   Duration HedgeDelay() const;
+  bool Overdue(Timestamp now, const Attempt& attempt) const;
   void SetWaiting(ShardProgress* shard, bool waiting);
   bool AllReplicasTriedOrLeaving(Timestamp now, const ShardProgress& shard) const;
   bool AnyUntriedReady(Timestamp now, const ShardProgress& shard) const;
