Let requests that come before the first routes wait for them

Ruled out: a longer time to come back (a client honours a third of its deadline, 0.27 s here); earlier elections (0.2 s is one time-out already). Change: such a request waits for the routes for up to 1 s and up to half of its deadline, then is refused at once. Times of a request count from when it may have arrived at the earliest: the loop's last look.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -104,6 +104,7 @@
   view_.SetCommitted(subscriber_.config().reported(), subscriber_.config().retired());
   SyncPool(now);
   AdoptDocument();
+  ReleaseEarly(now);
 }
 
 void GatewayServer::OnLeafFeed(Timestamp now, const std::string& address,
@@ -233,10 +234,40 @@
   return plan;
 }
 
+void GatewayServer::HoldEarly(Timestamp now, RequestId id,
+                              std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
+  const Duration patience =
+      request->deadline.count() > 0 ? request->deadline : options_.knobs.longest_wait;
+  const Duration wait =
+      std::min(options_.knobs.longest_start_wait, patience / options_.knobs.start_wait_part);
+  if (early_.size() >= options_.knobs.max_in_progress) {
+    Refuse(now, id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
+    return;
+  }
+  early_[id] = {std::move(request), arrived, arrived + wait};
+}
+
+void GatewayServer::ReleaseEarly(Timestamp now) {
+  if (table_ != nullptr) {
+    for (auto& [id, early] : std::exchange(early_, {})) {
+      OnRequest(now, id, std::move(early.request), early.arrived);
+    }
+    return;
+  }
+  std::erase_if(early_, [&](const auto& item) {
+    const auto& [id, early] = item;
+    if (now < early.until) {
+      return false;
+    }
+    Refuse(now, id, early.request, ResultCode::kNotReady, kRetryWhenNotReady);
+    return true;
+  });
+}
+
 void GatewayServer::OnRequest(Timestamp now, RequestId id,
-                              std::shared_ptr<const PayloadRequest> request) {
+                              std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
   if (table_ == nullptr) {
-    Refuse(now, id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
+    HoldEarly(now, id, std::move(request), arrived);
     return;
   }
   const routing::Route* route = table_->Find(request->host, request->path());
@@ -248,11 +279,12 @@
     Refuse(now, id, std::move(request), ResultCode::kOverloaded, kRetryWhenOverloaded);
     return;
   }
-  StartExecution(now, id, *route, std::move(request));
+  StartExecution(now, id, *route, std::move(request), arrived);
 }
 
 void GatewayServer::StartExecution(Timestamp now, RequestId id, const routing::Route& route,
-                                   std::shared_ptr<const PayloadRequest> request) {
+                                   std::shared_ptr<const PayloadRequest> request,
+                                   Timestamp arrived) {
   Active& active = active_[id];
   active.request = std::move(request);
   active.table = table_;
@@ -271,12 +303,13 @@
                                 [this] { return SubRequestId{ids_.Next()}; }, target.budgets};
   active.execution = std::make_unique<query::RequestExecution>(
       std::move(caller), PlanFor(route, *active.request), nullptr, target.service, snapshot,
-      std::move(context), options_.execution, now);
+      std::move(context), options_.execution, arrived);
   active.execution->Advance(now);
   Collect(now, id);
 }
 
 void GatewayServer::OnClientGone(Timestamp now, RequestId id) {
+  early_.erase(id);
   const auto it = active_.find(id);
   if (it == active_.end()) {
     return;
@@ -393,6 +426,7 @@
   view_.Tick(now);
   SyncPool(now);
   GreetControl(now);
+  ReleaseEarly(now);
   while (!wakes_.empty() && wakes_.begin()->first <= now) {
     const RequestId id = wakes_.begin()->second;
     active_.at(id).execution->Advance(now);
@@ -413,6 +447,9 @@
   for (const auto& [address, link] : links_) {
     wake = std::min(wake, link.next_presence);
   }
+  for (const auto& [id, early] : early_) {
+    wake = std::min(wake, early.until);
+  }
   return wake;
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -44,6 +44,10 @@
   double hedge_quantile = 0.95;
   /// Longest time that a client without a deadline of its own is taken to wait.
   Duration longest_wait = Seconds(600);
+  /// A request that comes before this gateway knows any route waits for them this long, and no
+  /// longer than this part of what its client waits.
+  Duration longest_start_wait = Milliseconds(1000);
+  int start_wait_part = 2;
   /// Executions in progress beyond which requests are refused.
   size_t max_in_progress = 400;
   Duration presence_interval = Milliseconds(500);
@@ -96,7 +100,9 @@
   Timestamp NextWake(Timestamp now) const;
 
   /// Answered by a GatewayAnswer with this id, always, unless the client leaves first.
-  void OnRequest(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request);
+  /// @param arrived when it may have arrived at the earliest; times of the route count from then.
+  void OnRequest(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
+                 Timestamp arrived);
   void OnClientGone(Timestamp now, RequestId id);
   void OnLeafReply(Timestamp now, const query::LeafReply& reply);
 
@@ -107,7 +113,7 @@
   void LearnControl(const std::vector<std::string>& addresses);
   /// Clients are sent elsewhere from now on; what comes is still served.
   void StartDraining(Timestamp now);
-  bool Drained() const { return active_.empty(); }
+  bool Drained() const { return active_.empty() && early_.empty(); }
   /// Knows routes and may be sent clients.
   bool ready() const { return table_ != nullptr && !draining_; }
 
@@ -141,6 +147,13 @@
     Timestamp wake{};
     std::vector<SubRequestId> out;
   };
+  /// A request that came before any route was known.
+  struct EarlyRequest {
+    std::shared_ptr<const PayloadRequest> request;
+    Timestamp arrived;
+    /// Refused then.
+    Timestamp until;
+  };
   struct ControlLink {
     Timestamp next_presence{};
     Timestamp last_heard{};
@@ -161,8 +174,12 @@
   policy::QueryPlan PlanFor(const routing::Route& route, const PayloadRequest& request) const;
   size_t ConnectionShare(const std::string& service) const;
   uint32_t SharingGateways() const;
+  void HoldEarly(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
+                 Timestamp arrived);
+  /// Starts the early requests once there are routes, and refuses those that waited long enough.
+  void ReleaseEarly(Timestamp now);
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
-                      std::shared_ptr<const PayloadRequest> request);
+                      std::shared_ptr<const PayloadRequest> request, Timestamp arrived);
   void Collect(Timestamp now, RequestId id);
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
   void Refuse(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
@@ -186,6 +203,7 @@
   uint32_t gateways_ = 1;
   bool draining_ = false;
   std::map<RequestId, Active> active_;
+  std::map<RequestId, EarlyRequest> early_;
   std::set<std::pair<Timestamp, RequestId>> wakes_;
   std::unordered_map<SubRequestId, RequestId> request_of_;
   GatewayOutput output_;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -49,6 +49,7 @@
 
 EventLoop::EventLoop()
     : poller_([this] { NoteArrival(); }), wake_handle_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+  wait_ended_ = Now();
   RaiseHandleLimit();
   poller_.Watch(this, ACE_Event_Handler::READ_MASK);
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -218,7 +218,8 @@
   });
   waiting_.emplace(id, std::move(responder));
   server_->OnRequest(net::EventLoop::Now(), id,
-                     std::make_shared<const gateway::PayloadRequest>(*std::move(payload)));
+                     std::make_shared<const gateway::PayloadRequest>(*std::move(payload)),
+                     loop_->earliest_arrival());
   CarryOutSoon();
 }
 
