Give each gateway a subset of leafs; send nothing without time left; serve a gateway's metrics

A gateway had no metrics page, and its log said control_lost for machines never reached, and never that one was back. A call whose budget is over ends as not sent. Answers are written before what is cancelled is closed and before the log line. metrics_listen: counters and latency histograms. Links to control are reported when they change.

--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -21,6 +21,8 @@
   double choice_sharpness = 2.0;
   /// The score of a replica in another zone is this many times worse: bytes between zones cost.
   double remote_penalty = 1.0;
+  /// The same for a leaf that the node holds no connection to as a rule (connection_subset.h).
+  double outside_subset_penalty = 2.0;
   /// A request out this many times longer than usual marks the leaf as stalled.
   double stall_factor = 4.0;
   Duration stall_minimum = Milliseconds(15);
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -16,10 +16,11 @@
 
 }  // namespace
 
-void LeafPool::Configure(Timestamp now, const std::string& leaf, uint32_t slots, bool remote) {
+void LeafPool::Configure(Timestamp now, const std::string& leaf, uint32_t slots,
+                         LeafPlacement placement) {
   auto [it, inserted] = leafs_.try_emplace(leaf);
   LeafState& state = it->second;
-  state.remote = remote;
+  state.placement = placement;
   if (!inserted && state.slots == slots) {
     return;
   }
@@ -115,7 +116,8 @@
 
 double LeafPool::Score(const LeafState& state, Timestamp now) const {
   const double queue = LoadOf(state, now) / static_cast<double>(state.slots);
-  const double distance = state.remote ? knobs_.remote_penalty : 1.0;
+  const double distance = (state.placement.remote ? knobs_.remote_penalty : 1.0) *
+                          (state.placement.preferred ? 1.0 : knobs_.outside_subset_penalty);
   const double score = distance * (1.0 + queue) * SlownessOf(state, now);
   constexpr double kStalledPenalty = 100.0;
   return Stalled(state, now) ? score * kStalledPenalty : score;
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -24,12 +24,21 @@
   kLeaving,
 };
 
+/// Where a leaf stands from this node's point of view.
+struct LeafPlacement {
+  /// In another zone.
+  bool remote = false;
+  /// Among the leafs that this node works with as a rule.
+  bool preferred = true;
+};
+
 class LeafPool {
  public:
   LeafPool(BalanceKnobs knobs, uint64_t seed) : knobs_(knobs), random_(seed) {}
 
-  /// Adds a leaf or sets its slots anew. @param remote it is in another zone than this node.
-  void Configure(Timestamp now, const std::string& leaf, uint32_t slots, bool remote = false);
+  /// Adds a leaf or sets its slots and placement anew.
+  void Configure(Timestamp now, const std::string& leaf, uint32_t slots,
+                 LeafPlacement placement = {});
 
   /// The leaf has ended; replies that are still to come from it say nothing.
   void Remove(const std::string& leaf) { leafs_.erase(leaf); }
@@ -75,7 +84,7 @@
   };
   struct LeafState {
     uint32_t slots = 1;
-    bool remote = false;
+    LeafPlacement placement;
     Timestamp configured_at{};
     /// Whether the leaf's own word on leaving has come.
     bool reported = false;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "balance/connection_subset.h"
 #include "gateway/record_merge.h"
 
 namespace pumicedyke::gateway {
@@ -46,6 +47,14 @@
   }
 }
 
+void GatewayServer::SetLink(const std::string& address, bool up) {
+  ControlLink& link = links_[address];
+  if (link.up != up) {
+    link.up = up;
+    output_.link_changes.push_back({address, up});
+  }
+}
+
 void GatewayServer::LearnControl(const std::vector<std::string>& addresses) {
   for (const std::string& address : addresses) {
     AddControl(address);
@@ -61,10 +70,14 @@
 
 void GatewayServer::GreetControl(Timestamp now) {
   for (auto& [address, link] : links_) {
+    if (link.last_reset == Timestamp{}) {
+      link.last_reset = now;
+    }
     const Timestamp last = std::max(link.last_heard, link.last_reset);
     if (now - last >= options_.knobs.control_silence) {
       link.last_reset = now;
       view_.OnSourceLost(now, address);
+      SetLink(address, /*up=*/false);
       output_.reconnect.push_back(address);
     }
     if (now >= link.next_presence) {
@@ -91,6 +104,7 @@
 
 void GatewayServer::OnControlDisconnected(Timestamp now, const std::string& address) {
   view_.OnSourceLost(now, address);
+  SetLink(address, /*up=*/false);
   links_[address].next_presence = now;
   if (control_[subscriber_.control()] == address) {
     subscriber_.OnDisconnected(now);
@@ -110,6 +124,7 @@
 void GatewayServer::OnLeafFeed(Timestamp now, const std::string& address,
                                const wire::LeafFeed& feed) {
   links_[address].last_heard = now;
+  SetLink(address, /*up=*/true);
   gateways_ = std::max(1U, feed.gateways);
   LearnControl(feed.control);
   if (!view_.OnFeed(now, address, feed)) {
@@ -138,15 +153,34 @@
   }
 }
 
+std::set<std::string> GatewayServer::PreferredLeafs() const {
+  std::map<std::string, std::vector<balance::SubsetCandidate>> candidates;
+  for (const auto& [leaf, record] : view_.leafs()) {
+    if (!record.draining) {
+      candidates[record.service].push_back({leaf, record.zone != options_.zone});
+    }
+  }
+  std::set<std::string> preferred;
+  for (const auto& [service, leafs] : candidates) {
+    const routing::ServiceSpec* spec = table_ == nullptr ? nullptr : table_->FindService(service);
+    const size_t connections = spec == nullptr ? 0 : spec->max_connections;
+    preferred.merge(
+        balance::PreferredLeafs(options_.node, leafs, {connections, SharingGateways()}));
+  }
+  return preferred;
+}
+
 void GatewayServer::SyncPool(Timestamp now) {
-  if (pool_version_ == view_.version()) {
+  const PoolBasis basis{view_.version(), document_version(), SharingGateways()};
+  if (pool_basis_ == basis) {
     return;
   }
-  pool_version_ = view_.version();
+  pool_basis_ = basis;
+  preferred_ = PreferredLeafs();
   std::set<std::string> leaving;
   for (const auto& [leaf, record] : view_.leafs()) {
     const bool remote = record.zone != options_.zone;
-    pool_.Configure(now, leaf, std::max(1U, record.slots), remote);
+    pool_.Configure(now, leaf, std::max(1U, record.slots), {remote, preferred_.contains(leaf)});
     if (record.draining) {
       leaving.insert(leaf);
     }
@@ -345,9 +379,18 @@
     const wire::LeafRecord& record = view_.leafs().at(send.leaf);
     request_of_[send.id] = id;
     active.out.push_back(send.id);
-    output_.sends.push_back({send.id, send.leaf, record.address, active.request, send.budget,
-                             active.route->repeatable, ConnectionShare(record.service), send.shard,
-                             /*keep_headers=*/!active.route->gathers()});
+    LeafSend out;
+    out.id = send.id;
+    out.leaf = send.leaf;
+    out.address = record.address;
+    out.request = active.request;
+    out.budget = send.budget;
+    out.repeatable = active.route->repeatable;
+    out.max_connections = ConnectionShare(record.service);
+    out.keep_connection = preferred_.contains(send.leaf);
+    out.shard = send.shard;
+    out.keep_headers = !active.route->gathers();
+    output_.sends.push_back(std::move(out));
   }
   for (const query::SubRequestCancel& cancel : actions.cancels) {
     output_.cancels.push_back({cancel.id, /*stop_work=*/cancel.overdue});
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -79,6 +79,12 @@
   wire::Envelope envelope;
 };
 
+/// A control machine was lost, or was heard again or for the first time.
+struct ControlLinkChange {
+  std::string address;
+  bool up = false;
+};
+
 struct GatewayOutput {
   std::vector<LeafSend> sends;
   std::vector<LeafCancel> cancels;
@@ -86,6 +92,7 @@
   std::vector<ControlMessage> control;
   /// Control machines whose connection should be made anew.
   std::vector<std::string> reconnect;
+  std::vector<ControlLinkChange> link_changes;
 };
 
 class GatewayServer {
@@ -158,6 +165,7 @@
     Timestamp next_presence{};
     Timestamp last_heard{};
     Timestamp last_reset{};
+    bool up = false;
   };
 
   void OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed);
@@ -166,12 +174,15 @@
   void SyncPool(Timestamp now);
   void GreetControl(Timestamp now);
   void AddControl(const std::string& address);
+  void SetLink(const std::string& address, bool up);
   wire::Envelope Presence(const std::string& address) const;
 
   const Target& TargetOf(const std::vector<std::string>& services);
   balance::ExtraLoadLimit* BudgetOf(const std::string& service);
   RouteRuntime& RuntimeOf(const routing::Route& route);
   policy::QueryPlan PlanFor(const routing::Route& route, const PayloadRequest& request) const;
+  /// The leafs that this gateway works with as a rule.
+  std::set<std::string> PreferredLeafs() const;
   size_t ConnectionShare(const std::string& service) const;
   uint32_t SharingGateways() const;
   void HoldEarly(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
@@ -192,7 +203,15 @@
   node::ConfigSubscriber subscriber_;
   node::IdSource ids_;
   LeafView view_;
-  uint64_t pool_version_ = 0;
+  /// What the pool was configured by.
+  struct PoolBasis {
+    uint64_t view_version = 0;
+    uint64_t document_version = 0;
+    uint32_t gateways = 0;
+    bool operator==(const PoolBasis&) const = default;
+  };
+  PoolBasis pool_basis_;
+  std::set<std::string> preferred_;
   balance::LeafPool pool_;
   std::shared_ptr<const routing::RouteTable> table_;
   std::map<std::string, RouteRuntime> runtimes_;
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -43,6 +43,8 @@
   bool repeatable = true;
   /// Connections that this gateway may hold to the leaf.
   size_t max_connections = 1;
+  /// The gateway works with this leaf as a rule: a connection to it is kept.
+  bool keep_connection = true;
   ShardId shard;
   /// The leaf's headers are passed on with its answer.
   bool keep_headers = true;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -87,6 +87,10 @@
   std::shared_ptr<Connection> connection;
   net::EventLoop::TimerId timer = 0;
   bool abandoned = false;
+
+  bool Expired(Timestamp now) const {
+    return !request.budget_header.empty() && now - started >= request.budget;
+  }
 };
 
 struct HttpClient::Host {
@@ -137,9 +141,17 @@
  private:
   /// Not before the connection is made: what is left of the budget is told as of now.
   void WriteRequest() {
-    if (call_ != nullptr) {
-      stream_.Write(Encode(call_->request, net::EventLoop::Now() - call_->started));
+    if (call_ == nullptr) {
+      return;
     }
+    if (call_->Expired(net::EventLoop::Now())) {
+      const std::shared_ptr<Call> call = std::exchange(call_, nullptr);
+      ArmIdleTimer(/*close_soon=*/true);
+      client_->OnIdle(this);
+      client_->Expire(call);
+      return;
+    }
+    stream_.Write(Encode(call_->request, net::EventLoop::Now() - call_->started));
   }
 
   void OnConnectTimeout() {
@@ -200,7 +212,7 @@
     ++served_;
     const std::shared_ptr<Call> call = std::exchange(call_, nullptr);
     if (reusable) {
-      ArmIdleTimer();
+      ArmIdleTimer(call->request.close_soon);
       client_->OnIdle(this);
     } else {
       Close();
@@ -208,9 +220,10 @@
     client_->Finish(call, std::move(response));
   }
 
-  void ArmIdleTimer() {
-    Duration limit = host_->connections.size() > 1 ? client_->options_.surplus_idle_limit
-                                                   : client_->options_.idle_limit;
+  void ArmIdleTimer(bool close_soon) {
+    Duration limit = close_soon || host_->connections.size() > 1
+                         ? client_->options_.surplus_idle_limit
+                         : client_->options_.idle_limit;
     if (idle_limit_.count() > 0) {
       limit = std::min(limit, idle_limit_);
     }
@@ -297,6 +310,12 @@
 void HttpClient::Dispatch(Host* host) {
   while (!host->waiting.empty()) {
     const std::shared_ptr<Call> call = host->waiting.front();
+    if (call->Expired(net::EventLoop::Now())) {
+      host->waiting.pop_front();
+      // The caller may be in the middle of Start() or of a callback.
+      loop_->Defer([this, call] { Expire(call); });
+      continue;
+    }
     std::shared_ptr<Connection> connection;
     if (!call->request.unrepeatable) {
       // The newest first: the others may then reach their idle limit.
@@ -345,6 +364,13 @@
   }
 }
 
+void HttpClient::Expire(const std::shared_ptr<Call>& call) {
+  ClientResponse response;
+  response.error = "no time was left";
+  response.not_sent = true;
+  Finish(call, std::move(response));
+}
+
 void HttpClient::OnTimeout(CallId id) {
   const std::shared_ptr<Call> call = calls_.at(id);
   const bool unsent = call->connection == nullptr || !call->connection->was_connected();
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -40,12 +40,15 @@
   std::string echoed_header;
   std::string expected_echo;
   /// The peer is told in this header how many whole milliseconds of `budget`, which counts from
-  /// Start(), are left when the request is written. Empty: it is not told.
+  /// Start(), are left when the request is written. With nothing left the request is not written:
+  /// the call ends as not sent. Empty: it is not told.
   std::string budget_header;
   Duration budget{};
   /// Connections to the address that may be open for this call to go out; zero: as the client's
   /// options say.
   size_t max_connections = 0;
+  /// No request to the address is to be expected soon: its connection is closed like one of many.
+  bool close_soon = false;
 };
 
 struct ClientResponse {
@@ -108,6 +111,8 @@
   void OnIdle(Connection* connection);
   void OnClosed(Connection* connection);
   void OnTimeout(CallId id);
+  /// Nothing is left of the call's budget; it was not written.
+  void Expire(const std::shared_ptr<Call>& call);
 
   net::EventLoop* loop_;
   HttpClientOptions options_;
--- a/src/http/metrics.cc
+++ b/src/http/metrics.cc
@@ -6,17 +6,38 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <limits>
 
 namespace pumicedyke::http {
+namespace {
+
+void FillHistogram(const Histogram& histogram, prometheus::ClientMetric::Histogram* out) {
+  const auto seconds = [](Duration time) { return static_cast<double>(time.count()) / 1e6; };
+  uint64_t up_to = 0;
+  for (size_t i = 0; i < kHistogramBounds.size(); ++i) {
+    up_to += histogram.counts[i];
+    out->bucket.push_back({up_to, seconds(kHistogramBounds[i])});
+  }
+  out->bucket.push_back({histogram.count, std::numeric_limits<double>::infinity()});
+  out->sample_count = histogram.count;
+  out->sample_sum = seconds(histogram.sum);
+}
+
+}  // namespace
 
 void MetricsPage::Counter(const std::string& name, const std::string& help, double value,
                           const Labels& labels) {
-  samples_.push_back({true, name, help, value, labels});
+  samples_.push_back({Kind::kCounter, name, help, value, labels});
 }
 
 void MetricsPage::Gauge(const std::string& name, const std::string& help, double value,
                         const Labels& labels) {
-  samples_.push_back({false, name, help, value, labels});
+  samples_.push_back({Kind::kGauge, name, help, value, labels});
+}
+
+void MetricsPage::AddHistogram(const std::string& name, const std::string& help,
+                               const Histogram& histogram, const Labels& labels) {
+  samples_.push_back({Kind::kHistogram, name, help, 0, labels, histogram});
 }
 
 void MetricsPage::AddProcess() {
@@ -41,8 +62,9 @@
       prometheus::MetricFamily& family = families.emplace_back();
       family.name = sample.name;
       family.help = sample.help;
-      family.type =
-          sample.is_counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
+      family.type = sample.kind == Kind::kCounter ? prometheus::MetricType::Counter
+                    : sample.kind == Kind::kGauge ? prometheus::MetricType::Gauge
+                                                  : prometheus::MetricType::Histogram;
     }
     prometheus::ClientMetric& metric = families.back().metric.emplace_back();
     for (const auto& [name, value] : sample.labels) {
@@ -50,6 +72,7 @@
     }
     metric.counter.value = sample.value;
     metric.gauge.value = sample.value;
+    FillHistogram(sample.histogram, &metric.histogram);
   }
   return prometheus::TextSerializer().Serialize(families);
 }
--- a/src/http/metrics.h
+++ b/src/http/metrics.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "common/histogram.h"
+
 namespace pumicedyke::http {
 
 class MetricsPage {
@@ -15,17 +17,22 @@
                const Labels& labels = {});
   void Gauge(const std::string& name, const std::string& help, double value,
              const Labels& labels = {});
+  /// In seconds. All samples of one name must be added one after the other.
+  void AddHistogram(const std::string& name, const std::string& help, const Histogram& histogram,
+                    const Labels& labels = {});
   /// CPU seconds, resident bytes and the like of this process.
   void AddProcess();
   std::string Text() const;
 
  private:
+  enum class Kind { kCounter, kGauge, kHistogram };
   struct Sample {
-    bool is_counter;
+    Kind kind;
     std::string name;
     std::string help;
     double value;
     Labels labels;
+    Histogram histogram = {};
   };
   std::vector<Sample> samples_;
 };
--- /dev/null
+++ b/src/server/gateway_metrics.cc
@@ -0,0 +1,72 @@
+#include "server/gateway_metrics.h"
+
+#include <algorithm>
+
+#include "common/log.h"
+#include "http/metrics.h"
+
+namespace pumicedyke::server {
+
+void GatewayMetrics::OnAnswer(const gateway::GatewayAnswer& answer) {
+  const std::string& name = answer.trace.route;
+  const bool counted_apart = routes_.contains(name) || routes_.size() < kMaxRoutes;
+  RouteCounts& counts = routes_[counted_apart ? name : std::string()];
+  ++counts.answers[answer.code];
+  counts.extra_sub_requests += answer.trace.extra_sub_requests;
+  counts.missing_shards += answer.missing_shards;
+  Record(&counts.latency, answer.trace.elapsed);
+}
+
+std::string GatewayMetrics::Text(Timestamp now, const gateway::GatewayServer& server,
+                                 const http::HttpClient& client) const {
+  http::MetricsPage page;
+  for (const auto& [route, counts] : routes_) {
+    for (const auto& [code, answers] : counts.answers) {
+      page.Counter("pumicedyke_gateway_answers_total", "Answers by route and result.",
+                   static_cast<double>(answers),
+                   {{"route", route}, {"result", std::string(InfoOf(code).name)}});
+    }
+  }
+  for (const auto& [route, counts] : routes_) {
+    page.Counter("pumicedyke_gateway_extra_sub_requests_total", "Hedges and retries at leafs.",
+                 static_cast<double>(counts.extra_sub_requests), {{"route", route}});
+  }
+  for (const auto& [route, counts] : routes_) {
+    page.Counter("pumicedyke_gateway_missing_shards_total", "Shards left out of answers.",
+                 static_cast<double>(counts.missing_shards), {{"route", route}});
+  }
+  for (const auto& [route, counts] : routes_) {
+    page.AddHistogram("pumicedyke_gateway_latency_seconds", "From arrival to answer.",
+                      counts.latency, {{"route", route}});
+  }
+  const gateway::LeafView& view = server.leafs();
+  const auto usable = std::count_if(view.leafs().begin(), view.leafs().end(),
+                                    [](const auto& item) { return !item.second.draining; });
+  page.Gauge("pumicedyke_gateway_leafs", "Leafs known, those that leave among them.",
+             static_cast<double>(view.leafs().size()));
+  page.Gauge("pumicedyke_gateway_leafs_usable", "Leafs that may be sent to.",
+             static_cast<double>(usable));
+  page.Gauge("pumicedyke_gateway_ready", "1 while clients may be sent here.",
+             server.ready() ? 1 : 0);
+  page.Gauge("pumicedyke_gateway_in_progress", "Requests in progress.",
+             static_cast<double>(server.in_progress()));
+  page.Gauge("pumicedyke_gateway_document_version", "Version of the routes in force.",
+             static_cast<double>(server.document_version()));
+  page.Gauge("pumicedyke_gateway_config_age_seconds",
+             "Time since a control machine confirmed the configuration.",
+             ToMilliseconds(server.ConfigAge(now)) / 1000.0);
+  page.Counter("pumicedyke_gateway_leaf_connections_total", "Connections opened to leafs.",
+               static_cast<double>(client.connections_opened()));
+  page.Gauge("pumicedyke_gateway_leaf_requests", "Requests out at leafs.",
+             static_cast<double>(client.in_flight()));
+  page.Counter("pumicedyke_gateway_clients_gone_total", "Clients that left before their answer.",
+               static_cast<double>(clients_gone_));
+  page.Counter("pumicedyke_gateway_control_lost_total", "Times that a control machine was lost.",
+               static_cast<double>(control_lost_));
+  page.Counter("pumicedyke_log_lines_dropped_total", "Log lines that nobody took in time.",
+               static_cast<double>(DroppedLogLines()));
+  page.AddProcess();
+  return page.Text();
+}
+
+}  // namespace pumicedyke::server
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -34,6 +34,7 @@
   settings.listen = file.Address("listen", "127.0.0.1:7400");
   settings.port_file = file.String("port_file", "");
   settings.ready_listen = file.String("ready_listen", "");
+  settings.metrics_listen = file.String("metrics_listen", "");
   settings.control = ReadControlAddresses(&file);
   if (settings.control.empty()) {
     file.AddError("control", "must list at least one control machine, or name 'seeds'");
@@ -83,10 +84,37 @@
       return status;
     }
   }
+  if (absl::Status status = ListenForMetrics(); !status.ok()) {
+    return status;
+  }
   LogEvent("started", {{"incarnation", options.incarnation}, {"listen", settings_.listen}});
   return WritePortFile(settings_.port_file, "http " + std::to_string(http_->port()) + "\n");
 }
 
+absl::Status GatewayProcess::ListenForMetrics() {
+  if (settings_.metrics_listen.empty()) {
+    return absl::OkStatus();
+  }
+  metrics_http_ = std::make_unique<http::HttpServer>(
+      loop_, http::HttpServerOptions{},
+      [this](const http::HttpRequest& request, http::Responder responder) {
+        if (request.path != "/metrics") {
+          responder.Send({404, "only /metrics is here\n", "text/plain"});
+          return;
+        }
+        responder.Send({200, metrics_.Text(net::EventLoop::Now(), *server_, *client_),
+                        "text/plain; version=0.0.4"});
+      });
+  return metrics_http_->Listen(settings_.metrics_listen);
+}
+
+void GatewayProcess::OnLinkChange(const gateway::ControlLinkChange& change) {
+  log_.OnControlLink(change.address, change.up);
+  if (!change.up) {
+    metrics_.OnControlLost();
+  }
+}
+
 void GatewayProcess::Run() {
   loop_->Run([this](Timestamp now) { return Tick(now); });
 }
@@ -131,25 +159,30 @@
 void GatewayProcess::CarryOut() {
   carry_out_due_ = false;
   gateway::GatewayOutput output = server_->TakeOutput();
-  for (gateway::LeafSend& send : output.sends) {
-    SendToLeaf(std::move(send));
-  }
-  for (const gateway::LeafCancel& cancel : output.cancels) {
-    CancelAtLeaf(cancel);
-  }
+  // Clients wait for the answers; nobody waits for what is cancelled.
   for (const gateway::GatewayAnswer& answer : output.answers) {
     const auto waiting = waiting_.find(answer.id);
     if (waiting != waiting_.end()) {
       http::HttpResponse response = dialect_->WriteAnswer(answer);
-      log_.OnAnswer(net::EventLoop::Now(), answer, response.status);
+      const int status = response.status;
       waiting->second.Send(std::move(response));
       waiting_.erase(waiting);
+      metrics_.OnAnswer(answer);
+      log_.OnAnswer(net::EventLoop::Now(), answer, status);
     }
   }
+  for (gateway::LeafSend& send : output.sends) {
+    SendToLeaf(std::move(send));
+  }
+  for (const gateway::LeafCancel& cancel : output.cancels) {
+    CancelAtLeaf(cancel);
+  }
   for (const std::string& address : output.reconnect) {
-    log_.OnControlLink(address, /*up=*/false);
     control_.erase(address);
   }
+  for (const gateway::ControlLinkChange& change : output.link_changes) {
+    OnLinkChange(change);
+  }
   for (const gateway::ControlMessage& message : output.control) {
     SendToControl(message);
   }
@@ -190,7 +223,6 @@
           CarryOutSoon();
         },
         [this, address] {
-          log_.OnControlLink(address, /*up=*/false);
           server_->OnControlDisconnected(net::EventLoop::Now(), address);
           CarryOutSoon();
         });
@@ -212,6 +244,7 @@
   const RequestId id{next_request_++};
   responder.WatchClient([this, id, request_id = payload->request_id] {
     waiting_.erase(id);
+    metrics_.OnClientGone();
     log_.OnClientGone(net::EventLoop::Now(), request_id);
     server_->OnClientGone(net::EventLoop::Now(), id);
     CarryOutSoon();
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -14,6 +14,7 @@
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
 #include "server/gateway_log.h"
+#include "server/gateway_metrics.h"
 #include "server/graceful_stop.h"
 #include "server/settings_watch.h"
 
@@ -27,6 +28,8 @@
   std::string listen;
   /// Where readiness is asked for; empty: with the clients.
   std::string ready_listen;
+  /// Where the metrics page is served; empty: nowhere.
+  std::string metrics_listen;
   /// Frame addresses of control machines.
   std::vector<std::string> control;
   gateway::ExtraLoadBound extra_load;
@@ -58,6 +61,8 @@
   void CancelAtLeaf(const gateway::LeafCancel& cancel);
   void SendToControl(const gateway::ControlMessage& message);
   void OnHttp(http::HttpRequest request, http::Responder responder);
+  absl::Status ListenForMetrics();
+  void OnLinkChange(const gateway::ControlLinkChange& change);
   void AdoptLimits();
 
   GatewaySettings settings_;
@@ -74,6 +79,8 @@
   uint64_t limits_version_ = 0;
   bool carry_out_due_ = false;
   GatewayLog log_;
+  GatewayMetrics metrics_;
+  std::unique_ptr<http::HttpServer> metrics_http_;
   SettingsWatch watch_;
   GracefulStop stop_;
 };
--- a/test/balance/leaf_pool_test.cc
+++ b/test/balance/leaf_pool_test.cc
@@ -21,6 +21,21 @@
   return reply;
 }
 
+void Serve(LeafPool* pool, Timestamp now, const std::string& leaf, SubRequestId id,
+           Duration expected, Duration latency) {
+  pool->OnSent(now, leaf, id, expected);
+  pool->OnReply(now + latency, Reply(leaf, id, query::LeafStatus::kOk));
+}
+
+/// How often `first` is drawn of a thousand times.
+int Draws(LeafPool* pool, Timestamp now, const std::string& first, const std::string& second) {
+  int drawn = 0;
+  for (int i = 0; i < 1000; ++i) {
+    drawn += pool->Choose(now, {first, second}, {}) == first ? 1 : 0;
+  }
+  return drawn;
+}
+
 }  // namespace
 
 class LeafPoolTest : public CppUnit::TestFixture {
@@ -31,9 +46,55 @@
   CPPUNIT_TEST(FailuresEjectAndProbationBringsBack);
   CPPUNIT_TEST(SheddingLowersTheLimit);
   CPPUNIT_TEST(ExtraLoadStaysWithinItsShare);
+  CPPUNIT_TEST(LeafsAreComparedByWhatWasExpectedOfThem);
+  CPPUNIT_TEST(LeafLeftAloneLooksNoFasterThanUsual);
+  CPPUNIT_TEST(LeafOutsideTheSubsetIsDrawnLessOften);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// One leaf serves long requests, the other short ones; both as fast as expected.
+  void LeafsAreComparedByWhatWasExpectedOfThem() {
+    LeafPool pool({}, 1);
+    pool.Configure(kStart, "long", 2);
+    pool.Configure(kStart, "short", 2);
+    Timestamp now = kStart;
+    uint64_t id = 0;
+    for (int i = 0; i < 50; ++i) {
+      Serve(&pool, now, "long", SubRequestId{++id}, Milliseconds(30), Milliseconds(30));
+      Serve(&pool, now, "short", SubRequestId{++id}, Milliseconds(10), Milliseconds(10));
+      now += Milliseconds(40);
+    }
+    const int drawn = Draws(&pool, now, "long", "short");
+    CPPUNIT_ASSERT(drawn > 400 && drawn < 600);
+  }
+
+  /// A slow leaf that nobody has asked for long is tried again, but not before the healthy one.
+  void LeafLeftAloneLooksNoFasterThanUsual() {
+    LeafPool pool({}, 1);
+    pool.Configure(kStart, "slow", 2);
+    pool.Configure(kStart, "good", 2);
+    Timestamp now = kStart;
+    uint64_t id = 0;
+    for (int i = 0; i < 50; ++i) {
+      Serve(&pool, now, "slow", SubRequestId{++id}, Milliseconds(30), Milliseconds(200));
+      now += Milliseconds(200);
+    }
+    for (int i = 0; i < 300; ++i) {
+      Serve(&pool, now, "good", SubRequestId{++id}, Milliseconds(30), Milliseconds(30));
+      now += Milliseconds(30);
+    }
+    const int drawn = Draws(&pool, now, "slow", "good");
+    CPPUNIT_ASSERT(drawn > 0 && drawn <= 550);
+  }
+
+  void LeafOutsideTheSubsetIsDrawnLessOften() {
+    LeafPool pool({}, 1);
+    pool.Configure(kStart, "outside", 2, {.remote = false, .preferred = false});
+    pool.Configure(kStart, "inside", 2);
+    const int drawn = Draws(&pool, kStart, "outside", "inside");
+    CPPUNIT_ASSERT(drawn > 100 && drawn < 300);
+  }
+
   void AnySourceOfLeavingIsEnough() {
     LeafPool pool({}, 1);
     pool.Configure(kStart, "a", 2);
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -132,11 +132,15 @@
     for (const LeafCancel& cancel : output.cancels) {
       cancels.push_back(cancel);
     }
+    for (const ControlLinkChange& change : output.link_changes) {
+      links.push_back(change);
+    }
     for (ControlMessage& message : output.control) {
       control.push_back(std::move(message));
     }
   }
 
+  std::vector<ControlLinkChange> links;
   Timestamp now = kStart;
 
  private:
--- a/test/gateway/gateway_server_test.cc
+++ b/test/gateway/gateway_server_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(EarlyRequestIsServedOnceThereAreRoutes);
   CPPUNIT_TEST(EarlyRequestEndsWithItsClient);
   CPPUNIT_TEST(TimeBeforeTheReadingCounts);
+  CPPUNIT_TEST(ControlIsLostOnlyAfterItWasThere);
   CPPUNIT_TEST(OverdueLoserIsStopped);
   CPPUNIT_TEST(PassesOneAnswerOn);
   CPPUNIT_TEST(UnknownPathIsSaid);
@@ -78,6 +79,22 @@
     CPPUNIT_ASSERT(h.server.Drained());
   }
 
+  void ControlIsLostOnlyAfterItWasThere() {
+    GatewayHarness h;
+    h.Pass(Milliseconds(10));
+    CPPUNIT_ASSERT(h.links.empty());
+    h.Report({});
+    h.Take();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.links.size());
+    CPPUNIT_ASSERT(h.links[0].up);
+    h.Pass(Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, h.links.size());
+    CPPUNIT_ASSERT(!h.links[1].up);
+    h.Report({});
+    h.Take();
+    CPPUNIT_ASSERT(h.links.back().up);
+  }
+
   void TimeBeforeTheReadingCounts() {
     GatewayHarness h;
     h.Put(1, kPlain);
--- a/test/http/work_budget_test.cc
+++ b/test/http/work_budget_test.cc
@@ -28,7 +28,9 @@
 class WorkBudgetTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkBudgetTest);
   CPPUNIT_TEST(TimeSpentWaitingForAConnectionIsTakenOff);
+  CPPUNIT_TEST(NothingIsWrittenOnceNoTimeIsLeft);
   CPPUNIT_TEST(SharedHeadComesBeforeOwnHeaders);
+  CPPUNIT_TEST(ConnectionThatNobodyNeedsSoonIsClosed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,6 +67,61 @@
     CPPUNIT_ASSERT(left[1] > 0);
   }
 
+  void ConnectionThatNobodyNeedsSoonIsClosed() {
+    net::EventLoop loop;
+    HttpServer server(&loop, {}, [](const HttpRequest&, Responder responder) {
+      responder.Send({200, "{}"});
+    });
+    CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
+    HttpClient client(&loop, {.surplus_idle_limit = Milliseconds(10)});
+    ClientRequest request;
+    request.address = "127.0.0.1:" + std::to_string(server.port());
+    request.path = "/";
+    request.close_soon = true;
+    bool answered = false;
+    client.Start(request, [&](const ClientResponse&) { answered = true; });
+    loop.Run([&](Timestamp now) {
+      if (answered && server.connections() == 0) {
+        loop.Stop();
+      }
+      return now + Milliseconds(5);
+    });
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, client.connections_opened());
+  }
+
+  void NothingIsWrittenOnceNoTimeIsLeft() {
+    net::EventLoop loop;
+    int seen = 0;
+    HttpServer server(&loop, {}, [&](const HttpRequest&, Responder responder) {
+      ++seen;
+      loop.RunAt(net::EventLoop::Now() + kHold, [responder]() mutable {
+        responder.Send({200, "{}"});
+      });
+    });
+    CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
+    HttpClient client(&loop, {.max_connections_per_host = 1});
+    std::vector<ClientResponse> responses;
+    for (const Duration budget : {kBudget, kHold / 4}) {
+      ClientRequest request;
+      request.address = "127.0.0.1:" + std::to_string(server.port());
+      request.path = "/";
+      request.timeout = kBudget;
+      request.budget = budget;
+      request.budget_header = "X-Left";
+      client.Start(request, [&](ClientResponse response) {
+        responses.push_back(std::move(response));
+        if (responses.size() == 2) {
+          loop.Stop();
+        }
+      });
+    }
+    loop.Run([](Timestamp now) { return now + Seconds(1); });
+    CPPUNIT_ASSERT_EQUAL(1, seen);
+    CPPUNIT_ASSERT_EQUAL(200, responses[0].status);
+    CPPUNIT_ASSERT(!responses[1].ok());
+    CPPUNIT_ASSERT(responses[1].not_sent);
+  }
+
   void SharedHeadComesBeforeOwnHeaders() {
     net::EventLoop loop;
     HttpRequest seen;
--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -165,7 +165,8 @@
     auto request = std::make_shared<gateway::PayloadRequest>(
         *dialect.ReadRequest(Request("POST", "/x/1", "body", ClientHeaders())));
     gateway::LeafSend send{
-        SubRequestId{1}, "i-7", "10.0.0.1:80", request, Milliseconds(640), true, 2, ShardId{0}};
+        SubRequestId{1}, "i-7", "10.0.0.1:80", request, Milliseconds(640), true, 2, true,
+        ShardId{0}};
     const http::ClientRequest call = dialect.WriteLeafRequest(send);
     CPPUNIT_ASSERT_EQUAL(std::string("POST"), call.method);
     CPPUNIT_ASSERT_EQUAL(std::string("body"), call.body);
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -80,6 +80,7 @@
 class PlatformEndToEndTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformEndToEndTest);
   CPPUNIT_TEST(WholePathServes);
+  CPPUNIT_TEST(MetricsTellWhatWasAnswered);
   CPPUNIT_TEST(InvalidDocumentIsNeverInForce);
   CPPUNIT_TEST(NonsenseCostsNobodyElse);
   CPPUNIT_TEST(DrainingLeafGetsNoMoreWork);
@@ -117,6 +118,28 @@
     CPPUNIT_ASSERT_EQUAL(200, e2e::Get(fleet.ready_address(), "/v1/readyz").status);
   }
 
+  void MetricsTellWhatWasAnswered() {
+    PlatformFleet fleet;
+    StandInLeaf leaf0("leaf-a", "s0");
+    StandInLeaf leaf1("leaf-b", "s1");
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(7)));
+    fleet.Beat({&leaf0, &leaf1});
+    fleet.WaitServed("/all/1");
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Ask("/one/1").status);
+    CPPUNIT_ASSERT_EQUAL(404, fleet.Ask("/nowhere/1").status);
+    const http::ClientResponse page = e2e::Get(fleet.metrics_address(), "/metrics");
+    CPPUNIT_ASSERT_EQUAL(200, page.status);
+    for (const char* line :
+         {"pumicedyke_gateway_answers_total{result=\"ok\",route=\"one\"} 1\n",
+          "pumicedyke_gateway_answers_total{result=\"unknown_path\",route=\"\"} 1\n",
+          "pumicedyke_gateway_latency_seconds_count{route=\"one\"} 1\n",
+          "pumicedyke_gateway_document_version 7\n", "pumicedyke_gateway_leafs_usable 2\n",
+          "pumicedyke_gateway_ready 1\n"}) {
+      CPPUNIT_ASSERT_MESSAGE(line + page.body, page.body.find(line) != std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(404, e2e::Get(fleet.metrics_address(), "/other").status);
+  }
+
   void InvalidDocumentIsNeverInForce() {
     PlatformFleet fleet;
     CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(7)));
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -97,7 +97,8 @@
       service_port_(PortOf(e2e::FreeAddress())),
       directory_port_(PortOf(e2e::FreeAddress())),
       gateway_address_(e2e::FreeAddress()),
-      ready_address_(e2e::FreeAddress()) {
+      ready_address_(e2e::FreeAddress()),
+      metrics_address_(e2e::FreeAddress()) {
   char path[] = "/tmp/pumicedyke-platform-XXXXXX";
   CPPUNIT_ASSERT(::mkdtemp(path) != nullptr);
   folder_ = path;
@@ -141,8 +142,9 @@
   const std::string file = folder_ + "/gateway.toml";
   std::ofstream settings(file);
   settings << "cluster = \"test\"\nnode = \"g0\"\nzone = \"north\"\nlisten = \"" << gateway_address_
-           << "\"\nready_listen = \"" << ready_address_ << "\"\nseeds = [\"" << ServiceAddress(0)
-           << "\", \"" << ServiceAddress(1) << "\"]\ninternal_port = " << internal_port_
+           << "\"\nready_listen = \"" << ready_address_ << "\"\nmetrics_listen = \""
+           << metrics_address_ << "\"\nseeds = [\"" << ServiceAddress(0) << "\", \""
+           << ServiceAddress(1) << "\"]\ninternal_port = " << internal_port_
            << "\ndrain_grace_ms = 300\n";
   settings.close();
   processes["gateway"] = std::make_unique<e2e::Process>(
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -65,6 +65,7 @@
   std::string DirectoryAddress(int index) const;
   const std::string& gateway_address() const { return gateway_address_; }
   const std::string& ready_address() const { return ready_address_; }
+  const std::string& metrics_address() const { return metrics_address_; }
 
   /// Puts a document, at any control machine, until one takes it. @return the last status.
   int Put(const std::string& document);
@@ -83,6 +84,7 @@
   std::string directory_port_;
   std::string gateway_address_;
   std::string ready_address_;
+  std::string metrics_address_;
   int asked_ = 0;
 };
 
