Take nothing more once a stopping process has found nothing under way

The loop went on to wait for events, for up to 20 ms, after its owner had said stop. Ruled out: the graceful stop's own count (it was right when asked); ACE's reactor (the loop before had the same order). Change: a loop stopped by its tick ends before the next wait. That left tasks undone at the end of a loop, and freed timers twice (seen in PlatformEndToEndTest): such tasks are dropped while the loop is whole, and a connection no longer needs its client to go. Tests, failing first: NothingIsReadOnceTheOwnerHasStopped.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -104,6 +104,7 @@
  public:
   Connection(HttpClient* client, Host* host)
       : client_(client),
+        loop_(client->loop_),
         host_(host),
         stream_(client->loop_, host->address,
                 {.on_bytes = [this](std::string* input) { OnBytes(input); },
@@ -113,9 +114,10 @@
     connect_timer_ = client_->loop_->RunAt(
         net::EventLoop::Now() + client_->options_.connect_timeout, [this] { OnConnectTimeout(); });
   }
+  /// The loop may hold this object for longer than the client lives.
   ~Connection() {
-    client_->loop_->CancelTimer(connect_timer_);
-    client_->loop_->CancelTimer(idle_timer_);
+    loop_->CancelTimer(connect_timer_);
+    loop_->CancelTimer(idle_timer_);
   }
 
   void Begin(const std::shared_ptr<Call>& call) {
@@ -262,6 +264,7 @@
   }
 
   HttpClient* client_;
+  net::EventLoop* loop_;
   Host* host_;
   std::shared_ptr<Call> call_;
   std::unique_ptr<ResponseParser> parser_;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -56,6 +56,10 @@
 }
 
 EventLoop::~EventLoop() {
+  // What tasks that never ran hold may still cancel timers and remove handlers.
+  while (!deferred_.empty()) {
+    const std::vector<Task> dropped = std::exchange(deferred_, {});
+  }
   for (const auto& [number, task] : signal_tasks_) {
     std::signal(number, SIG_DFL);
   }
@@ -176,6 +180,10 @@
       wake = std::min(wake, timers_.begin()->first.first);
     }
     FlushLog();
+    if (stopped_) {
+      // Whoever stops has found nothing under way: what is read after that would be lost.
+      break;
+    }
     wait_began_ = Now();
     const Duration sleep =
         deferred_.empty() ? std::max(Duration(0), wake - wait_began_) : Duration(0);
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -54,6 +54,7 @@
   /// Runs until Stop(). @param tick called after every batch of events; returns when it wants to
   /// be called again at the latest.
   void Run(const std::function<Timestamp(Timestamp now)>& tick);
+  /// Ends Run() without another event if called by tick(), else at the end of the turn.
   void Stop() { stopped_ = true; }
   /// Lets Run() be called again after Stop().
   void Resume() { stopped_ = false; }
--- /dev/null
+++ b/test/net/event_loop_test.cc
@@ -0,0 +1,139 @@
+// The order of a turn: what the owner decides in its tick is not overtaken by events.
+#include "net/event_loop.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <csignal>
+
+namespace pumicedyke::net {
+namespace {
+
+/// Readable from the start.
+class ReadyHandler : public ACE_Event_Handler {
+ public:
+  explicit ReadyHandler(EventLoop* loop) : loop_(loop), handle_(::eventfd(1, EFD_NONBLOCK)) {
+    loop_->poller()->Watch(this, kReadOnly);
+  }
+  ~ReadyHandler() override {
+    loop_->poller()->Remove(this);
+    ::close(handle_);
+  }
+  int handle_input(ACE_HANDLE handle) override {
+    ++reads;
+    arrival = loop_->earliest_arrival();
+    eventfd_t count = 0;
+    eventfd_read(handle, &count);
+    return 0;
+  }
+  ACE_HANDLE get_handle() const override { return handle_; }
+
+  int reads = 0;
+  Timestamp arrival{};
+
+ private:
+  EventLoop* loop_;
+  ACE_HANDLE handle_;
+};
+
+}  // namespace
+
+class EventLoopTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EventLoopTest);
+  CPPUNIT_TEST(NothingIsReadOnceTheOwnerHasStopped);
+  CPPUNIT_TEST(EarliestArrivalIsTheLastLook);
+  CPPUNIT_TEST(PostFromAnotherTurnAndSignalWake);
+  CPPUNIT_TEST(HandlerMayRemoveAnother);
+  CPPUNIT_TEST(TasksThatNeverRanMayUseTheLoopAtItsEnd);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// A process that has found nothing under way and ends must not take one more request.
+  void NothingIsReadOnceTheOwnerHasStopped() {
+    EventLoop loop;
+    ReadyHandler handler(&loop);
+    loop.Run([&](Timestamp now) {
+      loop.Stop();
+      return now + Milliseconds(20);
+    });
+    CPPUNIT_ASSERT_EQUAL(0, handler.reads);
+    loop.Resume();
+    loop.Run([&](Timestamp now) {
+      if (handler.reads > 0) {
+        loop.Stop();
+      }
+      return now + Milliseconds(20);
+    });
+    CPPUNIT_ASSERT_EQUAL(1, handler.reads);
+  }
+
+  void EarliestArrivalIsTheLastLook() {
+    EventLoop loop;
+    ReadyHandler handler(&loop);
+    const Timestamp before = EventLoop::Now();
+    loop.Run([&](Timestamp now) {
+      if (handler.reads > 0) {
+        loop.Stop();
+      }
+      return now + Milliseconds(20);
+    });
+    // It was there when the loop first looked, so it may have come at any time before.
+    CPPUNIT_ASSERT(handler.arrival <= before);
+    CPPUNIT_ASSERT(handler.arrival > Timestamp{});
+  }
+
+  void PostFromAnotherTurnAndSignalWake() {
+    EventLoop loop;
+    int signals = 0;
+    loop.OnSignal(SIGUSR1, [&] {
+      ++signals;
+      loop.Post([&loop] { loop.Stop(); });
+    });
+    std::raise(SIGUSR1);
+    loop.Run([](Timestamp now) { return now + Seconds(1); });
+    CPPUNIT_ASSERT_EQUAL(1, signals);
+  }
+
+  /// Run under the address sanitizer or not: the timer's own memory must still be there.
+  void TasksThatNeverRanMayUseTheLoopAtItsEnd() {
+    struct Owner {
+      EventLoop* loop;
+      EventLoop::TimerId timer;
+      bool* cancelled;
+      ~Owner() {
+        loop->CancelTimer(timer);
+        *cancelled = true;
+      }
+    };
+    bool cancelled = false;
+    {
+      EventLoop loop;
+      const EventLoop::TimerId timer = loop.RunAt(EventLoop::Now() + Seconds(60), [] {});
+      auto owner = std::shared_ptr<Owner>(new Owner{&loop, timer, &cancelled});
+      loop.Defer([owner = std::move(owner)] {});
+    }
+    CPPUNIT_ASSERT(cancelled);
+  }
+
+  void HandlerMayRemoveAnother() {
+    EventLoop loop;
+    auto second = std::make_unique<ReadyHandler>(&loop);
+    ReadyHandler first(&loop);
+    bool removed = false;
+    loop.Run([&](Timestamp now) {
+      if (first.reads > 0) {
+        loop.Stop();
+      }
+      if (!std::exchange(removed, true)) {
+        second.reset();
+      }
+      return now + Milliseconds(20);
+    });
+    CPPUNIT_ASSERT_EQUAL(1, first.reads);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventLoopTest);
+
+}  // namespace pumicedyke::net
