Take test ports from below the range of outgoing connections

FreeAddress() took a port from the system's ephemeral range and gave it back; until the process listened, any outgoing connection of the fleet could be given the same one. Ruled out: a second process on a fixed port (none was running); the product's listen (it says what it found). Change: ports 10000 to 29999, tried by binding, begun at a place of the process's own.

--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -81,16 +81,30 @@
   }
 }
 
+// Below the range that the system takes ports of outgoing connections from: such a connection could
+// take the port before the process that it is for listens.
+constexpr uint16_t kFirstPort = 10000;
+constexpr uint16_t kPorts = 20000;
+
 std::string FreeAddress() {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  CPPUNIT_ASSERT(::bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
+  // Test processes that run side by side begin at different places.
+  static auto next = static_cast<uint16_t>(::getpid() * 97 % kPorts);
+  for (int tries = 0; tries < kPorts; ++tries) {
+    next = static_cast<uint16_t>((next + 1) % kPorts);
+    const auto port = static_cast<uint16_t>(kFirstPort + next);
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_ANY);
+    address.sin_port = htons(port);
+    const bool free = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(socket);
+    if (free) {
+      return absl::StrCat("127.0.0.1:", port);
+    }
+  }
+  CPPUNIT_FAIL("no free port");
+  return {};
 }
 
 // ---- Process ------------------------------------------------------------------------------------
