Pass requests to join on to the leader, and tell newcomers where it is reached

A seed that did not lead dropped its request to join, and a newcomer sent its answers to the leader's entries to the seeds only. With two more disks lost after catchup_s no quorum was left. Ruled out: connections that hang (newcomer's connections came up in 3 ms), membership change refused (none was proposed), a slow disk. Change: a follower relays JoinRequest once (field relayed); the leader answers with JoinReply, its id and address. Scenario 'rejoin': five control machines, three known; one disk lost, two more 4 s later while all others are killed.

--- a/src/control/control_replicas.cc
+++ b/src/control/control_replicas.cc
@@ -36,9 +36,31 @@
   }
 }
 
+void ControlServer::RelayJoin(const wire::JoinRequest& join) {
+  // Once only: two machines may name each other as leader for a moment.
+  const bool may_relay = options_.relay_joins && !join.relayed && raft_.leader() != 0;
+  if (may_relay) {
+    wire::JoinRequest relayed = join;
+    relayed.relayed = true;
+    SendToMember(raft_.leader(), std::move(relayed));
+  }
+}
+
+void ControlServer::ReplyToJoin(const wire::JoinRequest& join) {
+  output_.peers.push_back(
+      {join.address, Wrap(wire::JoinReply{identity_.member, options_.address})});
+}
+
 void ControlServer::OnJoin(Timestamp now, const wire::JoinRequest& join) {
   join_addresses_[join.member] = join.address;
-  if (raft_.role() != consensus::Role::kLeader || raft_.IsMember(join.member)) {
+  if (raft_.role() != consensus::Role::kLeader) {
+    RelayJoin(join);
+    return;
+  }
+  if (options_.relay_joins) {
+    ReplyToJoin(join);
+  }
+  if (raft_.IsMember(join.member)) {
     return;
   }
   std::vector<wire::Member> members = raft_.members();
@@ -191,6 +213,7 @@
               {"machine", identity_.machine},
               {"member", identity_.member},
               {"leads", leads},
+              {"storage_works", raft_.failure().ok()},
               {"leader", leader == nullptr ? "" : leader->machine},
               {"term", raft_.term()},
               {"commit_index", raft_.commit_index()},
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -86,6 +86,8 @@
     }
   } else if (const auto* join = std::get_if<wire::JoinRequest>(&envelope.body)) {
     OnJoin(now, *join);
+  } else if (const auto* reply = std::get_if<wire::JoinReply>(&envelope.body)) {
+    join_addresses_[reply->leader] = reply->address;
   } else if (const auto* forwarded = std::get_if<wire::Forwarded>(&envelope.body)) {
     OnForwarded(now, *forwarded);
   } else if (const auto* reply = std::get_if<wire::ForwardedReply>(&envelope.body)) {
@@ -240,6 +242,11 @@
   });
 }
 
+void ControlServer::AbandonPending() {
+  ExpirePending(Timestamp::max());
+  AnswerStatusReads(Timestamp::max());
+}
+
 // ---- The log ------------------------------------------------------------------------------------
 
 void ControlServer::DrainRaft(Timestamp now) {
@@ -279,8 +286,9 @@
 }
 
 void ControlServer::MaybeCompact() {
-  if (storage_->log_bytes() < options_.snapshot_log_bytes ||
-      applied_index_ <= raft_.snapshot_index()) {
+  const bool long_enough = storage_->log_bytes() >= options_.snapshot_log_bytes &&
+                           applied_index_ > raft_.snapshot_index();
+  if (!long_enough || !raft_.failure().ok()) {
     return;
   }
   raft_.Compact(applied_index_, state_.Serialize()).IgnoreError();
@@ -343,6 +351,9 @@
 }
 
 bool ControlServer::IsCurrent(Timestamp now) const {
+  if (!raft_.failure().ok()) {
+    return false;
+  }
   if (raft_.role() == consensus::Role::kLeader) {
     return raft_.HasLease(now);
   }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -43,6 +43,8 @@
   Duration full_feed_patience = Seconds(2);
   /// Off only in simulations that show what the check is for.
   bool catch_up_before_vote = true;
+  /// A machine that does not lead passes requests to join on to the leader; off only in simulations.
+  bool relay_joins = true;
 };
 
 /// Names one connection of a node to this machine.
@@ -102,6 +104,8 @@
   /// Whether this machine is in touch with a quorum, as far as it can know.
   bool IsCurrent(Timestamp now) const;
 
+  /// Answers whatever waits with kNoQuorum; for a replica whose disk failed.
+  void AbandonPending();
   /// Hands leadership over, sends the nodes away and refuses new submissions; see Drained().
   void StartShutdown(Timestamp now);
   /// True when nothing that was admitted waits for an answer any more.
@@ -178,6 +182,10 @@
 
   // Replicas.
   void OnJoin(Timestamp now, const wire::JoinRequest& join);
+  /// Passes a request on to the leader: the newcomer knows a few machines only.
+  void RelayJoin(const wire::JoinRequest& join);
+  /// Tells the newcomer where the leader is reached; see wire::JoinReply.
+  void ReplyToJoin(const wire::JoinRequest& join);
   void SendJoin(Timestamp now);
   void ReplaceLostReplicas(Timestamp now);
   size_t WantedVoters() const;
@@ -224,7 +232,7 @@
   std::multimap<uint64_t, uint64_t> reads_at_index_;
   /// Starts at a random number: a late reply to an earlier life must match nothing here.
   uint64_t next_ticket_;
-  /// Known addresses of machines that asked to join.
+  /// Known addresses of machines that asked to join, and of the leader that answered.
   std::map<MemberId, std::string> join_addresses_;
   /// Leader: when each member was last known to answer; starts anew with each term.
   std::map<MemberId, Timestamp> member_heard_;
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -13,18 +13,19 @@
 }  // namespace
 
 ControlHost::ControlHost(ClockQueue* clock, const std::string& name,
-                         std::vector<std::string> machines, const DisabledMechanisms& disabled,
-                         uint64_t seed, Callbacks callbacks)
+                         std::vector<std::string> founders, size_t voters,
+                         const DisabledMechanisms& disabled, uint64_t seed, Callbacks callbacks)
     : SimProcess(clock, name),
-      machines_(std::move(machines)),
+      founders_(std::move(founders)),
+      voters_(voters),
       disabled_(disabled),
       seed_(seed),
       callbacks_(std::move(callbacks)),
       disk_(seed) {}
 
 MemberId ControlHost::FirstMemberId(const std::string& machine) const {
-  for (size_t i = 0; i < machines_.size(); ++i) {
-    if (machines_[i] == machine) {
+  for (size_t i = 0; i < founders_.size(); ++i) {
+    if (founders_[i] == machine) {
       return i + 1;
     }
   }
@@ -33,7 +34,7 @@
 
 void ControlHost::Format() {
   wire::SnapshotData initial;
-  for (const std::string& machine : machines_) {
+  for (const std::string& machine : founders_) {
     initial.members.push_back({FirstMemberId(machine), machine, machine, /*voter=*/true});
   }
   storage::LogStorage storage(&disk_, {});
@@ -51,7 +52,7 @@
     if (disabled_.contains("new-incarnation")) {
       Format();
     } else {
-      const MemberId fresh = 1000 * (starts_ + 1) + FirstMemberId(name());
+      const MemberId fresh = std::hash<std::string>()(name()) + starts_;
       storage_->Format({fresh, kCluster, name()}, wire::SnapshotData{}).IgnoreError();
     }
     identity = storage_->ReadIdentity();
@@ -59,7 +60,9 @@
   control::ControlOptions options;
   options.cluster = kCluster;
   options.address = name();
-  options.seeds = machines_;
+  options.seeds = founders_;
+  options.voters = voters_;
+  options.relay_joins = !disabled_.contains("join-relay");
   options.snapshot_log_bytes = kSnapshotLogBytes;
   options.raft.lease_check = !disabled_.contains("lease-check");
   options.state.remember_submissions = !disabled_.contains("submission-id");
--- a/src/sim/control_host.h
+++ b/src/sim/control_host.h
@@ -28,11 +28,15 @@
     std::function<void(control::SessionId)> close_session;
   };
 
-  ControlHost(ClockQueue* clock, const std::string& name, std::vector<std::string> machines,
-              const DisabledMechanisms& disabled, uint64_t seed, Callbacks callbacks);
+  /// @param founders the machines that a new cluster starts with, and all that a machine is told.
+  /// @param voters voters that the group grows to.
+  ControlHost(ClockQueue* clock, const std::string& name, std::vector<std::string> founders,
+              size_t voters, const DisabledMechanisms& disabled, uint64_t seed,
+              Callbacks callbacks);
 
-  /// First start of a new cluster.
+  /// First start of a founder of a new cluster.
   void Format();
+  bool IsFounder() const { return FirstMemberId(name()) != 0; }
   void Start();
   void Kill();
   /// Kill and replace the disk by an empty one.
@@ -58,7 +62,8 @@
   MemberId FirstMemberId(const std::string& machine) const;
   void CheckPlannedStop();
 
-  std::vector<std::string> machines_;
+  std::vector<std::string> founders_;
+  size_t voters_;
   DisabledMechanisms disabled_;
   uint64_t seed_;
   uint64_t starts_ = 0;
--- a/src/sim/mechanisms.cc
+++ b/src/sim/mechanisms.cc
@@ -35,6 +35,8 @@
        "a lost disk comes back under another identity, without a vote"},
       {"catch-up-before-vote", kConfigInForce, "lost-disk",
        "a newcomer holds everything before it votes and before redundancy is reported"},
+      {"join-relay", kConfigInForce, "rejoin",
+       "a machine that does not lead passes requests to join on to the leader"},
       {"submission-id", kConfigInForce, "racing-operators",
        "a resend gets the first submission's result"},
       {"compare-and-set", kConfigInForce, "racing-operators",
--- a/src/sim/nemesis.cc
+++ b/src/sim/nemesis.cc
@@ -7,6 +7,12 @@
 #include "absl/strings/str_cat.h"
 
 namespace pumicedyke::sim {
+namespace {
+
+/// A machine with a new disk is a voter again within this, and counts as lost until then.
+constexpr Duration kCatchUp = Seconds(4);
+
+}  // namespace
 
 void Nemesis::Start(Timestamp end) {
   end_ = end;
@@ -63,6 +69,8 @@
       return OneWayCut();
     case Fault::kLoseDisk:
       return LoseDisk();
+    case Fault::kLoseDisksInTurn:
+      return LoseDisksInTurn();
     case Fault::kPlannedStopControl:
       return PlannedStopControl();
     case Fault::kBadNetwork:
@@ -195,6 +203,39 @@
   });
 }
 
+void Nemesis::LoseDisksInTurn() {
+  if (world_->clock.now() < disks_busy_until_) {
+    return;
+  }
+  disks_busy_until_ = world_->clock.now() + Seconds(20);
+  // Another machine leads from now on, perhaps one that the lost machine was not told of.
+  KillControl(world_->LeaderIndex().value_or(RandomControl()));
+  Later(1500, 2000, [this] {
+    const size_t first = RandomControl();
+    LoseDiskBriefly(first);
+    world_->clock.After(kCatchUp, [this, first] { LoseTwoMoreDisks(first); });
+  });
+}
+
+void Nemesis::LoseDiskBriefly(size_t index) {
+  world_->LoseDisk(index);
+  Later(20, 60, [this, index] { world_->StartControl(index); });
+}
+
+void Nemesis::LoseTwoMoreDisks(size_t first) {
+  const size_t machines = world_->controls.size();
+  const auto offset = static_cast<size_t>(world_->Between(1, static_cast<int64_t>(machines) - 2));
+  const size_t second = (first + offset) % machines;
+  const size_t third = (first + offset + 1) % machines;
+  for (size_t i = 0; i < machines; ++i) {
+    if (i == second || i == third) {
+      LoseDiskBriefly(i);
+    } else {
+      KillControl(i);
+    }
+  }
+}
+
 void Nemesis::WatchRepair(uint64_t repairs_before) {
   Later(20, 60, [this, repairs_before] {
     if (world_->repairs == repairs_before) {
--- a/src/sim/nemesis.h
+++ b/src/sim/nemesis.h
@@ -24,6 +24,7 @@
   kCutControlFromNodes,
   kOneWayCut,
   kLoseDisk,
+  kLoseDisksInTurn,
   kPlannedStopControl,
   kBadNetwork,
 };
@@ -50,18 +51,26 @@
   void CutControlFromNodes();
   void OneWayCut();
   void LoseDisk();
+  void LoseDisksInTurn();
+  void LoseTwoMoreDisks(size_t first);
+  void LoseDiskBriefly(size_t index);
   void WatchRepair(uint64_t repairs_before);
   void PlannedStopControl();
   void BadNetwork();
   void Later(int64_t low_ms, int64_t high_ms, std::function<void()> undo);
   std::string RandomLeaf();
   size_t RandomNode() { return static_cast<size_t>(world_->Between(0, 1)); }
-  size_t RandomControl() { return static_cast<size_t>(world_->Between(0, 2)); }
+  size_t RandomControl() {
+    return static_cast<size_t>(
+        world_->Between(0, static_cast<int64_t>(world_->controls.size()) - 1));
+  }
 
   World* world_;
   std::vector<Fault> faults_;
   Duration interval_;
   Timestamp end_{};
+  /// Until then LoseDisksInTurn() is at work.
+  Timestamp disks_busy_until_{};
 };
 
 }  // namespace pumicedyke::sim
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -131,6 +131,13 @@
        .faults = {kLoseDisk},
        .fault_interval = Milliseconds(1500),
        .length = Seconds(9)},
+      {.name = "rejoin",
+       .what = "of five control machines one loses its disk and, once it had the time to be a voter "
+               "again, two more do while all others are killed",
+       .faults = {kLoseDisksInTurn},
+       .fault_interval = Milliseconds(300),
+       .control_machines = 5,
+       .length = Seconds(9)},
       {.name = "racing-operators",
        .what = "two operators submit on one revision, and resend when answers are lost",
        .faults = {kBadNetwork, kKillControl},
@@ -185,7 +192,7 @@
 
 RunResult RunScenario(const Scenario& scenario, uint64_t seed, const DisabledMechanisms& disabled,
                       bool keep_trace) {
-  World world({seed, disabled, scenario.nasty_leafs});
+  World world({seed, disabled, scenario.nasty_leafs, scenario.control_machines});
   if (keep_trace) {
     world.history.KeepFullTrace();
   }
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -21,6 +21,7 @@
   OperatorOptions operators = {};
   bool nasty_leafs = false;
   bool skewed_clocks = false;
+  size_t control_machines = kFounders;
   /// Changes submitted one after the other before the faults start.
   int changes_first = 0;
   /// Load and faults end here, counted from the end of the boot.
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -9,7 +9,6 @@
 namespace pumicedyke::sim {
 namespace {
 
-constexpr size_t kControls = 3;
 constexpr size_t kNodes = 2;
 constexpr uint64_t kReadLeafs = 4;
 constexpr uint64_t kJobLeafs = 3;
@@ -45,12 +44,12 @@
 }
 
 void World::MakeControls() {
-  std::vector<std::string> machines;
-  for (size_t i = 0; i < kControls; ++i) {
-    machines.push_back(absl::StrCat("control-", i));
+  std::vector<std::string> founders;
+  for (size_t i = 0; i < kFounders; ++i) {
+    founders.push_back(absl::StrCat("control-", i));
   }
-  for (size_t i = 0; i < kControls; ++i) {
-    const std::string name = machines[i];
+  for (size_t i = 0; i < options_.control_machines; ++i) {
+    const std::string name = absl::StrCat("control-", i);
     ControlHost::Callbacks callbacks;
     callbacks.to_peer = [this, name](const std::string& address, const wire::Envelope& envelope) {
       network.Send(name, address, [this, address, envelope] {
@@ -81,8 +80,9 @@
         answer(body);
       }
     };
-    controls.push_back(std::make_unique<ControlHost>(&clock, name, machines, options_.disabled,
-                                                     options_.seed * 31 + i, callbacks));
+    controls.push_back(
+        std::make_unique<ControlHost>(&clock, name, founders, options_.control_machines,
+                                      options_.disabled, options_.seed * 31 + i, callbacks));
   }
 }
 
@@ -90,7 +90,7 @@
   for (size_t i = 0; i < kNodes; ++i) {
     node::NodeOptions options;
     options.seed = options_.seed * 17 + i;
-    options.subscriber.control_machines = kControls;
+    options.subscriber.control_machines = options_.control_machines;
     NodeHost::Callbacks callbacks;
     callbacks.to_leaf = [this](NodeHost* node, const query::LeafRequest& request) {
       ToLeaf(node, request);
@@ -199,7 +199,7 @@
 
 void World::SubmitPatiently(const config::Change& change, const std::function<void()>& done) {
   auto finished = std::make_shared<bool>(false);
-  for (size_t i = 0; i < kControls; ++i) {
+  for (size_t i = 0; i < controls.size(); ++i) {
     Submit("operator-patient", i, change, [=](const config::ChangeResult& result) {
       const auto code = static_cast<ResultCode>(result.code);
       const bool definite = code != ResultCode::kNoQuorum && code != ResultCode::kShuttingDown;
@@ -220,7 +220,9 @@
 
 void World::Boot() {
   for (const auto& control : controls) {
-    control->Format();
+    if (control->IsFounder()) {
+      control->Format();
+    }
     control->Start();
   }
   for (size_t i = 0; i < nodes.size(); ++i) {
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -1,4 +1,4 @@
-// A simulated cluster: three control machines, two nodes, leafs, the platform's list and the
+// A simulated cluster: three control machines or more, two nodes, leafs, the platform's list and the
 // network between them. Actors and the nemesis act on it; History records what shows outside.
 #pragma once
 
@@ -24,11 +24,15 @@
 inline constexpr char kReadService[] = "desk";
 inline constexpr char kJobService[] = "reprint";
 
+inline constexpr size_t kFounders = 3;
+
 struct WorldOptions {
   uint64_t seed = 1;
   DisabledMechanisms disabled;
   /// Leafs straggle, pause, shed and sometimes answer on another snapshot than they were asked for.
   bool nasty_leafs = false;
+  /// Control machines; only `kFounders` of them found the cluster and are known to the others.
+  size_t control_machines = kFounders;
 };
 
 class World {
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -206,7 +206,13 @@
 
 void Fill(const JoinRequest& join, Arena* arena, pumicedyke_wire_Envelope* envelope) {
   envelope->which_body = pumicedyke_wire_Envelope_join_tag;
-  envelope->body.join = {join.member, arena->String(join.machine), arena->String(join.address)};
+  envelope->body.join = {join.member, arena->String(join.machine), arena->String(join.address),
+                         join.relayed};
+}
+
+void Fill(const JoinReply& reply, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_join_reply_tag;
+  envelope->body.join_reply = {reply.leader, arena->String(reply.address)};
 }
 
 void Fill(const Forwarded& forwarded, Arena* arena, pumicedyke_wire_Envelope* envelope) {
@@ -301,7 +307,10 @@
     }
     case pumicedyke_wire_Envelope_join_tag:
       return Body(
-          JoinRequest{in.body.join.member, Text(in.body.join.machine), Text(in.body.join.address)});
+          JoinRequest{in.body.join.member, Text(in.body.join.machine), Text(in.body.join.address),
+                      in.body.join.relayed});
+    case pumicedyke_wire_Envelope_join_reply_tag:
+      return Body(JoinReply{in.body.join_reply.leader, Text(in.body.join_reply.address)});
     case pumicedyke_wire_Envelope_forwarded_tag: {
       const auto& forwarded = in.body.forwarded;
       return Body(Forwarded{forwarded.origin, forwarded.ticket,
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -120,6 +120,14 @@
   MemberId member = 0;
   std::string machine;
   std::string address;
+  /// Passed on to the leader by a machine that does not lead; goes no further.
+  bool relayed = false;
+};
+
+/// The leader tells a newcomer, which knows no members yet, where it is reached.
+struct JoinReply {
+  MemberId leader = 0;
+  std::string address;
 };
 
 /// A command that a follower passes to the leader.
@@ -176,7 +184,8 @@
 };
 
 using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
-                          JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed>;
+                          JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed,
+                          JoinReply>;
 
 struct Envelope {
   std::string cluster;
