Run on without a disk that takes no bytes; take no unreadable file for a missing one

Now a replica whose disk failed has no part in the group, its process serves on (no word of its own that may be old) and opens the data folder anew each 250 ms; a starting one waits for its disk. Found beside it, by reading: a file that could not be opened counted as missing, so that identity and log would have been written anew over it; entries that a killed process had written but not synced were vouched for by its next life without a sync. Tests: ControlOutlivesAFullDisk and ControlWaitsForADiskThatTakesNoBytes (before, the process ended), WhatRecoveryFoundSurvivesACrash.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -53,6 +53,8 @@
   RaiseHandleLimit();
   poller_.Watch(this, ACE_Event_Handler::READ_MASK);
   std::signal(SIGPIPE, SIG_IGN);
+  // A file that may not grow shows as a failed write.
+  std::signal(SIGXFSZ, SIG_IGN);
 }
 
 EventLoop::~EventLoop() {
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr Duration kTickInterval = Milliseconds(10);
+/// How often a disk is tried that took no bytes.
+constexpr Duration kDiskRetryInterval = Milliseconds(250);
 /// After handing leadership over, a stopping machine stays to answer stragglers.
 constexpr Duration kStopGrace = Milliseconds(300);
 
@@ -164,26 +166,27 @@
       watch_(settings_.path),
       stop_(kStopGrace) {}
 
-absl::Status ControlProcess::OpenStorage(wire::Identity* identity,
-                                         storage::RecoveredState* recovered) {
+absl::StatusOr<ControlProcess::OpenedStorage> ControlProcess::OpenStorage() const {
   if (absl::Status status = storage::PosixFileSystem::CreateFolder(settings_.data_folder);
       !status.ok()) {
     return status;
   }
-  files_ = std::make_unique<storage::PosixFileSystem>(settings_.data_folder);
-  storage_ = std::make_unique<storage::LogStorage>(files_.get(), storage::LogStorageOptions{});
-  absl::StatusOr<wire::Identity> found = storage_->ReadIdentity();
+  OpenedStorage opened;
+  opened.files = std::make_unique<storage::PosixFileSystem>(settings_.data_folder);
+  opened.log =
+      std::make_unique<storage::LogStorage>(opened.files.get(), storage::LogStorageOptions{});
+  absl::StatusOr<wire::Identity> found = opened.log->ReadIdentity();
   if (absl::IsNotFound(found.status()) && settings_.bootstrap && IsFirstMachine(settings_)) {
     if (absl::Status status = FormatControl(settings_); !status.ok()) {
       return status;
     }
-    found = storage_->ReadIdentity();
+    found = opened.log->ReadIdentity();
   }
   if (absl::IsNotFound(found.status())) {
     // A lost disk, or a machine that is new: another incarnation, without a vote until the
     // leader has taken it in and it has caught up.
     const wire::Identity fresh{FreshMemberId(), settings_.cluster, settings_.machine};
-    if (absl::Status status = storage_->Format(fresh, wire::SnapshotData{}); !status.ok()) {
+    if (absl::Status status = opened.log->Format(fresh, wire::SnapshotData{}); !status.ok()) {
       return status;
     }
     found = fresh;
@@ -196,25 +199,16 @@
         ResultCode::kWrongCluster,
         "the data folder belongs to machine " + found->machine + " of cluster " + found->cluster);
   }
-  *identity = *std::move(found);
-  absl::StatusOr<storage::RecoveredState> state = storage_->Recover();
-  if (!state.ok()) {
-    return state.status();
+  absl::StatusOr<storage::RecoveredState> recovered = opened.log->Recover();
+  if (!recovered.ok()) {
+    return recovered.status();
   }
-  *recovered = *std::move(state);
-  return absl::OkStatus();
+  opened.identity = *std::move(found);
+  opened.recovered = *std::move(recovered);
+  return opened;
 }
 
-absl::Status ControlProcess::Start() {
-  wire::Identity identity;
-  storage::RecoveredState recovered;
-  if (absl::Status status = OpenStorage(&identity, &recovered); !status.ok()) {
-    return status;
-  }
-  LogEvent("recovered", {{"member", identity.member},
-                         {"snapshot_index", recovered.snapshot.index},
-                         {"entries", recovered.entries.size()},
-                         {"cut_bytes", recovered.cut_bytes}});
+control::ControlOptions ControlProcess::ReplicaOptions() const {
   control::ControlOptions options;
   options.cluster = settings_.cluster;
   options.address = settings_.listen;
@@ -229,10 +223,69 @@
   options.snapshot_log_bytes = settings_.snapshot_log_bytes;
   options.raft.election_timeout = settings_.election_timeout;
   options.raft.heartbeat_interval = settings_.election_timeout / 6;
-  server_ = std::make_unique<control::ControlServer>(
-      options, identity, storage_.get(), std::move(recovered), RandomSeed(), net::EventLoop::Now());
-  leaf_committer_ = std::make_unique<control::LeafCommitter>(
-      control::LeafCommitterOptions{}, identity.member, net::EventLoop::Now());
+  return options;
+}
+
+absl::Status ControlProcess::OpenReplica(Timestamp now) {
+  absl::StatusOr<OpenedStorage> opened = OpenStorage();
+  if (!opened.ok()) {
+    return opened.status();
+  }
+  if (server_ != nullptr) {
+    // Those who wait for the replica that failed hear that no quorum answered.
+    server_->AbandonPending();
+    CarryOut();
+  }
+  const wire::Identity& identity = opened->identity;
+  LogEvent("recovered", {{"member", identity.member},
+                         {"snapshot_index", opened->recovered.snapshot.index},
+                         {"entries", opened->recovered.entries.size()},
+                         {"cut_bytes", opened->recovered.cut_bytes}});
+  server_ = std::make_unique<control::ControlServer>(ReplicaOptions(), identity, opened->log.get(),
+                                                     std::move(opened->recovered), RandomSeed(),
+                                                     now);
+  leaf_committer_ = std::make_unique<control::LeafCommitter>(control::LeafCommitterOptions{},
+                                                             identity.member, now);
+  storage_ = std::move(opened->log);
+  files_ = std::move(opened->files);
+  return absl::OkStatus();
+}
+
+absl::Status ControlProcess::Start() {
+  const Timestamp now = net::EventLoop::Now();
+  absl::Status status = OpenReplica(now);
+  if (status.ok()) {
+    return Listen();
+  }
+  if (CodeOf(status) != ResultCode::kStorageFailed) {
+    return status;
+  }
+  OnReplicaFailure(now, status);
+  return absl::OkStatus();
+}
+
+void ControlProcess::OnReplicaFailure(Timestamp now, const absl::Status& failure) {
+  if (!retry_disk_at_.has_value()) {
+    LogError("data_folder_failed", {{"error", std::string(failure.message())}});
+    retry_disk_at_ = now + kDiskRetryInterval;
+  }
+  if (now < *retry_disk_at_) {
+    return;
+  }
+  retry_disk_at_ = now + kDiskRetryInterval;
+  absl::Status status = OpenReplica(now);
+  if (status.ok()) {
+    retry_disk_at_.reset();
+    LogEvent("data_folder_regained", {});
+    status = frames_ == nullptr ? Listen() : absl::OkStatus();
+  }
+  if (!status.ok() && CodeOf(status) != ResultCode::kStorageFailed) {
+    failure_ = status;
+    loop_->Stop();
+  }
+}
+
+absl::Status ControlProcess::Listen() {
   discovery_ = std::make_unique<control::DiscoveryServer>(control::DiscoveryOptions{
       settings_.cluster, {.silence_limit = settings_.leaf_silence_limit}, {}});
   frames_ = std::make_unique<net::FrameServer>(
@@ -263,10 +316,17 @@
 
 absl::Status ControlProcess::Run() {
   loop_->Run([this](Timestamp now) { return Tick(now); });
-  return server_->raft().failure();
+  return failure_;
 }
 
 Timestamp ControlProcess::Tick(Timestamp now) {
+  const bool disk_fails = server_ == nullptr || !server_->raft().failure().ok();
+  if (disk_fails) {
+    OnReplicaFailure(now, server_ == nullptr ? absl::OkStatus() : server_->raft().failure());
+  }
+  if (server_ == nullptr || !failure_.ok()) {
+    return now + kTickInterval;
+  }
   server_->SetWallClock(net::EventLoop::WallMilliseconds());
   if (watch_.Changed(now)) {
     Reload();
@@ -281,9 +341,7 @@
   CommitLeafs(now);
   CarryOut();
   log_.OnState(now, *server_, *discovery_);
-  const bool failed = !server_->raft().failure().ok();
-  const bool drained = stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty());
-  if (failed || drained) {
+  if (stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty())) {
     loop_->Stop();
   }
   return now + kTickInterval;
@@ -446,12 +504,19 @@
     return;
   }
   LogEvent("reloaded", {{"seeds", settings->seeds}});
-  server_->LearnSeeds(settings->seeds);
+  settings_.seeds = settings->seeds;
+  if (server_ != nullptr) {
+    server_->LearnSeeds(settings->seeds);
+  }
 }
 
 void ControlProcess::Stop() {
   const Timestamp now = net::EventLoop::Now();
   LogEvent("stopping", {});
+  if (server_ == nullptr) {
+    loop_->Stop();
+    return;
+  }
   stop_.Start(now, http_.get());
   for (const auto& http : {service_http_.get(), directory_http_.get()}) {
     if (http != nullptr) {
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -66,9 +66,11 @@
   /// @param dialect may be null if nobody speaks one; outlives this object.
   ControlProcess(ControlSettings settings, const control::Dialect* dialect, net::EventLoop* loop);
 
-  /// Recovers the data folder and starts listening.
+  /// Recovers the data folder and starts listening. A disk that takes no bytes is no failure: the
+  /// process then waits for it in Run() and listens once it does.
   absl::Status Start();
-  /// Runs until a planned stop is over. @return failure of the data folder, if any.
+  /// Runs until a planned stop is over. While the disk takes no bytes the replica has no part in
+  /// the group; the other duties of the process go on. @return damage of the data folder, if any.
   absl::Status Run();
   void Stop();
   /// Reads the settings file again; only the seeds may have changed.
@@ -77,7 +79,22 @@
  private:
   using ReplyCb = std::function<void(const control::OperatorReply&)>;
 
-  absl::Status OpenStorage(wire::Identity* identity, storage::RecoveredState* recovered);
+  /// The data folder, read.
+  struct OpenedStorage {
+    std::unique_ptr<storage::PosixFileSystem> files;
+    std::unique_ptr<storage::LogStorage> log;
+    wire::Identity identity;
+    storage::RecoveredState recovered;
+  };
+  absl::StatusOr<OpenedStorage> OpenStorage() const;
+  /// Recovers the data folder and makes the replica on it, in place of one whose disk failed. The
+  /// old replica stays if the disk still fails.
+  absl::Status OpenReplica(Timestamp now);
+  control::ControlOptions ReplicaOptions() const;
+  /// Takes note of a replica that cannot work, and tries again if its disk may come back.
+  void OnReplicaFailure(Timestamp now, const absl::Status& failure);
+  /// Opens what others connect to.
+  absl::Status Listen();
   Timestamp Tick(Timestamp now);
   void CarryOut();
   void SendToPeer(const std::string& address, const wire::Envelope& envelope);
@@ -104,7 +121,12 @@
   net::EventLoop* loop_;
   std::unique_ptr<storage::PosixFileSystem> files_;
   std::unique_ptr<storage::LogStorage> storage_;
+  /// Null until the disk has taken bytes for the first time.
   std::unique_ptr<control::ControlServer> server_;
+  /// When to try a disk again that took no bytes; unset: it works.
+  std::optional<Timestamp> retry_disk_at_;
+  /// Damage that ends the process.
+  absl::Status failure_;
   std::unique_ptr<net::FrameServer> frames_;
   std::unique_ptr<http::HttpServer> http_;
   std::map<std::string, std::unique_ptr<net::FrameClient>> peers_;
--- a/src/storage/log_storage.cc
+++ b/src/storage/log_storage.cc
@@ -139,9 +139,12 @@
 absl::StatusOr<RecoveredState> LogStorage::Recover() {
   RecoveredState state;
   absl::StatusOr<std::string> snapshot = file_system_->Read(kSnapshotFile);
-  if (!snapshot.ok()) {
+  if (absl::IsNotFound(snapshot.status())) {
     return MakeStatus(ResultCode::kCorruptState, "snapshot file is missing");
   }
+  if (!snapshot.ok()) {
+    return snapshot.status();
+  }
   std::string_view snapshot_bytes = *snapshot;
   std::optional<wire::StorageRecord> record = TakeRecord(&snapshot_bytes);
   if (!record.has_value() || !std::holds_alternative<wire::SnapshotData>(*record)) {
@@ -149,7 +152,11 @@
   }
   state.snapshot = std::get<wire::SnapshotData>(*std::move(record));
 
-  const std::string log = file_system_->Read(kLogFile).value_or("");
+  absl::StatusOr<std::string> read = file_system_->Read(kLogFile);
+  if (!read.ok() && !absl::IsNotFound(read.status())) {
+    return read.status();
+  }
+  const std::string log = std::move(read).value_or("");
   std::string_view bytes = log;
   while (std::optional<wire::StorageRecord> next = TakeRecord(&bytes)) {
     if (auto* entry = std::get_if<wire::LogEntry>(&*next)) {
@@ -177,6 +184,13 @@
   if (!status.ok()) {
     return status;
   }
+  // A killed process leaves bytes that were written but not synced; what is read here must be as
+  // certain as what this life appends.
+  dirty_ = !log.empty();
+  status = Sync();
+  if (!status.ok()) {
+    return status;
+  }
   return state;
 }
 
--- a/src/storage/posix_file_system.cc
+++ b/src/storage/posix_file_system.cc
@@ -4,12 +4,11 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 #include "common/result_code.h"
@@ -17,6 +16,8 @@
 namespace pumicedyke::storage {
 namespace {
 
+constexpr size_t kReadBytes = 64 * 1024;
+
 absl::Status IoError(const std::string& what, const std::string& path) {
   return MakeStatus(ResultCode::kStorageFailed, what + " " + path + ": " + std::strerror(errno));
 }
@@ -66,13 +67,29 @@
 }
 
 absl::StatusOr<std::string> PosixFileSystem::Read(const std::string& name) {
-  std::ifstream file(Path(name), std::ios::binary);
-  if (!file) {
-    return absl::NotFoundError(name);
+  const std::string path = Path(name);
+  const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (descriptor < 0) {
+    // Only a file that is certainly not there counts as such: whoever takes a file that cannot be
+    // read for a missing one would write a new one over it.
+    return errno == ENOENT ? absl::NotFoundError(name) : IoError("open", path);
+  }
+  std::string content;
+  std::array<char, kReadBytes> buffer;
+  ssize_t count = 0;
+  while ((count = ::read(descriptor, buffer.data(), buffer.size())) != 0) {
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0) {
+      absl::Status failure = IoError("read", path);
+      ::close(descriptor);
+      return failure;
+    }
+    content.append(buffer.data(), static_cast<size_t>(count));
   }
-  std::ostringstream content;
-  content << file.rdbuf();
-  return content.str();
+  ::close(descriptor);
+  return content;
 }
 
 absl::StatusOr<std::unique_ptr<AppendFile>> PosixFileSystem::OpenAppend(const std::string& name) {
--- a/test/e2e/failure_test.cc
+++ b/test/e2e/failure_test.cc
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -45,9 +47,55 @@
   CPPUNIT_TEST(CutOffNodeRefusesAndCatchesUp);
   CPPUNIT_TEST(UnrepeatableWorkRunsOnce);
   CPPUNIT_TEST(LeavingLeafGetsNoWork);
+  CPPUNIT_TEST(ControlOutlivesAFullDisk);
+  CPPUNIT_TEST(ControlWaitsForADiskThatTakesNoBytes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// A replica without a disk ends nothing: it runs on without a vote, says nothing that may be
+  /// old, and takes part again once the disk takes bytes.
+  void ControlOutlivesAFullDisk() {
+    Fleet fleet({.controls = 3, .nodes = 0, .leafs = 2});
+    fleet.CreateService(kReadPolicy);
+    const int full = (fleet.WaitForLeader() + 1) % 3;
+    const auto& process = fleet.processes.at(absl::StrCat("c", full));
+    process->LimitFiles(0);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Submit(PolicyChange(1))["code"].get<int>());
+    WaitFor("the failed replica to say that it is out",
+            [&] { return fleet.Status(full)["storage_works"] == false; });
+    const Json accepted = fleet.Submit(PolicyChange(2));
+    CPPUNIT_ASSERT_EQUAL(0, accepted["code"].get<int>());
+    CPPUNIT_ASSERT(fleet.Status(full)["version"] < accepted["version"]);
+    process->LimitFiles(std::nullopt);
+    WaitFor("the replica to take part again",
+            [&] { return fleet.Status(full)["version"] == accepted["version"]; });
+    // It counts again: with one of the others gone it makes the quorum.
+    fleet.KillControl((full + 1) % 3);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Submit(PolicyChange(3))["code"].get<int>());
+  }
+
+  void ControlWaitsForADiskThatTakesNoBytes() {
+    Fleet fleet({.controls = 3, .nodes = 0, .leafs = 0});
+    fleet.WaitForLeader();
+    fleet.KillControl(0);
+    const std::string folder = fleet.DataFolder(0);
+    const std::string kept = folder + "-kept";
+    std::filesystem::rename(folder, kept);
+    // Nothing can be written where a file stands in the folder's place.
+    std::ofstream(folder) << "no folder";
+    std::thread healer([&] {
+      WaitFor("the process to wait", [&] {
+        return fleet.LogOf("c0").find("data_folder_failed") != std::string::npos;
+      });
+      std::filesystem::remove(folder);
+      std::filesystem::rename(kept, folder);
+    });
+    fleet.StartControl(0);
+    healer.join();
+    WaitFor("the machine to hear the leader",
+            [&] { return fleet.Status(0).value("leader", "") != ""; });
+  }
+
   void AnyProcessMayBeKilled() {
     Fleet fleet({.controls = 3, .nodes = 2, .leafs = 2});
     fleet.StartNode(0);
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -73,6 +74,13 @@
 
 }  // namespace
 
+void Process::LimitFiles(std::optional<uint64_t> bytes) const {
+  rlimit limit{};
+  CPPUNIT_ASSERT_EQUAL(0, ::prlimit(pid_, RLIMIT_FSIZE, nullptr, &limit));
+  limit.rlim_cur = bytes.value_or(limit.rlim_max);
+  CPPUNIT_ASSERT_EQUAL(0, ::prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr));
+}
+
 void WaitFor(const std::string& what, const std::function<bool()>& condition) {
   const auto end = std::chrono::steady_clock::now() + kPatience;
   while (!condition()) {
@@ -226,6 +234,10 @@
 
 std::string Fleet::DataFolder(int index) const { return absl::StrCat(folder_, "/data-c", index); }
 
+std::string Fleet::LogOf(const std::string& name) const {
+  return ReadAll(absl::StrCat(folder_, "/", name, ".log"));
+}
+
 std::string Fleet::OperatorAddress(int index) const {
   return processes.at(absl::StrCat("c", index))->Address("operator");
 }
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   /// @return exit code, or minus the signal that ended it.
   int Wait();
   bool running() const { return pid_ > 0; }
+  /// Its files may not grow beyond this many bytes, as on a full disk; unset: no bound.
+  void LimitFiles(std::optional<uint64_t> bytes) const;
 
  private:
   std::string name_;
@@ -65,6 +68,8 @@
   void StartControl(int index);
   void KillControl(int index);
   std::string DataFolder(int index) const;
+  /// What the process of this name has written so far.
+  std::string LogOf(const std::string& name) const;
   std::string OperatorAddress(int index) const;
   const std::vector<std::string>& control_addresses() const { return control_addresses_; }
   int WaitForLeader();
--- a/test/storage/log_storage_test.cc
+++ b/test/storage/log_storage_test.cc
@@ -38,11 +38,31 @@
   CPPUNIT_TEST(CutAtEveryByteLeavesAPrefix);
   CPPUNIT_TEST(ChangedByteIsNotTakenForARecord);
   CPPUNIT_TEST(WhatWasSyncedSurvivesACrash);
+  CPPUNIT_TEST(WhatRecoveryFoundSurvivesACrash);
   CPPUNIT_TEST(AppendingAfterACutTailWorks);
   CPPUNIT_TEST(FolderIsFormattedOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// A killed process leaves bytes that were written and not synced; its next life vouches for
+  /// what it read.
+  void WhatRecoveryFoundSurvivesACrash() {
+    sim::SimFileSystem files(kSeed);
+    Fill(&files, 1);
+    {
+      LogStorage killed(&files, {});
+      CPPUNIT_ASSERT(killed.Recover().ok());
+      CPPUNIT_ASSERT(killed.Append({Command(2, 3, "not synced")}).ok());
+    }
+    LogStorage next(&files, {});
+    const auto found = next.Recover();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, found->entries.size());
+    sim::SimFileSystem durable = files.DurableCopy();
+    LogStorage after_power_loss(&durable, {});
+    const auto kept = after_power_loss.Recover();
+    CPPUNIT_ASSERT_EQUAL(found->entries.size(), kept->entries.size());
+  }
+
   void CutAtEveryByteLeavesAPrefix() {
     constexpr uint64_t kEntries = 6;
     sim::SimFileSystem whole(kSeed);
