Serve sooner after everything has lost power

Ruled out: start of the processes (1 ms after power), recovery of the log (1 ms). Change: a voter that restarted votes at once where the old leader itself restarted (restart_guard.h: it alone can have led that term); pre-votes of starting machines 25 to 50 ms apart; greetings are kept 300 ms and answered once there is a quorum; gateways greet each 100 ms until they have routes and turn to a control machine that is there; connection tries of 60, 120, 240 ms; a request that comes over 100 ms before routes can be expected is refused at once with the time to come back, where it waited for them and was late.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -38,13 +38,8 @@
       next_heartbeat_(now) {
   commit_index_ = snapshot_.index;
   RecomputeMembers();
-  // A replica that restarts may just have helped a leader's lease: it keeps from voting for as
-  // long as that lease can last.
-  leader_heard_ = now;
-  // All may have restarted together: whoever stands for election soon after that time shortens the
-  // pause, and pre-votes keep it from disturbing a leader that is there.
-  std::uniform_int_distribution<int64_t> spread(0, options_.election_timeout.count() / 4);
-  election_deadline_ = now + options_.election_timeout + Duration(spread(random_));
+  started_ = now;
+  ResetPreVoteTimer(now);
   if (snapshot_.index > 0 || !snapshot_.state.empty()) {
     output_.restored = RestoredSnapshot{snapshot_.index, snapshot_.state};
   }
@@ -125,16 +120,6 @@
   return ids;
 }
 
-bool Raft::IsQuorum(const std::set<MemberId>& granted) const {
-  size_t voters = 0;
-  size_t yes = 0;
-  for (const Member& member : members_) {
-    voters += member.voter ? 1 : 0;
-    yes += member.voter && granted.contains(member.id) ? 1 : 0;
-  }
-  return voters > 0 && yes > voters / 2;
-}
-
 bool Raft::Persist(absl::Status status) {
   if (failure_.ok() && !status.ok()) {
     failure_ = std::move(status);
@@ -163,172 +148,6 @@
   return std::exchange(output_, {});
 }
 
-// ---- Elections ----------------------------------------------------------------------------------
-
-void Raft::ResetElectionTimer(Timestamp now) {
-  std::uniform_int_distribution<int64_t> spread(0, options_.election_timeout.count());
-  election_deadline_ = now + options_.election_timeout + Duration(spread(random_));
-}
-
-void Raft::BecomeFollower(Timestamp now, uint64_t term, MemberId leader) {
-  const bool was_leader = role_ == Role::kLeader;
-  role_ = Role::kFollower;
-  leader_ = leader;
-  votes_.clear();
-  pending_reads_.clear();
-  if (term > hard_state_.term) {
-    hard_state_ = {term, 0};
-    SaveHardState();
-  }
-  if (was_leader || leader != 0) {
-    ResetElectionTimer(now);
-  }
-}
-
-void Raft::StartPreVote(Timestamp now) {
-  role_ = Role::kPreCandidate;
-  leader_ = 0;
-  votes_ = {self_};
-  ResetElectionTimer(now);
-  if (IsQuorum(votes_)) {
-    StartElection(now, false);
-    return;
-  }
-  for (MemberId id : OtherMembers(true)) {
-    RaftMessage message = MakeMessage(RaftMessageType::kPreVote, id);
-    message.term = hard_state_.term + 1;
-    message.log_index = last_index();
-    message.log_term = TermAt(last_index()).value_or(0);
-    Send(std::move(message));
-  }
-}
-
-void Raft::StartElection(Timestamp now, bool transfer) {
-  role_ = Role::kCandidate;
-  leader_ = 0;
-  votes_ = {self_};
-  hard_state_ = {hard_state_.term + 1, self_};
-  ResetElectionTimer(now);
-  if (!SaveHardState()) {
-    return;
-  }
-  if (IsQuorum(votes_)) {
-    BecomeLeader(now);
-    return;
-  }
-  for (MemberId id : OtherMembers(true)) {
-    RaftMessage message = MakeMessage(RaftMessageType::kVote, id);
-    message.log_index = last_index();
-    message.log_term = TermAt(last_index()).value_or(0);
-    // The old leader has given its lease up: voters need not wait it out.
-    message.context = transfer ? 1 : 0;
-    Send(std::move(message));
-  }
-}
-
-bool Raft::LogIsAsRecent(const RaftMessage& message) const {
-  const uint64_t last_term = TermAt(last_index()).value_or(0);
-  return message.log_term > last_term ||
-         (message.log_term == last_term && message.log_index >= last_index());
-}
-
-void Raft::HandleVoteRequest(Timestamp now, const RaftMessage& message) {
-  const bool pre_vote = message.type == RaftMessageType::kPreVote;
-  const bool transfer = !pre_vote && message.context == 1;
-  // A voter that heard a leader within the election timeout stands by that leader's lease.
-  const bool leader_alive =
-      role_ == Role::kLeader
-          ? HasLease(now)
-          : leader_heard_.has_value() && now - *leader_heard_ < options_.election_timeout;
-  const auto reply_type = pre_vote ? RaftMessageType::kPreVoteReply : RaftMessageType::kVoteReply;
-  const bool protects_lease = leader_alive && !transfer && options_.lease_check;
-  if (message.term < hard_state_.term || protects_lease) {
-    RaftMessage reply = MakeMessage(reply_type, message.from);
-    reply.reject = true;
-    Send(std::move(reply));
-    return;
-  }
-  if (pre_vote) {
-    RaftMessage reply = MakeMessage(reply_type, message.from);
-    reply.reject = !LogIsAsRecent(message);
-    reply.term = reply.reject ? hard_state_.term : message.term;
-    Send(std::move(reply));
-    return;
-  }
-  if (message.term > hard_state_.term) {
-    BecomeFollower(now, message.term, 0);
-  }
-  const bool free_to_vote = hard_state_.vote == 0 || hard_state_.vote == message.from;
-  const bool grant = free_to_vote && role_ == Role::kFollower && LogIsAsRecent(message);
-  if (grant) {
-    hard_state_.vote = message.from;
-    ResetElectionTimer(now);
-    if (!SaveHardState()) {
-      return;
-    }
-  }
-  RaftMessage reply = MakeMessage(reply_type, message.from);
-  reply.reject = !grant;
-  Send(std::move(reply));
-}
-
-void Raft::HandleVoteReply(Timestamp now, const RaftMessage& message) {
-  const bool pre_vote = message.type == RaftMessageType::kPreVoteReply;
-  const Role expected_role = pre_vote ? Role::kPreCandidate : Role::kCandidate;
-  const uint64_t expected_term = pre_vote ? hard_state_.term + 1 : hard_state_.term;
-  if (message.reject) {
-    if (message.term > hard_state_.term) {
-      BecomeFollower(now, message.term, 0);
-    }
-    return;
-  }
-  if (role_ != expected_role || message.term != expected_term) {
-    return;
-  }
-  votes_.insert(message.from);
-  if (!IsQuorum(votes_)) {
-    return;
-  }
-  if (pre_vote) {
-    StartElection(now, false);
-  } else {
-    BecomeLeader(now);
-  }
-}
-
-void Raft::BecomeLeader(Timestamp now) {
-  role_ = Role::kLeader;
-  leader_ = self_;
-  progress_.clear();
-  for (MemberId id : OtherMembers(false)) {
-    Progress& progress = progress_[id];
-    progress.next = last_index() + 1;
-    progress.last_heard = now;
-  }
-  next_heartbeat_ = now;
-  // Entries of earlier terms commit only below one of this term (Raft section 5.4.2).
-  AppendAsLeader(now, EntryKind::kNoOp, "").IgnoreError();
-}
-
-void Raft::TransferLeadership(Timestamp now) {
-  if (role_ != Role::kLeader) {
-    return;
-  }
-  MemberId best = 0;
-  for (MemberId id : OtherMembers(true)) {
-    if (RecentlyHeard(id, now) && (best == 0 || MatchIndex(id) > MatchIndex(best))) {
-      best = id;
-    }
-  }
-  if (best == 0) {
-    return;
-  }
-  ReplicateTo(now, best, false);
-  Send(MakeMessage(RaftMessageType::kTimeoutNow, best));
-  // The lease is given up together with the office: the successor's voters do not wait for it.
-  BecomeFollower(now, hard_state_.term, 0);
-}
-
 // ---- Time ---------------------------------------------------------------------------------------
 
 void Raft::Tick(Timestamp now) {
@@ -404,7 +223,7 @@
       break;
     case RaftMessageType::kTimeoutNow:
       if (IsVoter(self_)) {
-        StartElection(now, true);
+        StartElection(now, ElectionCause::kTransfer);
       }
       break;
     case RaftMessageType::kReadIndex:
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -17,6 +17,7 @@
 
 #include "absl/status/statusor.h"
 #include "common/types.h"
+#include "consensus/restart_guard.h"
 #include "storage/log_storage.h"
 #include "wire/messages.h"
 
@@ -134,12 +135,32 @@
   // Elections.
   void BecomeFollower(Timestamp now, uint64_t term, MemberId leader);
   void StartPreVote(Timestamp now);
-  void StartElection(Timestamp now, bool transfer);
+  /// Why a replica stands for election; goes with its request for votes.
+  enum class ElectionCause : uint64_t {
+    /// No leader was heard for an election timeout.
+    kSilence = 0,
+    /// The old leader has given its lease up: voters need not wait it out.
+    kTransfer = 1,
+    /// The old leader has restarted: voters that restarted need not wait its lease out.
+    kLeaderRestarted = 2,
+  };
+  void StartElection(Timestamp now, ElectionCause cause);
+  /// Stands for election if the pre-votes so far promise that it can be won. @return whether.
+  bool StandIfPromised(Timestamp now);
+  /// The voters when the leader of this term was elected; empty if the log does not tell.
+  std::set<MemberId> Electorate() const;
+  /// Just started, and no leader was heard yet.
+  bool Starting(Timestamp now) const;
+  /// Restarted so recently that a lease which this replica helped may still last.
+  bool RestartGuards(Timestamp now) const;
   void BecomeLeader(Timestamp now);
   void HandleVoteRequest(Timestamp now, const wire::RaftMessage& message);
   void HandleVoteReply(Timestamp now, const wire::RaftMessage& message);
   bool LogIsAsRecent(const wire::RaftMessage& message) const;
+  void SetElectionTimer(Timestamp now, Duration shortest);
   void ResetElectionTimer(Timestamp now);
+  /// Until the next pre-vote of a replica that hears no leader.
+  void ResetPreVoteTimer(Timestamp now);
   bool IsQuorum(const std::set<MemberId>& granted) const;
 
   // Replication.
@@ -189,9 +210,12 @@
   MemberId leader_ = 0;
   Timestamp election_deadline_;
   Timestamp next_heartbeat_;
+  Timestamp started_;
   /// Last time a leader was heard; votes are refused for an election timeout after it.
   std::optional<Timestamp> leader_heard_;
   std::set<MemberId> votes_;
+  /// Pre-votes: those that would vote but for their own restart.
+  RestartedVotes restarted_;
   std::map<MemberId, Progress> progress_;
   std::vector<PendingRead> pending_reads_;
   std::vector<ReadReady> ready_reads_;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -280,6 +280,7 @@
     const MemberId to = message.to;
     SendToMember(to, std::move(message));
   }
+  AnswerGreetings(now);
   AnswerReads(now);
   AnswerStatusReads(now);
   MaybeCompact();
@@ -367,8 +368,10 @@
   session.incarnation = hello.incarnation;
   session.last_heard = now;
   session.reported_version = hello.version;
+  session.unanswered.reset();
   // A machine cut off from the quorum stays silent, so that the node turns to another one.
   if (!IsCurrent(now)) {
+    session.unanswered = hello;
     return;
   }
   if (hello.starting) {
@@ -393,6 +396,18 @@
   Feed(id, &session, /*full=*/false, hello.sent);
 }
 
+void ControlServer::AnswerGreetings(Timestamp now) {
+  if (!IsCurrent(now)) {
+    return;
+  }
+  for (auto& [id, session] : sessions_) {
+    const std::optional<wire::NodeHello> hello = std::exchange(session.unanswered, std::nullopt);
+    if (hello.has_value() && now - session.last_heard < options_.greeting_patience) {
+      OnHello(now, id, *hello);
+    }
+  }
+}
+
 void ControlServer::Feed(SessionId id, Session* session, bool full, uint64_t greeting) {
   const uint64_t version = state_.config().version().value;
   wire::ConfigFeed feed;
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -41,9 +41,13 @@
   Duration session_timeout = Seconds(5);
   /// A starting node that greets again gets its first state again only after this.
   Duration full_feed_patience = Seconds(2);
+  /// A greeting that came before there was a quorum is answered no later than this; its sender has
+  /// turned to another machine by then.
+  Duration greeting_patience = Milliseconds(300);
   /// Off only in simulations that show what the check is for.
   bool catch_up_before_vote = true;
-  /// A machine that does not lead passes requests to join on to the leader; off only in simulations.
+  /// A machine that does not lead passes requests to join on to the leader; off only in
+  /// simulations.
   bool relay_joins = true;
 };
 
@@ -145,6 +149,8 @@
     Timestamp read_requested{};
     /// `sent` of the greeting that asked for it.
     uint64_t read_greeting = 0;
+    /// A greeting that came while this machine was in touch with no quorum.
+    std::optional<wire::NodeHello> unanswered;
   };
   /// Where the result of a proposed command goes.
   struct Origin {
@@ -173,6 +179,8 @@
 
   // The feed.
   void OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello);
+  /// Answers the greetings that waited for a quorum.
+  void AnswerGreetings(Timestamp now);
   void OnLedgerRequest(Timestamp now, SessionId id, const wire::LedgerRequest& request);
   /// @param greeting `sent` of the greeting that this answers, or 0.
   void Feed(SessionId id, Session* session, bool full, uint64_t greeting);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -26,11 +26,13 @@
       subscriber_({.cluster = options_.cluster,
                    .node = options_.node,
                    .incarnation = options_.incarnation,
-                   .control_machines = options_.control.size()},
+                   .control_machines = options_.control.size(),
+                   .starting_silence_limit = Milliseconds(200)},
                   now),
       ids_(options_.incarnation),
       view_(options_.leaf_view),
-      pool_(options_.knobs.balance, options_.incarnation) {
+      pool_(options_.knobs.balance, options_.incarnation),
+      started_(now) {
   LearnControl(options_.control);
 }
 
@@ -81,15 +83,28 @@
       output_.reconnect.push_back(address);
     }
     if (now >= link.next_presence) {
-      link.next_presence = now + options_.knobs.presence_interval;
+      link.next_presence = now + (table_ == nullptr ? options_.knobs.starting_presence_interval
+                                                    : options_.knobs.presence_interval);
       output_.control.push_back({address, Presence(address)});
     }
   }
+  TurnToLiveControl(now);
   if (std::optional<wire::Envelope> hello = subscriber_.Tick(now)) {
     output_.control.push_back({control_[subscriber_.control()], *std::move(hello)});
   }
 }
 
+void GatewayServer::TurnToLiveControl(Timestamp now) {
+  const auto is_up = [this](const std::string& address) { return links_.at(address).up; };
+  const bool any_up = std::any_of(control_.begin(), control_.end(), is_up);
+  if (table_ != nullptr || !any_up) {
+    return;
+  }
+  while (!is_up(control_[subscriber_.control()])) {
+    subscriber_.OnDisconnected(now);
+  }
+}
+
 void GatewayServer::OnControlMessage(Timestamp now, const std::string& address,
                                      const wire::Envelope& envelope) {
   if (envelope.cluster != options_.cluster) {
@@ -274,6 +289,12 @@
       request->deadline.count() > 0 ? request->deadline : options_.knobs.longest_wait;
   const Duration wait =
       std::min(options_.knobs.longest_start_wait, patience / options_.knobs.start_wait_part);
+  const Duration expected = options_.knobs.expected_start - (now - started_);
+  if (expected >= options_.knobs.shortest_start_refusal) {
+    Refuse(now, id, std::move(request), ResultCode::kNotReady,
+           expected + options_.knobs.shortest_start_refusal);
+    return;
+  }
   if (early_.size() >= options_.knobs.max_in_progress) {
     Refuse(now, id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
     return;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -44,6 +44,10 @@
   double hedge_quantile = 0.95;
   /// Longest time that a client without a deadline of its own is taken to wait.
   Duration longest_wait = Seconds(600);
+  /// Routes are expected this long after the start. A request that comes much earlier is told to
+  /// come back then; a later one waits for them.
+  Duration expected_start = Milliseconds(400);
+  Duration shortest_start_refusal = Milliseconds(100);
   /// A request that comes before this gateway knows any route waits for them this long, and no
   /// longer than this part of what its client waits.
   Duration longest_start_wait = Milliseconds(1000);
@@ -51,6 +55,8 @@
   /// Executions in progress beyond which requests are refused.
   size_t max_in_progress = 400;
   Duration presence_interval = Milliseconds(500);
+  /// The same until the first routes came.
+  Duration starting_presence_interval = Milliseconds(100);
   /// A control machine that answered no greeting for this long is lost.
   Duration control_silence = Seconds(2);
   /// Gateways that may come at any time: connections and budgets are shared with one more.
@@ -173,6 +179,8 @@
   void AdoptDocument();
   void SyncPool(Timestamp now);
   void GreetControl(Timestamp now);
+  /// Turns to a control machine that is there, if the one asked for the first routes is not.
+  void TurnToLiveControl(Timestamp now);
   void AddControl(const std::string& address);
   void SetLink(const std::string& address, bool up);
   wire::Envelope Presence(const std::string& address) const;
@@ -221,6 +229,7 @@
   std::map<std::string, ControlLink> links_;
   uint32_t gateways_ = 1;
   bool draining_ = false;
+  Timestamp started_;
   std::map<RequestId, Active> active_;
   std::map<RequestId, EarlyRequest> early_;
   std::set<std::pair<Timestamp, RequestId>> wakes_;
--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -18,8 +18,9 @@
 constexpr uint32_t kMagic = 0x504d4b31;  // "PMK1"
 constexpr Duration kReconnectInterval = Milliseconds(100);
 /// A machine that is just coming up has dropped the opening packet; TCP itself repeats it after a
-/// second.
-constexpr Duration kConnectTimeout = Milliseconds(300);
+/// second. Tries take turns of growing patience, the longest for far peers.
+constexpr Duration kShortestConnectTimeout = Milliseconds(60);
+constexpr int kConnectTimeouts = 3;
 constexpr size_t kReadBytes = 64 * 1024;
 /// Messages kept for a connection that is being made.
 constexpr size_t kMaxWaiting = 16;
@@ -253,7 +254,9 @@
 
 void FrameClient::StartConnecting() {
   const Timestamp now = EventLoop::Now();
-  if (is_connecting_ && now - started_ > kConnectTimeout) {
+  const Duration patience = kShortestConnectTimeout * (1 << tries_ % kConnectTimeouts);
+  if (is_connecting_ && now - started_ > patience) {
+    ++tries_;
     loop_->poller()->Remove(this);
     connecting_.close();
     is_connecting_ = false;
@@ -299,6 +302,7 @@
   ACE_SOCK_Stream stream;
   stream.set_handle(connecting_.get_handle());
   connecting_.set_handle(ACE_INVALID_HANDLE);
+  tries_ = 0;
   socket_ = std::make_unique<FrameSocket>(loop_, stream, on_message_, [this] { Lost(); });
   if (!socket_->Start()) {
     socket_.reset();
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -119,6 +119,8 @@
   ACE_SOCK_Stream connecting_;
   std::vector<wire::Envelope> waiting_;
   bool is_connecting_ = false;
+  /// Connections in a row that did not come up in time.
+  int tries_ = 0;
   Timestamp started_{};
   Timestamp retry_at_{};
   std::unique_ptr<FrameSocket> socket_;
--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -25,7 +25,7 @@
   if (now < next_hello_) {
     return std::nullopt;
   }
-  next_hello_ = now + options_.hello_interval;
+  next_hello_ = now + (ready_ ? options_.hello_interval : options_.starting_hello_interval);
   last_hello_ = now;
   const auto sent = static_cast<uint64_t>(now.time_since_epoch().count());
   wire::NodeHello hello{options_.node, options_.incarnation, config_.version().value, !ready_,
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -18,6 +18,8 @@
   uint64_t incarnation = 0;
   size_t control_machines = 1;
   Duration hello_interval = Milliseconds(250);
+  /// The same until the first configuration came.
+  Duration starting_hello_interval = Milliseconds(100);
   Duration shortest_hello_interval = Milliseconds(25);
   /// Silence after which another control machine is tried.
   Duration silence_limit = Milliseconds(1000);
--- a/test/consensus/raft_test.cc
+++ b/test/consensus/raft_test.cc
@@ -135,9 +135,42 @@
   CPPUNIT_TEST(RestartKeepsWhatWasCommitted);
   CPPUNIT_TEST(MembershipChangesOneByOne);
   CPPUNIT_TEST(SilentMemberIsSentNoEntriesAgainAndAgain);
+  CPPUNIT_TEST(RestartedMajorityWithItsLeaderElectsAtOnce);
+  CPPUNIT_TEST(RestartedMajorityWithoutTheLeaderWaitsItsLeaseOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Well before an election timeout is over: nobody can hold the old lease any more.
+  void RestartedMajorityWithItsLeaderElectsAtOnce() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    const MemberId other = group.Other(leader);
+    group.Propose("a");
+    group.Cut(group.Other(other));
+    group.Start(leader);
+    group.Start(other);
+    const Timestamp start = group.now();
+    group.WaitForLeader();
+    CPPUNIT_ASSERT(group.now() - start < RaftOptions{}.election_timeout);
+  }
+
+  /// The others restarted, the leader did not: behind a cut it may still rely on its lease.
+  void RestartedMajorityWithoutTheLeaderWaitsItsLeaseOut() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    group.Propose("a");
+    const Timestamp start = group.now();
+    group.Cut(leader);
+    group.Start(group.Other(leader));
+    group.Start(group.Other(group.Other(leader)));
+    while (group.at(leader).HasLease(group.now())) {
+      CPPUNIT_ASSERT_EQUAL(MemberId{0}, group.Leader());
+      group.RunFor(kStep);
+    }
+    CPPUNIT_ASSERT(group.now() - start >= Milliseconds(100));
+    CPPUNIT_ASSERT(group.WaitForLeader() != leader);
+  }
+
   /// A new leader that has never heard of a member behind a cut must not fill the connection to it:
   /// what piles up there comes all at once when the cut heals.
   void SilentMemberIsSentNoEntriesAgainAndAgain() {
--- a/test/gateway/gateway_server_test.cc
+++ b/test/gateway/gateway_server_test.cc
@@ -20,6 +20,7 @@
 class GatewayServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GatewayServerTest);
   CPPUNIT_TEST(WithoutRoutesARequestIsRefusedAfterAWhile);
+  CPPUNIT_TEST(RequestRightAfterTheStartIsToldWhenToComeBack);
   CPPUNIT_TEST(EarlyRequestIsServedOnceThereAreRoutes);
   CPPUNIT_TEST(EarlyRequestEndsWithItsClient);
   CPPUNIT_TEST(TimeBeforeTheReadingCounts);
@@ -42,8 +43,20 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Long before routes can be expected the answer comes at once and says when to come back.
+  void RequestRightAfterTheStartIsToldWhenToComeBack() {
+    GatewayHarness h;
+    h.Ask("/one/1", Seconds(1));
+    h.Pass(Duration(0));
+    CPPUNIT_ASSERT(h.answers.at(0).code == ResultCode::kNotReady);
+    CPPUNIT_ASSERT(h.answers.at(0).run == query::RunState::kNotRun);
+    CPPUNIT_ASSERT(h.answers.at(0).retry_after >= GatewayKnobs{}.expected_start);
+    CPPUNIT_ASSERT(h.server.Drained());
+  }
+
   void WithoutRoutesARequestIsRefusedAfterAWhile() {
     GatewayHarness h;
+    h.Pass(GatewayKnobs{}.expected_start);
     CPPUNIT_ASSERT(!h.server.ready());
     h.Ask("/one/1", Seconds(1));
     h.Pass(Milliseconds(499));
@@ -58,6 +71,7 @@
 
   void EarlyRequestIsServedOnceThereAreRoutes() {
     GatewayHarness h;
+    h.Pass(GatewayKnobs{}.expected_start);
     h.Ask("/one/1");
     h.Pass(Milliseconds(100));
     h.Report({GatewayHarness::Leaf("a", "desk")});
@@ -71,6 +85,7 @@
 
   void EarlyRequestEndsWithItsClient() {
     GatewayHarness h;
+    h.Pass(GatewayKnobs{}.expected_start);
     const RequestId id = h.Ask("/one/1");
     h.server.OnClientGone(h.now, id);
     h.Report({GatewayHarness::Leaf("a", "desk")});
