Merge reports of leafs; send to other zones for pauses, hedges and load only

Ruled out: leafs' slots (a fifth used), the clients' limit, the budget. Change: a control machine sends changes of leafs each 50 ms at most (a few at once after a pause); a gateway lets them take effect together each 100 ms, at once where a service has no leaf, and word that a leaf leaves always at once. Test: ReportsOfACrowdTakeEffectTogether. Cause 2: a leaf of the own zone was preferred 6 times over an equal one elsewhere; now 900 times (penalty 30, squared): load, pauses and hedges still go across.

--- a/src/control/discovery_server.cc
+++ b/src/control/discovery_server.cc
@@ -1,5 +1,6 @@
 #include "control/discovery_server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pumicedyke::control {
@@ -10,7 +11,7 @@
   }
   registry_.DropSilent(now);
   directory_.DropSilent(now);
-  FeedAll();
+  FeedAll(now);
 }
 
 registry::ReportVerdict DiscoveryServer::OnLeafReport(Timestamp now,
@@ -20,7 +21,7 @@
 
 void DiscoveryServer::OnLeafRetired(Timestamp now, const std::string& leaf) {
   registry_.OnDeparture(now, leaf);
-  FeedAll();
+  FeedAll(now);
 }
 
 void DiscoveryServer::OnPresence(Timestamp now, SessionId id,
@@ -58,7 +59,28 @@
   messages_.push_back({id, {options_.cluster, 0, std::move(feed)}});
 }
 
-void DiscoveryServer::FeedAll() {
+bool DiscoveryServer::MayFeed(Timestamp now) {
+  if (options_.feed_interval == Duration(0)) {
+    return true;
+  }
+  const double earned = static_cast<double>((now - fed_).count()) /
+                        static_cast<double>(options_.feed_interval.count());
+  feed_credit_ = std::min(options_.feed_burst, feed_credit_ + earned);
+  fed_ = now;
+  if (feed_credit_ < 1) {
+    return false;
+  }
+  feed_credit_ -= 1;
+  return true;
+}
+
+void DiscoveryServer::FeedAll(Timestamp now) {
+  const bool news = std::any_of(sessions_.begin(), sessions_.end(), [this](const auto& item) {
+    return item.second.sent_version < registry_.version();
+  });
+  if (!news || !MayFeed(now)) {
+    return;
+  }
   for (auto& [id, session] : sessions_) {
     if (session.sent_version < registry_.version()) {
       Feed(id, &session);
--- a/src/control/discovery_server.h
+++ b/src/control/discovery_server.h
@@ -17,6 +17,10 @@
   std::string cluster;
   registry::RegistryOptions registry;
   directory::DirectoryOptions directory;
+  /// Gateways hear of changes of leafs this often at most, but for a few at once after a pause;
+  /// what comes between goes out in one message. Zero: of each change by itself.
+  Duration feed_interval{};
+  double feed_burst = 5;
 };
 
 class DiscoveryServer {
@@ -57,12 +61,17 @@
   };
 
   void Feed(SessionId id, Session* session);
-  void FeedAll();
+  void FeedAll(Timestamp now);
+  /// Whether the interval lets one more message to all go out; counts it if so.
+  bool MayFeed(Timestamp now);
 
   DiscoveryOptions options_;
   registry::LeafRegistry registry_;
   directory::GatewayDirectory directory_;
   std::map<SessionId, Session> sessions_;
+  /// Messages that may go out now, as of `fed_`.
+  double feed_credit_ = 0;
+  Timestamp fed_{};
   std::vector<std::string> control_addresses_;
   std::vector<SessionMessage> messages_;
 };
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -130,7 +130,7 @@
   if (!subscriber_.OnFeed(now, feed)) {
     return;
   }
-  view_.SetCommitted(subscriber_.config().reported(), subscriber_.config().retired());
+  view_.SetCommitted(now, subscriber_.config().reported(), subscriber_.config().retired());
   SyncPool(now);
   AdoptDocument();
   ReleaseEarly(now);
@@ -186,26 +186,30 @@
 }
 
 void GatewayServer::SyncPool(Timestamp now) {
-  const PoolBasis basis{view_.version(), document_version(), SharingGateways()};
-  if (pool_basis_ == basis) {
-    return;
-  }
-  pool_basis_ = basis;
-  preferred_ = PreferredLeafs();
-  std::set<std::string> leaving;
-  for (const auto& [leaf, record] : view_.leafs()) {
-    const bool remote = record.zone != options_.zone;
-    pool_.Configure(now, leaf, std::max(1U, record.slots), {remote, preferred_.contains(leaf)});
-    if (record.draining) {
-      leaving.insert(leaf);
+  const PoolBasis basis{view_.merges(), document_version(), SharingGateways()};
+  if (pool_basis_ != basis) {
+    pool_basis_ = basis;
+    preferred_ = PreferredLeafs();
+    for (const auto& [leaf, record] : view_.leafs()) {
+      const bool remote = record.zone != options_.zone;
+      pool_.Configure(now, leaf, std::max(1U, record.slots), {remote, preferred_.contains(leaf)});
+    }
+    for (const std::string& leaf : pool_.Names()) {
+      if (!view_.leafs().contains(leaf)) {
+        pool_.Remove(leaf);
+      }
     }
   }
-  for (const std::string& leaf : pool_.Names()) {
-    if (!view_.leafs().contains(leaf)) {
-      pool_.Remove(leaf);
+  if (pool_view_version_ != view_.version()) {
+    pool_view_version_ = view_.version();
+    std::set<std::string> leaving;
+    for (const auto& [leaf, record] : view_.leafs()) {
+      if (record.draining) {
+        leaving.insert(leaf);
+      }
     }
+    pool_.SetLeavingOnPlatform(leaving);
   }
-  pool_.SetLeavingOnPlatform(leaving);
 }
 
 void GatewayServer::StartDraining(Timestamp now) {
@@ -337,6 +341,16 @@
   StartExecution(now, id, *route, std::move(request), arrived);
 }
 
+void GatewayServer::MergeForLackOfLeafs(Timestamp now, const std::vector<std::string>& services) {
+  const bool lacks = std::any_of(
+      services.begin(), services.end(),
+      [this](const std::string& service) { return view_.UsableLeafs(service).empty(); });
+  if (lacks && view_.next_merge().has_value()) {
+    view_.Merge(now);
+    SyncPool(now);
+  }
+}
+
 void GatewayServer::StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                                    std::shared_ptr<const PayloadRequest> request,
                                    Timestamp arrived) {
@@ -348,6 +362,7 @@
   const std::vector<std::string> services =
       route.gathers() ? route.shards
                       : std::vector<std::string>{active.runtime->choice.Next(route.services)};
+  MergeForLackOfLeafs(now, services);
   const Target& target = TargetOf(services);
   const config::PublishedSnapshot& snapshot = target.service->snapshots.back();
   query::CallerRequest caller;
@@ -514,6 +529,7 @@
   for (const auto& [id, early] : early_) {
     wake = std::min(wake, early.until);
   }
+  wake = std::min(wake, view_.next_merge().value_or(wake));
   return wake;
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -34,7 +34,7 @@
 };
 
 struct GatewayKnobs {
-  balance::BalanceKnobs balance{.remote_penalty = 2.5, .max_limit_per_slot = 1.0};
+  balance::BalanceKnobs balance{.remote_penalty = 30, .max_limit_per_slot = 1.0};
   /// An answer with enough shards goes out this long before the route's objective is over: the way
   /// of the request and of the answer, the making of the client's connection among it.
   Duration answer_margin = Milliseconds(20);
@@ -74,7 +74,7 @@
   std::vector<std::string> control;
   ExtraLoadBound extra_load;
   GatewayKnobs knobs;
-  LeafViewOptions leaf_view;
+  LeafViewOptions leaf_view{.merge_interval = Milliseconds(100)};
   query::ExecutionOptions execution{
       .poll = Milliseconds(10), .expect_median = true, .charge_replacements = true};
 };
@@ -197,6 +197,8 @@
                  Timestamp arrived);
   /// Starts the early requests once there are routes, and refuses those that waited long enough.
   void ReleaseEarly(Timestamp now);
+  /// Where a service has no usable leaf, reports that wait take effect at once.
+  void MergeForLackOfLeafs(Timestamp now, const std::vector<std::string>& services);
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                       std::shared_ptr<const PayloadRequest> request, Timestamp arrived);
   void Collect(Timestamp now, RequestId id);
@@ -213,12 +215,14 @@
   LeafView view_;
   /// What the pool was configured by.
   struct PoolBasis {
-    uint64_t view_version = 0;
+    uint64_t merges = 0;
     uint64_t document_version = 0;
     uint32_t gateways = 0;
     bool operator==(const PoolBasis&) const = default;
   };
   PoolBasis pool_basis_;
+  /// The leaving leafs that the pool knows are of this version of the view.
+  uint64_t pool_view_version_ = 0;
   std::set<std::string> preferred_;
   balance::LeafPool pool_;
   std::shared_ptr<const routing::RouteTable> table_;
--- a/src/gateway/leaf_view.cc
+++ b/src/gateway/leaf_view.cc
@@ -25,15 +25,42 @@
   for (const wire::LeafRecord& record : feed.records) {
     state.records[record.leaf] = record;
     state.unconfirmed.erase(record.leaf);
+    if (record.draining) {
+      MarkLeaving(record.leaf);
+    }
   }
   for (const std::string& leaf : feed.gone) {
     state.records.erase(leaf);
     state.unconfirmed.erase(leaf);
   }
-  Rebuild();
+  Changed(now);
   return true;
 }
 
+void LeafView::Changed(Timestamp now) {
+  stale_ = true;
+  if (now - rebuilt_ >= options_.merge_interval) {
+    Merge(now);
+  }
+}
+
+void LeafView::Merge(Timestamp now) {
+  if (stale_) {
+    rebuilt_ = now;
+    Rebuild();
+  }
+}
+
+void LeafView::MarkLeaving(const std::string& leaf) {
+  const auto it = leafs_.find(leaf);
+  if (it == leafs_.end() || it->second.draining) {
+    return;
+  }
+  it->second.draining = true;
+  std::erase(by_service_[it->second.service], leaf);
+  ++version_;
+}
+
 void LeafView::OnSourceLost(Timestamp now, const std::string& source) {
   const auto it = sources_.find(source);
   if (it != sources_.end() && !it->second.lost) {
@@ -44,16 +71,26 @@
   }
 }
 
-void LeafView::SetCommitted(const std::map<std::string, config::ReportedLeaf>& reported,
+void LeafView::SetCommitted(Timestamp now,
+                            const std::map<std::string, config::ReportedLeaf>& reported,
                             const std::set<std::string>& retired) {
-  if (retired != retired_ || reported != reported_) {
+  if (retired != retired_) {
     retired_ = retired;
+    for (const std::string& leaf : retired_) {
+      MarkLeaving(leaf);
+    }
+    Changed(now);
+  }
+  if (reported != reported_) {
     reported_ = reported;
-    Rebuild();
+    Changed(now);
   }
 }
 
 void LeafView::Tick(Timestamp now) {
+  if (stale_) {
+    Changed(now);
+  }
   const bool any_live = std::any_of(sources_.begin(), sources_.end(),
                                     [](const auto& item) { return !item.second.lost; });
   if (!any_live) {
@@ -71,7 +108,7 @@
     return item.second.lost && now - item.second.lost_at >= options_.lost_source_patience;
   });
   if (forgotten > 0) {
-    Rebuild();
+    Changed(now);
   }
 }
 
@@ -92,6 +129,7 @@
 }
 
 void LeafView::Rebuild() {
+  stale_ = false;
   leafs_.clear();
   by_service_.clear();
   for (const auto& [id, leaf] : reported_) {
@@ -112,6 +150,7 @@
     }
   }
   ++version_;
+  ++merges_;
 }
 
 }  // namespace pumicedyke::gateway
--- a/src/gateway/leaf_view.h
+++ b/src/gateway/leaf_view.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,10 @@
   /// A control machine that comes back without the leafs it had before: they have this long to
   /// report again, there or elsewhere.
   Duration unconfirmed_patience = Seconds(8);
+  /// Reports that come within this time of each other take effect together: while hundreds of leafs
+  /// come, taking each over by itself costs a gateway all its processor time. Word that a leaf
+  /// leaves takes effect at once.
+  Duration merge_interval{};
 };
 
 class LeafView {
@@ -33,10 +38,14 @@
   void OnSourceLost(Timestamp now, const std::string& source);
   /// Takes over what is committed: the leafs that report, and those that said for good that they
   /// leave.
-  void SetCommitted(const std::map<std::string, config::ReportedLeaf>& reported,
+  void SetCommitted(Timestamp now, const std::map<std::string, config::ReportedLeaf>& reported,
                     const std::set<std::string>& retired);
-  /// Forgets control machines that were lost long ago.
+  /// Forgets control machines that were lost long ago, and lets reports take effect that waited.
   void Tick(Timestamp now);
+  /// When reports that wait take effect; unset: none wait.
+  std::optional<Timestamp> next_merge() const {
+    return stale_ ? std::optional(rebuilt_ + options_.merge_interval) : std::nullopt;
+  }
 
   /// Version of the source's leafs held here; zero: none.
   uint64_t VersionOf(const std::string& source) const;
@@ -45,8 +54,12 @@
   bool IsLeaving(const std::string& leaf) const;
   /// Ids of the usable leafs of a service.
   const std::vector<std::string>& UsableLeafs(const std::string& service) const;
+  /// Lets reports take effect that wait.
+  void Merge(Timestamp now);
   /// Counts changes of what is usable.
   uint64_t version() const { return version_; }
+  /// Counts changes of what is there, leaving leafs included.
+  uint64_t merges() const { return merges_; }
 
  private:
   struct Source {
@@ -58,15 +71,22 @@
     bool lost = false;
     Timestamp lost_at{};
   };
+  /// Something changed: rebuilds now or, soon after the last time, later.
+  void Changed(Timestamp now);
   void Rebuild();
+  void MarkLeaving(const std::string& leaf);
 
   LeafViewOptions options_;
+  /// Something has changed that is not in `leafs_` yet.
+  bool stale_ = false;
+  Timestamp rebuilt_{};
   std::map<std::string, Source> sources_;
   std::map<std::string, config::ReportedLeaf> reported_;
   std::set<std::string> retired_;
   std::map<std::string, wire::LeafRecord> leafs_;
   std::map<std::string, std::vector<std::string>> by_service_;
   uint64_t version_ = 0;
+  uint64_t merges_ = 0;
 };
 
 }  // namespace pumicedyke::gateway
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr Duration kTickInterval = Milliseconds(10);
+/// Gateways hear of new and leaving leafs this often at most.
+constexpr Duration kLeafFeedInterval = Milliseconds(50);
 /// How often a disk is tried that took no bytes.
 constexpr Duration kDiskRetryInterval = Milliseconds(250);
 /// After handing leadership over, a stopping machine stays to answer stragglers.
@@ -241,9 +243,9 @@
                          {"snapshot_index", opened->recovered.snapshot.index},
                          {"entries", opened->recovered.entries.size()},
                          {"cut_bytes", opened->recovered.cut_bytes}});
-  server_ = std::make_unique<control::ControlServer>(ReplicaOptions(), identity, opened->log.get(),
-                                                     std::move(opened->recovered), RandomSeed(),
-                                                     now);
+  server_ =
+      std::make_unique<control::ControlServer>(ReplicaOptions(), identity, opened->log.get(),
+                                               std::move(opened->recovered), RandomSeed(), now);
   leaf_committer_ = std::make_unique<control::LeafCommitter>(control::LeafCommitterOptions{},
                                                              identity.member, now);
   storage_ = std::move(opened->log);
@@ -287,7 +289,7 @@
 
 absl::Status ControlProcess::Listen() {
   discovery_ = std::make_unique<control::DiscoveryServer>(control::DiscoveryOptions{
-      settings_.cluster, {.silence_limit = settings_.leaf_silence_limit}, {}});
+      settings_.cluster, {.silence_limit = settings_.leaf_silence_limit}, {}, kLeafFeedInterval});
   frames_ = std::make_unique<net::FrameServer>(
       loop_,
       [this](uint64_t session, const wire::Envelope& envelope) { OnFrame(session, envelope); },
--- a/test/gateway/leaf_view_test.cc
+++ b/test/gateway/leaf_view_test.cc
@@ -27,9 +27,30 @@
   CPPUNIT_TEST(LostSourceCountsOnWhileNobodyElseReports);
   CPPUNIT_TEST(LeafReportedElsewhereSurvivesItsOldSource);
   CPPUNIT_TEST(CommittedLeafsAreUsableBeforeAnyReport);
+  CPPUNIT_TEST(ReportsOfACrowdTakeEffectTogether);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Each rebuild costs time for every leaf there is: hundreds of leafs that come within a second
+  /// must not cost hundreds of them. What waits takes effect within the interval.
+  void ReportsOfACrowdTakeEffectTogether() {
+    constexpr int kLeafs = 400;
+    LeafView view({.merge_interval = Milliseconds(100)});
+    view.OnFeed(kStart, "c1", Full(1, {}));
+    const uint64_t before = view.version();
+    Timestamp now = kStart;
+    for (int i = 1; i <= kLeafs; ++i) {
+      now += Milliseconds(1);
+      const auto version = static_cast<uint64_t>(i);
+      view.OnFeed(now, "c1", {version, version + 1, {Record("a" + std::to_string(i))}, {}, {}, 1});
+    }
+    CPPUNIT_ASSERT(view.version() - before <= 5);
+    CPPUNIT_ASSERT(view.next_merge().value_or(now) <= now + Milliseconds(100));
+    view.Tick(now + Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{kLeafs}, view.UsableLeafs("desk").size());
+    CPPUNIT_ASSERT(!view.next_merge().has_value());
+  }
+
   void AnyWordOfLeavingIsEnough() {
     LeafView view({});
     view.OnFeed(kStart, "c1", Full(1, {Record("a", true)}));
@@ -41,7 +62,7 @@
   void RetiredLeafIsNotUsable() {
     LeafView view({});
     view.OnFeed(kStart, "c1", Full(1, {Record("a"), Record("b")}));
-    view.SetCommitted({}, {"a"});
+    view.SetCommitted(kStart, {}, {"a"});
     CPPUNIT_ASSERT(std::vector<std::string>{"b"} == view.UsableLeafs("desk"));
   }
 
@@ -88,7 +109,8 @@
   /// All machines lost power: the first configuration brings the leafs along.
   void CommittedLeafsAreUsableBeforeAnyReport() {
     LeafView view({});
-    view.SetCommitted({{"a", {"a", "desk", "10.0.0.1:80", "north", 2, 7}},
+    view.SetCommitted(kStart,
+                      {{"a", {"a", "desk", "10.0.0.1:80", "north", 2, 7}},
                        {"b", {"b", "desk", "10.0.0.2:80", "north", 2, 7}}},
                       {"b"});
     CPPUNIT_ASSERT(std::vector<std::string>{"a"} == view.UsableLeafs("desk"));
