--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -132,8 +132,9 @@
        .fault_interval = Milliseconds(1500),
        .length = Seconds(9)},
       {.name = "rejoin",
-       .what = "of five control machines one loses its disk and, once it had the time to be a voter "
-               "again, two more do while all others are killed",
+       .what =
+           "of five control machines one loses its disk and, once it had the time to be a voter "
+           "again, two more do while all others are killed",
        .faults = {kLoseDisksInTurn},
        .fault_interval = Milliseconds(300),
        .control_machines = 5,
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -80,9 +80,9 @@
         answer(body);
       }
     };
-    controls.push_back(
-        std::make_unique<ControlHost>(&clock, name, founders, options_.control_machines,
-                                      options_.disabled, options_.seed * 31 + i, callbacks));
+    controls.push_back(std::make_unique<ControlHost>(&clock, name, founders,
+                                                     options_.control_machines, options_.disabled,
+                                                     options_.seed * 31 + i, callbacks));
   }
 }
 
