--- /dev/null
+++ b/src/gateway/gateway_control.cc
@@ -0,0 +1,189 @@
+// The part of GatewayServer that follows the control machines: greets them, takes over the
+// configuration and the leafs that they tell of, and keeps the pool of leafs in step.
+#include <algorithm>
+#include <utility>
+
+#include "balance/connection_subset.h"
+#include "gateway/gateway_server.h"
+
+namespace pumicedyke::gateway {
+
+void GatewayServer::AddControl(const std::string& address) {
+  if (links_.try_emplace(address).second) {
+    control_.push_back(address);
+    subscriber_.SetControlMachines(control_.size());
+  }
+}
+
+void GatewayServer::SetLink(const std::string& address, bool up) {
+  ControlLink& link = links_[address];
+  if (link.up != up) {
+    link.up = up;
+    output_.link_changes.push_back({address, up});
+  }
+}
+
+void GatewayServer::LearnControl(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    AddControl(address);
+  }
+}
+
+wire::Envelope GatewayServer::Presence(const std::string& address) const {
+  wire::GatewayPresence presence{options_.node,    options_.incarnation,
+                                 options_.address, options_.zone,
+                                 ready(),          view_.VersionOf(address)};
+  return {options_.cluster, subscriber_.config().version().value, std::move(presence)};
+}
+
+void GatewayServer::GreetControl(Timestamp now) {
+  for (auto& [address, link] : links_) {
+    if (link.last_reset == Timestamp{}) {
+      link.last_reset = now;
+    }
+    const Timestamp last = std::max(link.last_heard, link.last_reset);
+    if (now - last >= options_.knobs.control_silence) {
+      link.last_reset = now;
+      view_.OnSourceLost(now, address);
+      SetLink(address, /*up=*/false);
+      output_.reconnect.push_back(address);
+    }
+    if (now >= link.next_presence) {
+      link.next_presence = now + (table_ == nullptr ? options_.knobs.starting_presence_interval
+                                                    : options_.knobs.presence_interval);
+      output_.control.push_back({address, Presence(address)});
+    }
+  }
+  TurnToLiveControl(now);
+  if (std::optional<wire::Envelope> hello = subscriber_.Tick(now)) {
+    output_.control.push_back({control_[subscriber_.control()], *std::move(hello)});
+  }
+}
+
+void GatewayServer::TurnToLiveControl(Timestamp now) {
+  const auto is_up = [this](const std::string& address) { return links_.at(address).up; };
+  const bool any_up = std::any_of(control_.begin(), control_.end(), is_up);
+  if (table_ != nullptr || !any_up) {
+    return;
+  }
+  while (!is_up(control_[subscriber_.control()])) {
+    subscriber_.OnDisconnected(now);
+  }
+}
+
+void GatewayServer::OnControlMessage(Timestamp now, const std::string& address,
+                                     const wire::Envelope& envelope) {
+  if (envelope.cluster != options_.cluster) {
+    return;
+  }
+  if (const auto* feed = std::get_if<wire::ConfigFeed>(&envelope.body)) {
+    OnConfigFeed(now, *feed);
+  } else if (const auto* leafs = std::get_if<wire::LeafFeed>(&envelope.body)) {
+    OnLeafFeed(now, address, *leafs);
+  }
+}
+
+void GatewayServer::OnControlDisconnected(Timestamp now, const std::string& address) {
+  view_.OnSourceLost(now, address);
+  SetLink(address, /*up=*/false);
+  links_[address].next_presence = now;
+  if (control_[subscriber_.control()] == address) {
+    subscriber_.OnDisconnected(now);
+  }
+}
+
+void GatewayServer::OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed) {
+  if (!subscriber_.OnFeed(now, feed)) {
+    return;
+  }
+  view_.SetCommitted(now, subscriber_.config().reported(), subscriber_.config().retired());
+  SyncPool(now);
+  AdoptDocument();
+  ReleaseEarly(now);
+}
+
+void GatewayServer::OnLeafFeed(Timestamp now, const std::string& address,
+                               const wire::LeafFeed& feed) {
+  links_[address].last_heard = now;
+  SetLink(address, /*up=*/true);
+  gateways_ = std::max(1U, feed.gateways);
+  LearnControl(feed.control);
+  if (!view_.OnFeed(now, address, feed)) {
+    links_[address].next_presence = now;
+  }
+  SyncPool(now);
+}
+
+void GatewayServer::AdoptDocument() {
+  const config::RouteDocument& document = subscriber_.config().document();
+  if (document.version <= document_version()) {
+    return;
+  }
+  absl::StatusOr<routing::RouteSet> set = documents_->Read(document.text);
+  if (!set.ok()) {
+    return;
+  }
+  const bool was_ready = ready();
+  set->version = document.version;
+  table_ = std::make_shared<const routing::RouteTable>(*std::move(set));
+  targets_.clear();
+  if (!was_ready) {
+    for (auto& [address, link] : links_) {
+      link.next_presence = Timestamp{};
+    }
+  }
+}
+
+std::set<std::string> GatewayServer::PreferredLeafs() const {
+  std::map<std::string, std::vector<balance::SubsetCandidate>> candidates;
+  for (const auto& [leaf, record] : view_.leafs()) {
+    if (!record.draining) {
+      candidates[record.service].push_back({leaf, record.zone != options_.zone});
+    }
+  }
+  std::set<std::string> preferred;
+  for (const auto& [service, leafs] : candidates) {
+    const routing::ServiceSpec* spec = table_ == nullptr ? nullptr : table_->FindService(service);
+    const size_t connections = spec == nullptr ? 0 : spec->max_connections;
+    preferred.merge(
+        balance::PreferredLeafs(options_.node, leafs, {connections, SharingGateways()}));
+  }
+  return preferred;
+}
+
+void GatewayServer::SyncPool(Timestamp now) {
+  const PoolBasis basis{view_.merges(), document_version(), SharingGateways()};
+  if (pool_basis_ != basis) {
+    pool_basis_ = basis;
+    preferred_ = PreferredLeafs();
+    for (const auto& [leaf, record] : view_.leafs()) {
+      const bool remote = record.zone != options_.zone;
+      pool_.Configure(now, leaf, std::max(1U, record.slots), {remote, preferred_.contains(leaf)});
+    }
+    for (const std::string& leaf : pool_.Names()) {
+      if (!view_.leafs().contains(leaf)) {
+        pool_.Remove(leaf);
+      }
+    }
+  }
+  if (pool_view_version_ != view_.version()) {
+    pool_view_version_ = view_.version();
+    std::set<std::string> leaving;
+    for (const auto& [leaf, record] : view_.leafs()) {
+      if (record.draining) {
+        leaving.insert(leaf);
+      }
+    }
+    pool_.SetLeavingOnPlatform(leaving);
+  }
+}
+
+void GatewayServer::StartDraining(Timestamp now) {
+  draining_ = true;
+  for (auto& [address, link] : links_) {
+    link.next_presence = now;
+  }
+  GreetControl(now);
+}
+
+}  // namespace pumicedyke::gateway
--- /dev/null
+++ b/src/server/control_operator_calls.cc
@@ -0,0 +1,98 @@
+// The part of ControlProcess that serves operators on the product's own interface: status, changes,
+// the configuration, metrics.
+#include <utility>
+
+#include "common/json.h"
+#include "common/result_code.h"
+#include "http/metrics.h"
+#include "policy/policy_program.h"
+#include "server/control_process.h"
+#include "server/process.h"
+
+namespace pumicedyke::server {
+namespace {
+
+int CodeOfReply(const control::OperatorReply& reply) {
+  const Json body = Json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
+  return body.is_object() ? body.value("code", 0) : 0;
+}
+
+/// Passes a reply on to an operator who speaks the product's own interface.
+std::function<void(const control::OperatorReply&)> SendReply(http::Responder responder) {
+  return [responder](const control::OperatorReply& reply) mutable {
+    responder.Send({InfoOf(static_cast<ResultCode>(CodeOfReply(reply))).http_status, reply.body});
+  };
+}
+
+}  // namespace
+
+void ControlProcess::OnOperator(const http::HttpRequest& request, http::Responder responder) {
+  const Timestamp now = net::EventLoop::Now();
+  if (request.path == "/healthz") {
+    responder.Send(
+        {stop_.started() ? 503 : 200, stop_.started() ? "stopping\n" : "ok\n", "text/plain"});
+    return;
+  }
+  if (request.path == "/metrics") {
+    responder.Send({200, MetricsText(now), "text/plain; version=0.0.4"});
+    return;
+  }
+  if (!Authorized(settings_.operator_token, request, &responder)) {
+    return;
+  }
+  if (request.path == "/v1/status" && request.method == "GET") {
+    server_->ReadStatus(now, Await(SendReply(std::move(responder))));
+    CarryOut();
+  } else if (request.path == "/v1/config" && request.method == "GET") {
+    server_->ReadConfig(now, Await(SendReply(std::move(responder))));
+    CarryOut();
+  } else if (request.path == "/v1/changes" && request.method == "POST") {
+    OnChange(request, std::move(responder));
+  } else {
+    responder.Send(ErrorResponse(ResultCode::kUnknownPath, request.method + " " + request.path));
+  }
+}
+
+void ControlProcess::OnChange(const http::HttpRequest& request, http::Responder responder) {
+  absl::StatusOr<Json> json = ParseObject(request.body, "the request body");
+  if (!json.ok()) {
+    responder.Send(ErrorResponse(CodeOf(json.status()), std::string(json.status().message())));
+    return;
+  }
+  absl::StatusOr<config::Change> change = config::ParseChange(*json);
+  if (!change.ok()) {
+    responder.Send(ErrorResponse(CodeOf(change.status()), std::string(change.status().message())));
+    return;
+  }
+  if (change->kind == config::ChangeKind::kPutPolicy) {
+    if (absl::Status status = policy::PolicyProgram::Check(change->policy); !status.ok()) {
+      responder.Send(ErrorResponse(CodeOf(status), std::string(status.message())));
+      return;
+    }
+  }
+  server_->Submit(net::EventLoop::Now(), Await(SendReply(std::move(responder))), *change);
+  CarryOut();
+}
+
+std::string ControlProcess::MetricsText(Timestamp now) const {
+  http::MetricsPage page;
+  const consensus::Raft& raft = server_->raft();
+  page.Gauge("pumicedyke_control_leads", "1 while this machine leads with a valid lease.",
+             raft.HasLease(now) ? 1 : 0);
+  page.Gauge("pumicedyke_control_term", "Term of the replicated log.",
+             static_cast<double>(raft.term()));
+  page.Gauge("pumicedyke_control_commit_index", "Last committed log index.",
+             static_cast<double>(raft.commit_index()));
+  page.Gauge("pumicedyke_control_log_bytes", "Bytes of the log since its last snapshot.",
+             static_cast<double>(storage_->log_bytes()));
+  page.Gauge("pumicedyke_config_version", "Configuration version applied here.",
+             static_cast<double>(server_->state().config().version().value));
+  page.Gauge("pumicedyke_control_sessions", "Nodes that greet this machine.",
+             static_cast<double>(server_->session_count()));
+  page.Gauge("pumicedyke_control_ledger_entries", "Keys in the at-most-once ledger.",
+             static_cast<double>(server_->state().ledger().size()));
+  page.AddProcess();
+  return page.Text();
+}
+
+}  // namespace pumicedyke::server
