--- a/docs/plots/lost-worth.gp
+++ b/docs/plots/lost-worth.gp
@@ -6,6 +6,7 @@
 set style histogram rowstacked
 set style fill solid 0.8 border -1
 set boxwidth 0.6
+set xtics font ",10"
 set key outside right autotitle columnhead
 set title "Worth lost by term"
 plot for [i=2:8] "docs/plots/lost-worth.dat" using i:xtic(1)
