--- a/src/programs/pumicedyke_sim_main.cc
+++ b/src/programs/pumicedyke_sim_main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,6 +22,8 @@
 DEFINE_bool(trace, false, "print the whole trace of each run");
 DEFINE_int32(threads, 0, "threads; 0: one a core");
 DEFINE_bool(first, false, "stop at the first violation");
+DEFINE_string(known_red, "",
+              "violations that are printed and passed over, SCENARIO/SEED/INVARIANT by commas");
 
 namespace pumicedyke::sim {
 namespace {
@@ -63,6 +66,28 @@
   return kUsage;
 }
 
+/// Names one violation in `--known_red`.
+std::string NameOf(const RunResult& result, const Violation& violation) {
+  return result.scenario + "/" + std::to_string(result.seed) + "/" +
+         std::string(InvariantName(violation.invariant));
+}
+
+/// Takes the known violations out of the result and prints their names.
+void PassOverKnown(const std::set<std::string>& known, RunResult* result) {
+  std::set<std::string> found;
+  std::erase_if(result->violations, [&](const Violation& violation) {
+    const std::string name = NameOf(*result, violation);
+    const bool is_known = known.contains(name);
+    if (is_known) {
+      found.insert(name);
+    }
+    return is_known;
+  });
+  for (const std::string& name : found) {
+    std::cout << "KNOWN RED " << name << "\n";
+  }
+}
+
 void PrintBroken(const RunResult& result) {
   const Violation& first = result.violations.front();
   std::cout << "BROKEN " << InvariantName(first.invariant) << " in " << result.scenario
@@ -78,10 +103,12 @@
   std::atomic<bool> stop{false};
   std::mutex mutex;
   Totals totals;
+  const std::set<std::string> known = absl::StrSplit(FLAGS_known_red, ',', absl::SkipEmpty());
   const auto work = [&] {
     for (size_t i = next++; i < jobs.size() && !stop; i = next++) {
-      const RunResult result = RunScenario(*jobs[i].scenario, jobs[i].seed, disabled, FLAGS_trace);
+      RunResult result = RunScenario(*jobs[i].scenario, jobs[i].seed, disabled, FLAGS_trace);
       const std::lock_guard lock(mutex);
+      PassOverKnown(known, &result);
       ++totals.runs;
       totals.events += result.events;
       totals.calls += result.calls;
