--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -1,5 +1,5 @@
-// A simulated cluster: three control machines or more, two nodes, leafs, the platform's list and the
-// network between them. Actors and the nemesis act on it; History records what shows outside.
+// A simulated cluster: three control machines or more, two nodes, leafs, the platform's list and
+// the network between them. Actors and the nemesis act on it; History records what shows outside.
 #pragma once
 
 #include <functional>
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -306,9 +306,8 @@
                               Join(reply.outcome, reply.outcome_count)});
     }
     case pumicedyke_wire_Envelope_join_tag:
-      return Body(
-          JoinRequest{in.body.join.member, Text(in.body.join.machine), Text(in.body.join.address),
-                      in.body.join.relayed});
+      return Body(JoinRequest{in.body.join.member, Text(in.body.join.machine),
+                              Text(in.body.join.address), in.body.join.relayed});
     case pumicedyke_wire_Envelope_join_reply_tag:
       return Body(JoinReply{in.body.join_reply.leader, Text(in.body.join_reply.address)});
     case pumicedyke_wire_Envelope_forwarded_tag: {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -183,9 +183,9 @@
   uint32_t gateways = 0;
 };
 
-using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
-                          JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed,
-                          JoinReply>;
+using Body =
+    std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply, JoinRequest,
+                 Forwarded, ForwardedReply, GatewayPresence, LeafFeed, JoinReply>;
 
 struct Envelope {
   std::string cluster;
--- a/test/e2e/failure_test.cc
+++ b/test/e2e/failure_test.cc
@@ -84,9 +84,8 @@
     // Nothing can be written where a file stands in the folder's place.
     std::ofstream(folder) << "no folder";
     std::thread healer([&] {
-      WaitFor("the process to wait", [&] {
-        return fleet.LogOf("c0").find("data_folder_failed") != std::string::npos;
-      });
+      WaitFor("the process to wait",
+              [&] { return fleet.LogOf("c0").find("data_folder_failed") != std::string::npos; });
       std::filesystem::remove(folder);
       std::filesystem::rename(kept, folder);
     });
