--- a/src/control/discovery_server.cc
+++ b/src/control/discovery_server.cc
@@ -37,6 +37,10 @@
   }
   // Every greeting is answered, if only to show that this machine is there.
   Feed(id, &session);
+  if (presence.wants_peers && presence.peers_version != directory_.version()) {
+    messages_.push_back(
+        {id, {options_.cluster, 0, directory_.ChangesSince(presence.peers_version)}});
+  }
 }
 
 void DiscoveryServer::OnSessionClosed(SessionId id) {
--- a/src/directory/gateway_directory.cc
+++ b/src/directory/gateway_directory.cc
@@ -1,13 +1,34 @@
 #include "directory/gateway_directory.h"
 
+#include <optional>
+#include <set>
+
 namespace pumicedyke::directory {
+namespace {
+
+/// @return how other gateways know it; unset if they must not turn to it.
+std::optional<wire::GatewayRecord> RecordOf(const wire::GatewayPresence& presence) {
+  if (!presence.serving || presence.peer_address.empty()) {
+    return std::nullopt;
+  }
+  return wire::GatewayRecord{presence.node, presence.zone, presence.peer_address};
+}
+
+}  // namespace
 
 bool GatewayDirectory::OnPresence(Timestamp now, const wire::GatewayPresence& presence) {
   Entry& entry = gateways_[presence.node];
   const bool changed =
       entry.presence.serving != presence.serving || entry.presence.address != presence.address;
+  const std::optional<wire::GatewayRecord> before = RecordOf(entry.presence);
+  const std::optional<wire::GatewayRecord> record = RecordOf(presence);
   entry.presence = presence;
   entry.heard = now;
+  if (record.has_value() && record != before) {
+    entry.changed = ++version_;
+  } else if (before.has_value() && !record.has_value()) {
+    NoteRemoval(presence.node);
+  }
   return changed;
 }
 
@@ -17,16 +38,55 @@
     return false;
   }
   const bool was_serving = it->second.presence.serving;
+  if (RecordOf(it->second.presence).has_value()) {
+    NoteRemoval(node);
+  }
   gateways_.erase(it);
   return was_serving;
 }
 
 void GatewayDirectory::DropSilent(Timestamp now) {
   std::erase_if(gateways_, [&](const auto& item) {
-    return now - item.second.heard >= options_.silence_limit;
+    const bool silent = now - item.second.heard >= options_.silence_limit;
+    if (silent && RecordOf(item.second.presence).has_value()) {
+      NoteRemoval(item.first);
+    }
+    return silent;
   });
 }
 
+void GatewayDirectory::NoteRemoval(const std::string& node) {
+  removals_.push_back({node, ++version_});
+  if (removals_.size() > options_.kept_removals) {
+    forgotten_ = removals_.front().version;
+    removals_.pop_front();
+  }
+}
+
+wire::GatewayFeed GatewayDirectory::ChangesSince(uint64_t version) const {
+  const bool all = version == 0 || version < forgotten_ || version > version_;
+  wire::GatewayFeed feed;
+  feed.from_version = all ? 0 : version;
+  feed.version = version_;
+  std::set<std::string> serving;
+  for (const auto& [node, entry] : gateways_) {
+    const std::optional<wire::GatewayRecord> record = RecordOf(entry.presence);
+    if (!record.has_value()) {
+      continue;
+    }
+    serving.insert(node);
+    if (all || entry.changed > version) {
+      feed.peers.push_back(*record);
+    }
+  }
+  for (const Removal& removal : removals_) {
+    if (!all && removal.version > version && !serving.contains(removal.node)) {
+      feed.gone.push_back(removal.node);
+    }
+  }
+  return feed;
+}
+
 std::vector<std::string> GatewayDirectory::AddressesFor(Timestamp now,
                                                         const std::string& zone) const {
   std::vector<std::string> addresses;
--- a/src/directory/gateway_directory.h
+++ b/src/directory/gateway_directory.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
   Duration silence_limit = Milliseconds(1800);
   /// Addresses in one answer.
   size_t max_addresses = 64;
+  /// Removals remembered for gateways that are a little behind; others get everything.
+  size_t kept_removals = 1000;
 };
 
 class GatewayDirectory {
@@ -36,13 +39,30 @@
   /// Drops gateways that have been silent for too long.
   void DropSilent(Timestamp now);
 
+  /// Counts changes among the gateways that serve and that other gateways can reach.
+  uint64_t version() const { return version_; }
+  /// What changed among them since `version`; everything if that is zero or too long ago.
+  wire::GatewayFeed ChangesSince(uint64_t version) const;
+
  private:
   struct Entry {
     wire::GatewayPresence presence;
     Timestamp heard{};
+    uint64_t changed = 0;
+  };
+  struct Removal {
+    std::string node;
+    uint64_t version = 0;
   };
+
+  void NoteRemoval(const std::string& node);
+
   DirectoryOptions options_;
   std::map<std::string, Entry> gateways_;
+  std::deque<Removal> removals_;
+  /// Version of the newest removal that was forgotten.
+  uint64_t forgotten_ = 0;
+  uint64_t version_ = 1;
 };
 
 }  // namespace pumicedyke::directory
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -33,6 +33,10 @@
   wire::GatewayPresence presence{options_.node,    options_.incarnation,
                                  options_.address, options_.zone,
                                  ready(),          view_.VersionOf(address)};
+  presence.peer_address = options_.peer_address;
+  presence.wants_peers =
+      !options_.peer_address.empty() && address == control_[subscriber_.control()];
+  presence.peers_version = peers_.VersionOf(address);
   return {options_.cluster, subscriber_.config().version().value, std::move(presence)};
 }
 
@@ -45,6 +49,7 @@
     if (now - last >= options_.knobs.control_silence) {
       link.last_reset = now;
       view_.OnSourceLost(now, address);
+      peers_.OnSourceLost(address);
       SetLink(address, /*up=*/false);
       output_.reconnect.push_back(address);
     }
@@ -80,11 +85,14 @@
     OnConfigFeed(now, *feed);
   } else if (const auto* leafs = std::get_if<wire::LeafFeed>(&envelope.body)) {
     OnLeafFeed(now, address, *leafs);
+  } else if (const auto* peers = std::get_if<wire::GatewayFeed>(&envelope.body)) {
+    peers_.OnFeed(address, *peers);
   }
 }
 
 void GatewayServer::OnControlDisconnected(Timestamp now, const std::string& address) {
   view_.OnSourceLost(now, address);
+  peers_.OnSourceLost(address);
   SetLink(address, /*up=*/false);
   links_[address].next_presence = now;
   if (control_[subscriber_.control()] == address) {
--- /dev/null
+++ b/src/gateway/gateway_merging.cc
@@ -0,0 +1,208 @@
+// The part of GatewayServer that merges a group of shards for another gateway: gathers their parts
+// like a request of its own, but reports them as they come.
+#include <algorithm>
+#include <utility>
+
+#include "gateway/gateway_server.h"
+#include "gateway/record_merge.h"
+
+namespace pumicedyke::gateway {
+namespace {
+
+/// Set in the ids of partial jobs, which share their space with those of clients' requests.
+constexpr uint64_t kPartialBit = uint64_t{1} << 63;
+
+std::shared_ptr<const PayloadRequest> RequestOf(const wire::PartialQuery& query) {
+  auto request = std::make_shared<PayloadRequest>();
+  request->request_id = query.request_id;
+  request->method = query.method;
+  request->encoded_head = query.head;
+  request->body = query.payload;
+  request->deadline = query.budget;
+  return request;
+}
+
+wire::PartialAnswer WordWithoutParts(uint64_t question, wire::PartialStage stage) {
+  wire::PartialAnswer word;
+  word.id = question;
+  word.stage = stage;
+  return word;
+}
+
+}  // namespace
+
+void GatewayServer::SendWord(PeerSessionId session, wire::PartialAnswer word) {
+  output_.peer_replies.push_back(
+      {session, {options_.cluster, document_version(), std::move(word)}});
+}
+
+void GatewayServer::OnPeerQuestion(Timestamp now, PeerSessionId session,
+                                   const wire::Envelope& envelope, Timestamp arrived) {
+  if (envelope.cluster != options_.cluster) {
+    return;
+  }
+  if (const auto* query = std::get_if<wire::PartialQuery>(&envelope.body)) {
+    OnPartialQuery(now, session, *query, arrived);
+  } else if (const auto* cancel = std::get_if<wire::PartialCancel>(&envelope.body)) {
+    OnPartialCancel(now, session, *cancel);
+  }
+}
+
+size_t GatewayServer::FellowMergers(const std::vector<std::string>& shards, size_t groups) {
+  size_t fellows = 0;
+  bool among_them = false;
+  for (const std::string& zone : ZonesOf(shards)) {
+    const std::vector<std::string>& mergers = MergersIn(zone, shards.front(), groups);
+    fellows += mergers.size();
+    among_them |= std::find(mergers.begin(), mergers.end(), options_.node) != mergers.end();
+  }
+  return among_them ? fellows : 0;
+}
+
+void GatewayServer::OnPartialQuery(Timestamp now, PeerSessionId session,
+                                   const wire::PartialQuery& query, Timestamp arrived) {
+  const bool refused = table_ == nullptr || query.shards.empty() ||
+                       active_.size() >= options_.knobs.max_in_progress ||
+                       now >= arrived + query.budget;
+  if (refused) {
+    SendWord(session, WordWithoutParts(query.id, wire::PartialStage::kRefused));
+    return;
+  }
+  SendWord(session, WordWithoutParts(query.id, wire::PartialStage::kAccepted));
+  const RequestId id{kPartialBit | ++partials_begun_};
+  partials_[{session, query.id}] = id;
+  Active& active = active_[id];
+  active.request = RequestOf(query);
+  active.runtime = &RuntimeOf(query.route, query.objective);
+  active.gathers = true;
+  active.partial = PartialJob{.session = session,
+                              .question = query.id,
+                              .top_records = query.top_records,
+                              .route = query.route,
+                              .report_at = arrived + query.report_after,
+                              .last_word = now,
+                              .unreported = {}};
+  MergeForLackOfLeafs(now, query.shards);
+  const Target& target = TargetOf(query.shards);
+  const size_t fellows = FellowMergers(query.shards, query.groups);
+  const double spare = options_.knobs.spare_gateways;
+  const double allowance = fellows == 0
+                               ? OrdinaryAllowance(/*shared=*/true)
+                               : options_.knobs.mergers_allowance_share *
+                                     options_.extra_load.allowance /
+                                     (static_cast<double>(fellows) + spare);
+  for (const std::string& shard : query.shards) {
+    BudgetOf(shard, allowance);
+  }
+  if (fellows > 0) {
+    const auto connections = static_cast<double>(ConnectionsOf(query.shards.front()));
+    active.merger_connections =
+        std::max<size_t>(1, static_cast<size_t>(options_.knobs.mergers_connection_share *
+                                                connections / static_cast<double>(fellows)));
+  }
+  policy::QueryPlan plan;
+  plan.deadline = query.budget;
+  plan.wait = query.budget;
+  // Whether there is enough is for the gateway that asked.
+  plan.min_coverage = 0;
+  plan.extra_load = options_.extra_load.ratio;
+  plan.hedge_quantile = options_.knobs.hedge_quantile;
+  plan.max_attempts = std::max(1U, query.max_attempts);
+  query::ExecutionOptions options = options_.execution;
+  options.charge_first = query.again;
+  options.report_parts = true;
+  const config::PublishedSnapshot& snapshot = target.service->snapshots.back();
+  query::CallerRequest caller;
+  caller.service = query.route;
+  caller.snapshot = snapshot.id;
+  query::ServiceContext context{&pool_, target.budgets.front(), active.runtime->latencies.get(),
+                                [this] { return SubRequestId{ids_.Next()}; }, target.budgets};
+  active.execution = std::make_unique<query::RequestExecution>(
+      std::move(caller), plan, nullptr, target.service, snapshot, std::move(context), options,
+      arrived);
+  active.execution->Advance(now);
+  Collect(now, id);
+}
+
+void GatewayServer::OnPartialCancel(Timestamp now, PeerSessionId session,
+                                    const wire::PartialCancel& cancel) {
+  const auto found = partials_.find({session, cancel.id});
+  if (found != partials_.end()) {
+    StopPartial(now, found->second, cancel.stop_work);
+  }
+}
+
+void GatewayServer::OnPeerSessionClosed(Timestamp now, PeerSessionId session) {
+  std::vector<RequestId> jobs;
+  for (auto it = partials_.lower_bound({session, 0});
+       it != partials_.end() && it->first.first == session; ++it) {
+    jobs.push_back(it->second);
+  }
+  for (const RequestId id : jobs) {
+    StopPartial(now, id, /*stop_work=*/true);
+  }
+}
+
+void GatewayServer::StopPartial(Timestamp now, RequestId id, bool stop_work) {
+  query::RequestExecution* execution = active_.at(id).execution.get();
+  execution->AbandonAll(now, /*timed_out=*/false);
+  for (const query::SubRequestCancel& cancel : execution->TakeActions().cancels) {
+    output_.cancels.push_back({cancel.id, stop_work || cancel.overdue});
+  }
+  Remove(id);
+}
+
+wire::PartialAnswer GatewayServer::TakePartialWord(PartialJob* job, wire::PartialStage stage) {
+  wire::PartialAnswer word = WordWithoutParts(job->question, stage);
+  std::vector<std::string_view> bodies;
+  for (const query::ShardPayload& part : job->unreported) {
+    word.parts.push_back({static_cast<uint32_t>(part.shard.value), part.payload->signature});
+    bodies.push_back(part.payload->body);
+  }
+  word.records = MergeGreatest(bodies, job->top_records);
+  job->unreported.clear();
+  return word;
+}
+
+void GatewayServer::CollectPartial(Timestamp now, RequestId id,
+                                   const std::optional<query::Answer>& answer) {
+  Active& active = active_.at(id);
+  PartialJob& job = *active.partial;
+  for (query::ShardPayload& part : active.execution->TakeNewParts()) {
+    job.unreported.push_back(std::move(part));
+  }
+  if (answer.has_value()) {
+    wire::PartialAnswer word = TakePartialWord(&job, wire::PartialStage::kDone);
+    for (const query::MissingShard& missing : answer->coverage.missing) {
+      word.gaps.push_back({static_cast<uint32_t>(missing.shard.value),
+                           static_cast<uint32_t>(missing.reason)});
+    }
+    word.run = static_cast<uint32_t>(answer->run);
+    word.extra = answer->extra_sub_requests;
+    SendWord(job.session, std::move(word));
+    output_.partials.push_back({active.request->request_id, job.route, answer->run,
+                                now - active.execution->started(),
+                                answer->coverage.total(), answer->extra_sub_requests,
+                                active.execution->Attempts(), answer->coverage.missing});
+    Remove(id);
+    return;
+  }
+  const Timestamp reported = std::max(job.report_at, job.last_word + options_.knobs.report_interval);
+  const Timestamp sign = job.last_word + options_.knobs.sign_of_life;
+  const bool report = !job.unreported.empty() && now >= reported;
+  if (report || now >= sign) {
+    const bool with_parts = report && !job.unreported.empty();
+    SendWord(job.session, with_parts
+                              ? TakePartialWord(&job, wire::PartialStage::kParts)
+                              : WordWithoutParts(job.question, wire::PartialStage::kAccepted));
+    job.last_word = now;
+  }
+  Timestamp wake = std::min(active.execution->NextWake(now),
+                            job.last_word + options_.knobs.sign_of_life);
+  if (!job.unreported.empty() || job.report_at > now) {
+    wake = std::min(wake, std::max(job.report_at, job.last_word + options_.knobs.report_interval));
+  }
+  Schedule(id, std::max(now, wake));
+}
+
+}  // namespace pumicedyke::gateway
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -16,6 +16,14 @@
 constexpr Duration kRetryWhenOverloaded = Milliseconds(200);
 constexpr Duration kLongestSleep = Milliseconds(200);
 
+/// Requests of a route after which the longest of their patiences is taken to be that of a client
+/// that spent nothing yet: most clients keep their connections.
+constexpr uint64_t kTellingPatiences = 16;
+
+Duration Part(Duration whole, double part) {
+  return Duration(static_cast<int64_t>(static_cast<double>(whole.count()) * part));
+}
+
 }  // namespace
 
 GatewayServer::GatewayServer(GatewayOptions options, const routing::DocumentReader* documents,
@@ -45,20 +53,28 @@
   return gateways_ + options_.knobs.spare_gateways;
 }
 
-balance::ExtraLoadLimit* GatewayServer::BudgetOf(const std::string& service) {
+double GatewayServer::OrdinaryAllowance(bool shared) const {
+  const double part = shared ? 1 - options_.knobs.mergers_allowance_share : 1.0;
+  return part * options_.extra_load.allowance / SharingGateways();
+}
+
+balance::ExtraLoadLimit* GatewayServer::BudgetOf(const std::string& service, double allowance) {
   std::unique_ptr<balance::SlidingWindowBudget>& budget = budgets_[service];
   if (budget == nullptr) {
     budget = std::make_unique<balance::SlidingWindowBudget>(options_.extra_load.window,
                                                             options_.extra_load.ratio);
   }
-  budget->SetAllowance(options_.extra_load.allowance / SharingGateways());
+  budget->SetAllowance(allowance);
   return budget.get();
 }
 
+size_t GatewayServer::ConnectionsOf(const std::string& service) const {
+  const routing::ServiceSpec* spec = table_ == nullptr ? nullptr : table_->FindService(service);
+  return spec == nullptr ? 0 : spec->max_connections;
+}
+
 size_t GatewayServer::ConnectionShare(const std::string& service) const {
-  const routing::ServiceSpec* spec = table_->FindService(service);
-  const size_t all = spec == nullptr ? 0 : spec->max_connections;
-  return std::max<size_t>(1, all / SharingGateways());
+  return std::max<size_t>(1, ConnectionsOf(service) / SharingGateways());
 }
 
 const GatewayServer::Target& GatewayServer::TargetOf(const std::vector<std::string>& services) {
@@ -66,38 +82,67 @@
   if (target.service != nullptr && target.view_version == view_.version()) {
     return target;
   }
+  const bool shared =
+      options_.knobs.share_gathers && !options_.peer_address.empty() &&
+      GroupCount(services.size(), options_.processor_share, options_.knobs.sharing_costs) > 1;
+  const double allowance = OrdinaryAllowance(shared);
   target.view_version = view_.version();
   target.service = std::make_shared<config::Service>();
   target.budgets.clear();
   config::PublishedSnapshot snapshot{SnapshotId{table_->version()}, {}};
   for (size_t i = 0; i < services.size(); ++i) {
     snapshot.shards.push_back({ShardId{i}, view_.UsableLeafs(services[i])});
-    target.budgets.push_back(BudgetOf(services[i]));
+    target.budgets.push_back(BudgetOf(services[i], allowance));
   }
   target.service->snapshots.push_back(std::move(snapshot));
   return target;
 }
 
-GatewayServer::RouteRuntime& GatewayServer::RuntimeOf(const routing::Route& route) {
-  RouteRuntime& runtime = runtimes_[route.name];
+GatewayServer::RouteRuntime& GatewayServer::RuntimeOf(const std::string& route,
+                                                      Duration objective) {
+  RouteRuntime& runtime = runtimes_[route];
   if (runtime.latencies == nullptr) {
     runtime.latencies = std::make_unique<balance::LatencyTracker>(
-        options_.knobs.balance.latency_window, route.objective / kInitialHedgePart);
+        options_.knobs.balance.latency_window, objective / kInitialHedgePart);
   }
   return runtime;
 }
 
+std::optional<Duration> GatewayServer::SpentByClient(const routing::Route& route,
+                                                     const PayloadRequest& request) const {
+  const auto runtime = runtimes_.find(route.name);
+  if (request.deadline.count() == 0 || runtime == runtimes_.end()) {
+    return std::nullopt;
+  }
+  const Duration most = Part(route.objective, options_.knobs.longest_spent);
+  // Where clients wait about as long as the route lets them, its own limit tells the whole time;
+  // otherwise the longest one seen here does.
+  const Duration seen = runtime->second.longest_patience;
+  const bool near_timeout = route.timeout >= seen && route.timeout - seen <= most;
+  if (!near_timeout && runtime->second.patiences < kTellingPatiences) {
+    return std::nullopt;
+  }
+  const Duration spent = (near_timeout ? route.timeout : seen) - request.deadline;
+  return spent <= most ? std::optional(spent) : std::nullopt;
+}
+
+Duration GatewayServer::AnswerMargin(const routing::Route& route,
+                                     const PayloadRequest& request) const {
+  const GatewayKnobs& knobs = options_.knobs;
+  const std::optional<Duration> spent = SpentByClient(route, request);
+  if (!spent.has_value()) {
+    return std::min(knobs.answer_margin, Part(route.objective, knobs.longest_margin));
+  }
+  return *spent + std::min(knobs.way_margin, Part(route.objective, knobs.longest_way_margin));
+}
+
 policy::QueryPlan GatewayServer::PlanFor(const routing::Route& route,
                                          const PayloadRequest& request) const {
   policy::QueryPlan plan;
   const Duration patience =
       request.deadline.count() > 0 ? request.deadline - kClientHop : options_.knobs.longest_wait;
   plan.deadline = std::max(Duration(0), std::min(route.timeout, patience));
-  const double objective = static_cast<double>(route.objective.count());
-  const auto longest_margin =
-      Duration(static_cast<int64_t>(objective * options_.knobs.longest_margin));
-  const Duration margin = std::min(options_.knobs.answer_margin, longest_margin);
-  plan.wait = std::min(plan.deadline, route.objective - margin);
+  plan.wait = std::min(plan.deadline, route.objective - AnswerMargin(route, request));
   plan.min_coverage = route.gathers() ? route.min_coverage : 1.0;
   plan.extra_load = options_.extra_load.ratio;
   plan.hedge_quantile = options_.knobs.hedge_quantile;
@@ -177,7 +222,15 @@
   active.request = std::move(request);
   active.table = table_;
   active.route = &route;
-  active.runtime = &RuntimeOf(route);
+  active.runtime = &RuntimeOf(route.name, route.objective);
+  active.runtime->longest_patience =
+      std::max(active.runtime->longest_patience, active.request->deadline);
+  ++active.runtime->patiences;
+  active.repeatable = route.repeatable;
+  active.gathers = route.gathers();
+  if (StartShared(now, id, &active, arrived)) {
+    return;
+  }
   const std::vector<std::string> services =
       route.gathers() ? route.shards
                       : std::vector<std::string>{active.runtime->choice.Next(route.services)};
@@ -203,6 +256,14 @@
   if (it == active_.end()) {
     return;
   }
+  if (it->second.shared != nullptr) {
+    it->second.shared->AbandonAll();
+    for (const query::GroupCancel& cancel : it->second.shared->TakeActions().cancels) {
+      CancelQuestion(cancel);
+    }
+    Remove(id);
+    return;
+  }
   it->second.execution->AbandonAll(now, /*timed_out=*/false);
   for (const query::SubRequestCancel& cancel : it->second.execution->TakeActions().cancels) {
     output_.cancels.push_back({cancel.id, /*stop_work=*/true});
@@ -227,37 +288,57 @@
   Collect(now, id);
 }
 
-void GatewayServer::Collect(Timestamp now, RequestId id) {
-  Active& active = active_.at(id);
-  query::ExecutionActions actions = active.execution->TakeActions();
+void GatewayServer::CollectSends(Active* active, RequestId id, query::ExecutionActions actions) {
   for (const query::LeafRequest& send : actions.sends) {
     const wire::LeafRecord& record = view_.leafs().at(send.leaf);
     request_of_[send.id] = id;
-    active.out.push_back(send.id);
+    active->out.push_back(send.id);
     LeafSend out;
     out.id = send.id;
     out.leaf = send.leaf;
     out.address = record.address;
-    out.request = active.request;
+    out.request = active->request;
     out.budget = send.budget;
-    out.repeatable = active.route->repeatable;
-    out.max_connections = ConnectionShare(record.service);
-    out.keep_connection = preferred_.contains(send.leaf);
+    out.repeatable = active->repeatable;
+    out.max_connections = std::max(ConnectionShare(record.service), active->merger_connections);
+    out.keep_connection = active->merger_connections > 0 || preferred_.contains(send.leaf);
     out.shard = send.shard;
-    out.keep_headers = !active.route->gathers();
+    out.keep_headers = !active->gathers;
     output_.sends.push_back(std::move(out));
   }
   for (const query::SubRequestCancel& cancel : actions.cancels) {
     output_.cancels.push_back({cancel.id, /*stop_work=*/cancel.overdue});
   }
-  if (actions.answer.has_value()) {
-    Answer(now, id, active, *actions.answer);
+}
+
+void GatewayServer::Collect(Timestamp now, RequestId id) {
+  Active& active = active_.at(id);
+  query::ExecutionActions actions = active.execution->TakeActions();
+  const std::optional<query::Answer> answer = std::move(actions.answer);
+  CollectSends(&active, id, std::move(actions));
+  if (active.partial.has_value()) {
+    CollectPartial(now, id, answer);
+    return;
+  }
+  if (answer.has_value()) {
+    Answer(now, id, active, *answer);
     Remove(id);
     return;
   }
   Schedule(id, active.execution->NextWake(now));
 }
 
+void GatewayServer::Advance(Timestamp now, RequestId id) {
+  Active& active = active_.at(id);
+  if (active.shared != nullptr) {
+    active.shared->Advance(now);
+    CollectShared(now, id);
+    return;
+  }
+  active.execution->Advance(now);
+  Collect(now, id);
+}
+
 void GatewayServer::Answer(Timestamp now, RequestId id, const Active& active,
                            const query::Answer& answer) {
   GatewayAnswer out;
@@ -315,6 +396,12 @@
   for (const SubRequestId out : it->second.out) {
     request_of_.erase(out);
   }
+  for (const uint64_t question : it->second.questions) {
+    request_of_question_.erase(question);
+  }
+  if (it->second.partial.has_value()) {
+    partials_.erase({it->second.partial->session, it->second.partial->question});
+  }
   active_.erase(it);
 }
 
@@ -327,8 +414,7 @@
   ReleaseEarly(now);
   while (!wakes_.empty() && wakes_.begin()->first <= now) {
     const RequestId id = wakes_.begin()->second;
-    active_.at(id).execution->Advance(now);
-    Collect(now, id);
+    Advance(now, id);
     const auto it = active_.find(id);
     if (it != active_.end() && it->second.wake <= now) {
       // Asks to be called at once again: the loop's next turn is soon enough.
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -16,10 +16,13 @@
 #include "balance/latency_tracker.h"
 #include "balance/leaf_pool.h"
 #include "gateway/leaf_view.h"
+#include "gateway/merger_placement.h"
 #include "gateway/messages.h"
+#include "gateway/peer_view.h"
 #include "node/config_subscriber.h"
 #include "node/id_source.h"
 #include "query/request_execution.h"
+#include "query/shared_gather.h"
 #include "routing/route_table.h"
 
 namespace pumicedyke::gateway {
@@ -35,11 +38,18 @@
 
 struct GatewayKnobs {
   balance::BalanceKnobs balance{.remote_penalty = 30, .max_limit_per_slot = 1.0};
-  /// An answer with enough shards goes out this long before the route's objective is over: the way
-  /// of the request and of the answer, the making of the client's connection among it.
+  /// An answer with enough shards goes out this long before the route's objective is over, if what
+  /// the client spent before it sent the request is known: the way of the request and of the
+  /// answer.
+  Duration way_margin = Milliseconds(10);
+  /// If it is not known: the making of the client's connection is in it, too.
   Duration answer_margin = Milliseconds(20);
-  /// The margin is no more than this part of the objective.
+  /// A margin is no more than this part of the objective.
+  double longest_way_margin = 0.2;
   double longest_margin = 0.36;
+  /// A client that seems to have spent more than this part of the objective before it sent the
+  /// request has begun anew meanwhile.
+  double longest_spent = 0.7;
   /// Latency quantile after which a shard is asked a second time.
   double hedge_quantile = 0.95;
   /// Longest time that a client without a deadline of its own is taken to wait.
@@ -61,6 +71,28 @@
   Duration control_silence = Seconds(2);
   /// Gateways that may come at any time: connections and budgets are shared with one more.
   uint32_t spare_gateways = 1;
+  /// Off: every gateway gathers alone.
+  bool share_gathers = true;
+  SharingCosts sharing_costs;
+  query::SharedGatherOptions shared_gather;
+  /// A merger has to confirm a question within this part of the objective, at least
+  /// `shared_gather.accept_patience`: a first connection to another zone takes 6 ms.
+  int accept_part = 8;
+  /// Mergers report what is in this long before an answer may be due.
+  Duration report_lead = Milliseconds(4);
+  /// Later parts are reported no more often than this.
+  Duration report_interval = Milliseconds(3);
+  /// A merger says at least this often that it is there.
+  Duration sign_of_life = Milliseconds(50);
+  /// One that was silent is asked last for this long.
+  Duration merger_suspicion = Seconds(2);
+  /// Part of the allowance of extra sub-requests that the mergers of a shard share; all gateways
+  /// share the rest.
+  double mergers_allowance_share = 0.5;
+  /// Part of a leaf's connections that the mergers of its shard share.
+  double mergers_connection_share = 0.75;
+  /// Requests with more body than this are gathered alone: each merger would need a copy.
+  size_t longest_shared_body = 16 * 1024;
 };
 
 struct GatewayOptions {
@@ -69,14 +101,20 @@
   std::string zone;
   /// Where clients reach this gateway.
   std::string address;
+  /// Where other gateways reach it; empty: it works alone.
+  std::string peer_address;
+  /// Cores that it may use.
+  double processor_share = 1;
   uint64_t incarnation = 0;
   /// Frame addresses of the control machines to begin with.
   std::vector<std::string> control;
   ExtraLoadBound extra_load;
   GatewayKnobs knobs;
   LeafViewOptions leaf_view{.merge_interval = Milliseconds(100)};
-  query::ExecutionOptions execution{
-      .poll = Milliseconds(10), .expect_median = true, .charge_replacements = true};
+  query::ExecutionOptions execution{.poll = Milliseconds(10),
+                                    .expect_median = true,
+                                    .hedge_median_factor = 1.5,
+                                    .charge_replacements = true};
 };
 
 /// A message to one control machine.
@@ -91,6 +129,21 @@
   bool up = false;
 };
 
+/// A question, or its end, for another gateway.
+struct PeerMessage {
+  std::string address;
+  wire::Envelope envelope;
+};
+
+/// Names one connection of another gateway to this one.
+using PeerSessionId = uint64_t;
+
+/// Word to a gateway that asked.
+struct PeerReply {
+  PeerSessionId session = 0;
+  wire::Envelope envelope;
+};
+
 struct GatewayOutput {
   std::vector<LeafSend> sends;
   std::vector<LeafCancel> cancels;
@@ -99,6 +152,9 @@
   /// Control machines whose connection should be made anew.
   std::vector<std::string> reconnect;
   std::vector<ControlLinkChange> link_changes;
+  std::vector<PeerMessage> peer_messages;
+  std::vector<PeerReply> peer_replies;
+  std::vector<PartialTrace> partials;
 };
 
 class GatewayServer {
@@ -122,6 +178,14 @@
   void OnControlMessage(Timestamp now, const std::string& address, const wire::Envelope& envelope);
   void OnControlDisconnected(Timestamp now, const std::string& address);
 
+  /// Another gateway asks, or no longer does. @param arrived as for OnRequest().
+  void OnPeerQuestion(Timestamp now, PeerSessionId session, const wire::Envelope& envelope,
+                      Timestamp arrived);
+  void OnPeerSessionClosed(Timestamp now, PeerSessionId session);
+  /// A gateway that was asked answers.
+  void OnPeerWord(Timestamp now, const std::string& address, const wire::Envelope& envelope);
+  void OnPeerLost(Timestamp now, const std::string& address);
+
   /// More control machines are known.
   void LearnControl(const std::vector<std::string>& addresses);
   /// Clients are sent elsewhere from now on; what comes is still served.
@@ -135,6 +199,7 @@
   uint64_t document_version() const { return table_ == nullptr ? 0 : table_->version(); }
   const routing::RouteTable* table() const { return table_.get(); }
   const LeafView& leafs() const { return view_; }
+  const PeerView& peers() const { return peers_; }
   size_t in_progress() const { return active_.size(); }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
 
@@ -143,6 +208,10 @@
   struct RouteRuntime {
     std::unique_ptr<balance::LatencyTracker> latencies;
     routing::WeightedChoice choice;
+    /// The longest time that a client of this route said it would wait.
+    Duration longest_patience{};
+    /// How many said so.
+    uint64_t patiences = 0;
   };
   /// The shards of a route or the leafs of a service, as an execution wants them.
   struct Target {
@@ -150,15 +219,37 @@
     std::shared_ptr<config::Service> service;
     std::vector<balance::ExtraLoadLimit*> budgets;
   };
+  /// A group of shards that another gateway asked for.
+  struct PartialJob {
+    PeerSessionId session = 0;
+    uint64_t question = 0;
+    size_t top_records = 0;
+    std::string route;
+    /// What is in by then is reported, and what comes later as it comes.
+    Timestamp report_at{};
+    Timestamp last_word{};
+    std::vector<query::ShardPayload> unreported;
+  };
   struct Active {
     std::shared_ptr<const PayloadRequest> request;
     /// Keeps the route alive.
     std::shared_ptr<const routing::RouteTable> table;
+    /// Null for a partial job.
     const routing::Route* route = nullptr;
     RouteRuntime* runtime = nullptr;
+    bool repeatable = true;
+    bool gathers = false;
+    /// Exactly one of these works on it.
     std::unique_ptr<query::RequestExecution> execution;
+    std::unique_ptr<query::SharedGather> shared;
+    std::optional<PartialJob> partial;
+    /// As one of the mergers of its shards, this gateway may hold so many connections to each leaf.
+    size_t merger_connections = 0;
     Timestamp wake{};
     std::vector<SubRequestId> out;
+    /// If it is shared: its groups, and the questions asked.
+    std::vector<query::ShardRange> ranges;
+    std::vector<uint64_t> questions;
   };
   /// A request that came before any route was known.
   struct EarlyRequest {
@@ -186,12 +277,22 @@
   wire::Envelope Presence(const std::string& address) const;
 
   const Target& TargetOf(const std::vector<std::string>& services);
-  balance::ExtraLoadLimit* BudgetOf(const std::string& service);
-  RouteRuntime& RuntimeOf(const routing::Route& route);
+  /// @param allowance this gateway's part of the extra sub-requests beyond the share.
+  balance::ExtraLoadLimit* BudgetOf(const std::string& service, double allowance);
+  /// The part of a gateway that is none of the service's mergers.
+  double OrdinaryAllowance(bool shared) const;
+  RouteRuntime& RuntimeOf(const std::string& route, Duration objective);
   policy::QueryPlan PlanFor(const routing::Route& route, const PayloadRequest& request) const;
+  /// Time before its objective at which an answer has to leave.
+  Duration AnswerMargin(const routing::Route& route, const PayloadRequest& request) const;
+  /// What the client spent on finding and reaching this gateway, by the time that it still waits:
+  /// clients of a route wait alike. Unset: it cannot be told.
+  std::optional<Duration> SpentByClient(const routing::Route& route,
+                                        const PayloadRequest& request) const;
   /// The leafs that this gateway works with as a rule.
   std::set<std::string> PreferredLeafs() const;
   size_t ConnectionShare(const std::string& service) const;
+  size_t ConnectionsOf(const std::string& service) const;
   uint32_t SharingGateways() const;
   void HoldEarly(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
                  Timestamp arrived);
@@ -202,6 +303,36 @@
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                       std::shared_ptr<const PayloadRequest> request, Timestamp arrived);
   void Collect(Timestamp now, RequestId id);
+  void CollectSends(Active* active, RequestId id, query::ExecutionActions actions);
+  /// Lets whatever works on the request go on.
+  void Advance(Timestamp now, RequestId id);
+
+  // Sharing a request's shards with other gateways: as the one that the client reached.
+  /// @return false if it cannot be shared or need not be.
+  bool StartShared(Timestamp now, RequestId id, Active* active, Timestamp arrived);
+  void CollectShared(Timestamp now, RequestId id);
+  void Ask(Timestamp now, const Active& active, const query::GroupQuestion& question);
+  void CancelQuestion(const query::GroupCancel& cancel);
+  void AnswerShared(Timestamp now, RequestId id, const Active& active,
+                    query::SharedOutcome outcome);
+  /// @return the address of the gateway to merge these shards.
+  std::optional<std::string> ChooseMerger(Timestamp now, const std::vector<std::string>& shards,
+                                          size_t groups, const std::set<std::string>& tried);
+  const std::vector<std::string>& MergersIn(const std::string& zone, const std::string& group,
+                                            size_t groups);
+  /// Zones in which leafs of these shards are, this gateway's own first.
+  std::vector<std::string> ZonesOf(const std::vector<std::string>& shards) const;
+
+  // The same as the one that merges a group.
+  void OnPartialQuery(Timestamp now, PeerSessionId session, const wire::PartialQuery& query,
+                      Timestamp arrived);
+  void OnPartialCancel(Timestamp now, PeerSessionId session, const wire::PartialCancel& cancel);
+  void StopPartial(Timestamp now, RequestId id, bool stop_work);
+  void CollectPartial(Timestamp now, RequestId id, const std::optional<query::Answer>& answer);
+  wire::PartialAnswer TakePartialWord(PartialJob* job, wire::PartialStage stage);
+  void SendWord(PeerSessionId session, wire::PartialAnswer word);
+  /// Gateways that merge these shards, this one among them; zero: it is none of them.
+  size_t FellowMergers(const std::vector<std::string>& shards, size_t groups);
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
   void Refuse(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
               ResultCode code, Duration retry_after);
@@ -232,6 +363,15 @@
   std::vector<std::string> control_;
   std::map<std::string, ControlLink> links_;
   uint32_t gateways_ = 1;
+  PeerView peers_;
+  /// Mergers by zone and group, for `merger_changes_` of the peers.
+  std::map<std::pair<std::string, std::string>, std::vector<std::string>> mergers_;
+  uint64_t merger_changes_ = 0;
+  /// Gateways that were silent, by address.
+  std::map<std::string, Timestamp> suspects_;
+  std::unordered_map<uint64_t, RequestId> request_of_question_;
+  std::map<std::pair<PeerSessionId, uint64_t>, RequestId> partials_;
+  uint64_t partials_begun_ = 0;
   bool draining_ = false;
   Timestamp started_;
   std::map<RequestId, Active> active_;
--- /dev/null
+++ b/src/gateway/gateway_sharing.cc
@@ -0,0 +1,232 @@
+// The part of GatewayServer that shares the shards of a request with other gateways, as the one that
+// the client reached: cuts them into groups, chooses who merges each, and answers.
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/gateway_server.h"
+#include "gateway/record_merge.h"
+
+namespace pumicedyke::gateway {
+namespace {
+
+/// Shards of a group that are looked at to learn in which zones its leafs are.
+constexpr size_t kShardsLookedAt = 4;
+/// When to come back after a gather that other gateways could not carry.
+constexpr Duration kRetryAfterFailure = Milliseconds(100);
+
+std::vector<std::string> Slice(const std::vector<std::string>& shards, query::ShardRange range) {
+  const auto begin = shards.begin() + static_cast<long>(range.first);
+  return {begin, begin + static_cast<long>(range.count)};
+}
+
+}  // namespace
+
+std::vector<std::string> GatewayServer::ZonesOf(const std::vector<std::string>& shards) const {
+  std::set<std::string> zones;
+  for (size_t i = 0; i < std::min(shards.size(), kShardsLookedAt); ++i) {
+    for (const std::string& leaf : view_.UsableLeafs(shards[i])) {
+      zones.insert(view_.leafs().at(leaf).zone);
+    }
+  }
+  std::vector<std::string> ordered(zones.begin(), zones.end());
+  if (ordered.empty()) {
+    return ordered;
+  }
+  // Gateways of zones without leafs spread over the others.
+  const std::string text = options_.node + "/" + shards.front();
+  const uint64_t turn = XXH64(text.data(), text.size(), 0) % ordered.size();
+  std::rotate(ordered.begin(), ordered.begin() + static_cast<long>(turn), ordered.end());
+  std::stable_partition(ordered.begin(), ordered.end(),
+                        [this](const std::string& zone) { return zone == options_.zone; });
+  return ordered;
+}
+
+const std::vector<std::string>& GatewayServer::MergersIn(const std::string& zone,
+                                                         const std::string& group, size_t groups) {
+  if (merger_changes_ != peers_.changes()) {
+    merger_changes_ = peers_.changes();
+    mergers_.clear();
+  }
+  const auto [it, inserted] = mergers_.try_emplace({zone, group});
+  if (inserted) {
+    const std::vector<std::string>& gateways = peers_.InZone(zone);
+    it->second = MergersOf(group, gateways, MergersPerGroup(gateways.size(), groups));
+  }
+  return it->second;
+}
+
+std::optional<std::string> GatewayServer::ChooseMerger(Timestamp now,
+                                                       const std::vector<std::string>& shards,
+                                                       size_t groups,
+                                                       const std::set<std::string>& tried) {
+  std::optional<std::string> suspect;
+  for (const std::string& zone : ZonesOf(shards)) {
+    std::vector<std::string> mergers = MergersIn(zone, shards.front(), groups);
+    // Each gateway has a favourite, so that it turns to the same few and its connections last.
+    if (!mergers.empty()) {
+      const uint64_t turn = XXH64(options_.node.data(), options_.node.size(), 0) % mergers.size();
+      std::rotate(mergers.begin(), mergers.begin() + static_cast<long>(turn), mergers.end());
+    }
+    for (const std::string& merger : mergers) {
+      const std::string& address = peers_.Find(merger)->peer_address;
+      if (merger == options_.node || tried.contains(address)) {
+        continue;
+      }
+      const auto it = suspects_.find(address);
+      if (it == suspects_.end() || now >= it->second) {
+        return address;
+      }
+      suspect = suspect.value_or(address);
+    }
+  }
+  return suspect;
+}
+
+bool GatewayServer::StartShared(Timestamp now, RequestId id, Active* active, Timestamp arrived) {
+  const routing::Route& route = *active->route;
+  const bool may_share = options_.knobs.share_gathers && !options_.peer_address.empty() &&
+                         route.gathers() && route.repeatable &&
+                         active->request->body.size() <= options_.knobs.longest_shared_body;
+  const size_t groups = may_share ? GroupCount(route.shards.size(), options_.processor_share,
+                                               options_.knobs.sharing_costs)
+                                  : 1;
+  if (groups <= 1) {
+    return false;
+  }
+  const std::vector<query::ShardRange> ranges = CutIntoGroups(route.shards.size(), groups);
+  const bool all_have_mergers =
+      std::all_of(ranges.begin(), ranges.end(), [&](const query::ShardRange& range) {
+        return ChooseMerger(now, Slice(route.shards, range), groups, {}).has_value();
+      });
+  if (!all_have_mergers) {
+    return false;
+  }
+  query::SharedGatherOptions options = options_.knobs.shared_gather;
+  options.accept_patience =
+      std::max(options.accept_patience, route.objective / options_.knobs.accept_part);
+  const auto choose = [this, active](Timestamp when, size_t group,
+                                     const std::set<std::string>& tried) {
+    return ChooseMerger(when, Slice(active->route->shards, active->ranges[group]),
+                        active->ranges.size(), tried);
+  };
+  active->ranges = ranges;
+  active->shared = std::make_unique<query::SharedGather>(
+      PlanFor(route, *active->request), ranges, options, choose, [this] { return ids_.Next(); },
+      arrived);
+  active->shared->Advance(now);
+  CollectShared(now, id);
+  return true;
+}
+
+void GatewayServer::Ask(Timestamp now, const Active& active,
+                        const query::GroupQuestion& question) {
+  const policy::QueryPlan plan = PlanFor(*active.route, *active.request);
+  const Timestamp started = active.shared->started();
+  wire::PartialQuery query;
+  query.id = question.id;
+  query.route = active.route->name;
+  query.request_id = active.request->request_id;
+  query.method = active.request->method;
+  query.head = active.request->encoded_head;
+  query.payload = active.request->body;
+  query.budget = std::max(Duration(0), started + plan.deadline - now);
+  query.report_after =
+      std::max(Duration(0), started + plan.wait - options_.knobs.report_lead - now);
+  query.objective = active.route->objective;
+  query.top_records = static_cast<uint32_t>(active.route->top_records);
+  query.max_attempts = question.max_attempts;
+  query.again = question.again;
+  query.groups = static_cast<uint32_t>(active.ranges.size());
+  query.shards = Slice(active.route->shards, active.ranges[question.group]);
+  output_.peer_messages.push_back(
+      {question.merger, {options_.cluster, document_version(), std::move(query)}});
+}
+
+void GatewayServer::CancelQuestion(const query::GroupCancel& cancel) {
+  output_.peer_messages.push_back(
+      {cancel.merger,
+       {options_.cluster, document_version(), wire::PartialCancel{cancel.id, cancel.stop_work}}});
+}
+
+void GatewayServer::CollectShared(Timestamp now, RequestId id) {
+  Active& active = active_.at(id);
+  query::SharedGatherActions actions = active.shared->TakeActions();
+  for (const std::string& merger : actions.silent) {
+    suspects_[merger] = now + options_.knobs.merger_suspicion;
+  }
+  for (const query::GroupCancel& cancel : actions.cancels) {
+    CancelQuestion(cancel);
+  }
+  for (const query::GroupQuestion& question : actions.questions) {
+    request_of_question_[question.id] = id;
+    active.questions.push_back(question.id);
+    Ask(now, active, question);
+  }
+  if (actions.outcome.has_value()) {
+    AnswerShared(now, id, active, *std::move(actions.outcome));
+    Remove(id);
+    return;
+  }
+  Schedule(id, active.shared->NextWake(now));
+}
+
+void GatewayServer::AnswerShared(Timestamp now, RequestId id, const Active& active,
+                                 query::SharedOutcome outcome) {
+  GatewayAnswer out;
+  out.id = id;
+  out.request = active.request;
+  out.code = outcome.code;
+  out.run = outcome.run;
+  out.trace.route = active.route->name;
+  out.trace.document_version = active.table->version();
+  out.trace.config_age = subscriber_.Age(now);
+  out.trace.elapsed = now - active.shared->started();
+  out.trace.extra_sub_requests = outcome.extra;
+  out.trace.missing = std::move(outcome.missing);
+  out.trace.questions = active.shared->Questions();
+  const bool success = outcome.code == ResultCode::kOk || outcome.code == ResultCode::kPartial;
+  if (success) {
+    out.gathered = true;
+    out.signatures = std::move(outcome.signatures);
+    out.records = MergeGreatest({outcome.records.begin(), outcome.records.end()},
+                                active.route->top_records);
+    out.missing_shards = out.trace.missing.size();
+  } else {
+    out.retry_after = kRetryAfterFailure;
+  }
+  output_.answers.push_back(std::move(out));
+}
+
+void GatewayServer::OnPeerWord(Timestamp now, const std::string& address,
+                               const wire::Envelope& envelope) {
+  const auto* word = std::get_if<wire::PartialAnswer>(&envelope.body);
+  if (word == nullptr || envelope.cluster != options_.cluster) {
+    return;
+  }
+  suspects_.erase(address);
+  const auto found = request_of_question_.find(word->id);
+  if (found == request_of_question_.end()) {
+    return;
+  }
+  const RequestId id = found->second;
+  active_.at(id).shared->OnWord(now, *word);
+  CollectShared(now, id);
+}
+
+void GatewayServer::OnPeerLost(Timestamp now, const std::string& address) {
+  suspects_[address] = now + options_.knobs.merger_suspicion;
+  std::vector<RequestId> shared;
+  for (const auto& [id, active] : active_) {
+    if (active.shared != nullptr) {
+      shared.push_back(id);
+    }
+  }
+  for (const RequestId id : shared) {
+    active_.at(id).shared->OnMergerLost(now, address);
+    CollectShared(now, id);
+  }
+}
+
+}  // namespace pumicedyke::gateway
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -10,6 +10,7 @@
 #include "common/types.h"
 #include "http/message.h"
 #include "query/messages.h"
+#include "query/shared_gather.h"
 
 namespace pumicedyke::gateway {
 
@@ -66,6 +67,20 @@
   uint32_t extra_sub_requests = 0;
   std::vector<query::AttemptRecord> attempts;
   std::vector<query::MissingShard> missing;
+  /// Questions to other gateways, if they shared the work.
+  std::vector<query::QuestionRecord> questions;
+};
+
+/// What this gateway did for a group of shards that another one asked for, for the log.
+struct PartialTrace {
+  std::string request_id;
+  std::string route;
+  query::RunState run = query::RunState::kNotRun;
+  Duration elapsed{};
+  size_t shards = 0;
+  uint32_t extra_sub_requests = 0;
+  std::vector<query::AttemptRecord> attempts;
+  std::vector<query::MissingShard> missing;
 };
 
 /// The answer to a client's request.
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -196,9 +196,10 @@
     SetWaiting(shard, true);
     return;
   }
-  const SendKind kind = shard->attempts.empty() ? SendKind::kFirst
-                        : all_refused           ? SendKind::kReplacement
-                                                : SendKind::kExtra;
+  const bool first = shard->attempts.empty() && !options_.charge_first;
+  const SendKind kind = first         ? SendKind::kFirst
+                        : all_refused ? SendKind::kReplacement
+                                      : SendKind::kExtra;
   SetWaiting(shard, !SendTo(now, shard, kind));
 }
 
@@ -259,7 +260,12 @@
   }
   // Everyday hedges leave part of the budget for the moments when a replica stands still.
   const double quantile = std::max(plan_.hedge_quantile, 1 - kHedgeShare * plan_.extra_load);
-  return context_.latencies->Quantile(quantile);
+  const Duration delay = context_.latencies->Quantile(quantile);
+  if (options_.hedge_median_factor <= 0) {
+    return delay;
+  }
+  const auto median = static_cast<double>(context_.latencies->Quantile(kMedian).count());
+  return std::min(delay, Duration(static_cast<int64_t>(median * options_.hedge_median_factor)));
 }
 
 void RequestExecution::MaybeHedge(Timestamp now, ShardProgress* shard) {
@@ -323,6 +329,9 @@
   shard->payload = reply.payload;
   shard->reason = MissingReason::kNone;
   ++covered_;
+  if (options_.report_parts && reply.payload != nullptr) {
+    new_parts_.push_back({shard->shard.id, reply.payload});
+  }
   shard->results.insert(shard->results.end(), reply.results.begin(), reply.results.end());
   CancelOthers(now, shard, reply.id);
 }
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "balance/extra_load_budget.h"
@@ -41,8 +42,16 @@
   /// not before it is out for `overdue_minimum`: stopping it costs the leaf a new connection.
   int overdue_factor = 2;
   Duration overdue_minimum = Milliseconds(50);
+  /// A shard is asked a second time after this many times the median latency, if that comes before
+  /// the plan's quantile: a quantile lies among the slow leafs once there are enough of them. Zero:
+  /// by the quantile alone.
+  double hedge_median_factor = 0;
   /// A sub-request that replaces a refused one is charged to the budget, too.
   bool charge_replacements = false;
+  /// Somebody else may have sent already: a shard's first sub-request is charged like a hedge.
+  bool charge_first = false;
+  /// Parts can be taken with TakeNewParts() as they come.
+  bool report_parts = false;
   /// Baseline: retries after this time-out without a budget; zero means off.
   Duration naive_retry_timeout{};
   /// Baseline: hedges after this delay without a budget; zero means off.
@@ -102,6 +111,8 @@
   void DeclineRestart(Timestamp now);
 
   ExecutionActions TakeActions();
+  /// Parts that came since the last call; with `report_parts` only.
+  std::vector<ShardPayload> TakeNewParts() { return std::exchange(new_parts_, {}); }
   /// When Advance() must be called next, if no reply comes before.
   Timestamp NextWake(Timestamp now) const;
 
@@ -210,6 +221,7 @@
   bool needs_other_snapshot_ = false;
   bool answered_ = false;
   ExecutionActions actions_;
+  std::vector<ShardPayload> new_parts_;
 };
 
 }  // namespace pumicedyke::query
--- /dev/null
+++ b/src/query/shared_gather.cc
@@ -0,0 +1,279 @@
+#include "query/shared_gather.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumicedyke::query {
+namespace {
+
+/// Shares are compared with this much tolerance.
+constexpr double kCoverageEpsilon = 1e-9;
+
+}  // namespace
+
+SharedGather::SharedGather(const policy::QueryPlan& plan, std::vector<ShardRange> groups,
+                           SharedGatherOptions options, ChooseCb choose, NextIdCb next_id,
+                           Timestamp started)
+    : plan_(plan),
+      options_(options),
+      choose_(std::move(choose)),
+      next_id_(std::move(next_id)),
+      started_(started),
+      deadline_(started + plan.deadline) {
+  size_t shards = 0;
+  for (const ShardRange& range : groups) {
+    groups_.emplace_back().shards = range;
+    shards += range.count;
+  }
+  shards_.resize(shards);
+}
+
+SharedGatherActions SharedGather::TakeActions() { return std::exchange(actions_, {}); }
+
+bool SharedGather::Silent(Timestamp now, const Question& question) const {
+  const bool accepted = question.state == QuestionState::kAccepted;
+  return now - question.heard >= (accepted ? options_.silence_limit : options_.accept_patience);
+}
+
+void SharedGather::Advance(Timestamp now) {
+  for (size_t i = 0; i < groups_.size() && !answered_; ++i) {
+    AdvanceGroup(now, i);
+  }
+  Evaluate(now);
+}
+
+void SharedGather::AdvanceGroup(Timestamp now, size_t index) {
+  Group& group = groups_[index];
+  if (group.ended || now >= deadline_) {
+    return;
+  }
+  if (!group.questions.empty() && group.questions.back().open()) {
+    Question& question = group.questions.back();
+    if (!Silent(now, question)) {
+      return;
+    }
+    actions_.silent.push_back(question.merger);
+    actions_.cancels.push_back({question.id, question.merger, /*stop_work=*/true});
+    GiveUpOn(&group, &question);
+  }
+  Ask(now, index);
+}
+
+void SharedGather::GiveUpOn(Group* group, Question* question) {
+  const bool accepted = question->state == QuestionState::kAccepted;
+  group->attempts_used += accepted ? question->max_attempts : 1;
+  question->state = QuestionState::kLost;
+  unknown_ = true;
+}
+
+void SharedGather::Ask(Timestamp now, size_t index) {
+  Group& group = groups_[index];
+  const uint32_t most = std::max(1U, plan_.max_attempts);
+  const bool may_ask =
+      group.attempts_used < most && group.questions.size() < options_.most_mergers;
+  const std::optional<std::string> merger =
+      may_ask ? choose_(now, index, group.tried) : std::nullopt;
+  if (!merger.has_value()) {
+    End(&group);
+    return;
+  }
+  const uint64_t id = next_id_();
+  const uint32_t attempts = most - group.attempts_used;
+  group.tried.insert(*merger);
+  group.questions.push_back({id, index, *merger, attempts, now, now});
+  group_of_[id] = index;
+  actions_.questions.push_back({id, index, *merger, attempts, group.attempts_used > 0});
+}
+
+void SharedGather::End(Group* group) {
+  group->ended = true;
+  for (size_t i = 0; i < group->shards.count; ++i) {
+    Shard& shard = shards_[group->shards.first + i];
+    lost_ += shard.covered ? 0 : 1;
+    const bool untold = !shard.covered && shard.reason == MissingReason::kNotSent;
+    if (untold && !group->questions.empty()) {
+      shard.reason = MissingReason::kUnreachable;
+    }
+  }
+}
+
+SharedGather::Question* SharedGather::FindOpen(uint64_t id) {
+  const auto found = group_of_.find(id);
+  if (found == group_of_.end() || answered_) {
+    return nullptr;
+  }
+  // Only a group's newest question can be open.
+  Question& question = groups_[found->second].questions.back();
+  return question.id == id && question.open() ? &question : nullptr;
+}
+
+void SharedGather::OnWord(Timestamp now, const wire::PartialAnswer& word) {
+  Question* question = FindOpen(word.id);
+  if (question == nullptr) {
+    return;
+  }
+  Group& group = groups_[question->group];
+  question->heard = now;
+  switch (word.stage) {
+    case wire::PartialStage::kRefused:
+      // One that had confirmed may have sent meanwhile.
+      if (question->state == QuestionState::kAccepted) {
+        GiveUpOn(&group, question);
+      }
+      question->state = QuestionState::kRefused;
+      AdvanceGroup(now, question->group);
+      break;
+    case wire::PartialStage::kDone:
+      question->state = QuestionState::kDone;
+      TakeParts(group, word);
+      ran_ |= word.run == static_cast<uint32_t>(RunState::kRan);
+      unknown_ |= word.run == static_cast<uint32_t>(RunState::kUnknown);
+      End(&group);
+      break;
+    default:
+      question->state = QuestionState::kAccepted;
+      TakeParts(group, word);
+      break;
+  }
+  Evaluate(now);
+}
+
+void SharedGather::TakeParts(const Group& group, const wire::PartialAnswer& word) {
+  for (const wire::PartialPart& part : word.parts) {
+    if (part.shard >= group.shards.count) {
+      continue;
+    }
+    Shard& shard = shards_[group.shards.first + part.shard];
+    covered_ += shard.covered ? 0 : 1;
+    shard.covered = true;
+    outcome_.signatures.push_back(part.signature);
+    ran_ = true;
+  }
+  for (const wire::PartialGap& gap : word.gaps) {
+    if (gap.shard < group.shards.count) {
+      shards_[group.shards.first + gap.shard].reason = static_cast<MissingReason>(gap.reason);
+    }
+  }
+  if (!word.records.empty()) {
+    outcome_.records.push_back(word.records);
+  }
+  outcome_.extra += word.extra;
+}
+
+void SharedGather::OnMergerLost(Timestamp now, const std::string& merger) {
+  for (size_t i = 0; i < groups_.size() && !answered_; ++i) {
+    Group& group = groups_[i];
+    const bool asked = !group.ended && !group.questions.empty() &&
+                       group.questions.back().open() && group.questions.back().merger == merger;
+    if (asked) {
+      GiveUpOn(&group, &group.questions.back());
+      AdvanceGroup(now, i);
+    }
+  }
+  Evaluate(now);
+}
+
+bool SharedGather::Enough() const {
+  const double share = static_cast<double>(covered_) / static_cast<double>(shards_.size());
+  return covered_ > 0 && share + kCoverageEpsilon >= plan_.min_coverage;
+}
+
+void SharedGather::Evaluate(Timestamp now) {
+  if (answered_) {
+    return;
+  }
+  const size_t possible = shards_.size() - lost_;
+  const bool out_of_reach =
+      static_cast<double>(possible) / static_cast<double>(shards_.size()) + kCoverageEpsilon <
+      plan_.min_coverage;
+  if (covered_ == shards_.size()) {
+    Finish(ResultCode::kOk);
+  } else if (possible == covered_ || out_of_reach) {
+    Finish(ResultCode::kCoverageNotReached);
+  } else if (now >= deadline_) {
+    Finish(ResultCode::kDeadlineExceeded);
+  } else if (Enough() && now - started_ >= plan_.wait) {
+    Finish(ResultCode::kPartial);
+  }
+}
+
+void SharedGather::Finish(ResultCode failure) {
+  answered_ = true;
+  for (size_t i = 0; i < shards_.size(); ++i) {
+    if (!shards_[i].covered) {
+      outcome_.missing.push_back({ShardId{i}, shards_[i].reason});
+    }
+  }
+  for (const Group& group : groups_) {
+    for (const Question& question : group.questions) {
+      unknown_ |= question.open();
+    }
+  }
+  const bool whole = outcome_.missing.empty();
+  outcome_.code = whole ? ResultCode::kOk : Enough() ? ResultCode::kPartial : failure;
+  outcome_.run = unknown_ && !whole ? RunState::kUnknown
+                 : ran_             ? RunState::kRan
+                                    : RunState::kNotRun;
+  actions_.outcome = std::move(outcome_);
+  for (const Group& group : groups_) {
+    if (!group.questions.empty() && group.questions.back().open()) {
+      const Question& question = group.questions.back();
+      actions_.cancels.push_back({question.id, question.merger, /*stop_work=*/false});
+    }
+  }
+}
+
+void SharedGather::AbandonAll() {
+  answered_ = true;
+  for (const Group& group : groups_) {
+    if (!group.questions.empty() && group.questions.back().open()) {
+      const Question& question = group.questions.back();
+      actions_.cancels.push_back({question.id, question.merger, /*stop_work=*/true});
+    }
+  }
+}
+
+Timestamp SharedGather::NextWake(Timestamp now) const {
+  Timestamp wake = deadline_;
+  const Timestamp wait_over = started_ + plan_.wait;
+  if (wait_over > now) {
+    wake = std::min(wake, wait_over);
+  }
+  for (const Group& group : groups_) {
+    if (group.ended || group.questions.empty() || !group.questions.back().open()) {
+      continue;
+    }
+    const Question& question = group.questions.back();
+    const bool accepted = question.state == QuestionState::kAccepted;
+    wake = std::min(
+        wake, question.heard + (accepted ? options_.silence_limit : options_.accept_patience));
+  }
+  return std::max(wake, now);
+}
+
+std::vector<QuestionRecord> SharedGather::Questions() const {
+  const auto name_of = [](QuestionState state) {
+    switch (state) {
+      case QuestionState::kAsked:
+        return "asked";
+      case QuestionState::kAccepted:
+        return "accepted";
+      case QuestionState::kDone:
+        return "done";
+      case QuestionState::kRefused:
+        return "refused";
+      default:
+        return "lost";
+    }
+  };
+  std::vector<QuestionRecord> records;
+  for (const Group& group : groups_) {
+    for (const Question& question : group.questions) {
+      records.push_back(
+          {question.group, question.merger, question.sent - started_, name_of(question.state)});
+    }
+  }
+  return records;
+}
+
+}  // namespace pumicedyke::query
--- /dev/null
+++ b/src/query/shared_gather.h
@@ -0,0 +1,173 @@
+// A request over many shards that several gateways work on together: the shards are cut into groups,
+// each is asked of one merging gateway, and the partial answers make one. This is the side of the
+// gateway that the client reached. Events in, actions out; no socket, clock or thread.
+//
+// Why nothing runs too often although a merger may die or freeze at any moment: a merger sends to a
+// leaf a second time only after it has been asked for a while, and one that does not confirm the
+// question within `accept_patience` is told to stop and counts as having sent once. The next one is
+// told how many attempts are left. Once a merger has confirmed, all attempts count as used.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/result_code.h"
+#include "common/types.h"
+#include "policy/policy_program.h"
+#include "query/messages.h"
+#include "wire/messages.h"
+
+namespace pumicedyke::query {
+
+/// Consecutive shards of a request, by their place in its document.
+struct ShardRange {
+  size_t first = 0;
+  size_t count = 0;
+};
+
+struct SharedGatherOptions {
+  /// A merger that has not confirmed the question by then is given up on.
+  Duration accept_patience = Milliseconds(20);
+  /// One that has, and then says nothing for this long, is given up on, too. Mergers speak at least
+  /// every GatewayKnobs::sign_of_life.
+  Duration silence_limit = Milliseconds(200);
+  /// Mergers asked in turn for one group.
+  size_t most_mergers = 3;
+};
+
+/// One group, asked of one merger.
+struct GroupQuestion {
+  uint64_t id = 0;
+  size_t group = 0;
+  std::string merger;
+  uint32_t max_attempts = 1;
+  /// Another merger was asked before and may have sent.
+  bool again = false;
+};
+
+struct GroupCancel {
+  uint64_t id = 0;
+  std::string merger;
+  bool stop_work = false;
+};
+
+/// The whole answer, once there is one.
+struct SharedOutcome {
+  ResultCode code = ResultCode::kInternal;
+  RunState run = RunState::kNotRun;
+  std::vector<std::string> signatures;
+  /// Greatest records of each partial answer.
+  std::vector<std::string> records;
+  std::vector<MissingShard> missing;
+  uint32_t extra = 0;
+};
+
+struct SharedGatherActions {
+  std::vector<GroupQuestion> questions;
+  std::vector<GroupCancel> cancels;
+  /// Mergers that were given up on.
+  std::vector<std::string> silent;
+  std::optional<SharedOutcome> outcome;
+};
+
+/// What became of one question, for whoever explains the request afterwards.
+struct QuestionRecord {
+  size_t group = 0;
+  std::string merger;
+  Duration sent{};
+  /// "asked", "accepted", "done", "refused" or "lost".
+  const char* state = "";
+};
+
+/// Lives on the event loop's thread.
+class SharedGather {
+ public:
+  /// @return who is to merge a group, none of `tried`; unset: nobody can.
+  using ChooseCb = std::function<std::optional<std::string>(Timestamp now, size_t group,
+                                                            const std::set<std::string>& tried)>;
+  using NextIdCb = std::function<uint64_t()>;
+
+  /// @param groups cover every shard once.
+  SharedGather(const policy::QueryPlan& plan, std::vector<ShardRange> groups,
+               SharedGatherOptions options, ChooseCb choose, NextIdCb next_id, Timestamp started);
+
+  /// Asks what can be asked, gives up on silent mergers, and answers if it is time.
+  void Advance(Timestamp now);
+  /// Words that answer no open question are ignored.
+  void OnWord(Timestamp now, const wire::PartialAnswer& word);
+  /// The connection to the merger broke.
+  void OnMergerLost(Timestamp now, const std::string& merger);
+  /// The client has left.
+  void AbandonAll();
+
+  SharedGatherActions TakeActions();
+  /// When Advance() must be called next, if nothing comes before.
+  Timestamp NextWake(Timestamp now) const;
+  Timestamp started() const { return started_; }
+  /// Every question so far.
+  std::vector<QuestionRecord> Questions() const;
+
+ private:
+  enum class QuestionState { kAsked, kAccepted, kDone, kRefused, kLost };
+  struct Question {
+    uint64_t id = 0;
+    size_t group = 0;
+    std::string merger;
+    uint32_t max_attempts = 1;
+    Timestamp sent{};
+    Timestamp heard{};
+    QuestionState state = QuestionState::kAsked;
+    bool open() const {
+      return state == QuestionState::kAsked || state == QuestionState::kAccepted;
+    }
+  };
+  struct Group {
+    ShardRange shards;
+    std::vector<Question> questions;
+    std::set<std::string> tried;
+    /// Attempts per shard that may have been made.
+    uint32_t attempts_used = 0;
+    /// Nothing more is to come.
+    bool ended = false;
+  };
+  struct Shard {
+    bool covered = false;
+    MissingReason reason = MissingReason::kNotSent;
+  };
+
+  void AdvanceGroup(Timestamp now, size_t index);
+  void Ask(Timestamp now, size_t index);
+  void GiveUpOn(Group* group, Question* question);
+  void End(Group* group);
+  void TakeParts(const Group& group, const wire::PartialAnswer& word);
+  bool Silent(Timestamp now, const Question& question) const;
+  Question* FindOpen(uint64_t id);
+  void Evaluate(Timestamp now);
+  void Finish(ResultCode failure);
+  bool Enough() const;
+
+  policy::QueryPlan plan_;
+  SharedGatherOptions options_;
+  ChooseCb choose_;
+  NextIdCb next_id_;
+  Timestamp started_;
+  Timestamp deadline_;
+  std::vector<Group> groups_;
+  std::vector<Shard> shards_;
+  std::map<uint64_t, size_t> group_of_;
+  size_t covered_ = 0;
+  /// Shards without a part in groups that have ended.
+  size_t lost_ = 0;
+  bool ran_ = false;
+  bool unknown_ = false;
+  bool answered_ = false;
+  SharedOutcome outcome_;
+  SharedGatherActions actions_;
+};
+
+}  // namespace pumicedyke::query
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -12,9 +12,9 @@
 }
 
 /// Only sub-requests that tell something: those of missing shards and those sent again.
-Json AttemptsJson(const gateway::RequestTrace& trace, bool all) {
+Json AttemptsJson(const std::vector<query::AttemptRecord>& attempts, bool all) {
   Json list = Json::array();
-  for (const query::AttemptRecord& attempt : trace.attempts) {
+  for (const query::AttemptRecord& attempt : attempts) {
     const bool telling = all || std::string_view(attempt.state) != "done";
     if (telling) {
       list.push_back({{"shard", attempt.shard.value},
@@ -26,9 +26,21 @@
   return list;
 }
 
-Json MissingJson(const gateway::RequestTrace& trace) {
+/// Questions to other gateways: all of them, since a failed part is followed from here.
+Json QuestionsJson(const std::vector<query::QuestionRecord>& questions) {
   Json list = Json::array();
-  for (const query::MissingShard& shard : trace.missing) {
+  for (const query::QuestionRecord& question : questions) {
+    list.push_back({{"group", question.group},
+                    {"merger", question.merger},
+                    {"sent_ms", ToMilliseconds(question.sent)},
+                    {"state", question.state}});
+  }
+  return list;
+}
+
+Json MissingJson(const std::vector<query::MissingShard>& missing) {
+  Json list = Json::array();
+  for (const query::MissingShard& shard : missing) {
     list.push_back({{"shard", shard.shard.value}, {"reason", query::ReasonName(shard.reason)}});
   }
   return list;
@@ -60,13 +72,30 @@
                                 {"result", InfoOf(answer.code).name},
                                 {"status", status},
                                 {"run", query::RunStateName(answer.run)},
+                                {"client_waits_ms", ToMilliseconds(answer.request->deadline)},
                                 {"elapsed_ms", ToMilliseconds(trace.elapsed)},
                                 {"document_version", trace.document_version},
                                 {"config_age_ms", ToMilliseconds(trace.config_age)},
                                 {"retry_after_ms", ToMilliseconds(answer.retry_after)},
                                 {"extra", trace.extra_sub_requests},
-                                {"missing", MissingJson(trace)},
-                                {"attempts", AttemptsJson(trace, sampled)}});
+                                {"missing", MissingJson(trace.missing)},
+                                {"questions", QuestionsJson(trace.questions)},
+                                {"attempts", AttemptsJson(trace.attempts, sampled)}});
+}
+
+void GatewayLog::OnPartial(Timestamp now, const gateway::PartialTrace& trace) {
+  const bool sampled = Sampled(trace.request_id);
+  if ((trace.missing.empty() && !sampled) || !Allow(now)) {
+    return;
+  }
+  LogEvent("partial_answered", {{"request", trace.request_id},
+                                {"route", trace.route},
+                                {"run", query::RunStateName(trace.run)},
+                                {"elapsed_ms", ToMilliseconds(trace.elapsed)},
+                                {"shards", trace.shards},
+                                {"extra", trace.extra_sub_requests},
+                                {"missing", MissingJson(trace.missing)},
+                                {"attempts", AttemptsJson(trace.attempts, sampled)}});
 }
 
 void GatewayLog::OnClientGone(Timestamp now, const std::string& request_id) {
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -14,6 +14,8 @@
   /// A request that was answered: always a line for a failure or a partial answer, within a rate;
   /// for successes one in kSampledOneIn by the request's id, the same ones in every process.
   void OnAnswer(Timestamp now, const gateway::GatewayAnswer& answer, int status);
+  /// What was done for another gateway.
+  void OnPartial(Timestamp now, const gateway::PartialTrace& trace);
   void OnClientGone(Timestamp now, const std::string& request_id);
   void OnControlLink(const std::string& address, bool up);
   /// Compares what the gateway believes with what it believed at the last call.
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -35,6 +35,13 @@
   settings.port_file = file.String("port_file", "");
   settings.ready_listen = file.String("ready_listen", "");
   settings.metrics_listen = file.String("metrics_listen", "");
+  settings.peer_listen = file.String("peer_listen", "");
+  if (!settings.peer_listen.empty() && !IsAddress(settings.peer_listen)) {
+    file.AddError("peer_listen", "must be an address like \"127.0.0.1:7500\"");
+  }
+  constexpr double kSmallestShare = 0.001;
+  constexpr double kMostCores = 1024;
+  settings.processor_share = file.Number("processor_share", 1, kSmallestShare, kMostCores);
   settings.control = ReadControlAddresses(&file);
   if (settings.control.empty()) {
     file.AddError("control", "must list at least one control machine, or name 'seeds'");
@@ -66,6 +73,8 @@
   options.zone = settings_.zone;
   options.address = settings_.listen;
   options.incarnation = DrawIncarnation();
+  options.peer_address = settings_.peer_listen;
+  options.processor_share = settings_.processor_share;
   options.control = settings_.control;
   options.extra_load = settings_.extra_load;
   server_ = std::make_unique<gateway::GatewayServer>(options, &dialect_->documents(),
@@ -87,6 +96,9 @@
   if (absl::Status status = ListenForMetrics(); !status.ok()) {
     return status;
   }
+  if (absl::Status status = ListenForPeers(); !status.ok()) {
+    return status;
+  }
   LogEvent("started", {{"incarnation", options.incarnation}, {"listen", settings_.listen}});
   return WritePortFile(settings_.port_file, "http " + std::to_string(http_->port()) + "\n");
 }
@@ -108,6 +120,24 @@
   return metrics_http_->Listen(settings_.metrics_listen);
 }
 
+absl::Status GatewayProcess::ListenForPeers() {
+  if (settings_.peer_listen.empty()) {
+    return absl::OkStatus();
+  }
+  peer_frames_ = std::make_unique<net::FrameServer>(
+      loop_,
+      [this](uint64_t session, const wire::Envelope& envelope) {
+        server_->OnPeerQuestion(net::EventLoop::Now(), session, envelope,
+                                loop_->earliest_arrival());
+        CarryOutSoon();
+      },
+      [this](uint64_t session) {
+        server_->OnPeerSessionClosed(net::EventLoop::Now(), session);
+        CarryOutSoon();
+      });
+  return peer_frames_->Listen(settings_.peer_listen);
+}
+
 void GatewayProcess::OnLinkChange(const gateway::ControlLinkChange& change) {
   log_.OnControlLink(change.address, change.up);
   if (!change.up) {
@@ -171,6 +201,15 @@
       log_.OnAnswer(net::EventLoop::Now(), answer, status);
     }
   }
+  for (const gateway::PeerReply& reply : output.peer_replies) {
+    peer_frames_->Send(reply.session, reply.envelope);
+  }
+  for (const gateway::PeerMessage& message : output.peer_messages) {
+    SendToPeer(message);
+  }
+  for (const gateway::PartialTrace& partial : output.partials) {
+    log_.OnPartial(net::EventLoop::Now(), partial);
+  }
   for (gateway::LeafSend& send : output.sends) {
     SendToLeaf(std::move(send));
   }
@@ -230,6 +269,24 @@
   link->Send(message.envelope);
 }
 
+void GatewayProcess::SendToPeer(const gateway::PeerMessage& message) {
+  std::unique_ptr<net::FrameClient>& peer = peers_[message.address];
+  if (peer == nullptr) {
+    const std::string address = message.address;
+    peer = std::make_unique<net::FrameClient>(
+        loop_, address,
+        [this, address](const wire::Envelope& envelope) {
+          server_->OnPeerWord(net::EventLoop::Now(), address, envelope);
+          CarryOutSoon();
+        },
+        [this, address] {
+          server_->OnPeerLost(net::EventLoop::Now(), address);
+          CarryOutSoon();
+        });
+  }
+  peer->Send(message.envelope);
+}
+
 void GatewayProcess::OnHttp(http::HttpRequest request, http::Responder responder) {
   if (dialect_->IsReadinessProbe(request)) {
     const bool ready = server_->ready();
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -30,6 +30,10 @@
   std::string ready_listen;
   /// Where the metrics page is served; empty: nowhere.
   std::string metrics_listen;
+  /// Where other gateways reach this one; empty: it works alone.
+  std::string peer_listen;
+  /// Cores that this process may use.
+  double processor_share = 1;
   /// Frame addresses of control machines.
   std::vector<std::string> control;
   gateway::ExtraLoadBound extra_load;
@@ -60,6 +64,8 @@
   void SendToLeaf(gateway::LeafSend send);
   void CancelAtLeaf(const gateway::LeafCancel& cancel);
   void SendToControl(const gateway::ControlMessage& message);
+  void SendToPeer(const gateway::PeerMessage& message);
+  absl::Status ListenForPeers();
   void OnHttp(http::HttpRequest request, http::Responder responder);
   absl::Status ListenForMetrics();
   void OnLinkChange(const gateway::ControlLinkChange& change);
@@ -73,6 +79,9 @@
   std::unique_ptr<http::HttpServer> ready_http_;
   std::unique_ptr<http::HttpClient> client_;
   std::map<std::string, std::unique_ptr<net::FrameClient>> control_;
+  /// Questions of other gateways, and connections to those asked, by address.
+  std::unique_ptr<net::FrameServer> peer_frames_;
+  std::map<std::string, std::unique_ptr<net::FrameClient>> peers_;
   std::map<RequestId, http::Responder> waiting_;
   std::map<SubRequestId, http::HttpClient::CallId> calls_;
   uint64_t next_request_ = 1;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -239,11 +239,14 @@
   out.zone = arena->String(presence.zone);
   out.serving = presence.serving;
   out.leaf_version = presence.leaf_version;
+  out.peer_address = arena->String(presence.peer_address);
+  out.wants_peers = presence.wants_peers;
+  out.peers_version = presence.peers_version;
 }
 
 GatewayPresence Read(const pumicedyke_wire_GatewayPresence& in) {
-  return {Text(in.node), in.incarnation, Text(in.address),
-          Text(in.zone), in.serving,     in.leaf_version};
+  return {Text(in.node),   in.incarnation,        Text(in.address), Text(in.zone),   in.serving,
+          in.leaf_version, Text(in.peer_address), in.wants_peers,   in.peers_version};
 }
 
 void Fill(const LeafFeed& feed, Arena* arena, pumicedyke_wire_Envelope* envelope) {
@@ -289,6 +292,109 @@
   return feed;
 }
 
+void Fill(const GatewayFeed& feed, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_gateway_feed_tag;
+  pumicedyke_wire_GatewayFeed& out = envelope->body.gateway_feed;
+  out.from_version = feed.from_version;
+  out.version = feed.version;
+  out.peers_count = static_cast<pb_size_t>(feed.peers.size());
+  out.peers = arena->Array<pumicedyke_wire_GatewayRecord>(feed.peers.size());
+  for (size_t i = 0; i < feed.peers.size(); ++i) {
+    const GatewayRecord& record = feed.peers[i];
+    out.peers[i] = {arena->String(record.node), arena->String(record.zone),
+                    arena->String(record.peer_address)};
+  }
+  out.gone = arena->Strings(feed.gone, &out.gone_count);
+}
+
+GatewayFeed Read(const pumicedyke_wire_GatewayFeed& in) {
+  GatewayFeed feed{in.from_version, in.version, {}, Texts(in.gone, in.gone_count)};
+  for (pb_size_t i = 0; i < in.peers_count; ++i) {
+    const pumicedyke_wire_GatewayRecord& record = in.peers[i];
+    feed.peers.push_back({Text(record.node), Text(record.zone), Text(record.peer_address)});
+  }
+  return feed;
+}
+
+void Fill(const PartialQuery& query, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_partial_query_tag;
+  pumicedyke_wire_PartialQuery& out = envelope->body.partial_query;
+  out.id = query.id;
+  out.route = arena->String(query.route);
+  out.request_id = arena->String(query.request_id);
+  out.method = arena->String(query.method);
+  out.head = arena->Pieces(query.head, &out.head_count);
+  out.payload = arena->Pieces(query.payload, &out.payload_count);
+  out.budget_us = static_cast<uint64_t>(query.budget.count());
+  out.report_after_us = static_cast<uint64_t>(query.report_after.count());
+  out.objective_us = static_cast<uint64_t>(query.objective.count());
+  out.top_records = query.top_records;
+  out.max_attempts = query.max_attempts;
+  out.again = query.again;
+  out.groups = query.groups;
+  out.shards = arena->Strings(query.shards, &out.shards_count);
+}
+
+PartialQuery Read(const pumicedyke_wire_PartialQuery& in) {
+  PartialQuery query;
+  query.id = in.id;
+  query.route = Text(in.route);
+  query.request_id = Text(in.request_id);
+  query.method = Text(in.method);
+  query.head = Join(in.head, in.head_count);
+  query.payload = Join(in.payload, in.payload_count);
+  query.budget = Duration(static_cast<int64_t>(in.budget_us));
+  query.report_after = Duration(static_cast<int64_t>(in.report_after_us));
+  query.objective = Duration(static_cast<int64_t>(in.objective_us));
+  query.top_records = in.top_records;
+  query.max_attempts = in.max_attempts;
+  query.again = in.again;
+  query.groups = in.groups;
+  query.shards = Texts(in.shards, in.shards_count);
+  return query;
+}
+
+void Fill(const PartialCancel& cancel, Arena* /*arena*/, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_partial_cancel_tag;
+  envelope->body.partial_cancel = {cancel.id, cancel.stop_work};
+}
+
+void Fill(const PartialAnswer& answer, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_partial_answer_tag;
+  pumicedyke_wire_PartialAnswer& out = envelope->body.partial_answer;
+  out.id = answer.id;
+  out.stage = static_cast<uint32_t>(answer.stage);
+  out.parts_count = static_cast<pb_size_t>(answer.parts.size());
+  out.parts = arena->Array<pumicedyke_wire_PartialPart>(answer.parts.size());
+  for (size_t i = 0; i < answer.parts.size(); ++i) {
+    out.parts[i] = {answer.parts[i].shard, arena->String(answer.parts[i].signature)};
+  }
+  out.merged = arena->Pieces(answer.records, &out.merged_count);
+  out.gaps_count = static_cast<pb_size_t>(answer.gaps.size());
+  out.gaps = arena->Array<pumicedyke_wire_PartialGap>(answer.gaps.size());
+  for (size_t i = 0; i < answer.gaps.size(); ++i) {
+    out.gaps[i] = {answer.gaps[i].shard, answer.gaps[i].reason};
+  }
+  out.run = answer.run;
+  out.extra = answer.extra;
+}
+
+PartialAnswer Read(const pumicedyke_wire_PartialAnswer& in) {
+  PartialAnswer answer;
+  answer.id = in.id;
+  answer.stage = static_cast<PartialStage>(in.stage);
+  for (pb_size_t i = 0; i < in.parts_count; ++i) {
+    answer.parts.push_back({in.parts[i].shard, Text(in.parts[i].signature)});
+  }
+  answer.records = Join(in.merged, in.merged_count);
+  for (pb_size_t i = 0; i < in.gaps_count; ++i) {
+    answer.gaps.push_back({in.gaps[i].shard, in.gaps[i].reason});
+  }
+  answer.run = in.run;
+  answer.extra = in.extra;
+  return answer;
+}
+
 absl::StatusOr<Body> ReadBody(const pumicedyke_wire_Envelope& in) {
   switch (in.which_body) {
     case pumicedyke_wire_Envelope_raft_tag:
@@ -323,6 +429,14 @@
       return Body(Read(in.body.presence));
     case pumicedyke_wire_Envelope_leaf_feed_tag:
       return Body(Read(in.body.leaf_feed));
+    case pumicedyke_wire_Envelope_gateway_feed_tag:
+      return Body(Read(in.body.gateway_feed));
+    case pumicedyke_wire_Envelope_partial_query_tag:
+      return Body(Read(in.body.partial_query));
+    case pumicedyke_wire_Envelope_partial_cancel_tag:
+      return Body(PartialCancel{in.body.partial_cancel.id, in.body.partial_cancel.stop_work});
+    case pumicedyke_wire_Envelope_partial_answer_tag:
+      return Body(Read(in.body.partial_answer));
     default:
       return MakeStatus(ResultCode::kMalformedRequest, "frame without a known body");
   }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -167,6 +167,101 @@
   bool serving = false;
   /// Version of this control machine's leafs that the gateway holds.
   uint64_t leaf_version = 0;
+  /// Where other gateways reach it; empty: nowhere.
+  std::string peer_address = {};
+  /// The gateway wants to hear of other gateways from this control machine, of which it holds the
+  /// list of version `peers_version`.
+  bool wants_peers = false;
+  uint64_t peers_version = 0;
+};
+
+/// A gateway that serves, as other gateways know it.
+struct GatewayRecord {
+  std::string node;
+  std::string zone;
+  std::string peer_address;
+  bool operator==(const GatewayRecord&) const = default;
+};
+
+/// What changed among the gateways that one control machine hears of.
+struct GatewayFeed {
+  /// Zero: `peers` is everything; else what changed since that version.
+  uint64_t from_version = 0;
+  uint64_t version = 0;
+  std::vector<GatewayRecord> peers;
+  /// Gateways that are gone or no longer serve.
+  std::vector<std::string> gone;
+};
+
+/// One gateway asks another to gather a group of shards, each a service, and to merge their parts.
+/// The shards are named by the sender's document, so that the parts of all groups come from one.
+struct PartialQuery {
+  /// Unique among the sender's questions.
+  uint64_t id = 0;
+  std::string route;
+  /// The client's own name for its attempt.
+  std::string request_id;
+  std::string method;
+  /// Method, target and headers as they go to every leaf.
+  std::string head;
+  std::string payload;
+  /// Time left for the whole request when this was written.
+  Duration budget{};
+  /// What is in by then is reported; later parts as they come.
+  Duration report_after{};
+  Duration objective{};
+  uint32_t top_records = 0;
+  /// Leafs that each shard may be sent to.
+  uint32_t max_attempts = 1;
+  /// Another gateway was asked before and may have sent: every sub-request counts as extra load.
+  bool again = false;
+  /// Groups that the sender cut all shards into.
+  uint32_t groups = 1;
+  std::vector<std::string> shards;
+};
+
+struct PartialCancel {
+  uint64_t id = 0;
+  /// Nobody waits any more: work at leafs must end.
+  bool stop_work = false;
+};
+
+enum class PartialStage : uint32_t {
+  /// The question was taken; also repeated as a sign of life.
+  kAccepted = 1,
+  /// Some more parts.
+  kParts = 2,
+  /// The last word.
+  kDone = 3,
+  /// Nothing was sent to any leaf, and nothing will be.
+  kRefused = 4,
+};
+
+/// The part of one shard, by its place in the question.
+struct PartialPart {
+  uint32_t shard = 0;
+  std::string signature;
+};
+
+/// A shard that gives no part, with a query::MissingReason.
+struct PartialGap {
+  uint32_t shard = 0;
+  uint32_t reason = 0;
+};
+
+/// Word of the gateway that merges a group; parts are told once.
+struct PartialAnswer {
+  uint64_t id = 0;
+  PartialStage stage = PartialStage::kAccepted;
+  std::vector<PartialPart> parts;
+  /// The greatest records of these parts.
+  std::string records;
+  /// With the last word only.
+  std::vector<PartialGap> gaps;
+  /// A query::RunState, with the last word only.
+  uint32_t run = 0;
+  /// Sub-requests beyond the first of each shard.
+  uint32_t extra = 0;
 };
 
 /// What changed among the leafs that report to one control machine.
@@ -183,9 +278,9 @@
   uint32_t gateways = 0;
 };
 
-using Body =
-    std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply, JoinRequest,
-                 Forwarded, ForwardedReply, GatewayPresence, LeafFeed, JoinReply>;
+using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
+                          JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed,
+                          JoinReply, GatewayFeed, PartialQuery, PartialCancel, PartialAnswer>;
 
 struct Envelope {
   std::string cluster;
--- a/test/directory/gateway_directory_test.cc
+++ b/test/directory/gateway_directory_test.cc
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+
 namespace pumicedyke::directory {
 namespace {
 
@@ -12,6 +14,12 @@
   return {node, 7, node + ":80", zone, serving, 0};
 }
 
+wire::GatewayPresence Reachable(const std::string& node, bool serving) {
+  wire::GatewayPresence presence = Presence(node, "north", serving);
+  presence.peer_address = node + ":7500";
+  return presence;
+}
+
 }  // namespace
 
 class GatewayDirectoryTest : public CppUnit::TestFixture {
@@ -21,6 +29,8 @@
   CPPUNIT_TEST(SilentOneIsNotNamed);
   CPPUNIT_TEST(LossOfAnEarlierLifeLeavesTheLaterOne);
   CPPUNIT_TEST(AnswerIsBounded);
+  CPPUNIT_TEST(PeersHearWhatChanged);
+  CPPUNIT_TEST(PeersFarBehindHearEverything);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -32,6 +42,62 @@
     CPPUNIT_ASSERT(expected == directory.AddressesFor(kStart, "south"));
   }
 
+  /// Whatever happens, a list kept by changes equals the full one.
+  void PeersHearWhatChanged() {
+    GatewayDirectory directory({.silence_limit = Seconds(1)});
+    std::map<std::string, wire::GatewayRecord> kept;
+    uint64_t version = 0;
+    const auto follow = [&] {
+      const wire::GatewayFeed feed = directory.ChangesSince(version);
+      if (feed.from_version == 0) {
+        kept.clear();
+      }
+      for (const wire::GatewayRecord& record : feed.peers) {
+        kept[record.node] = record;
+      }
+      for (const std::string& node : feed.gone) {
+        kept.erase(node);
+      }
+      version = feed.version;
+      const wire::GatewayFeed all = directory.ChangesSince(0);
+      CPPUNIT_ASSERT_EQUAL(all.peers.size(), kept.size());
+      for (const wire::GatewayRecord& record : all.peers) {
+        CPPUNIT_ASSERT(kept.contains(record.node));
+      }
+    };
+    directory.OnPresence(kStart, Reachable("a", true));
+    directory.OnPresence(kStart, Reachable("b", true));
+    directory.OnPresence(kStart, Presence("unreachable", "north", true));
+    follow();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, kept.size());
+    const uint64_t before = directory.version();
+    directory.OnPresence(kStart, Reachable("a", true));
+    CPPUNIT_ASSERT_EQUAL(before, directory.version());
+    directory.OnPresence(kStart, Reachable("a", false));
+    follow();
+    CPPUNIT_ASSERT(!kept.contains("a"));
+    directory.OnPresence(kStart, Reachable("a", true));
+    directory.OnLost("b", 7);
+    follow();
+    CPPUNIT_ASSERT(kept.contains("a") && !kept.contains("b"));
+    directory.DropSilent(kStart + Seconds(2));
+    follow();
+    CPPUNIT_ASSERT(kept.empty());
+  }
+
+  void PeersFarBehindHearEverything() {
+    GatewayDirectory directory({.kept_removals = 1});
+    directory.OnPresence(kStart, Reachable("a", true));
+    const uint64_t version = directory.version();
+    for (const char* node : {"b", "c"}) {
+      directory.OnPresence(kStart, Reachable(node, true));
+      directory.OnLost(node, 7);
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, directory.ChangesSince(version).from_version);
+    // A version of another life of this machine.
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, directory.ChangesSince(version + 100).from_version);
+  }
+
   void OneThatStopsServingIsNotNamed() {
     GatewayDirectory directory({});
     directory.OnPresence(kStart, Presence("a", "north", true));
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -51,7 +51,8 @@
 /// A gateway with the words of one control machine.
 class GatewayHarness {
  public:
-  GatewayHarness() : server(Options(), &reader_, kStart) {}
+  explicit GatewayHarness(const GatewayOptions& options = Options())
+      : server(options, &reader_, kStart) {}
 
   static GatewayOptions Options() {
     GatewayOptions options;
@@ -83,6 +84,14 @@
     return {id, service, id + ":80", "north", 2, false, 0};
   }
 
+  /// Other gateways, by the word of the control machine.
+  void Peers(std::vector<wire::GatewayRecord> peers) {
+    wire::GatewayFeed feed;
+    feed.version = ++peers_version_;
+    feed.peers = std::move(peers);
+    server.OnControlMessage(now, kControl, {"test", 0, feed});
+  }
+
   /// @param unread how long the request may have waited to be read. @return the request's id.
   RequestId Ask(const std::string& target, Duration deadline = Seconds(1), Duration unread = {}) {
     auto request = std::make_shared<PayloadRequest>();
@@ -132,6 +141,12 @@
     for (const LeafCancel& cancel : output.cancels) {
       cancels.push_back(cancel);
     }
+    for (PeerMessage& message : output.peer_messages) {
+      peer_messages.push_back(std::move(message));
+    }
+    for (PeerReply& reply : output.peer_replies) {
+      peer_replies.push_back(std::move(reply));
+    }
     for (const ControlLinkChange& change : output.link_changes) {
       links.push_back(change);
     }
@@ -157,6 +172,7 @@
   TestReader reader_;
   config::ConfigState state_;
   uint64_t leaf_version_ = 0;
+  uint64_t peers_version_ = 0;
   uint64_t asked_ = 0;
 
  public:
@@ -165,6 +181,8 @@
   std::vector<GatewayAnswer> answers;
   std::vector<LeafCancel> cancels;
   std::vector<ControlMessage> control;
+  std::vector<PeerMessage> peer_messages;
+  std::vector<PeerReply> peer_replies;
 };
 
 }  // namespace pumicedyke::gateway
--- /dev/null
+++ b/test/gateway/gateway_sharing_test.cc
@@ -0,0 +1,336 @@
+// Requests that several gateways work on together, without sockets: the gateway that the client
+// reached and one that merges a group.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "gateway/gateway_harness.h"
+#include "gateway/gateway_server.h"
+#include "gateway/record_merge.h"
+
+namespace pumicedyke::gateway {
+namespace {
+
+constexpr size_t kShards = 100;
+constexpr PeerSessionId kSession = 3;
+
+std::string Service(size_t i) { return "s" + std::to_string(i); }
+
+std::string Document() {
+  Json route = {"all", "/all/", true};
+  for (size_t i = 0; i < kShards; ++i) {
+    route.push_back(Service(i));
+  }
+  return Json::array({route}).dump();
+}
+
+GatewayOptions SharingOptions() {
+  GatewayOptions options = GatewayHarness::Options();
+  options.zone = "north";
+  options.peer_address = "10.0.0.9:7500";
+  options.processor_share = 0.12;
+  return options;
+}
+
+wire::GatewayRecord Peer(const std::string& node) { return {node, "north", node + ":7500"}; }
+
+/// A gateway with a hundred shards, a leaf each, and five others.
+struct Sharing {
+  Sharing() : h(SharingOptions()) {
+    std::vector<wire::LeafRecord> leafs;
+    for (size_t i = 0; i < kShards; ++i) {
+      leafs.push_back(GatewayHarness::Leaf("leaf" + std::to_string(i), Service(i)));
+    }
+    h.Put(1, Document());
+    h.Report(leafs);
+    h.Peers({Peer("g1"), Peer("g2"), Peer("g3"), Peer("g4"), Peer("g5")});
+    h.Take();
+  }
+
+  const wire::PartialQuery& Question(size_t i) const {
+    return std::get<wire::PartialQuery>(h.peer_messages.at(i).envelope.body);
+  }
+  void Word(const wire::PartialQuery& question, wire::PartialStage stage, char record = 0) {
+    wire::PartialAnswer word;
+    word.id = question.id;
+    word.stage = stage;
+    if (record != 0) {
+      for (uint32_t i = 0; i < question.shards.size(); ++i) {
+        word.parts.push_back({i, "sig-" + question.shards[i]});
+      }
+      word.records = std::string(kRecordBytes, record);
+    }
+    h.server.OnPeerWord(h.now, AddressOf(question.id), {"test", 1, word});
+    h.Take();
+  }
+  std::string AddressOf(uint64_t question) const {
+    for (const PeerMessage& message : h.peer_messages) {
+      const auto* query = std::get_if<wire::PartialQuery>(&message.envelope.body);
+      if (query != nullptr && query->id == question) {
+        return message.address;
+      }
+    }
+    return {};
+  }
+  /// Asks this gateway to merge two shards.
+  void BeMerger(uint64_t id, uint32_t max_attempts = 2, bool again = false) {
+    wire::PartialQuery query;
+    query.id = id;
+    query.route = "all";
+    query.request_id = "client-" + std::to_string(id);
+    query.method = "GET";
+    query.budget = Milliseconds(500);
+    query.report_after = Milliseconds(60);
+    query.objective = Milliseconds(100);
+    query.top_records = 2;
+    query.max_attempts = max_attempts;
+    query.again = again;
+    query.groups = 8;
+    query.shards = {Service(0), Service(1)};
+    h.server.OnPeerQuestion(h.now, kSession, {"test", 1, query}, h.now);
+    h.Take();
+  }
+  const wire::PartialAnswer& WordSent(size_t i) const {
+    return std::get<wire::PartialAnswer>(h.peer_replies.at(i).envelope.body);
+  }
+
+  GatewayHarness h;
+};
+
+}  // namespace
+
+class GatewaySharingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewaySharingTest);
+  CPPUNIT_TEST(ManyShardsAreSharedInGroups);
+  CPPUNIT_TEST(WithoutOthersItGathersAlone);
+  CPPUNIT_TEST(AnswerIsMadeOfPartialOnes);
+  CPPUNIT_TEST(SilentMergerIsAskedLast);
+  CPPUNIT_TEST(ClientGoneIsPassedOn);
+  CPPUNIT_TEST(RunningRequestKeepsItsShards);
+  CPPUNIT_TEST(MergerReportsWhenAllIsIn);
+  CPPUNIT_TEST(MergerReportsWhatIsInThenTheRest);
+  CPPUNIT_TEST(MergerIsHeardOfWhileItWaits);
+  CPPUNIT_TEST(MergerWithoutRoutesRefuses);
+  CPPUNIT_TEST(MergerDoesNothingWithAQuestionThatIsTooOld);
+  CPPUNIT_TEST(CancelStopsTheWork);
+  CPPUNIT_TEST(ClosedConnectionStopsTheWork);
+  CPPUNIT_TEST(MergerKeepsWithinItsAttempts);
+  CPPUNIT_TEST(MergerOfASecondQuestionPaysForEverySubRequest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ManyShardsAreSharedInGroups() {
+    Sharing s;
+    s.h.Ask("/all/1");
+    CPPUNIT_ASSERT(s.h.sends.empty());
+    CPPUNIT_ASSERT(s.h.peer_messages.size() > 2);
+    std::set<std::string> asked;
+    for (size_t i = 0; i < s.h.peer_messages.size(); ++i) {
+      CPPUNIT_ASSERT(s.h.peer_messages[i].address != SharingOptions().peer_address);
+      CPPUNIT_ASSERT(s.Question(i).budget < Seconds(1));
+      asked.insert(s.Question(i).shards.begin(), s.Question(i).shards.end());
+    }
+    CPPUNIT_ASSERT_EQUAL(kShards, asked.size());
+  }
+
+  void WithoutOthersItGathersAlone() {
+    Sharing s;
+    s.h.Peers({Peer("g1")});
+    s.h.Ask("/all/1");
+    CPPUNIT_ASSERT(s.h.peer_messages.empty());
+    CPPUNIT_ASSERT_EQUAL(kShards, s.h.sends.size());
+  }
+
+  void AnswerIsMadeOfPartialOnes() {
+    Sharing s;
+    s.h.Ask("/all/1");
+    const size_t questions = s.h.peer_messages.size();
+    for (size_t i = 0; i < questions; ++i) {
+      CPPUNIT_ASSERT(s.h.answers.empty());
+      s.Word(s.Question(i), wire::PartialStage::kDone, static_cast<char>('a' + i));
+    }
+    const GatewayAnswer& answer = s.h.answers.at(0);
+    CPPUNIT_ASSERT(answer.code == ResultCode::kOk);
+    CPPUNIT_ASSERT(answer.gathered);
+    CPPUNIT_ASSERT_EQUAL(kShards, answer.signatures.size());
+    const char best = static_cast<char>('a' + questions - 1);
+    CPPUNIT_ASSERT_EQUAL(std::string(kRecordBytes, best), answer.records.substr(0, kRecordBytes));
+    CPPUNIT_ASSERT_EQUAL(2 * kRecordBytes, answer.records.size());
+    CPPUNIT_ASSERT(s.h.server.Drained());
+  }
+
+  void SilentMergerIsAskedLast() {
+    Sharing s;
+    s.h.Ask("/all/1");
+    const std::string silent = s.h.peer_messages.at(0).address;
+    const size_t questions = s.h.peer_messages.size();
+    for (size_t i = 0; i < questions; ++i) {
+      if (s.h.peer_messages[i].address != silent) {
+        s.Word(s.Question(i), wire::PartialStage::kAccepted);
+      }
+    }
+    s.h.Pass(Milliseconds(25));
+    s.h.peer_messages.clear();
+    s.h.Ask("/all/2");
+    for (const PeerMessage& message : s.h.peer_messages) {
+      CPPUNIT_ASSERT(message.address != silent);
+    }
+  }
+
+  void ClientGoneIsPassedOn() {
+    Sharing s;
+    const RequestId id = s.h.Ask("/all/1");
+    const size_t questions = s.h.peer_messages.size();
+    s.h.server.OnClientGone(s.h.now, id);
+    s.h.Take();
+    CPPUNIT_ASSERT_EQUAL(2 * questions, s.h.peer_messages.size());
+    for (size_t i = questions; i < s.h.peer_messages.size(); ++i) {
+      const auto& cancel = std::get<wire::PartialCancel>(s.h.peer_messages[i].envelope.body);
+      CPPUNIT_ASSERT(cancel.stop_work);
+    }
+    CPPUNIT_ASSERT(s.h.server.Drained());
+  }
+
+  /// A document with other shards comes while mergers change: what is asked stays as it was.
+  void RunningRequestKeepsItsShards() {
+    Sharing s;
+    s.h.Ask("/all/1");
+    const size_t questions = s.h.peer_messages.size();
+    const wire::PartialQuery first = s.Question(0);
+    s.h.Put(2, R"([["all", "/all/", true, "other0", "other1"]])");
+    s.Word(first, wire::PartialStage::kRefused);
+    CPPUNIT_ASSERT_EQUAL(questions + 1, s.h.peer_messages.size());
+    CPPUNIT_ASSERT(s.Question(questions).shards == first.shards);
+  }
+
+  void MergerReportsWhenAllIsIn() {
+    Sharing s;
+    s.BeMerger(77);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, s.h.sends.size());
+    CPPUNIT_ASSERT(s.WordSent(0).stage == wire::PartialStage::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::string("client-77"), s.h.sends[0].request->request_id);
+    s.h.Reply(s.h.sends[0], query::LeafStatus::kOk, std::string(16, 'a'));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, s.h.peer_replies.size());
+    s.h.Reply(s.h.sends[1], query::LeafStatus::kOk, std::string(16, 'b'));
+    const wire::PartialAnswer& word = s.WordSent(1);
+    CPPUNIT_ASSERT(word.stage == wire::PartialStage::kDone);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, word.parts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string(16, 'b') + std::string(16, 'a'), word.records);
+    CPPUNIT_ASSERT_EQUAL(kSession, s.h.peer_replies[1].session);
+    CPPUNIT_ASSERT(s.h.server.Drained());
+  }
+
+  void MergerReportsWhatIsInThenTheRest() {
+    Sharing s;
+    s.BeMerger(77);
+    s.h.Reply(s.h.sends[0], query::LeafStatus::kOk, std::string(16, 'a'));
+    s.h.Pass(Milliseconds(59));
+    for (size_t i = 0; i < s.h.peer_replies.size(); ++i) {
+      CPPUNIT_ASSERT(s.WordSent(i).stage == wire::PartialStage::kAccepted);
+    }
+    s.h.Pass(Milliseconds(1));
+    const wire::PartialAnswer early = s.WordSent(s.h.peer_replies.size() - 1);
+    CPPUNIT_ASSERT(early.stage == wire::PartialStage::kParts);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, early.parts.size());
+    s.h.Reply(s.h.sends[1], query::LeafStatus::kOk, std::string(16, 'b'));
+    const wire::PartialAnswer& last = s.WordSent(s.h.peer_replies.size() - 1);
+    CPPUNIT_ASSERT(last.stage == wire::PartialStage::kDone);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, last.parts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string(16, 'b'), last.records);
+  }
+
+  void MergerIsHeardOfWhileItWaits() {
+    Sharing s;
+    s.BeMerger(77);
+    Timestamp last = s.h.now;
+    for (int i = 0; i < 400; ++i) {
+      s.h.peer_replies.clear();
+      s.h.Pass(Milliseconds(1));
+      if (!s.h.peer_replies.empty()) {
+        last = s.h.now;
+      }
+      CPPUNIT_ASSERT(s.h.now - last < query::SharedGatherOptions{}.silence_limit / 2);
+    }
+  }
+
+  void MergerWithoutRoutesRefuses() {
+    GatewayHarness h(SharingOptions());
+    wire::PartialQuery query;
+    query.id = 1;
+    query.shards = {Service(0)};
+    query.budget = Seconds(1);
+    h.server.OnPeerQuestion(h.now, kSession, {"test", 1, query}, h.now);
+    h.Take();
+    const auto& word = std::get<wire::PartialAnswer>(h.peer_replies.at(0).envelope.body);
+    CPPUNIT_ASSERT(word.stage == wire::PartialStage::kRefused);
+  }
+
+  /// The merger stood still: the question has waited longer than the client does.
+  void MergerDoesNothingWithAQuestionThatIsTooOld() {
+    Sharing s;
+    wire::PartialQuery query;
+    query.id = 1;
+    query.shards = {Service(0)};
+    query.budget = Milliseconds(500);
+    s.h.server.OnPeerQuestion(s.h.now, kSession, {"test", 1, query}, s.h.now - Milliseconds(500));
+    s.h.Take();
+    CPPUNIT_ASSERT(s.h.sends.empty());
+    CPPUNIT_ASSERT(s.WordSent(0).stage == wire::PartialStage::kRefused);
+  }
+
+  void CancelStopsTheWork() {
+    Sharing s;
+    s.BeMerger(77);
+    s.h.server.OnPeerQuestion(s.h.now, kSession, {"test", 1, wire::PartialCancel{77, true}},
+                              s.h.now);
+    s.h.Take();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, s.h.cancels.size());
+    CPPUNIT_ASSERT(s.h.cancels[0].stop_work);
+    CPPUNIT_ASSERT(s.h.server.Drained());
+    const size_t sent = s.h.sends.size();
+    s.h.Pass(Milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(sent, s.h.sends.size());
+  }
+
+  void ClosedConnectionStopsTheWork() {
+    Sharing s;
+    s.BeMerger(77);
+    s.BeMerger(78);
+    s.h.server.OnPeerSessionClosed(s.h.now, kSession + 1);
+    CPPUNIT_ASSERT(!s.h.server.Drained());
+    s.h.server.OnPeerSessionClosed(s.h.now, kSession);
+    s.h.Take();
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, s.h.cancels.size());
+    CPPUNIT_ASSERT(s.h.server.Drained());
+  }
+
+  void MergerKeepsWithinItsAttempts() {
+    Sharing s;
+    s.h.Report({GatewayHarness::Leaf("a1", Service(0)), GatewayHarness::Leaf("a2", Service(0)),
+                GatewayHarness::Leaf("a3", Service(0)), GatewayHarness::Leaf("b1", Service(1))});
+    s.h.Pass(Milliseconds(200));
+    s.BeMerger(77, /*max_attempts=*/1);
+    const auto is_first = [](const LeafSend& send) { return send.shard.value == 0; };
+    s.h.Pass(Milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(long{1}, std::count_if(s.h.sends.begin(), s.h.sends.end(), is_first));
+    s.h.sends.clear();
+    s.BeMerger(78, /*max_attempts=*/2);
+    s.h.Pass(Milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(long{2}, std::count_if(s.h.sends.begin(), s.h.sends.end(), is_first));
+  }
+
+  /// The budget of one gateway among many is soon spent by questions that others had before.
+  void MergerOfASecondQuestionPaysForEverySubRequest() {
+    Sharing s;
+    const size_t many = 60;
+    for (uint64_t id = 1; id <= many; ++id) {
+      s.BeMerger(id, /*max_attempts=*/1, /*again=*/true);
+    }
+    // Ten sub-requests in all are allowed beyond the first ones, for each shard.
+    CPPUNIT_ASSERT(s.h.sends.size() < 2 * many);
+    CPPUNIT_ASSERT(s.h.sends.size() <= 2 * 10);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySharingTest);
+
+}  // namespace pumicedyke::gateway
--- /dev/null
+++ b/test/gateway/merger_placement_test.cc
@@ -0,0 +1,95 @@
+// Groups of shards and who merges them.
+#include "gateway/merger_placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace pumicedyke::gateway {
+
+class MergerPlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MergerPlacementTest);
+  CPPUNIT_TEST(FewShardsAreGatheredAlone);
+  CPPUNIT_TEST(MoreShardsMakeMoreGroups);
+  CPPUNIT_TEST(GroupsCoverEveryShardOnce);
+  CPPUNIT_TEST(OneThatGoesMovesOnlyItsOwnGroups);
+  CPPUNIT_TEST(MergersAreFewButNeverOne);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FewShardsAreGatheredAlone() {
+    struct Case {
+      size_t shards;
+      double processor_share;
+      bool alone;
+    };
+    for (const Case& c : {Case{1, 0.1, true}, Case{20, 0.25, true}, Case{30, 0.25, true},
+                          Case{90, 0.12, false}, Case{180, 0.12, false}, Case{610, 0.12, false},
+                          Case{180, 64, true}}) {
+      CPPUNIT_ASSERT_EQUAL(c.alone, GroupCount(c.shards, c.processor_share) == 1);
+    }
+  }
+
+  void MoreShardsMakeMoreGroups() {
+    size_t before = 0;
+    for (const size_t shards : {90, 180, 270, 610, 2000}) {
+      const size_t groups = GroupCount(shards, 0.12);
+      CPPUNIT_ASSERT(groups > before);
+      CPPUNIT_ASSERT(groups < shards);
+      before = groups;
+    }
+  }
+
+  void GroupsCoverEveryShardOnce() {
+    const bool held = rc::check("groups cover every shard once", [] {
+      const size_t shards = *rc::gen::inRange<size_t>(1, 700);
+      const size_t groups = *rc::gen::inRange<size_t>(1, shards + 1);
+      const std::vector<query::ShardRange> ranges = CutIntoGroups(shards, groups);
+      RC_ASSERT(ranges.size() == groups);
+      size_t next = 0;
+      size_t shortest = shards;
+      size_t longest = 0;
+      for (const query::ShardRange& range : ranges) {
+        RC_ASSERT(range.first == next);
+        next += range.count;
+        shortest = std::min(shortest, range.count);
+        longest = std::max(longest, range.count);
+      }
+      RC_ASSERT(next == shards);
+      RC_ASSERT(longest - shortest <= 1);
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
+  void OneThatGoesMovesOnlyItsOwnGroups() {
+    const bool held = rc::check("a gateway that goes moves only its own groups", [] {
+      const size_t count = *rc::gen::inRange<size_t>(3, 60);
+      std::vector<std::string> gateways;
+      for (size_t i = 0; i < count; ++i) {
+        gateways.push_back("edge-" + std::to_string(i));
+      }
+      const std::string gone = gateways[*rc::gen::inRange<size_t>(0, count)];
+      std::vector<std::string> rest = gateways;
+      std::erase(rest, gone);
+      for (int i = 0; i < 20; ++i) {
+        const std::string group = "shard-" + std::to_string(i);
+        std::vector<std::string> before = MergersOf(group, gateways, 2);
+        const std::vector<std::string> after = MergersOf(group, rest, 2);
+        std::erase(before, gone);
+        RC_ASSERT(std::equal(before.begin(), before.end(), after.begin()));
+      }
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
+  void MergersAreFewButNeverOne() {
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, MergersPerGroup(3, 10));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, MergersPerGroup(50, 10));
+    CPPUNIT_ASSERT_EQUAL(size_t{10}, MergersPerGroup(200, 10));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, MergersOf("g", {"only"}, 2).size());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(MergerPlacementTest);
+
+}  // namespace pumicedyke::gateway
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(FeedSurvives);
   CPPUNIT_TEST(LedgerRequestSurvives);
   CPPUNIT_TEST(LargeEntriesSurvive);
+  CPPUNIT_TEST(PartialQuerySurvives);
+  CPPUNIT_TEST(PartialAnswerSurvives);
+  CPPUNIT_TEST(GatewayFeedAndPresenceSurvive);
   CPPUNIT_TEST(GarbageIsRefusedOrHarmless);
   CPPUNIT_TEST_SUITE_END();
 
@@ -50,6 +53,83 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{8}, back.request);
   }
 
+  void PartialQuerySurvives() {
+    PartialQuery query;
+    query.id = 7;
+    query.route = "route";
+    query.request_id = "client-1";
+    query.method = "POST";
+    query.head = "POST / HTTP/1.1\r\n";
+    query.payload = std::string(70000, 'p');
+    query.budget = Milliseconds(800);
+    query.report_after = Microseconds(1234);
+    query.objective = Milliseconds(50);
+    query.top_records = 5;
+    query.max_attempts = 2;
+    query.again = true;
+    query.groups = 9;
+    query.shards = {"s1", "s2"};
+    const auto decoded = DecodeEnvelope(Encode(Envelope{"c", 1, query}));
+    CPPUNIT_ASSERT(decoded.ok());
+    const auto& back = std::get<PartialQuery>(decoded->body);
+    CPPUNIT_ASSERT_EQUAL(query.id, back.id);
+    CPPUNIT_ASSERT_EQUAL(query.route, back.route);
+    CPPUNIT_ASSERT_EQUAL(query.request_id, back.request_id);
+    CPPUNIT_ASSERT_EQUAL(query.method, back.method);
+    CPPUNIT_ASSERT_EQUAL(query.head, back.head);
+    CPPUNIT_ASSERT_EQUAL(query.payload, back.payload);
+    CPPUNIT_ASSERT(query.budget == back.budget);
+    CPPUNIT_ASSERT(query.report_after == back.report_after);
+    CPPUNIT_ASSERT(query.objective == back.objective);
+    CPPUNIT_ASSERT_EQUAL(query.top_records, back.top_records);
+    CPPUNIT_ASSERT_EQUAL(query.max_attempts, back.max_attempts);
+    CPPUNIT_ASSERT(back.again);
+    CPPUNIT_ASSERT_EQUAL(query.groups, back.groups);
+    CPPUNIT_ASSERT(query.shards == back.shards);
+  }
+
+  void PartialAnswerSurvives() {
+    PartialAnswer answer;
+    answer.id = 9;
+    answer.stage = PartialStage::kDone;
+    answer.parts = {{0, "sig-a"}, {3, "sig-b"}};
+    answer.records = std::string(32, 'r');
+    answer.gaps = {{1, 2}};
+    answer.run = 2;
+    answer.extra = 4;
+    const auto decoded = DecodeEnvelope(Encode(Envelope{"c", 1, answer}));
+    CPPUNIT_ASSERT(decoded.ok());
+    const auto& back = std::get<PartialAnswer>(decoded->body);
+    CPPUNIT_ASSERT_EQUAL(answer.id, back.id);
+    CPPUNIT_ASSERT(back.stage == PartialStage::kDone);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, back.parts.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{3}, back.parts[1].shard);
+    CPPUNIT_ASSERT_EQUAL(std::string("sig-b"), back.parts[1].signature);
+    CPPUNIT_ASSERT_EQUAL(answer.records, back.records);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, back.gaps.at(0).shard);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{2}, back.gaps[0].reason);
+    CPPUNIT_ASSERT_EQUAL(answer.run, back.run);
+    CPPUNIT_ASSERT_EQUAL(answer.extra, back.extra);
+  }
+
+  void GatewayFeedAndPresenceSurvive() {
+    const GatewayFeed feed{4, 6, {{"g1", "north", "10.0.0.1:7500"}}, {"g2"}};
+    const auto fed = DecodeEnvelope(Encode(Envelope{"c", 1, feed}));
+    CPPUNIT_ASSERT(fed.ok());
+    const auto& back = std::get<GatewayFeed>(fed->body);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{4}, back.from_version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{6}, back.version);
+    CPPUNIT_ASSERT(back.peers == feed.peers);
+    CPPUNIT_ASSERT(back.gone == feed.gone);
+    GatewayPresence presence{"g1", 3, "10.0.0.1:80", "north", true, 5, "10.0.0.1:7500", true, 6};
+    const auto present = DecodeEnvelope(Encode(Envelope{"c", 1, presence}));
+    CPPUNIT_ASSERT(present.ok());
+    const auto& told = std::get<GatewayPresence>(present->body);
+    CPPUNIT_ASSERT_EQUAL(presence.peer_address, told.peer_address);
+    CPPUNIT_ASSERT(told.wants_peers);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{6}, told.peers_version);
+  }
+
   /// nanopb as packaged counts field sizes in 16 bits; larger values are cut into pieces.
   void LargeEntriesSurvive() {
     RaftMessage message;
