Pack what control feeds, follow a control machine of the own zone, rebuild leafs only for news

Change: states and changes travel compressed (zlib), made once for all receivers; a gateway follows a control machine of its own zone once it has settled; control addresses are told once a connection; a leaf that reports anew unchanged makes no gateway work out its pool again.

--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -246,8 +246,13 @@
     case query::LeafStatus::kShed:
       Decrease(&state, now, knobs_.shed_decrease);
       break;
-    case query::LeafStatus::kFailed:
     case query::LeafStatus::kNotSent:
+      // Nothing listens there: what it said of leaving before it was gone may be out of date.
+      state.reported = false;
+      state.configured_at = now;
+      NoteFailure(&state, now);
+      break;
+    case query::LeafStatus::kFailed:
       NoteFailure(&state, now);
       break;
     default:
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -6,6 +6,7 @@
 
 #include "common/json.h"
 #include "common/result_code.h"
+#include "wire/packing.h"
 
 namespace pumicedyke::control {
 namespace {
@@ -408,6 +409,15 @@
   }
 }
 
+const std::string& ControlServer::PackedConfig() {
+  const uint64_t version = state_.config().version().value;
+  if (packed_config_.empty() || packed_version_ != version) {
+    packed_config_ = wire::Pack(state_.config().Serialize());
+    packed_version_ = version;
+  }
+  return packed_config_;
+}
+
 void ControlServer::Feed(SessionId id, Session* session, bool full, uint64_t greeting) {
   const uint64_t version = state_.config().version().value;
   wire::ConfigFeed feed;
@@ -419,7 +429,7 @@
       (!changes.empty() && changes.front().version <= session->sent_version + 1);
   if (full || !has_history) {
     feed.full = true;
-    feed.state = state_.config().Serialize();
+    feed.state = PackedConfig();
   } else if (session->sent_version < version) {
     const size_t skip = session->sent_version + 1 - changes.front().version;
     feed.changes.assign(changes.begin() + static_cast<long>(skip), changes.end());
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -185,6 +185,8 @@
   /// @param greeting `sent` of the greeting that this answers, or 0.
   void Feed(SessionId id, Session* session, bool full, uint64_t greeting);
   void FeedAll();
+  /// The whole configuration as nodes get it that start; made once for all of them.
+  const std::string& PackedConfig();
   void StartConfigRead(Timestamp now, TicketId ticket, bool document_only);
   OperatorReply ReadReply(const PendingConfigRead& read) const;
 
@@ -218,6 +220,8 @@
   ControlState state_;
   consensus::Raft raft_;
   uint64_t applied_index_ = 0;
+  std::string packed_config_;
+  uint64_t packed_version_ = 0;
   int64_t wall_ms_ = 0;
 
   std::map<SessionId, Session> sessions_;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -4,6 +4,7 @@
 
 #include "common/json.h"
 #include "common/result_code.h"
+#include "wire/packing.h"
 
 namespace pumicedyke::control {
 namespace {
@@ -80,7 +81,7 @@
             config_.version().value, revision};
   }
   config_.Apply(change);
-  Keep({config_.version().value, Json(change).dump()});
+  Keep({config_.version().value, wire::Pack(Json(change).dump())});
   const config::Service* changed = config_.FindService(change.service);
   return {0, "accepted", config_.version().value, changed == nullptr ? 0 : changed->revision};
 }
--- a/src/control/discovery_server.cc
+++ b/src/control/discovery_server.cc
@@ -57,7 +57,11 @@
 
 void DiscoveryServer::Feed(SessionId id, Session* session) {
   wire::LeafFeed feed = registry_.ChangesSince(session->sent_version);
-  feed.control = control_addresses_;
+  if (session->sent_control != control_addresses_) {
+    session->sent_control = control_addresses_;
+    feed.control = control_addresses_;
+  }
+  feed.zone = options_.zone;
   feed.gateways = static_cast<uint32_t>(directory_.size());
   session->sent_version = feed.version;
   messages_.push_back({id, {options_.cluster, 0, std::move(feed)}});
--- a/src/control/discovery_server.h
+++ b/src/control/discovery_server.h
@@ -15,6 +15,8 @@
 
 struct DiscoveryOptions {
   std::string cluster;
+  /// Where this machine is.
+  std::string zone;
   registry::RegistryOptions registry;
   directory::DirectoryOptions directory;
   /// Gateways hear of changes of leafs this often at most, but for a few at once after a pause;
@@ -58,6 +60,8 @@
     std::string node;
     uint64_t incarnation = 0;
     uint64_t sent_version = 0;
+    /// The control machines that the gateway was told of.
+    std::vector<std::string> sent_control;
   };
 
   void Feed(SessionId id, Session* session);
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -15,10 +15,11 @@
   }
 }
 
-void GatewayServer::SetLink(const std::string& address, bool up) {
+void GatewayServer::SetLink(Timestamp now, const std::string& address, bool up) {
   ControlLink& link = links_[address];
   if (link.up != up) {
     link.up = up;
+    link.up_since = now;
     output_.link_changes.push_back({address, up});
   }
 }
@@ -50,7 +51,7 @@
       link.last_reset = now;
       view_.OnSourceLost(now, address);
       peers_.OnSourceLost(address);
-      SetLink(address, /*up=*/false);
+      SetLink(now, address, /*up=*/false);
       output_.reconnect.push_back(address);
     }
     if (now >= link.next_presence) {
@@ -76,6 +77,22 @@
   }
 }
 
+void GatewayServer::TurnToNearControl(Timestamp now) {
+  const ControlLink& current = links_.at(control_[subscriber_.control()]);
+  // Whoever starts takes the first answer that comes.
+  if (table_ == nullptr || (current.near && current.up)) {
+    return;
+  }
+  for (size_t i = 0; i < control_.size(); ++i) {
+    const ControlLink& link = links_.at(control_[i]);
+    const bool settled = now - link.up_since >= options_.knobs.settled_control;
+    if (link.near && link.up && settled) {
+      subscriber_.TurnTo(now, i);
+      return;
+    }
+  }
+}
+
 void GatewayServer::OnControlMessage(Timestamp now, const std::string& address,
                                      const wire::Envelope& envelope) {
   if (envelope.cluster != options_.cluster) {
@@ -93,7 +110,7 @@
 void GatewayServer::OnControlDisconnected(Timestamp now, const std::string& address) {
   view_.OnSourceLost(now, address);
   peers_.OnSourceLost(address);
-  SetLink(address, /*up=*/false);
+  SetLink(now, address, /*up=*/false);
   links_[address].next_presence = now;
   if (control_[subscriber_.control()] == address) {
     subscriber_.OnDisconnected(now);
@@ -113,9 +130,11 @@
 void GatewayServer::OnLeafFeed(Timestamp now, const std::string& address,
                                const wire::LeafFeed& feed) {
   links_[address].last_heard = now;
-  SetLink(address, /*up=*/true);
+  SetLink(now, address, /*up=*/true);
   gateways_ = std::max(1U, feed.gateways);
   LearnControl(feed.control);
+  links_[address].near = !feed.zone.empty() && feed.zone == options_.zone;
+  TurnToNearControl(now);
   if (!view_.OnFeed(now, address, feed)) {
     links_[address].next_presence = now;
   }
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -86,11 +86,10 @@
   const Target& target = TargetOf(query.shards);
   const size_t fellows = FellowMergers(query.shards, query.groups);
   const double spare = options_.knobs.spare_gateways;
-  const double allowance = fellows == 0
-                               ? OrdinaryAllowance(/*shared=*/true)
-                               : options_.knobs.mergers_allowance_share *
-                                     options_.extra_load.allowance /
-                                     (static_cast<double>(fellows) + spare);
+  const double allowance = fellows == 0 ? OrdinaryAllowance(/*shared=*/true)
+                                        : options_.knobs.mergers_allowance_share *
+                                              options_.extra_load.allowance /
+                                              (static_cast<double>(fellows) + spare);
   for (const std::string& shard : query.shards) {
     BudgetOf(shard, allowance);
   }
@@ -117,9 +116,9 @@
   caller.snapshot = snapshot.id;
   query::ServiceContext context{&pool_, target.budgets.front(), active.runtime->latencies.get(),
                                 [this] { return SubRequestId{ids_.Next()}; }, target.budgets};
-  active.execution = std::make_unique<query::RequestExecution>(
-      std::move(caller), plan, nullptr, target.service, snapshot, std::move(context), options,
-      arrived);
+  active.execution =
+      std::make_unique<query::RequestExecution>(std::move(caller), plan, nullptr, target.service,
+                                                snapshot, std::move(context), options, arrived);
   active.execution->Advance(now);
   Collect(now, id);
 }
@@ -174,20 +173,21 @@
   if (answer.has_value()) {
     wire::PartialAnswer word = TakePartialWord(&job, wire::PartialStage::kDone);
     for (const query::MissingShard& missing : answer->coverage.missing) {
-      word.gaps.push_back({static_cast<uint32_t>(missing.shard.value),
-                           static_cast<uint32_t>(missing.reason)});
+      word.gaps.push_back(
+          {static_cast<uint32_t>(missing.shard.value), static_cast<uint32_t>(missing.reason)});
     }
     word.run = static_cast<uint32_t>(answer->run);
     word.extra = answer->extra_sub_requests;
     SendWord(job.session, std::move(word));
     output_.partials.push_back({active.request->request_id, job.route, answer->run,
-                                now - active.execution->started(),
-                                answer->coverage.total(), answer->extra_sub_requests,
-                                active.execution->Attempts(), answer->coverage.missing});
+                                now - active.execution->started(), answer->coverage.total(),
+                                answer->extra_sub_requests, active.execution->Attempts(),
+                                answer->coverage.missing});
     Remove(id);
     return;
   }
-  const Timestamp reported = std::max(job.report_at, job.last_word + options_.knobs.report_interval);
+  const Timestamp reported =
+      std::max(job.report_at, job.last_word + options_.knobs.report_interval);
   const Timestamp sign = job.last_word + options_.knobs.sign_of_life;
   const bool report = !job.unreported.empty() && now >= reported;
   if (report || now >= sign) {
@@ -197,8 +197,8 @@
                               : WordWithoutParts(job.question, wire::PartialStage::kAccepted));
     job.last_word = now;
   }
-  Timestamp wake = std::min(active.execution->NextWake(now),
-                            job.last_word + options_.knobs.sign_of_life);
+  Timestamp wake =
+      std::min(active.execution->NextWake(now), job.last_word + options_.knobs.sign_of_life);
   if (!job.unreported.empty() || job.report_at > now) {
     wake = std::min(wake, std::max(job.report_at, job.last_word + options_.knobs.report_interval));
   }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -69,6 +69,8 @@
   Duration starting_presence_interval = Milliseconds(100);
   /// A control machine that answered no greeting for this long is lost.
   Duration control_silence = Seconds(2);
+  /// A control machine that came back is followed for its nearness only after this.
+  Duration settled_control = Seconds(2);
   /// Gateways that may come at any time: connections and budgets are shared with one more.
   uint32_t spare_gateways = 1;
   /// Off: every gateway gathers alone.
@@ -263,6 +265,9 @@
     Timestamp last_heard{};
     Timestamp last_reset{};
     bool up = false;
+    Timestamp up_since{};
+    /// In this gateway's zone.
+    bool near = false;
   };
 
   void OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed);
@@ -272,8 +277,11 @@
   void GreetControl(Timestamp now);
   /// Turns to a control machine that is there, if the one asked for the first routes is not.
   void TurnToLiveControl(Timestamp now);
+  /// Follows a control machine of the own zone, if there is one that has been up for a while: what
+  /// it sends crosses no zone.
+  void TurnToNearControl(Timestamp now);
   void AddControl(const std::string& address);
-  void SetLink(const std::string& address, bool up);
+  void SetLink(Timestamp now, const std::string& address, bool up);
   wire::Envelope Presence(const std::string& address) const;
 
   const Target& TargetOf(const std::vector<std::string>& services);
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -1,5 +1,5 @@
-// The part of GatewayServer that shares the shards of a request with other gateways, as the one that
-// the client reached: cuts them into groups, chooses who merges each, and answers.
+// The part of GatewayServer that shares the shards of a request with other gateways, as the one
+// that the client reached: cuts them into groups, chooses who merges each, and answers.
 #include <xxhash.h>
 
 #include <algorithm>
@@ -120,8 +120,7 @@
   return true;
 }
 
-void GatewayServer::Ask(Timestamp now, const Active& active,
-                        const query::GroupQuestion& question) {
+void GatewayServer::Ask(Timestamp now, const Active& active, const query::GroupQuestion& question) {
   const policy::QueryPlan plan = PlanFor(*active.route, *active.request);
   const Timestamp started = active.shared->started();
   wire::PartialQuery query;
@@ -190,8 +189,8 @@
   if (success) {
     out.gathered = true;
     out.signatures = std::move(outcome.signatures);
-    out.records = MergeGreatest({outcome.records.begin(), outcome.records.end()},
-                                active.route->top_records);
+    out.records =
+        MergeGreatest({outcome.records.begin(), outcome.records.end()}, active.route->top_records);
     out.missing_shards = out.trace.missing.size();
   } else {
     out.retry_after = kRetryAfterFailure;
--- a/src/gateway/leaf_view.cc
+++ b/src/gateway/leaf_view.cc
@@ -128,22 +128,33 @@
   return it == by_service_.end() ? *none : it->second;
 }
 
-void LeafView::Rebuild() {
-  stale_ = false;
-  leafs_.clear();
-  by_service_.clear();
+std::map<std::string, wire::LeafRecord> LeafView::TakenTogether() const {
+  std::map<std::string, wire::LeafRecord> leafs;
   for (const auto& [id, leaf] : reported_) {
-    leafs_[id] = {id, leaf.service, leaf.address, leaf.zone, leaf.slots, retired_.contains(id), 0};
+    leafs[id] = {id, leaf.service, leaf.address, leaf.zone, leaf.slots, retired_.contains(id), 0};
   }
   for (const auto& [name, source] : sources_) {
     for (const auto* records : {&source.records, &source.unconfirmed}) {
       for (const auto& [leaf, record] : *records) {
-        const auto [it, inserted] = leafs_.emplace(leaf, record);
+        const auto [it, inserted] = leafs.emplace(leaf, record);
         // The most pessimistic word wins: draining is never taken back.
         it->second.draining |= record.draining || retired_.contains(leaf);
       }
     }
   }
+  return leafs;
+}
+
+void LeafView::Rebuild() {
+  stale_ = false;
+  std::map<std::string, wire::LeafRecord> leafs = TakenTogether();
+  if (leafs == leafs_) {
+    // Known leafs report anew after control has restarted: there is nothing to do for users of
+    // this.
+    return;
+  }
+  leafs_ = std::move(leafs);
+  by_service_.clear();
   for (const auto& [leaf, record] : leafs_) {
     if (!record.draining) {
       by_service_[record.service].push_back(leaf);
--- a/src/gateway/leaf_view.h
+++ b/src/gateway/leaf_view.h
@@ -74,6 +74,8 @@
   /// Something changed: rebuilds now or, soon after the last time, later.
   void Changed(Timestamp now);
   void Rebuild();
+  /// All words on all leafs, the most pessimistic on each.
+  std::map<std::string, wire::LeafRecord> TakenTogether() const;
   void MarkLeaving(const std::string& leaf);
 
   LeafViewOptions options_;
--- a/src/gateway/merger_placement.h
+++ b/src/gateway/merger_placement.h
@@ -1,5 +1,5 @@
-// Whether the shards of a request are shared among gateways, how they are cut into groups, and which
-// gateways merge which group. Free functions; no state, safe on any thread.
+// Whether the shards of a request are shared among gateways, how they are cut into groups, and
+// which gateways merge which group. Free functions; no state, safe on any thread.
 //
 // Rendezvous hashing (Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
 // 1998): all gateways that know the same gateways name the same mergers without a word to each
--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "common/json.h"
+#include "wire/packing.h"
 
 namespace pumicedyke::node {
 
@@ -40,6 +41,12 @@
   next_hello_ = std::max(now, last_hello_ + options_.shortest_hello_interval);
 }
 
+void ConfigSubscriber::TurnTo(Timestamp now, size_t control) {
+  control_ = control;
+  turned_at_ = now;
+  next_hello_ = now;
+}
+
 void ConfigSubscriber::OnDisconnected(Timestamp now) { TurnToNext(now); }
 
 bool ConfigSubscriber::OnFeed(Timestamp now, const wire::ConfigFeed& feed) {
@@ -49,7 +56,11 @@
     return false;
   }
   if (feed.full) {
-    absl::StatusOr<config::ConfigState> state = config::ConfigState::Deserialize(feed.state);
+    const absl::StatusOr<std::string> text = wire::Unpack(feed.state);
+    if (!text.ok()) {
+      return false;
+    }
+    absl::StatusOr<config::ConfigState> state = config::ConfigState::Deserialize(*text);
     if (!state.ok()) {
       return false;
     }
@@ -79,8 +90,12 @@
     if (change.version != version + 1) {
       return false;  // A message was lost; the next greeting says from where to go on.
     }
+    const absl::StatusOr<std::string> command = wire::Unpack(change.command);
+    if (!command.ok()) {
+      return false;
+    }
     absl::StatusOr<config::Change> parsed =
-        config::ParseChange(Json::parse(change.command, nullptr, /*allow_exceptions=*/false));
+        config::ParseChange(Json::parse(*command, nullptr, /*allow_exceptions=*/false));
     if (!parsed.ok()) {
       return false;
     }
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -40,6 +40,8 @@
   /// The connection broke: the next machine is tried at once.
   void OnDisconnected(Timestamp now);
 
+  /// Another machine than `control()` suits better.
+  void TurnTo(Timestamp now, size_t control);
   /// More control machines are known than at the start.
   void SetControlMachines(size_t count) { options_.control_machines = count; }
 
--- a/src/query/shared_gather.cc
+++ b/src/query/shared_gather.cc
@@ -69,8 +69,7 @@
 void SharedGather::Ask(Timestamp now, size_t index) {
   Group& group = groups_[index];
   const uint32_t most = std::max(1U, plan_.max_attempts);
-  const bool may_ask =
-      group.attempts_used < most && group.questions.size() < options_.most_mergers;
+  const bool may_ask = group.attempts_used < most && group.questions.size() < options_.most_mergers;
   const std::optional<std::string> merger =
       may_ask ? choose_(now, index, group.tried) : std::nullopt;
   if (!merger.has_value()) {
@@ -163,8 +162,8 @@
 void SharedGather::OnMergerLost(Timestamp now, const std::string& merger) {
   for (size_t i = 0; i < groups_.size() && !answered_; ++i) {
     Group& group = groups_[i];
-    const bool asked = !group.ended && !group.questions.empty() &&
-                       group.questions.back().open() && group.questions.back().merger == merger;
+    const bool asked = !group.ended && !group.questions.empty() && group.questions.back().open() &&
+                       group.questions.back().merger == merger;
     if (asked) {
       GiveUpOn(&group, &group.questions.back());
       AdvanceGroup(now, i);
--- a/src/query/shared_gather.h
+++ b/src/query/shared_gather.h
@@ -1,6 +1,6 @@
-// A request over many shards that several gateways work on together: the shards are cut into groups,
-// each is asked of one merging gateway, and the partial answers make one. This is the side of the
-// gateway that the client reached. Events in, actions out; no socket, clock or thread.
+// A request over many shards that several gateways work on together: the shards are cut into
+// groups, each is asked of one merging gateway, and the partial answers make one. This is the side
+// of the gateway that the client reached. Events in, actions out; no socket, clock or thread.
 //
 // Why nothing runs too often although a merger may die or freeze at any moment: a merger sends to a
 // leaf a second time only after it has been asked for a while, and one that does not confirm the
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -80,6 +80,7 @@
   ControlSettings settings;
   settings.cluster = file.Required("cluster", "the name of the cluster");
   settings.machine = file.Required("machine", "the name of this machine");
+  settings.zone = file.String("zone", "");
   settings.listen = file.Address("listen", "127.0.0.1:7100");
   settings.operator_listen = file.Address("operator_listen", "127.0.0.1:7200");
   settings.operator_token_file = file.String("operator_token_file", "");
@@ -273,8 +274,12 @@
 }
 
 absl::Status ControlProcess::Listen() {
-  discovery_ = std::make_unique<control::DiscoveryServer>(control::DiscoveryOptions{
-      settings_.cluster, {.silence_limit = settings_.leaf_silence_limit}, {}, kLeafFeedInterval});
+  discovery_ = std::make_unique<control::DiscoveryServer>(
+      control::DiscoveryOptions{settings_.cluster,
+                                settings_.zone,
+                                {.silence_limit = settings_.leaf_silence_limit},
+                                {},
+                                kLeafFeedInterval});
   frames_ = std::make_unique<net::FrameServer>(
       loop_,
       [this](uint64_t session, const wire::Envelope& envelope) { OnFrame(session, envelope); },
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -25,6 +25,8 @@
 struct ControlSettings {
   std::string cluster;
   std::string machine;
+  /// Where this machine is; gateways of the same zone prefer it.
+  std::string zone;
   std::string listen;
   std::string operator_listen;
   /// Where leafs and operators come who speak the dialect; empty: none do.
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -255,6 +255,7 @@
   out.from_version = feed.from_version;
   out.version = feed.version;
   out.gateways = feed.gateways;
+  out.zone = arena->String(feed.zone);
   out.records_count = static_cast<pb_size_t>(feed.records.size());
   out.records = arena->Array<pumicedyke_wire_LeafRecord>(feed.records.size());
   for (size_t i = 0; i < feed.records.size(); ++i) {
@@ -280,7 +281,7 @@
 }
 
 LeafFeed Read(const pumicedyke_wire_LeafFeed& in) {
-  LeafFeed feed{in.from_version, in.version, {}, {}, {}, in.gateways};
+  LeafFeed feed{in.from_version, in.version, {}, {}, {}, in.gateways, Text(in.zone)};
   for (pb_size_t i = 0; i < in.records_count; ++i) {
     const pumicedyke_wire_LeafRecord& record = in.records[i];
     feed.records.push_back({Text(record.leaf), Text(record.service), Text(record.address),
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -77,12 +77,14 @@
 
 struct ConfigChange {
   uint64_t version = 0;
+  /// Packed (wire/packing.h).
   std::string command;
 };
 
 struct ConfigFeed {
   uint64_t version = 0;
   bool full = false;
+  /// Packed (wire/packing.h).
   std::string state;
   std::vector<ConfigChange> changes;
   /// `sent` of the greeting this answers; 0 if it answers none.
@@ -272,10 +274,13 @@
   std::vector<LeafRecord> records;
   /// Leafs that are gone or silent.
   std::vector<std::string> gone;
-  /// Frame addresses of the control machines known to the sender.
+  /// Frame addresses of the control machines known to the sender, when the receiver's connection is
+  /// new or they have changed.
   std::vector<std::string> control;
   /// Gateways known to the sender.
   uint32_t gateways = 0;
+  /// Where the sender is.
+  std::string zone = {};
 };
 
 using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
--- /dev/null
+++ b/src/wire/packing.cc
@@ -0,0 +1,79 @@
+#include "wire/packing.h"
+
+#include <zlib.h>
+
+#include <cstdint>
+
+#include "common/result_code.h"
+
+namespace pumicedyke::wire {
+namespace {
+
+constexpr char kMark = 1;
+/// Shorter texts are not worth the time.
+constexpr size_t kShortest = 512;
+/// As long as the longest frame.
+constexpr size_t kLongest = size_t{64} << 20;
+/// Four bytes of length, most significant first, after the mark.
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kHeaderBytes = 1 + kLengthBytes;
+constexpr unsigned kBitsPerByte = 8;
+constexpr unsigned kByteMask = 0xff;
+
+std::string Header(size_t length) {
+  std::string header(1, kMark);
+  for (size_t i = 0; i < kLengthBytes; ++i) {
+    const size_t shift = kBitsPerByte * (kLengthBytes - 1 - i);
+    header.push_back(static_cast<char>((length >> shift) & kByteMask));
+  }
+  return header;
+}
+
+size_t LengthOf(std::string_view bytes) {
+  size_t length = 0;
+  for (size_t i = 0; i < kLengthBytes; ++i) {
+    length = (length << kBitsPerByte) | static_cast<unsigned char>(bytes[1 + i]);
+  }
+  return length;
+}
+
+}  // namespace
+
+std::string Pack(std::string_view text) {
+  if (text.size() < kShortest || text.size() > kLongest) {
+    return std::string(text);
+  }
+  std::string packed = Header(text.size());
+  uLongf length = compressBound(text.size());
+  packed.resize(kHeaderBytes + length);
+  const int result =
+      compress2(reinterpret_cast<Bytef*>(packed.data() + kHeaderBytes), &length,
+                reinterpret_cast<const Bytef*>(text.data()), text.size(), Z_BEST_SPEED);
+  if (result != Z_OK || kHeaderBytes + length >= text.size()) {
+    return std::string(text);
+  }
+  packed.resize(kHeaderBytes + length);
+  return packed;
+}
+
+absl::StatusOr<std::string> Unpack(std::string_view bytes) {
+  if (bytes.empty() || bytes.front() != kMark) {
+    return std::string(bytes);
+  }
+  const size_t length = bytes.size() < kHeaderBytes ? kLongest + 1 : LengthOf(bytes);
+  if (length > kLongest) {
+    return MakeStatus(ResultCode::kMalformedRequest, "packed bytes of a wrong length");
+  }
+  std::string text(length, '\0');
+  uLongf unpacked = length;
+  const int result =
+      uncompress(reinterpret_cast<Bytef*>(text.data()), &unpacked,
+                 reinterpret_cast<const Bytef*>(bytes.data() + kHeaderBytes),
+                 bytes.size() - kHeaderBytes);
+  if (result != Z_OK || unpacked != length) {
+    return MakeStatus(ResultCode::kMalformedRequest, "packed bytes are broken");
+  }
+  return text;
+}
+
+}  // namespace pumicedyke::wire
--- a/test/balance/leaf_pool_test.cc
+++ b/test/balance/leaf_pool_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(AnySourceOfLeavingIsEnough);
   CPPUNIT_TEST(StaleReportDoesNotTakeBackDraining);
   CPPUNIT_TEST(UnknownLeafWaitsForItsFirstReport);
+  CPPUNIT_TEST(LeafThatWasGoneWaitsForAFreshReport);
   CPPUNIT_TEST(FailuresEjectAndProbationBringsBack);
   CPPUNIT_TEST(SheddingLowersTheLimit);
   CPPUNIT_TEST(ExtraLoadStaysWithinItsShare);
@@ -134,6 +135,21 @@
     CPPUNIT_ASSERT(pool.AvailabilityOf("b", kStart + Seconds(5)) == Availability::kReady);
   }
 
+  /// Its word that it leaves may have been lost while it was gone.
+  void LeafThatWasGoneWaitsForAFreshReport() {
+    BalanceKnobs knobs;
+    knobs.first_report_patience = Seconds(5);
+    LeafPool pool(knobs, 1);
+    pool.Configure(kStart, "a", 2);
+    pool.OnHealth(kStart, "a", false);
+    pool.OnSent(kStart, "a", SubRequestId{1});
+    pool.OnReply(kStart, Reply("a", SubRequestId{1}, query::LeafStatus::kNotSent));
+    const Timestamp later = kStart + Seconds(2);
+    CPPUNIT_ASSERT(pool.AvailabilityOf("a", later) == Availability::kBusy);
+    pool.OnHealth(later, "a", false);
+    CPPUNIT_ASSERT(pool.AvailabilityOf("a", later) == Availability::kReady);
+  }
+
   void FailuresEjectAndProbationBringsBack() {
     const BalanceKnobs knobs;
     LeafPool pool(knobs, 1);
--- /dev/null
+++ b/test/control/discovery_server_test.cc
@@ -0,0 +1,96 @@
+// What a control machine tells gateways of leafs, of control machines and of each other.
+#include "control/discovery_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pumicedyke::control {
+namespace {
+
+constexpr Timestamp kStart{Seconds(100)};
+constexpr SessionId kSession = 1;
+
+DiscoveryOptions Options() {
+  DiscoveryOptions options;
+  options.cluster = "test";
+  options.zone = "north";
+  return options;
+}
+
+wire::GatewayPresence Presence(const std::string& node, uint64_t peers_version) {
+  wire::GatewayPresence presence{node, 7, node + ":80", "north", true, 1};
+  presence.peer_address = node + ":7500";
+  presence.wants_peers = true;
+  presence.peers_version = peers_version;
+  return presence;
+}
+
+/// Messages of one kind among those that are to go out.
+template <typename Message>
+std::vector<Message> Take(DiscoveryServer* server) {
+  std::vector<Message> found;
+  for (const SessionMessage& message : server->TakeMessages()) {
+    if (const auto* body = std::get_if<Message>(&message.envelope.body)) {
+      found.push_back(*body);
+    }
+  }
+  return found;
+}
+
+}  // namespace
+
+class DiscoveryServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DiscoveryServerTest);
+  CPPUNIT_TEST(ControlAddressesAreToldOnce);
+  CPPUNIT_TEST(GatewaysAreToldOfEachOther);
+  CPPUNIT_TEST(NothingIsSaidWithoutNews);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ControlAddressesAreToldOnce() {
+    DiscoveryServer server(Options());
+    server.SetControlAddresses({"a:7100", "b:7100"});
+    server.OnPresence(kStart, kSession, Presence("g1", 0));
+    const auto first = Take<wire::LeafFeed>(&server);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, first.at(0).control.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("north"), first[0].zone);
+    server.OnPresence(kStart, kSession, Presence("g1", 0));
+    CPPUNIT_ASSERT(Take<wire::LeafFeed>(&server).at(0).control.empty());
+    server.SetControlAddresses({"a:7100", "c:7100"});
+    server.OnPresence(kStart, kSession, Presence("g1", 0));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Take<wire::LeafFeed>(&server).at(0).control.size());
+    // A new connection knows nothing.
+    server.OnPresence(kStart, kSession + 1, Presence("g1", 0));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Take<wire::LeafFeed>(&server).at(0).control.size());
+  }
+
+  void GatewaysAreToldOfEachOther() {
+    DiscoveryServer server(Options());
+    server.OnPresence(kStart, kSession, Presence("g1", 0));
+    const auto first = Take<wire::GatewayFeed>(&server);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, first.at(0).peers.size());
+    server.OnPresence(kStart, kSession + 1, Presence("g2", 0));
+    Take<wire::GatewayFeed>(&server);
+    server.OnPresence(kStart, kSession, Presence("g1", first[0].version));
+    const auto second = Take<wire::GatewayFeed>(&server);
+    CPPUNIT_ASSERT_EQUAL(first[0].version, second.at(0).from_version);
+    CPPUNIT_ASSERT_EQUAL(std::string("g2"), second[0].peers.at(0).node);
+    server.OnSessionClosed(kSession + 1);
+    server.OnPresence(kStart, kSession, Presence("g1", second[0].version));
+    CPPUNIT_ASSERT_EQUAL(std::string("g2"), Take<wire::GatewayFeed>(&server).at(0).gone.at(0));
+  }
+
+  void NothingIsSaidWithoutNews() {
+    DiscoveryServer server(Options());
+    server.OnPresence(kStart, kSession, Presence("g1", 0));
+    const uint64_t version = Take<wire::GatewayFeed>(&server).at(0).version;
+    server.OnPresence(kStart, kSession, Presence("g1", version));
+    CPPUNIT_ASSERT(Take<wire::GatewayFeed>(&server).empty());
+    wire::GatewayPresence follower = Presence("g1", 0);
+    follower.wants_peers = false;
+    server.OnPresence(kStart, kSession, follower);
+    CPPUNIT_ASSERT(Take<wire::GatewayFeed>(&server).empty());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(DiscoveryServerTest);
+
+}  // namespace pumicedyke::control
--- a/test/gateway/gateway_sharing_test.cc
+++ b/test/gateway/gateway_sharing_test.cc
@@ -13,6 +13,8 @@
 
 constexpr size_t kShards = 100;
 constexpr PeerSessionId kSession = 3;
+/// A control machine of the gateway's zone.
+constexpr char kNear[] = "10.0.0.2:7100";
 
 std::string Service(size_t i) { return "s" + std::to_string(i); }
 
@@ -107,6 +109,7 @@
   CPPUNIT_TEST(SilentMergerIsAskedLast);
   CPPUNIT_TEST(ClientGoneIsPassedOn);
   CPPUNIT_TEST(RunningRequestKeepsItsShards);
+  CPPUNIT_TEST(FollowsAControlMachineOfItsZone);
   CPPUNIT_TEST(MergerReportsWhenAllIsIn);
   CPPUNIT_TEST(MergerReportsWhatIsInThenTheRest);
   CPPUNIT_TEST(MergerIsHeardOfWhileItWaits);
@@ -203,6 +206,40 @@
     CPPUNIT_ASSERT(s.Question(questions).shards == first.shards);
   }
 
+  /// Peers are asked for where the configuration comes from: that shows whom the gateway follows.
+  void FollowsAControlMachineOfItsZone() {
+    Sharing s;
+    const auto followed = [&s] {
+      s.h.control.clear();
+      s.h.Pass(Milliseconds(600));
+      std::string address;
+      for (const ControlMessage& message : s.h.control) {
+        const auto* presence = std::get_if<wire::GatewayPresence>(&message.envelope.body);
+        if (presence != nullptr && presence->wants_peers) {
+          address = message.address;
+        }
+      }
+      return address;
+    };
+    const auto hear = [&s](const std::string& address, const std::string& zone) {
+      wire::LeafFeed feed;
+      feed.version = 1;
+      feed.zone = zone;
+      feed.control = {kControl, kNear};
+      s.h.server.OnControlMessage(s.h.now, address, {"test", 0, feed});
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string(kControl), followed());
+    for (int i = 0; i < 5; ++i) {
+      hear(kControl, "south");
+      hear(kNear, "north");
+      s.h.Pass(Milliseconds(500));
+    }
+    hear(kNear, "north");
+    CPPUNIT_ASSERT_EQUAL(std::string(kNear), followed());
+    s.h.server.OnControlDisconnected(s.h.now, kNear);
+    CPPUNIT_ASSERT_EQUAL(std::string(kControl), followed());
+  }
+
   void MergerReportsWhenAllIsIn() {
     Sharing s;
     s.BeMerger(77);
--- a/test/gateway/leaf_view_test.cc
+++ b/test/gateway/leaf_view_test.cc
@@ -28,9 +28,27 @@
   CPPUNIT_TEST(LeafReportedElsewhereSurvivesItsOldSource);
   CPPUNIT_TEST(CommittedLeafsAreUsableBeforeAnyReport);
   CPPUNIT_TEST(ReportsOfACrowdTakeEffectTogether);
+  CPPUNIT_TEST(KnownLeafsThatReportAnewChangeNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// After all control machines have restarted each leaf reports anew: what users of the view work
+  /// out from it stays as it is.
+  void KnownLeafsThatReportAnewChangeNothing() {
+    LeafView view({});
+    view.OnFeed(kStart, "c1", Full(1, {Record("a"), Record("b", /*draining=*/true)}));
+    const uint64_t version = view.version();
+    const uint64_t merges = view.merges();
+    view.OnSourceLost(kStart, "c1");
+    view.OnFeed(kStart, "c1", Full(1, {Record("a"), Record("b", /*draining=*/true)}));
+    view.OnFeed(kStart, "c2", Full(1, {Record("a")}));
+    CPPUNIT_ASSERT_EQUAL(version, view.version());
+    CPPUNIT_ASSERT_EQUAL(merges, view.merges());
+    CPPUNIT_ASSERT(view.IsLeaving("b"));
+    view.OnFeed(kStart, "c2", Full(2, {Record("a", /*draining=*/true)}));
+    CPPUNIT_ASSERT(view.version() > version);
+  }
+
   /// Each rebuild costs time for every leaf there is: hundreds of leafs that come within a second
   /// must not cost hundreds of them. What waits takes effect within the interval.
   void ReportsOfACrowdTakeEffectTogether() {
--- a/test/gateway/merger_placement_test.cc
+++ b/test/gateway/merger_placement_test.cc
@@ -24,9 +24,9 @@
       double processor_share;
       bool alone;
     };
-    for (const Case& c : {Case{1, 0.1, true}, Case{20, 0.25, true}, Case{30, 0.25, true},
-                          Case{90, 0.12, false}, Case{180, 0.12, false}, Case{610, 0.12, false},
-                          Case{180, 64, true}}) {
+    for (const Case& c :
+         {Case{1, 0.1, true}, Case{20, 0.25, true}, Case{30, 0.25, true}, Case{90, 0.12, false},
+          Case{180, 0.12, false}, Case{610, 0.12, false}, Case{180, 64, true}}) {
       CPPUNIT_ASSERT_EQUAL(c.alone, GroupCount(c.shards, c.processor_share) == 1);
     }
   }
--- a/test/query/shared_gather_test.cc
+++ b/test/query/shared_gather_test.cc
@@ -17,8 +17,10 @@
 class Gather {
  public:
   explicit Gather(uint32_t max_attempts = 2, size_t mergers = 4)
-      : mergers_(mergers), gather_(Plan(max_attempts), {{0, 2}, {2, 2}}, Options(), Chooser(),
-                                   [this] { return ++ids_; }, kStart) {
+      : mergers_(mergers),
+        gather_(
+            Plan(max_attempts), {{0, 2}, {2, 2}}, Options(), Chooser(), [this] { return ++ids_; },
+            kStart) {
     gather_.Advance(now);
     Take();
   }
--- /dev/null
+++ b/test/wire/packing_test.cc
@@ -0,0 +1,48 @@
+// Packed texts come back as they were; broken ones are refused.
+#include "wire/packing.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace pumicedyke::wire {
+
+class PackingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PackingTest);
+  CPPUNIT_TEST(TextsComeBack);
+  CPPUNIT_TEST(RepetitiveTextShrinks);
+  CPPUNIT_TEST(BrokenBytesAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TextsComeBack() {
+    const bool held = rc::check("texts come back", [](const std::string& piece) {
+      std::string text = "{";
+      const int times = *rc::gen::inRange(0, 200);
+      for (int i = 0; i < times; ++i) {
+        text += piece;
+      }
+      const auto back = Unpack(Pack(text));
+      RC_ASSERT(back.ok());
+      RC_ASSERT(*back == text);
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
+  void RepetitiveTextShrinks() {
+    const std::string text(10000, 'x');
+    CPPUNIT_ASSERT(Pack(text).size() < text.size() / 10);
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), Pack("{}"));
+  }
+
+  void BrokenBytesAreRefused() {
+    std::string packed = Pack(std::string(10000, 'x'));
+    CPPUNIT_ASSERT(!Unpack(packed.substr(0, packed.size() / 2)).ok());
+    CPPUNIT_ASSERT(!Unpack(packed.substr(0, 3)).ok());
+    // More than any frame holds.
+    packed[1] = '\xff';
+    CPPUNIT_ASSERT(!Unpack(packed).ok());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PackingTest);
+
+}  // namespace pumicedyke::wire
