--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -41,6 +41,14 @@
   return {options_.cluster, subscriber_.config().version().value, std::move(presence)};
 }
 
+Duration GatewayServer::PresenceInterval(Timestamp now, const std::string& address) const {
+  // While gateways come and go, the one that tells of them is asked more often.
+  const bool tells = address == control_[subscriber_.control()];
+  const bool changing = now - peers_changed_ < options_.knobs.peers_settle;
+  const bool often = table_ == nullptr || (tells && changing);
+  return often ? options_.knobs.starting_presence_interval : options_.knobs.presence_interval;
+}
+
 void GatewayServer::GreetControl(Timestamp now) {
   for (auto& [address, link] : links_) {
     if (link.last_reset == Timestamp{}) {
@@ -55,8 +63,7 @@
       output_.reconnect.push_back(address);
     }
     if (now >= link.next_presence) {
-      link.next_presence = now + (table_ == nullptr ? options_.knobs.starting_presence_interval
-                                                    : options_.knobs.presence_interval);
+      link.next_presence = now + PresenceInterval(now, address);
       output_.control.push_back({address, Presence(address)});
     }
   }
@@ -104,6 +111,9 @@
     OnLeafFeed(now, address, *leafs);
   } else if (const auto* peers = std::get_if<wire::GatewayFeed>(&envelope.body)) {
     peers_.OnFeed(address, *peers);
+    peers_changed_ = now;
+    links_[address].next_presence =
+        std::min(links_[address].next_presence, now + PresenceInterval(now, address));
   }
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -65,8 +65,10 @@
   /// Executions in progress beyond which requests are refused.
   size_t max_in_progress = 400;
   Duration presence_interval = Milliseconds(500);
-  /// The same until the first routes came.
+  /// The same until the first routes came, and to the control machine that tells of other gateways
+  /// for `peers_settle` after one has come or gone.
   Duration starting_presence_interval = Milliseconds(100);
+  Duration peers_settle = Seconds(1);
   /// A control machine that answered no greeting for this long is lost.
   Duration control_silence = Seconds(2);
   /// A control machine that came back is followed for its nearness only after this.
@@ -275,6 +277,7 @@
   void AdoptDocument();
   void SyncPool(Timestamp now);
   void GreetControl(Timestamp now);
+  Duration PresenceInterval(Timestamp now, const std::string& address) const;
   /// Turns to a control machine that is there, if the one asked for the first routes is not.
   void TurnToLiveControl(Timestamp now);
   /// Follows a control machine of the own zone, if there is one that has been up for a while: what
@@ -372,6 +375,7 @@
   std::map<std::string, ControlLink> links_;
   uint32_t gateways_ = 1;
   PeerView peers_;
+  Timestamp peers_changed_{};
   /// Mergers by zone and group, for `merger_changes_` of the peers.
   std::map<std::pair<std::string, std::string>, std::vector<std::string>> mergers_;
   uint64_t merger_changes_ = 0;
--- a/src/wire/packing.cc
+++ b/src/wire/packing.cc
@@ -66,10 +66,9 @@
   }
   std::string text(length, '\0');
   uLongf unpacked = length;
-  const int result =
-      uncompress(reinterpret_cast<Bytef*>(text.data()), &unpacked,
-                 reinterpret_cast<const Bytef*>(bytes.data() + kHeaderBytes),
-                 bytes.size() - kHeaderBytes);
+  const int result = uncompress(reinterpret_cast<Bytef*>(text.data()), &unpacked,
+                                reinterpret_cast<const Bytef*>(bytes.data() + kHeaderBytes),
+                                bytes.size() - kHeaderBytes);
   if (result != Z_OK || unpacked != length) {
     return MakeStatus(ResultCode::kMalformedRequest, "packed bytes are broken");
   }
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -48,6 +48,28 @@
       .dump();
 }
 
+std::string DocumentOfShards(size_t shards) {
+  Json route = {{"name", "many"},       {"host", "desk.example"}, {"path_prefix", "/many/"},
+                {"type", "idempotent"}, {"timeout_ms", 2000},     {"slo_ms", 500},
+                {"priority", 1},        {"max_attempts", 2},      {"top_k", 1},
+                {"min_coverage", 0.5}};
+  Json services = Json::array();
+  for (size_t i = 0; i < shards; ++i) {
+    const std::string name = "m" + std::to_string(i);
+    route["gather"].push_back(name);
+    services.push_back({{"name", name}, {"health_path", "/healthz"}, {"max_conns", 26}});
+  }
+  return Json{{"version", 9},
+              {"routes", Json::array({route})},
+              {"backends", services},
+              {"limits",
+               {{"max_header_bytes", 4096},
+                {"max_body_bytes", 1000},
+                {"header_timeout_ms", 3000},
+                {"idle_timeout_ms", 15000}}}}
+      .dump();
+}
+
 std::string Header(const http::ClientResponse& response, const std::string& name) {
   const std::string* value = http::FindHeader(response.headers, name);
   return value == nullptr ? "" : *value;
@@ -80,6 +102,7 @@
 class PlatformEndToEndTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformEndToEndTest);
   CPPUNIT_TEST(WholePathServes);
+  CPPUNIT_TEST(GathersOfManyShardsAreShared);
   CPPUNIT_TEST(MetricsTellWhatWasAnswered);
   CPPUNIT_TEST(InvalidDocumentIsNeverInForce);
   CPPUNIT_TEST(NonsenseCostsNobodyElse);
@@ -118,6 +141,41 @@
     CPPUNIT_ASSERT_EQUAL(200, e2e::Get(fleet.ready_address(), "/v1/readyz").status);
   }
 
+  /// The second gateway asks leafs for the first one; when it is killed, the first works alone.
+  void GathersOfManyShardsAreShared() {
+    constexpr size_t kShards = 30;
+    PlatformFleet fleet;
+    fleet.StartSecondGateway();
+    std::vector<std::unique_ptr<StandInLeaf>> leafs;
+    std::vector<StandInLeaf*> beating;
+    for (size_t i = 0; i < kShards; ++i) {
+      const std::string number = std::to_string(i);
+      leafs.push_back(std::make_unique<StandInLeaf>("leaf-" + number, "m" + number));
+      beating.push_back(leafs.back().get());
+    }
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(DocumentOfShards(kShards)));
+    fleet.Beat(beating);
+    fleet.WaitServed("/many/1");
+    const auto connections = [&fleet] {
+      const std::string page = e2e::Get(fleet.second_metrics_address(), "/metrics").body;
+      const std::string name = "\npumicedyke_gateway_leaf_connections_total ";
+      const size_t at = page.find(name);
+      return at == std::string::npos ? 0 : std::atoi(page.c_str() + at + name.size());
+    };
+    e2e::WaitFor("the second gateway to ask leafs", [&] {
+      CPPUNIT_ASSERT_EQUAL(200, fleet.Ask("/many/1").status);
+      return connections() > 0;
+    });
+    const http::ClientResponse all = fleet.Ask("/many/1");
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), Header(all, "X-Missing-Parts"));
+    CPPUNIT_ASSERT_EQUAL(std::string("leaf-9.........."), all.body);
+    const std::string stamps = Header(all, "X-Part-Stamps");
+    CPPUNIT_ASSERT_EQUAL(static_cast<long>(kShards - 1),
+                         static_cast<long>(std::count(stamps.begin(), stamps.end(), ',')));
+    fleet.processes.at("gateway2")->Kill();
+    fleet.WaitServed("/many/2");
+  }
+
   void MetricsTellWhatWasAnswered() {
     PlatformFleet fleet;
     StandInLeaf leaf0("leaf-a", "s0");
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -98,7 +98,8 @@
       directory_port_(PortOf(e2e::FreeAddress())),
       gateway_address_(e2e::FreeAddress()),
       ready_address_(e2e::FreeAddress()),
-      metrics_address_(e2e::FreeAddress()) {
+      metrics_address_(e2e::FreeAddress()),
+      second_metrics_address_(e2e::FreeAddress()) {
   char path[] = "/tmp/pumicedyke-platform-XXXXXX";
   CPPUNIT_ASSERT(::mkdtemp(path) != nullptr);
   folder_ = path;
@@ -139,16 +140,26 @@
 }
 
 void PlatformFleet::StartGateway() {
-  const std::string file = folder_ + "/gateway.toml";
+  StartGatewayAt("gateway", {gateway_address_, ready_address_, metrics_address_});
+}
+
+void PlatformFleet::StartSecondGateway() {
+  StartGatewayAt("gateway2", {e2e::FreeAddress(), e2e::FreeAddress(), second_metrics_address_});
+}
+
+void PlatformFleet::StartGatewayAt(const std::string& process, const GatewayAddresses& addresses) {
+  const std::string file = folder_ + "/" + process + ".toml";
   std::ofstream settings(file);
-  settings << "cluster = \"test\"\nnode = \"g0\"\nzone = \"north\"\nlisten = \"" << gateway_address_
-           << "\"\nready_listen = \"" << ready_address_ << "\"\nmetrics_listen = \""
-           << metrics_address_ << "\"\nseeds = [\"" << ServiceAddress(0) << "\", \""
-           << ServiceAddress(1) << "\"]\ninternal_port = " << internal_port_
+  // So small a share of a processor that even a few dozen shards are worth sharing.
+  settings << "cluster = \"test\"\nnode = \"" << process << "\"\nzone = \"north\"\nlisten = \""
+           << addresses.listen << "\"\nready_listen = \"" << addresses.ready
+           << "\"\nmetrics_listen = \"" << addresses.metrics << "\"\npeer_listen = \""
+           << e2e::FreeAddress() << "\"\nprocessor_share = 0.001\nseeds = [\"" << ServiceAddress(0)
+           << "\", \"" << ServiceAddress(1) << "\"]\ninternal_port = " << internal_port_
            << "\ndrain_grace_ms = 300\n";
   settings.close();
-  processes["gateway"] = std::make_unique<e2e::Process>(
-      "gateway", "pumicedyke-gateway", std::vector<std::string>{"--settings", file}, folder_);
+  processes[process] = std::make_unique<e2e::Process>(
+      process, "pumicedyke-gateway", std::vector<std::string>{"--settings", file}, folder_);
 }
 
 int PlatformFleet::Put(const std::string& document) {
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -61,11 +61,14 @@
 
   void StartControl(int index, bool bootstrap);
   void StartGateway();
+  /// A gateway that no client is sent to: it works for the first one.
+  void StartSecondGateway();
   std::string ServiceAddress(int index) const;
   std::string DirectoryAddress(int index) const;
   const std::string& gateway_address() const { return gateway_address_; }
   const std::string& ready_address() const { return ready_address_; }
   const std::string& metrics_address() const { return metrics_address_; }
+  const std::string& second_metrics_address() const { return second_metrics_address_; }
 
   /// Puts a document, at any control machine, until one takes it. @return the last status.
   int Put(const std::string& document);
@@ -78,6 +81,13 @@
   std::map<std::string, std::unique_ptr<e2e::Process>> processes;
 
  private:
+  struct GatewayAddresses {
+    std::string listen;
+    std::string ready;
+    std::string metrics;
+  };
+  void StartGatewayAt(const std::string& process, const GatewayAddresses& addresses);
+
   std::string folder_;
   std::string internal_port_;
   std::string service_port_;
@@ -85,6 +95,7 @@
   std::string gateway_address_;
   std::string ready_address_;
   std::string metrics_address_;
+  std::string second_metrics_address_;
   int asked_ = 0;
 };
 
