A merger sends a second time only once it was confirmed; follow a near control machine only while it is current

A merger that was given up on for not confirming within 20 ms counted as having sent once, but a slow one had sent twice before it read its cancel. Change: the root tells the merger that its word has come (PartialConfirm); until then each shard is sent to once. Now the machine says whether it is current, and one left for its silence is avoided for 10 s.

--- a/src/control/discovery_server.cc
+++ b/src/control/discovery_server.cc
@@ -6,6 +6,7 @@
 namespace pumicedyke::control {
 
 void DiscoveryServer::Tick(Timestamp now, bool current) {
+  current_ = current;
   if (!current) {
     registry_.ForgiveSilence(now);
   }
@@ -62,6 +63,7 @@
     feed.control = control_addresses_;
   }
   feed.zone = options_.zone;
+  feed.current = current_;
   feed.gateways = static_cast<uint32_t>(directory_.size());
   session->sent_version = feed.version;
   messages_.push_back({id, {options_.cluster, 0, std::move(feed)}});
--- a/src/control/discovery_server.h
+++ b/src/control/discovery_server.h
@@ -73,6 +73,8 @@
   registry::LeafRegistry registry_;
   directory::GatewayDirectory directory_;
   std::map<SessionId, Session> sessions_;
+  /// In touch with a quorum at the last Tick().
+  bool current_ = false;
   /// Messages that may go out now, as of `fed_`.
   double feed_credit_ = 0;
   Timestamp fed_{};
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -15,11 +15,11 @@
   }
 }
 
-void GatewayServer::SetLink(Timestamp now, const std::string& address, bool up) {
+void GatewayServer::SetLink(const std::string& address, bool up) {
   ControlLink& link = links_[address];
   if (link.up != up) {
     link.up = up;
-    link.up_since = now;
+    link.current_since.reset();
     output_.link_changes.push_back({address, up});
   }
 }
@@ -59,7 +59,7 @@
       link.last_reset = now;
       view_.OnSourceLost(now, address);
       peers_.OnSourceLost(address);
-      SetLink(now, address, /*up=*/false);
+      SetLink(address, /*up=*/false);
       output_.reconnect.push_back(address);
     }
     if (now >= link.next_presence) {
@@ -84,16 +84,25 @@
   }
 }
 
+void GatewayServer::NoteNearControlLeft(Timestamp now) {
+  if (!near_control_.empty() && control_[subscriber_.control()] != near_control_) {
+    links_.at(near_control_).avoided_until = now + options_.knobs.silent_control_avoided;
+    near_control_.clear();
+  }
+}
+
 void GatewayServer::TurnToNearControl(Timestamp now) {
-  const ControlLink& current = links_.at(control_[subscriber_.control()]);
+  NoteNearControlLeft(now);
   // Whoever starts takes the first answer that comes.
-  if (table_ == nullptr || (current.near && current.up)) {
+  if (table_ == nullptr || links_.at(control_[subscriber_.control()]).near) {
     return;
   }
   for (size_t i = 0; i < control_.size(); ++i) {
     const ControlLink& link = links_.at(control_[i]);
-    const bool settled = now - link.up_since >= options_.knobs.settled_control;
-    if (link.near && link.up && settled) {
+    const bool settled = link.current_since.has_value() &&
+                         now - *link.current_since >= options_.knobs.settled_control;
+    if (link.near && link.up && settled && now >= link.avoided_until) {
+      near_control_ = control_[i];
       subscriber_.TurnTo(now, i);
       return;
     }
@@ -120,7 +129,7 @@
 void GatewayServer::OnControlDisconnected(Timestamp now, const std::string& address) {
   view_.OnSourceLost(now, address);
   peers_.OnSourceLost(address);
-  SetLink(now, address, /*up=*/false);
+  SetLink(address, /*up=*/false);
   links_[address].next_presence = now;
   if (control_[subscriber_.control()] == address) {
     subscriber_.OnDisconnected(now);
@@ -140,10 +149,13 @@
 void GatewayServer::OnLeafFeed(Timestamp now, const std::string& address,
                                const wire::LeafFeed& feed) {
   links_[address].last_heard = now;
-  SetLink(now, address, /*up=*/true);
+  SetLink(address, /*up=*/true);
   gateways_ = std::max(1U, feed.gateways);
   LearnControl(feed.control);
-  links_[address].near = !feed.zone.empty() && feed.zone == options_.zone;
+  ControlLink& link = links_[address];
+  link.near = !feed.zone.empty() && feed.zone == options_.zone;
+  link.current_since =
+      feed.current ? std::optional(link.current_since.value_or(now)) : std::nullopt;
   TurnToNearControl(now);
   if (!view_.OnFeed(now, address, feed)) {
     links_[address].next_presence = now;
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -45,6 +45,8 @@
     OnPartialQuery(now, session, *query, arrived);
   } else if (const auto* cancel = std::get_if<wire::PartialCancel>(&envelope.body)) {
     OnPartialCancel(now, session, *cancel);
+  } else if (const auto* confirm = std::get_if<wire::PartialConfirm>(&envelope.body)) {
+    OnPartialConfirm(now, session, *confirm);
   }
 }
 
@@ -110,6 +112,7 @@
   query::ExecutionOptions options = options_.execution;
   options.charge_first = query.again;
   options.report_parts = true;
+  options.hold_attempts = plan.max_attempts > 1;
   const config::PublishedSnapshot& snapshot = target.service->snapshots.back();
   query::CallerRequest caller;
   caller.service = query.route;
@@ -123,6 +126,16 @@
   Collect(now, id);
 }
 
+void GatewayServer::OnPartialConfirm(Timestamp now, PeerSessionId session,
+                                     const wire::PartialConfirm& confirm) {
+  const auto found = partials_.find({session, confirm.id});
+  if (found != partials_.end()) {
+    const RequestId id = found->second;
+    active_.at(id).execution->ReleaseAttempts(now);
+    Collect(now, id);
+  }
+}
+
 void GatewayServer::OnPartialCancel(Timestamp now, PeerSessionId session,
                                     const wire::PartialCancel& cancel) {
   const auto found = partials_.find({session, cancel.id});
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -73,6 +73,9 @@
   Duration control_silence = Seconds(2);
   /// A control machine that came back is followed for its nearness only after this.
   Duration settled_control = Seconds(2);
+  /// One that fell silent while it was followed is left alone for this long: it may be cut off from
+  /// the others without knowing it.
+  Duration silent_control_avoided = Seconds(10);
   /// Gateways that may come at any time: connections and budgets are shared with one more.
   uint32_t spare_gateways = 1;
   /// Off: every gateway gathers alone.
@@ -267,9 +270,12 @@
     Timestamp last_heard{};
     Timestamp last_reset{};
     bool up = false;
-    Timestamp up_since{};
     /// In this gateway's zone.
     bool near = false;
+    /// Since when it has said that it is in touch with a quorum; unset: it says that it is not.
+    std::optional<Timestamp> current_since;
+    /// Not followed for its nearness before this: it fell silent when it was.
+    Timestamp avoided_until{};
   };
 
   void OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed);
@@ -280,11 +286,13 @@
   Duration PresenceInterval(Timestamp now, const std::string& address) const;
   /// Turns to a control machine that is there, if the one asked for the first routes is not.
   void TurnToLiveControl(Timestamp now);
-  /// Follows a control machine of the own zone, if there is one that has been up for a while: what
-  /// it sends crosses no zone.
+  /// Follows a control machine of the own zone, if there is one that has been in touch with a
+  /// quorum for a while: what it sends crosses no zone.
   void TurnToNearControl(Timestamp now);
+  /// Takes note if the near control machine that was followed has been left for its silence.
+  void NoteNearControlLeft(Timestamp now);
   void AddControl(const std::string& address);
-  void SetLink(Timestamp now, const std::string& address, bool up);
+  void SetLink(const std::string& address, bool up);
   wire::Envelope Presence(const std::string& address) const;
 
   const Target& TargetOf(const std::vector<std::string>& services);
@@ -337,6 +345,7 @@
   // The same as the one that merges a group.
   void OnPartialQuery(Timestamp now, PeerSessionId session, const wire::PartialQuery& query,
                       Timestamp arrived);
+  void OnPartialConfirm(Timestamp now, PeerSessionId session, const wire::PartialConfirm& confirm);
   void OnPartialCancel(Timestamp now, PeerSessionId session, const wire::PartialCancel& cancel);
   void StopPartial(Timestamp now, RequestId id, bool stop_work);
   void CollectPartial(Timestamp now, RequestId id, const std::optional<query::Answer>& answer);
@@ -373,6 +382,8 @@
   std::map<std::vector<std::string>, Target> targets_;
   std::vector<std::string> control_;
   std::map<std::string, ControlLink> links_;
+  /// The control machine that is followed for its nearness; empty: none is.
+  std::string near_control_;
   uint32_t gateways_ = 1;
   PeerView peers_;
   Timestamp peers_changed_{};
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -158,6 +158,11 @@
   for (const query::GroupCancel& cancel : actions.cancels) {
     CancelQuestion(cancel);
   }
+  for (const query::GroupConfirmation& confirmation : actions.confirmations) {
+    output_.peer_messages.push_back(
+        {confirmation.merger,
+         {options_.cluster, document_version(), wire::PartialConfirm{confirmation.id}}});
+  }
   for (const query::GroupQuestion& question : actions.questions) {
     request_of_question_[question.id] = id;
     active.questions.push_back(question.id);
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -166,7 +166,19 @@
   return passing && shard.rounds < kMaxRounds;
 }
 
+bool RequestExecution::Held(const ShardProgress& shard) const {
+  return options_.hold_attempts && !shard.attempts.empty();
+}
+
+void RequestExecution::ReleaseAttempts(Timestamp now) {
+  options_.hold_attempts = false;
+  Advance(now);
+}
+
 void RequestExecution::SendPrimaryOrRetry(Timestamp now, ShardProgress* shard) {
+  if (Held(*shard)) {
+    return;
+  }
   const bool all_refused =
       std::all_of(shard->attempts.begin(), shard->attempts.end(),
                   [](const Attempt& attempt) { return attempt.state == AttemptState::kRefused; });
@@ -269,7 +281,8 @@
 }
 
 void RequestExecution::MaybeHedge(Timestamp now, ShardProgress* shard) {
-  const bool single = ActiveAttempts(*shard) == 1 && shard->shard.replicas.size() > 1;
+  const bool single =
+      ActiveAttempts(*shard) == 1 && shard->shard.replicas.size() > 1 && !Held(*shard);
   if (single && MayAttemptAgain(*shard) && now - shard->attempts.back().sent >= HedgeDelay()) {
     SendTo(now, shard, SendKind::kExtra);
   }
@@ -442,6 +455,9 @@
   if (shard.covered || shard.given_up) {
     return deadline_;
   }
+  if (Held(shard)) {
+    return deadline_;
+  }
   const size_t active = ActiveAttempts(shard);
   if (active == 0) {
     return std::max(shard.next_round, now + options_.poll);
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -52,6 +52,8 @@
   bool charge_first = false;
   /// Parts can be taken with TakeNewParts() as they come.
   bool report_parts = false;
+  /// No shard is sent to a second time before ReleaseAttempts() is called.
+  bool hold_attempts = false;
   /// Baseline: retries after this time-out without a budget; zero means off.
   Duration naive_retry_timeout{};
   /// Baseline: hedges after this delay without a budget; zero means off.
@@ -97,6 +99,8 @@
   /// Sends what can be sent, hedges, and answers if it is time.
   void Advance(Timestamp now);
   void OnReply(Timestamp now, const LeafReply& reply);
+  /// Ends `hold_attempts`.
+  void ReleaseAttempts(Timestamp now);
 
   /// True when every replica of a shard said that it does not hold the snapshot and the whole
   /// request may start again on another one.
@@ -174,6 +178,8 @@
   bool MayPay(Timestamp now, const ShardProgress& shard, SendKind kind) const;
   balance::ExtraLoadLimit* BudgetOf(const ShardProgress& shard) const;
   bool MayAttemptAgain(const ShardProgress& shard) const;
+  /// It was sent to once and must not be again yet.
+  bool Held(const ShardProgress& shard) const;
   bool SendTo(Timestamp now, ShardProgress* shard, SendKind kind);
   void SendPrimaryOrRetry(Timestamp now, ShardProgress* shard);
   void MaybeHedge(Timestamp now, ShardProgress* shard);
--- a/src/query/shared_gather.cc
+++ b/src/query/shared_gather.cc
@@ -130,6 +130,9 @@
       End(&group);
       break;
     default:
+      if (question->state == QuestionState::kAsked && question->max_attempts > 1) {
+        actions_.confirmations.push_back({question->id, question->merger});
+      }
       question->state = QuestionState::kAccepted;
       TakeParts(group, word);
       break;
--- a/src/query/shared_gather.h
+++ b/src/query/shared_gather.h
@@ -2,10 +2,11 @@
 // groups, each is asked of one merging gateway, and the partial answers make one. This is the side
 // of the gateway that the client reached. Events in, actions out; no socket, clock or thread.
 //
-// Why nothing runs too often although a merger may die or freeze at any moment: a merger sends to a
-// leaf a second time only after it has been asked for a while, and one that does not confirm the
-// question within `accept_patience` is told to stop and counts as having sent once. The next one is
-// told how many attempts are left. Once a merger has confirmed, all attempts count as used.
+// Why nothing runs too often although a merger may die, freeze or be slow at any moment: a merger
+// accepts a question, and sends to each shard once; it sends again only after it was confirmed that
+// its word has come. One that was not heard of within `accept_patience` is never confirmed: it
+// counts as having sent once, and another is asked with one attempt less. After a confirmation all
+// attempts count as used, and nobody else is asked.
 #pragma once
 
 #include <cstdint>
@@ -56,6 +57,11 @@
   bool stop_work = false;
 };
 
+struct GroupConfirmation {
+  uint64_t id = 0;
+  std::string merger;
+};
+
 /// The whole answer, once there is one.
 struct SharedOutcome {
   ResultCode code = ResultCode::kInternal;
@@ -69,6 +75,8 @@
 
 struct SharedGatherActions {
   std::vector<GroupQuestion> questions;
+  /// Questions that were accepted in time.
+  std::vector<GroupConfirmation> confirmations;
   std::vector<GroupCancel> cancels;
   /// Mergers that were given up on.
   std::vector<std::string> silent;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -256,6 +256,7 @@
   out.version = feed.version;
   out.gateways = feed.gateways;
   out.zone = arena->String(feed.zone);
+  out.current = feed.current;
   out.records_count = static_cast<pb_size_t>(feed.records.size());
   out.records = arena->Array<pumicedyke_wire_LeafRecord>(feed.records.size());
   for (size_t i = 0; i < feed.records.size(); ++i) {
@@ -281,7 +282,7 @@
 }
 
 LeafFeed Read(const pumicedyke_wire_LeafFeed& in) {
-  LeafFeed feed{in.from_version, in.version, {}, {}, {}, in.gateways, Text(in.zone)};
+  LeafFeed feed{in.from_version, in.version, {}, {}, {}, in.gateways, Text(in.zone), in.current};
   for (pb_size_t i = 0; i < in.records_count; ++i) {
     const pumicedyke_wire_LeafRecord& record = in.records[i];
     feed.records.push_back({Text(record.leaf), Text(record.service), Text(record.address),
@@ -360,6 +361,11 @@
   envelope->body.partial_cancel = {cancel.id, cancel.stop_work};
 }
 
+void Fill(const PartialConfirm& confirm, Arena* /*arena*/, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_partial_confirm_tag;
+  envelope->body.partial_confirm = {confirm.id};
+}
+
 void Fill(const PartialAnswer& answer, Arena* arena, pumicedyke_wire_Envelope* envelope) {
   envelope->which_body = pumicedyke_wire_Envelope_partial_answer_tag;
   pumicedyke_wire_PartialAnswer& out = envelope->body.partial_answer;
@@ -436,6 +442,8 @@
       return Body(Read(in.body.partial_query));
     case pumicedyke_wire_Envelope_partial_cancel_tag:
       return Body(PartialCancel{in.body.partial_cancel.id, in.body.partial_cancel.stop_work});
+    case pumicedyke_wire_Envelope_partial_confirm_tag:
+      return Body(PartialConfirm{in.body.partial_confirm.id});
     case pumicedyke_wire_Envelope_partial_answer_tag:
       return Body(Read(in.body.partial_answer));
     default:
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -228,6 +228,12 @@
   bool stop_work = false;
 };
 
+/// The gateway that asked has heard that its question was taken: it asks nobody else from now on,
+/// and each shard may be sent to as often as the question says. Until then: once.
+struct PartialConfirm {
+  uint64_t id = 0;
+};
+
 enum class PartialStage : uint32_t {
   /// The question was taken; also repeated as a sign of life.
   kAccepted = 1,
@@ -281,11 +287,14 @@
   uint32_t gateways = 0;
   /// Where the sender is.
   std::string zone = {};
+  /// The sender is in touch with a quorum, as far as it can know.
+  bool current = false;
 };
 
-using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
-                          JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed,
-                          JoinReply, GatewayFeed, PartialQuery, PartialCancel, PartialAnswer>;
+using Body =
+    std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply, JoinRequest,
+                 Forwarded, ForwardedReply, GatewayPresence, LeafFeed, JoinReply, GatewayFeed,
+                 PartialQuery, PartialCancel, PartialAnswer, PartialConfirm>;
 
 struct Envelope {
   std::string cluster;
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -84,6 +84,12 @@
     return {id, service, id + ":80", "north", 2, false, 0};
   }
 
+  /// A control machine answers a greeting: there is nothing new.
+  void Vouch() {
+    wire::ConfigFeed feed;
+    feed.version = state_.version().value;
+    server.OnControlMessage(now, kControl, {"test", feed.version, feed});
+  }
   /// Other gateways, by the word of the control machine.
   void Peers(std::vector<wire::GatewayRecord> peers) {
     wire::GatewayFeed feed;
