--- a/test/gateway/gateway_server_test.cc
+++ b/test/gateway/gateway_server_test.cc
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(LeafsOwnFailureIsPassedOn);
   CPPUNIT_TEST(GathersTheGreatest);
   CPPUNIT_TEST(AnswersBeforeTheObjectiveWithEnoughShards);
+  CPPUNIT_TEST(MarginFollowsWhatTheClientHasSpent);
+  CPPUNIT_TEST(HedgesSoonWhereManyLeafsAreSlow);
   CPPUNIT_TEST(TooFewShardsAreNoSuccess);
   CPPUNIT_TEST(RetiredLeafGetsNothing);
   CPPUNIT_TEST(CrowdOfRetirementsIsTakenOverTogether);
@@ -235,6 +237,60 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, h.answers[0].signatures.size());
   }
 
+  /// The route lets a request take two seconds, and so long its clients wait.
+  void MarginFollowsWhatTheClientHasSpent() {
+    struct Case {
+      Duration patience;
+      Duration answered;
+    };
+    for (const Case& c :
+         {Case{Seconds(2), Milliseconds(90)}, Case{Milliseconds(1970), Milliseconds(60)},
+          // Longer than the objective: the client has begun anew.
+          Case{Milliseconds(1500), Milliseconds(80)}}) {
+      GatewayHarness h;
+      StartGathering(&h);
+      h.Ask("/all/1", c.patience);
+      h.Reply(h.sends[0], query::LeafStatus::kOk, Record('a'));
+      h.Reply(h.sends[1], query::LeafStatus::kOk, Record('b'));
+      h.Pass(c.answered - Milliseconds(1));
+      CPPUNIT_ASSERT(h.answers.empty());
+      h.Pass(Milliseconds(1));
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, h.answers.size());
+    }
+  }
+
+  /// A quarter of the shards take 60 ms, the others 10: a high quantile lies among the slow ones.
+  void HedgesSoonWhereManyLeafsAreSlow() {
+    GatewayHarness h;
+    h.Put(1, kGather);
+    std::vector<wire::LeafRecord> leafs;
+    for (const char* service : {"s0", "s1", "s2", "s3"}) {
+      leafs.push_back(GatewayHarness::Leaf(std::string(service) + "-a", service));
+    }
+    h.Report(leafs);
+    for (int i = 0; i < 12; ++i) {
+      h.sends.clear();
+      h.Ask("/all/" + std::to_string(i));
+      h.Pass(Milliseconds(10));
+      for (size_t shard = 0; shard < 3; ++shard) {
+        h.Reply(h.sends[shard], query::LeafStatus::kOk, Record('a'));
+      }
+      h.Pass(Milliseconds(50));
+      h.Reply(h.sends[3], query::LeafStatus::kOk, Record('a'));
+    }
+    for (const char* service : {"s0", "s1", "s2", "s3"}) {
+      leafs.push_back(GatewayHarness::Leaf(std::string(service) + "-b", service));
+    }
+    h.Report(leafs);
+    h.Pass(Seconds(1));
+    h.sends.clear();
+    h.Ask("/all/x");
+    h.Pass(Milliseconds(14));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, h.sends.size());
+    h.Pass(Milliseconds(11));
+    CPPUNIT_ASSERT(h.sends.size() > 4);
+  }
+
   void TooFewShardsAreNoSuccess() {
     GatewayHarness h;
     StartGathering(&h);
