--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -293,7 +293,8 @@
   Collect(now, id);
 }
 
-void GatewayServer::CollectSends(Active* active, RequestId id, query::ExecutionActions actions) {
+void GatewayServer::CollectSends(Active* active, RequestId id,
+                                 const query::ExecutionActions& actions) {
   for (const query::LeafRequest& send : actions.sends) {
     const wire::LeafRecord& record = view_.leafs().at(send.leaf);
     request_of_[send.id] = id;
@@ -320,7 +321,7 @@
   Active& active = active_.at(id);
   query::ExecutionActions actions = active.execution->TakeActions();
   const std::optional<query::Answer> answer = std::move(actions.answer);
-  CollectSends(&active, id, std::move(actions));
+  CollectSends(&active, id, actions);
   if (active.partial.has_value()) {
     CollectPartial(now, id, answer);
     return;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -326,7 +326,7 @@
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                       std::shared_ptr<const PayloadRequest> request, Timestamp arrived);
   void Collect(Timestamp now, RequestId id);
-  void CollectSends(Active* active, RequestId id, query::ExecutionActions actions);
+  void CollectSends(Active* active, RequestId id, const query::ExecutionActions& actions);
   /// Lets whatever works on the request go on.
   void Advance(Timestamp now, RequestId id);
 
--- a/src/query/shared_gather.cc
+++ b/src/query/shared_gather.cc
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-SharedGather::SharedGather(const policy::QueryPlan& plan, std::vector<ShardRange> groups,
+SharedGather::SharedGather(const policy::QueryPlan& plan, const std::vector<ShardRange>& groups,
                            SharedGatherOptions options, ChooseCb choose, NextIdCb next_id,
                            Timestamp started)
     : plan_(plan),
--- a/src/query/shared_gather.h
+++ b/src/query/shared_gather.h
@@ -101,7 +101,7 @@
   using NextIdCb = std::function<uint64_t()>;
 
   /// @param groups cover every shard once.
-  SharedGather(const policy::QueryPlan& plan, std::vector<ShardRange> groups,
+  SharedGather(const policy::QueryPlan& plan, const std::vector<ShardRange>& groups,
                SharedGatherOptions options, ChooseCb choose, NextIdCb next_id, Timestamp started);
 
   /// Asks what can be asked, gives up on silent mergers, and answers if it is time.
--- a/test/query/shared_gather_test.cc
+++ b/test/query/shared_gather_test.cc
@@ -35,7 +35,7 @@
     return plan;
   }
 
-  void Word(uint64_t id, wire::PartialStage stage, std::vector<uint32_t> shards = {},
+  void Word(uint64_t id, wire::PartialStage stage, const std::vector<uint32_t>& shards = {},
             RunState run = RunState::kRan) {
     wire::PartialAnswer word;
     word.id = id;
