A test of second questions that can fail; what was seen to fail

Cause: with nine mechanisms taken out of a scratch build, MergerOfASecondQuestionPaysForEverySubRequest still passed: no leaf answered in it, so that the pool's limits held the sub-requests back, not the budget. Change: leafs answer at once; the assertions are the same. It now fails without the charge and passes with it.

--- a/test/gateway/gateway_sharing_test.cc
+++ b/test/gateway/gateway_sharing_test.cc
@@ -393,8 +393,13 @@
   void MergerOfASecondQuestionPaysForEverySubRequest() {
     Sharing s;
     const size_t many = 60;
+    size_t answered = 0;
     for (uint64_t id = 1; id <= many; ++id) {
       s.BeMerger(id, /*max_attempts=*/1, /*again=*/true);
+      // The leafs answer at once, so that only the budget can hold a sub-request back.
+      for (; answered < s.h.sends.size(); ++answered) {
+        s.h.Reply(s.h.sends[answered], query::LeafStatus::kOk, std::string(16, 'a'));
+      }
     }
     // Ten sub-requests in all are allowed beyond the first ones, for each shard.
     CPPUNIT_ASSERT(s.h.sends.size() < 2 * many);
