--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -57,6 +57,28 @@
   }
 }
 
+void LeafPool::SetCold(Timestamp now, const std::map<std::string, ColdLimit>& limits) {
+  std::erase_if(cold_, [&](const auto& item) { return !limits.contains(item.first); });
+  for (const auto& [leaf, limit] : limits) {
+    const auto [it, inserted] = cold_.try_emplace(leaf);
+    ColdState& cold = it->second;
+    cold.saved = inserted ? 0.0 : SavedBy(cold, now);
+    cold.counted = now;
+    cold.limit = limit;
+  }
+}
+
+double LeafPool::SavedBy(const ColdState& cold, Timestamp now) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const double seconds = static_cast<double>((now - cold.counted).count()) / kMicrosecondsPerSecond;
+  return std::min(1.0, cold.saved + seconds * cold.limit.per_second);
+}
+
+bool LeafPool::IsCold(const std::string& leaf, Timestamp now) const {
+  const auto it = cold_.find(leaf);
+  return it != cold_.end() && now < it->second.limit.until;
+}
+
 void LeafPool::NoteWord(LeafState* state, Timestamp now, bool draining) const {
   state->reported = true;
   if (draining) {
@@ -140,6 +162,9 @@
   if (state.draining || state.leaving_in_config || state.leaving_on_platform) {
     return Availability::kLeaving;
   }
+  if (IsCold(leaf, now) && SavedBy(cold_.at(leaf), now) < 1.0) {
+    return Availability::kLeaving;
+  }
   // A leaf that this node knows nothing of may have begun to leave long ago.
   const bool waits_for_report =
       !state.reported && now - state.configured_at < knobs_.first_report_patience;
@@ -174,6 +199,11 @@
     state.expected = expected.count() > 0 ? expected : knobs_.initial_latency;
     state.out[id] = {now, state.expected};
     state.last_sent = now;
+    if (IsCold(leaf, now)) {
+      ColdState& cold = cold_.at(leaf);
+      cold.saved = std::max(0.0, SavedBy(cold, now) - 1.0);
+      cold.counted = now;
+    }
   }
 }
 
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -20,10 +20,17 @@
   kReady,
   /// Would take work later: its limit is reached or it is ejected for a while.
   kBusy,
-  /// Takes no new work.
+  /// Takes no new work: it leaves, or is cold and has had its share.
   kLeaving,
 };
 
+/// What this node may send to a leaf that is cold.
+struct ColdLimit {
+  Timestamp until{};
+  /// Sub-requests a second; zero: none.
+  double per_second = 0;
+};
+
 /// Where a leaf stands from this node's point of view.
 struct LeafPlacement {
   /// In another zone.
@@ -49,6 +56,9 @@
   void SetLeavingOnPlatform(const std::set<std::string>& leafs);
   /// One more of these.
   void AddLeavingOnPlatform(const std::string& leaf);
+  /// What may be sent to leafs that are cold, by id; others bear what they always do. A leaf that
+  /// is limited already keeps what it has saved up.
+  void SetCold(Timestamp now, const std::map<std::string, ColdLimit>& limits);
   /// A health report of the leaf was read.
   void OnHealth(Timestamp now, const std::string& leaf, bool draining);
 
@@ -79,6 +89,12 @@
   std::vector<std::string> Names() const;
 
  private:
+  struct ColdState {
+    ColdLimit limit;
+    /// Sub-requests that may go out, as of `counted`: one at most, so that leafs are not flooded.
+    double saved = 0;
+    Timestamp counted{};
+  };
   struct InFlight {
     Timestamp sent;
     /// How long such a sub-request usually takes.
@@ -123,6 +139,9 @@
   Duration Patience(const LeafState& state, const InFlight& out, Timestamp now) const;
   bool Stalled(const LeafState& state, Timestamp now) const;
   bool HasRoom(const LeafState& state, Timestamp now) const;
+  bool IsCold(const std::string& leaf, Timestamp now) const;
+  /// Sub-requests that a cold leaf may get now.
+  static double SavedBy(const ColdState& cold, Timestamp now);
   double Score(const LeafState& state, Timestamp now) const;
   void NoteWord(LeafState* state, Timestamp now, bool draining) const;
   void Decrease(LeafState* state, Timestamp now, double factor);
@@ -132,6 +151,7 @@
   BalanceKnobs knobs_;
   std::mt19937_64 random_;
   std::unordered_map<std::string, LeafState> leafs_;
+  std::unordered_map<std::string, ColdState> cold_;
   std::set<std::string> config_leaving_;
   std::set<std::string> platform_leaving_;
 };
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -80,11 +80,32 @@
     case ChangeKind::kPutDocument:
     case ChangeKind::kReportLeafs:
     case ChangeKind::kForgetLeafs:
+    case ChangeKind::kEvacuateZone:
+    case ChangeKind::kRestoreZone:
       return absl::OkStatus();
   }
   return absl::OkStatus();
 }
 
+std::set<std::string> ConfigState::EvacuatedZones() const {
+  std::set<std::string> evacuated;
+  for (const auto& [name, zone] : zones_) {
+    if (zone.evacuated) {
+      evacuated.insert(name);
+    }
+  }
+  return evacuated;
+}
+
+uint64_t ConfigState::RevisionOf(const Change& change) const {
+  if (ConcernsZone(change.kind)) {
+    const auto zone = zones_.find(change.zone);
+    return zone == zones_.end() ? 0 : zone->second.revision;
+  }
+  const Service* service = FindService(change.service);
+  return service == nullptr ? 0 : service->revision;
+}
+
 bool ConfigState::HasLeaf(const std::string& id) const {
   return std::any_of(services_.begin(), services_.end(),
                      [&id](const auto& item) { return item.second.leafs.contains(id); });
@@ -105,6 +126,11 @@
   if (change.kind == ChangeKind::kRetireLeaf) {
     return retired_.contains(change.leaf);
   }
+  if (ConcernsZone(change.kind)) {
+    const auto zone = zones_.find(change.zone);
+    const bool evacuated = zone != zones_.end() && zone->second.evacuated;
+    return evacuated == (change.kind == ChangeKind::kEvacuateZone);
+  }
   return change.kind == ChangeKind::kPutDocument && change.document.version <= document_.version;
 }
 
@@ -183,6 +209,13 @@
         }
       }
       break;
+    case ChangeKind::kEvacuateZone:
+    case ChangeKind::kRestoreZone: {
+      ZoneState& zone = zones_[change.zone];
+      zone.evacuated = change.kind == ChangeKind::kEvacuateZone;
+      ++zone.revision;
+      break;
+    }
   }
 }
 
@@ -193,7 +226,8 @@
               {"retired", retired_order_},
               {"document_version", document_.version},
               {"document", document_.text},
-              {"reported", reported_}}
+              {"reported", reported_},
+              {"zones", zones_}}
       .dump();
 }
 
@@ -210,6 +244,8 @@
     state.document_.version = json.value("document_version", uint64_t{0});
     state.document_.text = json.value("document", "");
     state.reported_ = json.value("reported", std::map<std::string, ReportedLeaf>());
+    // Absent in what was written before zones could be evacuated.
+    state.zones_ = json.value("zones", std::map<std::string, ZoneState>());
   } catch (const Json::exception& error) {
     return MakeStatus(ResultCode::kCorruptState, error.what());
   }
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -31,6 +31,13 @@
   /// Leafs that report by heartbeats and have neither retired nor fallen silent, by id.
   const std::map<std::string, ReportedLeaf>& reported() const { return reported_; }
 
+  /// Zones that operators evacuated at least once, by name.
+  const std::map<std::string, ZoneState>& zones() const { return zones_; }
+  /// Zones whose leafs nothing may be sent to.
+  std::set<std::string> EvacuatedZones() const;
+  /// Revision of what the change is about, a service or a zone; zero: it has none yet.
+  uint64_t RevisionOf(const Change& change) const;
+
   /// Whether `change` may be applied now, except for its expected revision.
   /// @return kInvalidConfig or kUnknownObject naming the field.
   absl::Status Validate(const Change& change) const;
@@ -61,6 +68,7 @@
   std::deque<std::string> retired_order_;
   RouteDocument document_;
   std::map<std::string, ReportedLeaf> reported_;
+  std::map<std::string, ZoneState> zones_;
 };
 
 }  // namespace pumicedyke::config
--- a/src/config/model.cc
+++ b/src/config/model.cc
@@ -15,7 +15,7 @@
 constexpr size_t kMaxPolicyBytes = 16 * 1024;
 constexpr uint32_t kMaxSlots = 10000;
 
-constexpr std::array<std::pair<ChangeKind, const char*>, 10> kKindNames = {{
+constexpr std::array<std::pair<ChangeKind, const char*>, 12> kKindNames = {{
     {ChangeKind::kPutService, "put_service"},
     {ChangeKind::kRemoveService, "remove_service"},
     {ChangeKind::kPublishSnapshot, "publish_snapshot"},
@@ -26,6 +26,8 @@
     {ChangeKind::kPutDocument, "put_document"},
     {ChangeKind::kReportLeafs, "report_leafs"},
     {ChangeKind::kForgetLeafs, "forget_leafs"},
+    {ChangeKind::kEvacuateZone, "evacuate_zone"},
+    {ChangeKind::kRestoreZone, "restore_zone"},
 }};
 
 absl::Status FieldError(const std::string& field, const std::string& allowed) {
@@ -215,6 +217,9 @@
     case ChangeKind::kReportLeafs:
     case ChangeKind::kForgetLeafs:
       return ReadReported(json, &change->reported);
+    case ChangeKind::kEvacuateZone:
+    case ChangeKind::kRestoreZone:
+      return ReadName(json, "zone", "zone", &change->zone);
     case ChangeKind::kRemoveService:
       break;
   }
@@ -228,6 +233,10 @@
 
 }  // namespace
 
+bool ConcernsZone(ChangeKind kind) {
+  return kind == ChangeKind::kEvacuateZone || kind == ChangeKind::kRestoreZone;
+}
+
 bool IsIdempotent(ChangeKind kind) {
   return !ConcernsService(kind) && kind != ChangeKind::kMarkLeaving &&
          kind != ChangeKind::kClearLeaving;
@@ -280,6 +289,10 @@
     case ChangeKind::kForgetLeafs:
       json["reported"] = change.reported;
       break;
+    case ChangeKind::kEvacuateZone:
+    case ChangeKind::kRestoreZone:
+      json["zone"] = change.zone;
+      break;
     case ChangeKind::kRemoveService:
       break;
   }
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -63,6 +63,14 @@
   bool operator==(const ReportedLeaf&) const = default;
 };
 
+/// What operators ordered for the leafs of a zone.
+struct ZoneState {
+  /// Nothing may be sent to them.
+  bool evacuated = false;
+  /// Counts the changes of this state.
+  uint64_t revision = 0;
+};
+
 /// Routes as operators put them, whole: kept byte for byte. What the bytes mean is for the
 /// routing::DocumentReader of the process that uses them.
 struct RouteDocument {
@@ -86,8 +94,12 @@
   kReportLeafs,
   /// Leafs that fell silent at the control machine they report to.
   kForgetLeafs,
+  /// Nothing is sent to a zone's leafs any more, until the zone is restored.
+  kEvacuateZone,
+  kRestoreZone,
 };
 
+bool ConcernsZone(ChangeKind kind);
 /// Whether a change may be applied twice without harm, so that it needs no submission id.
 bool IsIdempotent(ChangeKind kind);
 
@@ -96,7 +108,8 @@
   ChangeKind kind = ChangeKind::kPutService;
   /// A resend under the same id gets the first submission's result.
   std::string submission_id;
-  /// The service's revision that the operator saw; none means "whatever it is".
+  /// The revision of the service, or of the zone's state, that the change is based on; none means
+  /// "whatever it is".
   std::optional<uint64_t> expected_revision;
   std::string service;
   std::vector<Leaf> leafs;
@@ -105,6 +118,8 @@
   /// The leaf of kMarkLeaving, kClearLeaving and kRetireLeaf.
   std::string leaf;
   RouteDocument document;
+  /// The zone of kEvacuateZone and kRestoreZone.
+  std::string zone;
   /// The leafs of kReportLeafs and kForgetLeafs; of the latter only id and reporter count.
   std::vector<ReportedLeaf> reported;
 };
@@ -115,7 +130,7 @@
   std::string message;
   /// Configuration version that the change made, or the current one if it was refused.
   uint64_t version = 0;
-  /// The service's revision after the change, or the current one if it was refused.
+  /// The service's or the zone's revision after the change, or the current one if it was refused.
   uint64_t revision = 0;
 };
 
@@ -123,6 +138,7 @@
 void from_json(const Json& json, Change& change);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Leaf, id, address, zone, slots)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportedLeaf, id, service, address, zone, slots, reporter)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneState, evacuated, revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Shard, id, replicas)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PublishedSnapshot, id, shards)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Service, name, revision, leafs, snapshots, policy,
--- a/src/control/control_replicas.cc
+++ b/src/control/control_replicas.cc
@@ -219,6 +219,7 @@
               {"commit_index", raft_.commit_index()},
               {"snapshot_index", raft_.snapshot_index()},
               {"version", state_.config().version().value},
+              {"evacuated_zones", state_.config().EvacuatedZones()},
               {"ledger_entries", state_.ledger().size()},
               {"fully_redundant", fully_redundant},
               {"replicas", std::move(replicas)},
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -67,6 +67,7 @@
   raft_.Tick(now);
   DrainRaft(now);
   ExpirePending(now);
+  ForwardAgain(now);
   std::erase_if(sessions_, [&](const auto& item) {
     return now - item.second.last_heard > options_.session_timeout;
   });
@@ -145,12 +146,41 @@
     return;
   }
   const uint64_t ticket = next_ticket_++;
-  // Without a leader the command is not kept: an answer of "no quorum" must stay true, and the
-  // submission id makes a resend safe.
-  if (raft_.leader() != 0) {
-    SendToMember(raft_.leader(), wire::Forwarded{identity_.member, ticket, command});
+  ForwardedCommand& forwarded = forwarded_[ticket];
+  forwarded.origin = origin;
+  forwarded.command = command;
+  SendForwarded(now, ticket, &forwarded);
+}
+
+void ControlServer::SendForwarded(Timestamp now, uint64_t ticket, ForwardedCommand* forwarded) {
+  forwarded->leader = raft_.leader();
+  forwarded->sent = now;
+  if (forwarded->leader != 0) {
+    SendToMember(forwarded->leader, wire::Forwarded{identity_.member, ticket, forwarded->command});
+  }
+}
+
+void ControlServer::ForwardAgain(Timestamp now) {
+  std::vector<std::pair<std::string, Origin>> led_here;
+  for (auto it = forwarded_.begin(); it != forwarded_.end();) {
+    ForwardedCommand& forwarded = it->second;
+    // Operators' changes alone: twice is once by their submission id, or by what they are.
+    const bool repeatable = forwarded.origin.kind == Origin::Kind::kOperator;
+    const bool unanswered = now - forwarded.sent >= options_.forward_patience;
+    const bool other_leader = raft_.leader() != 0 && raft_.leader() != forwarded.leader;
+    if (!repeatable || (!unanswered && !other_leader)) {
+      ++it;
+    } else if (raft_.role() == consensus::Role::kLeader) {
+      led_here.emplace_back(forwarded.command, forwarded.origin);
+      it = forwarded_.erase(it);
+    } else {
+      SendForwarded(now, it->first, &forwarded);
+      ++it;
+    }
+  }
+  for (const auto& [command, origin] : led_here) {
+    ProposeHere(now, command, origin);
   }
-  forwarded_[ticket] = origin;
 }
 
 void ControlServer::ProposeHere(Timestamp now, const std::string& command, Origin origin) {
@@ -212,16 +242,16 @@
   if (it == forwarded_.end()) {
     return;
   }
-  const Origin origin = it->second;
+  const Origin origin = it->second.origin;
   forwarded_.erase(it);
   Answer(origin, reply.result);
 }
 
 void ControlServer::ExpirePending(Timestamp now) {
   std::erase_if(forwarded_, [&](const auto& item) {
-    const bool expired = now >= item.second.deadline;
+    const bool expired = now >= item.second.origin.deadline;
     if (expired) {
-      AnswerNoQuorum(item.second);
+      AnswerNoQuorum(item.second.origin);
     }
     return expired;
   });
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -36,6 +36,9 @@
   size_t snapshot_log_bytes = 4 << 20;
   /// A submission without a quorum's answer by then is answered kNoQuorum.
   Duration submission_timeout = Seconds(3);
+  /// A command that was passed to the leader and not answered for this long is passed on again, to
+  /// whoever leads by then: applying it twice does no harm.
+  Duration forward_patience = Milliseconds(300);
   Duration join_interval = Milliseconds(300);
   /// Sessions that greeted nothing for this long count as gone.
   Duration session_timeout = Seconds(5);
@@ -161,6 +164,14 @@
     uint64_t request = 0;
     Timestamp deadline{};
   };
+  /// A command that another machine, the leader, has to propose.
+  struct ForwardedCommand {
+    Origin origin;
+    std::string command;
+    /// Whom it was passed to; zero: there was no leader.
+    MemberId leader = 0;
+    Timestamp sent{};
+  };
   struct PendingConfigRead {
     TicketId ticket;
     Timestamp deadline;
@@ -174,6 +185,9 @@
   /// The command's fate is unknown here.
   void AnswerNoQuorum(const Origin& origin);
   void ExpirePending(Timestamp now);
+  /// Passes commands on again that the leader of that time does not answer.
+  void ForwardAgain(Timestamp now);
+  void SendForwarded(Timestamp now, uint64_t ticket, ForwardedCommand* forwarded);
   void OnForwarded(Timestamp now, const wire::Forwarded& forwarded);
   void OnForwardedReply(const wire::ForwardedReply& reply);
 
@@ -232,7 +246,7 @@
   };
   std::map<uint64_t, Proposal> proposals_;
   /// Commands passed to the leader, by ticket.
-  std::map<uint64_t, Origin> forwarded_;
+  std::map<uint64_t, ForwardedCommand> forwarded_;
   std::map<uint64_t, SessionId> session_reads_;
   std::map<uint64_t, PendingConfigRead> config_reads_;
   struct StatusRead {
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -42,7 +42,7 @@
 config::ChangeResult ControlState::ApplyChange(const config::Change& change) {
   if (config::IsIdempotent(change.kind)) {
     if (config_.IsSettled(change)) {
-      return {0, "was in force already", config_.version().value, 0};
+      return {0, "was in force already", config_.version().value, config_.RevisionOf(change)};
     }
     return Decide(change);
   }
@@ -67,13 +67,12 @@
 }
 
 config::ChangeResult ControlState::Decide(const config::Change& change) {
-  const config::Service* service = config_.FindService(change.service);
-  const uint64_t revision = service == nullptr ? 0 : service->revision;
+  const uint64_t revision = config_.RevisionOf(change);
   const bool conflict = options_.compare_and_set && change.expected_revision.has_value() &&
                         *change.expected_revision != revision;
   if (conflict) {
     return {static_cast<int>(ResultCode::kRevisionConflict),
-            "field 'expected_revision': the service is at revision " + std::to_string(revision),
+            "field 'expected_revision': it is at revision " + std::to_string(revision) + " now",
             config_.version().value, revision};
   }
   if (absl::Status status = config_.Validate(change); !status.ok()) {
@@ -82,8 +81,7 @@
   }
   config_.Apply(change);
   Keep({config_.version().value, wire::Pack(Json(change).dump())});
-  const config::Service* changed = config_.FindService(change.service);
-  return {0, "accepted", config_.version().value, changed == nullptr ? 0 : changed->revision};
+  return {0, "accepted", config_.version().value, config_.RevisionOf(change)};
 }
 
 void ControlState::Keep(wire::ConfigChange change) {
--- a/src/control/dialect.h
+++ b/src/control/dialect.h
@@ -32,7 +32,13 @@
 struct FindGateways {
   std::string zone;
 };
-using Command = std::variant<PutDocument, GetDocument, ReportLeaf, RetireLeaf, FindGateways>;
+/// An operator orders that nothing more is sent to a zone's leafs, or takes that back.
+struct OrderZone {
+  std::string zone;
+  bool evacuated = false;
+};
+using Command =
+    std::variant<PutDocument, GetDocument, ReportLeaf, RetireLeaf, FindGateways, OrderZone>;
 
 class Dialect {
  public:
--- a/src/control/discovery_server.cc
+++ b/src/control/discovery_server.cc
@@ -16,8 +16,9 @@
 }
 
 registry::ReportVerdict DiscoveryServer::OnLeafReport(Timestamp now,
-                                                      const registry::LeafReport& report) {
-  return registry_.OnReport(now, report);
+                                                      const registry::LeafReport& report,
+                                                      const std::string* elsewhere) {
+  return registry_.OnReport(now, report, elsewhere);
 }
 
 void DiscoveryServer::OnLeafRetired(Timestamp now, const std::string& leaf) {
@@ -37,7 +38,7 @@
     session.sent_version = presence.leaf_version;
   }
   // Every greeting is answered, if only to show that this machine is there.
-  Feed(id, &session);
+  Feed(now, id, &session);
   if (presence.wants_peers && presence.peers_version != directory_.version()) {
     messages_.push_back(
         {id, {options_.cluster, 0, directory_.ChangesSince(presence.peers_version)}});
@@ -56,8 +57,8 @@
   control_addresses_ = std::move(addresses);
 }
 
-void DiscoveryServer::Feed(SessionId id, Session* session) {
-  wire::LeafFeed feed = registry_.ChangesSince(session->sent_version);
+void DiscoveryServer::Feed(Timestamp now, SessionId id, Session* session) {
+  wire::LeafFeed feed = registry_.ChangesSince(now, session->sent_version);
   if (session->sent_control != control_addresses_) {
     session->sent_control = control_addresses_;
     feed.control = control_addresses_;
@@ -93,7 +94,7 @@
   }
   for (auto& [id, session] : sessions_) {
     if (session.sent_version < registry_.version()) {
-      Feed(id, &session);
+      Feed(now, id, &session);
     }
   }
 }
--- a/src/control/discovery_server.h
+++ b/src/control/discovery_server.h
@@ -36,7 +36,9 @@
 
   /// A heartbeat of a leaf. Draining must have been committed before this is called with it, so
   /// that whoever hears of it here may rely on it.
-  registry::ReportVerdict OnLeafReport(Timestamp now, const registry::LeafReport& report);
+  /// @param elsewhere as for LeafRegistry::OnReport().
+  registry::ReportVerdict OnLeafReport(Timestamp now, const registry::LeafReport& report,
+                                       const std::string* elsewhere = nullptr);
   /// A leaf's departure was committed.
   void OnLeafRetired(Timestamp now, const std::string& leaf);
 
@@ -64,7 +66,7 @@
     std::vector<std::string> sent_control;
   };
 
-  void Feed(SessionId id, Session* session);
+  void Feed(Timestamp now, SessionId id, Session* session);
   void FeedAll(Timestamp now);
   /// Whether the interval lets one more message to all go out; counts it if so.
   bool MayFeed(Timestamp now);
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -5,6 +5,7 @@
 
 #include "balance/connection_subset.h"
 #include "gateway/gateway_server.h"
+#include "gateway/merger_placement.h"
 
 namespace pumicedyke::gateway {
 
@@ -143,6 +144,7 @@
   for (const std::string& leaf : subscriber_.TakeNewlyRetired()) {
     view_.Retire(leaf);
   }
+  view_.SetEvacuated(now, subscriber_.config().EvacuatedZones());
   committed_stale_ = true;
   TakeCommittedLeafs(now, /*at_once=*/feed.full);
   SyncPool(now);
@@ -203,7 +205,7 @@
 std::set<std::string> GatewayServer::PreferredLeafs() const {
   std::map<std::string, std::vector<balance::SubsetCandidate>> candidates;
   for (const auto& [leaf, record] : view_.leafs()) {
-    if (!record.draining) {
+    if (!view_.IsClosed(record)) {
       candidates[record.service].push_back({leaf, record.zone != options_.zone});
     }
   }
@@ -233,7 +235,7 @@
     }
     std::set<std::string> leaving;
     for (const auto& [leaf, record] : view_.leafs()) {
-      if (record.draining) {
+      if (view_.IsClosed(record)) {
         leaving.insert(leaf);
       }
     }
@@ -241,7 +243,82 @@
   }
   for (const std::string& leaf : view_.TakeNewlyLeaving()) {
     pool_.AddLeavingOnPlatform(leaf);
+    output_.closed_leafs.push_back(leaf);
   }
+  SyncCold(now);
+}
+
+Timestamp GatewayServer::ColdUntil(const wire::LeafRecord& record,
+                                   const routing::ServiceSpec& service) const {
+  Timestamp until{};
+  const auto said = view_.cold_until().find(record.leaf);
+  if (said != view_.cold_until().end()) {
+    until = said->second;
+  }
+  // Leafs of a zone that is taken back may have become cold, and say so only by and by.
+  if (const std::optional<Timestamp> restored = view_.RestoredAt(record.zone)) {
+    until = std::max(until, *restored + service.warm_up);
+  }
+  return until;
+}
+
+std::map<std::string, double> GatewayServer::ColdPartsOfMergers() {
+  std::map<std::string, double> parts;
+  for (const routing::Route& route : table_->set().routes) {
+    const size_t groups = GroupsOf(route);
+    if (groups <= 1) {
+      continue;
+    }
+    for (const query::ShardRange& range : CutIntoGroups(route.shards.size(), groups)) {
+      const std::vector<std::string> shards = Slice(route.shards, range);
+      const size_t fellows = FellowMergers(shards, groups);
+      for (const std::string& shard : shards) {
+        const double part = fellows == 0 ? 0.0 : 1.0 / static_cast<double>(fellows);
+        const auto [it, inserted] = parts.emplace(shard, part);
+        it->second = inserted ? part : std::min(it->second, part);
+      }
+    }
+  }
+  return parts;
+}
+
+double GatewayServer::ColdPartOf(const std::string& leaf, double per_second) const {
+  const std::vector<std::string> gateways = peers_.Names();
+  const auto senders = static_cast<size_t>(std::max(1.0, per_second));
+  if (gateways.size() <= 1) {
+    return 1.0 / SharingGateways();
+  }
+  const std::vector<std::string> chosen = MergersOf(leaf, gateways, senders);
+  const bool sends = std::find(chosen.begin(), chosen.end(), options_.node) != chosen.end();
+  return sends ? 1.0 / static_cast<double>(chosen.size()) : 0.0;
+}
+
+void GatewayServer::SyncCold(Timestamp now) {
+  const ColdBasis basis{view_.cold_words(), view_.merges(), document_version(), peers_.changes()};
+  if (table_ == nullptr || cold_basis_ == basis) {
+    return;
+  }
+  cold_basis_ = basis;
+  std::map<std::string, balance::ColdLimit> limits;
+  std::optional<std::map<std::string, double>> merger_parts;
+  for (const auto& [leaf, record] : view_.leafs()) {
+    const routing::ServiceSpec* service = table_->FindService(record.service);
+    if (service == nullptr || service->cold_requests_per_second <= 0) {
+      continue;
+    }
+    const Timestamp until = ColdUntil(record, *service);
+    if (now >= until) {
+      continue;
+    }
+    if (!merger_parts.has_value()) {
+      merger_parts = ColdPartsOfMergers();
+    }
+    const double borne = options_.knobs.cold_share * service->cold_requests_per_second;
+    const auto part = merger_parts->find(record.service);
+    limits[leaf] = {until,
+                    borne * (part == merger_parts->end() ? ColdPartOf(leaf, borne) : part->second)};
+  }
+  pool_.SetCold(now, limits);
 }
 
 void GatewayServer::StartDraining(Timestamp now) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -78,6 +78,9 @@
   Duration silent_control_avoided = Seconds(10);
   /// Gateways that may come at any time: connections and budgets are shared with one more.
   uint32_t spare_gateways = 1;
+  /// Part of what a cold leaf bears that all gateways together send it: they may differ for a
+  /// moment on who of them sends.
+  double cold_share = 0.75;
   /// Off: every gateway gathers alone.
   bool share_gathers = true;
   SharingCosts sharing_costs;
@@ -154,6 +157,8 @@
 
 struct GatewayOutput {
   std::vector<LeafSend> sends;
+  /// Leafs that were closed to new work: what was not written to them yet must not be.
+  std::vector<std::string> closed_leafs;
   std::vector<LeafCancel> cancels;
   std::vector<GatewayAnswer> answers;
   std::vector<ControlMessage> control;
@@ -209,6 +214,7 @@
   const LeafView& leafs() const { return view_; }
   const PeerView& peers() const { return peers_; }
   size_t in_progress() const { return active_.size(); }
+  uint64_t config_version() const { return subscriber_.config().version().value; }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
 
  private:
@@ -286,6 +292,15 @@
   /// `at_once`.
   void TakeCommittedLeafs(Timestamp now, bool at_once);
   void SyncPool(Timestamp now);
+  /// Limits what goes to cold leafs.
+  void SyncCold(Timestamp now);
+  /// Parts of what cold leafs of each service bear that are this gateway's, where the gathers over
+  /// the service are shared.
+  std::map<std::string, double> ColdPartsOfMergers();
+  /// The same for a leaf that any gateway may send to: a few of them do.
+  double ColdPartOf(const std::string& leaf, double per_second) const;
+  /// Until when a leaf counts as cold; zero: it does not.
+  Timestamp ColdUntil(const wire::LeafRecord& record, const routing::ServiceSpec& service) const;
   void GreetControl(Timestamp now);
   Duration PresenceInterval(Timestamp now, const std::string& address) const;
   /// Turns to a control machine that is there, if the one asked for the first routes is not.
@@ -331,6 +346,8 @@
   void Advance(Timestamp now, RequestId id);
 
   // Sharing a request's shards with other gateways: as the one that the client reached.
+  /// Groups that the shards of a route are cut into for other gateways; 1: none is asked.
+  size_t GroupsOf(const routing::Route& route) const;
   /// @return false if it cannot be shared or need not be.
   bool StartShared(Timestamp now, RequestId id, Active* active, Timestamp arrived);
   void CollectShared(Timestamp now, RequestId id);
@@ -376,6 +393,15 @@
     bool operator==(const PoolBasis&) const = default;
   };
   PoolBasis pool_basis_;
+  /// What the limits of cold leafs were worked out from, and until when any of them holds.
+  struct ColdBasis {
+    uint64_t words = 0;
+    uint64_t merges = 0;
+    uint64_t document_version = 0;
+    uint64_t peer_changes = 0;
+    bool operator==(const ColdBasis&) const = default;
+  };
+  ColdBasis cold_basis_;
   /// The configuration has changed since its leafs were taken over.
   bool committed_stale_ = false;
   Timestamp committed_taken_{};
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -16,11 +16,6 @@
 /// When to come back after a gather that other gateways could not carry.
 constexpr Duration kRetryAfterFailure = Milliseconds(100);
 
-std::vector<std::string> Slice(const std::vector<std::string>& shards, query::ShardRange range) {
-  const auto begin = shards.begin() + static_cast<long>(range.first);
-  return {begin, begin + static_cast<long>(range.count)};
-}
-
 }  // namespace
 
 std::vector<std::string> GatewayServer::ZonesOf(const std::vector<std::string>& shards) const {
@@ -84,14 +79,18 @@
   return suspect;
 }
 
+size_t GatewayServer::GroupsOf(const routing::Route& route) const {
+  const bool may_share = options_.knobs.share_gathers && !options_.peer_address.empty() &&
+                         route.gathers() && route.repeatable;
+  return may_share ? GroupCount(route.shards.size(), options_.processor_share,
+                                options_.knobs.sharing_costs)
+                   : 1;
+}
+
 bool GatewayServer::StartShared(Timestamp now, RequestId id, Active* active, Timestamp arrived) {
   const routing::Route& route = *active->route;
-  const bool may_share = options_.knobs.share_gathers && !options_.peer_address.empty() &&
-                         route.gathers() && route.repeatable &&
-                         active->request->body.size() <= options_.knobs.longest_shared_body;
-  const size_t groups = may_share ? GroupCount(route.shards.size(), options_.processor_share,
-                                               options_.knobs.sharing_costs)
-                                  : 1;
+  const bool may_share = active->request->body.size() <= options_.knobs.longest_shared_body;
+  const size_t groups = may_share ? GroupsOf(route) : 1;
   if (groups <= 1) {
     return false;
   }
--- a/src/gateway/leaf_view.cc
+++ b/src/gateway/leaf_view.cc
@@ -23,7 +23,9 @@
     state.records.clear();
   }
   for (const wire::LeafRecord& record : feed.records) {
-    state.records[record.leaf] = record;
+    NoteCold(now, record);
+    wire::LeafRecord& kept = state.records[record.leaf] = record;
+    kept.cold_milliseconds = 0;
     state.unconfirmed.erase(record.leaf);
     if (record.draining) {
       MarkLeaving(record.leaf);
@@ -51,6 +53,39 @@
   }
 }
 
+void LeafView::NoteCold(Timestamp now, const wire::LeafRecord& record) {
+  if (record.cold_milliseconds == 0) {
+    return;
+  }
+  const Timestamp until = now + Milliseconds(static_cast<int64_t>(record.cold_milliseconds));
+  Timestamp& known = cold_until_[record.leaf];
+  known = std::max(known, until);
+  ++cold_words_;
+}
+
+void LeafView::SetEvacuated(Timestamp now, const std::set<std::string>& zones) {
+  if (zones == evacuated_) {
+    return;
+  }
+  for (const std::string& zone : evacuated_) {
+    if (!zones.contains(zone)) {
+      restored_at_[zone] = now;
+    }
+  }
+  for (const auto& [leaf, record] : leafs_) {
+    if (zones.contains(record.zone) && !IsClosed(record)) {
+      newly_leaving_.push_back(leaf);
+    }
+  }
+  evacuated_ = zones;
+  SortByService();
+}
+
+std::optional<Timestamp> LeafView::RestoredAt(const std::string& zone) const {
+  const auto it = restored_at_.find(zone);
+  return it == restored_at_.end() ? std::nullopt : std::optional(it->second);
+}
+
 void LeafView::MarkLeaving(const std::string& leaf) {
   const auto it = leafs_.find(leaf);
   if (it == leafs_.end() || it->second.draining) {
@@ -94,6 +129,7 @@
 }
 
 void LeafView::Tick(Timestamp now) {
+  std::erase_if(cold_until_, [now](const auto& item) { return now >= item.second; });
   if (stale_) {
     Changed(now);
   }
@@ -125,7 +161,7 @@
 
 bool LeafView::IsLeaving(const std::string& leaf) const {
   const auto it = leafs_.find(leaf);
-  return it == leafs_.end() || it->second.draining;
+  return it == leafs_.end() || IsClosed(it->second);
 }
 
 const std::vector<std::string>& LeafView::UsableLeafs(const std::string& service) const {
@@ -148,9 +184,37 @@
       }
     }
   }
+  DropReplaced(&leafs);
   return leafs;
 }
 
+bool LeafView::IsReported(const std::string& leaf) const {
+  return std::any_of(sources_.begin(), sources_.end(), [&leaf](const auto& item) {
+    return item.second.records.contains(leaf) || item.second.unconfirmed.contains(leaf);
+  });
+}
+
+void LeafView::DropReplaced(std::map<std::string, wire::LeafRecord>* leafs) const {
+  std::set<std::string> only_committed;
+  for (const auto& [leaf, reported] : reported_) {
+    if (!IsReported(leaf)) {
+      only_committed.insert(leaf);
+    }
+  }
+  if (only_committed.empty() || only_committed.size() == leafs->size()) {
+    return;
+  }
+  std::set<std::string_view> taken;
+  for (const auto& [leaf, record] : *leafs) {
+    if (!only_committed.contains(leaf)) {
+      taken.insert(record.address);
+    }
+  }
+  std::erase_if(*leafs, [&](const auto& item) {
+    return only_committed.contains(item.first) && taken.contains(item.second.address);
+  });
+}
+
 void LeafView::Rebuild() {
   stale_ = false;
   std::map<std::string, wire::LeafRecord> leafs = TakenTogether();
@@ -160,9 +224,13 @@
     return;
   }
   leafs_ = std::move(leafs);
+  SortByService();
+}
+
+void LeafView::SortByService() {
   by_service_.clear();
   for (const auto& [leaf, record] : leafs_) {
-    if (!record.draining) {
+    if (!IsClosed(record)) {
       by_service_[record.service].push_back(leaf);
     }
   }
--- a/src/gateway/leaf_view.h
+++ b/src/gateway/leaf_view.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -46,6 +47,16 @@
                     const std::set<std::string>& retired);
   /// One more leaf said for good that it leaves; takes effect at once.
   void Retire(const std::string& leaf);
+  /// The zones whose leafs nothing may be sent to; takes effect at once. The leafs of a zone that
+  /// is taken back count as cold for as long as their service says, whatever they said before.
+  void SetEvacuated(Timestamp now, const std::set<std::string>& zones);
+  const std::set<std::string>& evacuated() const { return evacuated_; }
+  /// Whether a leaf counts as cold on account of its zone, from when.
+  std::optional<Timestamp> RestoredAt(const std::string& zone) const;
+  /// Until when leafs said that they are cold, by id.
+  const std::map<std::string, Timestamp>& cold_until() const { return cold_until_; }
+  /// Counts words that a leaf is cold.
+  uint64_t cold_words() const { return cold_words_; }
   /// Forgets control machines that were lost long ago, and lets reports take effect that waited.
   void Tick(Timestamp now);
   /// When reports that wait take effect; unset: none wait.
@@ -58,11 +69,16 @@
   /// Leafs by id that are there, draining ones included.
   const std::map<std::string, wire::LeafRecord>& leafs() const { return leafs_; }
   bool IsLeaving(const std::string& leaf) const;
+  /// Whether nothing may be sent to it: it leaves, or its zone is evacuated.
+  bool IsClosed(const wire::LeafRecord& record) const {
+    return record.draining || evacuated_.contains(record.zone);
+  }
   /// Ids of the usable leafs of a service.
   const std::vector<std::string>& UsableLeafs(const std::string& service) const;
   /// Lets reports take effect that wait.
   void Merge(Timestamp now);
-  /// Leafs that were found to leave, by word that takes effect at once, since the last call.
+  /// Leafs that were found closed to new work, by word that takes effect at once, since the last
+  /// call.
   std::vector<std::string> TakeNewlyLeaving() { return std::exchange(newly_leaving_, {}); }
   /// Time between two merges.
   Duration MergeInterval() const {
@@ -89,7 +105,13 @@
   void Rebuild();
   /// All words on all leafs, the most pessimistic on each.
   std::map<std::string, wire::LeafRecord> TakenTogether() const;
+  /// Whether a control machine tells of the leaf by its heartbeats.
+  bool IsReported(const std::string& leaf) const;
+  /// Drops leafs that are only committed, if another one reports from their address.
+  void DropReplaced(std::map<std::string, wire::LeafRecord>* leafs) const;
   void MarkLeaving(const std::string& leaf);
+  void NoteCold(Timestamp now, const wire::LeafRecord& record);
+  void SortByService();
   /// A fifth of the shortest time that leafs serve on after their leaving was acknowledged.
   static constexpr Duration kLongestMergeInterval = Milliseconds(600);
 
@@ -101,6 +123,10 @@
   std::map<std::string, Source> sources_;
   std::map<std::string, config::ReportedLeaf> reported_;
   std::set<std::string> retired_;
+  std::set<std::string> evacuated_;
+  std::map<std::string, Timestamp> restored_at_;
+  std::map<std::string, Timestamp> cold_until_;
+  uint64_t cold_words_ = 0;
   std::map<std::string, wire::LeafRecord> leafs_;
   std::map<std::string, std::vector<std::string>> by_service_;
   uint64_t version_ = 0;
--- a/src/gateway/merger_placement.cc
+++ b/src/gateway/merger_placement.cc
@@ -42,6 +42,11 @@
   return ranges;
 }
 
+std::vector<std::string> Slice(const std::vector<std::string>& shards, query::ShardRange range) {
+  const auto begin = shards.begin() + static_cast<long>(range.first);
+  return {begin, begin + static_cast<long>(range.count)};
+}
+
 size_t MergersPerGroup(size_t gateways_in_zone, size_t groups) {
   const double each =
       kMergingPart * static_cast<double>(gateways_in_zone) / static_cast<double>(groups);
--- a/src/gateway/merger_placement.h
+++ b/src/gateway/merger_placement.h
@@ -35,6 +35,9 @@
 /// @param groups 1 up to `shards`.
 std::vector<query::ShardRange> CutIntoGroups(size_t shards, size_t groups);
 
+/// The shards of a range.
+std::vector<std::string> Slice(const std::vector<std::string>& shards, query::ShardRange range);
+
 /// How many of a zone's gateways merge one group: few, so that their connections to the leafs stay
 /// warm, but two at least.
 size_t MergersPerGroup(size_t gateways_in_zone, size_t groups);
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -42,6 +42,15 @@
   return it == by_zone_.end() ? *none : it->second;
 }
 
+std::vector<std::string> PeerView::Names() const {
+  std::vector<std::string> names;
+  names.reserve(peers_.size());
+  for (const auto& [node, peer] : peers_) {
+    names.push_back(node);
+  }
+  return names;
+}
+
 const wire::GatewayRecord* PeerView::Find(const std::string& node) const {
   const auto it = peers_.find(node);
   return it == peers_.end() ? nullptr : &it->second;
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -25,6 +25,8 @@
   const std::vector<std::string>& InZone(const std::string& zone) const;
   /// @return null if it is not known.
   const wire::GatewayRecord* Find(const std::string& node) const;
+  /// Names of all gateways, in order.
+  std::vector<std::string> Names() const;
   size_t size() const { return peers_.size(); }
   /// Counts changes.
   uint64_t changes() const { return changes_; }
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -400,6 +400,25 @@
   }
 }
 
+void HttpClient::EndUnsent(CallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) {
+    return;
+  }
+  const std::shared_ptr<Call> call = it->second;
+  const bool written = call->connection != nullptr && call->connection->was_connected();
+  if (written) {
+    return;
+  }
+  Cancel(id);
+  if (!call->abandoned) {
+    ClientResponse response;
+    response.error = "withdrawn before it was sent";
+    response.not_sent = true;
+    call->done(std::move(response));
+  }
+}
+
 void HttpClient::Abandon(CallId id, Duration patience) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -95,6 +95,8 @@
   /// The reply is no longer wanted, but the connection is: it is read to its end for up to
   /// `patience`.
   void Abandon(CallId id, Duration patience);
+  /// Ends the call as not sent, unless it may have been written.
+  void EndUnsent(CallId id);
   /// Calls whose `done` is still to come.
   size_t in_flight() const;
   uint64_t connections_opened() const { return connections_opened_; }
--- a/src/programs/pumicectl_main.cc
+++ b/src/programs/pumicectl_main.cc
@@ -32,6 +32,7 @@
 DEFINE_string(key, "", "Idempotency-Key of the query");
 DEFINE_string(continuation, "", "continuation token of an earlier partial answer");
 DEFINE_double(deadline_ms, 0, "deadline of the query");
+DEFINE_bool(stop, false, "evacuate: takes the evacuation of the zone back");
 DEFINE_double(timeout_s, 15, "how long to try the control machines");
 
 namespace pumicedyke {
@@ -206,6 +207,9 @@
                 << ": version " << json.value("version", 0) << ", commit "
                 << json.value("commit_index", 0) << ", term " << json.value("term", 0) << ", nodes "
                 << json["nodes"].size();
+      for (const Json& zone : json.value("evacuated_zones", Json::array())) {
+        std::cout << ", evacuated: " << zone.get<std::string>();
+      }
       if (json.value("leads", false)) {
         std::cout << ", fully redundant: " << (json.value("fully_redundant", false) ? "yes" : "no");
       }
@@ -236,6 +240,10 @@
               << ", policy " << (service["policy"].get<std::string>().empty() ? "built-in" : "set")
               << "\n";
   }
+  for (const auto& [zone, state] : json["zones"].items()) {
+    std::cout << "zone " << zone << ": "
+              << (state.value("evacuated", false) ? "evacuated" : "in use") << "\n";
+  }
   for (const Json& leaf : json["leaving"]) {
     std::cout << "leaving: " << leaf.get<std::string>() << "\n";
   }
@@ -306,6 +314,10 @@
   return Submit({{"kind", kind}, {"leaf", leaf}});
 }
 
+int Evacuate(const Arguments& arguments) {
+  return Submit({{"kind", FLAGS_stop ? "restore_zone" : "evacuate_zone"}, {"zone", arguments[0]}});
+}
+
 const std::map<std::string, Command>& Commands() {
   static const auto* const commands = new std::map<std::string, Command>{
       {"put-service",
@@ -327,6 +339,8 @@
       {"clear-leaving",
        {"clear-leaving LEAF", "takes the mark back", 1,
         [](const Arguments& a) { return Mark("clear_leaving", a[0]); }}},
+      {"evacuate",
+       {"evacuate [--stop] ZONE", "sends nothing more to the leafs of a zone", 1, &Evacuate}},
       {"status", {"status", "shows the control machines", 0, &ShowStatus}},
       {"config", {"config", "shows the configuration, read from a quorum", 0, &ShowConfig}},
       {"query", {"query SERVICE TEXT", "asks a node (--node)", 2, &Query}},
@@ -342,7 +356,7 @@
         << "\n";
   }
   out << "\nflags: --control, --node, --token_file, --json, --expect, --submission_id,\n"
-         "       --request_class, --key, --continuation, --deadline_ms, --timeout_s\n"
+         "       --request_class, --key, --continuation, --deadline_ms, --timeout_s, --stop\n"
          "exit codes: 0 done, 2 usage, 4 nobody answered, 5 refused\n";
   return 0;
 }
--- a/src/registry/leaf_registry.cc
+++ b/src/registry/leaf_registry.cc
@@ -4,21 +4,80 @@
 
 namespace pumicedyke::registry {
 
-ReportVerdict LeafRegistry::OnReport(Timestamp now, const LeafReport& report) {
+const LeafRegistry::Entry* LeafRegistry::HolderOf(const wire::LeafRecord& record) const {
+  const auto holder = holders_.find(record.address);
+  if (holder == holders_.end() || holder->second == record.leaf) {
+    return nullptr;
+  }
+  const auto it = leafs_.find(holder->second);
+  return it == leafs_.end() ? nullptr : &it->second;
+}
+
+bool LeafRegistry::MayTakeAddress(Timestamp now, const LeafReport& report,
+                                  const std::string* elsewhere) {
+  const Entry* holder = HolderOf(report.record);
+  const bool held_here = holder != nullptr && !holder->record.draining &&
+                         now - holder->heard < options_.holder_freshness;
+  const bool held_elsewhere = holder == nullptr && elsewhere != nullptr;
+  const bool starts = report.sequence <= options_.first_sequences;
+  if (starts || (!held_here && !held_elsewhere)) {
+    return true;
+  }
+  Claim& claim = claims_[report.record.leaf];
+  if (claim.first_heard == Timestamp{}) {
+    claim = {now, report.sequence};
+    return false;
+  }
+  if (holder != nullptr && holder->heard > claim.first_heard) {
+    // The holder lives: this was a late word of a leaf that has ended.
+    claim.first_heard = now;
+    return false;
+  }
+  return report.sequence > claim.sequence && now - claim.first_heard >= options_.confirmation;
+}
+
+void LeafRegistry::ReplaceHolder(const LeafReport& report) {
+  const Entry* holder = HolderOf(report.record);
+  if (holder != nullptr) {
+    Remove(std::string(holder->record.leaf));
+  }
+  holders_[report.record.address] = report.record.leaf;
+  claims_.erase(report.record.leaf);
+}
+
+void LeafRegistry::ForgetClaims(Timestamp now) {
+  std::erase_if(claims_, [&](const auto& item) {
+    return now - item.second.first_heard >= options_.silence_limit;
+  });
+}
+
+ReportVerdict LeafRegistry::OnReport(Timestamp now, const LeafReport& report,
+                                     const std::string* elsewhere) {
+  if (!leafs_.contains(report.record.leaf) && !MayTakeAddress(now, report, elsewhere)) {
+    return ReportVerdict::kUnconfirmed;
+  }
   auto [it, inserted] = leafs_.try_emplace(report.record.leaf);
   Entry& entry = it->second;
   if (!inserted && report.sequence <= entry.sequence) {
     return ReportVerdict::kStale;
   }
-  wire::LeafRecord record = report.record;
-  if (!inserted) {
-    // Draining is never taken back, and the cold start is told from its first report.
-    record.draining |= entry.record.draining;
-    record.cold_milliseconds = entry.record.cold_milliseconds;
+  if (inserted) {
+    ReplaceHolder(report);
   }
+  wire::LeafRecord record = report.record;
+  const Timestamp cold_until = now + Milliseconds(static_cast<int64_t>(record.cold_milliseconds));
+  record.cold_milliseconds = 0;
+  // Draining is never taken back.
+  record.draining |= entry.record.draining;
   entry.sequence = report.sequence;
   entry.heard = now;
-  if (!inserted && record == entry.record) {
+  const Duration cold_change =
+      std::chrono::abs(std::max(cold_until, now) - std::max(entry.cold_until, now));
+  const bool cold_changed = cold_change >= options_.cold_tolerance;
+  if (cold_changed) {
+    entry.cold_until = cold_until;
+  }
+  if (!inserted && record == entry.record && !cold_changed) {
     return ReportVerdict::kKnown;
   }
   entry.record = std::move(record);
@@ -41,6 +100,7 @@
 
 std::vector<std::string> LeafRegistry::DropSilent(Timestamp now) {
   std::vector<std::string> silent;
+  ForgetClaims(now);
   for (const auto& [leaf, entry] : leafs_) {
     if (now - entry.heard >= options_.silence_limit) {
       silent.push_back(leaf);
@@ -59,7 +119,12 @@
 }
 
 void LeafRegistry::Remove(const std::string& leaf) {
-  leafs_.erase(leaf);
+  const auto it = leafs_.find(leaf);
+  const auto holder = holders_.find(it->second.record.address);
+  if (holder != holders_.end() && holder->second == leaf) {
+    holders_.erase(holder);
+  }
+  leafs_.erase(it);
   removals_.push_back({leaf, ++version_});
   if (removals_.size() > options_.kept_removals) {
     forgotten_ = removals_.front().version;
@@ -79,14 +144,16 @@
   return it == leafs_.end() ? nullptr : &it->second.record;
 }
 
-wire::LeafFeed LeafRegistry::ChangesSince(uint64_t version) const {
+wire::LeafFeed LeafRegistry::ChangesSince(Timestamp now, uint64_t version) const {
   const bool all = version == 0 || version < forgotten_ || version > version_;
   wire::LeafFeed feed;
   feed.from_version = all ? 0 : version;
   feed.version = version_;
   for (const auto& [leaf, entry] : leafs_) {
     if (all || entry.changed > version) {
-      feed.records.push_back(entry.record);
+      wire::LeafRecord& record = feed.records.emplace_back(entry.record);
+      const Duration cold_left = std::max(Duration(0), entry.cold_until - now);
+      record.cold_milliseconds = static_cast<uint64_t>(ToMilliseconds(cold_left));
     }
   }
   for (const Removal& removal : removals_) {
--- a/src/registry/leaf_registry.h
+++ b/src/registry/leaf_registry.h
@@ -24,6 +24,16 @@
 struct RegistryOptions {
   /// A leaf that was not heard of for this long counts as gone.
   Duration silence_limit = Seconds(6);
+  /// A leaf that says so much else of how long it is cold than before has become cold again.
+  Duration cold_tolerance = Milliseconds(200);
+  /// A leaf that is new here, at an address where another one was heard of so lately, is believed
+  /// only once it has been heard of for `confirmation` without a word from the other: heartbeats of
+  /// a leaf that has ended may come late, but then all at once. Two heartbeats are 1.2 s apart.
+  Duration holder_freshness = Milliseconds(2500);
+  Duration confirmation = Milliseconds(700);
+  /// Heartbeats up to this one are the first of a leaf's life: it has just started, and whatever
+  /// was at its address has ended.
+  uint64_t first_sequences = 2;
   /// Removals remembered for receivers that are a little behind; others get everything.
   size_t kept_removals = 1000;
 };
@@ -35,13 +45,18 @@
   kChanged,
   /// A later heartbeat came before this one.
   kStale,
+  /// Another leaf is at the address; whether it has ended shows later. Not told to anybody yet.
+  kUnconfirmed,
 };
 
 class LeafRegistry {
  public:
   explicit LeafRegistry(RegistryOptions options) : options_(options) {}
 
-  ReportVerdict OnReport(Timestamp now, const LeafReport& report);
+  /// @param elsewhere another leaf that the configuration knows at the same address and that
+  /// reports to another control machine; null: there is none.
+  ReportVerdict OnReport(Timestamp now, const LeafReport& report,
+                         const std::string* elsewhere = nullptr);
   /// The leaf is leaving for good: it is draining from now on, whatever late heartbeats say.
   /// @return false if it is not known here.
   bool OnDeparture(Timestamp now, const std::string& leaf);
@@ -59,14 +74,21 @@
   const wire::LeafRecord* Find(const std::string& leaf) const;
   /// What changed since `version`; everything if that is zero or too long ago. Fields `control` and
   /// `gateways` are left empty.
-  wire::LeafFeed ChangesSince(uint64_t version) const;
+  wire::LeafFeed ChangesSince(Timestamp now, uint64_t version) const;
 
  private:
   struct Entry {
+    /// `cold_milliseconds` is unused: `cold_until` tells it.
     wire::LeafRecord record;
     uint64_t sequence = 0;
     uint64_t changed = 0;
     Timestamp heard{};
+    Timestamp cold_until{};
+  };
+  /// A leaf that is not believed yet.
+  struct Claim {
+    Timestamp first_heard{};
+    uint64_t sequence = 0;
   };
   struct Removal {
     std::string leaf;
@@ -74,9 +96,19 @@
   };
 
   void Remove(const std::string& leaf);
+  /// Whether a leaf that is new here may take its address. What the configuration says of a leaf
+  /// that reports elsewhere is passed as `elsewhere`; null: it knows none at the address.
+  bool MayTakeAddress(Timestamp now, const LeafReport& report, const std::string* elsewhere);
+  void ReplaceHolder(const LeafReport& report);
+  /// The other leaf at this address that was heard of last, if any.
+  const Entry* HolderOf(const wire::LeafRecord& record) const;
+  void ForgetClaims(Timestamp now);
 
   RegistryOptions options_;
   std::map<std::string, Entry> leafs_;
+  /// The leaf of `leafs_` that was believed last at each address.
+  std::map<std::string, std::string> holders_;
+  std::map<std::string, Claim> claims_;
   std::deque<Removal> removals_;
   /// Version of the oldest removal that was forgotten.
   uint64_t forgotten_ = 0;
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -53,6 +53,10 @@
   /// Connections that each leaf takes from all callers together.
   uint32_t max_connections = 0;
   std::string health_path;
+  /// How long a leaf is cold after its start, and the requests a second that it bears meanwhile
+  /// from all callers together. Zero: as many as always.
+  Duration warm_up{};
+  double cold_requests_per_second = 0;
 };
 
 /// Bounds of what a client may send.
--- a/src/server/control_dialect_calls.cc
+++ b/src/server/control_dialect_calls.cc
@@ -1,5 +1,6 @@
 // The part of ControlProcess that serves those who speak the dialect: operators' documents, leafs'
 // heartbeats, clients in search of a gateway.
+#include <algorithm>
 #include <utility>
 
 #include "common/json.h"
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr size_t kMaxDocumentBytes = 8 << 20;
+/// Callers turn to another machine after a second without an answer.
+constexpr Duration kZoneOrderPatience = Milliseconds(900);
 
 /// The refusal that an unsuccessful reply of the control server stands for; OK if it is a success.
 absl::Status StatusOfReply(const control::OperatorReply& reply) {
@@ -22,6 +25,25 @@
   return code == ResultCode::kOk ? absl::OkStatus() : MakeStatus(code, body.value("message", ""));
 }
 
+/// The revision of what a refused change was about.
+uint64_t RevisionOfReply(const control::OperatorReply& reply) {
+  const Json body = Json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
+  return body.is_object() ? body.value("revision", uint64_t{0}) : 0;
+}
+
+/// Another leaf that is committed at the address of `record`; null: there is none.
+const std::string* OtherLeafAt(const config::ConfigState& config, const wire::LeafRecord& record) {
+  if (config.reported().contains(record.leaf)) {
+    return nullptr;
+  }
+  for (const auto& [leaf, reported] : config.reported()) {
+    if (reported.address == record.address) {
+      return &leaf;
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 absl::Status ControlProcess::ListenForDialect() {
@@ -114,7 +136,13 @@
     return;
   }
   command.report.record.draining |= retired;
-  discovery_->OnLeafReport(now, command.report);
+  const std::string* elsewhere = OtherLeafAt(server_->state().config(), command.report.record);
+  const registry::ReportVerdict verdict = discovery_->OnLeafReport(now, command.report, elsewhere);
+  if (verdict == registry::ReportVerdict::kUnconfirmed) {
+    LogEvent("leaf_unconfirmed", {{"leaf", leaf},
+                                  {"address", command.report.record.address},
+                                  {"sequence", command.report.sequence}});
+  }
   responder.Send(dialect_->WriteAccepted());
   CarryOut();
 }
@@ -129,6 +157,61 @@
   });
 }
 
+bool ControlProcess::KnowsZone(const std::string& zone) const {
+  const auto& listed = settings_.zones;
+  if (listed.empty() || std::find(listed.begin(), listed.end(), zone) != listed.end()) {
+    return true;
+  }
+  const auto& leafs = server_->state().config().reported();
+  return std::any_of(leafs.begin(), leafs.end(),
+                     [&zone](const auto& item) { return item.second.zone == zone; });
+}
+
+void ControlProcess::Run(const control::OrderZone& command, http::Responder responder) {
+  if (!KnowsZone(command.zone)) {
+    responder.Send(dialect_->WriteRefusal(
+        MakeStatus(ResultCode::kUnknownObject, "there is no zone '" + command.zone + "'")));
+    return;
+  }
+  config::Change change;
+  change.kind =
+      command.evacuated ? config::ChangeKind::kEvacuateZone : config::ChangeKind::kRestoreZone;
+  change.zone = command.zone;
+  change.expected_revision = server_->state().config().RevisionOf(change);
+  SubmitZoneOrder(std::move(change), loop_->earliest_arrival() + kZoneOrderPatience,
+                  std::move(responder));
+}
+
+void ControlProcess::SubmitZoneOrder(config::Change change, Timestamp until,
+                                     http::Responder responder) {
+  if (net::EventLoop::Now() >= until) {
+    // An order that lay here for long may have been given elsewhere and taken back meanwhile.
+    LogEvent("zone_order_too_old", {{"zone", change.zone}});
+    responder.Send(dialect_->WriteRefusal(
+        MakeStatus(ResultCode::kNoQuorum, "the order took too long; give it again")));
+    return;
+  }
+  const auto on_reply = [this, change, until,
+                         responder](const control::OperatorReply& reply) mutable {
+    const absl::Status status = StatusOfReply(reply);
+    if (CodeOf(status) == ResultCode::kRevisionConflict) {
+      change.expected_revision = RevisionOfReply(reply);
+      SubmitZoneOrder(std::move(change), until, std::move(responder));
+      return;
+    }
+    const bool evacuate = change.kind == config::ChangeKind::kEvacuateZone;
+    LogEvent(evacuate ? "zone_evacuated" : "zone_restored",
+             {{"zone", change.zone},
+              {"accepted", status.ok()},
+              {"why", std::string(status.message())},
+              {"based_on", change.expected_revision.value_or(0)},
+              {"config_version", server_->state().config().version().value}});
+    responder.Send(status.ok() ? dialect_->WriteAccepted() : dialect_->WriteRefusal(status));
+  };
+  server_->Submit(net::EventLoop::Now(), Await(on_reply), change);
+  CarryOut();
+}
+
 void ControlProcess::Run(const control::FindGateways& command, http::Responder responder) {
   const std::vector<std::string> addresses =
       discovery_->GatewaysFor(net::EventLoop::Now(), command.zone);
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -48,7 +48,10 @@
     voters_ = voters;
     LogEvent("members_changed", {{"members", members_}, {"voters", voters_}});
   }
-  if (discovery.registry().size() != leafs_ || discovery.directory().size() != gateways_) {
+  const bool reporters_changed =
+      discovery.registry().size() != leafs_ || discovery.directory().size() != gateways_;
+  if (reporters_changed && now - reporters_told_ >= kReportersInterval) {
+    reporters_told_ = now;
     leafs_ = discovery.registry().size();
     gateways_ = discovery.directory().size();
     LogEvent("reporters_changed", {{"leafs", leafs_}, {"gateways", gateways_}});
--- a/src/server/control_log.h
+++ b/src/server/control_log.h
@@ -21,6 +21,9 @@
   bool current_ = false;
   size_t members_ = 0;
   size_t voters_ = 0;
+  /// How many report is told this often at most: hundreds come one by one after a start.
+  static constexpr Duration kReportersInterval = Seconds(1);
+  Timestamp reporters_told_{};
   size_t leafs_ = 0;
   size_t gateways_ = 0;
 };
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -64,6 +64,11 @@
     responder.Send(ErrorResponse(CodeOf(change.status()), std::string(change.status().message())));
     return;
   }
+  if (config::ConcernsZone(change->kind) && !KnowsZone(change->zone)) {
+    responder.Send(ErrorResponse(ResultCode::kUnknownObject,
+                                 "field 'zone': there is no zone '" + change->zone + "'"));
+    return;
+  }
   if (change->kind == config::ChangeKind::kPutPolicy) {
     if (absl::Status status = policy::PolicyProgram::Check(change->policy); !status.ok()) {
       responder.Send(ErrorResponse(CodeOf(status), std::string(status.message())));
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -29,6 +29,8 @@
   std::string zone;
   std::string listen;
   std::string operator_listen;
+  /// Zones that operators may name; empty: any.
+  std::vector<std::string> zones;
   /// Where leafs and operators come who speak the dialect; empty: none do.
   std::string service_listen;
   /// Where clients ask for gateways; empty: with `service_listen`.
@@ -114,6 +116,12 @@
   void Run(control::ReportLeaf command, http::Responder responder);
   void Run(const control::RetireLeaf& command, http::Responder responder);
   void Run(const control::FindGateways& command, http::Responder responder);
+  void Run(const control::OrderZone& command, http::Responder responder);
+  /// Submits an order on a zone, based on what is known of the zone; again if that was out of date,
+  /// until `until`: whoever gave the order has turned to another machine by then.
+  void SubmitZoneOrder(config::Change change, Timestamp until, http::Responder responder);
+  /// Whether operators may name the zone: the settings list it, or a leaf is there.
+  bool KnowsZone(const std::string& zone) const;
   /// Submits a change; answers with acceptance or the refusal. @param then runs before the answer
   /// if the change is in force.
   void SubmitFor(const config::Change& change, http::Responder responder,
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -38,6 +38,25 @@
   return list;
 }
 
+/// How many leafs something happened to, and the names of the first few: at thousands of leafs a
+/// line for each would grow as gateways times leafs.
+class NameList {
+ public:
+  void Add(const std::string& name) {
+    ++count_;
+    if (names_.size() < kMostNames) {
+      names_.push_back(name);
+    }
+  }
+  size_t count() const { return count_; }
+  Json ToJson() const { return {{"count", count_}, {"first", names_}}; }
+
+ private:
+  static constexpr size_t kMostNames = 4;
+  size_t count_ = 0;
+  std::vector<std::string> names_;
+};
+
 Json MissingJson(const std::vector<query::MissingShard>& missing) {
   Json list = Json::array();
   for (const query::MissingShard& shard : missing) {
@@ -116,32 +135,56 @@
                                  {"document_version", document_version_},
                                  {"config_age_ms", ToMilliseconds(server.ConfigAge(now))}});
   }
+  NoteZones(now, server);
   // Going through all leafs for each that leaves would cost more than serving.
   if (leafs_version_ == server.leafs().version() || now - leafs_looked_at_ < kLeafsInterval) {
     return;
   }
   leafs_looked_at_ = now;
   leafs_version_ = server.leafs().version();
+  NoteLeafs(server.leafs());
+}
+
+void GatewayLog::NoteLeafs(const gateway::LeafView& view) {
+  NameList come;
+  NameList leaving;
+  NameList gone;
   std::map<std::string, bool> leafs;
   size_t usable = 0;
-  for (const auto& [leaf, record] : server.leafs().leafs()) {
+  for (const auto& [leaf, record] : view.leafs()) {
     leafs[leaf] = record.draining;
-    usable += record.draining ? 0 : 1;
+    usable += view.IsClosed(record) ? 0 : 1;
     const auto before = leafs_.find(leaf);
-    if (before != leafs_.end() && before->second != record.draining) {
-      LogEvent("leaf_leaving", {{"leaf", leaf}, {"service", record.service}});
+    if (before == leafs_.end()) {
+      come.Add(leaf);
+    } else if (before->second != record.draining) {
+      leaving.Add(leaf);
     }
   }
   for (const auto& [leaf, draining] : leafs_) {
     if (!leafs.contains(leaf)) {
-      LogEvent("leaf_gone", {{"leaf", leaf}, {"was_leaving", draining}});
+      gone.Add(leaf);
     }
   }
-  const bool grown = leafs.size() > leafs_.size();
   leafs_ = std::move(leafs);
-  if (grown) {
-    LogEvent("leafs_known", {{"leafs", leafs_.size()}, {"usable", usable}});
+  if (come.count() + leaving.count() + gone.count() > 0) {
+    LogEvent("leafs_changed", {{"leafs", leafs_.size()},
+                               {"usable", usable},
+                               {"come", come.ToJson()},
+                               {"leaving", leaving.ToJson()},
+                               {"gone", gone.ToJson()}});
+  }
+}
+
+void GatewayLog::NoteZones(Timestamp now, const gateway::GatewayServer& server) {
+  const std::set<std::string>& evacuated = server.leafs().evacuated();
+  if (evacuated == evacuated_) {
+    return;
   }
+  evacuated_ = evacuated;
+  LogEvent("zones_evacuated", {{"zones", evacuated_},
+                               {"config_version", server.config_version()},
+                               {"config_age_ms", ToMilliseconds(server.ConfigAge(now))}});
 }
 
 }  // namespace pumicedyke::server
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "common/log.h"
@@ -28,6 +29,8 @@
   /// Changes of leafs are looked for this often at most.
   static constexpr Duration kLeafsInterval = Milliseconds(500);
   bool Allow(Timestamp now);
+  void NoteZones(Timestamp now, const gateway::GatewayServer& server);
+  void NoteLeafs(const gateway::LeafView& view);
 
   LogLimiter limiter_{kLinesPerSecond};
   bool ready_ = false;
@@ -35,6 +38,7 @@
   uint64_t leafs_version_ = 0;
   Timestamp leafs_looked_at_{};
   std::map<std::string, bool> leafs_;
+  std::set<std::string> evacuated_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -27,6 +27,10 @@
                    {{"route", route}, {"result", std::string(InfoOf(code).name)}});
     }
   }
+  page.Gauge("pumicedyke_gateway_evacuated_zones", "Zones whose leafs get nothing from here.",
+             static_cast<double>(server.leafs().evacuated().size()));
+  page.Gauge("pumicedyke_gateway_cold_leafs", "Leafs that said that they are cold.",
+             static_cast<double>(server.leafs().cold_until().size()));
   for (const auto& [route, counts] : routes_) {
     page.Counter("pumicedyke_gateway_extra_sub_requests_total", "Hedges and retries at leafs.",
                  static_cast<double>(counts.extra_sub_requests), {{"route", route}});
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "common/log.h"
@@ -216,6 +217,7 @@
   for (const gateway::LeafCancel& cancel : output.cancels) {
     CancelAtLeaf(cancel);
   }
+  WithdrawUnsent(output.closed_leafs);
   for (const std::string& address : output.reconnect) {
     control_.erase(address);
   }
@@ -230,12 +232,29 @@
 void GatewayProcess::SendToLeaf(gateway::LeafSend send) {
   http::ClientRequest request = dialect_->WriteLeafRequest(send);
   const SubRequestId id = send.id;
-  calls_[id] = client_->Start(std::move(request), [this, send = std::move(send)](
-                                                      http::ClientResponse response) {
+  const std::string leaf = send.leaf;
+  const auto on_done = [this, send = std::move(send)](http::ClientResponse response) {
     calls_.erase(send.id);
     server_->OnLeafReply(net::EventLoop::Now(), dialect_->ReadLeafReply(send, std::move(response)));
     CarryOutSoon();
-  });
+  };
+  calls_[id] = {client_->Start(std::move(request), on_done), leaf};
+}
+
+void GatewayProcess::WithdrawUnsent(const std::vector<std::string>& leafs) {
+  if (leafs.empty()) {
+    return;
+  }
+  const std::set<std::string> closed(leafs.begin(), leafs.end());
+  std::vector<http::HttpClient::CallId> calls;
+  for (const auto& [id, call] : calls_) {
+    if (closed.contains(call.leaf)) {
+      calls.push_back(call.call);
+    }
+  }
+  for (const http::HttpClient::CallId call : calls) {
+    client_->EndUnsent(call);
+  }
 }
 
 void GatewayProcess::CancelAtLeaf(const gateway::LeafCancel& cancel) {
@@ -244,9 +263,9 @@
     return;
   }
   if (cancel.stop_work) {
-    client_->Cancel(call->second);
+    client_->Cancel(call->second.call);
   } else {
-    client_->Abandon(call->second, kAbandonPatience);
+    client_->Abandon(call->second.call, kAbandonPatience);
   }
   calls_.erase(call);
 }
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -63,6 +63,8 @@
   void CarryOutSoon();
   void SendToLeaf(gateway::LeafSend send);
   void CancelAtLeaf(const gateway::LeafCancel& cancel);
+  /// Ends calls to these leafs that wait for a connection.
+  void WithdrawUnsent(const std::vector<std::string>& leafs);
   void SendToControl(const gateway::ControlMessage& message);
   void SendToPeer(const gateway::PeerMessage& message);
   absl::Status ListenForPeers();
@@ -83,7 +85,11 @@
   std::unique_ptr<net::FrameServer> peer_frames_;
   std::map<std::string, std::unique_ptr<net::FrameClient>> peers_;
   std::map<RequestId, http::Responder> waiting_;
-  std::map<SubRequestId, http::HttpClient::CallId> calls_;
+  struct LeafCall {
+    http::HttpClient::CallId call = 0;
+    std::string leaf;
+  };
+  std::map<SubRequestId, LeafCall> calls_;
   uint64_t next_request_ = 1;
   uint64_t limits_version_ = 0;
   bool carry_out_due_ = false;
--- a/test/balance/leaf_pool_test.cc
+++ b/test/balance/leaf_pool_test.cc
@@ -50,9 +50,37 @@
   CPPUNIT_TEST(LeafsAreComparedByWhatWasExpectedOfThem);
   CPPUNIT_TEST(LeafLeftAloneLooksNoFasterThanUsual);
   CPPUNIT_TEST(LeafOutsideTheSubsetIsDrawnLessOften);
+  CPPUNIT_TEST(ColdLeafGetsNoMoreThanItsLimit);
+  CPPUNIT_TEST(ColdLeafWithoutAShareGetsNothingUntilItIsWarm);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void ColdLeafGetsNoMoreThanItsLimit() {
+    LeafPool pool({}, 1);
+    pool.Configure(kStart, "a", 100);
+    pool.SetCold(kStart, {{"a", {kStart + Seconds(3), 4.0}}});
+    uint64_t sent = 0;
+    for (Timestamp now = kStart; now < kStart + Seconds(2); now += Milliseconds(1)) {
+      if (pool.AvailabilityOf("a", now) == Availability::kReady) {
+        pool.OnSent(now, "a", SubRequestId{++sent});
+        pool.OnReply(now, Reply("a", SubRequestId{sent}, query::LeafStatus::kOk));
+      }
+    }
+    CPPUNIT_ASSERT(sent >= 7 && sent <= 8);
+    CPPUNIT_ASSERT(pool.AvailabilityOf("a", kStart + Seconds(3)) == Availability::kReady);
+  }
+
+  void ColdLeafWithoutAShareGetsNothingUntilItIsWarm() {
+    LeafPool pool({}, 1);
+    pool.Configure(kStart, "a", 2);
+    pool.SetCold(kStart, {{"a", {kStart + Seconds(3), 0.0}}});
+    // Not "busy": nobody waits for it.
+    CPPUNIT_ASSERT(pool.AvailabilityOf("a", kStart + Seconds(2)) == Availability::kLeaving);
+    CPPUNIT_ASSERT(!pool.Choose(kStart + Seconds(2), {"a"}, {}).has_value());
+    pool.SetCold(kStart + Seconds(2), {});
+    CPPUNIT_ASSERT(pool.AvailabilityOf("a", kStart + Seconds(2)) == Availability::kReady);
+  }
+
   /// One leaf serves long requests, the other short ones; both as fast as expected.
   void LeafsAreComparedByWhatWasExpectedOfThem() {
     LeafPool pool({}, 1);
--- a/test/control/leaf_committer_test.cc
+++ b/test/control/leaf_committer_test.cc
@@ -12,7 +12,7 @@
 
 registry::LeafReport Report(const std::string& leaf, uint64_t sequence) {
   registry::LeafReport report;
-  report.record = {leaf, "desk", "10.0.0.1:80", "north", 2, false, 0};
+  report.record = {leaf, "desk", leaf + ":80", "north", 2, false, 0};
   report.sequence = sequence;
   return report;
 }
@@ -34,7 +34,7 @@
   void Commit(const std::string& leaf, MemberId reporter) {
     config::Change change;
     change.kind = config::ChangeKind::kReportLeafs;
-    change.reported = {{leaf, "desk", "10.0.0.1:80", "north", 2, reporter}};
+    change.reported = {{leaf, "desk", leaf + ":80", "north", 2, reporter}};
     state.Apply(change);
   }
 
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -20,6 +20,9 @@
 /// route.
 class TestReader : public routing::DocumentReader {
  public:
+  /// What cold leafs bear; zero: as much as always.
+  double cold_requests_per_second = 0;
+
   absl::StatusOr<routing::RouteSet> Read(std::string_view text) const override {
     routing::RouteSet set;
     for (const Json& item : Json::parse(text)) {
@@ -35,7 +38,7 @@
       route.top_records = 2;
       for (size_t i = 3; i < item.size(); ++i) {
         const auto service = item[i].get<std::string>();
-        set.services.push_back({service, 26, ""});
+        set.services.push_back({service, 26, "", Seconds(2), cold_requests_per_second});
         route.shards.push_back(service);
       }
       if (route.shards.size() == 1) {
@@ -76,6 +79,18 @@
     change.leaf = leaf;
     Apply(change);
   }
+  void Evacuate(const std::string& zone) {
+    config::Change change;
+    change.kind = config::ChangeKind::kEvacuateZone;
+    change.zone = zone;
+    Apply(change);
+  }
+  void Restore(const std::string& zone) {
+    config::Change change;
+    change.kind = config::ChangeKind::kRestoreZone;
+    change.zone = zone;
+    Apply(change);
+  }
   void Report(std::vector<wire::LeafRecord> records) {
     server.OnControlMessage(now, kControl,
                             {"test", 0, wire::LeafFeed{0, ++leaf_version_, records, {}, {}, 1}});
@@ -144,6 +159,7 @@
     for (GatewayAnswer& answer : output.answers) {
       answers.push_back(std::move(answer));
     }
+    closed_leafs.insert(closed_leafs.end(), output.closed_leafs.begin(), output.closed_leafs.end());
     for (const LeafCancel& cancel : output.cancels) {
       cancels.push_back(cancel);
     }
@@ -161,7 +177,11 @@
     }
   }
 
+  /// What cold leafs of the documents that are put from now on bear.
+  void SetColdRequestsPerSecond(double rate) { reader_.cold_requests_per_second = rate; }
+
   std::vector<ControlLinkChange> links;
+  std::vector<std::string> closed_leafs;
   Timestamp now = kStart;
 
  private:
--- a/test/gateway/leaf_view_test.cc
+++ b/test/gateway/leaf_view_test.cc
@@ -9,7 +9,7 @@
 constexpr Timestamp kStart{Seconds(100)};
 
 wire::LeafRecord Record(const std::string& leaf, bool draining = false) {
-  return {leaf, "desk", "10.0.0.1:80", "north", 2, draining, 0};
+  return {leaf, "desk", leaf + ":80", "north", 2, draining, 0};
 }
 
 wire::LeafFeed Full(uint64_t version, std::vector<wire::LeafRecord> records) {
@@ -29,9 +29,53 @@
   CPPUNIT_TEST(CommittedLeafsAreUsableBeforeAnyReport);
   CPPUNIT_TEST(ReportsOfACrowdTakeEffectTogether);
   CPPUNIT_TEST(KnownLeafsThatReportAnewChangeNothing);
+  CPPUNIT_TEST(LeafsOfAnEvacuatedZoneAreClosedUntilItIsRestored);
+  CPPUNIT_TEST(LeafThatIsOnlyCommittedYieldsItsAddress);
+  CPPUNIT_TEST(ColdWordOfAnySourceCounts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void LeafsOfAnEvacuatedZoneAreClosedUntilItIsRestored() {
+    LeafView view({});
+    wire::LeafRecord south = Record("s");
+    south.zone = "south";
+    view.OnFeed(kStart, "c1", Full(1, {Record("n"), south}));
+    view.SetEvacuated(kStart, {"south"});
+    CPPUNIT_ASSERT(view.UsableLeafs("desk") == std::vector<std::string>{"n"});
+    CPPUNIT_ASSERT(view.IsLeaving("s"));
+    CPPUNIT_ASSERT(view.TakeNewlyLeaving() == std::vector<std::string>{"s"});
+    // A leaf that comes meanwhile is closed, too.
+    wire::LeafRecord other = Record("t");
+    other.zone = "south";
+    view.OnFeed(kStart + Seconds(1), "c1", Full(2, {Record("n"), south, other}));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, view.UsableLeafs("desk").size());
+    view.SetEvacuated(kStart + Seconds(2), {});
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, view.UsableLeafs("desk").size());
+    CPPUNIT_ASSERT(view.RestoredAt("south") == kStart + Seconds(2));
+  }
+
+  void LeafThatIsOnlyCommittedYieldsItsAddress() {
+    LeafView view({});
+    const config::ReportedLeaf ended{"ended", "desk", "x:80", "north", 2, 1};
+    view.SetCommitted(kStart, {{"ended", ended}}, {});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, view.UsableLeafs("desk").size());
+    wire::LeafRecord living = Record("living");
+    living.address = "x:80";
+    view.OnFeed(kStart, "c1", Full(1, {living}));
+    CPPUNIT_ASSERT(view.UsableLeafs("desk") == std::vector<std::string>{"living"});
+  }
+
+  void ColdWordOfAnySourceCounts() {
+    LeafView view({});
+    wire::LeafRecord cold = Record("a");
+    cold.cold_milliseconds = 2000;
+    view.OnFeed(kStart, "c1", Full(1, {cold}));
+    view.OnFeed(kStart, "c2", Full(1, {Record("a")}));
+    CPPUNIT_ASSERT(view.cold_until().at("a") == kStart + Seconds(2));
+    view.Tick(kStart + Seconds(2));
+    CPPUNIT_ASSERT(view.cold_until().empty());
+  }
+
   /// After all control machines have restarted each leaf reports anew: what users of the view work
   /// out from it stays as it is.
   void KnownLeafsThatReportAnewChangeNothing() {
--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -287,6 +287,11 @@
     CPPUNIT_ASSERT_EQUAL(std::string("north"), std::get<control::FindGateways>(*find).zone);
     const auto leave = dialect.ReadCommand(Request("POST", "/v1/instances/i-7/deregister"));
     CPPUNIT_ASSERT_EQUAL(std::string("i-7"), std::get<control::RetireLeaf>(*leave).leaf);
+    const auto start = dialect.ReadCommand(Request("POST", "/v1/evacuate/hall-1/start"));
+    CPPUNIT_ASSERT_EQUAL(std::string("hall-1"), std::get<control::OrderZone>(*start).zone);
+    CPPUNIT_ASSERT(std::get<control::OrderZone>(*start).evacuated);
+    const auto stop = dialect.ReadCommand(Request("POST", "/v1/evacuate/hall-1/stop"));
+    CPPUNIT_ASSERT(!std::get<control::OrderZone>(*stop).evacuated);
     const auto beat = dialect.ReadCommand(
         Request("POST", "/v1/instances/i-7/heartbeat",
                 R"({"backend":"s1","address":"10.0.0.9:80","zone":"north","version":"v1","slots":2,
@@ -310,6 +315,11 @@
         {"GET", "/v1/nothing", "", 404},
         {"GET", "/v1/config/put", "", 404},
         {"POST", "/v1/instances/i-7/dance", "", 404},
+        {"GET", "/v1/evacuate/hall-1/start", "", 404},
+        {"POST", "/v1/evacuate/hall-1", "", 404},
+        {"POST", "/v1/evacuate/hall-1/pause", "", 404},
+        {"POST", "/v1/evacuate/a/b/start", "", 404},
+        {"POST", "/v1/evacuate//start", "", 400},
         {"POST", "/v1/instances/i-7/heartbeat", "", 400},
         {"POST", "/v1/instances/i-7/heartbeat", "[]", 400},
         {"POST", "/v1/instances/i-7/heartbeat", R"({"backend":"s1","seq":1})", 400},
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(DrainingLeafGetsNoMoreWork);
   CPPUNIT_TEST(LeavingClientStopsItsWork);
   CPPUNIT_TEST(ControlKilledWholeLosesNothing);
+  CPPUNIT_TEST(EvacuatedZoneGetsNothingAndOrdersSurvive);
   CPPUNIT_TEST(StoppingGatewayFinishesWhatItHas);
   CPPUNIT_TEST_SUITE_END();
 
@@ -319,6 +320,50 @@
     fleet.WaitServed("/one/1");
   }
 
+  /// @return the last status of an order that is given to each control machine in turn until one
+  /// gives a definite answer.
+  static int Order(const PlatformFleet& fleet, int first, const std::string& path) {
+    int status = 0;
+    e2e::WaitFor("an answer to the order", [&] {
+      http::ClientRequest request;
+      request.address = fleet.ServiceAddress(first++ % PlatformFleet::kControls);
+      request.path = path;
+      request.method = "POST";
+      status = http::FetchBlocking(request).status;
+      return status != 0 && status != 503;
+    });
+    return status;
+  }
+
+  void EvacuatedZoneGetsNothingAndOrdersSurvive() {
+    PlatformFleet fleet;
+    StandInLeaf leaf("leaf-a", "s0");
+    fleet.Put(Document(5));
+    fleet.Beat({&leaf});
+    fleet.WaitServed("/one/1");
+    CPPUNIT_ASSERT_EQUAL(404, Order(fleet, 0, "/v1/evacuate/nowhere/start"));
+    // Any machine takes the order, and takes it again.
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, Order(fleet, i, "/v1/evacuate/north/start"));
+    }
+    e2e::WaitFor("the zone to get nothing", [&] { return fleet.Ask("/one/1").status == 503; });
+    const int runs = leaf.runs();
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      fleet.processes.at("c" + std::to_string(i))->Kill();
+    }
+    fleet.processes.at("gateway")->Kill();
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      fleet.StartControl(i, /*bootstrap=*/false);
+    }
+    fleet.StartGateway();
+    e2e::WaitFor("the gateway",
+                 [&] { return e2e::Get(fleet.ready_address(), "/v1/readyz").status == 200; });
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Ask("/one/1").status);
+    CPPUNIT_ASSERT_EQUAL(runs, leaf.runs());
+    CPPUNIT_ASSERT_EQUAL(200, Order(fleet, 1, "/v1/evacuate/north/stop"));
+    fleet.WaitServed("/one/1");
+  }
+
   void StoppingGatewayFinishesWhatItHas() {
     PlatformFleet fleet;
     StandInLeaf leaf("leaf-a", "s0");
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -127,8 +127,9 @@
   const std::string name = "c" + std::to_string(index);
   const std::string file = folder_ + "/" + name + ".toml";
   std::ofstream settings(file);
-  settings << "cluster = \"test\"\nmachine = \"" << HostOf(index) << "\"\nlisten = \""
-           << HostOf(index) << ":" << internal_port_ << "\"\noperator_listen = \"127.0.0.1:0\"\n"
+  settings << "cluster = \"test\"\nzones = [\"north\"]\nmachine = \"" << HostOf(index)
+           << "\"\nlisten = \"" << HostOf(index) << ":" << internal_port_
+           << "\"\noperator_listen = \"127.0.0.1:0\"\n"
            << "service_listen = \"" << ServiceAddress(index) << "\"\ndirectory_listen = \""
            << DirectoryAddress(index) << "\"\ndata_folder = \"" << folder_ << "/data-" << name
            << "\"\nseeds = [\"" << ServiceAddress(0) << "\", \"" << ServiceAddress(1) << "\", \""
--- a/test/registry/leaf_registry_test.cc
+++ b/test/registry/leaf_registry_test.cc
@@ -15,7 +15,7 @@
   LeafReport report;
   report.record.leaf = leaf;
   report.record.service = "desk";
-  report.record.address = "10.0.0.1:80";
+  report.record.address = leaf + ":80";
   report.record.slots = 2;
   report.record.draining = draining;
   report.sequence = sequence;
@@ -45,9 +45,92 @@
   CPPUNIT_TEST(ForgivenSilenceStartsAnew);
   CPPUNIT_TEST(DepartureOfUnknownLeafIsHarmless);
   CPPUNIT_TEST(ReceiverThatFollowsChangesHasTheWhole);
+  CPPUNIT_TEST(LeafBecomesColdAgain);
+  CPPUNIT_TEST(LateWordOfAnEndedLeafTakesNoAddress);
+  CPPUNIT_TEST(LateWordsAtOnceTakeNoAddress);
+  CPPUNIT_TEST(LeafThatStartsTakesTheAddressAtOnce);
+  CPPUNIT_TEST(LeafThatGoesOnReportingTakesTheAddressOfASilentOne);
+  CPPUNIT_TEST(LateWordIsNotBelievedWhereTheHolderReportsElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void LeafBecomesColdAgain() {
+    LeafRegistry registry({});
+    LeafReport report = Report("a", 1);
+    registry.OnReport(kStart, report);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0},
+                         registry.ChangesSince(kStart, 0).records.front().cold_milliseconds);
+    report.sequence = 2;
+    report.record.cold_milliseconds = 3000;
+    CPPUNIT_ASSERT(registry.OnReport(kStart, report) == ReportVerdict::kChanged);
+    // Whoever is told later is told what is left by then.
+    const Timestamp later = kStart + Seconds(1);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2000},
+                         registry.ChangesSince(later, 0).records.front().cold_milliseconds);
+    report.sequence = 3;
+    report.record.cold_milliseconds = 2000;
+    CPPUNIT_ASSERT(registry.OnReport(later, report) == ReportVerdict::kKnown);
+  }
+
+  static LeafReport At(const std::string& address, const std::string& leaf, uint64_t sequence) {
+    LeafReport report = Report(leaf, sequence);
+    report.record.address = address;
+    return report;
+  }
+
+  void LateWordOfAnEndedLeafTakesNoAddress() {
+    LeafRegistry registry({});
+    registry.OnReport(kStart, At("x:80", "living", 1));
+    const ReportVerdict verdict =
+        registry.OnReport(kStart + Milliseconds(500), At("x:80", "ended", 7));
+    CPPUNIT_ASSERT(verdict == ReportVerdict::kUnconfirmed);
+    CPPUNIT_ASSERT(registry.Find("ended") == nullptr);
+    CPPUNIT_ASSERT(registry.Find("living") != nullptr);
+    registry.OnReport(kStart + Milliseconds(1200), At("x:80", "living", 2));
+    CPPUNIT_ASSERT(registry.Find("living") != nullptr);
+  }
+
+  void LateWordsAtOnceTakeNoAddress() {
+    LeafRegistry registry({});
+    registry.OnReport(kStart, At("x:80", "living", 1));
+    for (uint64_t sequence = 7; sequence < 10; ++sequence) {
+      registry.OnReport(kStart + Milliseconds(static_cast<int64_t>(sequence)),
+                        At("x:80", "ended", sequence));
+    }
+    CPPUNIT_ASSERT(registry.Find("ended") == nullptr);
+  }
+
+  void LeafThatStartsTakesTheAddressAtOnce() {
+    LeafRegistry registry({});
+    registry.OnReport(kStart, At("x:80", "ended", 9));
+    CPPUNIT_ASSERT(registry.OnReport(kStart + Milliseconds(800), At("x:80", "new", 1)) ==
+                   ReportVerdict::kNew);
+    CPPUNIT_ASSERT(registry.Find("ended") == nullptr);
+    // The ended one's word that was on its way comes after all.
+    CPPUNIT_ASSERT(registry.OnReport(kStart + Milliseconds(900), At("x:80", "ended", 10)) ==
+                   ReportVerdict::kUnconfirmed);
+  }
+
+  void LeafThatGoesOnReportingTakesTheAddressOfASilentOne() {
+    LeafRegistry registry({});
+    registry.OnReport(kStart, At("x:80", "ended", 9));
+    registry.OnReport(kStart + Milliseconds(600), At("x:80", "new", 5));
+    CPPUNIT_ASSERT(registry.Find("new") == nullptr);
+    CPPUNIT_ASSERT(registry.OnReport(kStart + Milliseconds(1800), At("x:80", "new", 6)) ==
+                   ReportVerdict::kNew);
+    CPPUNIT_ASSERT(registry.Find("ended") == nullptr);
+  }
+
+  void LateWordIsNotBelievedWhereTheHolderReportsElsewhere() {
+    LeafRegistry registry({});
+    const std::string living = "living";
+    CPPUNIT_ASSERT(registry.OnReport(kStart, At("x:80", "ended", 7), &living) ==
+                   ReportVerdict::kUnconfirmed);
+    // A leaf that lives goes on reporting.
+    CPPUNIT_ASSERT(registry.OnReport(kStart + Milliseconds(1200), At("x:80", "ended", 8),
+                                     &living) == ReportVerdict::kNew);
+  }
+
   void LateHeartbeatSaysNothing() {
     LeafRegistry registry({});
     CPPUNIT_ASSERT(registry.OnReport(kStart, Report("a", 5)) == ReportVerdict::kNew);
@@ -106,14 +189,14 @@
         registry.DropSilent(now);
         // The receiver hears of some moments only.
         if (*rc::gen::inRange(0, 3) == 0) {
-          const wire::LeafFeed feed = registry.ChangesSince(version);
+          const wire::LeafFeed feed = registry.ChangesSince(now, version);
           Apply(feed, &view);
           version = feed.version;
         }
       }
-      Apply(registry.ChangesSince(version), &view);
+      Apply(registry.ChangesSince(now, version), &view);
       std::map<std::string, wire::LeafRecord> whole;
-      Apply(registry.ChangesSince(0), &whole);
+      Apply(registry.ChangesSince(now, 0), &whole);
       RC_ASSERT(view == whole);
     });
     CPPUNIT_ASSERT(held);
