Leafs that lose are learnt to be slow; the own zone no longer outweighs that

Cause: a sub-request that lost against a hedge left no trace, so a slow leaf was asked first for as long as it was slow; and a leaf of another zone looked 30 times worse, more than any slowness. Now a loss shows that the leaf takes at least as long as it was out, doubled for each loss in a row, and another zone weighs 3.

--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -13,6 +13,11 @@
   /// A leaf's slowness, its latencies over the expected ones, drifts back to 1 with this half life
   /// while nothing refreshes it.
   Duration slowness_half_life = Seconds(2);
+  /// A sub-request that lost against a later one, or that nobody waits for any more, shows that its
+  /// leaf takes at least as long as it was out. Each such loss in a row makes the leaf look so many
+  /// times slower than that, up to `most_slowness`. Zero: losses say nothing.
+  double loss_growth = 0;
+  double most_slowness = 32;
   /// Reported load loses half of its weight in this time: reports lag.
   Duration load_half_life = Milliseconds(10);
   /// Off for baselines: replicas are chosen at random.
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -227,12 +227,24 @@
   state->ejected_until = now + state->ejection;
 }
 
+void LeafPool::NoteLoss(LeafState* state, Timestamp now, double used) {
+  const double old = SlownessOf(*state, now);
+  if (knobs_.loss_growth <= 0 || used <= old) {
+    return;
+  }
+  const double slowness = used * std::pow(knobs_.loss_growth, state->losses);
+  ++state->losses;
+  state->slowness = std::clamp(slowness, old, knobs_.most_slowness);
+  state->slowness_at = now;
+}
+
 void LeafPool::NoteSuccess(LeafState* state, Timestamp now, double slowness, uint32_t load) {
   if (state->failures >= knobs_.ejection_failures) {
     // Back from ejection: start from one request at a time.
     state->limit = 1.0;
   }
   state->failures = 0;
+  state->losses = 0;
   state->ejection = Duration(0);
   const double old = SlownessOf(*state, now);
   state->slowness = old + knobs_.latency_weight * (slowness - old);
@@ -317,6 +329,9 @@
                           : std::min(2 * state.suspicion, knobs_.max_ejection_time);
     state.suspect_until = now + state.suspicion;
   }
+  NoteLoss(&state, now,
+           static_cast<double>((now - out->second.sent).count()) /
+               static_cast<double>(out->second.expected.count()));
   state.out.erase(out);
   if (timed_out) {
     NoteFailure(&state, now);
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -125,6 +125,8 @@
     Timestamp suspect_until{};
     Duration suspicion{};
     int failures = 0;
+    /// Sub-requests in a row that were given up unanswered after longer than expected.
+    int losses = 0;
     Timestamp ejected_until{};
     Duration ejection{};
     bool draining = false;
@@ -146,6 +148,8 @@
   void NoteWord(LeafState* state, Timestamp now, bool draining) const;
   void Decrease(LeafState* state, Timestamp now, double factor);
   void NoteFailure(LeafState* state, Timestamp now);
+  /// A sub-request that was out for `used` times as long as expected was given up.
+  void NoteLoss(LeafState* state, Timestamp now, double used);
   void NoteSuccess(LeafState* state, Timestamp now, double slowness, uint32_t load);
 
   BalanceKnobs knobs_;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -37,7 +37,7 @@
 };
 
 struct GatewayKnobs {
-  balance::BalanceKnobs balance{.remote_penalty = 30, .max_limit_per_slot = 1.0};
+  balance::BalanceKnobs balance{.loss_growth = 2.0, .remote_penalty = 3, .max_limit_per_slot = 1.0};
   /// An answer with enough shards goes out this long before the route's objective is over, if what
   /// the client spent before it sent the request is known: the way of the request and of the
   /// answer.
@@ -209,6 +209,10 @@
 
   GatewayOutput TakeOutput();
 
+  /// Where a client in `zone` may go, best first, by what was last heard of the gateways. One that
+  /// knows of no others names itself. Empty: nowhere.
+  std::vector<std::string> GatewaysFor(const std::string& zone) const;
+
   uint64_t document_version() const { return table_ == nullptr ? 0 : table_->version(); }
   const routing::RouteTable* table() const { return table_.get(); }
   const LeafView& leafs() const { return view_; }
@@ -366,6 +370,9 @@
   // The same as the one that merges a group.
   void OnPartialQuery(Timestamp now, PeerSessionId session, const wire::PartialQuery& query,
                       Timestamp arrived);
+  /// Begins the work on a question.
+  void StartPartial(Timestamp now, PeerSessionId session, const wire::PartialQuery& query,
+                    Timestamp arrived);
   void OnPartialConfirm(Timestamp now, PeerSessionId session, const wire::PartialConfirm& confirm);
   void OnPartialCancel(Timestamp now, PeerSessionId session, const wire::PartialCancel& cancel);
   void StopPartial(Timestamp now, RequestId id, bool stop_work);
@@ -425,6 +432,12 @@
   std::map<std::string, Timestamp> suspects_;
   std::unordered_map<uint64_t, RequestId> request_of_question_;
   std::map<std::pair<PeerSessionId, uint64_t>, RequestId> partials_;
+  /// A question that is worked on only if it is confirmed.
+  struct StandBy {
+    wire::PartialQuery query;
+    Timestamp arrived{};
+  };
+  std::map<std::pair<PeerSessionId, uint64_t>, StandBy> stand_by_;
   uint64_t partials_begun_ = 0;
   bool draining_ = false;
   Timestamp started_;
