Mergers that stand by: a gather survives silent and slow mergers without losing attempts

Cause: an unanswered question used up an attempt and its merger was stopped after 20 ms, though it was often only slow (a share of a core); two of them lost the group and with it the gather, in 40 ms of 1,200. Now, while the first merger is not heard of, others are asked to stand by: they accept, but send nothing before they are confirmed, so that none costs an attempt and five may be asked. Who speaks first gets the group. Ruled out: reserving at the first question already (a hop more for every gather), and giving up later (a dead merger would hold the group for longer).

--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -71,6 +71,18 @@
     return;
   }
   SendWord(session, WordWithoutParts(query.id, wire::PartialStage::kAccepted));
+  if (query.stand_by) {
+    std::erase_if(stand_by_, [now](const auto& item) {
+      return now >= item.second.arrived + item.second.query.budget;
+    });
+    stand_by_[{session, query.id}] = {query, arrived};
+    return;
+  }
+  StartPartial(now, session, query, arrived);
+}
+
+void GatewayServer::StartPartial(Timestamp now, PeerSessionId session,
+                                 const wire::PartialQuery& query, Timestamp arrived) {
   const RequestId id{kPartialBit | ++partials_begun_};
   partials_[{session, query.id}] = id;
   Active& active = active_[id];
@@ -112,7 +124,7 @@
   query::ExecutionOptions options = options_.execution;
   options.charge_first = query.again;
   options.report_parts = true;
-  options.hold_attempts = plan.max_attempts > 1;
+  options.hold_attempts = plan.max_attempts > 1 && !query.stand_by;
   const config::PublishedSnapshot& snapshot = target.service->snapshots.back();
   query::CallerRequest caller;
   caller.service = query.route;
@@ -128,6 +140,16 @@
 
 void GatewayServer::OnPartialConfirm(Timestamp now, PeerSessionId session,
                                      const wire::PartialConfirm& confirm) {
+  if (const auto ready = stand_by_.find({session, confirm.id}); ready != stand_by_.end()) {
+    const StandBy question = std::move(ready->second);
+    stand_by_.erase(ready);
+    if (now >= question.arrived + question.query.budget || table_ == nullptr) {
+      SendWord(session, WordWithoutParts(confirm.id, wire::PartialStage::kRefused));
+      return;
+    }
+    StartPartial(now, session, question.query, question.arrived);
+    return;
+  }
   const auto found = partials_.find({session, confirm.id});
   if (found != partials_.end()) {
     const RequestId id = found->second;
@@ -138,6 +160,7 @@
 
 void GatewayServer::OnPartialCancel(Timestamp now, PeerSessionId session,
                                     const wire::PartialCancel& cancel) {
+  stand_by_.erase({session, cancel.id});
   const auto found = partials_.find({session, cancel.id});
   if (found != partials_.end()) {
     StopPartial(now, found->second, cancel.stop_work);
@@ -145,6 +168,7 @@
 }
 
 void GatewayServer::OnPeerSessionClosed(Timestamp now, PeerSessionId session) {
+  std::erase_if(stand_by_, [session](const auto& item) { return item.first.first == session; });
   std::vector<RequestId> jobs;
   for (auto it = partials_.lower_bound({session, 0});
        it != partials_.end() && it->first.first == session; ++it) {
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -136,6 +136,7 @@
   query.top_records = static_cast<uint32_t>(active.route->top_records);
   query.max_attempts = question.max_attempts;
   query.again = question.again;
+  query.stand_by = question.stand_by;
   query.groups = static_cast<uint32_t>(active.ranges.size());
   query.shards = Slice(active.route->shards, active.ranges[question.group]);
   output_.peer_messages.push_back(
--- a/src/query/shared_gather.cc
+++ b/src/query/shared_gather.cc
@@ -42,21 +42,63 @@
   Evaluate(now);
 }
 
+SharedGather::Question* SharedGather::WorkingOf(Group* group) {
+  for (Question& question : group->questions) {
+    if (question.open() && !question.stand_by) {
+      return &question;
+    }
+  }
+  return nullptr;
+}
+
+SharedGather::Question* SharedGather::StandByOf(Group* group) {
+  for (Question& question : group->questions) {
+    if (question.open() && question.stand_by) {
+      return &question;
+    }
+  }
+  return nullptr;
+}
+
 void SharedGather::AdvanceGroup(Timestamp now, size_t index) {
   Group& group = groups_[index];
   if (group.ended || now >= deadline_) {
     return;
   }
-  if (!group.questions.empty() && group.questions.back().open()) {
-    Question& question = group.questions.back();
-    if (!Silent(now, question)) {
-      return;
+  if (Question* ready = StandByOf(&group); ready != nullptr && Silent(now, *ready)) {
+    // It never began: no attempt is lost.
+    actions_.silent.push_back(ready->merger);
+    actions_.cancels.push_back({ready->id, ready->merger, /*stop_work=*/true});
+    ready->state = QuestionState::kUnused;
+  }
+  Question* working = WorkingOf(&group);
+  if (working != nullptr && !Silent(now, *working)) {
+    return;
+  }
+  if (working != nullptr && working->state == QuestionState::kAccepted) {
+    Replace(&group, working);
+    working = nullptr;
+  }
+  if (StandByOf(&group) != nullptr) {
+    return;
+  }
+  // Asking adds a question, which may move the others.
+  const std::string slow = working == nullptr ? "" : working->merger;
+  if (Ask(now, index)) {
+    if (!slow.empty()) {
+      actions_.silent.push_back(slow);
     }
-    actions_.silent.push_back(question.merger);
-    actions_.cancels.push_back({question.id, question.merger, /*stop_work=*/true});
-    GiveUpOn(&group, &question);
+    return;
+  }
+  // Nobody else is there. One that has not accepted may be slow only; a silence proves nothing.
+  const bool may_still_speak = working != nullptr && now - working->heard < options_.silence_limit;
+  if (may_still_speak) {
+    return;
+  }
+  if (working != nullptr) {
+    Replace(&group, working);
   }
-  Ask(now, index);
+  End(&group);
 }
 
 void SharedGather::GiveUpOn(Group* group, Question* question) {
@@ -66,22 +108,52 @@
   unknown_ = true;
 }
 
-void SharedGather::Ask(Timestamp now, size_t index) {
+void SharedGather::Replace(Group* group, Question* question) {
+  actions_.silent.push_back(question->merger);
+  actions_.cancels.push_back({question->id, question->merger, /*stop_work=*/true});
+  GiveUpOn(group, question);
+}
+
+bool SharedGather::Ask(Timestamp now, size_t index) {
   Group& group = groups_[index];
+  const bool works = WorkingOf(&group) != nullptr;
   const uint32_t most = std::max(1U, plan_.max_attempts);
-  const bool may_ask = group.attempts_used < most && group.questions.size() < options_.most_mergers;
+  // One that works and is not heard of counts as having sent once.
+  const uint32_t used = group.attempts_used + (works ? 1 : 0);
+  const bool stand_by = used > 0;
+  const bool may_ask = used < most && group.questions.size() < options_.most_mergers;
   const std::optional<std::string> merger =
       may_ask ? choose_(now, index, group.tried) : std::nullopt;
   if (!merger.has_value()) {
-    End(&group);
-    return;
+    return false;
   }
   const uint64_t id = next_id_();
-  const uint32_t attempts = most - group.attempts_used;
+  const uint32_t attempts = most - used;
   group.tried.insert(*merger);
-  group.questions.push_back({id, index, *merger, attempts, now, now});
+  group.questions.push_back(
+      {id, index, *merger, attempts, now, now, QuestionState::kAsked, stand_by});
   group_of_[id] = index;
-  actions_.questions.push_back({id, index, *merger, attempts, group.attempts_used > 0});
+  actions_.questions.push_back({id, index, *merger, attempts, /*again=*/stand_by, stand_by});
+  return true;
+}
+
+void SharedGather::Accept(Group* group, Question* question) {
+  if (question->stand_by) {
+    if (Question* slow = WorkingOf(group); slow != nullptr) {
+      Replace(group, slow);
+    }
+    question->stand_by = false;
+    actions_.confirmations.push_back({question->id, question->merger});
+  } else {
+    if (Question* ready = StandByOf(group); ready != nullptr) {
+      actions_.cancels.push_back({ready->id, ready->merger, /*stop_work=*/true});
+      ready->state = QuestionState::kUnused;
+    }
+    if (question->max_attempts > 1) {
+      actions_.confirmations.push_back({question->id, question->merger});
+    }
+  }
+  question->state = QuestionState::kAccepted;
 }
 
 void SharedGather::End(Group* group) {
@@ -101,9 +173,12 @@
   if (found == group_of_.end() || answered_) {
     return nullptr;
   }
-  // Only a group's newest question can be open.
-  Question& question = groups_[found->second].questions.back();
-  return question.id == id && question.open() ? &question : nullptr;
+  for (Question& question : groups_[found->second].questions) {
+    if (question.id == id && question.open()) {
+      return &question;
+    }
+  }
+  return nullptr;
 }
 
 void SharedGather::OnWord(Timestamp now, const wire::PartialAnswer& word) {
@@ -123,6 +198,9 @@
       AdvanceGroup(now, question->group);
       break;
     case wire::PartialStage::kDone:
+      if (question->state == QuestionState::kAsked) {
+        Accept(&group, question);
+      }
       question->state = QuestionState::kDone;
       TakeParts(group, word);
       ran_ |= word.run == static_cast<uint32_t>(RunState::kRan);
@@ -130,10 +208,9 @@
       End(&group);
       break;
     default:
-      if (question->state == QuestionState::kAsked && question->max_attempts > 1) {
-        actions_.confirmations.push_back({question->id, question->merger});
+      if (question->state == QuestionState::kAsked) {
+        Accept(&group, question);
       }
-      question->state = QuestionState::kAccepted;
       TakeParts(group, word);
       break;
   }
@@ -165,10 +242,22 @@
 void SharedGather::OnMergerLost(Timestamp now, const std::string& merger) {
   for (size_t i = 0; i < groups_.size() && !answered_; ++i) {
     Group& group = groups_[i];
-    const bool asked = !group.ended && !group.questions.empty() && group.questions.back().open() &&
-                       group.questions.back().merger == merger;
-    if (asked) {
-      GiveUpOn(&group, &group.questions.back());
+    if (group.ended) {
+      continue;
+    }
+    bool lost = false;
+    for (Question& question : group.questions) {
+      if (!question.open() || question.merger != merger) {
+        continue;
+      }
+      lost = true;
+      if (question.stand_by) {
+        question.state = QuestionState::kUnused;
+      } else {
+        GiveUpOn(&group, &question);
+      }
+    }
+    if (lost) {
       AdvanceGroup(now, i);
     }
   }
@@ -208,7 +297,7 @@
   }
   for (const Group& group : groups_) {
     for (const Question& question : group.questions) {
-      unknown_ |= question.open();
+      unknown_ |= question.open() && !question.stand_by;
     }
   }
   const bool whole = outcome_.missing.empty();
@@ -218,9 +307,10 @@
                                     : RunState::kNotRun;
   actions_.outcome = std::move(outcome_);
   for (const Group& group : groups_) {
-    if (!group.questions.empty() && group.questions.back().open()) {
-      const Question& question = group.questions.back();
-      actions_.cancels.push_back({question.id, question.merger, /*stop_work=*/false});
+    for (const Question& question : group.questions) {
+      if (question.open()) {
+        actions_.cancels.push_back({question.id, question.merger, question.stand_by});
+      }
     }
   }
 }
@@ -228,9 +318,10 @@
 void SharedGather::AbandonAll() {
   answered_ = true;
   for (const Group& group : groups_) {
-    if (!group.questions.empty() && group.questions.back().open()) {
-      const Question& question = group.questions.back();
-      actions_.cancels.push_back({question.id, question.merger, /*stop_work=*/true});
+    for (const Question& question : group.questions) {
+      if (question.open()) {
+        actions_.cancels.push_back({question.id, question.merger, /*stop_work=*/true});
+      }
     }
   }
 }
@@ -242,13 +333,15 @@
     wake = std::min(wake, wait_over);
   }
   for (const Group& group : groups_) {
-    if (group.ended || group.questions.empty() || !group.questions.back().open()) {
-      continue;
+    for (const Question& question : group.questions) {
+      if (group.ended || !question.open()) {
+        continue;
+      }
+      const bool accepted = question.state == QuestionState::kAccepted;
+      const Timestamp slow = question.heard + options_.accept_patience;
+      const Timestamp silent = question.heard + options_.silence_limit;
+      wake = std::min(wake, accepted || slow <= now ? silent : slow);
     }
-    const Question& question = group.questions.back();
-    const bool accepted = question.state == QuestionState::kAccepted;
-    wake = std::min(
-        wake, question.heard + (accepted ? options_.silence_limit : options_.accept_patience));
   }
   return std::max(wake, now);
 }
@@ -264,6 +357,8 @@
         return "done";
       case QuestionState::kRefused:
         return "refused";
+      case QuestionState::kUnused:
+        return "unused";
       default:
         return "lost";
     }
--- a/src/query/shared_gather.h
+++ b/src/query/shared_gather.h
@@ -2,11 +2,13 @@
 // groups, each is asked of one merging gateway, and the partial answers make one. This is the side
 // of the gateway that the client reached. Events in, actions out; no socket, clock or thread.
 //
-// Why nothing runs too often although a merger may die, freeze or be slow at any moment: a merger
-// accepts a question, and sends to each shard once; it sends again only after it was confirmed that
-// its word has come. One that was not heard of within `accept_patience` is never confirmed: it
-// counts as having sent once, and another is asked with one attempt less. After a confirmation all
-// attempts count as used, and nobody else is asked.
+// Why nothing runs too often although a merger may die, freeze or be slow at any moment: the first
+// merger of a group accepts its question, and sends to each shard once; it sends again only after
+// it was confirmed that its word has come. While it is not heard of, others are asked to be ready:
+// they accept, too, but send nothing before they are confirmed, so that as many may be asked as
+// there are and none costs an attempt. The first that speaks gets the group: the one that was asked
+// first goes on with all attempts; one that stands ready is confirmed with an attempt less, and the
+// first is never confirmed any more. After a confirmation all attempts count as used.
 #pragma once
 
 #include <cstdint>
@@ -32,13 +34,14 @@
 };
 
 struct SharedGatherOptions {
-  /// A merger that has not confirmed the question by then is given up on.
+  /// A merger that has not accepted the question by then is slow or gone: another is asked to be
+  /// ready.
   Duration accept_patience = Milliseconds(20);
   /// One that has, and then says nothing for this long, is given up on, too. Mergers speak at least
   /// every GatewayKnobs::sign_of_life.
   Duration silence_limit = Milliseconds(200);
   /// Mergers asked in turn for one group.
-  size_t most_mergers = 3;
+  size_t most_mergers = 5;
 };
 
 /// One group, asked of one merger.
@@ -49,6 +52,8 @@
   uint32_t max_attempts = 1;
   /// Another merger was asked before and may have sent.
   bool again = false;
+  /// Nothing may be sent before the confirmation.
+  bool stand_by = false;
 };
 
 struct GroupCancel {
@@ -88,7 +93,7 @@
   size_t group = 0;
   std::string merger;
   Duration sent{};
-  /// "asked", "accepted", "done", "refused" or "lost".
+  /// "asked", "accepted", "done", "refused", "unused" or "lost".
   const char* state = "";
 };
 
@@ -121,7 +126,7 @@
   std::vector<QuestionRecord> Questions() const;
 
  private:
-  enum class QuestionState { kAsked, kAccepted, kDone, kRefused, kLost };
+  enum class QuestionState { kAsked, kAccepted, kDone, kRefused, kUnused, kLost };
   struct Question {
     uint64_t id = 0;
     size_t group = 0;
@@ -130,6 +135,8 @@
     Timestamp sent{};
     Timestamp heard{};
     QuestionState state = QuestionState::kAsked;
+    /// Nothing is sent for it yet, and nothing will be unless it is confirmed.
+    bool stand_by = false;
     bool open() const {
       return state == QuestionState::kAsked || state == QuestionState::kAccepted;
     }
@@ -149,8 +156,17 @@
   };
 
   void AdvanceGroup(Timestamp now, size_t index);
-  void Ask(Timestamp now, size_t index);
+  /// @return false if nobody can be asked.
+  bool Ask(Timestamp now, size_t index);
+  /// The question that a merger may work on; null: there is none.
+  static Question* WorkingOf(Group* group);
+  /// The question whose merger stands ready to begin; null: there is none.
+  static Question* StandByOf(Group* group);
   void GiveUpOn(Group* group, Question* question);
+  /// Gives up on a merger that is not heard of, and stops it in case it is only slow.
+  void Replace(Group* group, Question* question);
+  /// A merger has spoken for the first time: the group is its own.
+  void Accept(Group* group, Question* question);
   void End(Group* group);
   void TakeParts(const Group& group, const wire::PartialAnswer& word);
   bool Silent(Timestamp now, const Question& question) const;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -304,7 +304,7 @@
   for (size_t i = 0; i < feed.peers.size(); ++i) {
     const GatewayRecord& record = feed.peers[i];
     out.peers[i] = {arena->String(record.node), arena->String(record.zone),
-                    arena->String(record.peer_address)};
+                    arena->String(record.peer_address), arena->String(record.address)};
   }
   out.gone = arena->Strings(feed.gone, &out.gone_count);
 }
@@ -313,7 +313,8 @@
   GatewayFeed feed{in.from_version, in.version, {}, Texts(in.gone, in.gone_count)};
   for (pb_size_t i = 0; i < in.peers_count; ++i) {
     const pumicedyke_wire_GatewayRecord& record = in.peers[i];
-    feed.peers.push_back({Text(record.node), Text(record.zone), Text(record.peer_address)});
+    feed.peers.push_back(
+        {Text(record.node), Text(record.zone), Text(record.peer_address), Text(record.address)});
   }
   return feed;
 }
@@ -333,6 +334,7 @@
   out.top_records = query.top_records;
   out.max_attempts = query.max_attempts;
   out.again = query.again;
+  out.stand_by = query.stand_by;
   out.groups = query.groups;
   out.shards = arena->Strings(query.shards, &out.shards_count);
 }
@@ -351,6 +353,7 @@
   query.top_records = in.top_records;
   query.max_attempts = in.max_attempts;
   query.again = in.again;
+  query.stand_by = in.stand_by;
   query.groups = in.groups;
   query.shards = Texts(in.shards, in.shards_count);
   return query;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -182,6 +182,8 @@
   std::string node;
   std::string zone;
   std::string peer_address;
+  /// Where clients reach it.
+  std::string address = {};
   bool operator==(const GatewayRecord&) const = default;
 };
 
@@ -217,6 +219,8 @@
   uint32_t max_attempts = 1;
   /// Another gateway was asked before and may have sent: every sub-request counts as extra load.
   bool again = false;
+  /// Nothing may be sent to a leaf before this is confirmed (PartialConfirm).
+  bool stand_by = false;
   /// Groups that the sender cut all shards into.
   uint32_t groups = 1;
   std::vector<std::string> shards;
@@ -229,7 +233,8 @@
 };
 
 /// The gateway that asked has heard that its question was taken: it asks nobody else from now on,
-/// and each shard may be sent to as often as the question says. Until then: once.
+/// and each shard may be sent to as often as the question says. Until then: once, or never if the
+/// question said so.
 struct PartialConfirm {
   uint64_t id = 0;
 };
