--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -470,10 +470,19 @@
 
 void ControlServer::FeedAll() {
   const uint64_t version = state_.config().version().value;
+  // Those that hold the same version get the same message.
+  std::map<uint64_t, size_t> message_of;
   for (auto& [id, session] : sessions_) {
-    if (session.admitted && session.sent_version < version) {
+    if (!session.admitted || session.sent_version >= version) {
+      continue;
+    }
+    const auto [it, first] = message_of.try_emplace(session.sent_version, output_.sessions.size());
+    if (first) {
       // Vouches for nothing: a machine that catches up pushes what it learns, too.
       Feed(id, &session, /*full=*/false, /*greeting=*/0);
+    } else {
+      output_.sessions[it->second].others.push_back(id);
+      session.sent_version = version;
     }
   }
 }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -66,6 +66,8 @@
 struct SessionMessage {
   SessionId session;
   wire::Envelope envelope;
+  /// Further connections that get the same: it is encoded once for all of them.
+  std::vector<SessionId> others = {};
 };
 struct OperatorReply {
   TicketId ticket;
--- a/src/control/discovery_server.cc
+++ b/src/control/discovery_server.cc
@@ -92,10 +92,23 @@
   if (!news || !MayFeed(now)) {
     return;
   }
+  // Those that hold the same version get the same message.
+  std::map<uint64_t, size_t> message_of;
   for (auto& [id, session] : sessions_) {
-    if (session.sent_version < registry_.version()) {
-      Feed(now, id, &session);
+    if (session.sent_version >= registry_.version()) {
+      continue;
     }
+    const bool usual = session.sent_control == control_addresses_;
+    const auto found = message_of.find(session.sent_version);
+    if (usual && found != message_of.end()) {
+      messages_[found->second].others.push_back(id);
+      session.sent_version = registry_.version();
+      continue;
+    }
+    if (usual) {
+      message_of[session.sent_version] = messages_.size();
+    }
+    Feed(now, id, &session);
   }
 }
 
--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -30,14 +30,6 @@
   uint32_t length;
 };
 
-std::string Frame(const wire::Envelope& envelope) {
-  const std::string payload = wire::Encode(envelope);
-  const FrameHeader header{htonl(kMagic), htonl(static_cast<uint32_t>(payload.size()))};
-  std::string frame(reinterpret_cast<const char*>(&header), sizeof(header));
-  frame += payload;
-  return frame;
-}
-
 /// Unacknowledged bytes end a connection after this, so that a fresh one is there soon after a cut
 /// heals: TCP's own repeats grow seconds apart.
 constexpr unsigned kUserTimeoutMilliseconds = 1500;
@@ -51,6 +43,14 @@
 
 }  // namespace
 
+std::string EncodeFrame(const wire::Envelope& envelope) {
+  const std::string payload = wire::Encode(envelope);
+  const FrameHeader header{htonl(kMagic), htonl(static_cast<uint32_t>(payload.size()))};
+  std::string frame(reinterpret_cast<const char*>(&header), sizeof(header));
+  frame += payload;
+  return frame;
+}
+
 // ---- FrameSocket --------------------------------------------------------------------------------
 
 FrameSocket::FrameSocket(EventLoop* loop, const ACE_SOCK_Stream& stream, MessageCb on_message,
@@ -87,10 +87,16 @@
 }
 
 void FrameSocket::Send(const wire::Envelope& envelope) {
+  if (open_) {
+    SendFrame(EncodeFrame(envelope));
+  }
+}
+
+void FrameSocket::SendFrame(std::string_view frame) {
   if (!open_) {
     return;
   }
-  output_ += Frame(envelope);
+  output_ += frame;
   if (output_.size() > kMaxBacklogBytes) {
     Fail();
     return;
@@ -219,6 +225,16 @@
   }
 }
 
+void FrameServer::SendToAll(const std::vector<uint64_t>& sessions, const wire::Envelope& envelope) {
+  const std::string frame = EncodeFrame(envelope);
+  for (const uint64_t session : sessions) {
+    const auto it = sessions_.find(session);
+    if (it != sessions_.end()) {
+      it->second->SendFrame(frame);
+    }
+  }
+}
+
 void FrameServer::CloseSession(uint64_t session) {
   const auto it = sessions_.find(session);
   if (it != sessions_.end()) {
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -26,6 +27,9 @@
 /// Bytes waiting to be written beyond which a peer counts as stuck and is cut off.
 constexpr size_t kMaxBacklogBytes = 128U << 20;
 
+/// An envelope as it goes over a connection.
+std::string EncodeFrame(const wire::Envelope& envelope);
+
 class FrameSocket : public ACE_Event_Handler {
  public:
   using MessageCb = std::function<void(wire::Envelope)>;
@@ -39,6 +43,8 @@
 
   bool Start();
   void Send(const wire::Envelope& envelope);
+  /// The same with a frame by EncodeFrame().
+  void SendFrame(std::string_view frame);
   /// No callback comes after this.
   void Close();
 
@@ -76,6 +82,8 @@
   absl::Status Listen(const std::string& address);
   uint16_t port() const { return port_; }
   void Send(uint64_t session, const wire::Envelope& envelope);
+  /// Sends the same on several connections.
+  void SendToAll(const std::vector<uint64_t>& sessions, const wire::Envelope& envelope);
   void CloseSession(uint64_t session);
 
   int handle_input(ACE_HANDLE handle) override;
--- a/src/registry/leaf_registry.cc
+++ b/src/registry/leaf_registry.cc
@@ -149,6 +149,9 @@
   wire::LeafFeed feed;
   feed.from_version = all ? 0 : version;
   feed.version = version_;
+  if (!all && version == version_) {
+    return feed;
+  }
   for (const auto& [leaf, entry] : leafs_) {
     if (all || entry.changed > version) {
       wire::LeafRecord& record = feed.records.emplace_back(entry.record);
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -364,10 +364,10 @@
     SendToPeer(message.address, message.envelope);
   }
   for (const control::SessionMessage& message : output.sessions) {
-    frames_->Send(message.session, message.envelope);
+    SendToSessions(message);
   }
   for (const control::SessionMessage& message : discovery_->TakeMessages()) {
-    frames_->Send(message.session, message.envelope);
+    SendToSessions(message);
   }
   for (const control::SessionId session : output.closed_sessions) {
     frames_->CloseSession(session);
@@ -383,6 +383,12 @@
   }
 }
 
+void ControlProcess::SendToSessions(const control::SessionMessage& message) {
+  std::vector<uint64_t> sessions = message.others;
+  sessions.push_back(message.session);
+  frames_->SendToAll(sessions, message.envelope);
+}
+
 control::TicketId ControlProcess::Await(ReplyCb on_reply) {
   const control::TicketId ticket = next_ticket_++;
   waiting_.emplace(ticket, std::move(on_reply));
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -101,6 +101,7 @@
   absl::Status Listen();
   Timestamp Tick(Timestamp now);
   void CarryOut();
+  void SendToSessions(const control::SessionMessage& message);
   void SendToPeer(const std::string& address, const wire::Envelope& envelope);
   void OnFrame(uint64_t session, const wire::Envelope& envelope);
   void OnOperator(const http::HttpRequest& request, http::Responder responder);
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -126,6 +126,9 @@
   }
   for (const control::SessionMessage& message : output.sessions) {
     callbacks_.to_session(message.session, message.envelope);
+    for (const control::SessionId other : message.others) {
+      callbacks_.to_session(other, message.envelope);
+    }
   }
   for (const control::SessionId session : output.closed_sessions) {
     callbacks_.close_session(session);
--- a/test/control/discovery_server_test.cc
+++ b/test/control/discovery_server_test.cc
@@ -43,9 +43,32 @@
   CPPUNIT_TEST(ControlAddressesAreToldOnce);
   CPPUNIT_TEST(GatewaysAreToldOfEachOther);
   CPPUNIT_TEST(NothingIsSaidWithoutNews);
+  CPPUNIT_TEST(NewsIsMadeOnceForAllThatHoldTheSame);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void NewsIsMadeOnceForAllThatHoldTheSame() {
+    DiscoveryServer server(Options());
+    server.SetControlAddresses({"a:7100"});
+    for (SessionId session = 1; session <= 3; ++session) {
+      server.OnPresence(kStart, session, Presence("g" + std::to_string(session), 0));
+    }
+    server.TakeMessages();
+    registry::LeafReport report;
+    report.record.leaf = "leaf";
+    report.record.address = "leaf:80";
+    report.sequence = 1;
+    server.OnLeafReport(kStart, report);
+    server.Tick(kStart, /*current=*/true);
+    const std::vector<SessionMessage> messages = server.TakeMessages();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, messages.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, messages[0].others.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         std::get<wire::LeafFeed>(messages[0].envelope.body).records.size());
+    server.Tick(kStart + Seconds(1), /*current=*/true);
+    CPPUNIT_ASSERT(server.TakeMessages().empty());
+  }
+
   void ControlAddressesAreToldOnce() {
     DiscoveryServer server(Options());
     server.SetControlAddresses({"a:7100", "b:7100"});
