Gateways answer the directory, too; they begin to share by weights at places of their own

Gateways know each other from control, so they tell clients as control does (one function orders the answer); one that knows of no others names itself.

Each gateway began its round with the heaviest service: 300 gateways that see three requests each sent the lightest part of a split nothing. They begin at different places now (test with 300 gateways).

--- a/src/directory/gateway_directory.cc
+++ b/src/directory/gateway_directory.cc
@@ -11,7 +11,7 @@
   if (!presence.serving || presence.peer_address.empty()) {
     return std::nullopt;
   }
-  return wire::GatewayRecord{presence.node, presence.zone, presence.peer_address};
+  return wire::GatewayRecord{presence.node, presence.zone, presence.peer_address, presence.address};
 }
 
 }  // namespace
@@ -89,20 +89,13 @@
 
 std::vector<std::string> GatewayDirectory::AddressesFor(Timestamp now,
                                                         const std::string& zone) const {
-  std::vector<std::string> addresses;
-  const auto add = [&](bool same_zone) {
-    for (const auto& [node, entry] : gateways_) {
-      const bool usable = entry.presence.serving && now - entry.heard < options_.silence_limit &&
-                          (entry.presence.zone == zone) == same_zone &&
-                          addresses.size() < options_.max_addresses;
-      if (usable) {
-        addresses.push_back(entry.presence.address);
-      }
+  std::vector<GatewayPlace> gateways;
+  for (const auto& [node, entry] : gateways_) {
+    if (entry.presence.serving && now - entry.heard < options_.silence_limit) {
+      gateways.push_back({entry.presence.address, entry.presence.zone});
     }
-  };
-  add(true);
-  add(false);
-  return addresses;
+  }
+  return NearFirst(gateways, zone, options_.max_addresses);
 }
 
 }  // namespace pumicedyke::directory
--- a/src/directory/gateway_directory.h
+++ b/src/directory/gateway_directory.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "common/types.h"
+#include "directory/near_first.h"
 #include "wire/messages.h"
 
 namespace pumicedyke::directory {
@@ -17,7 +18,7 @@
   /// A gateway that was not heard of for this long is no longer named.
   Duration silence_limit = Milliseconds(1800);
   /// Addresses in one answer.
-  size_t max_addresses = 64;
+  size_t max_addresses = kMostAddresses;
   /// Removals remembered for gateways that are a little behind; others get everything.
   size_t kept_removals = 1000;
 };
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -2,6 +2,9 @@
 // values out. Implementations hold no state and decide nothing.
 #pragma once
 
+#include <string>
+#include <vector>
+
 #include "absl/status/statusor.h"
 #include "gateway/messages.h"
 #include "http/http_client.h"
@@ -25,6 +28,11 @@
   virtual query::LeafReply ReadLeafReply(const LeafSend& send,
                                          http::ClientResponse response) const = 0;
 
+  /// Whether the request asks where clients may go, and for a client in which zone.
+  virtual bool IsDirectoryQuestion(const http::HttpRequest& request) const = 0;
+  virtual std::string ZoneOfQuestion(const http::HttpRequest& request) const = 0;
+  virtual http::HttpResponse WriteGateways(const std::vector<std::string>& addresses,
+                                           Duration time_to_live) const = 0;
   /// Whether the request asks if this gateway is ready.
   virtual bool IsReadinessProbe(const http::HttpRequest& request) const = 0;
   virtual const routing::DocumentReader& documents() const = 0;
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -162,6 +162,9 @@
   committed_stale_ = false;
   committed_taken_ = now;
   view_.SetCommitted(now, subscriber_.config().reported(), subscriber_.config().retired());
+  if (at_once) {
+    view_.Merge(now);
+  }
   SyncPool(now);
 }
 
@@ -321,6 +324,17 @@
   pool_.SetCold(now, limits);
 }
 
+std::vector<std::string> GatewayServer::GatewaysFor(const std::string& zone) const {
+  std::vector<std::string> addresses = peers_.AddressesFor(zone);
+  const auto self = std::find(addresses.begin(), addresses.end(), options_.address);
+  if (!ready() && self != addresses.end()) {
+    addresses.erase(self);
+  } else if (ready() && addresses.empty()) {
+    addresses.push_back(options_.address);
+  }
+  return addresses;
+}
+
 void GatewayServer::StartDraining(Timestamp now) {
   draining_ = true;
   for (auto& [address, link] : links_) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -1,5 +1,7 @@
 #include "gateway/gateway_server.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -16,6 +18,9 @@
 constexpr Duration kRetryWhenOverloaded = Milliseconds(200);
 constexpr Duration kLongestSleep = Milliseconds(200);
 
+/// Places at which gateways begin to share requests by weights: a percent can be told.
+constexpr uint64_t kPlacesOfRound = 100;
+
 /// Requests of a route after which the longest of their patiences is taken to be that of a client
 /// that spent nothing yet: most clients keep their connections.
 constexpr uint64_t kTellingPatiences = 16;
@@ -103,6 +108,8 @@
                                                       Duration objective) {
   RouteRuntime& runtime = runtimes_[route];
   if (runtime.latencies == nullptr) {
+    const uint64_t hash = XXH64(route.data(), route.size(), options_.incarnation);
+    runtime.choice = routing::WeightedChoice(static_cast<uint32_t>(hash % kPlacesOfRound));
     runtime.latencies = std::make_unique<balance::LatencyTracker>(
         options_.knobs.balance.latency_window, objective / kInitialHedgePart);
   }
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -1,5 +1,7 @@
 #include "gateway/peer_view.h"
 
+#include "directory/near_first.h"
+
 namespace pumicedyke::gateway {
 
 bool PeerView::OnFeed(const std::string& source, const wire::GatewayFeed& feed) {
@@ -42,6 +44,16 @@
   return it == by_zone_.end() ? *none : it->second;
 }
 
+std::vector<std::string> PeerView::AddressesFor(const std::string& zone) const {
+  std::vector<directory::GatewayPlace> places;
+  for (const auto& [node, peer] : peers_) {
+    if (!peer.address.empty()) {
+      places.push_back({peer.address, peer.zone});
+    }
+  }
+  return directory::NearFirst(places, zone);
+}
+
 std::vector<std::string> PeerView::Names() const {
   std::vector<std::string> names;
   names.reserve(peers_.size());
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -102,7 +102,16 @@
 }
 
 const std::string& WeightedChoice::Next(const std::vector<WeightedService>& services) {
-  credit_.resize(services.size(), 0);
+  if (credit_.size() != services.size()) {
+    credit_.assign(services.size(), 0);
+    for (uint32_t i = 0; i < place_; ++i) {
+      Pick(services);
+    }
+  }
+  return services[Pick(services)].service;
+}
+
+size_t WeightedChoice::Pick(const std::vector<WeightedService>& services) {
   double total = 0;
   size_t best = 0;
   for (size_t i = 0; i < services.size(); ++i) {
@@ -113,7 +122,7 @@
     }
   }
   credit_[best] -= total;
-  return services[best].service;
+  return best;
 }
 
 }  // namespace pumicedyke::routing
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -107,12 +107,20 @@
 };
 
 /// Shares requests among services exactly by their weights (smooth weighted round robin): after any
-/// number of picks each service is within one request of its share.
+/// number of picks each service is within one request of its share. Gateways begin at places of
+/// their own in the round: hundreds that see a handful of requests each would else all begin with
+/// the heaviest service.
 class WeightedChoice {
  public:
+  /// @param place picks to leave out at the beginning.
+  explicit WeightedChoice(uint32_t place = 0) : place_(place) {}
+
   const std::string& Next(const std::vector<WeightedService>& services);
 
  private:
+  size_t Pick(const std::vector<WeightedService>& services);
+
+  uint32_t place_;
   std::vector<double> credit_;
 };
 
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "common/result_code.h"
 #include "common/settings.h"
 #include "server/process.h"
 
@@ -36,6 +37,7 @@
   settings.port_file = file.String("port_file", "");
   settings.ready_listen = file.String("ready_listen", "");
   settings.metrics_listen = file.String("metrics_listen", "");
+  settings.directory_listen = file.String("directory_listen", "");
   settings.peer_listen = file.String("peer_listen", "");
   if (!settings.peer_listen.empty() && !IsAddress(settings.peer_listen)) {
     file.AddError("peer_listen", "must be an address like \"127.0.0.1:7500\"");
@@ -48,6 +50,8 @@
     file.AddError("control", "must list at least one control machine, or name 'seeds'");
   }
   constexpr int64_t kMaxMilliseconds = 3600 * 1000;
+  settings.directory_time_to_live =
+      Milliseconds(file.Integer("directory_time_to_live_ms", 2000, 1, kMaxMilliseconds));
   settings.extra_load.window =
       Milliseconds(file.Integer("extra_load_window_ms", 10000, 100, kMaxMilliseconds));
   settings.extra_load.ratio = file.Number("extra_load_ratio", 0.1, 0, 10);
@@ -97,6 +101,9 @@
   if (absl::Status status = ListenForMetrics(); !status.ok()) {
     return status;
   }
+  if (absl::Status status = ListenForDirectory(); !status.ok()) {
+    return status;
+  }
   if (absl::Status status = ListenForPeers(); !status.ok()) {
     return status;
   }
@@ -121,6 +128,30 @@
   return metrics_http_->Listen(settings_.metrics_listen);
 }
 
+absl::Status GatewayProcess::ListenForDirectory() {
+  if (settings_.directory_listen.empty()) {
+    return absl::OkStatus();
+  }
+  directory_http_ = std::make_unique<http::HttpServer>(
+      loop_, http::HttpServerOptions{},
+      [this](const http::HttpRequest& request, http::Responder responder) {
+        if (!dialect_->IsDirectoryQuestion(request)) {
+          responder.Send(dialect_->WriteRefusal(
+              MakeStatus(ResultCode::kUnknownPath, request.method + " " + request.path)));
+          return;
+        }
+        const std::vector<std::string> addresses =
+            server_->GatewaysFor(dialect_->ZoneOfQuestion(request));
+        if (addresses.empty()) {
+          responder.Send(dialect_->WriteRefusal(
+              MakeStatus(ResultCode::kNotReady, "no gateway is known here")));
+          return;
+        }
+        responder.Send(dialect_->WriteGateways(addresses, settings_.directory_time_to_live));
+      });
+  return directory_http_->Listen(settings_.directory_listen);
+}
+
 absl::Status GatewayProcess::ListenForPeers() {
   if (settings_.peer_listen.empty()) {
     return absl::OkStatus();
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -28,6 +28,10 @@
   std::string listen;
   /// Where readiness is asked for; empty: with the clients.
   std::string ready_listen;
+  /// Where clients ask for gateways; empty: not here.
+  std::string directory_listen;
+  /// How long a client may rely on the gateways it was told.
+  Duration directory_time_to_live{};
   /// Where the metrics page is served; empty: nowhere.
   std::string metrics_listen;
   /// Where other gateways reach this one; empty: it works alone.
@@ -70,6 +74,7 @@
   absl::Status ListenForPeers();
   void OnHttp(http::HttpRequest request, http::Responder responder);
   absl::Status ListenForMetrics();
+  absl::Status ListenForDirectory();
   void OnLinkChange(const gateway::ControlLinkChange& change);
   void AdoptLimits();
 
@@ -96,6 +101,7 @@
   GatewayLog log_;
   GatewayMetrics metrics_;
   std::unique_ptr<http::HttpServer> metrics_http_;
+  std::unique_ptr<http::HttpServer> directory_http_;
   SettingsWatch watch_;
   GracefulStop stop_;
 };
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -110,6 +110,7 @@
   CPPUNIT_TEST(LeavingClientStopsItsWork);
   CPPUNIT_TEST(ControlKilledWholeLosesNothing);
   CPPUNIT_TEST(EvacuatedZoneGetsNothingAndOrdersSurvive);
+  CPPUNIT_TEST(GatewaysTellWhereToGoWithoutControl);
   CPPUNIT_TEST(StoppingGatewayFinishesWhatItHas);
   CPPUNIT_TEST_SUITE_END();
 
@@ -364,6 +365,24 @@
     fleet.WaitServed("/one/1");
   }
 
+  void GatewaysTellWhereToGoWithoutControl() {
+    PlatformFleet fleet;
+    StandInLeaf leaf("leaf-a", "s0");
+    fleet.Put(Document(5));
+    fleet.Beat({&leaf});
+    fleet.WaitServed("/one/1");
+    const std::string question = "/v1/resolve?name=x&region=r&zone=north";
+    const auto told = [&] { return e2e::Get(fleet.gateway_directory_address(), question); };
+    e2e::WaitFor("the directory", [&] { return told().status == 200; });
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      fleet.processes.at("c" + std::to_string(i))->Kill();
+    }
+    const http::ClientResponse found = told();
+    CPPUNIT_ASSERT_EQUAL(200, found.status);
+    CPPUNIT_ASSERT(Json::parse(found.body)["addrs"][0] == fleet.gateway_address());
+    CPPUNIT_ASSERT_EQUAL(404, e2e::Get(fleet.gateway_directory_address(), "/one/1").status);
+  }
+
   void StoppingGatewayFinishesWhatItHas() {
     PlatformFleet fleet;
     StandInLeaf leaf("leaf-a", "s0");
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -99,6 +99,7 @@
       gateway_address_(e2e::FreeAddress()),
       ready_address_(e2e::FreeAddress()),
       metrics_address_(e2e::FreeAddress()),
+      gateway_directory_address_(e2e::FreeAddress()),
       second_metrics_address_(e2e::FreeAddress()) {
   char path[] = "/tmp/pumicedyke-platform-XXXXXX";
   CPPUNIT_ASSERT(::mkdtemp(path) != nullptr);
@@ -141,11 +142,13 @@
 }
 
 void PlatformFleet::StartGateway() {
-  StartGatewayAt("gateway", {gateway_address_, ready_address_, metrics_address_});
+  StartGatewayAt("gateway",
+                 {gateway_address_, ready_address_, metrics_address_, gateway_directory_address_});
 }
 
 void PlatformFleet::StartSecondGateway() {
-  StartGatewayAt("gateway2", {e2e::FreeAddress(), e2e::FreeAddress(), second_metrics_address_});
+  StartGatewayAt("gateway2", {e2e::FreeAddress(), e2e::FreeAddress(), second_metrics_address_,
+                              e2e::FreeAddress()});
 }
 
 void PlatformFleet::StartGatewayAt(const std::string& process, const GatewayAddresses& addresses) {
@@ -154,9 +157,10 @@
   // So small a share of a processor that even a few dozen shards are worth sharing.
   settings << "cluster = \"test\"\nnode = \"" << process << "\"\nzone = \"north\"\nlisten = \""
            << addresses.listen << "\"\nready_listen = \"" << addresses.ready
-           << "\"\nmetrics_listen = \"" << addresses.metrics << "\"\npeer_listen = \""
-           << e2e::FreeAddress() << "\"\nprocessor_share = 0.001\nseeds = [\"" << ServiceAddress(0)
-           << "\", \"" << ServiceAddress(1) << "\"]\ninternal_port = " << internal_port_
+           << "\"\ndirectory_listen = \"" << addresses.directory << "\"\nmetrics_listen = \""
+           << addresses.metrics << "\"\npeer_listen = \"" << e2e::FreeAddress()
+           << "\"\nprocessor_share = 0.001\nseeds = [\"" << ServiceAddress(0) << "\", \""
+           << ServiceAddress(1) << "\"]\ninternal_port = " << internal_port_
            << "\ndrain_grace_ms = 300\n";
   settings.close();
   processes[process] = std::make_unique<e2e::Process>(
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -66,6 +66,7 @@
   std::string ServiceAddress(int index) const;
   std::string DirectoryAddress(int index) const;
   const std::string& gateway_address() const { return gateway_address_; }
+  const std::string& gateway_directory_address() const { return gateway_directory_address_; }
   const std::string& ready_address() const { return ready_address_; }
   const std::string& metrics_address() const { return metrics_address_; }
   const std::string& second_metrics_address() const { return second_metrics_address_; }
@@ -87,6 +88,7 @@
     std::string listen;
     std::string ready;
     std::string metrics;
+    std::string directory;
   };
   void StartGatewayAt(const std::string& process, const GatewayAddresses& addresses);
 
@@ -97,6 +99,7 @@
   std::string gateway_address_;
   std::string ready_address_;
   std::string metrics_address_;
+  std::string gateway_directory_address_;
   std::string second_metrics_address_;
   int asked_ = 0;
 };
--- a/test/routing/route_table_test.cc
+++ b/test/routing/route_table_test.cc
@@ -38,9 +38,25 @@
   CPPUNIT_TEST(LongestPrefixOfTheHostWins);
   CPPUNIT_TEST(InvalidSetsAreRefused);
   CPPUNIT_TEST(SharesAreExact);
+  CPPUNIT_TEST(GatewaysThatSeeLittleShareByWeightTogether);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void GatewaysThatSeeLittleShareByWeightTogether() {
+    const std::vector<WeightedService> services = {{"old", 0.9}, {"new", 0.1}};
+    constexpr uint32_t kGateways = 300;
+    int picks = 0;
+    int fresh = 0;
+    for (uint32_t gateway = 0; gateway < kGateways; ++gateway) {
+      WeightedChoice choice(gateway * 7919 % 100);
+      for (int request = 0; request < 3; ++request) {
+        ++picks;
+        fresh += choice.Next(services) == "new" ? 1 : 0;
+      }
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, static_cast<double>(fresh) / picks, 0.02);
+  }
+
   void LongestPrefixOfTheHostWins() {
     const RouteTable table(
         MakeSet({MakeRoute("root", "a.example", "/"), MakeRoute("deep", "a.example", "/x/y/"),
