Routes that name regions stay in them: leafs, mergers and the directory

allowed_regions was read by nobody. A route's leafs and mergers are now those of its homes; a merger is told the homes with the question, as it is told the shards. The directory names gateways of the client's zone, then of its region, and others only if there are none of these. Settings: regions, "zone=region" of every zone, which control also takes for the zones that operators may name. One region in today's deployments: proved by tests of tables and of two regions alone.

--- /dev/null
+++ b/src/common/region_map.h
@@ -0,0 +1,29 @@
+// Which region each zone lies in. Immutable once filled; safe on any thread then.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace pumicedyke {
+
+class RegionMap {
+ public:
+  RegionMap() = default;
+  /// @param region_of the region of each zone, by the zone's name.
+  explicit RegionMap(std::map<std::string, std::string> region_of)
+      : region_of_(std::move(region_of)) {}
+
+  /// @return the region of a zone; empty: the zone is not known.
+  std::string Of(const std::string& zone) const {
+    const auto it = region_of_.find(zone);
+    return it == region_of_.end() ? std::string() : it->second;
+  }
+  bool Knows(const std::string& zone) const { return region_of_.contains(zone); }
+  bool empty() const { return region_of_.empty(); }
+
+ private:
+  std::map<std::string, std::string> region_of_;
+};
+
+}  // namespace pumicedyke
--- a/src/control/dialect.h
+++ b/src/control/dialect.h
@@ -8,6 +8,7 @@
 
 #include "absl/status/statusor.h"
 #include "config/model.h"
+#include "directory/near_first.h"
 #include "http/http_server.h"
 #include "registry/leaf_registry.h"
 #include "routing/route_table.h"
@@ -30,7 +31,7 @@
 };
 /// A client asks where to go.
 struct FindGateways {
-  std::string zone;
+  directory::ClientPlace client;
 };
 /// An operator orders that nothing more is sent to a zone's leafs, or takes that back.
 struct OrderZone {
--- a/src/control/discovery_server.h
+++ b/src/control/discovery_server.h
@@ -48,9 +48,9 @@
   /// Frame addresses of all control machines, for gateways that know only some.
   void SetControlAddresses(std::vector<std::string> addresses);
 
-  /// Where a client in `zone` may go, best first. Empty: no gateway is known.
-  std::vector<std::string> GatewaysFor(Timestamp now, const std::string& zone) const {
-    return directory_.AddressesFor(now, zone);
+  /// Where a client may go, best first. Empty: no gateway is known.
+  std::vector<std::string> GatewaysFor(Timestamp now, const directory::ClientPlace& client) const {
+    return directory_.AddressesFor(now, client);
   }
 
   std::vector<SessionMessage> TakeMessages();
--- a/src/directory/gateway_directory.cc
+++ b/src/directory/gateway_directory.cc
@@ -88,14 +88,15 @@
 }
 
 std::vector<std::string> GatewayDirectory::AddressesFor(Timestamp now,
-                                                        const std::string& zone) const {
+                                                        const ClientPlace& client) const {
   std::vector<GatewayPlace> gateways;
   for (const auto& [node, entry] : gateways_) {
     if (entry.presence.serving && now - entry.heard < options_.silence_limit) {
-      gateways.push_back({entry.presence.address, entry.presence.zone});
+      const std::string& zone = entry.presence.zone;
+      gateways.push_back({entry.presence.address, zone, options_.regions.Of(zone)});
     }
   }
-  return NearFirst(gateways, zone, options_.max_addresses);
+  return NearFirst(gateways, client, options_.max_addresses);
 }
 
 }  // namespace pumicedyke::directory
--- a/src/directory/gateway_directory.h
+++ b/src/directory/gateway_directory.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "common/region_map.h"
 #include "common/types.h"
 #include "directory/near_first.h"
 #include "wire/messages.h"
@@ -19,6 +20,8 @@
   Duration silence_limit = Milliseconds(1800);
   /// Addresses in one answer.
   size_t max_addresses = kMostAddresses;
+  /// Where the gateways' zones lie.
+  RegionMap regions = {};
   /// Removals remembered for gateways that are a little behind; others get everything.
   size_t kept_removals = 1000;
 };
@@ -33,8 +36,8 @@
   /// @return whether the set of gateways that clients may use changed.
   bool OnLost(const std::string& node, uint64_t incarnation);
 
-  /// Addresses for a client in `zone`: gateways of its zone first, then the others.
-  std::vector<std::string> AddressesFor(Timestamp now, const std::string& zone) const;
+  /// Addresses for a client, best first (near_first.h).
+  std::vector<std::string> AddressesFor(Timestamp now, const ClientPlace& client) const;
   /// Gateways that are there, serving or not.
   size_t size() const { return gateways_.size(); }
   /// Drops gateways that have been silent for too long.
--- a/src/directory/near_first.cc
+++ b/src/directory/near_first.cc
@@ -1,13 +1,29 @@
 #include "directory/near_first.h"
 
 namespace pumicedyke::directory {
+namespace {
+
+enum class Distance { kSameZone, kSameRegion, kElsewhere };
+
+Distance DistanceOf(const GatewayPlace& gateway, const ClientPlace& client) {
+  if (gateway.zone == client.zone) {
+    return Distance::kSameZone;
+  }
+  return gateway.region == client.region ? Distance::kSameRegion : Distance::kElsewhere;
+}
+
+}  // namespace
 
 std::vector<std::string> NearFirst(const std::vector<GatewayPlace>& gateways,
-                                   const std::string& zone, size_t most) {
+                                   const ClientPlace& client, size_t most) {
   std::vector<std::string> addresses;
-  for (const bool same_zone : {true, false}) {
+  for (const Distance distance :
+       {Distance::kSameZone, Distance::kSameRegion, Distance::kElsewhere}) {
+    if (distance == Distance::kElsewhere && !addresses.empty()) {
+      break;
+    }
     for (const GatewayPlace& gateway : gateways) {
-      if ((gateway.zone == zone) == same_zone && addresses.size() < most) {
+      if (DistanceOf(gateway, client) == distance && addresses.size() < most) {
         addresses.push_back(gateway.address);
       }
     }
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "directory/near_first.h"
 #include "gateway/messages.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -28,9 +29,9 @@
   virtual query::LeafReply ReadLeafReply(const LeafSend& send,
                                          http::ClientResponse response) const = 0;
 
-  /// Whether the request asks where clients may go, and for a client in which zone.
+  /// Whether the request asks where clients may go, and for which client.
   virtual bool IsDirectoryQuestion(const http::HttpRequest& request) const = 0;
-  virtual std::string ZoneOfQuestion(const http::HttpRequest& request) const = 0;
+  virtual directory::ClientPlace ClientOf(const http::HttpRequest& request) const = 0;
   virtual http::HttpResponse WriteGateways(const std::vector<std::string>& addresses,
                                            Duration time_to_live) const = 0;
   /// Whether the request asks if this gateway is ready.
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -274,7 +274,7 @@
     }
     for (const query::ShardRange& range : CutIntoGroups(route.shards.size(), groups)) {
       const std::vector<std::string> shards = Slice(route.shards, range);
-      const size_t fellows = FellowMergers(shards, groups);
+      const size_t fellows = FellowMergers(shards, route.homes, groups);
       for (const std::string& shard : shards) {
         const double part = fellows == 0 ? 0.0 : 1.0 / static_cast<double>(fellows);
         const auto [it, inserted] = parts.emplace(shard, part);
@@ -324,8 +324,8 @@
   pool_.SetCold(now, limits);
 }
 
-std::vector<std::string> GatewayServer::GatewaysFor(const std::string& zone) const {
-  std::vector<std::string> addresses = peers_.AddressesFor(zone);
+std::vector<std::string> GatewayServer::GatewaysFor(const directory::ClientPlace& client) const {
+  std::vector<std::string> addresses = peers_.AddressesFor(client, options_.regions);
   const auto self = std::find(addresses.begin(), addresses.end(), options_.address);
   if (!ready() && self != addresses.end()) {
     addresses.erase(self);
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -50,10 +50,11 @@
   }
 }
 
-size_t GatewayServer::FellowMergers(const std::vector<std::string>& shards, size_t groups) {
+size_t GatewayServer::FellowMergers(const std::vector<std::string>& shards,
+                                    const std::set<std::string>& homes, size_t groups) {
   size_t fellows = 0;
   bool among_them = false;
-  for (const std::string& zone : ZonesOf(shards)) {
+  for (const std::string& zone : ZonesOf(shards, homes)) {
     const std::vector<std::string>& mergers = MergersIn(zone, shards.front(), groups);
     fellows += mergers.size();
     among_them |= std::find(mergers.begin(), mergers.end(), options_.node) != mergers.end();
@@ -97,8 +98,9 @@
                               .last_word = now,
                               .unreported = {}};
   MergeForLackOfLeafs(now, query.shards);
-  const Target& target = TargetOf(query.shards);
-  const size_t fellows = FellowMergers(query.shards, query.groups);
+  const std::set<std::string> homes(query.homes.begin(), query.homes.end());
+  const Target& target = TargetOf(query.shards, homes);
+  const size_t fellows = FellowMergers(query.shards, homes, query.groups);
   const double spare = options_.knobs.spare_gateways;
   const double allowance = fellows == 0 ? OrdinaryAllowance(/*shared=*/true)
                                         : options_.knobs.mergers_allowance_share *
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -83,8 +83,17 @@
   return std::max<size_t>(1, ConnectionsOf(service) / SharingGateways());
 }
 
-const GatewayServer::Target& GatewayServer::TargetOf(const std::vector<std::string>& services) {
-  Target& target = targets_[services];
+std::vector<std::string> GatewayServer::LeafsIn(const std::set<std::string>& homes,
+                                                const std::string& service) const {
+  std::vector<std::string> leafs = view_.UsableLeafs(service);
+  std::erase_if(
+      leafs, [&](const std::string& leaf) { return !IsHome(homes, view_.leafs().at(leaf).zone); });
+  return leafs;
+}
+
+const GatewayServer::Target& GatewayServer::TargetOf(const std::vector<std::string>& services,
+                                                     const std::set<std::string>& homes) {
+  Target& target = targets_[{services, homes}];
   if (target.service != nullptr && target.view_version == view_.version()) {
     return target;
   }
@@ -97,7 +106,7 @@
   target.budgets.clear();
   config::PublishedSnapshot snapshot{SnapshotId{table_->version()}, {}};
   for (size_t i = 0; i < services.size(); ++i) {
-    snapshot.shards.push_back({ShardId{i}, view_.UsableLeafs(services[i])});
+    snapshot.shards.push_back({ShardId{i}, LeafsIn(homes, services[i])});
     target.budgets.push_back(BudgetOf(services[i], allowance));
   }
   target.service->snapshots.push_back(std::move(snapshot));
@@ -247,7 +256,7 @@
       route.gathers() ? route.shards
                       : std::vector<std::string>{active.runtime->choice.Next(route.services)};
   MergeForLackOfLeafs(now, services);
-  const Target& target = TargetOf(services);
+  const Target& target = TargetOf(services, route.homes);
   const config::PublishedSnapshot& snapshot = target.service->snapshots.back();
   query::CallerRequest caller;
   caller.service = route.name;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -15,6 +15,8 @@
 #include "balance/extra_load_budget.h"
 #include "balance/latency_tracker.h"
 #include "balance/leaf_pool.h"
+#include "common/region_map.h"
+#include "directory/near_first.h"
 #include "gateway/leaf_view.h"
 #include "gateway/merger_placement.h"
 #include "gateway/messages.h"
@@ -113,6 +115,8 @@
   std::string address;
   /// Where other gateways reach it; empty: it works alone.
   std::string peer_address;
+  /// Where each zone lies.
+  RegionMap regions;
   /// Cores that it may use.
   double processor_share = 1;
   uint64_t incarnation = 0;
@@ -209,9 +213,9 @@
 
   GatewayOutput TakeOutput();
 
-  /// Where a client in `zone` may go, best first, by what was last heard of the gateways. One that
+  /// Where a client may go, best first, by what was last heard of the gateways. One that
   /// knows of no others names itself. Empty: nowhere.
-  std::vector<std::string> GatewaysFor(const std::string& zone) const;
+  std::vector<std::string> GatewaysFor(const directory::ClientPlace& client) const;
 
   uint64_t document_version() const { return table_ == nullptr ? 0 : table_->version(); }
   const routing::RouteTable* table() const { return table_.get(); }
@@ -318,7 +322,15 @@
   void SetLink(const std::string& address, bool up);
   wire::Envelope Presence(const std::string& address) const;
 
-  const Target& TargetOf(const std::vector<std::string>& services);
+  /// @param homes regions whose leafs alone may be asked; empty: any.
+  const Target& TargetOf(const std::vector<std::string>& services,
+                         const std::set<std::string>& homes);
+  /// Usable leafs of a service in these regions.
+  std::vector<std::string> LeafsIn(const std::set<std::string>& homes,
+                                   const std::string& service) const;
+  bool IsHome(const std::set<std::string>& homes, const std::string& zone) const {
+    return homes.empty() || homes.contains(options_.regions.Of(zone));
+  }
   /// @param allowance this gateway's part of the extra sub-requests beyond the share.
   balance::ExtraLoadLimit* BudgetOf(const std::string& service, double allowance);
   /// The part of a gateway that is none of the service's mergers.
@@ -361,11 +373,13 @@
                     query::SharedOutcome outcome);
   /// @return the address of the gateway to merge these shards.
   std::optional<std::string> ChooseMerger(Timestamp now, const std::vector<std::string>& shards,
-                                          size_t groups, const std::set<std::string>& tried);
+                                          const std::set<std::string>& homes, size_t groups,
+                                          const std::set<std::string>& tried);
   const std::vector<std::string>& MergersIn(const std::string& zone, const std::string& group,
                                             size_t groups);
-  /// Zones in which leafs of these shards are, this gateway's own first.
-  std::vector<std::string> ZonesOf(const std::vector<std::string>& shards) const;
+  /// Zones of these regions in which leafs of these shards are, this gateway's own first.
+  std::vector<std::string> ZonesOf(const std::vector<std::string>& shards,
+                                   const std::set<std::string>& homes) const;
 
   // The same as the one that merges a group.
   void OnPartialQuery(Timestamp now, PeerSessionId session, const wire::PartialQuery& query,
@@ -380,7 +394,8 @@
   wire::PartialAnswer TakePartialWord(PartialJob* job, wire::PartialStage stage);
   void SendWord(PeerSessionId session, wire::PartialAnswer word);
   /// Gateways that merge these shards, this one among them; zero: it is none of them.
-  size_t FellowMergers(const std::vector<std::string>& shards, size_t groups);
+  size_t FellowMergers(const std::vector<std::string>& shards, const std::set<std::string>& homes,
+                       size_t groups);
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
   void Refuse(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
               ResultCode code, Duration retry_after);
@@ -417,7 +432,12 @@
   std::shared_ptr<const routing::RouteTable> table_;
   std::map<std::string, RouteRuntime> runtimes_;
   std::map<std::string, std::unique_ptr<balance::SlidingWindowBudget>> budgets_;
-  std::map<std::vector<std::string>, Target> targets_;
+  struct TargetKey {
+    std::vector<std::string> services;
+    std::set<std::string> homes;
+    auto operator<=>(const TargetKey&) const = default;
+  };
+  std::map<TargetKey, Target> targets_;
   std::vector<std::string> control_;
   std::map<std::string, ControlLink> links_;
   /// The control machine that is followed for its nearness; empty: none is.
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -18,11 +18,15 @@
 
 }  // namespace
 
-std::vector<std::string> GatewayServer::ZonesOf(const std::vector<std::string>& shards) const {
+std::vector<std::string> GatewayServer::ZonesOf(const std::vector<std::string>& shards,
+                                                const std::set<std::string>& homes) const {
   std::set<std::string> zones;
   for (size_t i = 0; i < std::min(shards.size(), kShardsLookedAt); ++i) {
     for (const std::string& leaf : view_.UsableLeafs(shards[i])) {
-      zones.insert(view_.leafs().at(leaf).zone);
+      const std::string& zone = view_.leafs().at(leaf).zone;
+      if (IsHome(homes, zone)) {
+        zones.insert(zone);
+      }
     }
   }
   std::vector<std::string> ordered(zones.begin(), zones.end());
@@ -54,10 +58,11 @@
 
 std::optional<std::string> GatewayServer::ChooseMerger(Timestamp now,
                                                        const std::vector<std::string>& shards,
+                                                       const std::set<std::string>& homes,
                                                        size_t groups,
                                                        const std::set<std::string>& tried) {
   std::optional<std::string> suspect;
-  for (const std::string& zone : ZonesOf(shards)) {
+  for (const std::string& zone : ZonesOf(shards, homes)) {
     std::vector<std::string> mergers = MergersIn(zone, shards.front(), groups);
     // Each gateway has a favourite, so that it turns to the same few and its connections last.
     if (!mergers.empty()) {
@@ -97,7 +102,7 @@
   const std::vector<query::ShardRange> ranges = CutIntoGroups(route.shards.size(), groups);
   const bool all_have_mergers =
       std::all_of(ranges.begin(), ranges.end(), [&](const query::ShardRange& range) {
-        return ChooseMerger(now, Slice(route.shards, range), groups, {}).has_value();
+        return ChooseMerger(now, Slice(route.shards, range), route.homes, groups, {}).has_value();
       });
   if (!all_have_mergers) {
     return false;
@@ -108,7 +113,7 @@
   const auto choose = [this, active](Timestamp when, size_t group,
                                      const std::set<std::string>& tried) {
     return ChooseMerger(when, Slice(active->route->shards, active->ranges[group]),
-                        active->ranges.size(), tried);
+                        active->route->homes, active->ranges.size(), tried);
   };
   active->ranges = ranges;
   active->shared = std::make_unique<query::SharedGather>(
@@ -139,6 +144,7 @@
   query.stand_by = question.stand_by;
   query.groups = static_cast<uint32_t>(active.ranges.size());
   query.shards = Slice(active.route->shards, active.ranges[question.group]);
+  query.homes.assign(active.route->homes.begin(), active.route->homes.end());
   output_.peer_messages.push_back(
       {question.merger, {options_.cluster, document_version(), std::move(query)}});
 }
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -1,7 +1,5 @@
 #include "gateway/peer_view.h"
 
-#include "directory/near_first.h"
-
 namespace pumicedyke::gateway {
 
 bool PeerView::OnFeed(const std::string& source, const wire::GatewayFeed& feed) {
@@ -44,14 +42,15 @@
   return it == by_zone_.end() ? *none : it->second;
 }
 
-std::vector<std::string> PeerView::AddressesFor(const std::string& zone) const {
+std::vector<std::string> PeerView::AddressesFor(const directory::ClientPlace& client,
+                                                const RegionMap& regions) const {
   std::vector<directory::GatewayPlace> places;
   for (const auto& [node, peer] : peers_) {
     if (!peer.address.empty()) {
-      places.push_back({peer.address, peer.zone});
+      places.push_back({peer.address, peer.zone, regions.Of(peer.zone)});
     }
   }
-  return directory::NearFirst(places, zone);
+  return directory::NearFirst(places, client);
 }
 
 std::vector<std::string> PeerView::Names() const {
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "common/region_map.h"
+#include "directory/near_first.h"
 #include "wire/messages.h"
 
 namespace pumicedyke::gateway {
@@ -25,8 +27,9 @@
   const std::vector<std::string>& InZone(const std::string& zone) const;
   /// @return null if it is not known.
   const wire::GatewayRecord* Find(const std::string& node) const;
-  /// Addresses for a client in `zone`, best first; empty: no gateway is known.
-  std::vector<std::string> AddressesFor(const std::string& zone) const;
+  /// Addresses for a client, best first; empty: no gateway is known.
+  std::vector<std::string> AddressesFor(const directory::ClientPlace& client,
+                                        const RegionMap& regions) const;
   /// Names of all gateways, in order.
   std::vector<std::string> Names() const;
   size_t size() const { return peers_.size(); }
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,9 @@
   /// Share of the shards that an answer must include.
   double min_coverage = 1;
 
+  /// Regions that requests must not leave; empty: they may go anywhere.
+  std::set<std::string> homes;
+
   bool gathers() const { return !shards.empty(); }
 };
 
--- a/src/server/control_dialect_calls.cc
+++ b/src/server/control_dialect_calls.cc
@@ -158,8 +158,7 @@
 }
 
 bool ControlProcess::KnowsZone(const std::string& zone) const {
-  const auto& listed = settings_.zones;
-  if (listed.empty() || std::find(listed.begin(), listed.end(), zone) != listed.end()) {
+  if (settings_.regions.empty() || settings_.regions.Knows(zone)) {
     return true;
   }
   const auto& leafs = server_->state().config().reported();
@@ -214,7 +213,7 @@
 
 void ControlProcess::Run(const control::FindGateways& command, http::Responder responder) {
   const std::vector<std::string> addresses =
-      discovery_->GatewaysFor(net::EventLoop::Now(), command.zone);
+      discovery_->GatewaysFor(net::EventLoop::Now(), command.client);
   if (addresses.empty()) {
     responder.Send(
         dialect_->WriteRefusal(MakeStatus(ResultCode::kNotReady, "no gateway is known here")));
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -81,7 +81,7 @@
   settings.cluster = file.Required("cluster", "the name of the cluster");
   settings.machine = file.Required("machine", "the name of this machine");
   settings.zone = file.String("zone", "");
-  settings.zones = file.List("zones");
+  settings.regions = ReadRegions(&file);
   settings.listen = file.Address("listen", "127.0.0.1:7100");
   settings.operator_listen = file.Address("operator_listen", "127.0.0.1:7200");
   settings.operator_token_file = file.String("operator_token_file", "");
@@ -279,7 +279,7 @@
       control::DiscoveryOptions{settings_.cluster,
                                 settings_.zone,
                                 {.silence_limit = settings_.leaf_silence_limit},
-                                {},
+                                {.regions = settings_.regions},
                                 kLeafFeedInterval});
   frames_ = std::make_unique<net::FrameServer>(
       loop_,
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "common/region_map.h"
 #include "control/control_server.h"
 #include "control/dialect.h"
 #include "control/discovery_server.h"
@@ -29,8 +30,8 @@
   std::string zone;
   std::string listen;
   std::string operator_listen;
-  /// Zones that operators may name; empty: any.
-  std::vector<std::string> zones;
+  /// The zones there are, and where they lie; empty: operators may name any.
+  RegionMap regions;
   /// Where leafs and operators come who speak the dialect; empty: none do.
   std::string service_listen;
   /// Where clients ask for gateways; empty: with `service_listen`.
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -37,6 +37,7 @@
   settings.port_file = file.String("port_file", "");
   settings.ready_listen = file.String("ready_listen", "");
   settings.metrics_listen = file.String("metrics_listen", "");
+  settings.regions = ReadRegions(&file);
   settings.directory_listen = file.String("directory_listen", "");
   settings.peer_listen = file.String("peer_listen", "");
   if (!settings.peer_listen.empty() && !IsAddress(settings.peer_listen)) {
@@ -79,6 +80,7 @@
   options.address = settings_.listen;
   options.incarnation = DrawIncarnation();
   options.peer_address = settings_.peer_listen;
+  options.regions = settings_.regions;
   options.processor_share = settings_.processor_share;
   options.control = settings_.control;
   options.extra_load = settings_.extra_load;
@@ -141,7 +143,7 @@
           return;
         }
         const std::vector<std::string> addresses =
-            server_->GatewaysFor(dialect_->ZoneOfQuestion(request));
+            server_->GatewaysFor(dialect_->ClientOf(request));
         if (addresses.empty()) {
           responder.Send(dialect_->WriteRefusal(
               MakeStatus(ResultCode::kNotReady, "no gateway is known here")));
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -36,6 +36,8 @@
   std::string metrics_listen;
   /// Where other gateways reach this one; empty: it works alone.
   std::string peer_listen;
+  /// Where each zone lies.
+  RegionMap regions;
   /// Cores that this process may use.
   double processor_share = 1;
   /// Frame addresses of control machines.
--- a/src/server/process.cc
+++ b/src/server/process.cc
@@ -5,12 +5,14 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <sstream>
 #include <utility>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
 #include "common/json.h"
 #include "common/log.h"
 #include "common/result_code.h"
@@ -34,6 +36,19 @@
   return addresses;
 }
 
+RegionMap ReadRegions(Settings* settings) {
+  std::map<std::string, std::string> region_of;
+  for (const std::string& entry : settings->List("regions")) {
+    const std::pair<std::string, std::string> parts =
+        absl::StrSplit(entry, absl::MaxSplits('=', 1));
+    if (parts.first.empty() || parts.second.empty()) {
+      settings->AddError("regions", "must list entries like \"zone=region\"");
+    }
+    region_of[parts.first] = parts.second;
+  }
+  return RegionMap(std::move(region_of));
+}
+
 int ReportFailure(const std::string& process, const absl::Status& status) {
   const ResultCode code = CodeOf(status);
   std::cerr << process << ": " << InfoOf(code).name << " (" << static_cast<int>(code) << "):\n"
--- a/src/server/process.h
+++ b/src/server/process.h
@@ -7,6 +7,7 @@
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "common/region_map.h"
 #include "common/result_code.h"
 #include "common/settings.h"
 #include "http/http_server.h"
@@ -31,6 +32,9 @@
 /// addresses of control machines, whose frame port is `internal_port`.
 std::vector<std::string> ReadControlAddresses(Settings* settings);
 
+/// Reads `regions`: "zone=region" of every zone.
+RegionMap ReadRegions(Settings* settings);
+
 /// Prints a status to standard error. @return the exit code that fits.
 int ReportFailure(const std::string& process, const absl::Status& status);
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -337,6 +337,7 @@
   out.stand_by = query.stand_by;
   out.groups = query.groups;
   out.shards = arena->Strings(query.shards, &out.shards_count);
+  out.homes = arena->Strings(query.homes, &out.homes_count);
 }
 
 PartialQuery Read(const pumicedyke_wire_PartialQuery& in) {
@@ -356,6 +357,7 @@
   query.stand_by = in.stand_by;
   query.groups = in.groups;
   query.shards = Texts(in.shards, in.shards_count);
+  query.homes = Texts(in.homes, in.homes_count);
   return query;
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -224,6 +224,8 @@
   /// Groups that the sender cut all shards into.
   uint32_t groups = 1;
   std::vector<std::string> shards;
+  /// Regions whose leafs alone may be asked; empty: any.
+  std::vector<std::string> homes;
 };
 
 struct PartialCancel {
--- a/test/directory/gateway_directory_test.cc
+++ b/test/directory/gateway_directory_test.cc
@@ -39,7 +39,7 @@
     directory.OnPresence(kStart, Presence("a", "north", true));
     directory.OnPresence(kStart, Presence("b", "south", true));
     const std::vector<std::string> expected = {"b:80", "a:80"};
-    CPPUNIT_ASSERT(expected == directory.AddressesFor(kStart, "south"));
+    CPPUNIT_ASSERT(expected == directory.AddressesFor(kStart, {"south", ""}));
   }
 
   /// Whatever happens, a list kept by changes equals the full one.
@@ -102,7 +102,7 @@
     GatewayDirectory directory({});
     directory.OnPresence(kStart, Presence("a", "north", true));
     directory.OnPresence(kStart, Presence("a", "north", false));
-    CPPUNIT_ASSERT(directory.AddressesFor(kStart, "north").empty());
+    CPPUNIT_ASSERT(directory.AddressesFor(kStart, {"north", ""}).empty());
     CPPUNIT_ASSERT_EQUAL(size_t{1}, directory.size());
   }
 
@@ -110,8 +110,8 @@
     GatewayDirectory directory({.silence_limit = Seconds(1)});
     directory.OnPresence(kStart, Presence("a", "north", true));
     CPPUNIT_ASSERT_EQUAL(size_t{1},
-                         directory.AddressesFor(kStart + Milliseconds(999), "north").size());
-    CPPUNIT_ASSERT(directory.AddressesFor(kStart + Seconds(1), "north").empty());
+                         directory.AddressesFor(kStart + Milliseconds(999), {"north", ""}).size());
+    CPPUNIT_ASSERT(directory.AddressesFor(kStart + Seconds(1), {"north", ""}).empty());
     directory.DropSilent(kStart + Seconds(1));
     CPPUNIT_ASSERT_EQUAL(size_t{0}, directory.size());
   }
@@ -123,9 +123,9 @@
     directory.OnPresence(kStart, Presence("a", "north", true));
     directory.OnPresence(kStart, later);
     CPPUNIT_ASSERT(!directory.OnLost("a", 7));
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, directory.AddressesFor(kStart, "north").size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, directory.AddressesFor(kStart, {"north", ""}).size());
     CPPUNIT_ASSERT(directory.OnLost("a", 8));
-    CPPUNIT_ASSERT(directory.AddressesFor(kStart, "north").empty());
+    CPPUNIT_ASSERT(directory.AddressesFor(kStart, {"north", ""}).empty());
   }
 
   void AnswerIsBounded() {
@@ -133,7 +133,7 @@
     for (int i = 0; i < 10; ++i) {
       directory.OnPresence(kStart, Presence("n" + std::to_string(i), "north", true));
     }
-    CPPUNIT_ASSERT_EQUAL(size_t{3}, directory.AddressesFor(kStart, "north").size());
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, directory.AddressesFor(kStart, {"north", ""}).size());
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayDirectoryTest);
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/json.h"
@@ -22,6 +24,8 @@
  public:
   /// What cold leafs bear; zero: as much as always.
   double cold_requests_per_second = 0;
+  /// Regions that requests must not leave.
+  std::set<std::string> homes;
 
   absl::StatusOr<routing::RouteSet> Read(std::string_view text) const override {
     routing::RouteSet set;
@@ -36,6 +40,7 @@
       route.max_attempts = 2;
       route.min_coverage = 0.5;
       route.top_records = 2;
+      route.homes = homes;
       for (size_t i = 3; i < item.size(); ++i) {
         const auto service = item[i].get<std::string>();
         set.services.push_back({service, 26, "", Seconds(2), cold_requests_per_second});
@@ -180,6 +185,9 @@
   /// What cold leafs of the documents that are put from now on bear.
   void SetColdRequestsPerSecond(double rate) { reader_.cold_requests_per_second = rate; }
 
+  /// Regions that requests of the documents that are put from now on must not leave.
+  void SetHomes(std::set<std::string> homes) { reader_.homes = std::move(homes); }
+
   std::vector<ControlLinkChange> links;
   std::vector<std::string> closed_leafs;
   Timestamp now = kStart;
--- a/test/gateway/gateway_server_test.cc
+++ b/test/gateway/gateway_server_test.cc
@@ -50,16 +50,17 @@
   void TellsClientsOfOtherGateways() {
     GatewayHarness h;
     // Without routes it sends nobody to itself, and it knows of no others.
-    CPPUNIT_ASSERT(h.server.GatewaysFor("north").empty());
+    CPPUNIT_ASSERT(h.server.GatewaysFor({"north", ""}).empty());
     h.Put(1, R"([["one", "/one/", true, "s0"]])");
-    CPPUNIT_ASSERT(h.server.GatewaysFor("north") == std::vector<std::string>{"10.0.0.9:80"});
+    CPPUNIT_ASSERT(h.server.GatewaysFor({"north", ""}) == std::vector<std::string>{"10.0.0.9:80"});
     h.Peers({{"g0", "south", "g0:7500", "g0:80"},
              {"g1", "north", "g1:7500", "10.0.0.9:80"},
              {"g2", "north", "g2:7500", "g2:80"}});
-    CPPUNIT_ASSERT(h.server.GatewaysFor("north") ==
+    CPPUNIT_ASSERT(h.server.GatewaysFor({"north", ""}) ==
                    (std::vector<std::string>{"10.0.0.9:80", "g2:80", "g0:80"}));
     h.server.StartDraining(h.now);
-    CPPUNIT_ASSERT(h.server.GatewaysFor("north") == (std::vector<std::string>{"g2:80", "g0:80"}));
+    CPPUNIT_ASSERT(h.server.GatewaysFor({"north", ""}) ==
+                   (std::vector<std::string>{"g2:80", "g0:80"}));
   }
 
   /// Long before routes can be expected the answer comes at once and says when to come back.
--- a/test/gateway/gateway_zones_test.cc
+++ b/test/gateway/gateway_zones_test.cc
@@ -43,9 +43,88 @@
   CPPUNIT_TEST(ColdLeafIsNotFloodedByAllGatewaysTogether);
   CPPUNIT_TEST(ColdShardIsNotFloodedByItsMergers);
   CPPUNIT_TEST(LeafsOfAZoneTakenBackCountAsCold);
+  CPPUNIT_TEST(RequestsStayInTheirHomes);
+  CPPUNIT_TEST(QuestionsGoToMergersAtHomeAndNameTheHomes);
+  CPPUNIT_TEST(MergerAsksLeafsOfTheNamedHomesOnly);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Two zones of the west, one of the east.
+  static GatewayOptions TwoRegions() {
+    GatewayOptions options = OptionsOf("g1");
+    options.regions = RegionMap({{"north", "west"}, {"south", "west"}, {"far", "east"}});
+    return options;
+  }
+
+  void RequestsStayInTheirHomes() {
+    GatewayHarness h(TwoRegions());
+    h.SetHomes({"east"});
+    h.Put(1, OneService());
+    h.Report({LeafIn("north", "n", "s0"), LeafIn("far", "f", "s0")});
+    for (int i = 0; i < 20; ++i) {
+      h.Ask("/one/1");
+      CPPUNIT_ASSERT_EQUAL(std::string("f"), h.sends.back().leaf);
+      h.Reply(h.sends.back(), query::LeafStatus::kOk, "x");
+    }
+    // With no leaf at home it is refused, not sent elsewhere.
+    h.SetHomes({"south-east"});
+    h.Put(2, OneService());
+    const size_t sent = h.sends.size();
+    h.Ask("/one/1");
+    CPPUNIT_ASSERT_EQUAL(sent, h.sends.size());
+    CPPUNIT_ASSERT(h.answers.back().run == query::RunState::kNotRun);
+  }
+
+  void QuestionsGoToMergersAtHomeAndNameTheHomes() {
+    GatewayOptions options = TwoRegions();
+    options.processor_share = 0.12;
+    GatewayHarness h(options);
+    h.SetHomes({"east"});
+    Json route = {"all", "/all/", true};
+    std::vector<wire::LeafRecord> leafs;
+    for (size_t i = 0; i < kShards; ++i) {
+      const std::string service = "s" + std::to_string(i);
+      route.push_back(service);
+      leafs.push_back(LeafIn("north", "n" + service, service));
+      leafs.push_back(LeafIn("far", "f" + service, service));
+    }
+    h.Put(1, Json::array({route}).dump());
+    h.Report(leafs);
+    std::vector<wire::GatewayRecord> peers;
+    for (const char* zone : {"north", "far"}) {
+      for (int i = 0; i < 8; ++i) {
+        const std::string node = std::string(zone) + std::to_string(i);
+        peers.push_back({node, zone, node + ":7500"});
+      }
+    }
+    h.Peers(peers);
+    h.Pass(Milliseconds(200));
+    h.Ask("/all/1");
+    CPPUNIT_ASSERT(!h.peer_messages.empty());
+    for (const PeerMessage& message : h.peer_messages) {
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, message.address.find("far"));
+      const auto& query = std::get<wire::PartialQuery>(message.envelope.body);
+      CPPUNIT_ASSERT(query.homes == std::vector<std::string>{"east"});
+    }
+  }
+
+  void MergerAsksLeafsOfTheNamedHomesOnly() {
+    GatewayHarness h(TwoRegions());
+    h.Put(1, TwoShards());
+    h.Report({LeafIn("north", "a0", "s0"), LeafIn("far", "b0", "s0"), LeafIn("north", "a1", "s1")});
+    wire::PartialQuery query;
+    query.id = 1;
+    query.route = "all";
+    query.budget = Seconds(1);
+    query.objective = Milliseconds(100);
+    query.shards = {"s0", "s1"};
+    query.homes = {"east"};
+    h.server.OnPeerQuestion(h.now, 3, {"test", 1, query}, h.now);
+    h.Take();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.sends.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b0"), h.sends[0].leaf);
+  }
+
   void NothingGoesToAnEvacuatedZone() {
     GatewayHarness h(OptionsOf("g1"));
     h.Put(1, OneService());
--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -51,6 +51,7 @@
 class DialectTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DialectTest);
   CPPUNIT_TEST(DocumentIsReadWhole);
+  CPPUNIT_TEST(HomesAndWarmUpAreRead);
   CPPUNIT_TEST(BadDocumentsAreRefused);
   CPPUNIT_TEST(ClientRequestsAreRead);
   CPPUNIT_TEST(LeafRequestCarriesWhatItMust);
@@ -78,6 +79,35 @@
     CPPUNIT_ASSERT(set->limits.idle_timeout == Seconds(15));
   }
 
+  void HomesAndWarmUpAreRead() {
+    Json document = Document();
+    document["routes"][0]["allowed_regions"] = {"west", "east"};
+    document["backends"][0]["warmup_s"] = 3.5;
+    document["backends"][0]["warmup_per_s"] = 4.0;
+    const auto set = RouteDocumentReader().Read(document.dump());
+    CPPUNIT_ASSERT(set.ok());
+    CPPUNIT_ASSERT(set->routes[0].homes == (std::set<std::string>{"east", "west"}));
+    CPPUNIT_ASSERT(set->services[0].warm_up == Milliseconds(3500));
+    CPPUNIT_ASSERT_EQUAL(4.0, set->services[0].cold_requests_per_second);
+    struct Case {
+      const char* list;
+      const char* field;
+      Json value;
+    };
+    const Case bad[] = {{"routes", "allowed_regions", "west"},
+                        {"routes", "allowed_regions", {1}},
+                        {"backends", "warmup_s", -1},
+                        {"backends", "warmup_per_s", -1}};
+    for (const Case& item : bad) {
+      Json spoiled = Document();
+      spoiled[item.list][0][item.field] = item.value;
+      const auto refused = RouteDocumentReader().Read(spoiled.dump());
+      CPPUNIT_ASSERT_MESSAGE(item.field, !refused.ok());
+      CPPUNIT_ASSERT_MESSAGE(item.field,
+                             refused.status().message().find(item.field) != std::string::npos);
+    }
+  }
+
   void BadDocumentsAreRefused() {
     struct Case {
       const char* what;
@@ -284,7 +314,7 @@
     CPPUNIT_ASSERT(std::holds_alternative<control::GetDocument>(
         *dialect.ReadCommand(Request("GET", "/v1/config/get"))));
     const auto find = dialect.ReadCommand(Request("GET", "/v1/resolve?name=a&region=r&zone=north"));
-    CPPUNIT_ASSERT_EQUAL(std::string("north"), std::get<control::FindGateways>(*find).zone);
+    CPPUNIT_ASSERT_EQUAL(std::string("north"), std::get<control::FindGateways>(*find).client.zone);
     const auto leave = dialect.ReadCommand(Request("POST", "/v1/instances/i-7/deregister"));
     CPPUNIT_ASSERT_EQUAL(std::string("i-7"), std::get<control::RetireLeaf>(*leave).leaf);
     const auto start = dialect.ReadCommand(Request("POST", "/v1/evacuate/hall-1/start"));
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -128,7 +128,7 @@
   const std::string name = "c" + std::to_string(index);
   const std::string file = folder_ + "/" + name + ".toml";
   std::ofstream settings(file);
-  settings << "cluster = \"test\"\nzones = [\"north\"]\nmachine = \"" << HostOf(index)
+  settings << "cluster = \"test\"\nregions = [\"north=r\"]\nmachine = \"" << HostOf(index)
            << "\"\nlisten = \"" << HostOf(index) << ":" << internal_port_
            << "\"\noperator_listen = \"127.0.0.1:0\"\n"
            << "service_listen = \"" << ServiceAddress(index) << "\"\ndirectory_listen = \""
