--- /dev/null
+++ b/src/control/control_commands.cc
@@ -0,0 +1,184 @@
+// The part of ControlServer that takes commands of operators and nodes to the log: proposes them
+// here or passes them on to the leader, and answers whoever gave them.
+#include <algorithm>
+#include <utility>
+
+#include "common/json.h"
+#include "common/result_code.h"
+#include "control/control_server.h"
+
+namespace pumicedyke::control {
+namespace {
+
+std::string ResultJson(ResultCode code, const std::string& message, uint64_t version) {
+  return Json(config::ChangeResult{static_cast<int>(code), message, version, 0}).dump();
+}
+
+}  // namespace
+
+std::string ControlServer::ShuttingDownJson() const {
+  return ResultJson(ResultCode::kShuttingDown, "this control machine is stopping",
+                    state_.config().version().value);
+}
+
+void ControlServer::Submit(Timestamp now, TicketId ticket, const config::Change& change) {
+  Origin origin;
+  origin.kind = Origin::Kind::kOperator;
+  origin.ticket = ticket;
+  if (shutting_down_) {
+    Answer(origin, ShuttingDownJson());
+    return;
+  }
+  Route(now, EncodeCommand(change), origin);
+  DrainRaft(now);
+}
+
+void ControlServer::Route(Timestamp now, const std::string& command, Origin origin) {
+  origin.deadline = now + options_.submission_timeout;
+  if (raft_.role() == consensus::Role::kLeader) {
+    ProposeHere(now, command, origin);
+    return;
+  }
+  const uint64_t ticket = next_ticket_++;
+  ForwardedCommand& forwarded = forwarded_[ticket];
+  forwarded.origin = origin;
+  forwarded.command = command;
+  SendForwarded(now, ticket, &forwarded);
+}
+
+void ControlServer::SendForwarded(Timestamp now, uint64_t ticket, ForwardedCommand* forwarded) {
+  forwarded->leader = raft_.leader();
+  forwarded->sent = now;
+  if (forwarded->leader != 0) {
+    SendToMember(forwarded->leader, wire::Forwarded{identity_.member, ticket, forwarded->command});
+  }
+}
+
+void ControlServer::ForwardAgain(Timestamp now) {
+  std::vector<std::pair<std::string, Origin>> led_here;
+  for (auto it = forwarded_.begin(); it != forwarded_.end();) {
+    ForwardedCommand& forwarded = it->second;
+    // Operators' changes alone: twice is once by their submission id, or by what they are.
+    const bool repeatable = forwarded.origin.kind == Origin::Kind::kOperator;
+    const bool unanswered = now - forwarded.sent >= options_.forward_patience;
+    const bool other_leader = raft_.leader() != 0 && raft_.leader() != forwarded.leader;
+    if (!repeatable || (!unanswered && !other_leader)) {
+      ++it;
+    } else if (raft_.role() == consensus::Role::kLeader) {
+      led_here.emplace_back(forwarded.command, forwarded.origin);
+      it = forwarded_.erase(it);
+    } else {
+      SendForwarded(now, it->first, &forwarded);
+      ++it;
+    }
+  }
+  for (const auto& [command, origin] : led_here) {
+    ProposeHere(now, command, origin);
+  }
+}
+
+void ControlServer::ReadAgain(Timestamp now) {
+  for (auto& [read, pending] : config_reads_) {
+    if (now - pending.asked >= options_.forward_patience) {
+      pending.asked = now;
+      raft_.RequestRead(now, read);
+    }
+  }
+}
+
+void ControlServer::ProposeHere(Timestamp now, const std::string& command, Origin origin) {
+  absl::StatusOr<uint64_t> index = raft_.Propose(now, command);
+  if (!index.ok()) {
+    AnswerNoQuorum(origin);
+    return;
+  }
+  Proposal& proposal = proposals_[*index];
+  if (proposal.term != 0) {
+    // An entry of an earlier term at this index was cut off; whether it lives on elsewhere is
+    // unknown here.
+    AnswerNoQuorum(proposal.origin);
+  }
+  proposal = {raft_.term(), origin};
+}
+
+void ControlServer::AnswerNoQuorum(const Origin& origin) {
+  Answer(origin, ResultJson(ResultCode::kNoQuorum,
+                            "no quorum answered in time; resend with the same submission id",
+                            state_.config().version().value));
+}
+
+void ControlServer::Answer(const Origin& origin, const std::string& result) {
+  switch (origin.kind) {
+    case Origin::Kind::kOperator:
+      output_.operators.push_back({origin.ticket, result});
+      break;
+    case Origin::Kind::kPeer:
+      SendToMember(origin.peer, wire::ForwardedReply{origin.ticket, result});
+      break;
+    case Origin::Kind::kLedger: {
+      const Json json = Json::parse(result, nullptr, /*allow_exceptions=*/false);
+      if (!json.is_object() || !json.contains("verdict")) {
+        break;
+      }
+      wire::LedgerReply reply{origin.request, json["verdict"].get<wire::LedgerVerdict>(),
+                              json.value("outcome", "")};
+      output_.sessions.push_back({origin.session, Wrap(std::move(reply))});
+      break;
+    }
+  }
+}
+
+void ControlServer::OnForwarded(Timestamp now, const wire::Forwarded& forwarded) {
+  if (raft_.role() != consensus::Role::kLeader) {
+    return;
+  }
+  Origin origin;
+  origin.kind = Origin::Kind::kPeer;
+  origin.peer = forwarded.origin;
+  origin.ticket = forwarded.ticket;
+  origin.deadline = now + options_.submission_timeout;
+  ProposeHere(now, forwarded.command, origin);
+}
+
+void ControlServer::OnForwardedReply(const wire::ForwardedReply& reply) {
+  const auto it = forwarded_.find(reply.ticket);
+  if (it == forwarded_.end()) {
+    return;
+  }
+  const Origin origin = it->second.origin;
+  forwarded_.erase(it);
+  Answer(origin, reply.result);
+}
+
+void ControlServer::ExpirePending(Timestamp now) {
+  std::erase_if(forwarded_, [&](const auto& item) {
+    const bool expired = now >= item.second.origin.deadline;
+    if (expired) {
+      AnswerNoQuorum(item.second.origin);
+    }
+    return expired;
+  });
+  std::erase_if(proposals_, [&](const auto& item) {
+    const bool expired = now >= item.second.origin.deadline;
+    if (expired) {
+      AnswerNoQuorum(item.second.origin);
+    }
+    return expired;
+  });
+  std::erase_if(config_reads_, [&](const auto& item) {
+    const bool expired = now >= item.second.deadline;
+    if (expired) {
+      Origin reader;
+      reader.ticket = item.second.ticket;
+      AnswerNoQuorum(reader);
+    }
+    return expired;
+  });
+}
+
+void ControlServer::AbandonPending() {
+  ExpirePending(Timestamp::max());
+  AnswerStatusReads(Timestamp::max());
+}
+
+}  // namespace pumicedyke::control
