--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -15,6 +15,7 @@
 std::shared_ptr<const PayloadRequest> RequestOf(const wire::PartialQuery& query) {
   auto request = std::make_shared<PayloadRequest>();
   request->request_id = query.request_id;
+  request->identity = query.identity;
   request->method = query.method;
   request->encoded_head = query.head;
   request->body = query.payload;
@@ -218,7 +219,7 @@
     word.run = static_cast<uint32_t>(answer->run);
     word.extra = answer->extra_sub_requests;
     SendWord(job.session, std::move(word));
-    output_.partials.push_back({active.request->request_id, job.route, answer->run,
+    output_.partials.push_back({active.request->request_id, active.request->identity, job.route, answer->run,
                                 now - active.execution->started(), answer->coverage.total(),
                                 answer->extra_sub_requests, active.execution->Attempts(),
                                 answer->coverage.missing});
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -131,6 +131,7 @@
   query.id = question.id;
   query.route = active.route->name;
   query.request_id = active.request->request_id;
+  query.identity = active.request->identity;
   query.method = active.request->method;
   query.head = active.request->encoded_head;
   query.payload = active.request->body;
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "common/request_identity.h"
 #include "common/result_code.h"
 #include "common/types.h"
 #include "http/message.h"
@@ -26,6 +27,8 @@
   /// Method, target and headers in the form in which they go to every leaf; made once.
   std::string encoded_head;
   std::string body;
+  /// What is asked for and for whom: the same for each attempt of the client.
+  RequestIdentity identity;
   /// How long the client waits; zero: it did not say.
   Duration deadline{};
 
@@ -74,6 +77,7 @@
 /// What this gateway did for a group of shards that another one asked for, for the log.
 struct PartialTrace {
   std::string request_id;
+  RequestIdentity identity;
   std::string route;
   query::RunState run = query::RunState::kNotRun;
   Duration elapsed{};
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -247,13 +247,16 @@
         }
       }
     }
+    const bool answered = parser_ != nullptr && parser_->state() != ParseState::kEmpty;
     Fail(end == net::StreamEnd::kClosed ? "the connection was closed before the response"
-                                        : "the connection broke");
+                                        : "the connection broke",
+         /*lost=*/was_connected() && !answered);
   }
 
-  void Fail(const char* why) {
+  void Fail(const char* why, bool lost = false) {
     ClientResponse response;
     response.error = why;
+    response.connection_lost = lost;
     response.reused_connection = used();
     response.not_sent = !was_connected();
     const std::shared_ptr<Call> call = std::exchange(call_, nullptr);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -58,6 +58,9 @@
   Duration retry_after{};
   /// Set if not one byte of the request can have reached the peer.
   bool not_sent = false;
+  /// The peer's end of the connection went away after the request had gone out, before one byte of
+  /// a response.
+  bool connection_lost = false;
   std::string error;
   std::string reason;
   Headers headers;
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -66,6 +66,9 @@
   SnapshotId snapshot;
   LeafStatus status = LeafStatus::kFailed;
   std::vector<ResultItem> results;
+  /// The connection ended with not one byte of an answer after the request had gone out: the leaf
+  /// may have ended while it ran it.
+  bool connection_lost = false;
   /// The leaf stopped early: the shard is not covered.
   bool truncated = false;
   /// The leaf is leaving; rides on every response.
@@ -115,7 +118,7 @@
   std::string leaf;
   /// Since the request came.
   Duration sent{};
-  /// "running", "refused", "failed" or "done".
+  /// "running", "refused", "failed", "lost" (its connection ended without an answer) or "done".
   const char* state = "";
 };
 
--- a/src/query/request_answer.cc
+++ b/src/query/request_answer.cc
@@ -34,6 +34,8 @@
         return "refused";
       case AttemptState::kFailed:
         return "failed";
+      case AttemptState::kLost:
+        return "lost";
       case AttemptState::kDone:
         return "done";
       default:
@@ -56,8 +58,8 @@
   for (const ShardProgress& shard : shards_) {
     for (const Attempt& attempt : shard.attempts) {
       ran |= attempt.state == AttemptState::kDone;
-      unknown |=
-          attempt.state == AttemptState::kPossiblyRunning || attempt.state == AttemptState::kFailed;
+      unknown |= attempt.state == AttemptState::kPossiblyRunning ||
+                 attempt.state == AttemptState::kFailed || attempt.state == AttemptState::kLost;
     }
   }
   if (!options_.sent_tracking) {
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -311,7 +311,9 @@
     Merge(now, &shard, reply);
   } else {
     const bool refused = ProvesNotRun(reply.status);
-    attempt->state = refused ? AttemptState::kRefused : AttemptState::kFailed;
+    attempt->state = refused                 ? AttemptState::kRefused
+                     : reply.connection_lost ? AttemptState::kLost
+                                             : AttemptState::kFailed;
     Refused(&shard, reply);
   }
   if (!answered_ && !needs_other_snapshot_) {
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -139,7 +139,7 @@
   /// Shares are compared with this much tolerance.
   static constexpr double kCoverageEpsilon = 1e-9;
 
-  enum class AttemptState { kPossiblyRunning, kRefused, kFailed, kDone };
+  enum class AttemptState { kPossiblyRunning, kRefused, kFailed, kLost, kDone };
   struct Attempt {
     SubRequestId id;
     std::string leaf;
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -87,6 +87,7 @@
   }
   const gateway::RequestTrace& trace = answer.trace;
   LogEvent("request_answered", {{"request", request_id},
+                                {"identity", ToText(answer.request->identity)},
                                 {"route", trace.route},
                                 {"result", InfoOf(answer.code).name},
                                 {"status", status},
@@ -108,6 +109,7 @@
     return;
   }
   LogEvent("partial_answered", {{"request", trace.request_id},
+                                {"identity", ToText(trace.identity)},
                                 {"route", trace.route},
                                 {"run", query::RunStateName(trace.run)},
                                 {"elapsed_ms", ToMilliseconds(trace.elapsed)},
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -72,6 +72,12 @@
   return bytes;
 }
 
+pumicedyke_wire_RequestIdentity Fill(const RequestIdentity& identity) {
+  return {identity.high, identity.low};
+}
+
+RequestIdentity Read(const pumicedyke_wire_RequestIdentity& in) { return {in.high, in.low}; }
+
 void Fill(const LogEntry& entry, Arena* arena, pumicedyke_wire_LogEntry* out) {
   out->index = entry.index;
   out->term = entry.term;
@@ -338,6 +344,8 @@
   out.groups = query.groups;
   out.shards = arena->Strings(query.shards, &out.shards_count);
   out.homes = arena->Strings(query.homes, &out.homes_count);
+  out.has_identity = query.identity.known();
+  out.identity = Fill(query.identity);
 }
 
 PartialQuery Read(const pumicedyke_wire_PartialQuery& in) {
@@ -358,6 +366,7 @@
   query.groups = in.groups;
   query.shards = Texts(in.shards, in.shards_count);
   query.homes = Texts(in.homes, in.homes_count);
+  query.identity = Read(in.identity);
   return query;
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "common/request_identity.h"
 #include "common/types.h"
 
 namespace pumicedyke::wire {
@@ -205,6 +206,8 @@
   std::string route;
   /// The client's own name for its attempt.
   std::string request_id;
+  /// What is asked for and for whom.
+  RequestIdentity identity;
   std::string method;
   /// Method, target and headers as they go to every leaf.
   std::string head;
--- a/test/http/http_client_test.cc
+++ b/test/http/http_client_test.cc
@@ -128,6 +128,7 @@
     CPPUNIT_ASSERT(responses[0].ok());
     CPPUNIT_ASSERT(!responses[1].ok());
     CPPUNIT_ASSERT(!responses[1].not_sent);
+    CPPUNIT_ASSERT(responses[1].connection_lost);
     CPPUNIT_ASSERT_EQUAL(2, server.received());
   }
 
@@ -155,6 +156,7 @@
     const auto responses = Exchange(address, 1, /*unrepeatable=*/true);
     CPPUNIT_ASSERT(!responses[0].ok());
     CPPUNIT_ASSERT(responses[0].not_sent);
+    CPPUNIT_ASSERT(!responses[0].connection_lost);
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(HomesAndWarmUpAreRead);
   CPPUNIT_TEST(BadDocumentsAreRefused);
   CPPUNIT_TEST(ClientRequestsAreRead);
+  CPPUNIT_TEST(RequestsAreNamedByWhatTheyAskForAndForWhom);
   CPPUNIT_TEST(LeafRequestCarriesWhatItMust);
   CPPUNIT_TEST(LeafAnswersAreUnderstood);
   CPPUNIT_TEST(AnswersAreWritten);
@@ -190,6 +191,32 @@
     }
   }
 
+  void RequestsAreNamedByWhatTheyAskForAndForWhom() {
+    const GatewayDialect dialect;
+    const auto name = [&dialect](const std::string& path, const std::string& body,
+                                 const http::Header& header) {
+      http::Headers headers = ClientHeaders();
+      headers.push_back(header);
+      return dialect.ReadRequest(Request("POST", path, body, headers))->identity;
+    };
+    const http::Header caller{"Authorization", "Bearer a"};
+    const RequestIdentity identity = name("/x/1?q=2", "body", caller);
+    CPPUNIT_ASSERT(identity.known());
+    CPPUNIT_ASSERT(identity != name("/x/1?q=3", "body", caller));
+    CPPUNIT_ASSERT(identity != name("/x/1?q=2", "other", caller));
+    CPPUNIT_ASSERT(identity != name("/x/1?q=2", "body", {"Authorization", "Bearer b"}));
+    // Another attempt at the same request.
+    http::Headers again = ClientHeaders();
+    again.push_back(caller);
+    for (http::Header& header : again) {
+      const bool differs = header.name == "X-Request-Id" || header.name == "X-Deadline-Ms";
+      header.value = differs ? "77" : header.value;
+    }
+    again.push_back({"Traceparent", "00-1"});
+    CPPUNIT_ASSERT(identity ==
+                   dialect.ReadRequest(Request("POST", "/x/1?q=2", "body", again))->identity);
+  }
+
   void LeafRequestCarriesWhatItMust() {
     const GatewayDialect dialect;
     auto request = std::make_shared<gateway::PayloadRequest>(
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -69,6 +69,7 @@
     query.again = true;
     query.groups = 9;
     query.shards = {"s1", "s2"};
+    query.identity = {0x0123456789abcdef, 42};
     const auto decoded = DecodeEnvelope(Encode(Envelope{"c", 1, query}));
     CPPUNIT_ASSERT(decoded.ok());
     const auto& back = std::get<PartialQuery>(decoded->body);
@@ -78,6 +79,7 @@
     CPPUNIT_ASSERT_EQUAL(query.method, back.method);
     CPPUNIT_ASSERT_EQUAL(query.head, back.head);
     CPPUNIT_ASSERT_EQUAL(query.payload, back.payload);
+    CPPUNIT_ASSERT(query.identity == back.identity);
     CPPUNIT_ASSERT(query.budget == back.budget);
     CPPUNIT_ASSERT(query.report_after == back.report_after);
     CPPUNIT_ASSERT(query.objective == back.objective);
