--- /dev/null
+++ b/test/platform/fatal_request_test.cc
@@ -0,0 +1,150 @@
+// A request that ends every leaf that begins to run it is stopped by the whole fleet, and nothing
+// else is: on real processes.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <numeric>
+#include <vector>
+
+#include "common/json.h"
+#include "platform/mortal_leaf.h"
+#include "platform/platform_fleet.h"
+
+namespace pumicedyke::platform {
+namespace {
+
+constexpr char kCallerHeader[] = "Authorization";
+constexpr char kFatalCaller[] = "Bearer mallory";
+constexpr size_t kGateways = 3;
+constexpr int kShards = 4;
+constexpr int kReplicas = 2;
+
+bool EndsLeafs(const http::HttpRequest& request) {
+  const std::string* caller = http::FindHeader(request.headers, kCallerHeader);
+  const bool fatal_path = request.path.find("fatal") != std::string::npos;
+  return fatal_path && caller != nullptr && *caller == kFatalCaller;
+}
+
+Json Route(const std::string& name, const std::string& prefix) {
+  return {{"name", name},         {"host", "desk.example"}, {"path_prefix", prefix},
+          {"type", "idempotent"}, {"timeout_ms", 1000},     {"slo_ms", 100},
+          {"priority", 1},        {"max_attempts", 2}};
+}
+
+std::string ServiceName(int shard) { return "s" + std::to_string(shard); }
+
+std::string Document() {
+  Json all = Route("all", "/all/");
+  all.update({{"top_k", 1}, {"min_coverage", 0.5}});
+  Json one = Route("one", "/one/");
+  one["backend"] = ServiceName(0);
+  Json services = Json::array();
+  for (int i = 0; i < kShards; ++i) {
+    all["gather"].push_back(ServiceName(i));
+    services.push_back({{"name", ServiceName(i)}, {"health_path", "/healthz"}, {"max_conns", 26}});
+  }
+  return Json{{"version", 3},
+              {"routes", Json::array({all, one})},
+              {"backends", services},
+              {"limits",
+               {{"max_header_bytes", 4096},
+                {"max_body_bytes", 1000},
+                {"header_timeout_ms", 3000},
+                {"idle_timeout_ms", 15000}}}}
+      .dump();
+}
+
+/// Three gateways over leafs that a certain request ends.
+class MortalFleet {
+ public:
+  MortalFleet() {
+    gateways_ = {fleet_.gateway_address(), fleet_.StartFurtherGateway("gateway3"),
+                 fleet_.StartFurtherGateway("gateway4")};
+    for (int i = 0; i < kShards * kReplicas; ++i) {
+      leafs_.push_back(std::make_unique<MortalLeaf>("leaf" + std::to_string(i),
+                                                    ServiceName(i % kShards), EndsLeafs));
+    }
+    CPPUNIT_ASSERT_EQUAL(200, fleet_.Put(Document()));
+    for (const std::string& gateway : gateways_) {
+      WaitWhole(gateway);
+    }
+  }
+
+  void Beat() {
+    for (const auto& leaf : leafs_) {
+      leaf->Beat(fleet_.ServiceAddress(0));
+    }
+  }
+  void WaitWhole(const std::string& gateway) {
+    e2e::WaitFor("all shards at " + gateway, [&] {
+      Beat();
+      const http::ClientResponse response = AskAs("Bearer alice", gateway, "/all/usual");
+      const std::string* missing = http::FindHeader(response.headers, "X-Missing-Parts");
+      return response.status == 200 && missing != nullptr && *missing == "0";
+    });
+  }
+  http::ClientResponse AskAs(const std::string& caller, const std::string& gateway,
+                             const std::string& path) {
+    return fleet_.AskAt(gateway, path, {{kCallerHeader, caller}});
+  }
+  int Deaths() const {
+    return std::accumulate(leafs_.begin(), leafs_.end(), 0,
+                           [](int sum, const auto& leaf) { return sum + leaf->deaths(); });
+  }
+  const std::vector<std::string>& gateways() const { return gateways_; }
+
+ private:
+  PlatformFleet fleet_;
+  std::vector<std::string> gateways_;
+  std::vector<std::unique_ptr<MortalLeaf>> leafs_;
+};
+
+/// Refused for what it is, not because no leaf is there: "not run", and when to come back.
+bool IsQuarantined(const http::ClientResponse& response) {
+  return response.status == 503 && response.body.find("quarantined") != std::string::npos &&
+         http::FindHeader(response.headers, "Retry-After") != nullptr;
+}
+
+}  // namespace
+
+class FatalRequestTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FatalRequestTest);
+  CPPUNIT_TEST(GatherThatEndsLeafsIsStoppedEverywhere);
+  CPPUNIT_TEST(RequestToOneLeafThatEndsLeafsIsStoppedEverywhere);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void GatherThatEndsLeafsIsStoppedEverywhere() { StopsEverywhere("/all/fatal"); }
+  void RequestToOneLeafThatEndsLeafsIsStoppedEverywhere() { StopsEverywhere("/one/fatal"); }
+
+ private:
+  static void StopsEverywhere(const std::string& path) {
+    MortalFleet fleet;
+    // The request comes again, at whichever gateway.
+    size_t turn = 0;
+    size_t refused_in_a_row = 0;
+    e2e::WaitFor("every gateway to refuse the request", [&] {
+      fleet.Beat();
+      const std::string& gateway = fleet.gateways()[turn++ % kGateways];
+      const bool refused = IsQuarantined(fleet.AskAs(kFatalCaller, gateway, path));
+      refused_in_a_row = refused ? refused_in_a_row + 1 : 0;
+      return fleet.Deaths() >= 3 && refused_in_a_row >= 2 * kGateways;
+    });
+    // Once the leafs are back, all else is served: to that caller, and that path to others.
+    for (const std::string& gateway : fleet.gateways()) {
+      fleet.WaitWhole(gateway);
+      CPPUNIT_ASSERT_EQUAL(200, fleet.AskAs(kFatalCaller, gateway, "/all/usual").status);
+      CPPUNIT_ASSERT_EQUAL(200, fleet.AskAs("Bearer alice", gateway, path).status);
+    }
+    const int deaths = fleet.Deaths();
+    for (size_t i = 0; i < 4 * kGateways; ++i) {
+      const http::ClientResponse answer =
+          fleet.AskAs(kFatalCaller, fleet.gateways()[i % kGateways], path);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(answer.status), IsQuarantined(answer));
+    }
+    CPPUNIT_ASSERT_EQUAL(deaths, fleet.Deaths());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(FatalRequestTest);
+
+}  // namespace pumicedyke::platform
--- /dev/null
+++ b/test/platform/mortal_leaf.cc
@@ -0,0 +1,90 @@
+#include "platform/mortal_leaf.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <utility>
+
+#include "common/json.h"
+#include "e2e/fleet.h"
+#include "net/event_loop.h"
+
+namespace pumicedyke::platform {
+namespace {
+
+std::string Value(const http::Headers& headers, const std::string& name) {
+  const std::string* value = http::FindHeader(headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+}  // namespace
+
+MortalLeaf::MortalLeaf(std::string name, std::string service, Fatal fatal)
+    : name_(std::move(name)),
+      service_(std::move(service)),
+      fatal_(std::move(fatal)),
+      address_(e2e::FreeAddress()),
+      thread_([this] { Serve(); }) {
+  e2e::WaitFor("a mortal leaf", [this] { return lives_ > 0; });
+}
+
+MortalLeaf::~MortalLeaf() {
+  stop_ = true;
+  thread_.join();
+}
+
+std::string MortalLeaf::id() const { return name_ + "-" + std::to_string(lives_.load()); }
+
+void MortalLeaf::Serve() {
+  while (!stop_) {
+    Live();
+  }
+}
+
+void MortalLeaf::Live() {
+  net::EventLoop loop;
+  http::HttpServer server(&loop, {},
+                          [this](const http::HttpRequest& request, http::Responder responder) {
+                            OnRequest(request, std::move(responder));
+                          });
+  if (!server.Listen(address_).ok()) {
+    return;
+  }
+  dying_ = false;
+  ++lives_;
+  loop.Run([this, &loop](Timestamp now) {
+    if (stop_ || dying_) {
+      loop.Stop();
+    }
+    return now + Milliseconds(1);
+  });
+}
+
+void MortalLeaf::OnRequest(const http::HttpRequest& request, http::Responder responder) {
+  http::HttpResponse response;
+  const std::string request_id = Value(request.headers, "X-Request-Id");
+  response.headers = {{"X-Instance-Id", id()}, {"X-Request-Id", request_id}};
+  if (Value(request.headers, "X-Expect-Instance") != id()) {
+    response.status = 421;
+  } else if (fatal_(request)) {
+    ++deaths_;
+    dying_ = true;
+    return;
+  } else {
+    response.headers.push_back({"X-Server-Stamp", id() + "." + request_id});
+    response.body = "sixteen bytes...";
+  }
+  responder.Send(std::move(response));
+}
+
+int MortalLeaf::Beat(const std::string& control) {
+  if (beating_life_ != lives_) {
+    beating_life_ = lives_;
+    beats_ = 0;
+  }
+  const Json body{{"backend", service_}, {"address", address_}, {"zone", "north"},
+                  {"version", "v1"},     {"slots", 2},          {"state", "ready"},
+                  {"cold_left_ms", 0},   {"seq", ++beats_}};
+  return e2e::Post(control, "/v1/instances/" + id() + "/heartbeat", body.dump()).status;
+}
+
+}  // namespace pumicedyke::platform
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -151,6 +151,12 @@
                               e2e::FreeAddress()});
 }
 
+std::string PlatformFleet::StartFurtherGateway(const std::string& name) {
+  const std::string listen = e2e::FreeAddress();
+  StartGatewayAt(name, {listen, e2e::FreeAddress(), e2e::FreeAddress(), e2e::FreeAddress()});
+  return listen;
+}
+
 void PlatformFleet::StartGatewayAt(const std::string& process, const GatewayAddresses& addresses) {
   const std::string file = folder_ + "/" + process + ".toml";
   std::ofstream settings(file);
@@ -188,13 +194,19 @@
 }
 
 http::ClientResponse PlatformFleet::Ask(const std::string& path, int64_t deadline_ms) {
+  return AskAt(gateway_address_, path, {}, deadline_ms);
+}
+
+http::ClientResponse PlatformFleet::AskAt(const std::string& gateway, const std::string& path,
+                                          const http::Headers& headers, int64_t deadline_ms) {
   http::ClientRequest request;
-  request.address = gateway_address_;
+  request.address = gateway;
   request.path = path;
   request.method = "GET";
   request.headers = {{"Host", kHost},
                      {"X-Request-Id", "test-" + std::to_string(++asked_)},
                      {"X-Deadline-Ms", std::to_string(deadline_ms)}};
+  request.headers.insert(request.headers.end(), headers.begin(), headers.end());
   return http::FetchBlocking(request);
 }
 
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -63,6 +63,8 @@
   void StartGateway();
   /// A gateway that no client is sent to: it works for the first one.
   void StartSecondGateway();
+  /// One more gateway, which clients may be sent to. @return where they reach it.
+  std::string StartFurtherGateway(const std::string& name);
   std::string ServiceAddress(int index) const;
   std::string DirectoryAddress(int index) const;
   const std::string& gateway_address() const { return gateway_address_; }
@@ -80,6 +82,9 @@
   /// Waits until the gateway answers 200 for the path and leaves out no shard.
   void WaitWhole(const std::string& path);
   http::ClientResponse Ask(const std::string& path, int64_t deadline_ms = 2000);
+  /// The same at a gateway of the caller's choice, with more headers.
+  http::ClientResponse AskAt(const std::string& gateway, const std::string& path,
+                             const http::Headers& headers, int64_t deadline_ms = 2000);
 
   std::map<std::string, std::unique_ptr<e2e::Process>> processes;
 
