--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -46,6 +46,8 @@
       {kSnapshotGone, "snapshot_gone", 410, "The snapshot is no longer served."},
       {kStaleConfiguration, "stale_configuration", 503,
        "No control machine in touch with a quorum was reached for too long."},
+      {kQuarantined, "quarantined", 503,
+       "This very request ended the leafs that ran it; it is sent to none until it is released."},
       {kRevisionConflict, "revision_conflict", 409, "The object has another revision by now."},
       {kInvalidConfig, "invalid_config", 400, "A field of the change is not allowed."},
       {kPolicyRejected, "policy_rejected", 400, "The policy program was refused; see the message."},
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -36,6 +36,7 @@
   kOutcomeUnknown = 208,
   kSnapshotGone = 209,
   kStaleConfiguration = 210,
+  kQuarantined = 211,
   // Operators' requests.
   kRevisionConflict = 300,
   kInvalidConfig = 301,
--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -58,6 +58,16 @@
   return absl::OkStatus();
 }
 
+absl::Status ConfigState::ValidateQuarantine(const Change& change) const {
+  const auto stopped =
+      static_cast<size_t>(std::count_if(quarantine_.begin(), quarantine_.end(),
+                                        [](const auto& item) { return item.second.stopped; }));
+  if (stopped >= kMostQuarantined && !IsQuarantined(change.request)) {
+    return Invalid("request", std::to_string(stopped) + " requests are stopped already");
+  }
+  return absl::OkStatus();
+}
+
 absl::Status ConfigState::Validate(const Change& change) const {
   switch (change.kind) {
     case ChangeKind::kPutService:
@@ -82,7 +92,10 @@
     case ChangeKind::kForgetLeafs:
     case ChangeKind::kEvacuateZone:
     case ChangeKind::kRestoreZone:
+    case ChangeKind::kReleaseRequest:
       return absl::OkStatus();
+    case ChangeKind::kQuarantineRequest:
+      return ValidateQuarantine(change);
   }
   return absl::OkStatus();
 }
@@ -131,6 +144,13 @@
     const bool evacuated = zone != zones_.end() && zone->second.evacuated;
     return evacuated == (change.kind == ChangeKind::kEvacuateZone);
   }
+  if (change.kind == ChangeKind::kQuarantineRequest) {
+    return IsQuarantined(change.request);
+  }
+  if (change.kind == ChangeKind::kReleaseRequest) {
+    return change.on_parole ? !IsQuarantined(change.request)
+                            : !quarantine_.contains(change.request);
+  }
   return change.kind == ChangeKind::kPutDocument && change.document.version <= document_.version;
 }
 
@@ -151,6 +171,31 @@
   }
 }
 
+void ConfigState::Quarantine(const RequestIdentity& request) {
+  QuarantineRecord& record = quarantine_[request];
+  record.stopped = true;
+  ++record.times;
+  if (quarantine_.size() > kMostQuarantined) {
+    const auto on_parole = std::find_if(quarantine_.begin(), quarantine_.end(),
+                                        [](const auto& item) { return !item.second.stopped; });
+    if (on_parole != quarantine_.end()) {
+      quarantine_.erase(on_parole);
+    }
+  }
+}
+
+void ConfigState::Release(const RequestIdentity& request, bool on_parole) {
+  const auto it = quarantine_.find(request);
+  if (it == quarantine_.end()) {
+    return;
+  }
+  if (on_parole) {
+    it->second.stopped = false;
+  } else {
+    quarantine_.erase(it);
+  }
+}
+
 void ConfigState::Apply(const Change& change) {
   ++version_.value;
   switch (change.kind) {
@@ -216,10 +261,20 @@
       ++zone.revision;
       break;
     }
+    case ChangeKind::kQuarantineRequest:
+      Quarantine(change.request);
+      break;
+    case ChangeKind::kReleaseRequest:
+      Release(change.request, change.on_parole);
+      break;
   }
 }
 
 std::string ConfigState::Serialize() const {
+  std::map<std::string, QuarantineRecord> quarantine;
+  for (const auto& [request, record] : quarantine_) {
+    quarantine[ToText(request)] = record;
+  }
   return Json{{"version", version_},
               {"services", services_},
               {"leaving", leaving_},
@@ -227,7 +282,8 @@
               {"document_version", document_.version},
               {"document", document_.text},
               {"reported", reported_},
-              {"zones", zones_}}
+              {"zones", zones_},
+              {"quarantine", quarantine}}
       .dump();
 }
 
@@ -246,6 +302,13 @@
     state.reported_ = json.value("reported", std::map<std::string, ReportedLeaf>());
     // Absent in what was written before zones could be evacuated.
     state.zones_ = json.value("zones", std::map<std::string, ZoneState>());
+    // Absent in what was written before requests could be stopped.
+    const auto quarantine = json.value("quarantine", std::map<std::string, QuarantineRecord>());
+    for (const auto& [text, record] : quarantine) {
+      if (const auto request = RequestIdentityFrom(text)) {
+        state.quarantine_[*request] = record;
+      }
+    }
   } catch (const Json::exception& error) {
     return MakeStatus(ResultCode::kCorruptState, error.what());
   }
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -17,6 +17,9 @@
 constexpr size_t kKeptSnapshots = 3;
 /// How many retired leafs are remembered. One that is forgotten has long ended.
 constexpr size_t kKeptRetired = 4096;
+/// Requests that are stopped or on parole. One on parole is forgotten for another one; no more can
+/// be stopped at a time.
+constexpr size_t kMostQuarantined = 1024;
 
 class ConfigState {
  public:
@@ -35,6 +38,13 @@
   const std::map<std::string, ZoneState>& zones() const { return zones_; }
   /// Zones whose leafs nothing may be sent to.
   std::set<std::string> EvacuatedZones() const;
+  /// Requests that are stopped, and those on parole, by identity.
+  const std::map<RequestIdentity, QuarantineRecord>& quarantine() const { return quarantine_; }
+  /// Whether the request is to be sent to no leaf.
+  bool IsQuarantined(const RequestIdentity& request) const {
+    const auto it = quarantine_.find(request);
+    return it != quarantine_.end() && it->second.stopped;
+  }
   /// Revision of what the change is about, a service or a zone; zero: it has none yet.
   uint64_t RevisionOf(const Change& change) const;
 
@@ -55,10 +65,13 @@
  private:
   bool HasLeaf(const std::string& id) const;
   void Retire(const std::string& leaf);
+  void Quarantine(const RequestIdentity& request);
+  void Release(const RequestIdentity& request, bool on_parole);
   /// Whether the committed word on a leaf is by its reporter, who alone may take it back.
   bool IsReportedBy(const ReportedLeaf& leaf) const;
   absl::Status ValidateService(const Change& change) const;
   absl::Status ValidateSnapshot(const Change& change) const;
+  absl::Status ValidateQuarantine(const Change& change) const;
 
   ConfigVersion version_;
   std::map<std::string, Service> services_;
@@ -69,6 +82,7 @@
   RouteDocument document_;
   std::map<std::string, ReportedLeaf> reported_;
   std::map<std::string, ZoneState> zones_;
+  std::map<RequestIdentity, QuarantineRecord> quarantine_;
 };
 
 }  // namespace pumicedyke::config
--- a/src/config/model.cc
+++ b/src/config/model.cc
@@ -15,7 +15,7 @@
 constexpr size_t kMaxPolicyBytes = 16 * 1024;
 constexpr uint32_t kMaxSlots = 10000;
 
-constexpr std::array<std::pair<ChangeKind, const char*>, 12> kKindNames = {{
+constexpr std::array<std::pair<ChangeKind, const char*>, 14> kKindNames = {{
     {ChangeKind::kPutService, "put_service"},
     {ChangeKind::kRemoveService, "remove_service"},
     {ChangeKind::kPublishSnapshot, "publish_snapshot"},
@@ -28,6 +28,8 @@
     {ChangeKind::kForgetLeafs, "forget_leafs"},
     {ChangeKind::kEvacuateZone, "evacuate_zone"},
     {ChangeKind::kRestoreZone, "restore_zone"},
+    {ChangeKind::kQuarantineRequest, "quarantine_request"},
+    {ChangeKind::kReleaseRequest, "release_request"},
 }};
 
 absl::Status FieldError(const std::string& field, const std::string& allowed) {
@@ -200,6 +202,23 @@
   return absl::OkStatus();
 }
 
+absl::Status ReadRequest(const Json& json, Change* change) {
+  const bool is_text = json.contains("request") && json["request"].is_string();
+  const std::optional<RequestIdentity> request =
+      is_text ? RequestIdentityFrom(json["request"].get<std::string>()) : std::nullopt;
+  if (!request.has_value() || !request->known()) {
+    return FieldError("request", "must be a request's identity: 32 hexadecimal digits");
+  }
+  change->request = *request;
+  if (json.contains("on_parole")) {
+    if (!json["on_parole"].is_boolean()) {
+      return FieldError("on_parole", "must be true or false");
+    }
+    change->on_parole = json["on_parole"].get<bool>();
+  }
+  return absl::OkStatus();
+}
+
 absl::Status ReadBody(const Json& json, Change* change) {
   switch (change->kind) {
     case ChangeKind::kPutService:
@@ -220,6 +239,9 @@
     case ChangeKind::kEvacuateZone:
     case ChangeKind::kRestoreZone:
       return ReadName(json, "zone", "zone", &change->zone);
+    case ChangeKind::kQuarantineRequest:
+    case ChangeKind::kReleaseRequest:
+      return ReadRequest(json, change);
     case ChangeKind::kRemoveService:
       break;
   }
@@ -293,6 +315,13 @@
     case ChangeKind::kRestoreZone:
       json["zone"] = change.zone;
       break;
+    case ChangeKind::kQuarantineRequest:
+      json["request"] = ToText(change.request);
+      break;
+    case ChangeKind::kReleaseRequest:
+      json["request"] = ToText(change.request);
+      json["on_parole"] = change.on_parole;
+      break;
     case ChangeKind::kRemoveService:
       break;
   }
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/json.h"
+#include "common/request_identity.h"
 #include "common/types.h"
 
 namespace pumicedyke::config {
@@ -71,6 +72,15 @@
   uint64_t revision = 0;
 };
 
+/// A request that ended the leafs that ran it, and what the fleet does about it.
+struct QuarantineRecord {
+  /// It is sent to no leaf. Otherwise it is on parole: one more leaf that it ends is enough to stop
+  /// it again.
+  bool stopped = true;
+  /// How often it was stopped.
+  uint32_t times = 0;
+};
+
 /// Routes as operators put them, whole: kept byte for byte. What the bytes mean is for the
 /// routing::DocumentReader of the process that uses them.
 struct RouteDocument {
@@ -97,6 +107,9 @@
   /// Nothing is sent to a zone's leafs any more, until the zone is restored.
   kEvacuateZone,
   kRestoreZone,
+  /// A request, by its identity, is sent to no leaf any more, until it is released.
+  kQuarantineRequest,
+  kReleaseRequest,
 };
 
 bool ConcernsZone(ChangeKind kind);
@@ -120,6 +133,10 @@
   RouteDocument document;
   /// The zone of kEvacuateZone and kRestoreZone.
   std::string zone;
+  /// The request of kQuarantineRequest and kReleaseRequest.
+  RequestIdentity request;
+  /// kReleaseRequest: it is remembered that it was stopped before.
+  bool on_parole = false;
   /// The leafs of kReportLeafs and kForgetLeafs; of the latter only id and reporter count.
   std::vector<ReportedLeaf> reported;
 };
@@ -139,6 +156,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Leaf, id, address, zone, slots)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportedLeaf, id, service, address, zone, slots, reporter)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneState, evacuated, revision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuarantineRecord, stopped, times)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Shard, id, replicas)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PublishedSnapshot, id, shards)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Service, name, revision, leafs, snapshots, policy,
--- a/src/control/control_commands.cc
+++ b/src/control/control_commands.cc
@@ -150,6 +150,13 @@
   Answer(origin, reply.result);
 }
 
+void ControlServer::RelayToLeader(wire::RunReport report) {
+  const MemberId leader = raft_.leader();
+  if (leader != 0 && leader != identity_.member) {
+    SendToMember(leader, std::move(report));
+  }
+}
+
 void ControlServer::ExpirePending(Timestamp now) {
   std::erase_if(forwarded_, [&](const auto& item) {
     const bool expired = now >= item.second.origin.deadline;
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -120,6 +120,9 @@
   /// True when nothing that was admitted waits for an answer any more.
   bool Drained() const;
 
+  /// Passes a node's report on, unless this machine leads or knows no leader.
+  void RelayToLeader(wire::RunReport report);
+
   ControlOutput TakeOutput();
 
   /// @param wall_ms milliseconds since the epoch; kept for ledger claims proposed later.
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -145,6 +145,7 @@
     view_.Retire(leaf);
   }
   view_.SetEvacuated(now, subscriber_.config().EvacuatedZones());
+  TakeQuarantine(now);
   committed_stale_ = true;
   TakeCommittedLeafs(now, /*at_once=*/feed.full);
   SyncPool(now);
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -67,7 +67,7 @@
                                    const wire::PartialQuery& query, Timestamp arrived) {
   const bool refused = table_ == nullptr || query.shards.empty() ||
                        active_.size() >= options_.knobs.max_in_progress ||
-                       now >= arrived + query.budget;
+                       quarantined_.contains(query.identity) || now >= arrived + query.budget;
   if (refused) {
     SendWord(session, WordWithoutParts(query.id, wire::PartialStage::kRefused));
     return;
@@ -124,7 +124,7 @@
   plan.extra_load = options_.extra_load.ratio;
   plan.hedge_quantile = options_.knobs.hedge_quantile;
   plan.max_attempts = std::max(1U, query.max_attempts);
-  query::ExecutionOptions options = options_.execution;
+  query::ExecutionOptions options = ExecutionOptionsFor(*active.request);
   options.charge_first = query.again;
   options.report_parts = true;
   options.hold_attempts = plan.max_attempts > 1 && !query.stand_by;
@@ -146,7 +146,8 @@
   if (const auto ready = stand_by_.find({session, confirm.id}); ready != stand_by_.end()) {
     const StandBy question = std::move(ready->second);
     stand_by_.erase(ready);
-    if (now >= question.arrived + question.query.budget || table_ == nullptr) {
+    if (now >= question.arrived + question.query.budget || table_ == nullptr ||
+        quarantined_.contains(question.query.identity)) {
       SendWord(session, WordWithoutParts(confirm.id, wire::PartialStage::kRefused));
       return;
     }
@@ -219,10 +220,10 @@
     word.run = static_cast<uint32_t>(answer->run);
     word.extra = answer->extra_sub_requests;
     SendWord(job.session, std::move(word));
-    output_.partials.push_back({active.request->request_id, active.request->identity, job.route, answer->run,
-                                now - active.execution->started(), answer->coverage.total(),
-                                answer->extra_sub_requests, active.execution->Attempts(),
-                                answer->coverage.missing});
+    output_.partials.push_back({active.request->request_id, active.request->identity, job.route,
+                                answer->run, now - active.execution->started(),
+                                answer->coverage.total(), answer->extra_sub_requests,
+                                active.execution->Attempts(), answer->coverage.missing});
     Remove(id);
     return;
   }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -45,6 +45,7 @@
       ids_(options_.incarnation),
       view_(options_.leaf_view),
       pool_(options_.knobs.balance, options_.incarnation),
+      witness_(options_.knobs.witness),
       started_(now) {
   LearnControl(options_.control);
 }
@@ -215,6 +216,11 @@
     Refuse(now, id, std::move(request), ResultCode::kUnknownPath, Duration(0));
     return;
   }
+  if (quarantined_.contains(request->identity)) {
+    Refuse(now, id, std::move(request), ResultCode::kQuarantined,
+           options_.knobs.retry_when_quarantined);
+    return;
+  }
   if (active_.size() >= options_.knobs.max_in_progress) {
     Refuse(now, id, std::move(request), ResultCode::kOverloaded, kRetryWhenOverloaded);
     return;
@@ -266,7 +272,7 @@
                                 [this] { return SubRequestId{ids_.Next()}; }, target.budgets};
   active.execution = std::make_unique<query::RequestExecution>(
       std::move(caller), PlanFor(route, *active.request), nullptr, target.service, snapshot,
-      std::move(context), options_.execution, arrived);
+      std::move(context), ExecutionOptionsFor(*active.request), arrived);
   active.execution->Advance(now);
   Collect(now, id);
 }
@@ -293,6 +299,7 @@
 }
 
 void GatewayServer::OnLeafReply(Timestamp now, const query::LeafReply& reply) {
+  witness_.OnEnded(now, reply);
   const std::optional<Duration> latency = pool_.OnReply(now, reply);
   const auto found = request_of_.find(reply.id);
   if (found == request_of_.end()) {
@@ -309,7 +316,7 @@
   Collect(now, id);
 }
 
-void GatewayServer::CollectSends(Active* active, RequestId id,
+void GatewayServer::CollectSends(Timestamp now, Active* active, RequestId id,
                                  const query::ExecutionActions& actions) {
   for (const query::LeafRequest& send : actions.sends) {
     const wire::LeafRecord& record = view_.leafs().at(send.leaf);
@@ -326,6 +333,7 @@
     out.keep_connection = active->merger_connections > 0 || preferred_.contains(send.leaf);
     out.shard = send.shard;
     out.keep_headers = !active->gathers;
+    WatchRun(now, *active, out, record.service);
     output_.sends.push_back(std::move(out));
   }
   for (const query::SubRequestCancel& cancel : actions.cancels) {
@@ -337,7 +345,7 @@
   Active& active = active_.at(id);
   query::ExecutionActions actions = active.execution->TakeActions();
   const std::optional<query::Answer> answer = std::move(actions.answer);
-  CollectSends(&active, id, actions);
+  CollectSends(now, &active, id, actions);
   if (active.partial.has_value()) {
     CollectPartial(now, id, answer);
     return;
@@ -435,6 +443,7 @@
   SyncPool(now);
   GreetControl(now);
   ReleaseEarly(now);
+  ReportRuns(now);
   while (!wakes_.empty() && wakes_.begin()->first <= now) {
     const RequestId id = wakes_.begin()->second;
     Advance(now, id);
@@ -457,6 +466,9 @@
   for (const auto& [id, early] : early_) {
     wake = std::min(wake, early.until);
   }
+  if (witness_.has_report()) {
+    wake = std::min(wake, runs_reported_ + options_.knobs.run_report_interval);
+  }
   wake = std::min(wake, view_.next_merge().value_or(wake));
   if (committed_stale_) {
     wake = std::min(wake, committed_taken_ + view_.MergeInterval());
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -23,6 +23,7 @@
 #include "gateway/peer_view.h"
 #include "node/config_subscriber.h"
 #include "node/id_source.h"
+#include "quarantine/run_witness.h"
 #include "query/request_execution.h"
 #include "query/shared_gather.h"
 #include "routing/route_table.h"
@@ -103,6 +104,11 @@
   double mergers_allowance_share = 0.5;
   /// Part of a leaf's connections that the mergers of its shard share.
   double mergers_connection_share = 0.75;
+  /// When to come back with a request that the fleet has stopped.
+  Duration retry_when_quarantined = Seconds(60);
+  quarantine::WitnessOptions witness;
+  /// What was seen of lost runs is told to control this soon.
+  Duration run_report_interval = Milliseconds(20);
   /// Requests with more body than this are gathered alone: each merger would need a copy.
   size_t longest_shared_body = 16 * 1024;
 };
@@ -172,6 +178,8 @@
   std::vector<PeerMessage> peer_messages;
   std::vector<PeerReply> peer_replies;
   std::vector<PartialTrace> partials;
+  /// What control is told of lost runs, for the log.
+  std::optional<wire::RunReport> runs_reported;
 };
 
 class GatewayServer {
@@ -191,6 +199,10 @@
                  Timestamp arrived);
   void OnClientGone(Timestamp now, RequestId id);
   void OnLeafReply(Timestamp now, const query::LeafReply& reply);
+  /// What became of a sub-request that was cancelled and whose leaf was left to finish.
+  void OnAbandonedReply(Timestamp now, const query::LeafReply& reply);
+  /// Nothing will be heard of a cancelled sub-request.
+  void OnSendDropped(SubRequestId id) { witness_.OnDropped(id); }
 
   void OnControlMessage(Timestamp now, const std::string& address, const wire::Envelope& envelope);
   void OnControlDisconnected(Timestamp now, const std::string& address);
@@ -222,6 +234,8 @@
   const LeafView& leafs() const { return view_; }
   const PeerView& peers() const { return peers_; }
   size_t in_progress() const { return active_.size(); }
+  /// Requests that are sent to no leaf.
+  const std::set<RequestIdentity>& quarantined() const { return quarantined_; }
   uint64_t config_version() const { return subscriber_.config().version().value; }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
 
@@ -352,12 +366,24 @@
                  Timestamp arrived);
   /// Starts the early requests once there are routes, and refuses those that waited long enough.
   void ReleaseEarly(Timestamp now);
+  // Requests that end the leafs that run them.
+  /// Takes over which requests are stopped, and stops those in progress.
+  void TakeQuarantine(Timestamp now);
+  void StopQuarantined(Timestamp now, RequestId id);
+  void WatchRun(Timestamp now, const Active& active, const LeafSend& send,
+                const std::string& service);
+  /// Tells every control machine what was seen since the last time.
+  void ReportRuns(Timestamp now);
+  /// Execution options for a request: one that lost leafs before is tried at one of them first.
+  query::ExecutionOptions ExecutionOptionsFor(const PayloadRequest& request) const;
+
   /// Where a service has no usable leaf, reports that wait take effect at once.
   void MergeForLackOfLeafs(Timestamp now, const std::vector<std::string>& services);
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                       std::shared_ptr<const PayloadRequest> request, Timestamp arrived);
   void Collect(Timestamp now, RequestId id);
-  void CollectSends(Active* active, RequestId id, const query::ExecutionActions& actions);
+  void CollectSends(Timestamp now, Active* active, RequestId id,
+                    const query::ExecutionActions& actions);
   /// Lets whatever works on the request go on.
   void Advance(Timestamp now, RequestId id);
 
@@ -459,6 +485,9 @@
   };
   std::map<std::pair<PeerSessionId, uint64_t>, StandBy> stand_by_;
   uint64_t partials_begun_ = 0;
+  quarantine::RunWitness witness_;
+  std::set<RequestIdentity> quarantined_;
+  Timestamp runs_reported_{};
   bool draining_ = false;
   Timestamp started_;
   std::map<RequestId, Active> active_;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -365,7 +365,7 @@
 void HttpClient::Finish(const std::shared_ptr<Call>& call, ClientResponse response) {
   loop_->CancelTimer(call->timer);
   call->connection.reset();
-  if (calls_.erase(call->id) > 0 && !call->abandoned) {
+  if (calls_.erase(call->id) > 0 && call->done != nullptr) {
     call->done(std::move(response));
   }
 }
@@ -384,7 +384,7 @@
   response.error = "timed out";
   response.not_sent = unsent;
   Cancel(id);
-  if (!call->abandoned) {
+  if (call->done != nullptr) {
     call->done(std::move(response));
   }
 }
@@ -414,7 +414,7 @@
     return;
   }
   Cancel(id);
-  if (!call->abandoned) {
+  if (call->done != nullptr) {
     ClientResponse response;
     response.error = "withdrawn before it was sent";
     response.not_sent = true;
@@ -422,19 +422,21 @@
   }
 }
 
-void HttpClient::Abandon(CallId id, Duration patience) {
+bool HttpClient::Abandon(CallId id, Duration patience, DoneCb late) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) {
-    return;
+    return false;
   }
   const std::shared_ptr<Call> call = it->second;
   if (call->connection == nullptr) {
     Cancel(id);
-    return;
+    return false;
   }
   call->abandoned = true;
+  call->done = std::move(late);
   loop_->CancelTimer(call->timer);
   call->timer = loop_->RunAt(net::EventLoop::Now() + patience, [this, id] { OnTimeout(id); });
+  return true;
 }
 
 ClientResponse FetchBlocking(const ClientRequest& request) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -96,8 +96,9 @@
   /// Ends the call and closes its connection: a reply that comes late must meet no other request.
   void Cancel(CallId id);
   /// The reply is no longer wanted, but the connection is: it is read to its end for up to
-  /// `patience`.
-  void Abandon(CallId id, Duration patience);
+  /// `patience`. @param late hears what became of the call; null: nobody does.
+  /// @return whether anything is still to come of the call.
+  bool Abandon(CallId id, Duration patience, DoneCb late = nullptr);
   /// Ends the call as not sent, unless it may have been written.
   void EndUnsent(CallId id);
   /// Calls whose `done` is still to come.
--- /dev/null
+++ b/src/quarantine/crash_evidence.cc
@@ -0,0 +1,143 @@
+#include "quarantine/crash_evidence.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace pumicedyke::quarantine {
+
+void CrashEvidence::OnReport(Timestamp now, const wire::RunReport& report) {
+  for (const wire::LostRun& run : report.lost) {
+    NoteLost(now, run);
+  }
+  for (const RequestIdentity& identity : report.succeeded) {
+    Acquit(identity);
+    succeeded_[identity] = now;
+  }
+  for (const std::string& leaf : report.answering) {
+    ends_.erase(leaf);
+  }
+  ++version_;
+}
+
+void CrashEvidence::NoteLost(Timestamp now, const wire::LostRun& run) {
+  succeeded_.erase(run.identity);
+  const auto [it, inserted] = ends_.try_emplace(run.leaf);
+  if (inserted) {
+    it->second.service = run.service;
+    it->second.at = now;
+  }
+  auto& runs = it->second.runs;
+  if (runs.size() < options_.most_runs_per_leaf || runs.contains(run.identity)) {
+    runs[run.identity].insert(run.attempt);
+  }
+  if (ends_.size() > options_.most_leafs) {
+    ends_.erase(std::min_element(ends_.begin(), ends_.end(), [](const auto& a, const auto& b) {
+      return a.second.at < b.second.at;
+    }));
+  }
+}
+
+void CrashEvidence::Acquit(const RequestIdentity& identity) {
+  for (auto& [leaf, end] : ends_) {
+    end.runs.erase(identity);
+  }
+  ++version_;
+}
+
+void CrashEvidence::Tick(Timestamp now) {
+  const auto is_old = [&](Timestamp at) { return now - at > options_.memory; };
+  const size_t forgotten =
+      std::erase_if(ends_, [&](const auto& item) { return is_old(item.second.at); }) +
+      std::erase_if(succeeded_, [&](const auto& item) { return is_old(item.second); });
+  version_ += forgotten > 0 ? 1 : 0;
+}
+
+Verdict CrashEvidence::Judge(const RequestIdentity& identity, const LeafEnds& unexplained) const {
+  Verdict verdict{.identity = identity};
+  std::set<uint64_t> attempts;
+  std::set<std::string> services;
+  Timestamp first = Timestamp::max();
+  Timestamp last{};
+  for (const auto& [leaf, end] : unexplained) {
+    const auto runs = end->runs.find(identity);
+    if (runs == end->runs.end()) {
+      continue;
+    }
+    ++verdict.leafs;
+    attempts.insert(runs->second.begin(), runs->second.end());
+    services.insert(end->service);
+    first = std::min(first, end->at);
+    last = std::max(last, end->at);
+  }
+  const auto meanwhile =
+      std::count_if(unexplained.begin(), unexplained.end(), [&](const auto& item) {
+        const LeafEnd& end = *item.second;
+        return services.contains(end.service) && end.at >= first && end.at <= last;
+      });
+  verdict.attempts = attempts.size();
+  verdict.share =
+      meanwhile == 0 ? 0 : static_cast<double>(verdict.leafs) / static_cast<double>(meanwhile);
+  return verdict;
+}
+
+bool CrashEvidence::Suffices(const Verdict& verdict,
+                             const std::set<RequestIdentity>& offenders) const {
+  if (offenders.contains(verdict.identity)) {
+    return verdict.leafs > 0;
+  }
+  return verdict.leafs >= options_.leafs && verdict.attempts >= options_.attempts &&
+         verdict.share >= options_.share;
+}
+
+std::set<RequestIdentity> CrashEvidence::Suspects(
+    const std::set<RequestIdentity>& offenders) const {
+  struct Seen {
+    size_t leafs = 0;
+    std::set<uint64_t> attempts;
+  };
+  std::map<RequestIdentity, Seen> seen;
+  for (const auto& [leaf, end] : ends_) {
+    for (const auto& [identity, attempts] : end.runs) {
+      Seen& request = seen[identity];
+      ++request.leafs;
+      request.attempts.insert(attempts.begin(), attempts.end());
+    }
+  }
+  std::set<RequestIdentity> suspects;
+  for (const auto& [identity, request] : seen) {
+    const bool often =
+        request.leafs >= options_.leafs && request.attempts.size() >= options_.attempts;
+    if (often || offenders.contains(identity)) {
+      suspects.insert(identity);
+    }
+  }
+  return suspects;
+}
+
+std::vector<Verdict> CrashEvidence::Guilty(const std::set<RequestIdentity>& offenders) const {
+  std::set<RequestIdentity> suspects = Suspects(offenders);
+  LeafEnds unexplained;
+  for (const auto& [leaf, end] : ends_) {
+    unexplained[leaf] = &end;
+  }
+  std::vector<Verdict> guilty;
+  while (true) {
+    std::optional<Verdict> worst;
+    for (const RequestIdentity& identity : suspects) {
+      const Verdict verdict = Judge(identity, unexplained);
+      const bool worse = !worst.has_value() || verdict.leafs > worst->leafs;
+      if (worse && Suffices(verdict, offenders)) {
+        worst = verdict;
+      }
+    }
+    if (!worst.has_value()) {
+      return guilty;
+    }
+    guilty.push_back(*worst);
+    suspects.erase(worst->identity);
+    std::erase_if(unexplained,
+                  [&](const auto& item) { return item.second->runs.contains(worst->identity); });
+  }
+}
+
+}  // namespace pumicedyke::quarantine
--- /dev/null
+++ b/src/quarantine/crash_evidence.h
@@ -0,0 +1,82 @@
+// Which requests end the leafs that run them, judged by what all gateways and nodes report. A
+// request that was merely there is told from the one that did it: whoever succeeds anywhere is
+// innocent, a leaf's end is put down to the request that explains most ends, and the rest must be
+// enough by itself. No clock.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/request_identity.h"
+#include "common/types.h"
+#include "wire/messages.h"
+
+namespace pumicedyke::quarantine {
+
+struct EvidenceOptions {
+  /// What was reported is forgotten after this.
+  Duration memory = Seconds(600);
+  /// Leafs that are remembered, the oldest are forgotten first; and requests at each of them.
+  size_t most_leafs = 8192;
+  size_t most_runs_per_leaf = 64;
+  /// A request is guilty if this many leafs ended while they had it ...
+  size_t leafs = 3;
+  /// ... in this many attempts of clients: two may be one client's bad luck in a crash that has
+  /// nothing to do with it ...
+  size_t attempts = 3;
+  /// ... and it was at this part of all leafs of its services that ended meanwhile.
+  double share = 0.5;
+};
+
+/// Why a request is found guilty.
+struct Verdict {
+  RequestIdentity identity;
+  size_t leafs = 0;
+  size_t attempts = 0;
+  /// Part of the ends of its services' leafs, in its time, that it explains.
+  double share = 0;
+};
+
+class CrashEvidence {
+ public:
+  explicit CrashEvidence(EvidenceOptions options) : options_(options) {}
+
+  void OnReport(Timestamp now, const wire::RunReport& report);
+  void Tick(Timestamp now);
+  /// What is held against the request counts no more.
+  void Acquit(const RequestIdentity& identity);
+
+  /// @param offenders requests that were found guilty before: one more leaf is enough.
+  std::vector<Verdict> Guilty(const std::set<RequestIdentity>& offenders) const;
+  /// Whether the request has succeeded somewhere after it was last seen to lose a run.
+  bool HasSucceeded(const RequestIdentity& identity) const { return succeeded_.contains(identity); }
+  /// Counts changes of what is known.
+  uint64_t version() const { return version_; }
+  size_t leafs() const { return ends_.size(); }
+
+ private:
+  /// What was in flight at a leaf when its connections ended.
+  struct LeafEnd {
+    std::string service;
+    Timestamp at{};
+    /// Attempts, by request.
+    std::map<RequestIdentity, std::set<uint64_t>> runs;
+  };
+  using LeafEnds = std::map<std::string, const LeafEnd*>;
+
+  void NoteLost(Timestamp now, const wire::LostRun& run);
+  /// Requests that were at enough leafs, in enough attempts, before anything is explained.
+  std::set<RequestIdentity> Suspects(const std::set<RequestIdentity>& offenders) const;
+  Verdict Judge(const RequestIdentity& identity, const LeafEnds& unexplained) const;
+  bool Suffices(const Verdict& verdict, const std::set<RequestIdentity>& offenders) const;
+
+  EvidenceOptions options_;
+  std::map<std::string, LeafEnd> ends_;
+  std::map<RequestIdentity, Timestamp> succeeded_;
+  uint64_t version_ = 0;
+};
+
+}  // namespace pumicedyke::quarantine
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -134,7 +134,11 @@
   if (shard->covered || shard->given_up || now >= deadline_) {
     return;
   }
-  if (ActiveAttempts(*shard) == 0) {
+  if (probe_lost_) {
+    if (ActiveAttempts(*shard) == 0) {
+      GiveUp(shard);
+    }
+  } else if (ActiveAttempts(*shard) == 0) {
     SendPrimaryOrRetry(now, shard);
   } else if (options_.naive_retry_timeout.count() > 0) {
     MaybeNaiveRetry(now, shard);
@@ -232,7 +236,33 @@
   return plan_.max_attempts == 0 || shard.attempts.size() < plan_.max_attempts;
 }
 
+bool RequestExecution::OnProbation() const {
+  return !proven_ && (options_.on_probation || lost_ >= options_.losses_before_probation);
+}
+
+bool RequestExecution::MayProbe(Timestamp now) const {
+  size_t out = 0;
+  Timestamp last{};
+  for (const ShardProgress& shard : shards_) {
+    out += ActiveAttempts(shard);
+    if (!shard.attempts.empty()) {
+      last = std::max(last, shard.attempts.back().sent);
+    }
+  }
+  // A leaf that stands still must not stop everything: one more may be tried beside it.
+  return out == 0 || (out == 1 && now - last >= HedgeDelay());
+}
+
+void RequestExecution::NoteLost(const Attempt& attempt) {
+  ++lost_;
+  probe_lost_ |= attempt.probe && !proven_;
+}
+
 bool RequestExecution::SendTo(Timestamp now, ShardProgress* shard, SendKind kind) {
+  const bool probe = OnProbation();
+  if (probe && !MayProbe(now)) {
+    return false;
+  }
   std::set<std::string> excluded = shard->tried;
   for (const Attempt& attempt : shard->attempts) {
     if (attempt.state == AttemptState::kPossiblyRunning) {
@@ -254,7 +284,7 @@
   const Duration budget = std::max(Duration(0), deadline_ - now - options_.hop);
   actions_.sends.push_back({"", id, *leaf, request_.service, shard->shard.id, snapshot_id_,
                             request_.query, budget, request_.idempotency_key, plan_.repeatable});
-  shard->attempts.push_back({id, *leaf, now});
+  shard->attempts.push_back({id, *leaf, now, AttemptState::kPossiblyRunning, probe});
   shard_of_[id] = static_cast<size_t>(shard - shards_.data());
   context_.pool->OnSent(now, *leaf, id, ExpectedLatency());
   ++sent_;
@@ -306,17 +336,25 @@
   if (attempt->state != AttemptState::kPossiblyRunning && options_.coverage_dedupe) {
     return;
   }
+  const bool was_on_probation = OnProbation();
   if (reply.status == LeafStatus::kOk) {
     attempt->state = AttemptState::kDone;
+    proven_ = true;
     Merge(now, &shard, reply);
   } else {
+    if (reply.connection_lost) {
+      NoteLost(*attempt);
+    }
     const bool refused = ProvesNotRun(reply.status);
     attempt->state = refused                 ? AttemptState::kRefused
                      : reply.connection_lost ? AttemptState::kLost
                                              : AttemptState::kFailed;
     Refused(&shard, reply);
   }
-  if (!answered_ && !needs_other_snapshot_) {
+  if (was_on_probation != OnProbation() || probe_lost_) {
+    // What the other shards wait for has changed.
+    Advance(now);
+  } else if (!answered_ && !needs_other_snapshot_) {
     // Only this shard has changed: with hundreds of them, looking at all for each reply is dear.
     AdvanceShard(now, &shard);
     wake_ = std::min(wake_, ShardWake(now, shard));
@@ -440,6 +478,16 @@
   }
 }
 
+void RequestExecution::Stop(Timestamp now, ResultCode code) {
+  if (answered_) {
+    return;
+  }
+  Finish(now, code);
+  for (SubRequestCancel& cancel : actions_.cancels) {
+    cancel.overdue = true;
+  }
+}
+
 void RequestExecution::AbandonAll(Timestamp now, bool timed_out) {
   for (ShardProgress& shard : shards_) {
     for (Attempt& attempt : shard.attempts) {
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -54,6 +54,11 @@
   bool report_parts = false;
   /// No shard is sent to a second time before ReleaseAttempts() is called.
   bool hold_attempts = false;
+  /// The request may be one that ends the leafs that run it: until one of them has answered, it is
+  /// tried at one after the other, and given up if it loses one more.
+  bool on_probation = false;
+  /// It goes on probation by itself once its runs at this many leafs were lost and none succeeded.
+  size_t losses_before_probation = 3;
   /// Baseline: retries after this time-out without a budget; zero means off.
   Duration naive_retry_timeout{};
   /// Baseline: hedges after this delay without a budget; zero means off.
@@ -99,6 +104,8 @@
   /// Sends what can be sent, hedges, and answers if it is time.
   void Advance(Timestamp now);
   void OnReply(Timestamp now, const LeafReply& reply);
+  /// Sends nothing more and answers with what there is; `code` says why if that is too little.
+  void Stop(Timestamp now, ResultCode code);
   /// Ends `hold_attempts`.
   void ReleaseAttempts(Timestamp now);
 
@@ -145,6 +152,8 @@
     std::string leaf;
     Timestamp sent;
     AttemptState state = AttemptState::kPossiblyRunning;
+    /// Sent on probation.
+    bool probe = false;
   };
   struct ShardProgress {
     config::Shard shard;
@@ -178,6 +187,11 @@
   bool MayPay(Timestamp now, const ShardProgress& shard, SendKind kind) const;
   balance::ExtraLoadLimit* BudgetOf(const ShardProgress& shard) const;
   bool MayAttemptAgain(const ShardProgress& shard) const;
+  /// No leaf has answered it yet, and it may be what ends them.
+  bool OnProbation() const;
+  /// On probation, and another try may go out.
+  bool MayProbe(Timestamp now) const;
+  void NoteLost(const Attempt& attempt);
   /// It was sent to once and must not be again yet.
   bool Held(const ShardProgress& shard) const;
   bool SendTo(Timestamp now, ShardProgress* shard, SendKind kind);
@@ -226,6 +240,12 @@
   RunState run_before_restart_ = RunState::kNotRun;
   bool needs_other_snapshot_ = false;
   bool answered_ = false;
+  /// A leaf has answered with success: the request does leafs no harm.
+  bool proven_ = false;
+  /// Runs whose leaf's connection ended without an answer.
+  size_t lost_ = 0;
+  /// One of them was a try on probation: nothing more is sent.
+  bool probe_lost_ = false;
   ExecutionActions actions_;
   std::vector<ShardPayload> new_parts_;
 };
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -22,6 +22,28 @@
 
 }  // namespace
 
+void ControlLog::OnQuarantineProposal(const control::QuarantineProposal& proposal) {
+  const bool stops = proposal.change.kind == config::ChangeKind::kQuarantineRequest;
+  LogEvent(stops ? "quarantine_proposed" : "release_proposed",
+           {{"identity", ToText(proposal.change.request)},
+            {"reason", proposal.reason},
+            {"leafs", proposal.verdict.leafs},
+            {"attempts", proposal.verdict.attempts},
+            {"share", proposal.verdict.share}});
+}
+
+void ControlLog::NoteQuarantine(const config::ConfigState& config) {
+  size_t stopped = 0;
+  for (const auto& [request, record] : config.quarantine()) {
+    stopped += record.stopped ? 1 : 0;
+  }
+  if (stopped != stopped_requests_) {
+    stopped_requests_ = stopped;
+    LogEvent("quarantine_changed",
+             {{"stopped", stopped}, {"config_version", config.version().value}});
+  }
+}
+
 void ControlLog::OnState(Timestamp now, const control::ControlServer& server,
                          const control::DiscoveryServer& discovery) {
   const consensus::Raft& raft = server.raft();
@@ -34,6 +56,7 @@
                               {"leader", leader_},
                               {"commit_index", raft.commit_index()}});
   }
+  NoteQuarantine(server.state().config());
   const bool current = server.IsCurrent(now);
   if (current != current_) {
     current_ = current;
--- a/src/server/control_log.h
+++ b/src/server/control_log.h
@@ -5,6 +5,7 @@
 
 #include "control/control_server.h"
 #include "control/discovery_server.h"
+#include "control/quarantine_keeper.h"
 
 namespace pumicedyke::server {
 
@@ -13,8 +14,13 @@
   /// Compares what the machine believes with what it believed at the last call.
   void OnState(Timestamp now, const control::ControlServer& server,
                const control::DiscoveryServer& discovery);
+  /// A request is to be stopped or released, and why.
+  static void OnQuarantineProposal(const control::QuarantineProposal& proposal);
 
  private:
+  void NoteQuarantine(const config::ConfigState& config);
+
+  size_t stopped_requests_ = 0;
   consensus::Role role_ = consensus::Role::kFollower;
   uint64_t term_ = 0;
   MemberId leader_ = 0;
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -96,6 +96,10 @@
              static_cast<double>(server_->session_count()));
   page.Gauge("pumicedyke_control_ledger_entries", "Keys in the at-most-once ledger.",
              static_cast<double>(server_->state().ledger().size()));
+  page.Gauge("pumicedyke_control_quarantine", "Requests that are stopped or on parole.",
+             static_cast<double>(server_->state().config().quarantine().size()));
+  page.Gauge("pumicedyke_control_ended_leafs", "Leafs at which runs were lost, of late.",
+             static_cast<double>(quarantine_.evidence().leafs()));
   page.AddProcess();
   return page.Text();
 }
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -125,6 +125,34 @@
   }
 }
 
+void GatewayLog::OnRunReport(Timestamp now, const wire::RunReport& report) {
+  if (!Allow(now)) {
+    return;
+  }
+  NameList lost;
+  std::set<std::string> requests;
+  for (const wire::LostRun& run : report.lost) {
+    lost.Add(run.leaf);
+    requests.insert(ToText(run.identity));
+  }
+  NameList identities;
+  for (const std::string& request : requests) {
+    identities.Add(request);
+  }
+  NameList succeeded;
+  for (const RequestIdentity& request : report.succeeded) {
+    succeeded.Add(ToText(request));
+  }
+  NameList answering;
+  for (const std::string& leaf : report.answering) {
+    answering.Add(leaf);
+  }
+  LogEvent("runs_reported", {{"lost_at", lost.ToJson()},
+                             {"identities", identities.ToJson()},
+                             {"succeeded", succeeded.ToJson()},
+                             {"answering", answering.ToJson()}});
+}
+
 void GatewayLog::OnControlLink(const std::string& address, bool up) {
   LogEvent(up ? "control_regained" : "control_lost", {{"control", address}});
 }
@@ -138,6 +166,7 @@
                                  {"config_age_ms", ToMilliseconds(server.ConfigAge(now))}});
   }
   NoteZones(now, server);
+  NoteQuarantine(now, server);
   // Going through all leafs for each that leaves would cost more than serving.
   if (leafs_version_ == server.leafs().version() || now - leafs_looked_at_ < kLeafsInterval) {
     return;
@@ -178,6 +207,20 @@
   }
 }
 
+void GatewayLog::NoteQuarantine(Timestamp now, const gateway::GatewayServer& server) {
+  if (server.quarantined() == quarantined_) {
+    return;
+  }
+  quarantined_ = server.quarantined();
+  NameList requests;
+  for (const RequestIdentity& request : quarantined_) {
+    requests.Add(ToText(request));
+  }
+  LogEvent("quarantine_in_force", {{"identities", requests.ToJson()},
+                                   {"config_version", server.config_version()},
+                                   {"config_age_ms", ToMilliseconds(server.ConfigAge(now))}});
+}
+
 void GatewayLog::NoteZones(Timestamp now, const gateway::GatewayServer& server) {
   const std::set<std::string>& evacuated = server.leafs().evacuated();
   if (evacuated == evacuated_) {
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -18,6 +18,8 @@
   /// What was done for another gateway.
   void OnPartial(Timestamp now, const gateway::PartialTrace& trace);
   void OnClientGone(Timestamp now, const std::string& request_id);
+  /// What is told to control of lost runs, by leaf and request.
+  void OnRunReport(Timestamp now, const wire::RunReport& report);
   void OnControlLink(const std::string& address, bool up);
   /// Compares what the gateway believes with what it believed at the last call.
   void OnState(Timestamp now, const gateway::GatewayServer& server);
@@ -31,6 +33,7 @@
   bool Allow(Timestamp now);
   void NoteZones(Timestamp now, const gateway::GatewayServer& server);
   void NoteLeafs(const gateway::LeafView& view);
+  void NoteQuarantine(Timestamp now, const gateway::GatewayServer& server);
 
   LogLimiter limiter_{kLinesPerSecond};
   bool ready_ = false;
@@ -39,6 +42,7 @@
   Timestamp leafs_looked_at_{};
   std::map<std::string, bool> leafs_;
   std::set<std::string> evacuated_;
+  std::set<RequestIdentity> quarantined_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -29,6 +29,9 @@
   }
   page.Gauge("pumicedyke_gateway_evacuated_zones", "Zones whose leafs get nothing from here.",
              static_cast<double>(server.leafs().evacuated().size()));
+  page.Gauge("pumicedyke_gateway_quarantined_requests",
+             "Requests that are sent to no leaf, since they end those that run them.",
+             static_cast<double>(server.quarantined().size()));
   page.Gauge("pumicedyke_gateway_cold_leafs", "Leafs that said that they are cold.",
              static_cast<double>(server.leafs().cold_until().size()));
   for (const auto& [route, counts] : routes_) {
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -257,6 +257,9 @@
   for (const gateway::ControlLinkChange& change : output.link_changes) {
     OnLinkChange(change);
   }
+  if (output.runs_reported.has_value()) {
+    log_.OnRunReport(net::EventLoop::Now(), *output.runs_reported);
+  }
   for (const gateway::ControlMessage& message : output.control) {
     SendToControl(message);
   }
@@ -298,11 +301,29 @@
   if (cancel.stop_work) {
     client_->Cancel(call->second.call);
   } else {
-    client_->Abandon(call->second.call, kAbandonPatience);
+    AbandonAtLeaf(cancel.id, call->second);
+    calls_.erase(call);
+    return;
   }
+  server_->OnSendDropped(cancel.id);
   calls_.erase(call);
 }
 
+void GatewayProcess::AbandonAtLeaf(SubRequestId id, const LeafCall& call) {
+  // Nobody waits for the result, but what it does to the leaf still has to be known.
+  gateway::LeafSend send;
+  send.id = id;
+  send.leaf = call.leaf;
+  const bool goes_on = client_->Abandon(
+      call.call, kAbandonPatience, [this, send = std::move(send)](http::ClientResponse response) {
+        server_->OnAbandonedReply(net::EventLoop::Now(),
+                                  dialect_->ReadLeafReply(send, std::move(response)));
+      });
+  if (!goes_on) {
+    server_->OnSendDropped(id);
+  }
+}
+
 void GatewayProcess::SendToControl(const gateway::ControlMessage& message) {
   std::unique_ptr<net::FrameClient>& link = control_[message.address];
   if (link == nullptr) {
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -64,12 +64,18 @@
   void Reload();
 
  private:
+  struct LeafCall {
+    http::HttpClient::CallId call = 0;
+    std::string leaf;
+  };
   Timestamp Tick(Timestamp now);
   void CarryOut();
   /// Carries out what is ready once the current event is dealt with.
   void CarryOutSoon();
   void SendToLeaf(gateway::LeafSend send);
   void CancelAtLeaf(const gateway::LeafCancel& cancel);
+  /// Leaves the leaf to finish, so that the connection lives on.
+  void AbandonAtLeaf(SubRequestId id, const LeafCall& call);
   /// Ends calls to these leafs that wait for a connection.
   void WithdrawUnsent(const std::vector<std::string>& leafs);
   void SendToControl(const gateway::ControlMessage& message);
@@ -93,10 +99,6 @@
   std::unique_ptr<net::FrameServer> peer_frames_;
   std::map<std::string, std::unique_ptr<net::FrameClient>> peers_;
   std::map<RequestId, http::Responder> waiting_;
-  struct LeafCall {
-    http::HttpClient::CallId call = 0;
-    std::string leaf;
-  };
   std::map<SubRequestId, LeafCall> calls_;
   uint64_t next_request_ = 1;
   uint64_t limits_version_ = 0;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -416,10 +416,45 @@
   return answer;
 }
 
+void Fill(const RunReport& report, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_run_report_tag;
+  pumicedyke_wire_RunReport& out = envelope->body.run_report;
+  out.lost_count = static_cast<pb_size_t>(report.lost.size());
+  out.lost = arena->Array<pumicedyke_wire_LostRun>(report.lost.size());
+  for (size_t i = 0; i < report.lost.size(); ++i) {
+    const LostRun& run = report.lost[i];
+    out.lost[i] = {true, Fill(run.identity), run.attempt, arena->String(run.leaf),
+                   arena->String(run.service)};
+  }
+  out.succeeded_count = static_cast<pb_size_t>(report.succeeded.size());
+  out.succeeded = arena->Array<pumicedyke_wire_RequestIdentity>(report.succeeded.size());
+  for (size_t i = 0; i < report.succeeded.size(); ++i) {
+    out.succeeded[i] = Fill(report.succeeded[i]);
+  }
+  out.answering = arena->Strings(report.answering, &out.answering_count);
+  out.relayed = report.relayed;
+}
+
+RunReport Read(const pumicedyke_wire_RunReport& in) {
+  RunReport report;
+  for (pb_size_t i = 0; i < in.lost_count; ++i) {
+    const pumicedyke_wire_LostRun& run = in.lost[i];
+    report.lost.push_back({Read(run.identity), run.attempt, Text(run.leaf), Text(run.service)});
+  }
+  for (pb_size_t i = 0; i < in.succeeded_count; ++i) {
+    report.succeeded.push_back(Read(in.succeeded[i]));
+  }
+  report.answering = Texts(in.answering, in.answering_count);
+  report.relayed = in.relayed;
+  return report;
+}
+
 absl::StatusOr<Body> ReadBody(const pumicedyke_wire_Envelope& in) {
   switch (in.which_body) {
     case pumicedyke_wire_Envelope_raft_tag:
       return Body(Read(in.body.raft));
+    case pumicedyke_wire_Envelope_run_report_tag:
+      return Body(Read(in.body.run_report));
     case pumicedyke_wire_Envelope_hello_tag:
       return Body(NodeHello{Text(in.body.hello.node), in.body.hello.incarnation,
                             in.body.hello.version, in.body.hello.starting, in.body.hello.sent});
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -282,6 +282,27 @@
   uint32_t extra = 0;
 };
 
+/// One sub-request whose connection ended without an answer.
+struct LostRun {
+  RequestIdentity identity;
+  /// Tells the client's attempts at the same request apart.
+  uint64_t attempt = 0;
+  std::string leaf;
+  std::string service;
+};
+
+/// A gateway or node tells control of runs that were lost with their leaf, and what has proved
+/// harmless since. Control machines that don't lead pass a node's report on.
+struct RunReport {
+  std::vector<LostRun> lost;
+  /// Requests that lost runs before and have now succeeded.
+  std::vector<RequestIdentity> succeeded;
+  /// Leafs at which runs were lost before and which live all the same.
+  std::vector<std::string> answering;
+  /// Passed on already, or sent to every control machine.
+  bool relayed = false;
+};
+
 /// What changed among the leafs that report to one control machine.
 struct LeafFeed {
   /// Zero: `records` is everything; else what changed since that version.
@@ -304,7 +325,7 @@
 using Body =
     std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply, JoinRequest,
                  Forwarded, ForwardedReply, GatewayPresence, LeafFeed, JoinReply, GatewayFeed,
-                 PartialQuery, PartialCancel, PartialAnswer, PartialConfirm>;
+                 PartialQuery, PartialCancel, PartialAnswer, PartialConfirm, RunReport>;
 
 struct Envelope {
   std::string cluster;
--- /dev/null
+++ b/test/quarantine/crash_evidence_test.cc
@@ -0,0 +1,197 @@
+// Who is found guilty of ending leafs, and above all who is not.
+#include "quarantine/crash_evidence.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace pumicedyke::quarantine {
+namespace {
+
+constexpr Timestamp kStart{Seconds(100)};
+const RequestIdentity kFatal = IdentityOf({"fatal"});
+const RequestIdentity kBystander = IdentityOf({"bystander"});
+
+/// Evidence to which the ends of leafs are added, one by one.
+struct Trial {
+  CrashEvidence evidence{EvidenceOptions{}};
+  Timestamp now = kStart;
+
+  /// A leaf ended while it had these requests, in this attempt of theirs.
+  void End(const std::string& leaf, const std::vector<RequestIdentity>& requests, uint64_t attempt,
+           const std::string& service = "s") {
+    wire::RunReport report;
+    for (const RequestIdentity& request : requests) {
+      report.lost.push_back({request, attempt, leaf, service});
+    }
+    evidence.OnReport(now, report);
+    now += Milliseconds(100);
+  }
+  void Succeeded(const RequestIdentity& request) {
+    wire::RunReport report;
+    report.succeeded = {request};
+    evidence.OnReport(now, report);
+  }
+  void Answers(const std::string& leaf) {
+    wire::RunReport report;
+    report.answering = {leaf};
+    evidence.OnReport(now, report);
+  }
+  bool IsGuilty(const RequestIdentity& request,
+                const std::set<RequestIdentity>& offenders = {}) const {
+    const std::vector<Verdict> guilty = evidence.Guilty(offenders);
+    return std::any_of(guilty.begin(), guilty.end(),
+                       [&](const Verdict& verdict) { return verdict.identity == request; });
+  }
+};
+
+}  // namespace
+
+class CrashEvidenceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashEvidenceTest);
+  CPPUNIT_TEST(ThreeLeafsInThreeAttemptsAreEnough);
+  CPPUNIT_TEST(OneAttemptAtManyLeafsIsNotEnough);
+  CPPUNIT_TEST(BystandersAreNotBlamed);
+  CPPUNIT_TEST(BystanderOfEveryEndLosesToWhoeverWasThereMoreOften);
+  CPPUNIT_TEST(SuccessAcquitsAndLaterLossesCountAnew);
+  CPPUNIT_TEST(LeafThatAnswersHasNotEnded);
+  CPPUNIT_TEST(CrashLoopWithoutCommonRequestBlamesNobody);
+  CPPUNIT_TEST(TwoFatalRequestsAreBothFound);
+  CPPUNIT_TEST(OffenderIsStoppedAtTheNextLeaf);
+  CPPUNIT_TEST(ReportsThatComeTwiceCountOnce);
+  CPPUNIT_TEST(EvidenceIsForgotten);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ThreeLeafsInThreeAttemptsAreEnough() {
+    Trial trial;
+    trial.End("a", {kFatal}, 1);
+    trial.End("b", {kFatal}, 2);
+    CPPUNIT_ASSERT(!trial.IsGuilty(kFatal));
+    trial.End("c", {kFatal}, 3);
+    CPPUNIT_ASSERT(trial.IsGuilty(kFatal));
+  }
+
+  /// All leafs of a service crash at once: whoever was there lost a run at each.
+  void OneAttemptAtManyLeafsIsNotEnough() {
+    Trial trial;
+    for (int leaf = 0; leaf < 40; ++leaf) {
+      trial.End("leaf" + std::to_string(leaf), {kBystander}, 1 + leaf % 2);
+    }
+    CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
+  }
+
+  void BystandersAreNotBlamed() {
+    Trial trial;
+    for (uint64_t attempt = 1; attempt <= 6; ++attempt) {
+      const bool there = attempt % 2 == 0;
+      trial.End("leaf" + std::to_string(attempt),
+                there ? std::vector{kFatal, kBystander} : std::vector{kFatal}, attempt);
+    }
+    CPPUNIT_ASSERT(trial.IsGuilty(kFatal));
+    CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
+  }
+
+  /// Somebody who sends fatal requests can't get the request of another one stopped with them.
+  void BystanderOfEveryEndLosesToWhoeverWasThereMoreOften() {
+    Trial trial;
+    for (uint64_t attempt = 1; attempt <= 5; ++attempt) {
+      trial.End("leaf" + std::to_string(attempt), {kFatal, kBystander}, attempt);
+    }
+    trial.End("last", {kFatal}, 6);
+    CPPUNIT_ASSERT(trial.IsGuilty(kFatal));
+    CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
+  }
+
+  void SuccessAcquitsAndLaterLossesCountAnew() {
+    Trial trial;
+    trial.End("a", {kBystander}, 1);
+    trial.End("b", {kBystander}, 2);
+    trial.Succeeded(kBystander);
+    CPPUNIT_ASSERT(trial.evidence.HasSucceeded(kBystander));
+    trial.End("c", {kBystander}, 3);
+    CPPUNIT_ASSERT(!trial.evidence.HasSucceeded(kBystander));
+    CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
+    trial.End("d", {kBystander}, 4);
+    trial.End("e", {kBystander}, 5);
+    CPPUNIT_ASSERT(trial.IsGuilty(kBystander));
+    trial.Succeeded(kBystander);
+    CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
+  }
+
+  /// Connections are reset by something between: the leaf lives.
+  void LeafThatAnswersHasNotEnded() {
+    Trial trial;
+    trial.End("a", {kBystander}, 1);
+    trial.End("b", {kBystander}, 2);
+    trial.End("c", {kBystander}, 3);
+    trial.Answers("b");
+    CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
+  }
+
+  /// Leafs end all the time, for a reason of their own, and somebody asks again and again.
+  void CrashLoopWithoutCommonRequestBlamesNobody() {
+    Trial trial;
+    for (uint64_t turn = 1; turn <= 30; ++turn) {
+      const RequestIdentity other = IdentityOf({"other", std::to_string(turn)});
+      const bool there = turn % 3 == 0;
+      trial.End("leaf" + std::to_string(turn),
+                there ? std::vector{other, kBystander} : std::vector{other}, turn);
+    }
+    CPPUNIT_ASSERT(trial.evidence.Guilty({}).empty());
+  }
+
+  void TwoFatalRequestsAreBothFound() {
+    Trial trial;
+    const RequestIdentity second = IdentityOf({"second"});
+    for (uint64_t attempt = 1; attempt <= 8; ++attempt) {
+      trial.End("leaf" + std::to_string(attempt),
+                attempt % 4 == 0   ? std::vector{kFatal, second}
+                : attempt % 2 == 0 ? std::vector{second}
+                                   : std::vector{kFatal},
+                attempt);
+    }
+    trial.End("more", {second}, 10);
+    CPPUNIT_ASSERT(trial.IsGuilty(kFatal));
+    CPPUNIT_ASSERT(trial.IsGuilty(second));
+  }
+
+  void OffenderIsStoppedAtTheNextLeaf() {
+    Trial trial;
+    trial.End("a", {kFatal}, 1);
+    CPPUNIT_ASSERT(!trial.IsGuilty(kFatal));
+    CPPUNIT_ASSERT(trial.IsGuilty(kFatal, {kFatal}));
+    trial.evidence.Acquit(kFatal);
+    CPPUNIT_ASSERT(!trial.IsGuilty(kFatal, {kFatal}));
+  }
+
+  void ReportsThatComeTwiceCountOnce() {
+    Trial trial;
+    for (int i = 0; i < 3; ++i) {
+      trial.End("a", {kFatal}, 1);
+      trial.End("b", {kFatal}, 1);
+      trial.End("c", {kFatal}, 2);
+    }
+    CPPUNIT_ASSERT(!trial.IsGuilty(kFatal));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, trial.evidence.leafs());
+  }
+
+  void EvidenceIsForgotten() {
+    Trial trial;
+    ThreeEnds(&trial);
+    trial.evidence.Tick(trial.now + EvidenceOptions{}.memory + Seconds(1));
+    CPPUNIT_ASSERT(!trial.IsGuilty(kFatal));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, trial.evidence.leafs());
+  }
+
+ private:
+  static void ThreeEnds(Trial* trial) {
+    trial->End("a", {kFatal}, 1);
+    trial->End("b", {kFatal}, 2);
+    trial->End("c", {kFatal}, 3);
+    CPPUNIT_ASSERT(trial->IsGuilty(kFatal));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashEvidenceTest);
+
+}  // namespace pumicedyke::quarantine
