--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <sys/eventfd.h>
 #include <sys/resource.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -72,8 +73,10 @@
 }
 
 Timestamp EventLoop::Now() {
-  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-  return Timestamp(std::chrono::duration_cast<Duration>(since_boot));
+  timespec since_boot{};
+  ::clock_gettime(CLOCK_BOOTTIME, &since_boot);
+  return Timestamp(Seconds(since_boot.tv_sec) + std::chrono::duration_cast<Duration>(
+                                                    std::chrono::nanoseconds(since_boot.tv_nsec)));
 }
 
 int64_t EventLoop::WallMilliseconds() {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -28,7 +28,8 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  /// Monotonic time; goes on while the process is stopped by a signal.
+  /// Monotonic time. Goes on while the process is stopped by a signal, and, unlike the steady
+  /// clock, while the machine is suspended: leases and deadlines of others don't wait for it.
   static Timestamp Now();
   /// Milliseconds since the epoch.
   static int64_t WallMilliseconds();
--- a/src/programs/pumicectl_main.cc
+++ b/src/programs/pumicectl_main.cc
@@ -18,6 +18,7 @@
 #include "common/json.h"
 #include "common/result_code.h"
 #include "http/http_client.h"
+#include "net/event_loop.h"
 #include "policy/policy_program.h"
 #include "query/messages.h"
 #include "server/process.h"
@@ -89,10 +90,10 @@
 /// its submission id, so that it takes effect once however often it is sent.
 http::ClientResponse AskControl(const std::string& path, const std::string& body) {
   const Arguments addresses = absl::StrSplit(FLAGS_control, ',', absl::SkipEmpty());
-  const auto give_up = std::chrono::steady_clock::now() +
-                       std::chrono::milliseconds(static_cast<int64_t>(FLAGS_timeout_s * 1000));
+  const Timestamp give_up =
+      net::EventLoop::Now() + Milliseconds(static_cast<int64_t>(FLAGS_timeout_s * 1000));
   http::ClientResponse response;
-  while (std::chrono::steady_clock::now() < give_up) {
+  while (net::EventLoop::Now() < give_up) {
     for (const std::string& address : addresses) {
       http::ClientRequest request;
       request.address = address;
--- a/test/net/event_loop_test.cc
+++ b/test/net/event_loop_test.cc
@@ -7,6 +7,8 @@
 
 #include <csignal>
 
+#include "net/suspended_clock.h"
+
 namespace pumicedyke::net {
 namespace {
 
@@ -46,6 +48,8 @@
   CPPUNIT_TEST(PostFromAnotherTurnAndSignalWake);
   CPPUNIT_TEST(HandlerMayRemoveAnother);
   CPPUNIT_TEST(TasksThatNeverRanMayUseTheLoopAtItsEnd);
+  CPPUNIT_TEST(SuspendedTimeCounts);
+  CPPUNIT_TEST(TimersOfASuspendedMachineAreOverdue);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -132,6 +136,25 @@
     });
     CPPUNIT_ASSERT_EQUAL(1, first.reads);
   }
+
+  /// Leases, ages and deadlines go on while the machine sleeps: others don't sleep with it.
+  void SuspendedTimeCounts() {
+    const Timestamp before = EventLoop::Now();
+    const SuspendedFor suspended(Seconds(30));
+    CPPUNIT_ASSERT(EventLoop::Now() - before >= Seconds(30));
+  }
+
+  void TimersOfASuspendedMachineAreOverdue() {
+    EventLoop loop;
+    bool ran = false;
+    loop.RunAt(EventLoop::Now() + Seconds(20), [&] { ran = true; });
+    const SuspendedFor suspended(Seconds(30));
+    loop.Run([&](Timestamp now) {
+      loop.Stop();
+      return now;
+    });
+    CPPUNIT_ASSERT(ran);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventLoopTest);
