Suspicion is shared: control warns of requests that lost leafs; JSON nodes watch, report, refuse and stop like gateways

Cause (the same class elsewhere): the second gateway knew nothing of what the first had seen, so each first attempt at a gateway went to all shards at once; the nodes of the JSON interface had neither memory nor probation. Change: the keeper lives in ControlServer; a suspect (three leafs, no success) is told to all followers, who try it at one leaf and by one gateway alone.

--- a/src/control/control_commands.cc
+++ b/src/control/control_commands.cc
@@ -1,6 +1,7 @@
 // The part of ControlServer that takes commands of operators and nodes to the log: proposes them
 // here or passes them on to the leader, and answers whoever gave them.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "common/json.h"
@@ -112,6 +113,9 @@
     case Origin::Kind::kOperator:
       output_.operators.push_back({origin.ticket, result});
       break;
+    case Origin::Kind::kQuarantine:
+      quarantine_.OnAnswer();
+      break;
     case Origin::Kind::kPeer:
       SendToMember(origin.peer, wire::ForwardedReply{origin.ticket, result});
       break;
@@ -150,11 +154,44 @@
   Answer(origin, reply.result);
 }
 
-void ControlServer::RelayToLeader(wire::RunReport report) {
-  const MemberId leader = raft_.leader();
-  if (leader != 0 && leader != identity_.member) {
-    SendToMember(leader, std::move(report));
+void ControlServer::OnRunReport(Timestamp now, wire::RunReport report) {
+  quarantine_.OnReport(now, report);
+  if (std::exchange(report.relayed, true)) {
+    return;
+  }
+  for (const wire::Member& member : raft_.members()) {
+    if (member.id != identity_.member) {
+      SendToMember(member.id, report);
+    }
+  }
+}
+
+void ControlServer::KeepQuarantine(Timestamp now) {
+  if (shutting_down_ || !options_.stop_fatal_requests || !IsCurrent(now)) {
+    return;
+  }
+  const bool leads = raft_.role() == consensus::Role::kLeader;
+  std::optional<QuarantineProposal> proposal = quarantine_.Propose(now, state_.config(), leads);
+  WarnOfSuspects();
+  if (!proposal.has_value()) {
+    return;
+  }
+  Origin origin;
+  origin.kind = Origin::Kind::kQuarantine;
+  Route(now, EncodeCommand(proposal->change), origin);
+  output_.quarantine.push_back(*std::move(proposal));
+}
+
+void ControlServer::WarnOfSuspects() {
+  wire::SuspectNotice notice{quarantine_.TakeNewSuspects()};
+  if (notice.requests.empty() || sessions_.empty()) {
+    return;
+  }
+  SessionMessage message{sessions_.begin()->first, Wrap(std::move(notice))};
+  for (auto it = std::next(sessions_.begin()); it != sessions_.end(); ++it) {
+    message.others.push_back(it->first);
   }
+  output_.sessions.push_back(std::move(message));
 }
 
 void ControlServer::ExpirePending(Timestamp now) {
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -15,6 +15,7 @@
       identity_(std::move(identity)),
       storage_(storage),
       state_(options_.state),
+      quarantine_(options_.quarantine),
       raft_(identity_.member, options_.raft, storage, std::move(recovered), seed, now),
       next_ticket_(std::mt19937_64(seed)()) {
   DrainRaft(now);
@@ -63,6 +64,7 @@
   std::erase_if(sessions_, [&](const auto& item) {
     return now - item.second.last_heard > options_.session_timeout;
   });
+  KeepQuarantine(now);
   SendJoin(now);
   ReplaceLostReplicas(now);
   DrainRaft(now);
@@ -86,6 +88,8 @@
     OnForwarded(now, *forwarded);
   } else if (const auto* reply = std::get_if<wire::ForwardedReply>(&envelope.body)) {
     OnForwardedReply(*reply);
+  } else if (const auto* report = std::get_if<wire::RunReport>(&envelope.body)) {
+    OnRunReport(now, *report);
   }
   DrainRaft(now);
 }
@@ -106,6 +110,8 @@
     OnHello(now, session, *hello);
   } else if (const auto* request = std::get_if<wire::LedgerRequest>(&envelope.body)) {
     OnLedgerRequest(now, session, *request);
+  } else if (const auto* report = std::get_if<wire::RunReport>(&envelope.body)) {
+    OnRunReport(now, *report);
   }
   DrainRaft(now);
 }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -14,6 +14,7 @@
 #include "common/types.h"
 #include "consensus/raft.h"
 #include "control/control_state.h"
+#include "control/quarantine_keeper.h"
 #include "storage/log_storage.h"
 #include "wire/messages.h"
 
@@ -52,6 +53,9 @@
   /// A machine that does not lead passes requests to join on to the leader; off only in
   /// simulations.
   bool relay_joins = true;
+  QuarantineOptions quarantine;
+  /// Off only in simulations that show what it is for.
+  bool stop_fatal_requests = true;
 };
 
 /// Names one connection of a node to this machine.
@@ -83,6 +87,8 @@
   std::vector<OperatorReply> operators;
   /// Connections of nodes to close.
   std::vector<SessionId> closed_sessions;
+  /// What this leader has proposed to stop or release, for the log.
+  std::vector<QuarantineProposal> quarantine;
 };
 
 /// What an operator is told about one replica.
@@ -120,9 +126,6 @@
   /// True when nothing that was admitted waits for an answer any more.
   bool Drained() const;
 
-  /// Passes a node's report on, unless this machine leads or knows no leader.
-  void RelayToLeader(wire::RunReport report);
-
   ControlOutput TakeOutput();
 
   /// @param wall_ms milliseconds since the epoch; kept for ledger claims proposed later.
@@ -139,6 +142,7 @@
 
   const ControlState& state() const { return state_; }
   const consensus::Raft& raft() const { return raft_; }
+  const quarantine::CrashEvidence& evidence() const { return quarantine_.evidence(); }
   uint64_t applied_index() const { return applied_index_; }
   size_t session_count() const { return sessions_.size(); }
 
@@ -162,7 +166,7 @@
   };
   /// Where the result of a proposed command goes.
   struct Origin {
-    enum class Kind { kOperator, kLedger, kPeer } kind = Kind::kOperator;
+    enum class Kind { kOperator, kLedger, kPeer, kQuarantine } kind = Kind::kOperator;
     TicketId ticket = 0;
     SessionId session = 0;
     MemberId peer = 0;
@@ -212,6 +216,13 @@
   void StartConfigRead(Timestamp now, TicketId ticket, bool document_only);
   OperatorReply ReadReply(const PendingConfigRead& read) const;
 
+  // Requests that end the leafs that run them.
+  /// Notes what a gateway or node saw, and passes it on to the others if nobody else does.
+  void OnRunReport(Timestamp now, wire::RunReport report);
+  /// Proposes to stop requests, or to let them go again, and warns of suspects.
+  void KeepQuarantine(Timestamp now);
+  void WarnOfSuspects();
+
   // Replicas.
   void OnJoin(Timestamp now, const wire::JoinRequest& join);
   /// Passes a request on to the leader: the newcomer knows a few machines only.
@@ -240,6 +251,7 @@
   wire::Identity identity_;
   storage::LogStorage* storage_;
   ControlState state_;
+  QuarantineKeeper quarantine_;
   consensus::Raft raft_;
   uint64_t applied_index_ = 0;
   std::string packed_config_;
--- a/src/control/quarantine_keeper.cc
+++ b/src/control/quarantine_keeper.cc
@@ -16,6 +16,7 @@
   judged_ = now;
   evidence_.Tick(now);
   NoteStopped(now, committed);
+  NoteSuspects();
   if (!leads) {
     guilty_since_.clear();
     return std::nullopt;
@@ -46,6 +47,20 @@
   }
 }
 
+void QuarantineKeeper::NoteSuspects() {
+  if (suspected_version_ == evidence_.version()) {
+    return;
+  }
+  suspected_version_ = evidence_.version();
+  std::set<RequestIdentity> suspects = evidence_.Suspects();
+  for (const RequestIdentity& identity : suspects) {
+    if (!suspects_.contains(identity) && new_suspects_.size() < options_.most_new_suspects) {
+      new_suspects_.push_back(identity);
+    }
+  }
+  suspects_ = std::move(suspects);
+}
+
 Duration QuarantineKeeper::HoldOf(const config::QuarantineRecord& record) const {
   const int before = static_cast<int>(record.times) - 1;
   return options_.hold * (1 << std::clamp(before, 0, options_.most_doublings));
--- a/src/control/quarantine_keeper.h
+++ b/src/control/quarantine_keeper.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "common/types.h"
 #include "config/config_state.h"
@@ -26,6 +28,8 @@
   /// twice as long as before: whoever mends the leafs' fault needs minutes.
   Duration hold = Seconds(600);
   int most_doublings = 4;
+  /// Suspects that are told of at a time: while a zone is lost, everybody there may be one.
+  size_t most_new_suspects = 64;
 };
 
 /// A change to propose, and why, for the log.
@@ -45,6 +49,9 @@
   /// @return a change to propose now, if any.
   std::optional<QuarantineProposal> Propose(Timestamp now, const config::ConfigState& committed,
                                             bool leads);
+  /// Requests that have come under suspicion since the last call: whoever gets one tries it at one
+  /// leaf first.
+  std::vector<RequestIdentity> TakeNewSuspects() { return std::exchange(new_suspects_, {}); }
   /// The last proposal was decided, or its fate is unknown.
   void OnAnswer() { pending_ = false; }
   const quarantine::CrashEvidence& evidence() const { return evidence_; }
@@ -54,6 +61,7 @@
                                                 const config::ConfigState& committed);
   std::optional<QuarantineProposal> ProposeRelease(Timestamp now,
                                                    const config::ConfigState& committed);
+  void NoteSuspects();
   /// Keeps note of since when this machine has known each request to be stopped.
   void NoteStopped(Timestamp now, const config::ConfigState& committed);
   Duration HoldOf(const config::QuarantineRecord& record) const;
@@ -63,6 +71,10 @@
   /// Since when the evidence has been enough.
   std::map<RequestIdentity, Timestamp> guilty_since_;
   std::map<RequestIdentity, Timestamp> stopped_since_;
+  /// Told of before.
+  std::set<RequestIdentity> suspects_;
+  std::vector<RequestIdentity> new_suspects_;
+  uint64_t suspected_version_ = 0;
   uint64_t judged_version_ = 0;
   Timestamp judged_{};
   bool pending_ = false;
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -119,6 +119,8 @@
     OnConfigFeed(now, *feed);
   } else if (const auto* leafs = std::get_if<wire::LeafFeed>(&envelope.body)) {
     OnLeafFeed(now, address, *leafs);
+  } else if (const auto* notice = std::get_if<wire::SuspectNotice>(&envelope.body)) {
+    witness_.OnWarned(now, notice->requests);
   } else if (const auto* peers = std::get_if<wire::GatewayFeed>(&envelope.body)) {
     peers_.OnFeed(address, *peers);
     peers_changed_ = now;
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -124,7 +124,7 @@
   plan.extra_load = options_.extra_load.ratio;
   plan.hedge_quantile = options_.knobs.hedge_quantile;
   plan.max_attempts = std::max(1U, query.max_attempts);
-  query::ExecutionOptions options = ExecutionOptionsFor(*active.request);
+  query::ExecutionOptions options = ExecutionOptionsFor(now, *active.request);
   options.charge_first = query.again;
   options.report_parts = true;
   options.hold_attempts = plan.max_attempts > 1 && !query.stand_by;
--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -20,9 +20,10 @@
   witness_.OnEnded(now, reply);
 }
 
-query::ExecutionOptions GatewayServer::ExecutionOptionsFor(const PayloadRequest& request) const {
+query::ExecutionOptions GatewayServer::ExecutionOptionsFor(Timestamp now,
+                                                           const PayloadRequest& request) const {
   query::ExecutionOptions options = options_.execution;
-  options.on_probation = witness_.IsSuspect(request.identity);
+  options.on_probation = witness_.IsSuspect(now, request.identity);
   return options;
 }
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -272,7 +272,7 @@
                                 [this] { return SubRequestId{ids_.Next()}; }, target.budgets};
   active.execution = std::make_unique<query::RequestExecution>(
       std::move(caller), PlanFor(route, *active.request), nullptr, target.service, snapshot,
-      std::move(context), ExecutionOptionsFor(*active.request), arrived);
+      std::move(context), ExecutionOptionsFor(now, *active.request), arrived);
   active.execution->Advance(now);
   Collect(now, id);
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -375,7 +375,7 @@
   /// Tells every control machine what was seen since the last time.
   void ReportRuns(Timestamp now);
   /// Execution options for a request: one that lost leafs before is tried at one of them first.
-  query::ExecutionOptions ExecutionOptionsFor(const PayloadRequest& request) const;
+  query::ExecutionOptions ExecutionOptionsFor(Timestamp now, const PayloadRequest& request) const;
 
   /// Where a service has no usable leaf, reports that wait take effect at once.
   void MergeForLackOfLeafs(Timestamp now, const std::vector<std::string>& services);
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -94,7 +94,10 @@
 
 bool GatewayServer::StartShared(Timestamp now, RequestId id, Active* active, Timestamp arrived) {
   const routing::Route& route = *active->route;
-  const bool may_share = active->request->body.size() <= options_.knobs.longest_shared_body;
+  // What may end leafs is tried at one of them, not at one by each merger.
+  const bool suspect = witness_.IsSuspect(now, active->request->identity);
+  const bool may_share =
+      !suspect && active->request->body.size() <= options_.knobs.longest_shared_body;
   const size_t groups = may_share ? GroupsOf(route) : 1;
   if (groups <= 1) {
     return false;
--- a/src/node/node_admission.cc
+++ b/src/node/node_admission.cc
@@ -17,6 +17,7 @@
 constexpr Duration kOverloadRetryAfter = Milliseconds(200);
 constexpr Duration kLongestRetryAfter = Seconds(5);
 constexpr Duration kNotReadyRetryAfter = Milliseconds(500);
+constexpr Duration kQuarantinedRetryAfter = Seconds(60);
 
 uint64_t Fingerprint(const query::CallerRequest& request) {
   const std::string text = request.service + '\0' + request.query + '\0' + request.request_class;
@@ -111,6 +112,11 @@
     refuse(ResultCode::kStaleConfiguration, "control is out of reach", kNotReadyRetryAfter);
     return;
   }
+  if (subscriber_.config().IsQuarantined(request.identity)) {
+    refuse(ResultCode::kQuarantined, "this request ended the leafs that ran it",
+           kQuarantinedRetryAfter);
+    return;
+  }
   const auto found = services_.find(request.service);
   if (found == services_.end()) {
     refuse(ResultCode::kUnknownService, "field 'service': no service " + request.service);
@@ -209,9 +215,11 @@
                                 [this] { return SubRequestId{ids_.Next()}; }};
   policy::QueryPlan plan = active->plan;
   plan.deadline = active->deadline - now;
+  query::ExecutionOptions options = options_.execution;
+  options.on_probation = witness_.IsSuspect(now, active->request.identity);
   active->execution = std::make_unique<query::RequestExecution>(
       active->request, plan, active->program.get(), runtime.service, *snapshot, std::move(context),
-      options_.execution, now);
+      options, now);
   active->execution->Advance(now);
   CollectActions(now, id);
 }
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -1,5 +1,7 @@
 #include "node/node_server.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -24,6 +26,7 @@
       subscriber_(options_.subscriber, now),
       ledger_(options_.subscriber.cluster, origin_, &ids_),
       pool_(options_.knobs, options_.seed),
+      witness_(options_.witness),
       random_(options_.seed) {}
 
 NodeOutput NodeServer::TakeOutput() { return std::exchange(output_, {}); }
@@ -37,7 +40,10 @@
   if (const auto* feed = std::get_if<wire::ConfigFeed>(&envelope.body)) {
     if (subscriber_.OnFeed(now, *feed)) {
       ApplyConfig(now);
+      StopQuarantined(now);
     }
+  } else if (const auto* notice = std::get_if<wire::SuspectNotice>(&envelope.body)) {
+    witness_.OnWarned(now, notice->requests);
   } else if (const auto* reply = std::get_if<wire::LedgerReply>(&envelope.body)) {
     if (const auto verdict = ledger_.OnReply(now, *reply)) {
       OnClaimVerdict(now, *verdict);
@@ -157,6 +163,7 @@
     matched.id = *id;
   }
   matched.draining &= options_.leaving_mark;
+  witness_.OnEnded(now, matched);
   const std::optional<Duration> latency = pool_.OnReply(now, matched);
   const auto found = request_of_.find(matched.id);
   if (found == request_of_.end()) {
@@ -215,6 +222,7 @@
     request.origin = origin_;
     request_of_[request.id] = id;
     active.sub_requests.push_back(request.id);
+    WatchRun(now, id, active.request, request);
     output_.sends.push_back(std::move(request));
   }
   for (query::SubRequestCancel& cancel : actions.cancels) {
@@ -236,6 +244,34 @@
   }
 }
 
+void NodeServer::WatchRun(Timestamp now, RequestId id, const query::CallerRequest& request,
+                          const query::LeafRequest& sent) {
+  const std::string attempt = origin_ + "/" + std::to_string(id.value);
+  witness_.OnSent(sent.id, {request.identity, XXH64(attempt.data(), attempt.size(), 0), sent.leaf,
+                            request.service, now});
+}
+
+void NodeServer::StopQuarantined(Timestamp now) {
+  std::set<RequestIdentity> quarantined;
+  for (const auto& [request, record] : subscriber_.config().quarantine()) {
+    if (record.stopped) {
+      quarantined.insert(request);
+    }
+  }
+  witness_.OnQuarantined(quarantined);
+  std::vector<RequestId> stopped;
+  for (const auto& [id, active] : active_) {
+    const bool running = active.execution != nullptr && !active.answered;
+    if (running && quarantined.contains(active.request.identity)) {
+      stopped.push_back(id);
+    }
+  }
+  for (const RequestId id : stopped) {
+    active_.at(id).execution->Stop(now, ResultCode::kQuarantined);
+    CollectActions(now, id);
+  }
+}
+
 void NodeServer::Finish(Timestamp now, RequestId id, Active* active, Answer answer) {
   answer.config_version = subscriber_.config().version();
   answer.config_age = subscriber_.Age(now);
@@ -319,6 +355,10 @@
   for (wire::Envelope& envelope : ledger_.Tick(now)) {
     output_.control.push_back(std::move(envelope));
   }
+  if (std::optional<wire::RunReport> report = witness_.TakeReport()) {
+    output_.control.push_back(
+        {options_.subscriber.cluster, subscriber_.config().version().value, *std::move(report)});
+  }
   while (!wakes_.empty() && wakes_.top().first <= now) {
     const auto [wake, id] = wakes_.top();
     wakes_.pop();
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -18,6 +18,7 @@
 #include "node/id_source.h"
 #include "node/ledger_client.h"
 #include "policy/policy_program.h"
+#include "quarantine/run_witness.h"
 #include "query/messages.h"
 #include "query/request_execution.h"
 #include "wire/messages.h"
@@ -45,6 +46,7 @@
   bool reply_id_check = true;
   bool ledger_before_dispatch = true;
   bool leaving_mark = true;
+  quarantine::WitnessOptions witness;
   /// Used by benchmarks in place of every service's own policy.
   std::optional<policy::QueryPlan> plan_override;
 };
@@ -149,6 +151,12 @@
   void Refuse(Timestamp now, RequestId id, ResultCode code, const std::string& message,
               query::RunState run, Duration retry_after);
 
+  // Requests that end the leafs that run them.
+  void WatchRun(Timestamp now, RequestId id, const query::CallerRequest& request,
+                const query::LeafRequest& sent);
+  /// Stops what is in progress of requests that the fleet has stopped.
+  void StopQuarantined(Timestamp now);
+
   // Progress.
   void OnClaimVerdict(Timestamp now, const LedgerClient::Verdict& verdict);
   void AnswerFromLedger(Timestamp now, RequestId id, const LedgerClient::Verdict& verdict);
@@ -170,6 +178,7 @@
   ConfigSubscriber subscriber_;
   LedgerClient ledger_;
   balance::LeafPool pool_;
+  quarantine::RunWitness witness_;
   std::mt19937_64 random_;
   std::map<std::string, ServiceRuntime> services_;
   std::map<RequestId, Active> active_;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -89,33 +89,42 @@
          verdict.share >= options_.share;
 }
 
-std::set<RequestIdentity> CrashEvidence::Suspects(
-    const std::set<RequestIdentity>& offenders) const {
-  struct Seen {
-    size_t leafs = 0;
-    std::set<uint64_t> attempts;
-  };
-  std::map<RequestIdentity, Seen> seen;
+std::map<RequestIdentity, CrashEvidence::Presence> CrashEvidence::Presences() const {
+  std::map<RequestIdentity, Presence> presences;
   for (const auto& [leaf, end] : ends_) {
     for (const auto& [identity, attempts] : end.runs) {
-      Seen& request = seen[identity];
-      ++request.leafs;
-      request.attempts.insert(attempts.begin(), attempts.end());
+      Presence& presence = presences[identity];
+      ++presence.leafs;
+      presence.attempts.insert(attempts.begin(), attempts.end());
     }
   }
+  return presences;
+}
+
+std::set<RequestIdentity> CrashEvidence::Suspects() const {
   std::set<RequestIdentity> suspects;
-  for (const auto& [identity, request] : seen) {
-    const bool often =
-        request.leafs >= options_.leafs && request.attempts.size() >= options_.attempts;
-    if (often || offenders.contains(identity)) {
+  for (const auto& [identity, presence] : Presences()) {
+    if (presence.leafs >= options_.leafs) {
       suspects.insert(identity);
     }
   }
   return suspects;
 }
 
+std::set<RequestIdentity> CrashEvidence::Accused(const std::set<RequestIdentity>& offenders) const {
+  std::set<RequestIdentity> accused;
+  for (const auto& [identity, presence] : Presences()) {
+    const bool often =
+        presence.leafs >= options_.leafs && presence.attempts.size() >= options_.attempts;
+    if (often || offenders.contains(identity)) {
+      accused.insert(identity);
+    }
+  }
+  return accused;
+}
+
 std::vector<Verdict> CrashEvidence::Guilty(const std::set<RequestIdentity>& offenders) const {
-  std::set<RequestIdentity> suspects = Suspects(offenders);
+  std::set<RequestIdentity> accused = Accused(offenders);
   LeafEnds unexplained;
   for (const auto& [leaf, end] : ends_) {
     unexplained[leaf] = &end;
@@ -123,7 +132,7 @@
   std::vector<Verdict> guilty;
   while (true) {
     std::optional<Verdict> worst;
-    for (const RequestIdentity& identity : suspects) {
+    for (const RequestIdentity& identity : accused) {
       const Verdict verdict = Judge(identity, unexplained);
       const bool worse = !worst.has_value() || verdict.leafs > worst->leafs;
       if (worse && Suffices(verdict, offenders)) {
@@ -134,7 +143,7 @@
       return guilty;
     }
     guilty.push_back(*worst);
-    suspects.erase(worst->identity);
+    accused.erase(worst->identity);
     std::erase_if(unexplained,
                   [&](const auto& item) { return item.second->runs.contains(worst->identity); });
   }
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -51,6 +51,8 @@
 
   /// @param offenders requests that were found guilty before: one more leaf is enough.
   std::vector<Verdict> Guilty(const std::set<RequestIdentity>& offenders) const;
+  /// Requests that were at enough leafs that ended, in however few attempts: they may be guilty.
+  std::set<RequestIdentity> Suspects() const;
   /// Whether the request has succeeded somewhere after it was last seen to lose a run.
   bool HasSucceeded(const RequestIdentity& identity) const { return succeeded_.contains(identity); }
   /// Counts changes of what is known.
@@ -68,8 +70,14 @@
   using LeafEnds = std::map<std::string, const LeafEnd*>;
 
   void NoteLost(Timestamp now, const wire::LostRun& run);
-  /// Requests that were at enough leafs, in enough attempts, before anything is explained.
-  std::set<RequestIdentity> Suspects(const std::set<RequestIdentity>& offenders) const;
+  /// What one request was there for.
+  struct Presence {
+    size_t leafs = 0;
+    std::set<uint64_t> attempts;
+  };
+  std::map<RequestIdentity, Presence> Presences() const;
+  /// Requests that may be guilty, before any end is put down to another one.
+  std::set<RequestIdentity> Accused(const std::set<RequestIdentity>& offenders) const;
   Verdict Judge(const RequestIdentity& identity, const LeafEnds& unexplained) const;
   bool Suffices(const Verdict& verdict, const std::set<RequestIdentity>& offenders) const;
 
--- a/src/quarantine/run_witness.cc
+++ b/src/quarantine/run_witness.cc
@@ -45,11 +45,34 @@
     Report().answering.push_back(run.leaf);
     lost_at_.erase(lost);
   }
-  const auto suspect = suspects_.find(run.identity);
-  if (succeeded && suspect != suspects_.end() && !suspect->second.harmless) {
+  if (succeeded) {
+    NoteSuccess(run.identity);
+  }
+}
+
+void RunWitness::NoteSuccess(const RequestIdentity& identity) {
+  const bool warned_of = warned_of_.erase(identity) > 0;
+  const auto suspect = suspects_.find(identity);
+  const bool suspected = suspect != suspects_.end() && !suspect->second.harmless;
+  if (suspected) {
     suspect->second.harmless = true;
     suspect->second.leafs.clear();
-    Report().succeeded.push_back(run.identity);
+  }
+  if (suspected || warned_of) {
+    Report().succeeded.push_back(identity);
+  }
+}
+
+void RunWitness::OnWarned(Timestamp now, const std::vector<RequestIdentity>& requests) {
+  std::erase_if(warned_of_,
+                [&](const auto& item) { return now - item.second >= options_.warning; });
+  for (const RequestIdentity& request : requests) {
+    const auto suspect = suspects_.find(request);
+    if (suspect != suspects_.end() && suspect->second.harmless) {
+      Report().succeeded.push_back(request);
+    } else if (warned_of_.size() < options_.most_suspects) {
+      warned_of_[request] = now;
+    }
   }
 }
 
@@ -62,7 +85,11 @@
   }
 }
 
-bool RunWitness::IsSuspect(const RequestIdentity& identity) const {
+bool RunWitness::IsSuspect(Timestamp now, const RequestIdentity& identity) const {
+  const auto warning = warned_of_.find(identity);
+  if (warning != warned_of_.end() && now - warning->second < options_.warning) {
+    return true;
+  }
   const auto suspect = suspects_.find(identity);
   return suspect != suspects_.end() && suspect->second.leafs.size() >= options_.suspicious_leafs;
 }
--- a/src/quarantine/run_witness.h
+++ b/src/quarantine/run_witness.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "common/request_identity.h"
 #include "common/types.h"
@@ -20,6 +21,8 @@
 struct WitnessOptions {
   /// What was seen is forgotten after this.
   Duration memory = Seconds(600);
+  /// A warning counts for so long: it may be of a request that was merely there.
+  Duration warning = Seconds(60);
   /// Requests and leafs that are remembered; the oldest are forgotten first.
   size_t most_suspects = 512;
   size_t most_leafs = 4096;
@@ -52,8 +55,11 @@
   /// told of again.
   void OnQuarantined(const std::set<RequestIdentity>& requests);
 
+  /// Control warns of these requests: others have seen them lose runs.
+  void OnWarned(Timestamp now, const std::vector<RequestIdentity>& requests);
+
   /// Whether the request should be tried at one leaf before it goes to many.
-  bool IsSuspect(const RequestIdentity& identity) const;
+  bool IsSuspect(Timestamp now, const RequestIdentity& identity) const;
   /// @return what control has not been told yet, if anything.
   std::optional<wire::RunReport> TakeReport();
   bool has_report() const { return report_.has_value(); }
@@ -68,12 +74,15 @@
 
   void NoteLost(Timestamp now, const Run& run);
   void NoteAnswer(const Run& run, bool succeeded);
+  void NoteSuccess(const RequestIdentity& identity);
   void Forget(Timestamp now);
   wire::RunReport& Report();
 
   WitnessOptions options_;
   std::unordered_map<SubRequestId, Run> runs_;
   std::map<RequestIdentity, Suspect> suspects_;
+  /// When control warned of each request last.
+  std::map<RequestIdentity, Timestamp> warned_of_;
   /// When a run was lost last, by leaf.
   std::map<std::string, Timestamp> lost_at_;
   std::optional<wire::RunReport> report_;
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/json.h"
+#include "common/request_identity.h"
 #include "common/result_code.h"
 #include "common/types.h"
 #include "query/leaf_payload.h"
@@ -131,6 +132,8 @@
   std::string service;
   std::string query;
   std::string request_class;
+  /// What is asked for and for whom: the same for each attempt.
+  RequestIdentity identity;
   /// Zero: the policy's own deadline.
   Duration deadline{};
   std::string idempotency_key;
--- a/src/server/control_log.h
+++ b/src/server/control_log.h
@@ -5,7 +5,6 @@
 
 #include "control/control_server.h"
 #include "control/discovery_server.h"
-#include "control/quarantine_keeper.h"
 
 namespace pumicedyke::server {
 
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -99,7 +99,7 @@
   page.Gauge("pumicedyke_control_quarantine", "Requests that are stopped or on parole.",
              static_cast<double>(server_->state().config().quarantine().size()));
   page.Gauge("pumicedyke_control_ended_leafs", "Leafs at which runs were lost, of late.",
-             static_cast<double>(quarantine_.evidence().leafs()));
+             static_cast<double>(server_->evidence().leafs()));
   page.AddProcess();
   return page.Text();
 }
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -332,7 +332,6 @@
   discovery_->SetControlAddresses(std::move(addresses));
   discovery_->Tick(now, server_->IsCurrent(now));
   CommitLeafs(now);
-  KeepQuarantine(now);
   CarryOut();
   log_.OnState(now, *server_, *discovery_);
   if (stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty())) {
@@ -359,29 +358,6 @@
   }
 }
 
-void ControlProcess::KeepQuarantine(Timestamp now) {
-  if (!server_->IsCurrent(now) || stop_.started()) {
-    return;
-  }
-  const bool leads = server_->raft().role() == consensus::Role::kLeader;
-  const std::optional<control::QuarantineProposal> proposal =
-      quarantine_.Propose(now, server_->state().config(), leads);
-  if (!proposal.has_value()) {
-    return;
-  }
-  log_.OnQuarantineProposal(*proposal);
-  server_->Submit(now, Await([this](const control::OperatorReply&) { quarantine_.OnAnswer(); }),
-                  proposal->change);
-}
-
-void ControlProcess::OnRunReport(Timestamp now, const wire::Envelope& envelope) {
-  auto report = std::get<wire::RunReport>(envelope.body);
-  quarantine_.OnReport(now, report);
-  if (!std::exchange(report.relayed, true)) {
-    server_->RelayToLeader(std::move(report));
-  }
-}
-
 void ControlProcess::CarryOut() {
   control::ControlOutput output = server_->TakeOutput();
   for (const control::PeerMessage& message : output.peers) {
@@ -393,6 +369,9 @@
   for (const control::SessionMessage& message : discovery_->TakeMessages()) {
     SendToSessions(message);
   }
+  for (const control::QuarantineProposal& proposal : output.quarantine) {
+    ControlLog::OnQuarantineProposal(proposal);
+  }
   for (const control::SessionId session : output.closed_sessions) {
     frames_->CloseSession(session);
   }
@@ -440,11 +419,6 @@
     CarryOut();
     return;
   }
-  if (std::holds_alternative<wire::RunReport>(envelope.body)) {
-    OnRunReport(now, envelope);
-    CarryOut();
-    return;
-  }
   const bool from_node = std::holds_alternative<wire::NodeHello>(envelope.body) ||
                          std::holds_alternative<wire::LedgerRequest>(envelope.body);
   server_->SetWallClock(net::EventLoop::WallMilliseconds());
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -12,7 +12,6 @@
 #include "control/dialect.h"
 #include "control/discovery_server.h"
 #include "control/leaf_committer.h"
-#include "control/quarantine_keeper.h"
 #include "http/http_server.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
@@ -112,10 +111,6 @@
   /// Remembers who waits for a reply. @return the ticket to ask with.
   control::TicketId Await(ReplyCb on_reply);
   void CommitLeafs(Timestamp now);
-  /// Proposes to stop requests that end leafs, and to let them go again.
-  void KeepQuarantine(Timestamp now);
-  /// Notes what a gateway or node saw, and passes it on to the leader if nobody else does.
-  void OnRunReport(Timestamp now, const wire::Envelope& envelope);
   absl::Status ListenForDialect();
   void OnDialect(const http::HttpRequest& request, http::Responder responder);
   void Run(control::PutDocument command, http::Responder responder);
@@ -150,7 +145,6 @@
   const control::Dialect* dialect_;
   std::unique_ptr<control::DiscoveryServer> discovery_;
   std::unique_ptr<control::LeafCommitter> leaf_committer_;
-  control::QuarantineKeeper quarantine_{control::QuarantineOptions{}};
   std::unique_ptr<http::HttpServer> service_http_;
   std::unique_ptr<http::HttpServer> directory_http_;
   std::map<control::TicketId, ReplyCb> waiting_;
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -15,6 +15,16 @@
 namespace pumicedyke::server {
 namespace {
 
+/// What is asked for, and by whom. Which attempt it is, its deadline and its key don't matter.
+RequestIdentity IdentityOf(const query::CallerRequest& request, const std::string& caller) {
+  std::string shards;
+  for (const ShardId& shard : request.shards) {
+    shards += std::to_string(shard.value) + ",";
+  }
+  return pumicedyke::IdentityOf({request.service, request.query, request.request_class, shards,
+                                 std::to_string(request.limit), caller});
+}
+
 constexpr Duration kHealthInterval = Milliseconds(1000);
 constexpr Duration kPlatformInterval = Milliseconds(1000);
 constexpr Duration kProbeTimeout = Milliseconds(800);
@@ -166,6 +176,7 @@
         response.ok() && reply.ok() && reply->id == request.id && reply->origin == request.origin;
     if (!usable) {
       reply = FailedReply(request, response.not_sent);
+      reply->connection_lost = response.connection_lost;
     }
     reply->leaf = request.leaf;
     server_->OnLeafReply(net::EventLoop::Now(), *reply);
@@ -242,6 +253,7 @@
     responder.Send(ErrorResponse(CodeOf(parsed.status()), std::string(parsed.status().message())));
     return;
   }
+  parsed->identity = IdentityOf(*parsed, request.authorization);
   const RequestId id{next_request_++};
   waiting_.emplace(id, std::move(responder));
   server_->OnCallerRequest(net::EventLoop::Now(), id, *parsed);
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -416,6 +416,29 @@
   return answer;
 }
 
+pumicedyke_wire_RequestIdentity* FillAll(const std::vector<RequestIdentity>& identities,
+                                         Arena* arena, pb_size_t* count) {
+  *count = static_cast<pb_size_t>(identities.size());
+  auto* list = arena->Array<pumicedyke_wire_RequestIdentity>(identities.size());
+  std::transform(identities.begin(), identities.end(), list,
+                 [](const RequestIdentity& identity) { return Fill(identity); });
+  return list;
+}
+
+std::vector<RequestIdentity> ReadAll(const pumicedyke_wire_RequestIdentity* list, pb_size_t count) {
+  std::vector<RequestIdentity> identities;
+  for (pb_size_t i = 0; i < count; ++i) {
+    identities.push_back(Read(list[i]));
+  }
+  return identities;
+}
+
+void Fill(const SuspectNotice& notice, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_suspect_notice_tag;
+  pumicedyke_wire_SuspectNotice& out = envelope->body.suspect_notice;
+  out.requests = FillAll(notice.requests, arena, &out.requests_count);
+}
+
 void Fill(const RunReport& report, Arena* arena, pumicedyke_wire_Envelope* envelope) {
   envelope->which_body = pumicedyke_wire_Envelope_run_report_tag;
   pumicedyke_wire_RunReport& out = envelope->body.run_report;
@@ -426,11 +449,7 @@
     out.lost[i] = {true, Fill(run.identity), run.attempt, arena->String(run.leaf),
                    arena->String(run.service)};
   }
-  out.succeeded_count = static_cast<pb_size_t>(report.succeeded.size());
-  out.succeeded = arena->Array<pumicedyke_wire_RequestIdentity>(report.succeeded.size());
-  for (size_t i = 0; i < report.succeeded.size(); ++i) {
-    out.succeeded[i] = Fill(report.succeeded[i]);
-  }
+  out.succeeded = FillAll(report.succeeded, arena, &out.succeeded_count);
   out.answering = arena->Strings(report.answering, &out.answering_count);
   out.relayed = report.relayed;
 }
@@ -441,9 +460,7 @@
     const pumicedyke_wire_LostRun& run = in.lost[i];
     report.lost.push_back({Read(run.identity), run.attempt, Text(run.leaf), Text(run.service)});
   }
-  for (pb_size_t i = 0; i < in.succeeded_count; ++i) {
-    report.succeeded.push_back(Read(in.succeeded[i]));
-  }
+  report.succeeded = ReadAll(in.succeeded, in.succeeded_count);
   report.answering = Texts(in.answering, in.answering_count);
   report.relayed = in.relayed;
   return report;
@@ -453,6 +470,9 @@
   switch (in.which_body) {
     case pumicedyke_wire_Envelope_raft_tag:
       return Body(Read(in.body.raft));
+    case pumicedyke_wire_Envelope_suspect_notice_tag:
+      return Body(SuspectNotice{
+          ReadAll(in.body.suspect_notice.requests, in.body.suspect_notice.requests_count)});
     case pumicedyke_wire_Envelope_run_report_tag:
       return Body(Read(in.body.run_report));
     case pumicedyke_wire_Envelope_hello_tag:
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -303,6 +303,12 @@
   bool relayed = false;
 };
 
+/// Control warns of requests that were at several leafs as these ended, and succeeded nowhere
+/// since: whoever gets one tries it at one leaf first.
+struct SuspectNotice {
+  std::vector<RequestIdentity> requests;
+};
+
 /// What changed among the leafs that report to one control machine.
 struct LeafFeed {
   /// Zero: `records` is everything; else what changed since that version.
@@ -322,10 +328,10 @@
   bool current = false;
 };
 
-using Body =
-    std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply, JoinRequest,
-                 Forwarded, ForwardedReply, GatewayPresence, LeafFeed, JoinReply, GatewayFeed,
-                 PartialQuery, PartialCancel, PartialAnswer, PartialConfirm, RunReport>;
+using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
+                          JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed,
+                          JoinReply, GatewayFeed, PartialQuery, PartialCancel, PartialAnswer,
+                          PartialConfirm, RunReport, SuspectNotice>;
 
 struct Envelope {
   std::string cluster;
--- a/test/quarantine/run_witness_test.cc
+++ b/test/quarantine/run_witness_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(LeafThatAnswersLaterIsToldOf);
   CPPUNIT_TEST(StoppedRequestThatSucceededHereIsToldOfAgain);
   CPPUNIT_TEST(RunsOfUnknownRequestsAreNotWatched);
+  CPPUNIT_TEST(WarningCountsUntilTheRequestSucceedsOrForAWhile);
   CPPUNIT_TEST(SuspectsAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -68,12 +69,12 @@
     for (const char* leaf : {"a", "b", "b"}) {
       watched.Lose(watched.Send(leaf));
     }
-    CPPUNIT_ASSERT(!watched.witness.IsSuspect(kRequest));
+    CPPUNIT_ASSERT(!watched.witness.IsSuspect(watched.now, kRequest));
     watched.Lose(watched.Send("c"));
-    CPPUNIT_ASSERT(watched.witness.IsSuspect(kRequest));
-    CPPUNIT_ASSERT(!watched.witness.IsSuspect(IdentityOf({"another"})));
+    CPPUNIT_ASSERT(watched.witness.IsSuspect(watched.now, kRequest));
+    CPPUNIT_ASSERT(!watched.witness.IsSuspect(watched.now, IdentityOf({"another"})));
     watched.Answer(watched.Send("d"), query::LeafStatus::kOk);
-    CPPUNIT_ASSERT(!watched.witness.IsSuspect(kRequest));
+    CPPUNIT_ASSERT(!watched.witness.IsSuspect(watched.now, kRequest));
     CPPUNIT_ASSERT(watched.witness.TakeReport()->succeeded == std::vector{kRequest});
   }
 
@@ -109,6 +110,17 @@
     CPPUNIT_ASSERT(!watched.witness.has_report());
   }
 
+  /// What one gateway has seen the next one knows.
+  void WarningCountsUntilTheRequestSucceedsOrForAWhile() {
+    Watched watched;
+    watched.witness.OnWarned(watched.now, {kRequest});
+    CPPUNIT_ASSERT(watched.witness.IsSuspect(watched.now, kRequest));
+    CPPUNIT_ASSERT(!watched.witness.IsSuspect(watched.now + WitnessOptions{}.warning, kRequest));
+    watched.Answer(watched.Send("a"), query::LeafStatus::kOk);
+    CPPUNIT_ASSERT(!watched.witness.IsSuspect(watched.now, kRequest));
+    CPPUNIT_ASSERT(watched.witness.TakeReport()->succeeded == std::vector{kRequest});
+  }
+
   void SuspectsAreBounded() {
     Watched watched;
     for (const char* leaf : {"a", "b", "c"}) {
@@ -117,7 +129,7 @@
     for (size_t i = 0; i < WitnessOptions{}.most_suspects; ++i) {
       watched.Lose(watched.Send("a", IdentityOf({"other", std::to_string(i)})));
     }
-    CPPUNIT_ASSERT(!watched.witness.IsSuspect(kRequest));
+    CPPUNIT_ASSERT(!watched.witness.IsSuspect(watched.now, kRequest));
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RunWitnessTest);
