--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -46,7 +46,7 @@
   bool reply_id_check = true;
   bool ledger_before_dispatch = true;
   bool leaving_mark = true;
-  quarantine::WitnessOptions witness;
+  quarantine::WitnessOptions witness{.names_are_lives = false};
   /// Used by benchmarks in place of every service's own policy.
   std::optional<policy::QueryPlan> plan_override;
 };
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -1,6 +1,7 @@
 #include "quarantine/crash_evidence.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 
 namespace pumicedyke::quarantine {
@@ -14,19 +15,14 @@
     succeeded_[identity] = now;
   }
   for (const std::string& leaf : report.answering) {
-    ends_.erase(leaf);
+    ends_.erase(ends_.lower_bound({leaf, 0}), ends_.upper_bound({leaf, next_end_}));
   }
   ++version_;
 }
 
 void CrashEvidence::NoteLost(Timestamp now, const wire::LostRun& run) {
   succeeded_.erase(run.identity);
-  const auto [it, inserted] = ends_.try_emplace(run.leaf);
-  if (inserted) {
-    it->second.service = run.service;
-    it->second.at = now;
-  }
-  auto& runs = it->second.runs;
+  auto& runs = EndOf(now, run).runs;
   if (runs.size() < options_.most_runs_per_leaf || runs.contains(run.identity)) {
     runs[run.identity].insert(run.attempt);
   }
@@ -37,6 +33,21 @@
   }
 }
 
+CrashEvidence::LeafEnd& CrashEvidence::EndOf(Timestamp now, const wire::LostRun& run) {
+  const auto after = ends_.upper_bound({run.leaf, next_end_});
+  if (after != ends_.begin()) {
+    const auto last = std::prev(after);
+    const bool same = last->first.first == run.leaf && now - last->second.at < options_.one_end;
+    if (same) {
+      return last->second;
+    }
+  }
+  LeafEnd& end = ends_[{run.leaf, next_end_++}];
+  end.service = run.service;
+  end.at = now;
+  return end;
+}
+
 void CrashEvidence::Acquit(const RequestIdentity& identity) {
   for (auto& [leaf, end] : ends_) {
     end.runs.erase(identity);
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/request_identity.h"
@@ -22,6 +23,9 @@
   /// Leafs that are remembered, the oldest are forgotten first; and requests at each of them.
   size_t most_leafs = 8192;
   size_t most_runs_per_leaf = 64;
+  /// Runs that are lost at one leaf within this time are lost by one end of it. Later it has ended
+  /// again: leafs with names of their own come back under them.
+  Duration one_end = Seconds(1);
   /// A request is guilty if this many leafs ended while they had it ...
   size_t leafs = 3;
   /// ... in this many attempts of clients: two may be one client's bad luck in a crash that has
@@ -67,9 +71,13 @@
     /// Attempts, by request.
     std::map<RequestIdentity, std::set<uint64_t>> runs;
   };
-  using LeafEnds = std::map<std::string, const LeafEnd*>;
+  /// A leaf and the number of its end.
+  using EndKey = std::pair<std::string, uint64_t>;
+  using LeafEnds = std::map<EndKey, const LeafEnd*>;
 
   void NoteLost(Timestamp now, const wire::LostRun& run);
+  /// The end of the leaf that is happening now.
+  LeafEnd& EndOf(Timestamp now, const wire::LostRun& run);
   /// What one request was there for.
   struct Presence {
     size_t leafs = 0;
@@ -82,7 +90,8 @@
   bool Suffices(const Verdict& verdict, const std::set<RequestIdentity>& offenders) const;
 
   EvidenceOptions options_;
-  std::map<std::string, LeafEnd> ends_;
+  std::map<EndKey, LeafEnd> ends_;
+  uint64_t next_end_ = 1;
   std::map<RequestIdentity, Timestamp> succeeded_;
   uint64_t version_ = 0;
 };
--- a/src/quarantine/run_witness.cc
+++ b/src/quarantine/run_witness.cc
@@ -41,7 +41,8 @@
 
 void RunWitness::NoteAnswer(const Run& run, bool succeeded) {
   const auto lost = lost_at_.find(run.leaf);
-  if (lost != lost_at_.end() && run.sent > lost->second) {
+  const bool lives = options_.names_are_lives && lost != lost_at_.end() && run.sent > lost->second;
+  if (lives) {
     Report().answering.push_back(run.leaf);
     lost_at_.erase(lost);
   }
--- a/src/quarantine/run_witness.h
+++ b/src/quarantine/run_witness.h
@@ -28,6 +28,8 @@
   size_t most_leafs = 4096;
   /// A request that lost runs at this many leafs and never succeeded is tried at one leaf first.
   size_t suspicious_leafs = 3;
+  /// A leaf's name is that of one life of it: one that answers again has not ended.
+  bool names_are_lives = true;
 };
 
 /// One sub-request at a leaf.
--- a/src/sim/actors.cc
+++ b/src/sim/actors.cc
@@ -57,6 +57,30 @@
   });
 }
 
+// ---- A caller whose request ends leafs ----------------------------------------------------------
+
+query::CallerRequest FatalCaller::Request() {
+  query::CallerRequest request;
+  request.service = kReadService;
+  request.query = kFatalQuery;
+  request.request_class = "full";
+  return request;
+}
+
+void FatalCaller::Start(Timestamp end) {
+  end_ = end;
+  Loop();
+}
+
+void FatalCaller::Loop() {
+  if (world_->clock.now() >= end_) {
+    return;
+  }
+  const auto node = static_cast<size_t>(world_->Between(0, 1));
+  world_->Ask(node, Request(), [](const query::Answer&) {});
+  world_->clock.After(Milliseconds(world_->Between(150, 600)), [this] { Loop(); });
+}
+
 void Caller::FollowContinuation(const query::CallerRequest& request, const query::Answer& answer) {
   const absl::StatusOr<query::Continuation> token = query::DecodeContinuation(answer.continuation);
   if (!token.ok()) {
--- a/src/sim/actors.h
+++ b/src/sim/actors.h
@@ -37,6 +37,20 @@
   Timestamp end_{};
 };
 
+/// Asks again and again for what ends every leaf that runs it, at either node.
+class FatalCaller {
+ public:
+  explicit FatalCaller(World* world) : world_(world) {}
+  void Start(Timestamp end);
+  static query::CallerRequest Request();
+
+ private:
+  void Loop();
+
+  World* world_;
+  Timestamp end_{};
+};
+
 struct OperatorOptions {
   bool races = false;
   bool repartitions = false;
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -67,6 +67,7 @@
   options.raft.lease_check = !disabled_.contains("lease-check");
   options.state.remember_submissions = !disabled_.contains("submission-id");
   options.state.compare_and_set = !disabled_.contains("compare-and-set");
+  options.stop_fatal_requests = !disabled_.contains("quarantine");
   options.catch_up_before_vote = !disabled_.contains("catch-up-before-vote");
   storage::RecoveredState recovered = storage_->Recover().value();
   server_ = std::make_unique<control::ControlServer>(
--- a/src/sim/history.cc
+++ b/src/sim/history.cc
@@ -148,6 +148,37 @@
   }
 }
 
+void History::OnFatalRun(Timestamp time, const query::LeafRequest& request) {
+  constexpr size_t kEnds = 3;
+  constexpr Duration kWordEverywhere = Seconds(4);
+  // Three more attempts, each at one leaf and another one for lack of its answer.
+  constexpr size_t kMostLateRuns = 6;
+  const size_t ends = ++fatal_ends_[request.query];
+  Trace(time, absl::StrCat(request.query, " ends ", request.leaf, ", leaf number ", ends));
+  if (ends == kEnds) {
+    stopped_from_[request.query] = time + kWordEverywhere;
+  }
+  const auto from = stopped_from_.find(request.query);
+  if (from == stopped_from_.end() || time < from->second) {
+    return;
+  }
+  if (++late_fatal_runs_ == kMostLateRuns + 1) {
+    Fail(Invariant::kFatalRequestsStopped, time,
+         absl::StrCat(request.query, " still reaches leafs, ", ends, " have ended"));
+  }
+}
+
+void History::CheckQuarantine(Timestamp time, const std::string& node,
+                              const std::map<RequestIdentity, config::QuarantineRecord>& stopped,
+                              const RequestIdentity& fatal) {
+  for (const auto& [request, record] : stopped) {
+    if (request != fatal) {
+      Fail(Invariant::kFatalRequestsStopped, time,
+           absl::StrCat(node, " stops a request that harms nobody: ", ToText(request)));
+    }
+  }
+}
+
 void History::CheckRuns(Timestamp time,
                         const std::map<std::string, const emulator::LeafModel*>& leafs) {
   std::map<std::string, std::vector<const emulator::RunRecord*>> runs_of_query;
--- a/src/sim/history.h
+++ b/src/sim/history.h
@@ -55,6 +55,12 @@
   void OnLeafLeaving(const std::string& leaf, Timestamp time);
   void OnLeafBack(const std::string& leaf) { leaving_since_.erase(leaf); }
   void OnLeafReceived(Timestamp time, const std::string& leaf);
+  /// A request that ends leafs has reached one.
+  void OnFatalRun(Timestamp time, const query::LeafRequest& request);
+  /// After everything healed: nothing is stopped but what is fatal.
+  void CheckQuarantine(Timestamp time, const std::string& node,
+                       const std::map<RequestIdentity, config::QuarantineRecord>& stopped,
+                       const RequestIdentity& fatal);
   void CheckRuns(Timestamp time, const std::map<std::string, const emulator::LeafModel*>& leafs);
 
   // Operators and nodes.
@@ -102,6 +108,11 @@
   std::vector<NotRunClaim> not_run_;
   std::map<std::string, Timestamp> leaving_since_;
   uint64_t complete_answers_ = 0;
+  /// Since when a fatal query should be stopped: it has ended the third leaf, and the word had
+  /// time.
+  std::map<std::string, size_t> fatal_ends_;
+  std::map<std::string, Timestamp> stopped_from_;
+  size_t late_fatal_runs_ = 0;
 
   struct Accepted {
     config::Change change;
--- a/src/sim/mechanisms.cc
+++ b/src/sim/mechanisms.cc
@@ -6,9 +6,10 @@
 namespace pumicedyke::sim {
 
 std::string_view InvariantName(Invariant invariant) {
-  constexpr std::array<std::string_view, 8> kNames = {
-      "one-snapshot", "truthful-coverage",    "own-complete-answer", "not-run-is-proof",
-      "at-most-once", "leaving-gets-no-work", "planned-stop",        "config-in-force"};
+  constexpr std::array<std::string_view, 9> kNames = {
+      "one-snapshot",     "truthful-coverage", "own-complete-answer",
+      "not-run-is-proof", "at-most-once",      "leaving-gets-no-work",
+      "planned-stop",     "config-in-force",   "fatal-requests-stopped"};
   return kNames.at(static_cast<size_t>(invariant));
 }
 
@@ -43,6 +44,8 @@
        "of two changes on one revision one wins"},
       {"monotone-version", kConfigInForce, "cut-leader",
        "a node never goes back to an older configuration"},
+      {"quarantine", kFatalRequestsStopped, "fatal-query",
+       "what ended leafs in several attempts is stopped by the whole fleet"},
   };
   return *mechanisms;
 }
--- a/src/sim/mechanisms.h
+++ b/src/sim/mechanisms.h
@@ -18,6 +18,7 @@
   kLeavingGetsNoWork,
   kPlannedStop,
   kConfigInForce,
+  kFatalRequestsStopped,
 };
 std::string_view InvariantName(Invariant invariant);
 
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -170,6 +170,18 @@
        .faults = {kCutLeader, kFreezeLeader, kKillNode},
        .fault_interval = Milliseconds(800),
        .skewed_clocks = true},
+      {.name = "fatal-query",
+       .what = "a query that ends every leaf that runs it comes again and again, at either node",
+       .faults = {kKillLeaf, kFreezeLeaf, kKillNode},
+       .fault_interval = Milliseconds(1500),
+       .fatal_caller = true,
+       .length = Seconds(12)},
+      {.name = "fatal-query-control",
+       .what = "the same, while control machines crash and are cut off",
+       .faults = {kKillLeaf, kKillNode, kKillControl, kCutLeader, kFreezeLeader},
+       .fault_interval = Milliseconds(1800),
+       .fatal_caller = true,
+       .length = Seconds(16)},
       {.name = "storm",
        .what = "all of it at once, and twice",
        .faults = {kKillLeaf, kFreezeLeaf, kLeaveLeaf, kKillNode, kFreezeNode, kPlannedStopNode,
@@ -214,6 +226,10 @@
     callers.push_back(std::make_unique<Caller>(&world, node, absl::StrCat("caller-", node)));
     callers.back()->Start(end);
   }
+  FatalCaller fatal_caller(&world);
+  if (scenario.fatal_caller) {
+    fatal_caller.Start(end);
+  }
   Operators operators(&world, scenario.operators);
   operators.Start(end);
   Nemesis nemesis(&world, scenario.faults, scenario.fault_interval);
@@ -240,6 +256,9 @@
     if (!node->alive()) {
       continue;  // The probe above has said so.
     }
+    world.history.CheckQuarantine(world.clock.now(), node->name(),
+                                  node->server()->config().quarantine(),
+                                  IdentityOf(FatalCaller::Request()));
     world.history.CheckFinalConfig(world.clock.now(), node->name(),
                                    node->server()->config().services());
   }
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -24,6 +24,8 @@
   size_t control_machines = kFounders;
   /// Changes submitted one after the other before the faults start.
   int changes_first = 0;
+  /// Somebody asks again and again for what ends every leaf that runs it.
+  bool fatal_caller = false;
   /// Load and faults end here, counted from the end of the boot.
   Duration length = Seconds(7);
 };
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -33,6 +33,10 @@
 
 }  // namespace
 
+RequestIdentity IdentityOf(const query::CallerRequest& request) {
+  return pumicedyke::IdentityOf({request.service, request.query, request.request_class});
+}
+
 World::World(const WorldOptions& options)
     : network(&clock, options.seed * 7919 + 1),
       history(kResultsPerShard),
@@ -287,7 +291,9 @@
     const AnswerCb callback = on_answer;
     callback(answer);
   };
-  node->Ask(RequestId{id}, request);
+  query::CallerRequest named = request;
+  named.identity = IdentityOf(request);
+  node->Ask(RequestId{id}, named);
   return true;
 }
 
@@ -306,7 +312,11 @@
       return;
     }
     history.OnLeafReceived(clock.now(), request.leaf);
-    leaf->Submit(request);
+    if (request.query.starts_with(kFatalQuery)) {
+      EndLeaf(request);
+    } else {
+      leaf->Submit(request);
+    }
   });
   // A connection on which nothing comes back is given up.
   clock.After(request.budget + kLateReply, [this, node, request, key] {
@@ -316,6 +326,12 @@
   });
 }
 
+void World::EndLeaf(const query::LeafRequest& request) {
+  history.OnFatalRun(clock.now(), request);
+  KillLeaf(request.leaf);
+  clock.After(Milliseconds(Between(500, 2500)), [this, leaf = request.leaf] { StartLeaf(leaf); });
+}
+
 void World::ReplyToNode(const query::LeafReply& reply) {
   const PendingKey key{reply.origin, reply.id};
   const auto pending = pending_.find(key);
@@ -336,7 +352,9 @@
       return false;
     }
     clock.After(kRefusedConnection, [node = pending.node, request = pending.request] {
-      node->Reply(FailedReply(request, query::LeafStatus::kFailed));
+      query::LeafReply reply = FailedReply(request, query::LeafStatus::kFailed);
+      reply.connection_lost = true;
+      node->Reply(reply);
     });
     return true;
   });
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -25,6 +25,8 @@
 inline constexpr char kJobService[] = "reprint";
 
 inline constexpr size_t kFounders = 3;
+/// A query that begins so ends every leaf that begins to run it.
+inline constexpr char kFatalQuery[] = "fatal";
 
 struct WorldOptions {
   uint64_t seed = 1;
@@ -35,6 +37,9 @@
   size_t control_machines = kFounders;
 };
 
+/// What names a request in the simulator: a caller has no name of its own there.
+RequestIdentity IdentityOf(const query::CallerRequest& request);
+
 class World {
  public:
   explicit World(const WorldOptions& options);
@@ -105,6 +110,8 @@
   void HoldEverywhere(const std::string& service, uint64_t snapshot);
 
   void ToLeaf(NodeHost* node, const query::LeafRequest& request);
+  /// The leaf ends on account of a request, and comes back.
+  void EndLeaf(const query::LeafRequest& request);
   void ReplyToNode(const query::LeafReply& reply);
   void FailPending(const std::string& leaf);
   void ToControl(NodeHost* node, size_t control, const wire::Envelope& envelope);
--- a/test/quarantine/crash_evidence_test.cc
+++ b/test/quarantine/crash_evidence_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(BystanderOfEveryEndLosesToWhoeverWasThereMoreOften);
   CPPUNIT_TEST(SuccessAcquitsAndLaterLossesCountAnew);
   CPPUNIT_TEST(LeafThatAnswersHasNotEnded);
+  CPPUNIT_TEST(LeafThatComesBackUnderItsNameEndsAgain);
   CPPUNIT_TEST(CrashLoopWithoutCommonRequestBlamesNobody);
   CPPUNIT_TEST(TwoFatalRequestsAreBothFound);
   CPPUNIT_TEST(OffenderIsStoppedAtTheNextLeaf);
@@ -129,6 +130,18 @@
     CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
   }
 
+  void LeafThatComesBackUnderItsNameEndsAgain() {
+    Trial trial;
+    for (uint64_t attempt = 1; attempt <= 3; ++attempt) {
+      trial.End("a", {kFatal}, attempt);
+      trial.now += EvidenceOptions{}.one_end;
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, trial.evidence.leafs());
+    CPPUNIT_ASSERT(trial.IsGuilty(kFatal));
+    trial.Answers("a");
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, trial.evidence.leafs());
+  }
+
   /// Leafs end all the time, for a reason of their own, and somebody asks again and again.
   void CrashLoopWithoutCommonRequestBlamesNobody() {
     Trial trial;
@@ -171,6 +184,7 @@
       trial.End("a", {kFatal}, 1);
       trial.End("b", {kFatal}, 1);
       trial.End("c", {kFatal}, 2);
+      trial.now = kStart;
     }
     CPPUNIT_ASSERT(!trial.IsGuilty(kFatal));
     CPPUNIT_ASSERT_EQUAL(size_t{3}, trial.evidence.leafs());
