--- a/src/programs/pumicectl_main.cc
+++ b/src/programs/pumicectl_main.cc
@@ -245,6 +245,11 @@
     std::cout << "zone " << zone << ": "
               << (state.value("evacuated", false) ? "evacuated" : "in use") << "\n";
   }
+  for (const auto& [request, record] : json["quarantine"].items()) {
+    std::cout << "request " << request << ": "
+              << (record.value("stopped", false) ? "stopped" : "on parole") << ", "
+              << record.value("times", 0) << " times\n";
+  }
   for (const Json& leaf : json["leaving"]) {
     std::cout << "leaving: " << leaf.get<std::string>() << "\n";
   }
@@ -319,6 +324,14 @@
   return Submit({{"kind", FLAGS_stop ? "restore_zone" : "evacuate_zone"}, {"zone", arguments[0]}});
 }
 
+int Quarantine(const Arguments& arguments) {
+  return Submit({{"kind", "quarantine_request"}, {"request", arguments[0]}});
+}
+
+int Release(const Arguments& arguments) {
+  return Submit({{"kind", "release_request"}, {"request", arguments[0]}, {"on_parole", false}});
+}
+
 const std::map<std::string, Command>& Commands() {
   static const auto* const commands = new std::map<std::string, Command>{
       {"put-service",
@@ -342,6 +355,10 @@
         [](const Arguments& a) { return Mark("clear_leaving", a[0]); }}},
       {"evacuate",
        {"evacuate [--stop] ZONE", "sends nothing more to the leafs of a zone", 1, &Evacuate}},
+      {"quarantine",
+       {"quarantine IDENTITY", "sends a request (see 'identity' in the logs) to no leaf", 1,
+        &Quarantine}},
+      {"release", {"release IDENTITY", "lets a stopped request go again", 1, &Release}},
       {"status", {"status", "shows the control machines", 0, &ShowStatus}},
       {"config", {"config", "shows the configuration, read from a quorum", 0, &ShowConfig}},
       {"query", {"query SERVICE TEXT", "asks a node (--node)", 2, &Query}},
--- /dev/null
+++ b/test/config/quarantine_test.cc
@@ -0,0 +1,106 @@
+// Stopping and releasing requests, as part of the configuration.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "common/result_code.h"
+#include "config/config_state.h"
+
+namespace pumicedyke::config {
+namespace {
+
+const RequestIdentity kRequest = IdentityOf({"request"});
+
+Change Order(ChangeKind kind, const RequestIdentity& request = kRequest, bool on_parole = false) {
+  Change change;
+  change.kind = kind;
+  change.request = request;
+  change.on_parole = on_parole;
+  return change;
+}
+
+}  // namespace
+
+class QuarantineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuarantineTest);
+  CPPUNIT_TEST(StoppedReleasedAndStoppedAgain);
+  CPPUNIT_TEST(StateSurvivesAndOlderStatesAreRead);
+  CPPUNIT_TEST(ChangesReadBack);
+  CPPUNIT_TEST(BadFieldsAreNamed);
+  CPPUNIT_TEST(NoMoreThanALimitIsStopped);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void StoppedReleasedAndStoppedAgain() {
+    ConfigState state;
+    CPPUNIT_ASSERT(!state.IsSettled(Order(ChangeKind::kQuarantineRequest)));
+    state.Apply(Order(ChangeKind::kQuarantineRequest));
+    CPPUNIT_ASSERT(state.IsQuarantined(kRequest));
+    CPPUNIT_ASSERT(!state.IsQuarantined(IdentityOf({"another"})));
+    CPPUNIT_ASSERT(state.IsSettled(Order(ChangeKind::kQuarantineRequest)));
+    state.Apply(Order(ChangeKind::kReleaseRequest, kRequest, /*on_parole=*/true));
+    CPPUNIT_ASSERT(!state.IsQuarantined(kRequest));
+    CPPUNIT_ASSERT(state.IsSettled(Order(ChangeKind::kReleaseRequest, kRequest, true)));
+    CPPUNIT_ASSERT(!state.IsSettled(Order(ChangeKind::kReleaseRequest)));
+    state.Apply(Order(ChangeKind::kQuarantineRequest));
+    CPPUNIT_ASSERT_EQUAL(2U, state.quarantine().at(kRequest).times);
+    state.Apply(Order(ChangeKind::kReleaseRequest));
+    CPPUNIT_ASSERT(state.quarantine().empty());
+  }
+
+  void StateSurvivesAndOlderStatesAreRead() {
+    ConfigState state;
+    state.Apply(Order(ChangeKind::kQuarantineRequest));
+    state.Apply(Order(ChangeKind::kQuarantineRequest, IdentityOf({"another"})));
+    state.Apply(Order(ChangeKind::kReleaseRequest, IdentityOf({"another"}), true));
+    const auto back = ConfigState::Deserialize(state.Serialize());
+    CPPUNIT_ASSERT(back.ok());
+    CPPUNIT_ASSERT(back->IsQuarantined(kRequest));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, back->quarantine().size());
+    Json older = Json::parse(state.Serialize());
+    older.erase("quarantine");
+    CPPUNIT_ASSERT(ConfigState::Deserialize(older.dump())->quarantine().empty());
+  }
+
+  void ChangesReadBack() {
+    for (const Change& change : {Order(ChangeKind::kQuarantineRequest),
+                                 Order(ChangeKind::kReleaseRequest, kRequest, true)}) {
+      const auto back = ParseChange(Json(change));
+      CPPUNIT_ASSERT(back.ok());
+      CPPUNIT_ASSERT(back->kind == change.kind && back->request == kRequest);
+      CPPUNIT_ASSERT_EQUAL(change.on_parole, back->on_parole);
+    }
+  }
+
+  void BadFieldsAreNamed() {
+    const auto why = [](const Json& json) {
+      return std::string(ParseChange(json).status().message());
+    };
+    const std::string identity = ToText(kRequest);
+    CPPUNIT_ASSERT(why({{"kind", "release_request"}}).find("'request'") != std::string::npos);
+    CPPUNIT_ASSERT(why({{"kind", "quarantine_request"}, {"request", "12"}}).find("'request'") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(why({{"kind", "quarantine_request"}, {"request", std::string(32, '0')}})
+                       .find("'request'") != std::string::npos);
+    CPPUNIT_ASSERT(why({{"kind", "release_request"}, {"request", identity}, {"on_parole", 1}})
+                       .find("'on_parole'") != std::string::npos);
+  }
+
+  /// Who is on parole makes room; who is stopped does not.
+  void NoMoreThanALimitIsStopped() {
+    ConfigState state;
+    const auto nth = [](size_t i) { return IdentityOf({std::to_string(i)}); };
+    for (size_t i = 0; i < kMostQuarantined; ++i) {
+      state.Apply(Order(ChangeKind::kQuarantineRequest, nth(i)));
+    }
+    const Change more = Order(ChangeKind::kQuarantineRequest);
+    CPPUNIT_ASSERT(CodeOf(state.Validate(more)) == ResultCode::kInvalidConfig);
+    state.Apply(Order(ChangeKind::kReleaseRequest, nth(7), true));
+    CPPUNIT_ASSERT(state.Validate(more).ok());
+    state.Apply(more);
+    CPPUNIT_ASSERT_EQUAL(kMostQuarantined, state.quarantine().size());
+    CPPUNIT_ASSERT(state.IsQuarantined(kRequest));
+    CPPUNIT_ASSERT(!state.quarantine().contains(nth(7)));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
+
+}  // namespace pumicedyke::config
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -84,6 +84,23 @@
     change.leaf = leaf;
     Apply(change);
   }
+  void Quarantine(const std::string& target) {
+    config::Change change;
+    change.kind = config::ChangeKind::kQuarantineRequest;
+    change.request = IdentityOf({target});
+    Apply(change);
+  }
+  void Release(const std::string& target) {
+    config::Change change;
+    change.kind = config::ChangeKind::kReleaseRequest;
+    change.request = IdentityOf({target});
+    Apply(change);
+  }
+  /// A control machine warns of a request.
+  void Warn(const std::string& target) {
+    server.OnControlMessage(now, kControl,
+                            {"test", 0, wire::SuspectNotice{{IdentityOf({target})}}});
+  }
   void Evacuate(const std::string& zone) {
     config::Change change;
     change.kind = config::ChangeKind::kEvacuateZone;
@@ -126,6 +143,7 @@
     request->target = target;
     request->host = kHost;
     request->deadline = deadline;
+    request->identity = IdentityOf({target});
     const RequestId id{asked_};
     server.OnRequest(now, id, std::move(request), now - unread);
     Take();
@@ -148,6 +166,17 @@
     server.OnLeafReply(now, reply);
     Take();
   }
+  /// The leaf's connection ends without an answer.
+  void Lose(const LeafSend& send) {
+    query::LeafReply reply;
+    reply.id = send.id;
+    reply.leaf = send.leaf;
+    reply.shard = send.shard;
+    reply.status = query::LeafStatus::kFailed;
+    reply.connection_lost = true;
+    server.OnLeafReply(now, reply);
+    Take();
+  }
   void Pass(Duration time) {
     const Timestamp end = now + time;
     while (now < end) {
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(PartialAnswerSurvives);
   CPPUNIT_TEST(GatewayFeedAndPresenceSurvive);
   CPPUNIT_TEST(GarbageIsRefusedOrHarmless);
+  CPPUNIT_TEST(RunReportsAndNoticesSurvive);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -156,6 +157,29 @@
     cut.resize(cut.size() / 2);
     CPPUNIT_ASSERT(!DecodeEnvelope(cut).ok());
   }
+
+  void RunReportsAndNoticesSurvive() {
+    RunReport report;
+    report.lost = {{{1, 2}, 3, "leaf-a", "desk"}, {{4, 5}, 6, "leaf-b", "desk"}};
+    report.succeeded = {{7, 8}};
+    report.answering = {"leaf-c"};
+    report.relayed = true;
+    const auto decoded = DecodeEnvelope(Encode(Envelope{"c", 1, report}));
+    CPPUNIT_ASSERT(decoded.ok());
+    const auto& back = std::get<RunReport>(decoded->body);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, back.lost.size());
+    CPPUNIT_ASSERT(back.lost[1].identity == report.lost[1].identity);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{6}, back.lost[1].attempt);
+    CPPUNIT_ASSERT_EQUAL(std::string("leaf-b"), back.lost[1].leaf);
+    CPPUNIT_ASSERT_EQUAL(std::string("desk"), back.lost[1].service);
+    CPPUNIT_ASSERT(back.succeeded == report.succeeded);
+    CPPUNIT_ASSERT(back.answering == report.answering);
+    CPPUNIT_ASSERT(back.relayed);
+    const SuspectNotice notice{{{9, 10}, {11, 12}}};
+    const auto told = DecodeEnvelope(Encode(Envelope{"c", 1, notice}));
+    CPPUNIT_ASSERT(told.ok());
+    CPPUNIT_ASSERT(std::get<SuspectNotice>(told->body).requests == notice.requests);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
 
