--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <optional>
+#include <utility>
 
 namespace pumicedyke::quarantine {
 
@@ -67,8 +68,7 @@
   Verdict verdict{.identity = identity};
   std::set<uint64_t> attempts;
   std::set<std::string> services;
-  Timestamp first = Timestamp::max();
-  Timestamp last{};
+  std::vector<Timestamp> times;
   for (const auto& [leaf, end] : unexplained) {
     const auto runs = end->runs.find(identity);
     if (runs == end->runs.end()) {
@@ -77,27 +77,43 @@
     ++verdict.leafs;
     attempts.insert(runs->second.begin(), runs->second.end());
     services.insert(end->service);
-    first = std::min(first, end->at);
-    last = std::max(last, end->at);
+    times.push_back(end->at);
   }
+  if (times.empty()) {
+    return verdict;
+  }
+  const auto [first, last] = std::minmax_element(times.begin(), times.end());
   const auto meanwhile =
       std::count_if(unexplained.begin(), unexplained.end(), [&](const auto& item) {
         const LeafEnd& end = *item.second;
-        return services.contains(end.service) && end.at >= first && end.at <= last;
+        return services.contains(end.service) && end.at >= *first && end.at <= *last;
       });
   verdict.attempts = attempts.size();
-  verdict.share =
-      meanwhile == 0 ? 0 : static_cast<double>(verdict.leafs) / static_cast<double>(meanwhile);
+  verdict.share = static_cast<double>(verdict.leafs) / static_cast<double>(meanwhile);
+  verdict.moments = CountMoments(std::move(times));
   return verdict;
 }
 
+size_t CrashEvidence::CountMoments(std::vector<Timestamp> times) const {
+  std::sort(times.begin(), times.end());
+  size_t moments = 0;
+  Timestamp begun{};
+  for (const Timestamp time : times) {
+    if (moments == 0 || time - begun >= options_.moment_gap) {
+      begun = time;
+      ++moments;
+    }
+  }
+  return moments;
+}
+
 bool CrashEvidence::Suffices(const Verdict& verdict,
                              const std::set<RequestIdentity>& offenders) const {
   if (offenders.contains(verdict.identity)) {
     return verdict.leafs > 0;
   }
   return verdict.leafs >= options_.leafs && verdict.attempts >= options_.attempts &&
-         verdict.share >= options_.share;
+         verdict.moments >= options_.moments && verdict.share >= options_.share;
 }
 
 std::map<RequestIdentity, CrashEvidence::Presence> CrashEvidence::Presences() const {
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -31,6 +31,10 @@
   /// ... in this many attempts of clients: two may be one client's bad luck in a crash that has
   /// nothing to do with it ...
   size_t attempts = 3;
+  /// ... at this many moments, so far apart: when everything crashes at once, whoever has asked
+  /// several times was there with all of it ...
+  size_t moments = 2;
+  Duration moment_gap = Milliseconds(500);
   /// ... and it was at this part of all leafs of its services that ended meanwhile.
   double share = 0.5;
 };
@@ -40,6 +44,7 @@
   RequestIdentity identity;
   size_t leafs = 0;
   size_t attempts = 0;
+  size_t moments = 0;
   /// Part of the ends of its services' leafs, in its time, that it explains.
   double share = 0;
 };
@@ -87,6 +92,7 @@
   /// Requests that may be guilty, before any end is put down to another one.
   std::set<RequestIdentity> Accused(const std::set<RequestIdentity>& offenders) const;
   Verdict Judge(const RequestIdentity& identity, const LeafEnds& unexplained) const;
+  size_t CountMoments(std::vector<Timestamp> times) const;
   bool Suffices(const Verdict& verdict, const std::set<RequestIdentity>& offenders) const;
 
   EvidenceOptions options_;
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -29,6 +29,7 @@
             {"reason", proposal.reason},
             {"leafs", proposal.verdict.leafs},
             {"attempts", proposal.verdict.attempts},
+            {"moments", proposal.verdict.moments},
             {"share", proposal.verdict.share}});
 }
 
--- a/src/sim/actors.cc
+++ b/src/sim/actors.cc
@@ -81,6 +81,41 @@
   world_->clock.After(Milliseconds(world_->Between(150, 600)), [this] { Loop(); });
 }
 
+// ---- A caller that repeats at once --------------------------------------------------------------
+
+void ImpatientCaller::Start(Timestamp end) {
+  end_ = end;
+  Loop();
+}
+
+void ImpatientCaller::Loop() {
+  if (world_->clock.now() >= end_) {
+    return;
+  }
+  constexpr int kTries = 12;
+  Insist(absl::StrCat("impatient ", ++asked_), kTries);
+  world_->clock.After(Milliseconds(world_->Between(20, 80)), [this] { Loop(); });
+}
+
+void ImpatientCaller::Insist(const std::string& query, int tries) {
+  if (tries == 0) {
+    return;
+  }
+  query::CallerRequest request;
+  request.service = kReadService;
+  request.query = absl::StrCat(query, " ", std::string(1, kAttemptMark), tries);
+  request.request_class = "full";
+  const auto node = static_cast<size_t>(tries % 2);
+  const auto again = [this, query, tries](const query::Answer& answer) {
+    const bool served = answer.code == ResultCode::kOk || answer.code == ResultCode::kPartial;
+    if (!served) {
+      world_->clock.After(Milliseconds(world_->Between(10, 250)),
+                          [this, query, tries] { Insist(query, tries - 1); });
+    }
+  };
+  world_->Ask(node, request, again);
+}
+
 void Caller::FollowContinuation(const query::CallerRequest& request, const query::Answer& answer) {
   const absl::StatusOr<query::Continuation> token = query::DecodeContinuation(answer.continuation);
   if (!token.ok()) {
--- a/src/sim/actors.h
+++ b/src/sim/actors.h
@@ -51,6 +51,21 @@
   Timestamp end_{};
 };
 
+/// Asks for the same thing at both nodes, again and again until it is served.
+class ImpatientCaller {
+ public:
+  explicit ImpatientCaller(World* world) : world_(world) {}
+  void Start(Timestamp end);
+
+ private:
+  void Loop();
+  void Insist(const std::string& query, int tries);
+
+  World* world_;
+  uint64_t asked_ = 0;
+  Timestamp end_{};
+};
+
 struct OperatorOptions {
   bool races = false;
   bool repartitions = false;
--- a/src/sim/nemesis.cc
+++ b/src/sim/nemesis.cc
@@ -42,6 +42,8 @@
   switch (fault) {
     case Fault::kKillLeaf:
       return KillLeaf();
+    case Fault::kKillAllLeafs:
+      return KillAllLeafs();
     case Fault::kFreezeLeaf:
       return FreezeLeaf();
     case Fault::kLeaveLeaf:
@@ -90,6 +92,13 @@
   Later(300, 1500, [this, leaf] { world_->StartLeaf(leaf); });
 }
 
+void Nemesis::KillAllLeafs() {
+  for (const auto& [name, leaf] : world_->leafs) {
+    world_->KillLeaf(name);
+    Later(200, 900, [this, name = name] { world_->StartLeaf(name); });
+  }
+}
+
 void Nemesis::FreezeLeaf() {
   const std::string leaf = RandomLeaf();
   world_->history.Trace(world_->clock.now(), "freeze " + leaf);
--- a/src/sim/nemesis.h
+++ b/src/sim/nemesis.h
@@ -12,6 +12,7 @@
 
 enum class Fault {
   kKillLeaf,
+  kKillAllLeafs,
   kFreezeLeaf,
   kLeaveLeaf,
   kKillNode,
@@ -40,6 +41,7 @@
   void Loop();
   void Bring(Fault fault);
   void KillLeaf();
+  void KillAllLeafs();
   void FreezeLeaf();
   void LeaveLeaf();
   void KillNode();
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -182,6 +182,13 @@
        .fault_interval = Milliseconds(1800),
        .fatal_caller = true,
        .length = Seconds(16)},
+      {.name = "crash-loop",
+       .what = "all leafs crash at once, again and again, for no fault of the requests that are "
+               "repeated meanwhile",
+       .faults = {kKillAllLeafs},
+       .fault_interval = Milliseconds(1100),
+       .impatient_caller = true,
+       .length = Seconds(10)},
       {.name = "storm",
        .what = "all of it at once, and twice",
        .faults = {kKillLeaf, kFreezeLeaf, kLeaveLeaf, kKillNode, kFreezeNode, kPlannedStopNode,
@@ -230,6 +237,10 @@
   if (scenario.fatal_caller) {
     fatal_caller.Start(end);
   }
+  ImpatientCaller impatient_caller(&world);
+  if (scenario.impatient_caller) {
+    impatient_caller.Start(end);
+  }
   Operators operators(&world, scenario.operators);
   operators.Start(end);
   Nemesis nemesis(&world, scenario.faults, scenario.fault_interval);
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -26,6 +26,8 @@
   int changes_first = 0;
   /// Somebody asks again and again for what ends every leaf that runs it.
   bool fatal_caller = false;
+  /// Somebody asks for each thing again and again until it is served.
+  bool impatient_caller = false;
   /// Load and faults end here, counted from the end of the boot.
   Duration length = Seconds(7);
 };
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -34,7 +34,8 @@
 }  // namespace
 
 RequestIdentity IdentityOf(const query::CallerRequest& request) {
-  return pumicedyke::IdentityOf({request.service, request.query, request.request_class});
+  const std::string asked = request.query.substr(0, request.query.find(kAttemptMark));
+  return pumicedyke::IdentityOf({request.service, asked, request.request_class});
 }
 
 World::World(const WorldOptions& options)
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -37,6 +37,8 @@
   size_t control_machines = kFounders;
 };
 
+/// What follows it in a query tells two attempts apart, for the checkers; the request is the same.
+inline constexpr char kAttemptMark = '#';
 /// What names a request in the simulator: a caller has no name of its own there.
 RequestIdentity IdentityOf(const query::CallerRequest& request);
 
--- a/test/control/quarantine_keeper_test.cc
+++ b/test/control/quarantine_keeper_test.cc
@@ -18,6 +18,7 @@
   void End(int count) {
     for (int i = 0; i < count; ++i) {
       ++ends;
+      now += Milliseconds(600);
       wire::RunReport report;
       report.lost = {{kFatal, ends, "leaf" + std::to_string(ends), "s"}};
       keeper.OnReport(now, report);
--- a/test/quarantine/crash_evidence_test.cc
+++ b/test/quarantine/crash_evidence_test.cc
@@ -25,7 +25,7 @@
       report.lost.push_back({request, attempt, leaf, service});
     }
     evidence.OnReport(now, report);
-    now += Milliseconds(100);
+    now += EvidenceOptions{}.moment_gap;
   }
   void Succeeded(const RequestIdentity& request) {
     wire::RunReport report;
@@ -51,6 +51,7 @@
   CPPUNIT_TEST_SUITE(CrashEvidenceTest);
   CPPUNIT_TEST(ThreeLeafsInThreeAttemptsAreEnough);
   CPPUNIT_TEST(OneAttemptAtManyLeafsIsNotEnough);
+  CPPUNIT_TEST(OneMomentIsNotEnoughHoweverManyAttempts);
   CPPUNIT_TEST(BystandersAreNotBlamed);
   CPPUNIT_TEST(BystanderOfEveryEndLosesToWhoeverWasThereMoreOften);
   CPPUNIT_TEST(SuccessAcquitsAndLaterLossesCountAnew);
@@ -82,6 +83,16 @@
     CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
   }
 
+  /// The same, and a client that repeats at once had several attempts out.
+  void OneMomentIsNotEnoughHoweverManyAttempts() {
+    Trial trial;
+    for (uint64_t leaf = 0; leaf < 40; ++leaf) {
+      trial.End("leaf" + std::to_string(leaf), {kBystander}, leaf % 5);
+      trial.now = kStart + Milliseconds(10) * static_cast<int64_t>(leaf);
+    }
+    CPPUNIT_ASSERT(!trial.IsGuilty(kBystander));
+  }
+
   void BystandersAreNotBlamed() {
     Trial trial;
     for (uint64_t attempt = 1; attempt <= 6; ++attempt) {
