Probation ends after two lost probes, not one

A harmless request that meets resets loses a probe by chance; a fatal one costs one more leaf an attempt.

--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -134,7 +134,7 @@
   if (shard->covered || shard->given_up || now >= deadline_) {
     return;
   }
-  if (probe_lost_) {
+  if (FailedProbation()) {
     if (ActiveAttempts(*shard) == 0) {
       GiveUp(shard);
     }
@@ -255,7 +255,7 @@
 
 void RequestExecution::NoteLost(const Attempt& attempt) {
   ++lost_;
-  probe_lost_ |= attempt.probe && !proven_;
+  probes_lost_ += attempt.probe && !proven_ ? 1 : 0;
 }
 
 bool RequestExecution::SendTo(Timestamp now, ShardProgress* shard, SendKind kind) {
@@ -351,7 +351,7 @@
                                              : AttemptState::kFailed;
     Refused(&shard, reply);
   }
-  if (was_on_probation != OnProbation() || probe_lost_) {
+  if (was_on_probation != OnProbation() || FailedProbation()) {
     // What the other shards wait for has changed.
     Advance(now);
   } else if (!answered_ && !needs_other_snapshot_) {
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -55,8 +55,10 @@
   /// No shard is sent to a second time before ReleaseAttempts() is called.
   bool hold_attempts = false;
   /// The request may be one that ends the leafs that run it: until one of them has answered, it is
-  /// tried at one after the other, and given up if it loses one more.
+  /// tried at one after the other, and given up once it has lost `most_lost_probes` of these.
   bool on_probation = false;
+  /// One may be lost by chance where connections break by themselves.
+  size_t most_lost_probes = 2;
   /// It goes on probation by itself once its runs at this many leafs were lost and none succeeded.
   size_t losses_before_probation = 3;
   /// Baseline: retries after this time-out without a budget; zero means off.
@@ -192,6 +194,8 @@
   /// On probation, and another try may go out.
   bool MayProbe(Timestamp now) const;
   void NoteLost(const Attempt& attempt);
+  /// Enough was tried on probation: nothing more is sent.
+  bool FailedProbation() const { return probes_lost_ >= options_.most_lost_probes; }
   /// It was sent to once and must not be again yet.
   bool Held(const ShardProgress& shard) const;
   bool SendTo(Timestamp now, ShardProgress* shard, SendKind kind);
@@ -244,8 +248,8 @@
   bool proven_ = false;
   /// Runs whose leaf's connection ended without an answer.
   size_t lost_ = 0;
-  /// One of them was a try on probation: nothing more is sent.
-  bool probe_lost_ = false;
+  /// Those among them that were tries on probation.
+  size_t probes_lost_ = 0;
   ExecutionActions actions_;
   std::vector<ShardPayload> new_parts_;
 };
