tools/soak: real control machines and gateways under seeded faults that overlap, a request that ends leafs among the traffic

Clients keep their connections until the process is gone; processes are paused, killed, stopped and restarted, data folders erased, all control machines killed at once. Not in it yet: the proxy between processes, disks that fill.

--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -155,6 +155,15 @@
   }
 }
 
+bool Process::HasEnded() {
+  int status = 0;
+  if (running() && ::waitpid(pid_, &status, WNOHANG) == pid_) {
+    pid_ = -1;
+    return true;
+  }
+  return false;
+}
+
 int Process::Wait() {
   int status = 0;
   ::waitpid(pid_, &status, 0);
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -38,6 +38,8 @@
   /// @return exit code, or minus the signal that ended it.
   int Wait();
   bool running() const { return pid_ > 0; }
+  /// Whether it has ended though nobody waited for it; it is not running any more then.
+  bool HasEnded();
   /// Its files may not grow beyond this many bytes, as on a full disk; unset: no bound.
   void LimitFiles(std::optional<uint64_t> bytes) const;
 
--- a/test/platform/mortal_leaf.cc
+++ b/test/platform/mortal_leaf.cc
@@ -18,10 +18,11 @@
 
 }  // namespace
 
-MortalLeaf::MortalLeaf(std::string name, std::string service, Fatal fatal)
+MortalLeaf::MortalLeaf(std::string name, std::string service, Fatal fatal, AnsweredCb answered)
     : name_(std::move(name)),
       service_(std::move(service)),
       fatal_(std::move(fatal)),
+      answered_(std::move(answered)),
       address_(e2e::FreeAddress()),
       thread_([this] { Serve(); }) {
   e2e::WaitFor("a mortal leaf", [this] { return lives_ > 0; });
@@ -49,14 +50,15 @@
   if (!server.Listen(address_).ok()) {
     return;
   }
-  dying_ = false;
+  loop_ = &loop;
   ++lives_;
   loop.Run([this, &loop](Timestamp now) {
-    if (stop_ || dying_) {
+    if (stop_) {
       loop.Stop();
     }
-    return now + Milliseconds(1);
+    return now + Milliseconds(20);
   });
+  loop_ = nullptr;
 }
 
 void MortalLeaf::OnRequest(const http::HttpRequest& request, http::Responder responder) {
@@ -67,11 +69,14 @@
     response.status = 421;
   } else if (fatal_(request)) {
     ++deaths_;
-    dying_ = true;
+    loop_->Stop();
     return;
   } else {
     response.headers.push_back({"X-Server-Stamp", id() + "." + request_id});
     response.body = "sixteen bytes...";
+    if (answered_ != nullptr) {
+      answered_(request_id);
+    }
   }
   responder.Send(std::move(response));
 }
--- a/test/platform/mortal_leaf.h
+++ b/test/platform/mortal_leaf.h
@@ -1,5 +1,5 @@
-// A leaf that ends whenever it begins to run a request of a certain kind, and comes back at the same
-// address as a new incarnation.
+// A leaf that ends whenever it begins to run a request of a certain kind, and comes back at the
+// same address as a new incarnation.
 #pragma once
 
 #include <atomic>
@@ -9,21 +9,25 @@
 #include <thread>
 
 #include "http/http_server.h"
+#include "net/event_loop.h"
 
 namespace pumicedyke::platform {
 
 class MortalLeaf {
  public:
   using Fatal = std::function<bool(const http::HttpRequest&)>;
+  /// Hears of each run that was answered, by the id of the client's attempt.
+  using AnsweredCb = std::function<void(const std::string& attempt)>;
 
-  /// @param fatal whether the request ends the leaf; runs on the leaf's thread.
-  MortalLeaf(std::string name, std::string service, Fatal fatal);
+  /// @param fatal whether the request ends the leaf. It and `answered` run on the leaf's thread.
+  MortalLeaf(std::string name, std::string service, Fatal fatal, AnsweredCb answered = nullptr);
   ~MortalLeaf();
   MortalLeaf(const MortalLeaf&) = delete;
   MortalLeaf& operator=(const MortalLeaf&) = delete;
 
   /// Requests that ended it; each has reached it.
   int deaths() const { return deaths_; }
+  const std::string& service() const { return service_; }
   /// @return the status of a heartbeat of the incarnation that lives at the moment.
   int Beat(const std::string& control);
 
@@ -37,14 +41,16 @@
   const std::string name_;
   const std::string service_;
   const Fatal fatal_;
+  const AnsweredCb answered_;
   const std::string address_;
   std::atomic<int> deaths_{0};
-  std::atomic<bool> dying_{false};
   std::atomic<bool> stop_{false};
   /// Incarnations so far, and heartbeats of the last one.
   std::atomic<int> lives_{0};
   int beats_ = 0;
   int beating_life_ = 0;
+  /// That of the incarnation that lives; its own thread's.
+  net::EventLoop* loop_ = nullptr;
   std::thread thread_;
 };
 
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -92,8 +92,9 @@
 
 // ---- PlatformFleet ------------------------------------------------------------------------------
 
-PlatformFleet::PlatformFleet()
-    : internal_port_(PortOf(e2e::FreeAddress())),
+PlatformFleet::PlatformFleet(const PlatformFleetOptions& options)
+    : options_(options),
+      internal_port_(PortOf(e2e::FreeAddress())),
       service_port_(PortOf(e2e::FreeAddress())),
       directory_port_(PortOf(e2e::FreeAddress())),
       gateway_address_(e2e::FreeAddress()),
@@ -104,7 +105,7 @@
   char path[] = "/tmp/pumicedyke-platform-XXXXXX";
   CPPUNIT_ASSERT(::mkdtemp(path) != nullptr);
   folder_ = path;
-  for (int i = 0; i < kControls; ++i) {
+  for (int i = 0; i < options_.controls; ++i) {
     StartControl(i, /*bootstrap=*/true);
   }
   StartGateway();
@@ -132,10 +133,11 @@
            << "\"\nlisten = \"" << HostOf(index) << ":" << internal_port_
            << "\"\noperator_listen = \"127.0.0.1:0\"\n"
            << "service_listen = \"" << ServiceAddress(index) << "\"\ndirectory_listen = \""
-           << DirectoryAddress(index) << "\"\ndata_folder = \"" << folder_ << "/data-" << name
+           << DirectoryAddress(index) << "\"\ndata_folder = \"" << DataFolder(index)
            << "\"\nseeds = [\"" << ServiceAddress(0) << "\", \"" << ServiceAddress(1) << "\", \""
            << ServiceAddress(2) << "\"]\ninternal_port = " << internal_port_
-           << "\nbootstrap = " << (bootstrap ? "true" : "false") << "\ntolerated_failures = 1\n";
+           << "\nbootstrap = " << (bootstrap ? "true" : "false")
+           << "\ntolerated_failures = " << options_.tolerated << "\n";
   settings.close();
   processes[name] = std::make_unique<e2e::Process>(
       name, "pumicedyke-control", std::vector<std::string>{"--settings", file}, folder_);
@@ -157,7 +159,16 @@
   return listen;
 }
 
+void PlatformFleet::RestartGateway(const std::string& name) {
+  StartGatewayAt(name, gateways_.at(name));
+}
+
+std::string PlatformFleet::DataFolder(int index) const {
+  return folder_ + "/data-c" + std::to_string(index);
+}
+
 void PlatformFleet::StartGatewayAt(const std::string& process, const GatewayAddresses& addresses) {
+  gateways_[process] = addresses;
   const std::string file = folder_ + "/" + process + ".toml";
   std::ofstream settings(file);
   // So small a share of a processor that even a few dozen shards are worth sharing.
@@ -176,7 +187,7 @@
 int PlatformFleet::Put(const std::string& document) {
   int status = 0;
   e2e::WaitFor("the document to be answered", [&] {
-    for (int i = 0; i < kControls && status != 200; ++i) {
+    for (int i = 0; i < options_.controls && status != 200; ++i) {
       if (processes.at("c" + std::to_string(i))->running()) {
         status = e2e::Post(ServiceAddress(i), "/v1/config/put", document).status;
       }
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -52,11 +52,19 @@
   std::thread thread_;
 };
 
+struct PlatformFleetOptions {
+  int controls = 3;
+  /// Control machines that may be lost at once.
+  int tolerated = 1;
+};
+
 class PlatformFleet {
  public:
+  /// Control machines of a fleet with the usual options.
   static constexpr int kControls = 3;
 
-  PlatformFleet();
+  PlatformFleet() : PlatformFleet(PlatformFleetOptions{}) {}
+  explicit PlatformFleet(const PlatformFleetOptions& options);
   ~PlatformFleet();
 
   void StartControl(int index, bool bootstrap);
@@ -65,6 +73,9 @@
   void StartSecondGateway();
   /// One more gateway, which clients may be sent to. @return where they reach it.
   std::string StartFurtherGateway(const std::string& name);
+  /// Starts a gateway again that was started before, at the same addresses.
+  void RestartGateway(const std::string& name);
+  std::string DataFolder(int index) const;
   std::string ServiceAddress(int index) const;
   std::string DirectoryAddress(int index) const;
   const std::string& gateway_address() const { return gateway_address_; }
@@ -97,6 +108,8 @@
   };
   void StartGatewayAt(const std::string& process, const GatewayAddresses& addresses);
 
+  PlatformFleetOptions options_;
+  std::map<std::string, GatewayAddresses> gateways_;
   std::string folder_;
   std::string internal_port_;
   std::string service_port_;
--- /dev/null
+++ b/test/soak/actors.cc
@@ -0,0 +1,227 @@
+#include "soak/actors.h"
+
+#include <utility>
+
+#include "common/json.h"
+#include "e2e/fleet.h"
+
+namespace pumicedyke::soak {
+namespace {
+
+constexpr char kHost[] = "desk.example";
+constexpr char kCallerHeader[] = "Authorization";
+constexpr char kFatalCaller[] = "Bearer mallory";
+constexpr char kFatalMark[] = "fatal";
+constexpr Duration kBeatInterval = Milliseconds(800);
+/// Requests a second, and how often the fatal one comes.
+constexpr Duration kUsualInterval = Milliseconds(8);
+constexpr Duration kFatalInterval = Milliseconds(350);
+constexpr Duration kOperatorPause = Milliseconds(300);
+constexpr Duration kClientDeadline = Milliseconds(1500);
+
+Json Route(const std::string& name) {
+  return {{"name", name},         {"host", kHost},      {"path_prefix", "/" + name + "/"},
+          {"type", "idempotent"}, {"timeout_ms", 1500}, {"slo_ms", 200},
+          {"priority", 1},        {"max_attempts", 2}};
+}
+
+bool EndsLeafs(const http::HttpRequest& request) {
+  const std::string* caller = http::FindHeader(request.headers, kCallerHeader);
+  return request.path.find(kFatalMark) != std::string::npos && caller != nullptr &&
+         *caller == kFatalCaller;
+}
+
+std::string Attempt(const http::HttpRequest& request) {
+  const std::string* id = http::FindHeader(request.headers, "X-Request-Id");
+  return id == nullptr ? "" : *id;
+}
+
+}  // namespace
+
+std::string ServiceName(size_t shard) { return "s" + std::to_string(shard); }
+
+std::string DocumentOf(uint64_t version, size_t shards) {
+  Json all = Route("all");
+  all.update({{"top_k", 1}, {"min_coverage", 0.5}});
+  Json one = Route("one");
+  one["backend"] = ServiceName(0);
+  Json services = Json::array();
+  for (size_t i = 0; i < shards; ++i) {
+    all["gather"].push_back(ServiceName(i));
+    services.push_back({{"name", ServiceName(i)}, {"health_path", "/healthz"}, {"max_conns", 60}});
+  }
+  return Json{{"version", version},
+              {"routes", Json::array({all, one})},
+              {"backends", services},
+              {"limits",
+               {{"max_header_bytes", 4096},
+                {"max_body_bytes", 1000},
+                {"header_timeout_ms", 3000},
+                {"idle_timeout_ms", 15000}}}}
+      .dump();
+}
+
+// ---- Leafs --------------------------------------------------------------------------------------
+
+Leafs::Leafs(size_t shards, size_t replicas, std::vector<std::string> controls, Observations* seen)
+    : controls_(std::move(controls)) {
+  for (size_t i = 0; i < shards * replicas; ++i) {
+    const std::string service = ServiceName(i % shards);
+    const auto ends = [seen](const http::HttpRequest& request) {
+      const bool fatal = EndsLeafs(request);
+      if (fatal) {
+        seen->OnLeafEnded(net::EventLoop::Now(), Attempt(request));
+      }
+      return fatal;
+    };
+    const auto answered = [seen, service](const std::string& attempt) {
+      seen->OnLeafAnswered(service, attempt);
+    };
+    leafs_.push_back(std::make_unique<platform::MortalLeaf>("leaf" + std::to_string(i), service,
+                                                            ends, answered));
+  }
+  thread_ = std::thread([this] { Beat(); });
+}
+
+Leafs::~Leafs() {
+  stop_ = true;
+  thread_.join();
+}
+
+void Leafs::Beat() {
+  constexpr int kOk = 200;
+  size_t control = 0;
+  while (!stop_) {
+    const Timestamp next = net::EventLoop::Now() + kBeatInterval;
+    for (const auto& leaf : leafs_) {
+      for (size_t i = 0; i < controls_.size() && !stop_; ++i) {
+        if (leaf->Beat(controls_[control]) == kOk) {
+          break;
+        }
+        control = (control + 1) % controls_.size();
+      }
+    }
+    while (!stop_ && net::EventLoop::Now() < next) {
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+  }
+}
+
+// ---- Clients ------------------------------------------------------------------------------------
+
+Clients::Clients(uint64_t seed, std::vector<std::string> gateways, Observations* seen)
+    : gateways_(std::move(gateways)), seen_(seen), random_(seed), thread_([this] { Run(); }) {}
+
+Clients::~Clients() {
+  stop_ = true;
+  thread_.join();
+}
+
+void Clients::Run() {
+  net::EventLoop loop;
+  http::HttpClient client(&loop, {});
+  loop_ = &loop;
+  client_ = &client;
+  AskUsual();
+  AskFatal();
+  loop.Run([this, &loop](Timestamp now) {
+    if (stop_ && client_->in_flight() == 0) {
+      loop.Stop();
+    }
+    return now + Milliseconds(20);
+  });
+}
+
+const std::string& Clients::AnyGateway() {
+  return gateways_[std::uniform_int_distribution<size_t>(0, gateways_.size() - 1)(random_)];
+}
+
+void Clients::AskUsual() {
+  if (stop_) {
+    return;
+  }
+  SentRequest request;
+  request.gathers = random_() % 2 == 0;
+  const std::string path = request.gathers ? "/all/" : "/one/";
+  // One in four is the very path of the fatal request, for somebody else.
+  const bool same_path = random_() % 4 == 0;
+  Ask(request, path + (same_path ? std::string(kFatalMark) : std::to_string(random_())),
+      "Bearer alice");
+  loop_->RunAt(net::EventLoop::Now() + kUsualInterval, [this] { AskUsual(); });
+}
+
+void Clients::AskFatal() {
+  if (stop_) {
+    return;
+  }
+  SentRequest request;
+  request.gathers = true;
+  request.fatal = true;
+  Ask(request, std::string("/all/") + kFatalMark, kFatalCaller);
+  loop_->RunAt(net::EventLoop::Now() + kFatalInterval, [this] { AskFatal(); });
+}
+
+void Clients::Ask(const SentRequest& request, const std::string& path, const std::string& caller) {
+  SentRequest sent = request;
+  sent.id = "soak-" + std::to_string(++asked_);
+  http::ClientRequest call;
+  call.address = AnyGateway();
+  call.path = path;
+  call.method = "GET";
+  call.headers = {{"Host", kHost},
+                  {"X-Request-Id", sent.id},
+                  {"X-Deadline-Ms", std::to_string(kClientDeadline / Milliseconds(1))},
+                  {kCallerHeader, caller}};
+  call.timeout = 2 * kClientDeadline;
+  client_->Start(std::move(call), [this, sent](const http::ClientResponse& response) {
+    seen_->OnResponse(sent, response);
+  });
+}
+
+// ---- The operator -------------------------------------------------------------------------------
+
+Operator::Operator(uint64_t seed, std::vector<std::string> controls, size_t shards,
+                   Observations* seen)
+    : controls_(std::move(controls)), shards_(shards), seen_(seen), random_(seed), thread_([this] {
+        Run();
+      }) {}
+
+Operator::~Operator() {
+  stop_ = true;
+  thread_.join();
+}
+
+const std::string& Operator::AnyControl() {
+  return controls_[std::uniform_int_distribution<size_t>(0, controls_.size() - 1)(random_)];
+}
+
+void Operator::Run() {
+  while (!stop_) {
+    PutNext();
+    Read();
+    std::this_thread::sleep_for(kOperatorPause);
+  }
+}
+
+void Operator::PutNext() {
+  constexpr int kOk = 200;
+  const std::string document = DocumentOf(++version_, shards_);
+  while (!stop_) {
+    if (e2e::Post(AnyControl(), "/v1/config/put", document).status == kOk) {
+      seen_->OnAcknowledged(version_);
+      return;
+    }
+  }
+}
+
+void Operator::Read() {
+  constexpr int kOk = 200;
+  const uint64_t before = seen_->acknowledged();
+  const http::ClientResponse response = e2e::Get(AnyControl(), "/v1/config/get");
+  const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  if (response.status == kOk && json.is_object()) {
+    seen_->OnRead(json.value("version", uint64_t{0}), before);
+  }
+}
+
+}  // namespace pumicedyke::soak
