--- a/src/common/request_identity.h
+++ b/src/common/request_identity.h
@@ -1,6 +1,6 @@
-// Names a request by what it asks for and for whom, so that the same request is known again whichever
-// process takes it and however often it comes. Callers of different processes must not be able to
-// make two requests alike: the name is a cryptographic hash.
+// Names a request by what it asks for and for whom, so that the same request is known again
+// whichever process takes it and however often it comes. Callers of different processes must not be
+// able to make two requests alike: the name is a cryptographic hash.
 #pragma once
 
 #include <compare>
--- a/src/control/quarantine_keeper.cc
+++ b/src/control/quarantine_keeper.cc
@@ -10,7 +10,9 @@
                                                             const config::ConfigState& committed,
                                                             bool leads) {
   const bool waits = pending_ && now - proposed_ < options_.answer_patience;
-  if (waits || now - judged_ < options_.interval) {
+  const Duration interval = std::max(
+      options_.interval, options_.interval_per_leaf * static_cast<int64_t>(evidence_.leafs()));
+  if (waits || now - judged_ < interval) {
     return std::nullopt;
   }
   judged_ = now;
--- a/src/control/quarantine_keeper.h
+++ b/src/control/quarantine_keeper.h
@@ -20,6 +20,8 @@
   quarantine::EvidenceOptions evidence;
   /// Evidence is judged this often at most.
   Duration interval = Milliseconds(100);
+  /// The same for each end of a leaf that is remembered: judging costs time as they do.
+  Duration interval_per_leaf = Microseconds(100);
   /// Evidence has to hold this long: word that a request has succeeded elsewhere may be under way.
   Duration settle = Milliseconds(100);
   /// A proposal that was not answered is made again after this.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -376,7 +376,8 @@
   out.request = active.request;
   out.code = answer.code;
   out.run = answer.run;
-  out.retry_after = answer.retry_after;
+  out.retry_after = answer.code == ResultCode::kQuarantined ? options_.knobs.retry_when_quarantined
+                                                            : answer.retry_after;
   out.trace.route = active.route->name;
   out.trace.document_version = active.table->version();
   out.trace.config_age = subscriber_.Age(now);
--- a/src/node/node_admission.cc
+++ b/src/node/node_admission.cc
@@ -17,7 +17,6 @@
 constexpr Duration kOverloadRetryAfter = Milliseconds(200);
 constexpr Duration kLongestRetryAfter = Seconds(5);
 constexpr Duration kNotReadyRetryAfter = Milliseconds(500);
-constexpr Duration kQuarantinedRetryAfter = Seconds(60);
 
 uint64_t Fingerprint(const query::CallerRequest& request) {
   const std::string text = request.service + '\0' + request.query + '\0' + request.request_class;
@@ -114,7 +113,7 @@
   }
   if (subscriber_.config().IsQuarantined(request.identity)) {
     refuse(ResultCode::kQuarantined, "this request ended the leafs that ran it",
-           kQuarantinedRetryAfter);
+           options_.retry_when_quarantined);
     return;
   }
   const auto found = services_.find(request.service);
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -275,6 +275,9 @@
 void NodeServer::Finish(Timestamp now, RequestId id, Active* active, Answer answer) {
   answer.config_version = subscriber_.config().version();
   answer.config_age = subscriber_.Age(now);
+  if (answer.code == ResultCode::kQuarantined) {
+    answer.retry_after = options_.retry_when_quarantined;
+  }
   counters_.sub_requests += answer.sub_requests;
   counters_.extra_sub_requests += answer.extra_sub_requests;
   if (answer.code == ResultCode::kOk) {
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -46,6 +46,8 @@
   bool reply_id_check = true;
   bool ledger_before_dispatch = true;
   bool leaving_mark = true;
+  /// When to come back with a request that the fleet has stopped.
+  Duration retry_when_quarantined = Seconds(60);
   quarantine::WitnessOptions witness{.names_are_lives = false};
   /// Used by benchmarks in place of every service's own policy.
   std::optional<policy::QueryPlan> plan_override;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -1,6 +1,7 @@
 #include "quarantine/crash_evidence.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <optional>
 #include <utility>
@@ -82,11 +83,12 @@
   if (times.empty()) {
     return verdict;
   }
-  const auto [first, last] = std::minmax_element(times.begin(), times.end());
+  const Timestamp first = *std::min_element(times.begin(), times.end());
+  const Timestamp last = *std::max_element(times.begin(), times.end());
   const auto meanwhile =
       std::count_if(unexplained.begin(), unexplained.end(), [&](const auto& item) {
         const LeafEnd& end = *item.second;
-        return services.contains(end.service) && end.at >= *first && end.at <= *last;
+        return services.contains(end.service) && end.at >= first && end.at <= last;
       });
   verdict.attempts = attempts.size();
   verdict.share = static_cast<double>(verdict.leafs) / static_cast<double>(meanwhile);
@@ -140,13 +142,20 @@
 
 std::set<RequestIdentity> CrashEvidence::Accused(const std::set<RequestIdentity>& offenders) const {
   std::set<RequestIdentity> accused;
+  std::multimap<size_t, RequestIdentity, std::greater<>> by_leafs;
   for (const auto& [identity, presence] : Presences()) {
-    const bool often =
-        presence.leafs >= options_.leafs && presence.attempts.size() >= options_.attempts;
-    if (often || offenders.contains(identity)) {
+    if (offenders.contains(identity)) {
       accused.insert(identity);
+    } else if (presence.leafs >= options_.leafs && presence.attempts.size() >= options_.attempts) {
+      by_leafs.emplace(presence.leafs, identity);
     }
   }
+  for (const auto& [leafs, identity] : by_leafs) {
+    if (accused.size() >= options_.most_accused) {
+      break;
+    }
+    accused.insert(identity);
+  }
   return accused;
 }
 
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -23,6 +23,8 @@
   /// Leafs that are remembered, the oldest are forgotten first; and requests at each of them.
   size_t most_leafs = 8192;
   size_t most_runs_per_leaf = 64;
+  /// Requests that are judged at a time, those at most leafs first.
+  size_t most_accused = 32;
   /// Runs that are lost at one leaf within this time are lost by one end of it. Later it has ended
   /// again: leafs with names of their own come back under them.
   Duration one_end = Seconds(1);
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -195,7 +195,7 @@
   bool MayProbe(Timestamp now) const;
   void NoteLost(const Attempt& attempt);
   /// Enough was tried on probation: nothing more is sent.
-  bool FailedProbation() const { return probes_lost_ >= options_.most_lost_probes; }
+  bool FailedProbation() const { return !proven_ && probes_lost_ >= options_.most_lost_probes; }
   /// It was sent to once and must not be again yet.
   bool Held(const ShardProgress& shard) const;
   bool SendTo(Timestamp now, ShardProgress* shard, SendKind kind);
--- a/test/gateway/gateway_quarantine_test.cc
+++ b/test/gateway/gateway_quarantine_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST_SUITE(GatewayQuarantineTest);
   CPPUNIT_TEST(StoppedRequestIsRefusedAtOnceAndOthersAreNot);
   CPPUNIT_TEST(RequestInProgressIsStopped);
+  CPPUNIT_TEST(RequestThatReachedNoLeafIsToldWhenToComeBack);
   CPPUNIT_TEST(ReadyAnswerIsDeliveredAllTheSame);
   CPPUNIT_TEST(MergerRefusesWhatIsStopped);
   CPPUNIT_TEST(LostRunsAreReported);
@@ -90,6 +91,23 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, g.h.answers.size());
   }
 
+  /// Not when leafs have room again: when it may be let go.
+  void RequestThatReachedNoLeafIsToldWhenToComeBack() {
+    Guarded g;
+    // Its leafs have all that they may have: it waits.
+    size_t sent = 0;
+    do {
+      sent = g.h.sends.size();
+      g.h.Ask("/one/" + std::to_string(sent));
+    } while (g.h.sends.size() > sent);
+    g.h.Ask("/one/fatal");
+    CPPUNIT_ASSERT_EQUAL(sent, g.h.sends.size());
+    g.h.Quarantine("/one/fatal");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT(g.h.answers.front().run == query::RunState::kNotRun);
+    CPPUNIT_ASSERT(g.h.answers.front().retry_after == GatewayKnobs{}.retry_when_quarantined);
+  }
+
   void ReadyAnswerIsDeliveredAllTheSame() {
     Guarded g;
     g.h.Ask("/all/slow");
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -154,7 +154,7 @@
 }
 
 std::string PlatformFleet::StartFurtherGateway(const std::string& name) {
-  const std::string listen = e2e::FreeAddress();
+  std::string listen = e2e::FreeAddress();
   StartGatewayAt(name, {listen, e2e::FreeAddress(), e2e::FreeAddress(), e2e::FreeAddress()});
   return listen;
 }
--- a/test/soak/observations.cc
+++ b/test/soak/observations.cc
@@ -132,7 +132,7 @@
   for (const auto& [run, count] : runs_) {
     const auto& [request, service] = run;
     if (refused_as_not_run_.contains(request)) {
-      Break(request + ": refused as not run, but " + service + " ran it");
+      Break(absl::StrCat(request, ": refused as not run, but ", service, " ran it"));
     }
     if (count > kMostRuns) {
       Break(absl::StrCat(request, ": ", service, " ran it ", count, " times"));
