--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -95,8 +95,10 @@
 constexpr uint16_t kPorts = 20000;
 
 std::string FreeAddress() {
-  // Test processes that run side by side begin at different places.
-  static auto next = static_cast<uint16_t>(::getpid() * 97 % kPorts);
+  // Test processes that run side by side begin at different places, further apart than one of them
+  // needs ports: a soak with a dozen gateways and sixty leafs takes some 150.
+  constexpr int kPortsOfOneProcess = 397;
+  static auto next = static_cast<uint16_t>(::getpid() * kPortsOfOneProcess % kPorts);
   for (int tries = 0; tries < kPorts; ++tries) {
     next = static_cast<uint16_t>((next + 1) % kPorts);
     const auto port = static_cast<uint16_t>(kFirstPort + next);
--- a/test/soak/actors.cc
+++ b/test/soak/actors.cc
@@ -63,7 +63,8 @@
 
 // ---- Leafs --------------------------------------------------------------------------------------
 
-Leafs::Leafs(size_t shards, size_t replicas, std::vector<std::string> controls, Observations* seen)
+Leafs::Leafs(const std::string& run, size_t shards, size_t replicas,
+             std::vector<std::string> controls, Observations* seen)
     : controls_(std::move(controls)) {
   for (size_t i = 0; i < shards * replicas; ++i) {
     const std::string service = ServiceName(i % shards);
@@ -77,8 +78,8 @@
     const auto answered = [seen, service](const std::string& attempt) {
       seen->OnLeafAnswered(service, attempt);
     };
-    leafs_.push_back(std::make_unique<platform::MortalLeaf>("leaf" + std::to_string(i), service,
-                                                            ends, answered));
+    leafs_.push_back(std::make_unique<platform::MortalLeaf>(run + "-leaf" + std::to_string(i),
+                                                            service, ends, answered));
   }
   thread_ = std::thread([this] { Beat(); });
 }
@@ -110,7 +111,11 @@
 // ---- Clients ------------------------------------------------------------------------------------
 
 Clients::Clients(uint64_t seed, std::vector<std::string> gateways, Observations* seen)
-    : gateways_(std::move(gateways)), seen_(seen), random_(seed), thread_([this] { Run(); }) {}
+    : run_("soak" + std::to_string(seed)),
+      gateways_(std::move(gateways)),
+      seen_(seen),
+      random_(seed),
+      thread_([this] { Run(); }) {}
 
 Clients::~Clients() {
   stop_ = true;
@@ -163,7 +168,7 @@
 
 void Clients::Ask(const SentRequest& request, const std::string& path, const std::string& caller) {
   SentRequest sent = request;
-  sent.id = "soak-" + std::to_string(++asked_);
+  sent.id = run_ + "-" + std::to_string(++asked_);
   http::ClientRequest call;
   call.address = AnyGateway();
   call.path = path;
--- a/test/soak/actors.h
+++ b/test/soak/actors.h
@@ -24,7 +24,10 @@
 /// Leafs of every shard, and their heartbeats.
 class Leafs {
  public:
-  Leafs(size_t shards, size_t replicas, std::vector<std::string> controls, Observations* seen);
+  /// @param run names the soak: leafs of two that run side by side must not be taken for each
+  /// other.
+  Leafs(const std::string& run, size_t shards, size_t replicas, std::vector<std::string> controls,
+        Observations* seen);
   ~Leafs();
 
  private:
@@ -50,6 +53,8 @@
   void Ask(const SentRequest& request, const std::string& path, const std::string& caller);
   const std::string& AnyGateway();
 
+  /// Begins the ids of requests.
+  const std::string run_;
   const std::vector<std::string> gateways_;
   Observations* seen_;
   std::mt19937_64 random_;
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -47,7 +47,8 @@
   }
 
   Json Run() {
-    Leafs leafs(static_cast<size_t>(FLAGS_shards), kReplicas, controls_, &seen_);
+    const Leafs leafs("seed" + std::to_string(FLAGS_seed), static_cast<size_t>(FLAGS_shards),
+                      kReplicas, controls_, &seen_);
     WaitForAll();
     Faults faults(FLAGS_seed, {FLAGS_controls, FLAGS_controls / 2, names_}, &fleet_, &seen_);
     {
