Several requests that end leafs at the same time are all found

Cause: of five at once each is there at a fifth of what ends, below the half that is asked for. Change: ends under one other accused alone count for that one only. ManyFatalRequestsAreAllFound: 0 of 5 found before, 5 now.

--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -7,6 +7,21 @@
 #include <utility>
 
 namespace pumicedyke::quarantine {
+namespace {
+
+using Runs = std::map<RequestIdentity, std::set<uint64_t>>;
+
+/// Whether the request was not there, and one of the accused, alone among them, was. Where several
+/// were there, none of them need have done it: in a crash loop everybody is there.
+bool EndedUnderOneOther(const Runs& runs, const RequestIdentity& identity,
+                        const std::set<RequestIdentity>& accused) {
+  const auto there = std::count_if(runs.begin(), runs.end(), [&accused](const auto& item) {
+    return accused.contains(item.first);
+  });
+  return there == 1 && !runs.contains(identity);
+}
+
+}  // namespace
 
 void CrashEvidence::OnReport(Timestamp now, const wire::RunReport& report) {
   for (const wire::LostRun& run : report.lost) {
@@ -65,7 +80,8 @@
   version_ += forgotten > 0 ? 1 : 0;
 }
 
-Verdict CrashEvidence::Judge(const RequestIdentity& identity, const LeafEnds& unexplained) const {
+Verdict CrashEvidence::Judge(const RequestIdentity& identity, const LeafEnds& unexplained,
+                             const std::set<RequestIdentity>& accused) const {
   Verdict verdict{.identity = identity};
   std::set<uint64_t> attempts;
   std::set<std::string> services;
@@ -88,7 +104,9 @@
   const auto meanwhile =
       std::count_if(unexplained.begin(), unexplained.end(), [&](const auto& item) {
         const LeafEnd& end = *item.second;
-        return services.contains(end.service) && end.at >= first && end.at <= last;
+        const bool meanwhile = end.at >= first && end.at <= last;
+        return services.contains(end.service) && meanwhile &&
+               !EndedUnderOneOther(end.runs, identity, accused);
       });
   verdict.attempts = attempts.size();
   verdict.share = static_cast<double>(verdict.leafs) / static_cast<double>(meanwhile);
@@ -169,7 +187,7 @@
   while (true) {
     std::optional<Verdict> worst;
     for (const RequestIdentity& identity : accused) {
-      const Verdict verdict = Judge(identity, unexplained);
+      const Verdict verdict = Judge(identity, unexplained, accused);
       const bool worse = !worst.has_value() || verdict.leafs > worst->leafs;
       if (worse && Suffices(verdict, offenders)) {
         worst = verdict;
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -37,7 +37,8 @@
   /// several times was there with all of it ...
   size_t moments = 2;
   Duration moment_gap = Milliseconds(500);
-  /// ... and it was at this part of all leafs of its services that ended meanwhile.
+  /// ... and it was at this part of all leafs of its services that ended meanwhile, but for those
+  /// that ended under one other accused request alone: several may be guilty at the same time.
   double share = 0.5;
 };
 
@@ -93,7 +94,8 @@
   std::map<RequestIdentity, Presence> Presences() const;
   /// Requests that may be guilty, before any end is put down to another one.
   std::set<RequestIdentity> Accused(const std::set<RequestIdentity>& offenders) const;
-  Verdict Judge(const RequestIdentity& identity, const LeafEnds& unexplained) const;
+  Verdict Judge(const RequestIdentity& identity, const LeafEnds& unexplained,
+                const std::set<RequestIdentity>& accused) const;
   size_t CountMoments(std::vector<Timestamp> times) const;
   bool Suffices(const Verdict& verdict, const std::set<RequestIdentity>& offenders) const;
 
--- a/test/quarantine/crash_evidence_test.cc
+++ b/test/quarantine/crash_evidence_test.cc
@@ -59,6 +59,8 @@
   CPPUNIT_TEST(LeafThatComesBackUnderItsNameEndsAgain);
   CPPUNIT_TEST(CrashLoopWithoutCommonRequestBlamesNobody);
   CPPUNIT_TEST(TwoFatalRequestsAreBothFound);
+  CPPUNIT_TEST(ManyFatalRequestsAreAllFound);
+  CPPUNIT_TEST(CrashLoopUnderManyWhoRepeatBlamesNobody);
   CPPUNIT_TEST(OffenderIsStoppedAtTheNextLeaf);
   CPPUNIT_TEST(ReportsThatComeTwiceCountOnce);
   CPPUNIT_TEST(EvidenceIsForgotten);
@@ -180,6 +182,30 @@
     CPPUNIT_ASSERT(trial.IsGuilty(second));
   }
 
+  /// Each is there at a fifth of what ends.
+  void ManyFatalRequestsAreAllFound() {
+    Trial trial;
+    constexpr uint64_t kRequests = 5;
+    const auto nth = [](uint64_t i) { return IdentityOf({"fatal", std::to_string(i)}); };
+    for (uint64_t turn = 0; turn < 4 * kRequests; ++turn) {
+      trial.End("leaf" + std::to_string(turn), {nth(turn % kRequests)}, turn);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{kRequests}, trial.evidence.Guilty({}).size());
+  }
+
+  /// Several insist while leafs end for a reason of their own: at each end some of them are there.
+  void CrashLoopUnderManyWhoRepeatBlamesNobody() {
+    Trial trial;
+    constexpr uint64_t kCallers = 7;
+    const auto nth = [](uint64_t i) {
+      return IdentityOf({"caller", std::to_string(i % kCallers)});
+    };
+    for (uint64_t turn = 0; turn < 6 * kCallers; ++turn) {
+      trial.End("leaf" + std::to_string(turn), {nth(turn), nth(turn + 1), nth(turn + 3)}, turn);
+    }
+    CPPUNIT_ASSERT(trial.evidence.Guilty({}).empty());
+  }
+
   void OffenderIsStoppedAtTheNextLeaf() {
     Trial trial;
     trial.End("a", {kFatal}, 1);
