--- a/src/control/quarantine_keeper.cc
+++ b/src/control/quarantine_keeper.cc
@@ -19,13 +19,9 @@
   evidence_.Tick(now);
   NoteStopped(now, committed);
   NoteSuspects();
-  if (!leads) {
-    guilty_since_.clear();
-    return std::nullopt;
-  }
-  std::optional<QuarantineProposal> proposal = ProposeRelease(now, committed);
+  std::optional<QuarantineProposal> proposal = ProposeRelease(now, committed, leads);
   if (!proposal.has_value()) {
-    proposal = ProposeStop(now, committed);
+    proposal = ProposeStop(now, committed, leads);
   }
   if (proposal.has_value()) {
     pending_ = true;
@@ -69,10 +65,10 @@
 }
 
 std::optional<QuarantineProposal> QuarantineKeeper::ProposeRelease(
-    Timestamp now, const config::ConfigState& committed) {
+    Timestamp now, const config::ConfigState& committed, bool leads) {
   for (const auto& [identity, since] : stopped_since_) {
     const bool succeeded = evidence_.HasSucceeded(identity);
-    const bool held_out = now - since >= HoldOf(committed.quarantine().at(identity));
+    const bool held_out = leads && now - since >= HoldOf(committed.quarantine().at(identity));
     if (succeeded || held_out) {
       QuarantineProposal proposal;
       proposal.change.kind = config::ChangeKind::kReleaseRequest;
@@ -87,7 +83,7 @@
 }
 
 std::optional<QuarantineProposal> QuarantineKeeper::ProposeStop(
-    Timestamp now, const config::ConfigState& committed) {
+    Timestamp now, const config::ConfigState& committed, bool leads) {
   if (guilty_since_.empty() && judged_version_ == evidence_.version()) {
     return std::nullopt;
   }
@@ -96,6 +92,7 @@
   for (const auto& [identity, record] : committed.quarantine()) {
     offenders.insert(identity);
   }
+  const Duration settle = leads ? options_.settle : options_.follower_settle;
   std::map<RequestIdentity, Timestamp> guilty_since;
   std::optional<QuarantineProposal> proposal;
   for (const quarantine::Verdict& verdict : evidence_.Guilty(offenders)) {
@@ -105,7 +102,7 @@
     const auto before = guilty_since_.find(verdict.identity);
     const Timestamp since = before == guilty_since_.end() ? now : before->second;
     guilty_since[verdict.identity] = since;
-    if (!proposal.has_value() && now - since >= options_.settle) {
+    if (!proposal.has_value() && now - since >= settle) {
       proposal.emplace();
       proposal->change.kind = config::ChangeKind::kQuarantineRequest;
       proposal->change.request = verdict.identity;
--- a/src/control/quarantine_keeper.h
+++ b/src/control/quarantine_keeper.h
@@ -1,6 +1,6 @@
 // Decides which requests the fleet is to stop, and when it lets them go again: gathers what
-// gateways and nodes report, and proposes changes of the configuration while this machine leads. No
-// clock.
+// gateways and nodes report, and proposes changes of the configuration, to the leader if that is
+// another machine. No clock.
 #pragma once
 
 #include <map>
@@ -24,6 +24,9 @@
   Duration interval_per_leaf = Microseconds(100);
   /// Evidence has to hold this long: word that a request has succeeded elsewhere may be under way.
   Duration settle = Milliseconds(100);
+  /// The same at a machine that does not lead: the leader comes first, but one that was restarted
+  /// may have seen less.
+  Duration follower_settle = Milliseconds(400);
   /// A proposal that was not answered is made again after this.
   Duration answer_patience = Seconds(2);
   /// A stopped request is tried again after this, and each time that it ends leafs again after
@@ -59,10 +62,11 @@
   const quarantine::CrashEvidence& evidence() const { return evidence_; }
 
  private:
-  std::optional<QuarantineProposal> ProposeStop(Timestamp now,
-                                                const config::ConfigState& committed);
+  std::optional<QuarantineProposal> ProposeStop(Timestamp now, const config::ConfigState& committed,
+                                                bool leads);
   std::optional<QuarantineProposal> ProposeRelease(Timestamp now,
-                                                   const config::ConfigState& committed);
+                                                   const config::ConfigState& committed,
+                                                   bool leads);
   void NoteSuspects();
   /// Keeps note of since when this machine has known each request to be stopped.
   void NoteStopped(Timestamp now, const config::ConfigState& committed);
--- a/test/control/quarantine_keeper_test.cc
+++ b/test/control/quarantine_keeper_test.cc
@@ -43,7 +43,7 @@
 class QuarantineKeeperTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuarantineKeeperTest);
   CPPUNIT_TEST(GuiltyRequestIsStoppedOnce);
-  CPPUNIT_TEST(OnlyTheLeaderProposes);
+  CPPUNIT_TEST(FollowerProposesWhatTheLeaderDoesNot);
   CPPUNIT_TEST(SuccessUnderWayIsWaitedFor);
   CPPUNIT_TEST(SuccessReleasesAndForgets);
   CPPUNIT_TEST(HeldLongEnoughItGoesOnParole);
@@ -61,11 +61,15 @@
     CPPUNIT_ASSERT(fixture.committed.IsQuarantined(kFatal));
   }
 
-  void OnlyTheLeaderProposes() {
+  /// The leader was restarted and has seen less.
+  void FollowerProposesWhatTheLeaderDoesNot() {
     Keeper fixture;
     fixture.End(3);
-    CPPUNIT_ASSERT(fixture.Pass(Seconds(1), /*leads=*/false).empty());
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, fixture.Pass(Seconds(1)).size());
+    CPPUNIT_ASSERT(fixture.Pass(QuarantineOptions{}.settle * 2, /*leads=*/false).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fixture.Pass(Seconds(1), /*leads=*/false).size());
+    // How long it is held is for the leader alone to say.
+    CPPUNIT_ASSERT(fixture.Pass(QuarantineOptions{}.hold, /*leads=*/false).empty());
+    CPPUNIT_ASSERT(fixture.committed.IsQuarantined(kFatal));
   }
 
   void SuccessUnderWayIsWaitedFor() {
