Which requests are stopped is worked out in one place

Cause: the same loop over the quarantine stood in the gateway, the node and control's log, found reading the change as a newcomer. Change: ConfigState::StoppedRequests(); no decision and no assertion changes.

--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -110,6 +110,16 @@
   return evacuated;
 }
 
+std::set<RequestIdentity> ConfigState::StoppedRequests() const {
+  std::set<RequestIdentity> stopped;
+  for (const auto& [request, record] : quarantine_) {
+    if (record.stopped) {
+      stopped.insert(request);
+    }
+  }
+  return stopped;
+}
+
 uint64_t ConfigState::RevisionOf(const Change& change) const {
   if (ConcernsZone(change.kind)) {
     const auto zone = zones_.find(change.zone);
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -45,6 +45,8 @@
     const auto it = quarantine_.find(request);
     return it != quarantine_.end() && it->second.stopped;
   }
+  /// Requests that are to be sent to no leaf.
+  std::set<RequestIdentity> StoppedRequests() const;
   /// Revision of what the change is about, a service or a zone; zero: it has none yet.
   uint64_t RevisionOf(const Change& change) const;
 
--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -46,12 +46,7 @@
 }
 
 void GatewayServer::TakeQuarantine(Timestamp now) {
-  std::set<RequestIdentity> quarantined;
-  for (const auto& [request, record] : subscriber_.config().quarantine()) {
-    if (record.stopped) {
-      quarantined.insert(request);
-    }
-  }
+  std::set<RequestIdentity> quarantined = subscriber_.config().StoppedRequests();
   if (quarantined == quarantined_) {
     return;
   }
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -252,12 +252,7 @@
 }
 
 void NodeServer::StopQuarantined(Timestamp now) {
-  std::set<RequestIdentity> quarantined;
-  for (const auto& [request, record] : subscriber_.config().quarantine()) {
-    if (record.stopped) {
-      quarantined.insert(request);
-    }
-  }
+  const std::set<RequestIdentity> quarantined = subscriber_.config().StoppedRequests();
   witness_.OnQuarantined(quarantined);
   std::vector<RequestId> stopped;
   for (const auto& [id, active] : active_) {
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -34,10 +34,7 @@
 }
 
 void ControlLog::NoteQuarantine(const config::ConfigState& config) {
-  size_t stopped = 0;
-  for (const auto& [request, record] : config.quarantine()) {
-    stopped += record.stopped ? 1 : 0;
-  }
+  const size_t stopped = config.StoppedRequests().size();
   if (stopped != stopped_requests_) {
     stopped_requests_ = stopped;
     LogEvent("quarantine_changed",
