A gateway's work on its leafs grows with what changes, not with what there is

Cause: each merged change made every gateway take all words on all leafs together anew, compare whole maps, rank the leafs of all services by hash and set the whole pool up again; the number of gateways, which each of ten control machines tells differently while a fleet starts, did the same at every message. Leafs times changes times gateways. Control looked at all its leafs and all gateways for each greeting that was a version behind.

Ruled out: longer merge intervals (0.6 s already; new leafs and leaving ones are late by them).

Change: LeafView judges the leafs of which something changed (and those that share an address with one that came or went); PoolKeeper, a module of its own, places only these and ranks only their service, and ranks others only when their subset's size changes; the subscriber names the leafs that a change is about; the registry, the directory and the log keep what changed by version.

--- a/src/balance/connection_subset.cc
+++ b/src/balance/connection_subset.cc
@@ -22,8 +22,10 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
+}  // namespace
+
 size_t SubsetSize(size_t candidates, ConnectionBound bound) {
-  if (bound.connections_per_leaf == 0) {
+  if (bound.connections_per_leaf == 0 || candidates == 0) {
     return candidates;
   }
   const double connections =
@@ -32,8 +34,6 @@
   return std::clamp<size_t>(each, 1, candidates);
 }
 
-}  // namespace
-
 std::set<std::string> PreferredLeafs(const std::string& gateway,
                                      const std::vector<SubsetCandidate>& candidates,
                                      ConnectionBound bound) {
--- a/src/balance/connection_subset.h
+++ b/src/balance/connection_subset.h
@@ -23,6 +23,9 @@
   size_t gateways = 1;
 };
 
+/// How many of `candidates` leafs each gateway prefers.
+size_t SubsetSize(size_t candidates, ConnectionBound bound);
+
 /// The leafs that `gateway` prefers: as many as leave a quarter of every leaf's connections free
 /// for hedges and retries of others, one at least; those of its own zone first. Each gateway ranks
 /// leafs by a hash of its own, so that the gateways spread over them.
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -49,11 +49,15 @@
   }
 }
 
-void LeafPool::AddLeavingOnPlatform(const std::string& leaf) {
-  platform_leaving_.insert(leaf);
+void LeafPool::SetLeafLeavingOnPlatform(const std::string& leaf, bool leaving) {
+  if (leaving) {
+    platform_leaving_.insert(leaf);
+  } else {
+    platform_leaving_.erase(leaf);
+  }
   const auto it = leafs_.find(leaf);
   if (it != leafs_.end()) {
-    it->second.leaving_on_platform = true;
+    it->second.leaving_on_platform = leaving;
   }
 }
 
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -54,8 +54,8 @@
   /// work). A source takes back only its own mark.
   void SetLeavingInConfig(const std::set<std::string>& leafs);
   void SetLeavingOnPlatform(const std::set<std::string>& leafs);
-  /// One more of these.
-  void AddLeavingOnPlatform(const std::string& leaf);
+  /// The same for one leaf.
+  void SetLeafLeavingOnPlatform(const std::string& leaf, bool leaving);
   /// What may be sent to leafs that are cold, by id; others bear what they always do. A leaf that
   /// is limited already keeps what it has saved up.
   void SetCold(Timestamp now, const std::map<std::string, ColdLimit>& limits);
--- a/src/directory/gateway_directory.cc
+++ b/src/directory/gateway_directory.cc
@@ -25,7 +25,7 @@
   entry.presence = presence;
   entry.heard = now;
   if (record.has_value() && record != before) {
-    entry.changed = ++version_;
+    NoteChange(&entry);
   } else if (before.has_value() && !record.has_value()) {
     NoteRemoval(presence.node);
   }
@@ -41,6 +41,7 @@
   if (RecordOf(it->second.presence).has_value()) {
     NoteRemoval(node);
   }
+  Forget(it->second);
   gateways_.erase(it);
   return was_serving;
 }
@@ -51,10 +52,19 @@
     if (silent && RecordOf(item.second.presence).has_value()) {
       NoteRemoval(item.first);
     }
+    if (silent) {
+      Forget(item.second);
+    }
     return silent;
   });
 }
 
+void GatewayDirectory::NoteChange(Entry* entry) {
+  by_change_.erase(entry->changed);
+  entry->changed = ++version_;
+  by_change_[entry->changed] = entry->presence.node;
+}
+
 void GatewayDirectory::NoteRemoval(const std::string& node) {
   removals_.push_back({node, ++version_});
   if (removals_.size() > options_.kept_removals) {
@@ -73,18 +83,16 @@
   wire::GatewayFeed feed;
   feed.from_version = all ? 0 : version;
   feed.version = version_;
-  for (const auto& [node, entry] : gateways_) {
-    // With hundreds of gateways that ask ten times a second, only what has changed is looked at.
-    if (!all && entry.changed <= version) {
-      continue;
-    }
+  for (auto it = by_change_.upper_bound(all ? 0 : version); it != by_change_.end(); ++it) {
+    const Entry& entry = gateways_.at(it->second);
     if (std::optional<wire::GatewayRecord> record = RecordOf(entry.presence)) {
       feed.peers.push_back(*std::move(record));
     }
   }
-  for (const Removal& removal : removals_) {
-    if (!all && removal.version > version && !Serves(removal.node)) {
-      feed.gone.push_back(removal.node);
+  for (auto it = removals_.rbegin(); !all && it != removals_.rend() && it->version > version;
+       ++it) {
+    if (!Serves(it->node)) {
+      feed.gone.push_back(it->node);
     }
   }
   return feed;
--- a/src/directory/gateway_directory.h
+++ b/src/directory/gateway_directory.h
@@ -60,11 +60,17 @@
   };
 
   void NoteRemoval(const std::string& node);
+  /// Counts a change of a gateway that others may turn to.
+  void NoteChange(Entry* entry);
+  void Forget(const Entry& entry) { by_change_.erase(entry.changed); }
   /// Whether other gateways may turn to it.
   bool Serves(const std::string& node) const;
 
   DirectoryOptions options_;
   std::map<std::string, Entry> gateways_;
+  /// The gateways that serve or did, by the version of their last change: while a fleet starts, all
+  /// of them ask ten times a second for the few that have come since.
+  std::map<uint64_t, std::string> by_change_;
   std::deque<Removal> removals_;
   /// Version of the newest removal that was forgotten.
   uint64_t forgotten_ = 0;
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "balance/connection_subset.h"
 #include "gateway/gateway_server.h"
 #include "gateway/merger_placement.h"
 
@@ -143,34 +142,19 @@
   if (!subscriber_.OnFeed(now, feed)) {
     return;
   }
-  for (const std::string& leaf : subscriber_.TakeNewlyRetired()) {
-    view_.Retire(leaf);
+  const std::vector<std::string> changed = subscriber_.TakeChangedLeafs();
+  if (feed.full) {
+    view_.OnCommittedAnew(now);
+  } else {
+    view_.OnCommitted(now, changed);
   }
   view_.SetEvacuated(now, subscriber_.config().EvacuatedZones());
   TakeQuarantine(now);
-  committed_stale_ = true;
-  TakeCommittedLeafs(now, /*at_once=*/feed.full);
   SyncPool(now);
   AdoptDocument();
   ReleaseEarly(now);
 }
 
-void GatewayServer::TakeCommittedLeafs(Timestamp now, bool at_once) {
-  // While hundreds of leafs come or leave, each by a change of its own, taking over the list for
-  // each would cost a gateway all its processor time. Leaving itself was noted at once.
-  const bool due = at_once || now - committed_taken_ >= view_.MergeInterval();
-  if (!committed_stale_ || !due) {
-    return;
-  }
-  committed_stale_ = false;
-  committed_taken_ = now;
-  view_.SetCommitted(now, subscriber_.config().reported(), subscriber_.config().retired());
-  if (at_once) {
-    view_.Merge(now);
-  }
-  SyncPool(now);
-}
-
 void GatewayServer::OnLeafFeed(Timestamp now, const std::string& address,
                                const wire::LeafFeed& feed) {
   links_[address].last_heard = now;
@@ -200,6 +184,9 @@
   const bool was_ready = ready();
   set->version = document.version;
   table_ = std::make_shared<const routing::RouteTable>(*std::move(set));
+  limits_cold_leafs_ = std::any_of(
+      table_->set().services.begin(), table_->set().services.end(),
+      [](const routing::ServiceSpec& service) { return service.cold_requests_per_second > 0; });
   targets_.clear();
   if (!was_ready) {
     for (auto& [address, link] : links_) {
@@ -208,47 +195,13 @@
   }
 }
 
-std::set<std::string> GatewayServer::PreferredLeafs() const {
-  std::map<std::string, std::vector<balance::SubsetCandidate>> candidates;
-  for (const auto& [leaf, record] : view_.leafs()) {
-    if (!view_.IsClosed(record)) {
-      candidates[record.service].push_back({leaf, record.zone != options_.zone});
-    }
-  }
-  std::set<std::string> preferred;
-  for (const auto& [service, leafs] : candidates) {
-    const routing::ServiceSpec* spec = table_ == nullptr ? nullptr : table_->FindService(service);
-    const size_t connections = spec == nullptr ? 0 : spec->max_connections;
-    preferred.merge(
-        balance::PreferredLeafs(options_.node, leafs, {connections, SharingGateways()}));
-  }
-  return preferred;
-}
-
 void GatewayServer::SyncPool(Timestamp now) {
-  const PoolBasis basis{view_.merges(), document_version(), SharingGateways()};
-  if (pool_basis_ != basis) {
-    pool_basis_ = basis;
-    preferred_ = PreferredLeafs();
-    for (const auto& [leaf, record] : view_.leafs()) {
-      const bool remote = record.zone != options_.zone;
-      pool_.Configure(now, leaf, std::max(1U, record.slots), {remote, preferred_.contains(leaf)});
-    }
-    for (const std::string& leaf : pool_.Names()) {
-      if (!view_.leafs().contains(leaf)) {
-        pool_.Remove(leaf);
-      }
-    }
-    std::set<std::string> leaving;
-    for (const auto& [leaf, record] : view_.leafs()) {
-      if (view_.IsClosed(record)) {
-        leaving.insert(leaf);
-      }
-    }
-    pool_.SetLeavingOnPlatform(leaving);
+  const std::vector<LeafChange> changes = view_.TakeChanges();
+  keeper_.Sync(now, view_, changes, {table_.get(), SharingGateways()});
+  for (const LeafChange& change : changes) {
+    output_.leaf_changes.push_back(change.leaf);
   }
   for (const std::string& leaf : view_.TakeNewlyLeaving()) {
-    pool_.AddLeavingOnPlatform(leaf);
     output_.closed_leafs.push_back(leaf);
   }
   SyncCold(now);
@@ -305,6 +258,9 @@
     return;
   }
   cold_basis_ = basis;
+  if (!limits_cold_leafs_) {
+    return;
+  }
   std::map<std::string, balance::ColdLimit> limits;
   std::optional<std::map<std::string, double>> merger_parts;
   for (const auto& [leaf, record] : view_.leafs()) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -40,11 +40,12 @@
                    .incarnation = options_.incarnation,
                    .control_machines = options_.control.size(),
                    .starting_silence_limit = Milliseconds(200),
-                   .note_retired = true},
+                   .note_changed_leafs = true},
                   now),
       ids_(options_.incarnation),
-      view_(options_.leaf_view),
+      view_(options_.leaf_view, &subscriber_.config()),
       pool_(options_.knobs.balance, options_.incarnation),
+      keeper_(options_.node, options_.zone, &pool_),
       witness_(options_.knobs.witness),
       started_(now) {
   LearnControl(options_.control);
@@ -235,7 +236,6 @@
   if (!lacks) {
     return;
   }
-  TakeCommittedLeafs(now, /*at_once=*/true);
   if (view_.next_merge().has_value()) {
     view_.Merge(now);
     SyncPool(now);
@@ -330,7 +330,8 @@
     out.budget = send.budget;
     out.repeatable = active->repeatable;
     out.max_connections = std::max(ConnectionShare(record.service), active->merger_connections);
-    out.keep_connection = active->merger_connections > 0 || preferred_.contains(send.leaf);
+    out.keep_connection =
+        active->merger_connections > 0 || keeper_.IsPreferred(record.service, send.leaf);
     out.shard = send.shard;
     out.keep_headers = !active->gathers;
     WatchRun(now, *active, out, record.service);
@@ -440,7 +441,6 @@
 
 void GatewayServer::Tick(Timestamp now) {
   view_.Tick(now);
-  TakeCommittedLeafs(now, /*at_once=*/false);
   SyncPool(now);
   GreetControl(now);
   ReleaseEarly(now);
@@ -471,9 +471,6 @@
     wake = std::min(wake, runs_reported_ + options_.knobs.run_report_interval);
   }
   wake = std::min(wake, view_.next_merge().value_or(wake));
-  if (committed_stale_) {
-    wake = std::min(wake, committed_taken_ + view_.MergeInterval());
-  }
   return wake;
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -21,6 +21,7 @@
 #include "gateway/merger_placement.h"
 #include "gateway/messages.h"
 #include "gateway/peer_view.h"
+#include "gateway/pool_keeper.h"
 #include "node/config_subscriber.h"
 #include "node/id_source.h"
 #include "quarantine/run_witness.h"
@@ -130,8 +131,7 @@
   std::vector<std::string> control;
   ExtraLoadBound extra_load;
   GatewayKnobs knobs;
-  LeafViewOptions leaf_view{.merge_interval = Milliseconds(100),
-                            .merge_interval_per_leaf = Microseconds(200)};
+  LeafViewOptions leaf_view{.merge_interval = Milliseconds(100)};
   query::ExecutionOptions execution{.poll = Milliseconds(10),
                                     .expect_median = true,
                                     .hedge_median_factor = 1.5,
@@ -169,6 +169,8 @@
   std::vector<LeafSend> sends;
   /// Leafs that were closed to new work: what was not written to them yet must not be.
   std::vector<std::string> closed_leafs;
+  /// Leafs of which something else is known now, for the log.
+  std::vector<std::string> leaf_changes;
   std::vector<LeafCancel> cancels;
   std::vector<GatewayAnswer> answers;
   std::vector<ControlMessage> control;
@@ -310,9 +312,6 @@
   void OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed);
   void OnLeafFeed(Timestamp now, const std::string& address, const wire::LeafFeed& feed);
   void AdoptDocument();
-  /// Takes over which leafs are committed and which have left; later if it was just done, unless
-  /// `at_once`.
-  void TakeCommittedLeafs(Timestamp now, bool at_once);
   void SyncPool(Timestamp now);
   /// Limits what goes to cold leafs.
   void SyncCold(Timestamp now);
@@ -357,8 +356,6 @@
   /// clients of a route wait alike. Unset: it cannot be told.
   std::optional<Duration> SpentByClient(const routing::Route& route,
                                         const PayloadRequest& request) const;
-  /// The leafs that this gateway works with as a rule.
-  std::set<std::string> PreferredLeafs() const;
   size_t ConnectionShare(const std::string& service) const;
   size_t ConnectionsOf(const std::string& service) const;
   uint32_t SharingGateways() const;
@@ -433,14 +430,6 @@
   node::ConfigSubscriber subscriber_;
   node::IdSource ids_;
   LeafView view_;
-  /// What the pool was configured by.
-  struct PoolBasis {
-    uint64_t merges = 0;
-    uint64_t document_version = 0;
-    uint32_t gateways = 0;
-    bool operator==(const PoolBasis&) const = default;
-  };
-  PoolBasis pool_basis_;
   /// What the limits of cold leafs were worked out from, and until when any of them holds.
   struct ColdBasis {
     uint64_t words = 0;
@@ -450,11 +439,10 @@
     bool operator==(const ColdBasis&) const = default;
   };
   ColdBasis cold_basis_;
-  /// The configuration has changed since its leafs were taken over.
-  bool committed_stale_ = false;
-  Timestamp committed_taken_{};
-  std::set<std::string> preferred_;
+  /// Whether any service says what its leafs bear while they are cold.
+  bool limits_cold_leafs_ = false;
   balance::LeafPool pool_;
+  PoolKeeper keeper_;
   std::shared_ptr<const routing::RouteTable> table_;
   std::map<std::string, RouteRuntime> runtimes_;
   std::map<std::string, std::unique_ptr<balance::SlidingWindowBudget>> budgets_;
--- a/src/gateway/leaf_view.cc
+++ b/src/gateway/leaf_view.cc
@@ -5,6 +5,14 @@
 
 namespace pumicedyke::gateway {
 
+LeafView::LeafView(LeafViewOptions options, const config::ConfigState* committed)
+    : options_(options), committed_(committed) {
+  static const auto* const nothing = new config::ConfigState();
+  if (committed_ == nullptr) {
+    committed_ = nothing;
+  }
+}
+
 bool LeafView::OnFeed(Timestamp now, const std::string& source, const wire::LeafFeed& feed) {
   Source& state = sources_[source];
   state.lost = false;
@@ -21,12 +29,16 @@
     state.unconfirmed.merge(state.records);
     state.unconfirmed_until = now + options_.unconfirmed_patience;
     state.records.clear();
+    for (const auto& [leaf, record] : state.unconfirmed) {
+      stale_.insert(leaf);
+    }
   }
   for (const wire::LeafRecord& record : feed.records) {
     NoteCold(now, record);
     wire::LeafRecord& kept = state.records[record.leaf] = record;
     kept.cold_milliseconds = 0;
     state.unconfirmed.erase(record.leaf);
+    stale_.insert(record.leaf);
     if (record.draining) {
       MarkLeaving(record.leaf);
     }
@@ -34,22 +46,32 @@
   for (const std::string& leaf : feed.gone) {
     state.records.erase(leaf);
     state.unconfirmed.erase(leaf);
+    stale_.insert(leaf);
   }
   Changed(now);
   return true;
 }
 
 void LeafView::Changed(Timestamp now) {
-  stale_ = true;
-  if (now - rebuilt_ >= MergeInterval()) {
+  if (now - merged_ >= options_.merge_interval) {
     Merge(now);
   }
 }
 
 void LeafView::Merge(Timestamp now) {
-  if (stale_) {
-    rebuilt_ = now;
-    Rebuild();
+  if (stale_.empty()) {
+    return;
+  }
+  merged_ = now;
+  bool changed = false;
+  // Judging one may call for judging others at its address.
+  while (!stale_.empty()) {
+    const std::string leaf = std::move(stale_.extract(stale_.begin()).value());
+    changed |= Judge(leaf);
+  }
+  if (changed) {
+    ++version_;
+    ++merges_;
   }
 }
 
@@ -72,13 +94,20 @@
       restored_at_[zone] = now;
     }
   }
+  const std::set<std::string> before = std::exchange(evacuated_, zones);
   for (const auto& [leaf, record] : leafs_) {
-    if (zones.contains(record.zone) && !IsClosed(record)) {
+    if (before.contains(record.zone) == zones.contains(record.zone)) {
+      continue;
+    }
+    if (zones.contains(record.zone) && !record.draining) {
       newly_leaving_.push_back(leaf);
     }
+    Unlist(record);
+    List(record);
+    changes_.push_back({leaf, record.service});
   }
-  evacuated_ = zones;
-  SortByService();
+  ++version_;
+  ++merges_;
 }
 
 std::optional<Timestamp> LeafView::RestoredAt(const std::string& zone) const {
@@ -92,16 +121,12 @@
     return;
   }
   it->second.draining = true;
-  std::erase(by_service_[it->second.service], leaf);
+  Unlist(it->second);
   newly_leaving_.push_back(leaf);
+  changes_.push_back({leaf, it->second.service});
   ++version_;
 }
 
-void LeafView::Retire(const std::string& leaf) {
-  retired_.insert(leaf);
-  MarkLeaving(leaf);
-}
-
 void LeafView::OnSourceLost(Timestamp now, const std::string& source) {
   const auto it = sources_.find(source);
   if (it != sources_.end() && !it->second.lost) {
@@ -112,46 +137,63 @@
   }
 }
 
-void LeafView::SetCommitted(Timestamp now,
-                            const std::map<std::string, config::ReportedLeaf>& reported,
-                            const std::set<std::string>& retired) {
-  if (retired != retired_) {
-    retired_ = retired;
-    for (const std::string& leaf : retired_) {
+void LeafView::OnCommitted(Timestamp now, const std::vector<std::string>& leafs) {
+  for (const std::string& leaf : leafs) {
+    stale_.insert(leaf);
+    if (committed_->retired().contains(leaf)) {
       MarkLeaving(leaf);
     }
-    Changed(now);
   }
-  if (reported != reported_) {
-    reported_ = reported;
-    Changed(now);
+  Changed(now);
+}
+
+void LeafView::OnCommittedAnew(Timestamp now) {
+  for (const auto& [leaf, record] : leafs_) {
+    stale_.insert(leaf);
   }
+  for (const auto& [address, leafs] : only_committed_at_) {
+    stale_.insert(leafs.begin(), leafs.end());
+  }
+  for (const auto& [leaf, reported] : committed_->reported()) {
+    stale_.insert(leaf);
+  }
+  only_committed_at_.clear();
+  for (const std::string& leaf : committed_->retired()) {
+    MarkLeaving(leaf);
+  }
+  Merge(now);
 }
 
 void LeafView::Tick(Timestamp now) {
   std::erase_if(cold_until_, [now](const auto& item) { return now >= item.second; });
-  if (stale_) {
-    Changed(now);
-  }
+  Changed(now);
   const bool any_live = std::any_of(sources_.begin(), sources_.end(),
                                     [](const auto& item) { return !item.second.lost; });
   if (!any_live) {
     return;
   }
-  size_t forgotten = 0;
   for (auto& [name, source] : sources_) {
     const bool over = !source.unconfirmed.empty() && now >= source.unconfirmed_until;
     if (over && !source.lost) {
+      for (const auto& [leaf, record] : source.unconfirmed) {
+        stale_.insert(leaf);
+      }
       source.unconfirmed.clear();
-      ++forgotten;
     }
   }
-  forgotten += std::erase_if(sources_, [&](const auto& item) {
-    return item.second.lost && now - item.second.lost_at >= options_.lost_source_patience;
+  std::erase_if(sources_, [&](const auto& item) {
+    const Source& source = item.second;
+    if (!source.lost || now - source.lost_at < options_.lost_source_patience) {
+      return false;
+    }
+    for (const auto* records : {&source.records, &source.unconfirmed}) {
+      for (const auto& [leaf, record] : *records) {
+        stale_.insert(leaf);
+      }
+    }
+    return true;
   });
-  if (forgotten > 0) {
-    Changed(now);
-  }
+  Changed(now);
 }
 
 uint64_t LeafView::VersionOf(const std::string& source) const {
@@ -170,22 +212,29 @@
   return it == by_service_.end() ? *none : it->second;
 }
 
-std::map<std::string, wire::LeafRecord> LeafView::TakenTogether() const {
-  std::map<std::string, wire::LeafRecord> leafs;
-  for (const auto& [id, leaf] : reported_) {
-    leafs[id] = {id, leaf.service, leaf.address, leaf.zone, leaf.slots, retired_.contains(id), 0};
+std::optional<wire::LeafRecord> LeafView::WordOn(const std::string& leaf) const {
+  std::optional<wire::LeafRecord> word;
+  const auto committed = committed_->reported().find(leaf);
+  if (committed != committed_->reported().end()) {
+    const config::ReportedLeaf& said = committed->second;
+    word = {leaf, said.service, said.address, said.zone, said.slots, /*draining=*/false, 0};
   }
   for (const auto& [name, source] : sources_) {
     for (const auto* records : {&source.records, &source.unconfirmed}) {
-      for (const auto& [leaf, record] : *records) {
-        const auto [it, inserted] = leafs.emplace(leaf, record);
-        // The most pessimistic word wins: draining is never taken back.
-        it->second.draining |= record.draining || retired_.contains(leaf);
+      const auto it = records->find(leaf);
+      if (it == records->end()) {
+        continue;
       }
+      const bool draining = it->second.draining || (word.has_value() && word->draining);
+      word = word.has_value() ? *word : it->second;
+      // The most pessimistic word wins: draining is never taken back.
+      word->draining = draining;
     }
   }
-  DropReplaced(&leafs);
-  return leafs;
+  if (word.has_value() && committed_->retired().contains(leaf)) {
+    word->draining = true;
+  }
+  return word;
 }
 
 bool LeafView::IsReported(const std::string& leaf) const {
@@ -194,48 +243,98 @@
   });
 }
 
-void LeafView::DropReplaced(std::map<std::string, wire::LeafRecord>* leafs) const {
-  std::set<std::string> only_committed;
-  for (const auto& [leaf, reported] : reported_) {
-    if (!IsReported(leaf)) {
-      only_committed.insert(leaf);
+bool LeafView::Judge(const std::string& leaf) {
+  std::optional<wire::LeafRecord> word = WordOn(leaf);
+  if (word.has_value() && IsReported(leaf)) {
+    HoldAddress(leaf, word->address);
+    return Adopt(leaf, word);
+  }
+  ReleaseAddress(leaf);
+  if (word.has_value()) {
+    only_committed_at_[word->address].insert(leaf);
+    // Another one reports from its address: it has ended, and the word of that is under way.
+    if (holders_.contains(word->address)) {
+      word.reset();
     }
   }
-  if (only_committed.empty() || only_committed.size() == leafs->size()) {
+  return Adopt(leaf, word);
+}
+
+void LeafView::HoldAddress(const std::string& leaf, const std::string& address) {
+  const auto held = holders_.find(address);
+  if (held != holders_.end() && held->second.contains(leaf)) {
     return;
   }
-  std::set<std::string_view> taken;
-  for (const auto& [leaf, record] : *leafs) {
-    if (!only_committed.contains(leaf)) {
-      taken.insert(record.address);
-    }
+  ReleaseAddress(leaf);
+  holders_[address].insert(leaf);
+  TouchCommittedAt(address);
+}
+
+void LeafView::ReleaseAddress(const std::string& leaf) {
+  const auto known = leafs_.find(leaf);
+  if (known == leafs_.end()) {
+    return;
+  }
+  const std::string& address = known->second.address;
+  const auto held = holders_.find(address);
+  if (held == holders_.end() || held->second.erase(leaf) == 0) {
+    return;
+  }
+  if (held->second.empty()) {
+    holders_.erase(held);
+    TouchCommittedAt(address);
   }
-  std::erase_if(*leafs, [&](const auto& item) {
-    return only_committed.contains(item.first) && taken.contains(item.second.address);
-  });
 }
 
-void LeafView::Rebuild() {
-  stale_ = false;
-  std::map<std::string, wire::LeafRecord> leafs = TakenTogether();
-  if (leafs == leafs_) {
-    // Known leafs report anew after control has restarted: there is nothing to do for users of
-    // this.
+void LeafView::TouchCommittedAt(const std::string& address) {
+  const auto committed = only_committed_at_.find(address);
+  if (committed != only_committed_at_.end()) {
+    stale_.merge(committed->second);
+    only_committed_at_.erase(committed);
+  }
+}
+
+bool LeafView::Adopt(const std::string& leaf, const std::optional<wire::LeafRecord>& record) {
+  const auto known = leafs_.find(leaf);
+  if (known == leafs_.end() && !record.has_value()) {
+    return false;
+  }
+  // Known leafs report anew after control has restarted: there is nothing to do for users of this.
+  if (known != leafs_.end() && record == known->second) {
+    return false;
+  }
+  if (known != leafs_.end()) {
+    Unlist(known->second);
+    changes_.push_back({leaf, known->second.service});
+  }
+  if (!record.has_value()) {
+    leafs_.erase(known);
+    return true;
+  }
+  leafs_[leaf] = *record;
+  List(*record);
+  changes_.push_back({leaf, record->service});
+  return true;
+}
+
+void LeafView::List(const wire::LeafRecord& record) {
+  if (IsClosed(record)) {
     return;
   }
-  leafs_ = std::move(leafs);
-  SortByService();
+  std::vector<std::string>& leafs = by_service_[record.service];
+  leafs.insert(std::lower_bound(leafs.begin(), leafs.end(), record.leaf), record.leaf);
+  ++usable_count_;
 }
 
-void LeafView::SortByService() {
-  by_service_.clear();
-  for (const auto& [leaf, record] : leafs_) {
-    if (!IsClosed(record)) {
-      by_service_[record.service].push_back(leaf);
-    }
+void LeafView::Unlist(const wire::LeafRecord& record) {
+  const auto listed = by_service_.find(record.service);
+  if (listed == by_service_.end()) {
+    return;
+  }
+  usable_count_ -= std::erase(listed->second, record.leaf);
+  if (listed->second.empty()) {
+    by_service_.erase(listed);
   }
-  ++version_;
-  ++merges_;
 }
 
 }  // namespace pumicedyke::gateway
--- a/src/gateway/leaf_view.h
+++ b/src/gateway/leaf_view.h
@@ -1,19 +1,19 @@
 // The leafs that a gateway may use: the reports of several control machines taken together with
-// what the configuration says for good. No clock.
+// what the configuration says for good. No clock. Work grows with what changes, not with how many
+// leafs there are: a fleet's gateways all hear of each leaf that comes and goes.
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "common/types.h"
-#include "config/model.h"
+#include "config/config_state.h"
 #include "wire/messages.h"
 
 namespace pumicedyke::gateway {
@@ -25,28 +25,33 @@
   /// A control machine that comes back without the leafs it had before: they have this long to
   /// report again, there or elsewhere.
   Duration unconfirmed_patience = Seconds(8);
-  /// Reports that come within this time of each other take effect together: while hundreds of leafs
-  /// come, taking each over by itself costs a gateway all its processor time. Word that a leaf
-  /// leaves takes effect at once.
+  /// Reports that come within this time of each other take effect together, so that what is worked
+  /// out from a service's leafs is worked out once for a crowd that comes. Word that a leaf leaves
+  /// takes effect at once.
   Duration merge_interval{};
-  /// The same, for each leaf that is known: taking over all of them costs a gateway 2.5 us a leaf.
-  Duration merge_interval_per_leaf{};
 };
 
+/// A leaf of which something else is known than before: it came, changed, closed or went.
+struct LeafChange {
+  std::string leaf;
+  std::string service;
+};
+
+/// Lives on the event loop's thread.
 class LeafView {
  public:
-  explicit LeafView(LeafViewOptions options) : options_(options) {}
+  /// @param committed outlives this object; null: nothing is committed. Whoever changes it calls
+  /// OnCommitted() or OnCommittedAnew().
+  explicit LeafView(LeafViewOptions options, const config::ConfigState* committed = nullptr);
 
   /// @return false if changes in between were missed: greet with version 0 to get everything.
   bool OnFeed(Timestamp now, const std::string& source, const wire::LeafFeed& feed);
   /// The control machine cannot be reached.
   void OnSourceLost(Timestamp now, const std::string& source);
-  /// Takes over what is committed: the leafs that report, and those that said for good that they
-  /// leave.
-  void SetCommitted(Timestamp now, const std::map<std::string, config::ReportedLeaf>& reported,
-                    const std::set<std::string>& retired);
-  /// One more leaf said for good that it leaves; takes effect at once.
-  void Retire(const std::string& leaf);
+  /// What is committed on these leafs has changed. That one leaves takes effect at once.
+  void OnCommitted(Timestamp now, const std::vector<std::string>& leafs);
+  /// What is committed on any leaf may have changed; takes effect at once.
+  void OnCommittedAnew(Timestamp now);
   /// The zones whose leafs nothing may be sent to; takes effect at once. The leafs of a zone that
   /// is taken back count as cold for as long as their service says, whatever they said before.
   void SetEvacuated(Timestamp now, const std::set<std::string>& zones);
@@ -61,7 +66,7 @@
   void Tick(Timestamp now);
   /// When reports that wait take effect; unset: none wait.
   std::optional<Timestamp> next_merge() const {
-    return stale_ ? std::optional(rebuilt_ + MergeInterval()) : std::nullopt;
+    return stale_.empty() ? std::nullopt : std::optional(merged_ + options_.merge_interval);
   }
 
   /// Version of the source's leafs held here; zero: none.
@@ -75,16 +80,18 @@
   }
   /// Ids of the usable leafs of a service.
   const std::vector<std::string>& UsableLeafs(const std::string& service) const;
+  /// The usable leafs of every service that has any.
+  const std::map<std::string, std::vector<std::string>>& usable() const { return by_service_; }
+  /// Usable leafs of all services.
+  size_t usable_count() const { return usable_count_; }
   /// Lets reports take effect that wait.
   void Merge(Timestamp now);
   /// Leafs that were found closed to new work, by word that takes effect at once, since the last
   /// call.
   std::vector<std::string> TakeNewlyLeaving() { return std::exchange(newly_leaving_, {}); }
-  /// Time between two merges.
-  Duration MergeInterval() const {
-    const Duration by_size = options_.merge_interval_per_leaf * static_cast<int64_t>(leafs_.size());
-    return std::max(options_.merge_interval, std::min(by_size, kLongestMergeInterval));
-  }
+  /// Leafs of which something changed since the last call; one may be named more than once.
+  std::vector<LeafChange> TakeChanges() { return std::exchange(changes_, {}); }
+  bool has_changes() const { return !changes_.empty(); }
   /// Counts changes of what is usable.
   uint64_t version() const { return version_; }
   /// Counts changes of what is there, leaving leafs included.
@@ -100,35 +107,44 @@
     bool lost = false;
     Timestamp lost_at{};
   };
-  /// Something changed: rebuilds now or, soon after the last time, later.
+  /// Something changed: merges now or, soon after the last time, later.
   void Changed(Timestamp now);
-  void Rebuild();
-  /// All words on all leafs, the most pessimistic on each.
-  std::map<std::string, wire::LeafRecord> TakenTogether() const;
+  /// All words on a leaf taken together, the most pessimistic on each point; unset: there is none.
+  std::optional<wire::LeafRecord> WordOn(const std::string& leaf) const;
   /// Whether a control machine tells of the leaf by its heartbeats.
   bool IsReported(const std::string& leaf) const;
-  /// Drops leafs that are only committed, if another one reports from their address.
-  void DropReplaced(std::map<std::string, wire::LeafRecord>* leafs) const;
+  /// Works out anew what is believed of one leaf. @return whether that changed.
+  bool Judge(const std::string& leaf);
+  bool Adopt(const std::string& leaf, const std::optional<wire::LeafRecord>& record);
+  /// A leaf that reports holds its address; one that is only committed yields to it.
+  void HoldAddress(const std::string& leaf, const std::string& address);
+  void ReleaseAddress(const std::string& leaf);
+  /// Those that are only committed at an address are judged again.
+  void TouchCommittedAt(const std::string& address);
+  void List(const wire::LeafRecord& record);
+  void Unlist(const wire::LeafRecord& record);
   void MarkLeaving(const std::string& leaf);
   void NoteCold(Timestamp now, const wire::LeafRecord& record);
-  void SortByService();
-  /// A fifth of the shortest time that leafs serve on after their leaving was acknowledged.
-  static constexpr Duration kLongestMergeInterval = Milliseconds(600);
 
   std::vector<std::string> newly_leaving_;
+  std::vector<LeafChange> changes_;
   LeafViewOptions options_;
-  /// Something has changed that is not in `leafs_` yet.
-  bool stale_ = false;
-  Timestamp rebuilt_{};
+  const config::ConfigState* committed_;
+  /// Leafs on which there is word that is not in `leafs_` yet.
+  std::set<std::string> stale_;
+  Timestamp merged_{};
   std::map<std::string, Source> sources_;
-  std::map<std::string, config::ReportedLeaf> reported_;
-  std::set<std::string> retired_;
+  /// Leafs that report, by address: more than one only while one of them is believed wrongly.
+  std::unordered_map<std::string, std::set<std::string>> holders_;
+  /// Leafs that are committed and reported by nobody, by address, as far as they were judged so.
+  std::unordered_map<std::string, std::set<std::string>> only_committed_at_;
   std::set<std::string> evacuated_;
   std::map<std::string, Timestamp> restored_at_;
   std::map<std::string, Timestamp> cold_until_;
   uint64_t cold_words_ = 0;
   std::map<std::string, wire::LeafRecord> leafs_;
   std::map<std::string, std::vector<std::string>> by_service_;
+  size_t usable_count_ = 0;
   uint64_t version_ = 0;
   uint64_t merges_ = 0;
 };
--- a/src/gateway/peer_view.cc
+++ b/src/gateway/peer_view.cc
@@ -1,5 +1,7 @@
 #include "gateway/peer_view.h"
 
+#include <algorithm>
+
 namespace pumicedyke::gateway {
 
 bool PeerView::OnFeed(const std::string& source, const wire::GatewayFeed& feed) {
@@ -13,16 +15,20 @@
   }
   if (full) {
     peers_.clear();
+    by_zone_.clear();
     source_ = source;
   }
   version_ = feed.version;
   for (const wire::GatewayRecord& record : feed.peers) {
-    peers_[record.node] = record;
+    Remove(record.node);
+    Add(record);
   }
   for (const std::string& node : feed.gone) {
-    peers_.erase(node);
+    Remove(node);
+  }
+  if (full || !feed.peers.empty() || !feed.gone.empty()) {
+    ++changes_;
   }
-  Rebuild();
   return true;
 }
 
@@ -67,12 +73,19 @@
   return it == peers_.end() ? nullptr : &it->second;
 }
 
-void PeerView::Rebuild() {
-  by_zone_.clear();
-  for (const auto& [node, record] : peers_) {
-    by_zone_[record.zone].push_back(node);
+void PeerView::Add(const wire::GatewayRecord& record) {
+  peers_[record.node] = record;
+  std::vector<std::string>& nodes = by_zone_[record.zone];
+  nodes.insert(std::lower_bound(nodes.begin(), nodes.end(), record.node), record.node);
+}
+
+void PeerView::Remove(const std::string& node) {
+  const auto known = peers_.find(node);
+  if (known == peers_.end()) {
+    return;
   }
-  ++changes_;
+  std::erase(by_zone_[known->second.zone], node);
+  peers_.erase(known);
 }
 
 }  // namespace pumicedyke::gateway
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -37,7 +37,8 @@
   uint64_t changes() const { return changes_; }
 
  private:
-  void Rebuild();
+  void Add(const wire::GatewayRecord& record);
+  void Remove(const std::string& node);
 
   std::string source_;
   uint64_t version_ = 0;
--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -100,11 +100,20 @@
       return false;
     }
     config_.Apply(*parsed);
-    if (options_.note_retired && parsed->kind == config::ChangeKind::kRetireLeaf) {
-      newly_retired_.push_back(parsed->leaf);
+    if (options_.note_changed_leafs) {
+      NoteChangedLeafs(*parsed);
     }
   }
   return config_.version().value >= feed.version;
 }
 
+void ConfigSubscriber::NoteChangedLeafs(const config::Change& change) {
+  if (change.kind == config::ChangeKind::kRetireLeaf) {
+    changed_leafs_.push_back(change.leaf);
+  }
+  for (const config::ReportedLeaf& leaf : change.reported) {
+    changed_leafs_.push_back(leaf.id);
+  }
+}
+
 }  // namespace pumicedyke::node
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -26,8 +26,8 @@
   Duration silence_limit = Milliseconds(1000);
   /// The same until the first configuration came.
   Duration starting_silence_limit = Milliseconds(400);
-  /// Whoever sets this calls TakeNewlyRetired().
-  bool note_retired = false;
+  /// Whoever sets this calls TakeChangedLeafs().
+  bool note_changed_leafs = false;
   /// Off only in simulations that show what the check is for.
   bool monotone_version = true;
 };
@@ -43,8 +43,9 @@
   /// The connection broke: the next machine is tried at once.
   void OnDisconnected(Timestamp now);
 
-  /// Leafs whose departure was among the changes since the last call.
-  std::vector<std::string> TakeNewlyRetired() { return std::exchange(newly_retired_, {}); }
+  /// Leafs that the changes since the last call were about: they report, were forgotten or left for
+  /// good. A whole configuration may change any leaf and names none.
+  std::vector<std::string> TakeChangedLeafs() { return std::exchange(changed_leafs_, {}); }
 
   /// Another machine than `control()` suits better.
   void TurnTo(Timestamp now, size_t control);
@@ -62,10 +63,11 @@
  private:
   void TurnToNext(Timestamp now);
   bool ApplyChanges(const wire::ConfigFeed& feed);
+  void NoteChangedLeafs(const config::Change& change);
 
   SubscriberOptions options_;
   config::ConfigState config_;
-  std::vector<std::string> newly_retired_;
+  std::vector<std::string> changed_leafs_;
   bool ready_ = false;
   size_t control_;
   Timestamp last_feed_;
--- a/src/programs/pumicedyke_bench_main.cc
+++ b/src/programs/pumicedyke_bench_main.cc
@@ -1,4 +1,5 @@
-// Benchmarks in simulated time: `run SCENARIO`, `compare A.json B.json`. docs/PERFORMANCE.md.
+// Benchmarks in simulated time: `run SCENARIO`, `compare A.json B.json`; and of what a change costs
+// a gateway, `changes`. docs/PERFORMANCE.md.
 #include <gflags/gflags.h>
 
 #include <atomic>
@@ -14,6 +15,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "bench/leaf_changes.h"
 #include "bench/report.h"
 #include "policy/policy_program.h"
 
@@ -146,7 +148,7 @@
 
 int main(int argc, char** argv) {
   using namespace pumicedyke::bench;  // NOLINT
-  gflags::SetUsageMessage("run SCENARIO.toml | compare BEFORE.json AFTER.json");
+  gflags::SetUsageMessage("run SCENARIO.toml | compare BEFORE.json AFTER.json | changes");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   if (arguments.size() == 2 && arguments[0] == "run") {
@@ -155,5 +157,9 @@
   if (arguments.size() == 3 && arguments[0] == "compare") {
     return CompareFiles(arguments[1], arguments[2]);
   }
-  return Fail("expects 'run SCENARIO' or 'compare BEFORE AFTER'");
+  if (arguments.size() == 1 && arguments[0] == "changes") {
+    std::cout << LeafChangeTable(MeasureLeafChanges({500, 2000, 9574, 30000, 60000}));
+    return 0;
+  }
+  return Fail("expects 'run SCENARIO', 'compare BEFORE AFTER' or 'changes'");
 }
--- a/src/registry/leaf_registry.cc
+++ b/src/registry/leaf_registry.cc
@@ -81,7 +81,7 @@
     return ReportVerdict::kKnown;
   }
   entry.record = std::move(record);
-  entry.changed = ++version_;
+  NoteChange(&entry);
   return inserted ? ReportVerdict::kNew : ReportVerdict::kChanged;
 }
 
@@ -93,11 +93,17 @@
   it->second.heard = now;
   if (!it->second.record.draining) {
     it->second.record.draining = true;
-    it->second.changed = ++version_;
+    NoteChange(&it->second);
   }
   return true;
 }
 
+void LeafRegistry::NoteChange(Entry* entry) {
+  by_change_.erase(entry->changed);
+  entry->changed = ++version_;
+  by_change_[entry->changed] = entry->record.leaf;
+}
+
 std::vector<std::string> LeafRegistry::DropSilent(Timestamp now) {
   std::vector<std::string> silent;
   ForgetClaims(now);
@@ -124,6 +130,7 @@
   if (holder != holders_.end() && holder->second == leaf) {
     holders_.erase(holder);
   }
+  by_change_.erase(it->second.changed);
   leafs_.erase(it);
   removals_.push_back({leaf, ++version_});
   if (removals_.size() > options_.kept_removals) {
@@ -144,24 +151,30 @@
   return it == leafs_.end() ? nullptr : &it->second.record;
 }
 
+wire::LeafRecord LeafRegistry::RecordOf(const Entry& entry, Timestamp now) const {
+  wire::LeafRecord record = entry.record;
+  const Duration cold_left = std::max(Duration(0), entry.cold_until - now);
+  record.cold_milliseconds = static_cast<uint64_t>(ToMilliseconds(cold_left));
+  return record;
+}
+
 wire::LeafFeed LeafRegistry::ChangesSince(Timestamp now, uint64_t version) const {
   const bool all = version == 0 || version < forgotten_ || version > version_;
   wire::LeafFeed feed;
   feed.from_version = all ? 0 : version;
   feed.version = version_;
-  if (!all && version == version_) {
+  if (all) {
+    for (const auto& [leaf, entry] : leafs_) {
+      feed.records.push_back(RecordOf(entry, now));
+    }
     return feed;
   }
-  for (const auto& [leaf, entry] : leafs_) {
-    if (all || entry.changed > version) {
-      wire::LeafRecord& record = feed.records.emplace_back(entry.record);
-      const Duration cold_left = std::max(Duration(0), entry.cold_until - now);
-      record.cold_milliseconds = static_cast<uint64_t>(ToMilliseconds(cold_left));
-    }
+  for (auto it = by_change_.upper_bound(version); it != by_change_.end(); ++it) {
+    feed.records.push_back(RecordOf(leafs_.at(it->second), now));
   }
-  for (const Removal& removal : removals_) {
-    if (!all && removal.version > version && !leafs_.contains(removal.leaf)) {
-      feed.gone.push_back(removal.leaf);
+  for (auto it = removals_.rbegin(); it != removals_.rend() && it->version > version; ++it) {
+    if (!leafs_.contains(it->leaf)) {
+      feed.gone.push_back(it->leaf);
     }
   }
   return feed;
--- a/src/registry/leaf_registry.h
+++ b/src/registry/leaf_registry.h
@@ -96,6 +96,9 @@
   };
 
   void Remove(const std::string& leaf);
+  /// Counts a change of this leaf.
+  void NoteChange(Entry* entry);
+  wire::LeafRecord RecordOf(const Entry& entry, Timestamp now) const;
   /// Whether a leaf that is new here may take its address. What the configuration says of a leaf
   /// that reports elsewhere is passed as `elsewhere`; null: it knows none at the address.
   bool MayTakeAddress(Timestamp now, const LeafReport& report, const std::string* elsewhere);
@@ -106,6 +109,9 @@
 
   RegistryOptions options_;
   std::map<std::string, Entry> leafs_;
+  /// The leafs by the version of their last change: with hundreds of gateways that ask several
+  /// times a second, only what has changed may be looked at.
+  std::map<uint64_t, std::string> by_change_;
   /// The leaf of `leafs_` that was believed last at each address.
   std::map<std::string, std::string> holders_;
   std::map<std::string, Claim> claims_;
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -167,12 +167,10 @@
   }
   NoteZones(now, server);
   NoteQuarantine(now, server);
-  // Going through all leafs for each that leaves would cost more than serving.
-  if (leafs_version_ == server.leafs().version() || now - leafs_looked_at_ < kLeafsInterval) {
+  if (changed_leafs_.empty() || now - leafs_looked_at_ < kLeafsInterval) {
     return;
   }
   leafs_looked_at_ = now;
-  leafs_version_ = server.leafs().version();
   NoteLeafs(server.leafs());
 }
 
@@ -180,27 +178,26 @@
   NameList come;
   NameList leaving;
   NameList gone;
-  std::map<std::string, bool> leafs;
-  size_t usable = 0;
-  for (const auto& [leaf, record] : view.leafs()) {
-    leafs[leaf] = record.draining;
-    usable += view.IsClosed(record) ? 0 : 1;
+  for (const std::string& leaf : std::exchange(changed_leafs_, {})) {
     const auto before = leafs_.find(leaf);
+    const auto known = view.leafs().find(leaf);
+    if (known == view.leafs().end()) {
+      if (before != leafs_.end()) {
+        gone.Add(leaf);
+        leafs_.erase(before);
+      }
+      continue;
+    }
     if (before == leafs_.end()) {
       come.Add(leaf);
-    } else if (before->second != record.draining) {
+    } else if (before->second != known->second.draining) {
       leaving.Add(leaf);
     }
+    leafs_[leaf] = known->second.draining;
   }
-  for (const auto& [leaf, draining] : leafs_) {
-    if (!leafs.contains(leaf)) {
-      gone.Add(leaf);
-    }
-  }
-  leafs_ = std::move(leafs);
   if (come.count() + leaving.count() + gone.count() > 0) {
-    LogEvent("leafs_changed", {{"leafs", leafs_.size()},
-                               {"usable", usable},
+    LogEvent("leafs_changed", {{"leafs", view.leafs().size()},
+                               {"usable", view.usable_count()},
                                {"come", come.ToJson()},
                                {"leaving", leaving.ToJson()},
                                {"gone", gone.ToJson()}});
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -21,6 +21,10 @@
   /// What is told to control of lost runs, by leaf and request.
   void OnRunReport(Timestamp now, const wire::RunReport& report);
   void OnControlLink(const std::string& address, bool up);
+  /// Something else is known of these leafs.
+  void OnLeafChanges(const std::vector<std::string>& leafs) {
+    changed_leafs_.insert(leafs.begin(), leafs.end());
+  }
   /// Compares what the gateway believes with what it believed at the last call.
   void OnState(Timestamp now, const gateway::GatewayServer& server);
 
@@ -38,8 +42,10 @@
   LogLimiter limiter_{kLinesPerSecond};
   bool ready_ = false;
   uint64_t document_version_ = 0;
-  uint64_t leafs_version_ = 0;
   Timestamp leafs_looked_at_{};
+  /// Leafs of which something has changed since they were looked at.
+  std::set<std::string> changed_leafs_;
+  /// What was believed of each leaf then: whether it leaves.
   std::map<std::string, bool> leafs_;
   std::set<std::string> evacuated_;
   std::set<RequestIdentity> quarantined_;
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -251,6 +251,7 @@
     CancelAtLeaf(cancel);
   }
   WithdrawUnsent(output.closed_leafs);
+  log_.OnLeafChanges(output.leaf_changes);
   for (const std::string& address : output.reconnect) {
     control_.erase(address);
   }
--- a/test/gateway/leaf_view_test.cc
+++ b/test/gateway/leaf_view_test.cc
@@ -16,6 +16,29 @@
   return {0, version, std::move(records), {}, {}, 1};
 }
 
+config::ConfigState Committed(std::vector<config::ReportedLeaf> leafs) {
+  config::ConfigState state;
+  config::Change change;
+  change.kind = config::ChangeKind::kReportLeafs;
+  change.reported = std::move(leafs);
+  state.Apply(change);
+  return state;
+}
+
+void Forget(config::ConfigState* state, const config::ReportedLeaf& leaf) {
+  config::Change change;
+  change.kind = config::ChangeKind::kForgetLeafs;
+  change.reported = {leaf};
+  state->Apply(change);
+}
+
+void Retire(config::ConfigState* state, const std::string& leaf) {
+  config::Change change;
+  change.kind = config::ChangeKind::kRetireLeaf;
+  change.leaf = leaf;
+  state->Apply(change);
+}
+
 }  // namespace
 
 class LeafViewTest : public CppUnit::TestFixture {
@@ -55,14 +78,21 @@
   }
 
   void LeafThatIsOnlyCommittedYieldsItsAddress() {
-    LeafView view({});
-    const config::ReportedLeaf ended{"ended", "desk", "x:80", "north", 2, 1};
-    view.SetCommitted(kStart, {{"ended", ended}}, {});
+    config::ConfigState committed = Committed({{"ended", "desk", "x:80", "north", 2, 1}});
+    LeafView view({}, &committed);
+    view.OnCommittedAnew(kStart);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, view.UsableLeafs("desk").size());
     wire::LeafRecord living = Record("living");
     living.address = "x:80";
     view.OnFeed(kStart, "c1", Full(1, {living}));
     CPPUNIT_ASSERT(view.UsableLeafs("desk") == std::vector<std::string>{"living"});
+    // It is used again once nobody reports from its address.
+    view.OnFeed(kStart + Seconds(1), "c1", {1, 2, {}, {"living"}, {}, 1});
+    CPPUNIT_ASSERT(view.UsableLeafs("desk") == std::vector<std::string>{"ended"});
+    Forget(&committed, {"ended", "desk", "x:80", "north", 2, 1});
+    view.OnCommitted(kStart + Seconds(2), {"ended"});
+    CPPUNIT_ASSERT(view.UsableLeafs("desk").empty());
+    CPPUNIT_ASSERT(view.leafs().empty());
   }
 
   void ColdWordOfAnySourceCounts() {
@@ -122,9 +152,11 @@
   }
 
   void RetiredLeafIsNotUsable() {
-    LeafView view({});
+    config::ConfigState committed;
+    LeafView view({.merge_interval = Seconds(1)}, &committed);
     view.OnFeed(kStart, "c1", Full(1, {Record("a"), Record("b")}));
-    view.SetCommitted(kStart, {}, {"a"});
+    Retire(&committed, "a");
+    view.OnCommitted(kStart, {"a"});
     CPPUNIT_ASSERT(std::vector<std::string>{"b"} == view.UsableLeafs("desk"));
   }
 
@@ -170,11 +202,11 @@
 
   /// All machines lost power: the first configuration brings the leafs along.
   void CommittedLeafsAreUsableBeforeAnyReport() {
-    LeafView view({});
-    view.SetCommitted(kStart,
-                      {{"a", {"a", "desk", "10.0.0.1:80", "north", 2, 7}},
-                       {"b", {"b", "desk", "10.0.0.2:80", "north", 2, 7}}},
-                      {"b"});
+    config::ConfigState committed = Committed(
+        {{"a", "desk", "10.0.0.1:80", "north", 2, 7}, {"b", "desk", "10.0.0.2:80", "north", 2, 7}});
+    Retire(&committed, "b");
+    LeafView view({}, &committed);
+    view.OnCommittedAnew(kStart);
     CPPUNIT_ASSERT(std::vector<std::string>{"a"} == view.UsableLeafs("desk"));
   }
 };
