Many gateways greet control machines that they do not follow less often

Cause: each gateway greeted each of ten control machines twice a second, ten times while it started: at 985 gateways 2,000 to 10,000 messages a second at each of them.

Change: only the followed machine is asked often; the others hear from all gateways together some 1,000 times a second, up to a thousand gateways, and at least once a second from each: the directory names nobody it has not heard of for 1.8 s. Small fleets keep their half second. Test: ManyGatewaysGreetControlTheyDoNotFollowLessOften.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -42,11 +42,15 @@
 }
 
 Duration GatewayServer::PresenceInterval(Timestamp now, const std::string& address) const {
+  const GatewayKnobs& knobs = options_.knobs;
+  if (address != control_[subscriber_.control()]) {
+    const Duration by_size = knobs.presence_interval_per_gateway * static_cast<int64_t>(gateways_);
+    return std::clamp(by_size, knobs.presence_interval, knobs.longest_presence_interval);
+  }
   // While gateways come and go, the one that tells of them is asked more often.
-  const bool tells = address == control_[subscriber_.control()];
-  const bool changing = now - peers_changed_ < options_.knobs.peers_settle;
-  const bool often = table_ == nullptr || (tells && changing);
-  return often ? options_.knobs.starting_presence_interval : options_.knobs.presence_interval;
+  const bool changing = now - peers_changed_ < knobs.peers_settle;
+  const bool often = table_ == nullptr || changing;
+  return often ? knobs.starting_presence_interval : knobs.presence_interval;
 }
 
 void GatewayServer::GreetControl(Timestamp now) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -69,8 +69,14 @@
   /// Executions in progress beyond which requests are refused.
   size_t max_in_progress = 400;
   Duration presence_interval = Milliseconds(500);
-  /// The same until the first routes came, and to the control machine that tells of other gateways
-  /// for `peers_settle` after one has come or gone.
+  /// The same, for each gateway there is, to control machines that are not followed: each of them
+  /// gets so many greetings a second from all gateways together, 1,000, up to a thousand gateways.
+  /// Beyond, `longest_presence_interval` holds: after 1.8 s without a greeting clients are sent
+  /// elsewhere.
+  Duration presence_interval_per_gateway = Milliseconds(1);
+  Duration longest_presence_interval = Milliseconds(1000);
+  /// The same, to the one that is followed, until the first routes came and for `peers_settle`
+  /// after it has told of a gateway that came or went.
   Duration starting_presence_interval = Milliseconds(100);
   Duration peers_settle = Seconds(1);
   /// A control machine that answered no greeting for this long is lost.
--- a/test/gateway/gateway_server_test.cc
+++ b/test/gateway/gateway_server_test.cc
@@ -6,6 +6,7 @@
 
 #include "gateway/gateway_harness.h"
 #include "gateway/record_merge.h"
+#include "wire/packing.h"
 
 namespace pumicedyke::gateway {
 namespace {
@@ -44,9 +45,62 @@
   CPPUNIT_TEST(OlderDocumentChangesNothing);
   CPPUNIT_TEST(DrainingTellsControlAtOnce);
   CPPUNIT_TEST(TellsClientsOfOtherGateways);
+  CPPUNIT_TEST(ManyGatewaysGreetControlTheyDoNotFollowLessOften);
+  CPPUNIT_TEST(LeafRetiredByAChangeAmongOthersIsClosedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Ten control machines were greeted by each of a thousand gateways twice a second: 2,000 messages
+  /// a second at each of them in a calm time.
+  void ManyGatewaysGreetControlTheyDoNotFollowLessOften() {
+    constexpr int kSeconds = 10;
+    for (const uint32_t gateways : {20U, 985U, 8800U}) {
+      GatewayHarness h;
+      h.Put(1, kPlain);
+      const std::vector<std::string> machines = {kControl, "10.0.0.2:7100", "10.0.0.3:7100"};
+      int greetings = 0;
+      for (int i = 0; i < 2 * kSeconds; ++i) {
+        h.Vouch();
+        for (const std::string& machine : machines) {
+          wire::LeafFeed feed;
+          feed.version = 1;
+          feed.gateways = gateways;
+          feed.control = machines;
+          h.server.OnControlMessage(h.now, machine, {"test", 0, feed});
+        }
+        h.Pass(Milliseconds(500));
+        for (const ControlMessage& message : std::exchange(h.control, {})) {
+          const bool presence = std::holds_alternative<wire::GatewayPresence>(message.envelope.body);
+          greetings += presence && message.address == machines[1] ? 1 : 0;
+        }
+      }
+      const int most = gateways == 20U ? 2 * kSeconds + 1 : kSeconds + 2;
+      CPPUNIT_ASSERT(greetings <= most);
+      // After 1.8 s without a word a gateway is no longer named to clients.
+      CPPUNIT_ASSERT(greetings >= kSeconds - 1);
+    }
+  }
+
+  void LeafRetiredByAChangeAmongOthersIsClosedAtOnce() {
+    GatewayHarness h;
+    h.Put(1, kPlain);
+    h.Report({GatewayHarness::Leaf("a", "desk"), GatewayHarness::Leaf("b", "desk")});
+    config::Change change;
+    change.kind = config::ChangeKind::kRetireLeaf;
+    change.leaf = "a";
+    wire::ConfigFeed feed;
+    feed.version = 2;
+    feed.changes = {{2, wire::Pack(Json(change).dump())}};
+    h.server.OnControlMessage(h.now, kControl, {"test", 2, feed});
+    h.Take();
+    CPPUNIT_ASSERT(h.closed_leafs == std::vector<std::string>{"a"});
+    for (int i = 0; i < 4; ++i) {
+      h.Ask("/one/" + std::to_string(i));
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), h.sends.back().leaf);
+      h.Reply(h.sends.back(), query::LeafStatus::kOk, "x");
+    }
+  }
+
   void TellsClientsOfOtherGateways() {
     GatewayHarness h;
     // Without routes it sends nobody to itself, and it knows of no others.
