A root spreads the groups of a gather over the owners of all zones, least given first

Change: an owner with fewer groups of this request goes before one of a nearer zone: a group costs a merger 10 ms, the way to another zone 2 to 3 ms. Where zones are large nothing changes.

Test: GroupsGoToOtherZonesBeforeOneMergerHasMany.

--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -412,6 +412,20 @@
   };
   static GroupPlace PlaceOf(const std::vector<std::string>& shards,
                             const std::vector<query::ShardRange>& ranges, size_t index);
+  /// The merger to ask that was found so far, by address.
+  struct MergerChoice {
+    std::optional<std::string> best;
+    /// Groups of the request that it was asked for.
+    size_t groups = 0;
+    /// One that was silent lately.
+    std::optional<std::string> suspect;
+  };
+  /// Takes a better one of `mergers`, if there is one. One that has fewer groups of this request is
+  /// better, then one of a zone that is considered first: at 0.12 cores a group of 18 shards takes
+  /// a merger 10 ms, the way to another zone and back 2 to 3 ms.
+  void ConsiderMergers(Timestamp now, std::vector<std::string> mergers,
+                       const std::set<std::string>& tried,
+                       const std::map<std::string, size_t>& given, MergerChoice* choice) const;
   /// @param given how many groups of the request each merger, by address, has been asked for.
   /// @return the address of the gateway to merge a group.
   std::optional<std::string> ChooseMerger(Timestamp now, const GroupPlace& place,
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -71,46 +71,49 @@
                                                        const std::set<std::string>& homes,
                                                        const std::set<std::string>& tried,
                                                        const std::map<std::string, size_t>& given) {
-  std::optional<std::string> suspect;
-  const auto best_of = [&](std::vector<std::string> mergers) {
-    // Roots differ in whom they ask first, so that the owners share the load.
-    if (!mergers.empty()) {
-      const uint64_t turn = XXH64(options_.node.data(), options_.node.size(), 0) % mergers.size();
-      std::rotate(mergers.begin(), mergers.begin() + static_cast<long>(turn), mergers.end());
+  MergerChoice owner;
+  MergerChoice stand_in;
+  for (const std::string& zone : ZonesOf(place.shards, homes)) {
+    const GroupMergers& mergers = MergersIn(zone, place);
+    ConsiderMergers(now, mergers.owners, tried, given, &owner);
+    ConsiderMergers(now, mergers.stand_ins, tried, given, &stand_in);
+  }
+  for (const std::optional<std::string>& choice :
+       {owner.best, stand_in.best, owner.suspect, stand_in.suspect}) {
+    if (choice.has_value()) {
+      return choice;
     }
-    std::optional<std::string> best;
-    size_t least = 0;
-    for (const std::string& merger : mergers) {
-      const std::string& address = peers_.Find(merger)->peer_address;
-      if (merger == options_.node || tried.contains(address)) {
-        continue;
-      }
-      const auto it = suspects_.find(address);
-      if (it != suspects_.end() && now < it->second) {
-        suspect = suspect.value_or(address);
-        continue;
-      }
-      const auto known = given.find(address);
-      const size_t groups = known == given.end() ? 0 : known->second;
-      if (!best.has_value() || groups < least) {
-        best = address;
-        least = groups;
-      }
+  }
+  return std::nullopt;
+}
+
+void GatewayServer::ConsiderMergers(Timestamp now, std::vector<std::string> mergers,
+                                    const std::set<std::string>& tried,
+                                    const std::map<std::string, size_t>& given,
+                                    MergerChoice* choice) const {
+  if (mergers.empty()) {
+    return;
+  }
+  // Roots differ in whom they ask first, so that the owners share the load.
+  const uint64_t turn = XXH64(options_.node.data(), options_.node.size(), 0) % mergers.size();
+  std::rotate(mergers.begin(), mergers.begin() + static_cast<long>(turn), mergers.end());
+  for (const std::string& merger : mergers) {
+    const std::string& address = peers_.Find(merger)->peer_address;
+    if (merger == options_.node || tried.contains(address)) {
+      continue;
     }
-    return best;
-  };
-  const std::vector<std::string> zones = ZonesOf(place.shards, homes);
-  for (const std::string& zone : zones) {
-    if (std::optional<std::string> owner = best_of(MergersIn(zone, place).owners)) {
-      return owner;
+    const auto suspected = suspects_.find(address);
+    if (suspected != suspects_.end() && now < suspected->second) {
+      choice->suspect = choice->suspect.value_or(address);
+      continue;
     }
-  }
-  for (const std::string& zone : zones) {
-    if (std::optional<std::string> stand_in = best_of(MergersIn(zone, place).stand_ins)) {
-      return stand_in;
+    const auto known = given.find(address);
+    const size_t groups = known == given.end() ? 0 : known->second;
+    if (!choice->best.has_value() || groups < choice->groups) {
+      choice->best = address;
+      choice->groups = groups;
     }
   }
-  return suspect;
 }
 
 size_t GatewayServer::GroupsOf(const routing::Route& route) const {
--- a/test/gateway/gateway_sharing_test.cc
+++ b/test/gateway/gateway_sharing_test.cc
@@ -2,6 +2,7 @@
 // reached and one that merges a group.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <set>
 
 #include "gateway/gateway_harness.h"
@@ -127,6 +128,7 @@
 class GatewaySharingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GatewaySharingTest);
   CPPUNIT_TEST(ManyShardsAreSharedInGroups);
+  CPPUNIT_TEST(GroupsGoToOtherZonesBeforeOneMergerHasMany);
   CPPUNIT_TEST(WithoutOthersItGathersAlone);
   CPPUNIT_TEST(AnswerIsMadeOfPartialOnes);
   CPPUNIT_TEST(SilentMergerIsAskedLast);
@@ -148,6 +150,40 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Zones of three gateways: ten groups went to the two others of the own zone, whose processors
+  /// then took 50 ms of an objective of 80.
+  void GroupsGoToOtherZonesBeforeOneMergerHasMany() {
+    Sharing s;
+    std::vector<wire::LeafRecord> leafs;
+    for (size_t i = 0; i < kShards; ++i) {
+      for (const char* zone : {"north", "south", "west"}) {
+        wire::LeafRecord leaf =
+            GatewayHarness::Leaf(std::string(zone) + std::to_string(i), Service(i));
+        leaf.zone = zone;
+        leafs.push_back(leaf);
+      }
+    }
+    s.h.Report(leafs);
+    std::vector<wire::GatewayRecord> peers;
+    for (const char* zone : {"north", "south", "west"}) {
+      for (int i = 1; i <= 3; ++i) {
+        const std::string node = std::string(zone) == "north" ? "g" : std::string(zone) + "-";
+        peers.push_back({node + std::to_string(i), zone, node + std::to_string(i) + ":7500"});
+      }
+    }
+    s.h.Peers(peers);
+    s.h.Take();
+    s.h.Ask("/all/1");
+    std::map<std::string, int> given;
+    for (const PeerMessage& message : s.h.peer_messages) {
+      ++given[message.address];
+    }
+    CPPUNIT_ASSERT(given.size() >= 4);
+    for (const auto& [merger, groups] : given) {
+      CPPUNIT_ASSERT(groups <= 2);
+    }
+  }
+
   void ManyShardsAreSharedInGroups() {
     Sharing s;
     s.h.Ask("/all/1");
