--- a/test/gateway/gateway_sharing_test.cc
+++ b/test/gateway/gateway_sharing_test.cc
@@ -164,6 +164,7 @@
       }
     }
     s.h.Report(leafs);
+    s.h.Pass(Milliseconds(200));
     std::vector<wire::GatewayRecord> peers;
     for (const char* zone : {"north", "south", "west"}) {
       for (int i = 1; i <= 3; ++i) {
