Interfaces of tenants, limits and entry: modules, messages, settings, the seam in the gateway

Cause: documents with tenants are not understood: keys go on to leafs, limits and revocations are not kept. Change: tenants/ (tenant, key ring, key lease), limits/ (facade, grants everything yet), admission/entry_gate between a route and its execution, LimitAsk/LimitGrant, PartialQuery's tenant and priority, LeafRecord's born, ConfigFeed's proof age, result codes 111, 212, 213, settings of gateways. The arrival of requests moves to gateway_entry.cc. Nothing reads tenants from documents yet: no deployment is served otherwise.

--- /dev/null
+++ b/src/admission/entry_gate.cc
@@ -0,0 +1,57 @@
+#include "admission/entry_gate.h"
+
+#include <utility>
+
+namespace pumicedyke::admission {
+namespace {
+
+EntryDecision Refused(ResultCode code, Duration retry_after = {}) {
+  return {EntryVerdict::kRefused, code, retry_after, nullptr};
+}
+
+}  // namespace
+
+EntryGate::EntryGate(EntryOptions options, std::string node, uint64_t incarnation)
+    : options_(options), limits_(options.limits, std::move(node), incarnation) {}
+
+ResultCode EntryGate::Recheck(Timestamp now, const routing::RouteTable& table,
+                              const routing::Route& route, std::string_view key,
+                              Timestamp proven_at) const {
+  if (!table.set().keyed || route.open) {
+    return ResultCode::kOk;
+  }
+  if (!tenants::KeysProven(options_.key_lease, now, proven_at)) {
+    return ResultCode::kKeysUnproven;
+  }
+  return table.keys().Find(key) == nullptr ? ResultCode::kUnknownKey : ResultCode::kOk;
+}
+
+EntryDecision EntryGate::Enter(Timestamp now, RequestId id, const routing::RouteTable& table,
+                               const routing::Route& route, std::string_view key,
+                               Timestamp proven_at) {
+  if (!table.set().keyed || route.open) {
+    return {};
+  }
+  const ResultCode code = Recheck(now, table, route, key, proven_at);
+  if (code != ResultCode::kOk) {
+    const bool passes = code == ResultCode::kKeysUnproven;
+    return Refused(code, passes ? options_.retry_when_unproven : Duration(0));
+  }
+  const tenants::Tenant* tenant = table.keys().Find(key);
+  if (!tenant->limited()) {
+    return {EntryVerdict::kAdmitted, ResultCode::kOk, {}, tenant};
+  }
+  const bool urgent = route.objective < options_.urgent_objective;
+  const limits::LimitAnswer answer = limits_.Admit(now, id, *tenant, proven_at, urgent);
+  switch (answer.verdict) {
+    case limits::LimitVerdict::kGranted:
+      return {EntryVerdict::kAdmitted, ResultCode::kOk, {}, tenant};
+    case limits::LimitVerdict::kWaiting:
+      return {EntryVerdict::kWaiting, ResultCode::kOk, {}, tenant};
+    case limits::LimitVerdict::kRefused:
+      break;
+  }
+  return Refused(ResultCode::kTenantLimit, answer.retry_after);
+}
+
+}  // namespace pumicedyke::admission
--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -24,6 +24,7 @@
   kIdempotencyKeyReused = 108,
   kHeadersTooLarge = 109,
   kRequestTimeout = 110,
+  kUnknownKey = 111,
   // Requests that could not be served.
   kOverloaded = 200,
   kDeadlineExceeded = 201,
@@ -37,6 +38,8 @@
   kSnapshotGone = 209,
   kStaleConfiguration = 210,
   kQuarantined = 211,
+  kTenantLimit = 212,
+  kKeysUnproven = 213,
   // Operators' requests.
   kRevisionConflict = 300,
   kInvalidConfig = 301,
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -126,6 +126,7 @@
     witness_.OnWarned(now, notice->requests);
   } else if (const auto* peers = std::get_if<wire::GatewayFeed>(&envelope.body)) {
     peers_.OnFeed(address, *peers);
+    TellLimitsOfGateways(now);
     peers_changed_ = now;
     links_[address].next_presence =
         std::min(links_[address].next_presence, now + PresenceInterval(now, address));
@@ -155,7 +156,7 @@
   view_.SetEvacuated(now, subscriber_.config().EvacuatedZones());
   TakeQuarantine(now);
   SyncPool(now);
-  AdoptDocument();
+  AdoptDocument(now);
   ReleaseEarly(now);
 }
 
@@ -176,7 +177,7 @@
   SyncPool(now);
 }
 
-void GatewayServer::AdoptDocument() {
+void GatewayServer::AdoptDocument(Timestamp now) {
   const config::RouteDocument& document = subscriber_.config().document();
   if (document.version <= document_version()) {
     return;
@@ -191,6 +192,7 @@
   limits_cold_leafs_ = std::any_of(
       table_->set().services.begin(), table_->set().services.end(),
       [](const routing::ServiceSpec& service) { return service.cold_requests_per_second > 0; });
+  gate_.limits().SetTenants(now, table_->set().tenants);
   targets_.clear();
   if (!was_ready) {
     for (auto& [address, link] : links_) {
--- /dev/null
+++ b/src/gateway/gateway_entry.cc
@@ -0,0 +1,176 @@
+// The part of GatewayServer between a request's arrival and its execution: finds its route, holds
+// what comes before there are routes, asks whether it may begin, and refuses.
+#include <utility>
+
+#include "gateway/gateway_server.h"
+
+namespace pumicedyke::gateway {
+namespace {
+
+constexpr Duration kRetryWhenNotReady = Milliseconds(250);
+constexpr Duration kRetryWhenOverloaded = Milliseconds(200);
+
+}  // namespace
+
+void GatewayServer::HoldEarly(Timestamp now, RequestId id,
+                              std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
+  const Duration patience =
+      request->deadline.count() > 0 ? request->deadline : options_.knobs.longest_wait;
+  const Duration wait =
+      std::min(options_.knobs.longest_start_wait, patience / options_.knobs.start_wait_part);
+  const Duration expected = options_.knobs.expected_start - (now - started_);
+  if (expected >= options_.knobs.shortest_start_refusal) {
+    Refuse(now, id, std::move(request), ResultCode::kNotReady,
+           expected + options_.knobs.shortest_start_refusal);
+    return;
+  }
+  if (early_.size() >= options_.knobs.max_in_progress) {
+    Refuse(now, id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
+    return;
+  }
+  early_[id] = {std::move(request), arrived, arrived + wait};
+}
+
+void GatewayServer::ReleaseEarly(Timestamp now) {
+  if (table_ != nullptr) {
+    for (auto& [id, early] : std::exchange(early_, {})) {
+      OnRequest(now, id, std::move(early.request), early.arrived);
+    }
+    return;
+  }
+  std::erase_if(early_, [&](const auto& item) {
+    const auto& [id, early] = item;
+    if (now < early.until) {
+      return false;
+    }
+    Refuse(now, id, early.request, ResultCode::kNotReady, kRetryWhenNotReady);
+    return true;
+  });
+}
+
+void GatewayServer::OnRequest(Timestamp now, RequestId id,
+                              std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
+  if (table_ == nullptr) {
+    HoldEarly(now, id, std::move(request), arrived);
+    return;
+  }
+  const routing::Route* route = table_->Find(request->host, request->path());
+  if (route == nullptr) {
+    Refuse(now, id, std::move(request), ResultCode::kUnknownPath, Duration(0));
+    return;
+  }
+  if (quarantined_.contains(request->identity)) {
+    Refuse(now, id, std::move(request), ResultCode::kQuarantined,
+           options_.knobs.retry_when_quarantined);
+    return;
+  }
+  if (active_.size() >= options_.knobs.max_in_progress) {
+    Refuse(now, id, std::move(request), ResultCode::kOverloaded, kRetryWhenOverloaded);
+    return;
+  }
+  const admission::EntryDecision entry =
+      gate_.Enter(now, id, *table_, *route, request->api_key, subscriber_.proven_at());
+  switch (entry.verdict) {
+    case admission::EntryVerdict::kAdmitted:
+      StartExecution(now, id, *route, std::move(request), entry.tenant, arrived);
+      break;
+    case admission::EntryVerdict::kWaiting:
+      held_[id] = {std::move(request), arrived};
+      CollectEntry(now);
+      break;
+    case admission::EntryVerdict::kRefused:
+      Refuse(now, id, std::move(request), entry.code, entry.retry_after);
+      break;
+  }
+}
+
+void GatewayServer::BeginHeld(Timestamp now, RequestId id, const HeldRequest& held) {
+  const routing::Route* route = table_->Find(held.request->host, held.request->path());
+  if (route == nullptr) {
+    Refuse(now, id, held.request, ResultCode::kUnknownPath, Duration(0));
+    return;
+  }
+  // The document may have changed while the limit was asked for.
+  const ResultCode code =
+      gate_.Recheck(now, *table_, *route, held.request->api_key, subscriber_.proven_at());
+  if (code != ResultCode::kOk) {
+    Refuse(now, id, held.request, code, Duration(0));
+    return;
+  }
+  StartExecution(now, id, *route, held.request, table_->keys().Find(held.request->api_key),
+                 held.arrived);
+}
+
+void GatewayServer::CollectEntry(Timestamp now) {
+  limits::LimitOutput out = gate_.limits().TakeOutput();
+  for (limits::LimitQuestion& question : out.questions) {
+    output_.peer_messages.push_back(
+        {question.address, {options_.cluster, document_version(), std::move(question.ask)}});
+  }
+  for (limits::LimitWord& word : out.words) {
+    output_.peer_replies.push_back(
+        {word.session, {options_.cluster, document_version(), std::move(word.grant)}});
+  }
+  for (const limits::LimitDecision& decision : out.decisions) {
+    const auto found = held_.find(decision.id);
+    if (found == held_.end()) {
+      continue;
+    }
+    const HeldRequest held = std::move(found->second);
+    held_.erase(found);
+    if (decision.granted) {
+      BeginHeld(now, decision.id, held);
+    } else {
+      Refuse(now, decision.id, held.request, ResultCode::kTenantLimit, decision.retry_after);
+    }
+  }
+}
+
+void GatewayServer::TellLimitsOfGateways(Timestamp now) {
+  std::vector<limits::LimitGateway> gateways;
+  for (const std::string& node : peers_.Names()) {
+    const wire::GatewayRecord& record = *peers_.Find(node);
+    gateways.push_back({node, record.peer_address, record.zone});
+  }
+  gate_.limits().SetGateways(now, std::move(gateways));
+}
+
+void GatewayServer::OnClientGone(Timestamp now, RequestId id) {
+  early_.erase(id);
+  if (held_.erase(id) > 0) {
+    gate_.limits().Withdraw(now, id);
+    return;
+  }
+  const auto it = active_.find(id);
+  if (it == active_.end()) {
+    return;
+  }
+  if (it->second.shared != nullptr) {
+    it->second.shared->AbandonAll();
+    for (const query::GroupCancel& cancel : it->second.shared->TakeActions().cancels) {
+      CancelQuestion(cancel);
+    }
+    Remove(id);
+    return;
+  }
+  it->second.execution->AbandonAll(now, /*timed_out=*/false);
+  for (const query::SubRequestCancel& cancel : it->second.execution->TakeActions().cancels) {
+    output_.cancels.push_back({cancel.id, /*stop_work=*/true});
+  }
+  Remove(id);
+}
+
+void GatewayServer::Refuse(Timestamp now, RequestId id,
+                           std::shared_ptr<const PayloadRequest> request, ResultCode code,
+                           Duration retry_after) {
+  GatewayAnswer answer;
+  answer.id = id;
+  answer.request = std::move(request);
+  answer.code = code;
+  answer.retry_after = retry_after;
+  answer.trace.document_version = document_version();
+  answer.trace.config_age = subscriber_.Age(now);
+  output_.answers.push_back(std::move(answer));
+}
+
+}  // namespace pumicedyke::gateway
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -48,6 +48,9 @@
     OnPartialCancel(now, session, *cancel);
   } else if (const auto* confirm = std::get_if<wire::PartialConfirm>(&envelope.body)) {
     OnPartialConfirm(now, session, *confirm);
+  } else if (const auto* ask = std::get_if<wire::LimitAsk>(&envelope.body)) {
+    gate_.limits().OnAsk(now, session, *ask, subscriber_.proven_at());
+    CollectEntry(now);
   }
 }
 
@@ -108,6 +111,8 @@
   active.request = RequestOf(query);
   active.runtime = &RuntimeOf(query.route, query.objective);
   active.gathers = true;
+  active.tenant = query.tenant;
+  active.priority = static_cast<int>(query.priority);
   active.partial = PartialJob{.session = session,
                               .question = query.id,
                               .top_records = query.top_records,
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -14,8 +14,6 @@
 constexpr Duration kClientHop = Milliseconds(10);
 /// The delay before the first hedges of a route, as a part of its objective.
 constexpr int kInitialHedgePart = 3;
-constexpr Duration kRetryWhenNotReady = Milliseconds(250);
-constexpr Duration kRetryWhenOverloaded = Milliseconds(200);
 constexpr Duration kLongestSleep = Milliseconds(200);
 
 /// Places at which gateways begin to share requests by weights: a percent can be told.
@@ -47,6 +45,7 @@
       pool_(options_.knobs.balance, options_.incarnation),
       keeper_(options_.node, options_.zone, &pool_),
       witness_(options_.knobs.witness),
+      gate_(options_.entry, options_.node, options_.incarnation),
       started_(now) {
   LearnControl(options_.control);
 }
@@ -170,65 +169,6 @@
   return plan;
 }
 
-void GatewayServer::HoldEarly(Timestamp now, RequestId id,
-                              std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
-  const Duration patience =
-      request->deadline.count() > 0 ? request->deadline : options_.knobs.longest_wait;
-  const Duration wait =
-      std::min(options_.knobs.longest_start_wait, patience / options_.knobs.start_wait_part);
-  const Duration expected = options_.knobs.expected_start - (now - started_);
-  if (expected >= options_.knobs.shortest_start_refusal) {
-    Refuse(now, id, std::move(request), ResultCode::kNotReady,
-           expected + options_.knobs.shortest_start_refusal);
-    return;
-  }
-  if (early_.size() >= options_.knobs.max_in_progress) {
-    Refuse(now, id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
-    return;
-  }
-  early_[id] = {std::move(request), arrived, arrived + wait};
-}
-
-void GatewayServer::ReleaseEarly(Timestamp now) {
-  if (table_ != nullptr) {
-    for (auto& [id, early] : std::exchange(early_, {})) {
-      OnRequest(now, id, std::move(early.request), early.arrived);
-    }
-    return;
-  }
-  std::erase_if(early_, [&](const auto& item) {
-    const auto& [id, early] = item;
-    if (now < early.until) {
-      return false;
-    }
-    Refuse(now, id, early.request, ResultCode::kNotReady, kRetryWhenNotReady);
-    return true;
-  });
-}
-
-void GatewayServer::OnRequest(Timestamp now, RequestId id,
-                              std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
-  if (table_ == nullptr) {
-    HoldEarly(now, id, std::move(request), arrived);
-    return;
-  }
-  const routing::Route* route = table_->Find(request->host, request->path());
-  if (route == nullptr) {
-    Refuse(now, id, std::move(request), ResultCode::kUnknownPath, Duration(0));
-    return;
-  }
-  if (quarantined_.contains(request->identity)) {
-    Refuse(now, id, std::move(request), ResultCode::kQuarantined,
-           options_.knobs.retry_when_quarantined);
-    return;
-  }
-  if (active_.size() >= options_.knobs.max_in_progress) {
-    Refuse(now, id, std::move(request), ResultCode::kOverloaded, kRetryWhenOverloaded);
-    return;
-  }
-  StartExecution(now, id, *route, std::move(request), arrived);
-}
-
 void GatewayServer::MergeForLackOfLeafs(Timestamp now, const std::vector<std::string>& services) {
   const bool lacks = std::any_of(
       services.begin(), services.end(),
@@ -244,9 +184,15 @@
 
 void GatewayServer::StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                                    std::shared_ptr<const PayloadRequest> request,
-                                   Timestamp arrived) {
+                                   const tenants::Tenant* tenant, Timestamp arrived) {
   Active& active = active_[id];
   active.request = std::move(request);
+  if (tenant != nullptr) {
+    active.tenant = tenant->name;
+    active.priority = tenant->priority.value_or(route.priority);
+  } else {
+    active.priority = route.priority;
+  }
   active.table = table_;
   active.route = &route;
   active.runtime = &RuntimeOf(route.name, route.objective);
@@ -277,27 +223,6 @@
   Collect(now, id);
 }
 
-void GatewayServer::OnClientGone(Timestamp now, RequestId id) {
-  early_.erase(id);
-  const auto it = active_.find(id);
-  if (it == active_.end()) {
-    return;
-  }
-  if (it->second.shared != nullptr) {
-    it->second.shared->AbandonAll();
-    for (const query::GroupCancel& cancel : it->second.shared->TakeActions().cancels) {
-      CancelQuestion(cancel);
-    }
-    Remove(id);
-    return;
-  }
-  it->second.execution->AbandonAll(now, /*timed_out=*/false);
-  for (const query::SubRequestCancel& cancel : it->second.execution->TakeActions().cancels) {
-    output_.cancels.push_back({cancel.id, /*stop_work=*/true});
-  }
-  Remove(id);
-}
-
 void GatewayServer::OnLeafReply(Timestamp now, const query::LeafReply& reply) {
   witness_.OnEnded(now, reply);
   const std::optional<Duration> latency = pool_.OnReply(now, reply);
@@ -334,6 +259,7 @@
         active->merger_connections > 0 || keeper_.IsPreferred(record.service, send.leaf);
     out.shard = send.shard;
     out.keep_headers = !active->gathers;
+    out.tenant = active->tenant;
     WatchRun(now, *active, out, record.service);
     output_.sends.push_back(std::move(out));
   }
@@ -380,6 +306,7 @@
   out.retry_after = answer.code == ResultCode::kQuarantined ? options_.knobs.retry_when_quarantined
                                                             : answer.retry_after;
   out.trace.route = active.route->name;
+  out.trace.tenant = active.tenant;
   out.trace.document_version = active.table->version();
   out.trace.config_age = subscriber_.Age(now);
   out.trace.elapsed = now - active.execution->started();
@@ -402,19 +329,6 @@
   output_.answers.push_back(std::move(out));
 }
 
-void GatewayServer::Refuse(Timestamp now, RequestId id,
-                           std::shared_ptr<const PayloadRequest> request, ResultCode code,
-                           Duration retry_after) {
-  GatewayAnswer answer;
-  answer.id = id;
-  answer.request = std::move(request);
-  answer.code = code;
-  answer.retry_after = retry_after;
-  answer.trace.document_version = document_version();
-  answer.trace.config_age = subscriber_.Age(now);
-  output_.answers.push_back(std::move(answer));
-}
-
 void GatewayServer::Schedule(RequestId id, Timestamp wake) {
   Active& active = active_.at(id);
   wakes_.erase({active.wake, id});
@@ -444,6 +358,8 @@
   SyncPool(now);
   GreetControl(now);
   ReleaseEarly(now);
+  gate_.limits().Tick(now);
+  CollectEntry(now);
   ReportRuns(now);
   while (!wakes_.empty() && wakes_.begin()->first <= now) {
     const RequestId id = wakes_.begin()->second;
@@ -471,6 +387,7 @@
     wake = std::min(wake, runs_reported_ + options_.knobs.run_report_interval);
   }
   wake = std::min(wake, view_.next_merge().value_or(wake));
+  wake = std::min(wake, gate_.limits().NextWake(now));
   return wake;
 }
 
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/entry_gate.h"
 #include "balance/extra_load_budget.h"
 #include "balance/latency_tracker.h"
 #include "balance/leaf_pool.h"
@@ -134,6 +135,7 @@
   /// Frame addresses of the control machines to begin with.
   std::vector<std::string> control;
   ExtraLoadBound extra_load;
+  admission::EntryOptions entry;
   GatewayKnobs knobs;
   LeafViewOptions leaf_view{.merge_interval = Milliseconds(100)};
   query::ExecutionOptions execution{.poll = Milliseconds(10),
@@ -225,7 +227,7 @@
   void LearnControl(const std::vector<std::string>& addresses);
   /// Clients are sent elsewhere from now on; what comes is still served.
   void StartDraining(Timestamp now);
-  bool Drained() const { return active_.empty() && early_.empty(); }
+  bool Drained() const { return active_.empty() && early_.empty() && held_.empty(); }
   /// Knows routes and may be sent clients.
   bool ready() const { return table_ != nullptr && !draining_; }
 
@@ -281,6 +283,10 @@
     RouteRuntime* runtime = nullptr;
     bool repeatable = true;
     bool gathers = false;
+    /// Whose it is; empty: nobody's.
+    std::string tenant;
+    /// Zero is the most urgent.
+    int priority = 0;
     /// Exactly one of these works on it.
     std::unique_ptr<query::RequestExecution> execution;
     std::unique_ptr<query::SharedGather> shared;
@@ -302,6 +308,11 @@
     /// Refused then.
     Timestamp until;
   };
+  /// A request whose tenant's limit is being asked for.
+  struct HeldRequest {
+    std::shared_ptr<const PayloadRequest> request;
+    Timestamp arrived;
+  };
   struct ControlLink {
     Timestamp next_presence{};
     Timestamp last_heard{};
@@ -317,7 +328,7 @@
 
   void OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed);
   void OnLeafFeed(Timestamp now, const std::string& address, const wire::LeafFeed& feed);
-  void AdoptDocument();
+  void AdoptDocument(Timestamp now);
   void SyncPool(Timestamp now);
   /// Limits what goes to cold leafs.
   void SyncCold(Timestamp now);
@@ -369,6 +380,11 @@
                  Timestamp arrived);
   /// Starts the early requests once there are routes, and refuses those that waited long enough.
   void ReleaseEarly(Timestamp now);
+  /// The limit allows it: starts it, unless it is not allowed any more.
+  void BeginHeld(Timestamp now, RequestId id, const HeldRequest& held);
+  /// Carries out what the limits of tenants ask for.
+  void CollectEntry(Timestamp now);
+  void TellLimitsOfGateways(Timestamp now);
   // Requests that end the leafs that run them.
   /// Takes over which requests are stopped, and stops those in progress.
   void TakeQuarantine(Timestamp now);
@@ -383,7 +399,8 @@
   /// Where a service has no usable leaf, reports that wait take effect at once.
   void MergeForLackOfLeafs(Timestamp now, const std::vector<std::string>& services);
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
-                      std::shared_ptr<const PayloadRequest> request, Timestamp arrived);
+                      std::shared_ptr<const PayloadRequest> request, const tenants::Tenant* tenant,
+                      Timestamp arrived);
   void Collect(Timestamp now, RequestId id);
   void CollectSends(Timestamp now, Active* active, RequestId id,
                     const query::ExecutionActions& actions);
@@ -514,6 +531,8 @@
   quarantine::RunWitness witness_;
   std::set<RequestIdentity> quarantined_;
   Timestamp runs_reported_{};
+  admission::EntryGate gate_;
+  std::map<RequestId, HeldRequest> held_;
   bool draining_ = false;
   Timestamp started_;
   std::map<RequestId, Active> active_;
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -197,6 +197,8 @@
   query.stand_by = question.stand_by;
   query.groups = static_cast<uint32_t>(active.ranges.size());
   query.shards = Slice(active.route->shards, active.ranges[question.group]);
+  query.tenant = active.tenant;
+  query.priority = static_cast<uint32_t>(active.priority);
   query.homes.assign(active.route->homes.begin(), active.route->homes.end());
   output_.peer_messages.push_back(
       {question.merger, {options_.cluster, document_version(), std::move(query)}});
@@ -243,6 +245,7 @@
   out.code = outcome.code;
   out.run = outcome.run;
   out.trace.route = active.route->name;
+  out.trace.tenant = active.tenant;
   out.trace.document_version = active.table->version();
   out.trace.config_age = subscriber_.Age(now);
   out.trace.elapsed = now - active.shared->started();
@@ -264,8 +267,16 @@
 
 void GatewayServer::OnPeerWord(Timestamp now, const std::string& address,
                                const wire::Envelope& envelope) {
+  if (envelope.cluster != options_.cluster) {
+    return;
+  }
+  if (const auto* grant = std::get_if<wire::LimitGrant>(&envelope.body)) {
+    gate_.limits().OnGrant(now, address, *grant);
+    CollectEntry(now);
+    return;
+  }
   const auto* word = std::get_if<wire::PartialAnswer>(&envelope.body);
-  if (word == nullptr || envelope.cluster != options_.cluster) {
+  if (word == nullptr) {
     return;
   }
   suspects_.erase(address);
@@ -280,6 +291,8 @@
 
 void GatewayServer::OnPeerLost(Timestamp now, const std::string& address) {
   suspects_[address] = now + options_.knobs.merger_suspicion;
+  gate_.limits().OnGatewayLost(now, address);
+  CollectEntry(now);
   std::vector<RequestId> shared;
   for (const auto& [id, active] : active_) {
     if (active.shared != nullptr) {
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -31,6 +31,8 @@
   RequestIdentity identity;
   /// How long the client waits; zero: it did not say.
   Duration deadline{};
+  /// The client's API key; empty: it sent none. Not among `headers`.
+  std::string api_key;
 
   std::string path() const { return target.substr(0, target.find('?')); }
 };
@@ -52,6 +54,8 @@
   ShardId shard;
   /// The leaf's headers are passed on with its answer.
   bool keep_headers = true;
+  /// Whose request it is, as leafs are told whatever the client claimed; empty: nobody's.
+  std::string tenant;
 };
 
 struct LeafCancel {
@@ -64,6 +68,8 @@
 /// How a request came to its answer, for the log.
 struct RequestTrace {
   std::string route;
+  /// Empty: nobody's, or the document has no tenants.
+  std::string tenant;
   uint64_t document_version = 0;
   Duration config_age{};
   Duration elapsed{};
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -59,6 +59,8 @@
   /// Time since the newest greeting that a control machine in touch with a quorum answered: no
   /// change accepted before that is missing here.
   Duration Age(Timestamp now) const { return now - vouched_at_; }
+  /// When that greeting was sent.
+  Timestamp proven_at() const { return vouched_at_; }
 
  private:
   void TurnToNext(Timestamp now);
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -66,10 +66,10 @@
       return Invalid(route, "timeout", "must be above 0");
     }
   }
-  return absl::OkStatus();
+  return tenants::Validate(set.tenants);
 }
 
-RouteTable::RouteTable(RouteSet set) : set_(std::move(set)) {
+RouteTable::RouteTable(RouteSet set) : set_(std::move(set)), keys_(set_.tenants) {
   for (const Route& route : set_.routes) {
     by_host_[HostName(route.host)].push_back(&route);
   }
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -12,6 +12,8 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "common/types.h"
+#include "tenants/key_ring.h"
+#include "tenants/tenant.h"
 
 namespace pumicedyke::routing {
 
@@ -47,6 +49,8 @@
 
   /// Regions that requests must not leave; empty: they may go anywhere.
   std::set<std::string> homes;
+  /// Needs no API key where the document has tenants.
+  bool open = false;
 
   bool gathers() const { return !shards.empty(); }
 };
@@ -77,6 +81,9 @@
   std::vector<Route> routes;
   std::vector<ServiceSpec> services;
   ClientLimits limits;
+  /// The document has tenants: requests need the API key of one, but on open routes.
+  bool keyed = false;
+  std::vector<tenants::Tenant> tenants;
 };
 
 /// Turns the bytes of a document into routes. Each format has one.
@@ -88,8 +95,9 @@
   virtual absl::StatusOr<RouteSet> Read(std::string_view text) const = 0;
 };
 
-/// Whether a set makes sense: known services, no place twice, weights above zero, times above zero.
-/// @return kInvalidConfig naming the route and the field.
+/// Whether a set makes sense: known services, no place twice, weights above zero, times above zero,
+/// tenants as tenants::Validate() asks.
+/// @return kInvalidConfig naming the route or tenant and the field.
 absl::Status Validate(const RouteSet& set);
 
 class RouteTable {
@@ -100,6 +108,8 @@
   /// @return the route, or null if none matches. Lives as long as the table.
   const Route* Find(std::string_view host, std::string_view path) const;
   const ServiceSpec* FindService(const std::string& name) const;
+  /// Whose the API keys are.
+  const tenants::KeyRing& keys() const { return keys_; }
   uint64_t version() const { return set_.version; }
   const RouteSet& set() const { return set_; }
 
@@ -108,6 +118,7 @@
   /// By host (lower case); routes with longer prefixes first.
   std::map<std::string, std::vector<const Route*>, std::less<>> by_host_;
   std::map<std::string, const ServiceSpec*> services_;
+  tenants::KeyRing keys_;
 };
 
 /// Shares requests among services exactly by their weights (smooth weighted round robin): after any
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -57,6 +57,12 @@
       Milliseconds(file.Integer("extra_load_window_ms", 10000, 100, kMaxMilliseconds));
   settings.extra_load.ratio = file.Number("extra_load_ratio", 0.1, 0, 10);
   settings.extra_load.allowance = file.Number("extra_load_allowance", 10, 0, 1e9);
+  settings.entry.key_lease.revocation_bound =
+      Milliseconds(file.Integer("revocation_bound_ms", 0, 0, kMaxMilliseconds));
+  limits::LimitBound& limit = settings.entry.limits.bound;
+  limit.window = Milliseconds(file.Integer("limit_window_ms", 0, 0, kMaxMilliseconds));
+  limit.overage = file.Number("limit_overage", 0, 0, 10);
+  limit.slack = file.Number("limit_slack", 0, 0, 1e9);
   settings.drain_grace = Milliseconds(file.Integer("drain_grace_ms", 3000, 0, kMaxMilliseconds));
   if (absl::Status status = file.Finish(); !status.ok()) {
     return status;
@@ -84,6 +90,7 @@
   options.processor_share = settings_.processor_share;
   options.control = settings_.control;
   options.extra_load = settings_.extra_load;
+  options.entry = settings_.entry;
   server_ = std::make_unique<gateway::GatewayServer>(options, &dialect_->documents(),
                                                      net::EventLoop::Now());
   client_ = std::make_unique<http::HttpClient>(loop_, http::HttpClientOptions{});
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -44,6 +44,7 @@
   /// Frame addresses of control machines.
   std::vector<std::string> control;
   gateway::ExtraLoadBound extra_load;
+  admission::EntryOptions entry;
   Duration drain_grace{};
   std::string port_file;
   /// The file these were read from; empty: flags only.
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -166,6 +166,7 @@
   pumicedyke_wire_ConfigFeed& out = envelope->body.feed;
   out.version = feed.version;
   out.echo = feed.echo;
+  out.proof_age_us = static_cast<uint64_t>(feed.proof_age.count());
   out.full = feed.full;
   out.state = arena->Pieces(feed.state, &out.state_count);
   out.changes_count = static_cast<pb_size_t>(feed.changes.size());
@@ -178,6 +179,7 @@
 
 ConfigFeed Read(const pumicedyke_wire_ConfigFeed& in) {
   ConfigFeed feed{in.version, in.full, Join(in.state, in.state_count), {}, in.echo};
+  feed.proof_age = Duration(static_cast<int64_t>(in.proof_age_us));
   for (pb_size_t i = 0; i < in.changes_count; ++i) {
     const pumicedyke_wire_ConfigChange& change = in.changes[i];
     feed.changes.push_back({change.version, Join(change.command, change.command_count)});
@@ -273,7 +275,8 @@
                       arena->String(record.zone),
                       record.slots,
                       record.draining,
-                      record.cold_milliseconds};
+                      record.cold_milliseconds,
+                      record.born_ms};
   }
   out.gone = arena->Strings(feed.gone, &out.gone_count);
   out.control = arena->Strings(feed.control, &out.control_count);
@@ -293,7 +296,7 @@
     const pumicedyke_wire_LeafRecord& record = in.records[i];
     feed.records.push_back({Text(record.leaf), Text(record.service), Text(record.address),
                             Text(record.zone), record.slots, record.draining,
-                            record.cold_milliseconds});
+                            record.cold_milliseconds, record.born_ms});
   }
   feed.gone = Texts(in.gone, in.gone_count);
   feed.control = Texts(in.control, in.control_count);
@@ -344,6 +347,8 @@
   out.groups = query.groups;
   out.shards = arena->Strings(query.shards, &out.shards_count);
   out.homes = arena->Strings(query.homes, &out.homes_count);
+  out.tenant = arena->String(query.tenant);
+  out.priority = query.priority;
   out.has_identity = query.identity.known();
   out.identity = Fill(query.identity);
 }
@@ -367,6 +372,8 @@
   query.shards = Texts(in.shards, in.shards_count);
   query.homes = Texts(in.homes, in.homes_count);
   query.identity = Read(in.identity);
+  query.tenant = Text(in.tenant);
+  query.priority = in.priority;
   return query;
 }
 
@@ -466,6 +473,35 @@
   return report;
 }
 
+void Fill(const LimitAsk& ask, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_limit_ask_tag;
+  envelope->body.limit_ask = {ask.id, arena->String(ask.tenant), ask.wanted, ask.returned,
+                              ask.of_reserve};
+}
+
+LimitAsk Read(const pumicedyke_wire_LimitAsk& in) {
+  return {in.id, Text(in.tenant), in.wanted, in.returned, in.of_reserve};
+}
+
+void Fill(const LimitGrant& grant, Arena* arena, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_limit_grant_tag;
+  envelope->body.limit_grant = {grant.id,
+                                arena->String(grant.tenant),
+                                static_cast<uint32_t>(grant.stage),
+                                grant.granted,
+                                static_cast<uint64_t>(grant.lifetime.count()),
+                                static_cast<uint64_t>(grant.retry_after.count())};
+}
+
+LimitGrant Read(const pumicedyke_wire_LimitGrant& in) {
+  return {in.id,
+          Text(in.tenant),
+          static_cast<LimitStage>(in.stage),
+          in.granted,
+          Duration(static_cast<int64_t>(in.lifetime_us)),
+          Duration(static_cast<int64_t>(in.retry_after_us))};
+}
+
 absl::StatusOr<Body> ReadBody(const pumicedyke_wire_Envelope& in) {
   switch (in.which_body) {
     case pumicedyke_wire_Envelope_raft_tag:
@@ -515,6 +551,10 @@
       return Body(PartialConfirm{in.body.partial_confirm.id});
     case pumicedyke_wire_Envelope_partial_answer_tag:
       return Body(Read(in.body.partial_answer));
+    case pumicedyke_wire_Envelope_limit_ask_tag:
+      return Body(Read(in.body.limit_ask));
+    case pumicedyke_wire_Envelope_limit_grant_tag:
+      return Body(Read(in.body.limit_grant));
     default:
       return MakeStatus(ResultCode::kMalformedRequest, "frame without a known body");
   }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -90,6 +90,9 @@
   std::vector<ConfigChange> changes;
   /// `sent` of the greeting this answers; 0 if it answers none.
   uint64_t echo = 0;
+  /// How long before this was written the sender was last proved, by word of a quorum, to miss no
+  /// acknowledged change. Counts against the freshness that `echo` proves.
+  Duration proof_age{};
 };
 
 enum class LedgerOperation : uint32_t { kClaim = 1, kComplete = 2, kRelease = 3 };
@@ -156,6 +159,9 @@
   bool draining = false;
   /// How much longer the leaf is slow from its start, when it was first heard of.
   uint64_t cold_milliseconds = 0;
+  /// When this life of the leaf began, by its own clock in milliseconds since the epoch; zero: it
+  /// did not say. A leaf may start again under the same id.
+  uint64_t born_ms = 0;
   bool operator==(const LeafRecord&) const = default;
 };
 
@@ -229,6 +235,10 @@
   std::vector<std::string> shards;
   /// Regions whose leafs alone may be asked; empty: any.
   std::vector<std::string> homes;
+  /// Whose request it is; empty: nobody's, or the document has no tenants.
+  std::string tenant;
+  /// Zero is the most urgent.
+  uint32_t priority = 0;
 };
 
 struct PartialCancel {
@@ -328,10 +338,42 @@
   bool current = false;
 };
 
+/// A gateway asks the one that keeps a tenant's account for the right to send requests of it.
+struct LimitAsk {
+  /// Unique among the sender's questions.
+  uint64_t id = 0;
+  std::string tenant;
+  uint32_t wanted = 0;
+  /// Lent before and not used.
+  uint32_t returned = 0;
+  /// The first keeper did not answer: asks the second, which lends of what is set aside for that.
+  bool of_reserve = false;
+};
+
+enum class LimitStage : uint32_t {
+  kGranted = 1,
+  /// Nothing is left for now.
+  kExhausted = 2,
+  /// Keeps no account of the tenant, or cannot prove that nobody else does.
+  kNotKeeper = 3,
+};
+
+/// Answers a LimitAsk.
+struct LimitGrant {
+  uint64_t id = 0;
+  std::string tenant;
+  LimitStage stage = LimitStage::kNotKeeper;
+  uint32_t granted = 0;
+  /// What is granted may be used for this long after the question was sent.
+  Duration lifetime{};
+  /// If exhausted: when tokens will be there.
+  Duration retry_after{};
+};
+
 using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
                           JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed,
                           JoinReply, GatewayFeed, PartialQuery, PartialCancel, PartialAnswer,
-                          PartialConfirm, RunReport, SuspectNotice>;
+                          PartialConfirm, RunReport, SuspectNotice, LimitAsk, LimitGrant>;
 
 struct Envelope {
   std::string cluster;
