--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -237,7 +237,7 @@
     const std::vector<query::ShardRange> ranges = CutIntoGroups(route.shards.size(), groups);
     for (size_t i = 0; i < ranges.size(); ++i) {
       const GroupPlace place = PlaceOf(route.shards, ranges, i);
-      const size_t fellows = FellowOwners(place, route.homes);
+      const size_t fellows = owners_.Fellows(place, route.homes);
       for (const std::string& shard : place.shards) {
         const double part = fellows == 0 ? 0.0 : 1.0 / static_cast<double>(fellows);
         const auto [it, inserted] = parts.emplace(shard, part);
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -54,17 +54,6 @@
   }
 }
 
-size_t GatewayServer::FellowOwners(const GroupPlace& place, const std::set<std::string>& homes) {
-  size_t fellows = 0;
-  bool among_them = false;
-  for (const std::string& zone : ZonesOf(place.shards, homes)) {
-    const std::vector<std::string>& owners = MergersIn(zone, place).owners;
-    fellows += owners.size();
-    among_them |= std::find(owners.begin(), owners.end(), options_.node) != owners.end();
-  }
-  return among_them ? fellows : 0;
-}
-
 size_t GatewayServer::FellowOwners(const wire::PartialQuery& query) {
   const auto& routes = table_->set().routes;
   const auto route = std::find_if(routes.begin(), routes.end(), [&query](const auto& candidate) {
@@ -77,7 +66,7 @@
   const std::vector<query::ShardRange> ranges = CutIntoGroups(route->shards.size(), query.groups);
   for (size_t i = 0; i < ranges.size(); ++i) {
     if (route->shards[ranges[i].first] == query.shards.front()) {
-      return FellowOwners(PlaceOf(route->shards, ranges, i), route->homes);
+      return owners_.Fellows(PlaceOf(route->shards, ranges, i), route->homes);
     }
   }
   return 0;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -44,6 +44,7 @@
       view_(options_.leaf_view, &subscriber_.config()),
       pool_(options_.knobs.balance, options_.incarnation),
       keeper_(options_.node, options_.zone, &pool_),
+      owners_(options_.node, options_.zone, &view_, &peers_, &options_.regions),
       witness_(options_.knobs.witness),
       gate_(options_.entry, options_.node, options_.incarnation),
       started_(now) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -18,6 +18,7 @@
 #include "balance/leaf_pool.h"
 #include "common/region_map.h"
 #include "directory/near_first.h"
+#include "gateway/group_owners.h"
 #include "gateway/leaf_view.h"
 #include "gateway/merger_placement.h"
 #include "gateway/messages.h"
@@ -423,40 +424,6 @@
   void CancelQuestion(const query::GroupCancel& cancel);
   void AnswerShared(Timestamp now, RequestId id, const Active& active,
                     query::SharedOutcome outcome);
-  /// A group of shards of a request, and the groups beside it.
-  struct GroupPlace {
-    /// Names of all groups: the first shard of each.
-    std::vector<std::string> groups;
-    size_t index = 0;
-    /// The shards of this one.
-    std::vector<std::string> shards;
-  };
-  static GroupPlace PlaceOf(const std::vector<std::string>& shards,
-                            const std::vector<query::ShardRange>& ranges, size_t index);
-  /// The merger to ask that was found so far, by address.
-  struct MergerChoice {
-    std::optional<std::string> best;
-    /// Groups of the request that it was asked for.
-    size_t groups = 0;
-    /// One that was silent lately.
-    std::optional<std::string> suspect;
-  };
-  /// Takes a better one of `mergers`, if there is one. One that has fewer groups of this request is
-  /// better, then one of a zone that is considered first: at 0.12 cores a group of 18 shards takes
-  /// a merger 10 ms, the way to another zone and back 2 to 3 ms.
-  void ConsiderMergers(Timestamp now, std::vector<std::string> mergers,
-                       const std::set<std::string>& tried,
-                       const std::map<std::string, size_t>& given, MergerChoice* choice) const;
-  /// @param given how many groups of the request each merger, by address, has been asked for.
-  /// @return the address of the gateway to merge a group.
-  std::optional<std::string> ChooseMerger(Timestamp now, const GroupPlace& place,
-                                          const std::set<std::string>& homes,
-                                          const std::set<std::string>& tried,
-                                          const std::map<std::string, size_t>& given);
-  const GroupMergers& MergersIn(const std::string& zone, const GroupPlace& place);
-  /// Zones of these regions in which leafs of these shards are, this gateway's own first.
-  std::vector<std::string> ZonesOf(const std::vector<std::string>& shards,
-                                   const std::set<std::string>& homes) const;
 
   // The same as the one that merges a group.
   void OnPartialQuery(Timestamp now, PeerSessionId session, const wire::PartialQuery& query,
@@ -470,9 +437,8 @@
   void CollectPartial(Timestamp now, RequestId id, const std::optional<query::Answer>& answer);
   wire::PartialAnswer TakePartialWord(PartialJob* job, wire::PartialStage stage);
   void SendWord(PeerSessionId session, wire::PartialAnswer word);
-  /// Gateways that own a group, this one among them; zero: it is none of them.
-  size_t FellowOwners(const GroupPlace& place, const std::set<std::string>& homes);
-  /// The same for the group of a question, by the document that is held here.
+  /// Gateways that own the group of a question by the document that is held here, this one among
+  /// them; zero: it is none of them.
   size_t FellowOwners(const wire::PartialQuery& query);
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
   void Refuse(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
@@ -514,11 +480,7 @@
   uint32_t gateways_ = 1;
   PeerView peers_;
   Timestamp peers_changed_{};
-  /// Mergers by zone and names of the groups, for `merger_changes_` of the peers.
-  std::map<std::pair<std::string, std::vector<std::string>>, std::vector<GroupMergers>> mergers_;
-  uint64_t merger_changes_ = 0;
-  /// Gateways that were silent, by address.
-  std::map<std::string, Timestamp> suspects_;
+  GroupOwners owners_;
   std::unordered_map<uint64_t, RequestId> request_of_question_;
   std::map<std::pair<PeerSessionId, uint64_t>, RequestId> partials_;
   /// A question that is worked on only if it is confirmed.
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -1,7 +1,5 @@
 // The part of GatewayServer that shares the shards of a request with other gateways, as the one
 // that the client reached: cuts them into groups, chooses who merges each, and answers.
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -11,111 +9,11 @@
 namespace pumicedyke::gateway {
 namespace {
 
-/// Shards of a group that are looked at to learn in which zones its leafs are.
-constexpr size_t kShardsLookedAt = 4;
 /// When to come back after a gather that other gateways could not carry.
 constexpr Duration kRetryAfterFailure = Milliseconds(100);
 
 }  // namespace
 
-std::vector<std::string> GatewayServer::ZonesOf(const std::vector<std::string>& shards,
-                                                const std::set<std::string>& homes) const {
-  std::set<std::string> zones;
-  for (size_t i = 0; i < std::min(shards.size(), kShardsLookedAt); ++i) {
-    for (const std::string& leaf : view_.UsableLeafs(shards[i])) {
-      const std::string& zone = view_.leafs().at(leaf).zone;
-      if (IsHome(homes, zone)) {
-        zones.insert(zone);
-      }
-    }
-  }
-  std::vector<std::string> ordered(zones.begin(), zones.end());
-  if (ordered.empty()) {
-    return ordered;
-  }
-  // Gateways of zones without leafs spread over the others.
-  const std::string text = options_.node + "/" + shards.front();
-  const uint64_t turn = XXH64(text.data(), text.size(), 0) % ordered.size();
-  std::rotate(ordered.begin(), ordered.begin() + static_cast<long>(turn), ordered.end());
-  std::stable_partition(ordered.begin(), ordered.end(),
-                        [this](const std::string& zone) { return zone == options_.zone; });
-  return ordered;
-}
-
-GatewayServer::GroupPlace GatewayServer::PlaceOf(const std::vector<std::string>& shards,
-                                                 const std::vector<query::ShardRange>& ranges,
-                                                 size_t index) {
-  GroupPlace place;
-  place.groups.reserve(ranges.size());
-  for (const query::ShardRange& range : ranges) {
-    place.groups.push_back(shards[range.first]);
-  }
-  place.index = index;
-  place.shards = Slice(shards, ranges[index]);
-  return place;
-}
-
-const GroupMergers& GatewayServer::MergersIn(const std::string& zone, const GroupPlace& place) {
-  if (merger_changes_ != peers_.changes()) {
-    merger_changes_ = peers_.changes();
-    mergers_.clear();
-  }
-  const auto [it, inserted] = mergers_.try_emplace({zone, place.groups});
-  if (inserted) {
-    it->second = AssignMergers(place.groups, peers_.InZone(zone));
-  }
-  return it->second[place.index];
-}
-
-std::optional<std::string> GatewayServer::ChooseMerger(Timestamp now, const GroupPlace& place,
-                                                       const std::set<std::string>& homes,
-                                                       const std::set<std::string>& tried,
-                                                       const std::map<std::string, size_t>& given) {
-  MergerChoice owner;
-  MergerChoice stand_in;
-  for (const std::string& zone : ZonesOf(place.shards, homes)) {
-    const GroupMergers& mergers = MergersIn(zone, place);
-    ConsiderMergers(now, mergers.owners, tried, given, &owner);
-    ConsiderMergers(now, mergers.stand_ins, tried, given, &stand_in);
-  }
-  for (const std::optional<std::string>& choice :
-       {owner.best, stand_in.best, owner.suspect, stand_in.suspect}) {
-    if (choice.has_value()) {
-      return choice;
-    }
-  }
-  return std::nullopt;
-}
-
-void GatewayServer::ConsiderMergers(Timestamp now, std::vector<std::string> mergers,
-                                    const std::set<std::string>& tried,
-                                    const std::map<std::string, size_t>& given,
-                                    MergerChoice* choice) const {
-  if (mergers.empty()) {
-    return;
-  }
-  // Roots differ in whom they ask first, so that the owners share the load.
-  const uint64_t turn = XXH64(options_.node.data(), options_.node.size(), 0) % mergers.size();
-  std::rotate(mergers.begin(), mergers.begin() + static_cast<long>(turn), mergers.end());
-  for (const std::string& merger : mergers) {
-    const std::string& address = peers_.Find(merger)->peer_address;
-    if (merger == options_.node || tried.contains(address)) {
-      continue;
-    }
-    const auto suspected = suspects_.find(address);
-    if (suspected != suspects_.end() && now < suspected->second) {
-      choice->suspect = choice->suspect.value_or(address);
-      continue;
-    }
-    const auto known = given.find(address);
-    const size_t groups = known == given.end() ? 0 : known->second;
-    if (!choice->best.has_value() || groups < choice->groups) {
-      choice->best = address;
-      choice->groups = groups;
-    }
-  }
-}
-
 size_t GatewayServer::GroupsOf(const routing::Route& route) const {
   const bool may_share = options_.knobs.share_gathers && !options_.peer_address.empty() &&
                          route.gathers() && route.repeatable;
@@ -150,7 +48,7 @@
   }
   const std::vector<query::ShardRange> ranges = CutIntoGroups(route.shards.size(), groups);
   for (size_t i = 0; i < ranges.size(); ++i) {
-    if (!ChooseMerger(now, PlaceOf(route.shards, ranges, i), route.homes, {}, {}).has_value()) {
+    if (!owners_.Choose(now, PlaceOf(route.shards, ranges, i), route.homes, {}, {}).has_value()) {
       return false;
     }
   }
@@ -161,7 +59,7 @@
                                      const std::set<std::string>& tried) {
     const GroupPlace place = PlaceOf(active->route->shards, active->ranges, group);
     std::optional<std::string> merger =
-        ChooseMerger(when, place, active->route->homes, tried, active->given);
+        owners_.Choose(when, place, active->route->homes, tried, active->given);
     if (merger.has_value()) {
       ++active->given[*merger];
     }
@@ -214,7 +112,7 @@
   Active& active = active_.at(id);
   query::SharedGatherActions actions = active.shared->TakeActions();
   for (const std::string& merger : actions.silent) {
-    suspects_[merger] = now + options_.knobs.merger_suspicion;
+    owners_.Suspect(merger, now + options_.knobs.merger_suspicion);
   }
   for (const query::GroupCancel& cancel : actions.cancels) {
     CancelQuestion(cancel);
@@ -279,7 +177,7 @@
   if (word == nullptr) {
     return;
   }
-  suspects_.erase(address);
+  owners_.Clear(address);
   const auto found = request_of_question_.find(word->id);
   if (found == request_of_question_.end()) {
     return;
@@ -290,7 +188,7 @@
 }
 
 void GatewayServer::OnPeerLost(Timestamp now, const std::string& address) {
-  suspects_[address] = now + options_.knobs.merger_suspicion;
+  owners_.Suspect(address, now + options_.knobs.merger_suspicion);
   gate_.limits().OnGatewayLost(now, address);
   CollectEntry(now);
   std::vector<RequestId> shared;
