Tenants and API keys at the gateway's door, from document to leaf

A document with tenants was read as one without: requests ran without a key, leafs got the client's key and whatever it claimed to be.

One tenant that lists a key twice harms nobody and passes. - A request's words about its caller (key, claimed tenant) are kept apart from its head. They go on only where the document in force when it begins has no tenants, at the gateway and by its mergers alike; elsewhere leafs get the tenant's name by the gateway's word. Ruled out: to rewrite heads at each send (as often as there are sub-requests), and to let the dialect know the document (it reads before a route is found, and the document may change meanwhile). - An unknown key is refused before quarantine and overload are looked at. - Regions of route and tenant both bind; without one in common nothing is sent. - Lines of answers and of partial work name the tenant.

How callers are told apart for the quarantine is unchanged: by the headers as they came.

--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -59,6 +59,12 @@
     Refuse(now, id, std::move(request), ResultCode::kUnknownPath, Duration(0));
     return;
   }
+  // Whoever has no key learns nothing else, and costs no more than this.
+  if (gate_.Recheck(now, *table_, *route, request->api_key, subscriber_.proven_at()) ==
+      ResultCode::kUnknownKey) {
+    Refuse(now, id, std::move(request), ResultCode::kUnknownKey, Duration(0));
+    return;
+  }
   if (quarantined_.contains(request->identity)) {
     Refuse(now, id, std::move(request), ResultCode::kQuarantined,
            options_.knobs.retry_when_quarantined);
@@ -168,6 +174,10 @@
   answer.request = std::move(request);
   answer.code = code;
   answer.retry_after = retry_after;
+  if (table_ != nullptr) {
+    const tenants::Tenant* tenant = table_->keys().Find(answer.request->api_key);
+    answer.trace.tenant = tenant == nullptr ? std::string() : tenant->name;
+  }
   answer.trace.document_version = document_version();
   answer.trace.config_age = subscriber_.Age(now);
   output_.answers.push_back(std::move(answer));
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -243,7 +243,7 @@
     word.extra = answer->extra_sub_requests;
     SendWord(job.session, std::move(word));
     output_.partials.push_back({active.request->request_id, active.request->identity, job.route,
-                                answer->run, now - active.execution->started(),
+                                active.tenant, answer->run, now - active.execution->started(),
                                 answer->coverage.total(), answer->extra_sub_requests,
                                 active.execution->Attempts(), answer->coverage.missing});
     Remove(id);
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "gateway/record_merge.h"
+#include "routing/homes.h"
 
 namespace pumicedyke::gateway {
 namespace {
@@ -185,8 +186,17 @@
 void GatewayServer::StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                                    std::shared_ptr<const PayloadRequest> request,
                                    const tenants::Tenant* tenant, Timestamp arrived) {
+  std::optional<std::set<std::string>> homes = routing::HomesOf(route, tenant);
+  if (!homes.has_value()) {
+    Refuse(now, id, std::move(request), ResultCode::kCoverageNotReached, Duration(0));
+    return;
+  }
   Active& active = active_[id];
   active.request = std::move(request);
+  active.homes = *std::move(homes);
+  if (!table_->set().keyed) {
+    active.head = HeadWithCaller(*active.request);
+  }
   if (tenant != nullptr) {
     active.tenant = tenant->name;
     active.priority = tenant->priority.value_or(route.priority);
@@ -208,7 +218,7 @@
       route.gathers() ? route.shards
                       : std::vector<std::string>{active.runtime->choice.Next(route.services)};
   MergeForLackOfLeafs(now, services);
-  const Target& target = TargetOf(services, route.homes);
+  const Target& target = TargetOf(services, active.homes);
   const config::PublishedSnapshot& snapshot = target.service->snapshots.back();
   query::CallerRequest caller;
   caller.service = route.name;
@@ -260,6 +270,7 @@
     out.shard = send.shard;
     out.keep_headers = !active->gathers;
     out.tenant = active->tenant;
+    out.head = active->head;
     WatchRun(now, *active, out, record.service);
     output_.sends.push_back(std::move(out));
   }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -287,6 +287,10 @@
     std::string tenant;
     /// Zero is the most urgent.
     int priority = 0;
+    /// Regions whose leafs alone may be asked; empty: any.
+    std::set<std::string> homes;
+    /// What goes to leafs instead of the request's own head; null: that goes.
+    std::shared_ptr<const std::string> head;
     /// Exactly one of these works on it.
     std::unique_ptr<query::RequestExecution> execution;
     std::unique_ptr<query::SharedGather> shared;
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -150,7 +150,7 @@
   }
   const std::vector<query::ShardRange> ranges = CutIntoGroups(route.shards.size(), groups);
   for (size_t i = 0; i < ranges.size(); ++i) {
-    if (!ChooseMerger(now, PlaceOf(route.shards, ranges, i), route.homes, {}, {}).has_value()) {
+    if (!ChooseMerger(now, PlaceOf(route.shards, ranges, i), active->homes, {}, {}).has_value()) {
       return false;
     }
   }
@@ -161,7 +161,7 @@
                                      const std::set<std::string>& tried) {
     const GroupPlace place = PlaceOf(active->route->shards, active->ranges, group);
     std::optional<std::string> merger =
-        ChooseMerger(when, place, active->route->homes, tried, active->given);
+        ChooseMerger(when, place, active->homes, tried, active->given);
     if (merger.has_value()) {
       ++active->given[*merger];
     }
@@ -186,7 +186,7 @@
   query.request_id = active.request->request_id;
   query.identity = active.request->identity;
   query.method = active.request->method;
-  query.head = active.request->encoded_head;
+  query.head = active.head == nullptr ? active.request->encoded_head : *active.head;
   query.payload = active.request->body;
   query.budget = std::max(Duration(0), started + plan.deadline - now);
   query.report_after = std::max(Duration(0), started + plan.wait - ReportLead(groups) - now);
@@ -199,7 +199,7 @@
   query.shards = Slice(active.route->shards, active.ranges[question.group]);
   query.tenant = active.tenant;
   query.priority = static_cast<uint32_t>(active.priority);
-  query.homes.assign(active.route->homes.begin(), active.route->homes.end());
+  query.homes.assign(active.homes.begin(), active.homes.end());
   output_.peer_messages.push_back(
       {question.merger, {options_.cluster, document_version(), std::move(query)}});
 }
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -24,14 +24,18 @@
   std::string target;
   std::string host;
   http::Headers headers;
-  /// Method, target and headers in the form in which they go to every leaf; made once.
+  /// By which the client says who it is, its API key among them. Not among `headers`: they go to
+  /// leafs only where the document has no tenants.
+  http::Headers caller_headers;
+  /// Method, target and headers in the form in which they go to every leaf; made once. Without
+  /// `caller_headers`.
   std::string encoded_head;
   std::string body;
   /// What is asked for and for whom: the same for each attempt of the client.
   RequestIdentity identity;
   /// How long the client waits; zero: it did not say.
   Duration deadline{};
-  /// The client's API key; empty: it sent none. Not among `headers`.
+  /// The client's API key; empty: it sent none, or more than one.
   std::string api_key;
 
   std::string path() const { return target.substr(0, target.find('?')); }
@@ -56,8 +60,14 @@
   bool keep_headers = true;
   /// Whose request it is, as leafs are told whatever the client claimed; empty: nobody's.
   std::string tenant;
+  /// Goes instead of the request's own head, if it is set: see HeadWithCaller().
+  std::shared_ptr<const std::string> head;
 };
 
+/// What goes to leafs of a request whose document has no tenants: the client's words about itself
+/// are passed on like all others. @return null: it said nothing of itself, `encoded_head` does.
+std::shared_ptr<const std::string> HeadWithCaller(const PayloadRequest& request);
+
 struct LeafCancel {
   SubRequestId id;
   /// Nobody waits for the outcome: the leaf's work must end. Otherwise the leaf may finish, so that
@@ -85,6 +95,8 @@
   std::string request_id;
   RequestIdentity identity;
   std::string route;
+  /// As the gateway that asked says.
+  std::string tenant;
   query::RunState run = query::RunState::kNotRun;
   Duration elapsed{};
   size_t shards = 0;
--- a/src/tenants/tenant.cc
+++ b/src/tenants/tenant.cc
@@ -1,43 +1,97 @@
 #include "tenants/tenant.h"
 
+#include <algorithm>
+#include <map>
+
 #include "common/result_code.h"
 
 namespace pumicedyke::tenants {
 namespace {
 
-absl::Status Invalid(const std::string& tenant, const std::string& field, const std::string& why) {
-  return MakeStatus(ResultCode::kInvalidConfig,
-                    "tenant '" + tenant + "', field '" + field + "': " + why);
+using KeyOwners = std::map<std::string_view, const Tenant*>;
+
+bool FitsHeader(std::string_view name) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  return std::all_of(name.begin(), name.end(), [](char character) {
+    const auto byte = static_cast<unsigned char>(character);
+    return byte >= kFirstPrintable && byte != kDelete;
+  });
+}
+
+std::optional<TenantProblem> ProblemOfKeys(const Tenant& tenant, KeyOwners* owners) {
+  for (const std::string& key : tenant.api_keys) {
+    if (key.empty()) {
+      return TenantProblem{tenant.name, TenantField::kKeys, "a key is empty"};
+    }
+    const Tenant* owner = owners->emplace(key, &tenant).first->second;
+    if (owner != &tenant) {
+      return TenantProblem{tenant.name, TenantField::kKeys,
+                           "tenant '" + owner->name + "' has one of the keys, too"};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<TenantProblem> ProblemOfFigures(const Tenant& tenant) {
+  constexpr char kNegative[] = "must not be negative";
+  if (!(tenant.requests_per_second >= 0)) {
+    return TenantProblem{tenant.name, TenantField::kRequestsPerSecond, kNegative};
+  }
+  if (!(tenant.burst >= 0)) {
+    return TenantProblem{tenant.name, TenantField::kBurst, kNegative};
+  }
+  return std::nullopt;
 }
 
 }  // namespace
 
-absl::Status Validate(const std::vector<Tenant>& tenants) {
-  std::set<std::string> names;
-  std::set<std::string> keys;
+std::string_view FieldName(TenantField field) {
+  switch (field) {
+    case TenantField::kName:
+      return "name";
+    case TenantField::kKeys:
+      return "keys";
+    case TenantField::kRequestsPerSecond:
+      return "requests_per_second";
+    case TenantField::kBurst:
+      return "burst";
+  }
+  return "";
+}
+
+std::optional<TenantProblem> FindProblem(const std::vector<Tenant>& tenants) {
+  std::set<std::string_view> names;
+  KeyOwners owners;
   for (const Tenant& tenant : tenants) {
     if (tenant.name.empty()) {
-      return Invalid(tenant.name, "name", "must not be empty");
+      return TenantProblem{tenant.name, TenantField::kName, "must not be empty"};
     }
-    if (!names.insert(tenant.name).second) {
-      return Invalid(tenant.name, "name", "another tenant has the same");
+    if (!FitsHeader(tenant.name)) {
+      return TenantProblem{tenant.name, TenantField::kName, "must hold no control characters"};
     }
-    for (const std::string& key : tenant.api_keys) {
-      if (key.empty()) {
-        return Invalid(tenant.name, "api_keys", "a key is empty");
-      }
-      if (!keys.insert(key).second) {
-        return Invalid(tenant.name, "api_keys", "a key stands twice");
-      }
+    if (!names.insert(tenant.name).second) {
+      return TenantProblem{tenant.name, TenantField::kName, "another tenant has the same"};
     }
-    if (tenant.requests_per_second < 0) {
-      return Invalid(tenant.name, "requests_per_second", "must not be negative");
+    if (std::optional<TenantProblem> problem = ProblemOfKeys(tenant, &owners)) {
+      return problem;
     }
-    if (tenant.burst < 0) {
-      return Invalid(tenant.name, "burst", "must not be negative");
+    if (std::optional<TenantProblem> problem = ProblemOfFigures(tenant)) {
+      return problem;
     }
   }
-  return absl::OkStatus();
+  return std::nullopt;
+}
+
+absl::Status InvalidTenant(const TenantProblem& problem, std::string_view field) {
+  return MakeStatus(ResultCode::kInvalidConfig, "tenant '" + problem.tenant + "', field '" +
+                                                    std::string(field) + "': " + problem.why);
+}
+
+absl::Status Validate(const std::vector<Tenant>& tenants) {
+  const std::optional<TenantProblem> problem = FindProblem(tenants);
+  return problem.has_value() ? InvalidTenant(*problem, FieldName(problem->field))
+                             : absl::OkStatus();
 }
 
 }  // namespace pumicedyke::tenants
--- a/src/tenants/tenant.h
+++ b/src/tenants/tenant.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -27,9 +28,28 @@
   bool operator==(const Tenant&) const = default;
 };
 
-/// Whether the tenants make sense together: names and keys are there and stand once, no figure is
-/// negative.
+enum class TenantField { kName, kKeys, kRequestsPerSecond, kBurst };
+
+/// The field's name in the product's own configuration. A platform has names of its own.
+std::string_view FieldName(TenantField field);
+
+/// What is wrong with a tenant. Holds no key.
+struct TenantProblem {
+  std::string tenant;
+  TenantField field = TenantField::kName;
+  std::string why;
+};
+
+/// Whether the tenants make sense together: names are there, stand once and can be sent as a header
+/// of HTTP; no key is empty or of two tenants; no figure is negative.
+/// @return the first problem; unset: there is none.
+std::optional<TenantProblem> FindProblem(const std::vector<Tenant>& tenants);
+
+/// As FindProblem().
 /// @return kInvalidConfig naming the tenant and the field, never a key.
 absl::Status Validate(const std::vector<Tenant>& tenants);
 
+/// The status that says so. @param field as the reader of the message knows it.
+absl::Status InvalidTenant(const TenantProblem& problem, std::string_view field);
+
 }  // namespace pumicedyke::tenants
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -26,6 +27,10 @@
   double cold_requests_per_second = 0;
   /// Regions that requests must not leave.
   std::set<std::string> homes;
+  /// Set: the documents have tenants.
+  std::optional<std::vector<tenants::Tenant>> tenants;
+  /// Routes that need no key.
+  std::set<std::string> open;
 
   absl::StatusOr<routing::RouteSet> Read(std::string_view text) const override {
     routing::RouteSet set;
@@ -41,6 +46,7 @@
       route.min_coverage = 0.5;
       route.top_records = 2;
       route.homes = homes;
+      route.open = open.contains(route.name);
       for (size_t i = 3; i < item.size(); ++i) {
         const auto service = item[i].get<std::string>();
         set.services.push_back({service, 26, "", Seconds(2), cold_requests_per_second});
@@ -52,6 +58,8 @@
       }
       set.routes.push_back(std::move(route));
     }
+    set.keyed = tenants.has_value();
+    set.tenants = tenants.value_or(std::vector<tenants::Tenant>{});
     return set;
   }
 };
@@ -144,10 +152,22 @@
     request->host = kHost;
     request->deadline = deadline;
     request->identity = IdentityOf({target});
-    const RequestId id{asked_};
-    server.OnRequest(now, id, std::move(request), now - unread);
-    Take();
-    return id;
+    return Ask(std::move(request), unread);
+  }
+  /// The client sends this key, and claims to be another.
+  RequestId AskWithKey(const std::string& target, const std::string& key,
+                       Duration deadline = Seconds(1)) {
+    auto request = std::make_shared<PayloadRequest>();
+    request->request_id = "r" + std::to_string(++asked_);
+    request->method = "GET";
+    request->target = target;
+    request->host = kHost;
+    request->deadline = deadline;
+    request->identity = IdentityOf({target, key});
+    request->api_key = key;
+    request->encoded_head = "GET " + target + " HTTP/1.1\r\n";
+    request->caller_headers = {{"Key", key}, {"Claim", "somebody else"}};
+    return Ask(std::move(request), Duration(0));
   }
   void Reply(const LeafSend& send, query::LeafStatus status, const std::string& body = "",
              int http_status = 200) {
@@ -214,6 +234,13 @@
   /// What cold leafs of the documents that are put from now on bear.
   void SetColdRequestsPerSecond(double rate) { reader_.cold_requests_per_second = rate; }
 
+  /// Tenants of the documents that are put from now on; unset: they have none.
+  void SetTenants(std::optional<std::vector<tenants::Tenant>> tenants) {
+    reader_.tenants = std::move(tenants);
+  }
+  /// Routes of these documents that need no key.
+  void SetOpen(std::set<std::string> routes) { reader_.open = std::move(routes); }
+
   /// Regions that requests of the documents that are put from now on must not leave.
   void SetHomes(std::set<std::string> homes) { reader_.homes = std::move(homes); }
 
@@ -222,6 +249,12 @@
   Timestamp now = kStart;
 
  private:
+  RequestId Ask(std::shared_ptr<PayloadRequest> request, Duration unread) {
+    const RequestId id{asked_};
+    server.OnRequest(now, id, std::move(request), now - unread);
+    Take();
+    return id;
+  }
   void Apply(const config::Change& change) {
     state_.Apply(change);
     wire::ConfigFeed feed;
--- /dev/null
+++ b/test/routing/homes_test.cc
@@ -0,0 +1,41 @@
+// Regions that a request must not leave, by its route and its tenant.
+#include "routing/homes.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pumicedyke::routing {
+
+class HomesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HomesTest);
+  CPPUNIT_TEST(RouteAndTenantBothBind);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RouteAndTenantBothBind() {
+    using Regions = std::set<std::string>;
+    struct Case {
+      const char* what;
+      Regions route;
+      Regions tenant;
+      std::optional<Regions> both;
+    };
+    const Case cases[] = {
+        {"neither says", {}, {}, Regions{}},
+        {"only the route", {"west"}, {}, Regions{"west"}},
+        {"only the tenant", {}, {"west", "east"}, Regions{"east", "west"}},
+        {"one in common", {"west", "north"}, {"west", "east"}, Regions{"west"}},
+        {"none in common", {"west"}, {"east"}, std::nullopt},
+    };
+    for (const Case& item : cases) {
+      Route route;
+      route.homes = item.route;
+      tenants::Tenant tenant;
+      tenant.homes = item.tenant;
+      CPPUNIT_ASSERT_MESSAGE(item.what, HomesOf(route, &tenant) == item.both);
+      CPPUNIT_ASSERT_MESSAGE(item.what, HomesOf(route, nullptr) == std::optional(item.route));
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(HomesTest);
+
+}  // namespace pumicedyke::routing
