Unknown keys and paths are refused only where that is proved

A gateway that wakes, or is cut off, knows an older configuration: it answered 401 or 404 to what had been added since, and clients never try again after these. Now it refuses as unknown only if the configuration was proved current within a second (proofs come four times a second). Otherwise the request waits for the next proof, at most a second and half of its client's patience, and is then told 503, not run. No question is sent for it; what waits is bounded with the requests that wait for the first routes. Without any key nothing waits.

Ruled out: to ask control for each unknown key (false keys would cost control work). Control's files are the owner's alone, since documents hold keys.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -145,6 +145,8 @@
 
 void GatewayServer::OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed) {
   if (!subscriber_.OnFeed(now, feed)) {
+    // It may prove what was known.
+    ReleaseEarly(now);
     return;
   }
   const std::vector<std::string> changed = subscriber_.TakeChangedLeafs();
--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -14,38 +14,52 @@
 
 void GatewayServer::HoldEarly(Timestamp now, RequestId id,
                               std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
-  const Duration patience =
-      request->deadline.count() > 0 ? request->deadline : options_.knobs.longest_wait;
-  const Duration wait =
-      std::min(options_.knobs.longest_start_wait, patience / options_.knobs.start_wait_part);
   const Duration expected = options_.knobs.expected_start - (now - started_);
-  if (expected >= options_.knobs.shortest_start_refusal) {
+  if (table_ == nullptr && expected >= options_.knobs.shortest_start_refusal) {
     Refuse(now, id, std::move(request), ResultCode::kNotReady,
            expected + options_.knobs.shortest_start_refusal);
     return;
   }
   if (early_.size() >= options_.knobs.max_in_progress) {
-    Refuse(now, id, std::move(request), ResultCode::kNotReady, kRetryWhenNotReady);
+    RefuseEarly(now, id, std::move(request));
     return;
   }
-  early_[id] = {std::move(request), arrived, arrived + wait};
+  const Duration patience =
+      request->deadline.count() > 0 ? request->deadline : options_.knobs.longest_wait;
+  const Duration wait =
+      std::min(options_.knobs.longest_start_wait, patience / options_.knobs.start_wait_part);
+  early_[id] = {std::move(request), arrived, arrived + wait, document_version()};
+}
+
+void GatewayServer::RefuseEarly(Timestamp now, RequestId id,
+                                std::shared_ptr<const PayloadRequest> request) {
+  const ResultCode code =
+      table_ == nullptr ? ResultCode::kNotReady : ResultCode::kStaleConfiguration;
+  Refuse(now, id, std::move(request), code, kRetryWhenNotReady);
 }
 
 void GatewayServer::ReleaseEarly(Timestamp now) {
-  if (table_ != nullptr) {
-    for (auto& [id, early] : std::exchange(early_, {})) {
+  const bool proven = table_ != nullptr && RefusalsProven(now);
+  for (auto& [id, early] : std::exchange(early_, {})) {
+    if (proven || early.document_version != document_version()) {
       OnRequest(now, id, std::move(early.request), early.arrived);
+    } else if (now >= early.until) {
+      RefuseEarly(now, id, std::move(early.request));
+    } else {
+      early_[id] = std::move(early);
     }
+  }
+}
+
+void GatewayServer::RefuseUnknown(Timestamp now, RequestId id,
+                                  std::shared_ptr<const PayloadRequest> request, Timestamp arrived,
+                                  ResultCode code) {
+  const bool keyless = code == ResultCode::kUnknownKey && request->api_key.empty();
+  if (keyless || RefusalsProven(now)) {
+    Refuse(now, id, std::move(request), code, Duration(0));
     return;
   }
-  std::erase_if(early_, [&](const auto& item) {
-    const auto& [id, early] = item;
-    if (now < early.until) {
-      return false;
-    }
-    Refuse(now, id, early.request, ResultCode::kNotReady, kRetryWhenNotReady);
-    return true;
-  });
+  HoldEarly(now, id, std::move(request), arrived);
 }
 
 void GatewayServer::OnRequest(Timestamp now, RequestId id,
@@ -56,13 +70,13 @@
   }
   const routing::Route* route = table_->Find(request->host, request->path());
   if (route == nullptr) {
-    Refuse(now, id, std::move(request), ResultCode::kUnknownPath, Duration(0));
+    RefuseUnknown(now, id, std::move(request), arrived, ResultCode::kUnknownPath);
     return;
   }
   // Whoever has no key learns nothing else, and costs no more than this.
   if (gate_.Recheck(now, *table_, *route, request->api_key, subscriber_.proven_at()) ==
       ResultCode::kUnknownKey) {
-    Refuse(now, id, std::move(request), ResultCode::kUnknownKey, Duration(0));
+    RefuseUnknown(now, id, std::move(request), arrived, ResultCode::kUnknownKey);
     return;
   }
   if (quarantined_.contains(request->identity)) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -67,6 +67,9 @@
   /// longer than this part of what its client waits.
   Duration longest_start_wait = Milliseconds(1000);
   int start_wait_part = 2;
+  /// What is not known here is refused as unknown, which clients take as final, if the
+  /// configuration was proved current no longer ago than this.
+  Duration refusal_proof_age = Milliseconds(1000);
   /// Executions in progress beyond which requests are refused.
   size_t max_in_progress = 400;
   Duration presence_interval = Milliseconds(500);
@@ -305,12 +308,15 @@
     /// How many groups each merger was asked for, by address.
     std::map<std::string, size_t> given;
   };
-  /// A request that came before any route was known.
+  /// A request that came before any route was known, or whose route or key is not known and may be
+  /// new.
   struct EarlyRequest {
     std::shared_ptr<const PayloadRequest> request;
     Timestamp arrived;
     /// Refused then.
     Timestamp until;
+    /// Of the routes that were known; zero: none were.
+    uint64_t document_version = 0;
   };
   /// A request whose tenant's limit is being asked for.
   struct HeldRequest {
@@ -382,8 +388,18 @@
   uint32_t SharingGateways() const;
   void HoldEarly(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
                  Timestamp arrived);
-  /// Starts the early requests once there are routes, and refuses those that waited long enough.
+  void RefuseEarly(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request);
+  /// Begins anew with the early requests once it is known what to do with them, and refuses those
+  /// that waited long enough.
   void ReleaseEarly(Timestamp now);
+  /// Whether a route or key that is not known here is not in force, or only since a moment ago.
+  bool RefusalsProven(Timestamp now) const {
+    return subscriber_.Age(now) <= options_.knobs.refusal_proof_age;
+  }
+  /// Its path or key is not known here: refused if that is proved, else it waits for proof. Without
+  /// a key it waits for nothing.
+  void RefuseUnknown(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
+                     Timestamp arrived, ResultCode code);
   /// The limit allows it: starts it, unless it is not allowed any more.
   void BeginHeld(Timestamp now, RequestId id, const HeldRequest& held);
   /// Carries out what the limits of tenants ask for.
--- a/src/storage/posix_file_system.cc
+++ b/src/storage/posix_file_system.cc
@@ -93,8 +93,9 @@
 }
 
 absl::StatusOr<std::unique_ptr<AppendFile>> PosixFileSystem::OpenAppend(const std::string& name) {
+  constexpr mode_t kOwnerOnly = 0600;
   const int descriptor =
-      ::open(Path(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+      ::open(Path(name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kOwnerOnly);
   if (descriptor < 0) {
     return IoError("open", Path(name));
   }
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -135,6 +135,14 @@
     feed.version = state_.version().value;
     server.OnControlMessage(now, kControl, {"test", feed.version, feed});
   }
+  /// A control machine answers a greeting that was sent now: nothing newer is in force.
+  void Prove() {
+    wire::ConfigFeed feed;
+    feed.version = state_.version().value;
+    feed.echo = static_cast<uint64_t>(now.time_since_epoch().count());
+    server.OnControlMessage(now, kControl, {"test", feed.version, feed});
+    Take();
+  }
   /// Other gateways, by the word of the control machine.
   void Peers(std::vector<wire::GatewayRecord> peers) {
     wire::GatewayFeed feed;
--- a/test/gateway/gateway_tenants_test.cc
+++ b/test/gateway/gateway_tenants_test.cc
@@ -112,6 +112,11 @@
   CPPUNIT_TEST(KeysComeAndGoWithTheDocument);
   CPPUNIT_TEST(AKeyThatMovesNamesItsNewTenant);
   CPPUNIT_TEST(RequestsBeforeTheFirstDocumentNeedKeys);
+  CPPUNIT_TEST(WhoWakesRefusesNothingThatMayBeNew);
+  CPPUNIT_TEST(NewsAreTakenWithoutProof);
+  CPPUNIT_TEST(WithoutProofTheUnknownIsToldToGoElsewhere);
+  CPPUNIT_TEST(WithoutAKeyNothingWaitsForProof);
+  CPPUNIT_TEST(UnprovenRequestsAreBoundedAndMayLeave);
   CPPUNIT_TEST(TenantsPriorityGoesBeforeTheRoutes);
   CPPUNIT_TEST(HomesOfTenantsBind);
   CPPUNIT_TEST(HomesOfRouteAndTenantBothBind);
@@ -337,6 +342,100 @@
     CPPUNIT_ASSERT(h.answers.back().id == known);
   }
 
+  /// A gateway that was frozen: its clock goes on at once.
+  static void Freeze(GatewayHarness* h, Duration time) { h->now += time; }
+
+  void WhoWakesRefusesNothingThatMayBeNew() {
+    Keyed k;
+    Freeze(&k.h, Seconds(20));
+    const RequestId key = k.h.AskWithKey("/one/1", "hush-3");
+    const RequestId path = k.h.AskWithKey("/new/1", kKey);
+    const RequestId false_key = k.h.AskWithKey("/one/2", "never");
+    const RequestId known = k.h.AskWithKey("/one/3", kKey);
+    CPPUNIT_ASSERT(k.h.answers.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, k.h.sends.size());
+    k.h.Reply(k.h.sends[0], query::LeafStatus::kOk, "x");
+    CPPUNIT_ASSERT(k.h.answers.back().id == known);
+    // The news come with the first answer of control.
+    k.h.SetTenants(std::vector{TenantOf("acme", {kKey}), TenantOf("new", {"hush-3"})});
+    k.h.Put(2, Json::array({{"one", "/one/", true, "s0"}, {"new", "/new/", true, "s1"}}).dump());
+    k.h.Prove();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, k.h.answers.size());
+    CPPUNIT_ASSERT(k.h.answers[1].id == false_key);
+    CPPUNIT_ASSERT(k.h.answers[1].code == ResultCode::kUnknownKey);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, k.h.sends.size());
+    AssertOf("new", k.h.sends[1]);
+    AssertOf("acme", k.h.sends[2]);
+    for (size_t i = 1; i < 3; ++i) {
+      k.h.Reply(k.h.sends[i], query::LeafStatus::kOk, "x");
+    }
+    CPPUNIT_ASSERT(k.h.answers[2].id == key && k.h.answers[3].id == path);
+  }
+
+  void NewsAreTakenWithoutProof() {
+    // The first routes come late, and nothing says how fresh they are.
+    GatewayHarness h;
+    h.Report({GatewayHarness::Leaf("a", "s0")});
+    Freeze(&h, Seconds(20));
+    h.AskWithKey("/one/1", kKey);
+    h.SetTenants(std::vector{TenantOf("acme", {kKey})});
+    h.Put(1, Document());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.sends.size());
+    // The same for a key that comes.
+    h.AskWithKey("/one/2", "hush-3");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.sends.size());
+    h.SetTenants(std::vector{TenantOf("acme", {"hush-3"})});
+    h.Put(2, Document());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, h.sends.size());
+    CPPUNIT_ASSERT(h.answers.empty());
+  }
+
+  void WithoutProofTheUnknownIsToldToGoElsewhere() {
+    Keyed k;
+    Freeze(&k.h, Seconds(20));
+    k.h.AskWithKey("/one/1", "hush-3", Milliseconds(600));
+    k.h.AskWithKey("/new/1", kKey, Seconds(5));
+    k.h.Pass(Milliseconds(290));
+    CPPUNIT_ASSERT(k.h.answers.empty());
+    // After half of its patience; the other after a second.
+    k.h.Pass(Milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, k.h.answers.size());
+    k.h.Pass(Milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, k.h.answers.size());
+    for (const GatewayAnswer& answer : k.h.answers) {
+      CPPUNIT_ASSERT(answer.code == ResultCode::kStaleConfiguration);
+      CPPUNIT_ASSERT(answer.run == query::RunState::kNotRun);
+      CPPUNIT_ASSERT(answer.retry_after.count() > 0);
+    }
+    CPPUNIT_ASSERT(k.h.sends.empty());
+  }
+
+  void WithoutAKeyNothingWaitsForProof() {
+    Keyed k;
+    Freeze(&k.h, Seconds(20));
+    k.h.AskWithKey("/one/1", "");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, k.h.answers.size());
+    CPPUNIT_ASSERT(k.h.answers[0].code == ResultCode::kUnknownKey);
+  }
+
+  void UnprovenRequestsAreBoundedAndMayLeave() {
+    GatewayOptions options = GatewayHarness::Options();
+    options.knobs.max_in_progress = 2;
+    Keyed k(options);
+    Freeze(&k.h, Seconds(20));
+    const RequestId left = k.h.AskWithKey("/one/1", "hush-3");
+    k.h.AskWithKey("/one/2", "hush-4");
+    k.h.AskWithKey("/one/3", "hush-5");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, k.h.answers.size());
+    CPPUNIT_ASSERT(k.h.answers[0].code == ResultCode::kStaleConfiguration);
+    k.h.server.OnClientGone(k.h.now, left);
+    CPPUNIT_ASSERT(!k.h.server.Drained());
+    k.h.Prove();
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, k.h.answers.size());
+    CPPUNIT_ASSERT(k.h.answers[1].code == ResultCode::kUnknownKey);
+    CPPUNIT_ASSERT(k.h.server.Drained());
+  }
+
   void TenantsPriorityGoesBeforeTheRoutes() {
     KeyedSharing k;
     tenants::Tenant urgent = TenantOf("urgent", {"hush-3"});
