Control machines vouch by word of a majority, with the proof's age

Cause: a machine that follows took its leader's word for a majority's: a leader that is cut off with one follower speaks to it for 600 ms more, and a machine that stood still takes old words for new ones when it wakes. What it vouched for could miss acknowledged changes, a removed key among them.

Ruled out: the age of the leader's lease sent along (nobody knows how long a message was under way); ReadIndex batched over greetings (one question out at all times for nothing more); the lease itself (sound only for clocks of nearly one rate, and silent during a race).

Change: a replica marks its answers with its own clock; the leader sends the newest mark back with how long before its arrival a majority was last known to follow it. Mark less lag is a proof, once all that the leader had committed is committed here. Marks begin at a random number in each life.

Conclusion: proofs hold without any assumption on delays, cuts or who leads.

--- a/src/consensus/raft.cc
+++ b/src/consensus/raft.cc
@@ -35,10 +35,12 @@
       hard_state_(recovered.hard_state),
       snapshot_(std::move(recovered.snapshot)),
       entries_(recovered.entries.begin(), recovered.entries.end()),
-      next_heartbeat_(now) {
+      next_heartbeat_(now),
+      stamp_base_(0) {
   commit_index_ = snapshot_.index;
   RecomputeMembers();
   started_ = now;
+  stamp_base_ = random_();
   ResetPreVoteTimer(now);
   if (snapshot_.index > 0 || !snapshot_.state.empty()) {
     output_.restored = RestoredSnapshot{snapshot_.index, snapshot_.state};
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -33,6 +33,8 @@
   size_t max_bytes_per_message = 1 << 20;
   /// Off only in simulations that show what the check is for.
   bool lease_check = true;
+  /// As above: off, a follower takes a leader's word for a majority's.
+  bool proof_check = true;
 };
 
 enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
@@ -86,6 +88,11 @@
   /// True while no other leader can have been elected; check again after a read, before replying.
   bool HasLease(Timestamp now) const;
 
+  /// Everything that anybody can have been told is committed by then is committed here, on this
+  /// machine's clock. Proved by a majority, not by a leader's lease: it holds however long messages
+  /// were under way, whoever was cut off or stood still. @return nothing before the first proof.
+  std::optional<Timestamp> ProvenAt(Timestamp now) const;
+
   /// Replaces the log up to `index` by the state machine's image at that index.
   absl::Status Compact(uint64_t index, std::string state);
 
@@ -102,8 +109,6 @@
   uint64_t last_index() const;
   uint64_t snapshot_index() const { return snapshot_.index; }
   const std::vector<wire::Member>& members() const { return members_; }
-  /// Follower: whether the newest append left nothing that the leader had committed missing here.
-  bool CaughtUpWithLeader() const { return commit_index_ >= leader_commit_; }
   bool IsMember(MemberId id) const;
   bool IsVoter(MemberId id) const;
   bool MembersCommitted() const { return members_index_ <= commit_index_; }
@@ -124,6 +129,14 @@
     /// An unacknowledged snapshot is not sent again before this.
     Timestamp snapshot_retry{};
     bool probing = true;
+    /// The member's newest mark (raft_proof.cc), and when it came.
+    uint64_t stamp = 0;
+    Timestamp stamped{};
+  };
+  /// Becomes a proof once this replica has committed all that the leader had then.
+  struct PendingProof {
+    Timestamp moment;
+    uint64_t commit = 0;
   };
   struct PendingRead {
     MemberId origin;
@@ -180,6 +193,15 @@
   void AnswerReads(Timestamp now);
   Timestamp LeaseStart(Timestamp now) const;
 
+  // Proofs.
+  /// Leader: when it was last known to lead by word of a majority.
+  std::optional<Timestamp> Confirmed(Timestamp now) const;
+  void NoteStamp(Timestamp now, const wire::RaftMessage& reply, Progress* progress);
+  void FillProof(Timestamp now, const Progress& progress, wire::RaftMessage* message) const;
+  void TakeProof(Timestamp now, const wire::RaftMessage& message);
+  void SettleProof();
+  uint64_t StampOf(Timestamp now) const;
+
   // The log.
   uint64_t FirstIndex() const { return snapshot_.index + 1; }
   std::optional<uint64_t> TermAt(uint64_t index) const;
@@ -204,7 +226,6 @@
   /// Log index that set `members_`.
   uint64_t members_index_ = 0;
   uint64_t commit_index_ = 0;
-  uint64_t leader_commit_ = 0;
 
   Role role_ = Role::kFollower;
   MemberId leader_ = 0;
@@ -217,6 +238,11 @@
   /// Pre-votes: those that would vote but for their own restart.
   RestartedVotes restarted_;
   std::map<MemberId, Progress> progress_;
+  /// Marks of this life of the process begin at a random number: an echo of one of an earlier life
+  /// is known by its place far off.
+  uint64_t stamp_base_;
+  std::optional<Timestamp> proven_at_;
+  std::optional<PendingProof> pending_proof_;
   std::vector<PendingRead> pending_reads_;
   std::vector<ReadReady> ready_reads_;
   RaftOutput output_;
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -66,6 +66,7 @@
   message.context = static_cast<uint64_t>(now.time_since_epoch().count());
   message.commit = commit_index_;
   message.snapshot = snapshot_;
+  FillProof(now, *progress, &message);
   progress->snapshot_retry = now + 4 * options_.election_timeout;
   Send(std::move(message));
 }
@@ -89,6 +90,7 @@
   message.log_term = TermAt(progress.next - 1).value_or(0);
   message.commit = commit_index_;
   message.context = static_cast<uint64_t>(now.time_since_epoch().count());
+  FillProof(now, progress, &message);
   // A member that says nothing gets bare heartbeats; its first answer starts the replication. What
   // is sent to a member behind a cut piles up and comes all at once when the cut heals.
   const bool may_carry_entries = !progress.probing || (heartbeat && RecentlyHeard(id, now));
@@ -119,9 +121,10 @@
   }
   BecomeFollower(now, message.term, message.from);
   leader_heard_ = now;
-  leader_commit_ = message.commit;
+  TakeProof(now, message);
   RaftMessage reply = MakeMessage(RaftMessageType::kAppendReply, message.from);
   reply.context = message.context;
+  reply.stamp = StampOf(now);
   const std::optional<uint64_t> local_term = TermAt(message.log_index);
   const bool covered = message.log_index < snapshot_.index;
   if (!covered && local_term != message.log_term) {
@@ -160,6 +163,7 @@
   const uint64_t verified = message.log_index + message.entries.size();
   reply.log_index = std::max(verified, snapshot_.index);
   SetCommit(std::min(message.commit, reply.log_index));
+  SettleProof();
   Send(std::move(reply));
 }
 
@@ -175,6 +179,7 @@
   progress.last_heard = now;
   const Timestamp sent{Duration(static_cast<int64_t>(message.context))};
   progress.acknowledged = std::max(progress.acknowledged, sent);
+  NoteStamp(now, message, &progress);
   if (message.reject) {
     progress.probing = true;
     progress.next = std::max(progress.match + 1, std::min(progress.next, message.log_index + 1));
@@ -205,9 +210,10 @@
   }
   BecomeFollower(now, message.term, message.from);
   leader_heard_ = now;
-  leader_commit_ = message.commit;
+  TakeProof(now, message);
   RaftMessage reply = MakeMessage(RaftMessageType::kAppendReply, message.from);
   reply.context = message.context;
+  reply.stamp = StampOf(now);
   if (message.snapshot.index > commit_index_) {
     const bool keeps_suffix = TermAt(message.snapshot.index) == message.snapshot.term;
     if (keeps_suffix) {
@@ -226,6 +232,7 @@
     RecomputeMembers();
     output_.applied.clear();
     output_.restored = RestoredSnapshot{snapshot_.index, snapshot_.state};
+    SettleProof();
   }
   reply.log_index = std::max(message.snapshot.index, snapshot_.index);
   Send(std::move(reply));
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -76,10 +76,6 @@
   }
   if (const auto* raft = std::get_if<wire::RaftMessage>(&envelope.body)) {
     raft_.Receive(now, *raft);
-    const bool from_leader = raft->from == raft_.leader() && raft->term == raft_.term();
-    if (from_leader && raft_.role() == consensus::Role::kFollower) {
-      last_leader_contact_ = now;
-    }
   } else if (const auto* join = std::get_if<wire::JoinRequest>(&envelope.body)) {
     OnJoin(now, *join);
   } else if (const auto* reply = std::get_if<wire::JoinReply>(&envelope.body)) {
@@ -145,7 +141,7 @@
   }
   applied_index_ = std::max(applied_index_, raft_.commit_index());
   if (!out.applied.empty() || out.restored.has_value()) {
-    FeedAll();
+    FeedAll(now);
   }
   for (wire::RaftMessage& message : out.messages) {
     const MemberId to = message.to;
@@ -207,7 +203,7 @@
         session->second.awaiting_read = false;
         session->second.admitted = true;
         session->second.full_sent = now;
-        Feed(session->first, &session->second, /*full=*/true, session->second.read_greeting);
+        Feed(now, session->first, &session->second, /*full=*/true, session->second.read_greeting);
       }
       session_reads_.erase(it);
     }
@@ -229,8 +225,9 @@
   if (raft_.role() == consensus::Role::kLeader) {
     return raft_.HasLease(now);
   }
-  return raft_.leader() != 0 && raft_.CaughtUpWithLeader() &&
-         now - last_leader_contact_ < 2 * options_.raft.election_timeout;
+  const std::optional<Timestamp> proven = raft_.ProvenAt(now);
+  return raft_.leader() != 0 && proven.has_value() &&
+         now - *proven < 2 * options_.raft.election_timeout;
 }
 
 void ControlServer::OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello) {
@@ -264,7 +261,7 @@
   }
   session.admitted = true;
   session.sent_version = hello.version;
-  Feed(id, &session, /*full=*/false, hello.sent);
+  Feed(now, id, &session, /*full=*/false, hello.sent);
 }
 
 void ControlServer::AnswerGreetings(Timestamp now) {
@@ -288,11 +285,15 @@
   return packed_config_;
 }
 
-void ControlServer::Feed(SessionId id, Session* session, bool full, uint64_t greeting) {
+void ControlServer::Feed(Timestamp now, SessionId id, Session* session, bool full,
+                         uint64_t greeting) {
   const uint64_t version = state_.config().version().value;
   wire::ConfigFeed feed;
   feed.version = version;
-  feed.echo = greeting;
+  if (const std::optional<Timestamp> proven = raft_.ProvenAt(now); proven.has_value()) {
+    feed.echo = greeting;
+    feed.proof_age = now - *proven;
+  }
   const auto& changes = state_.changes();
   const bool has_history =
       session->sent_version >= version ||
@@ -308,7 +309,7 @@
   output_.sessions.push_back({id, Wrap(std::move(feed))});
 }
 
-void ControlServer::FeedAll() {
+void ControlServer::FeedAll(Timestamp now) {
   const uint64_t version = state_.config().version().value;
   // Those that hold the same version get the same message.
   std::map<uint64_t, size_t> message_of;
@@ -319,7 +320,7 @@
     const auto [it, first] = message_of.try_emplace(session.sent_version, output_.sessions.size());
     if (first) {
       // Vouches for nothing: a machine that catches up pushes what it learns, too.
-      Feed(id, &session, /*full=*/false, /*greeting=*/0);
+      Feed(now, id, &session, /*full=*/false, /*greeting=*/0);
     } else {
       output_.sessions[it->second].others.push_back(id);
       session.sent_version = version;
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -116,7 +116,7 @@
   void ReadConfig(Timestamp now, TicketId ticket);
   /// A linearizable read of the document of routes alone.
   void ReadDocument(Timestamp now, TicketId ticket);
-  /// Whether this machine is in touch with a quorum, as far as it can know.
+  /// Whether this machine was proved, by word of a majority, to miss nothing a moment ago.
   bool IsCurrent(Timestamp now) const;
 
   /// Answers whatever waits with kNoQuorum; for a replica whose disk failed.
@@ -209,8 +209,8 @@
   void AnswerGreetings(Timestamp now);
   void OnLedgerRequest(Timestamp now, SessionId id, const wire::LedgerRequest& request);
   /// @param greeting `sent` of the greeting that this answers, or 0.
-  void Feed(SessionId id, Session* session, bool full, uint64_t greeting);
-  void FeedAll();
+  void Feed(Timestamp now, SessionId id, Session* session, bool full, uint64_t greeting);
+  void FeedAll(Timestamp now);
   /// The whole configuration as nodes get it that start; made once for all of them.
   const std::string& PackedConfig();
   void StartConfigRead(Timestamp now, TicketId ticket, bool document_only);
@@ -284,7 +284,6 @@
   std::map<MemberId, Timestamp> member_heard_;
   uint64_t member_heard_term_ = 0;
   Timestamp next_join_{};
-  Timestamp last_leader_contact_{};
   bool shutting_down_ = false;
   ControlOutput output_;
 };
--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -13,7 +13,7 @@
     : options_(std::move(options)),
       control_(std::hash<std::string>{}(options_.node) % options_.control_machines),
       last_feed_(now),
-      vouched_at_(now),
+      started_(now),
       turned_at_(now),
       next_hello_(now) {}
 
@@ -76,8 +76,10 @@
   }
   last_feed_ = now;
   // Only the answer to a greeting shows how fresh it is: a message can be under way for long.
-  const Timestamp vouched{Duration(static_cast<int64_t>(feed.echo))};
-  vouched_at_ = std::max(vouched_at_, vouched);
+  if (feed.echo != 0) {
+    const Timestamp greeted{Duration(static_cast<int64_t>(feed.echo))};
+    proven_at_ = std::max(proven_at_, greeted - feed.proof_age);
+  }
   return config_.version().value != before || feed.full;
 }
 
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -2,6 +2,8 @@
 // order, never goes back, and turns to another machine when one stays silent.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -32,6 +34,9 @@
   bool monotone_version = true;
 };
 
+/// Earlier than any clock's reading, by more than any bound.
+inline constexpr Timestamp kNeverProven{-std::chrono::hours(24)};
+
 class ConfigSubscriber {
  public:
   ConfigSubscriber(SubscriberOptions options, Timestamp now);
@@ -56,11 +61,11 @@
   size_t control() const { return control_; }
   bool ready() const { return ready_; }
   const config::ConfigState& config() const { return config_; }
-  /// Time since the newest greeting that a control machine in touch with a quorum answered: no
-  /// change accepted before that is missing here.
-  Duration Age(Timestamp now) const { return now - vouched_at_; }
-  /// When that greeting was sent.
-  Timestamp proven_at() const { return vouched_at_; }
+  /// Time since this configuration was last proved current, or since the start.
+  Duration Age(Timestamp now) const { return now - std::max(started_, proven_at_); }
+  /// No change that was acknowledged before is missing here, by word of a majority of the control
+  /// machines; long ago before the first proof.
+  Timestamp proven_at() const { return proven_at_; }
 
  private:
   void TurnToNext(Timestamp now);
@@ -73,7 +78,8 @@
   bool ready_ = false;
   size_t control_;
   Timestamp last_feed_;
-  Timestamp vouched_at_;
+  Timestamp started_;
+  Timestamp proven_at_ = kNeverProven;
   Timestamp turned_at_;
   Timestamp next_hello_;
   Timestamp last_hello_{};
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -65,6 +65,7 @@
   options.relay_joins = !disabled_.contains("join-relay");
   options.snapshot_log_bytes = kSnapshotLogBytes;
   options.raft.lease_check = !disabled_.contains("lease-check");
+  options.raft.proof_check = !disabled_.contains("quorum-proof");
   options.state.remember_submissions = !disabled_.contains("submission-id");
   options.state.compare_and_set = !disabled_.contains("compare-and-set");
   options.stop_fatal_requests = !disabled_.contains("quarantine");
--- a/src/sim/history.cc
+++ b/src/sim/history.cc
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -243,6 +245,7 @@
   }
   accepted_[change.submission_id] = {change, result};
   accepted_version_ = std::max(accepted_version_, result.version);
+  accepted_at_[time] = accepted_version_;
   const auto [version, fresh] =
       submission_of_version_.try_emplace(result.version, change.submission_id);
   if (!fresh) {
@@ -288,6 +291,22 @@
   known = version;
 }
 
+void History::OnNodeProof(Timestamp time, const std::string& node, uint64_t version, Duration age) {
+  // Clocks run at rates up to a tenth apart.
+  constexpr double kClockSkew = 1.1;
+  const Timestamp proven = time - std::chrono::duration_cast<Duration>(age * kClockSkew);
+  auto known = accepted_at_.lower_bound(proven);
+  if (known == accepted_at_.begin()) {
+    return;
+  }
+  const uint64_t accepted = std::prev(known)->second;
+  if (version < accepted) {
+    Fail(Invariant::kConfigInForce, time,
+         absl::StrCat(node, " takes version ", version, " for current, ", accepted,
+                      " had been accepted before"));
+  }
+}
+
 void History::OnPolicyInForce(const std::string& service, const std::string& policy) {
   policies_in_force_.insert(service + "\n" + policy);
 }
--- a/src/sim/history.h
+++ b/src/sim/history.h
@@ -69,6 +69,8 @@
   uint64_t accepted_version() const { return accepted_version_; }
   void OnConfigRead(Timestamp time, uint64_t version, uint64_t accepted_before);
   void OnNodeVersion(Timestamp time, const std::string& node, uint64_t version);
+  /// @param age how old the node takes its configuration to be, by its own clock.
+  void OnNodeProof(Timestamp time, const std::string& node, uint64_t version, Duration age);
   void OnNodeStart(const std::string& node, uint64_t accepted_before);
   void OnPolicyInForce(const std::string& service, const std::string& policy);
   /// After everything healed: the configuration of a node holds what operators were told.
@@ -126,6 +128,8 @@
   std::map<std::string, std::string> refused_policies_;
   std::set<std::string> policies_in_force_;
   uint64_t accepted_version_ = 0;
+  /// When the operators had heard of so high a version.
+  std::map<Timestamp, uint64_t> accepted_at_;
   /// Nothing until the node has learned a configuration since its start.
   std::map<std::string, std::optional<uint64_t>> node_version_;
   std::map<std::string, uint64_t> node_floor_;
--- a/src/sim/mechanisms.cc
+++ b/src/sim/mechanisms.cc
@@ -30,6 +30,8 @@
        "a stopping process answers what it admitted"},
       {"lease-check", kConfigInForce, "cut-leader",
        "a leader speaks only while no other can have been elected"},
+      {"quorum-proof", kConfigInForce, "cut-leader",
+       "a machine that follows vouches by word of a majority, not of its leader"},
       {"sync-before-ack", kConfigInForce, "control-crash",
        "log entries are synced before they are acknowledged"},
       {"new-incarnation", kConfigInForce, "lost-disk",
--- a/src/sim/world_control.cc
+++ b/src/sim/world_control.cc
@@ -38,6 +38,8 @@
   }
   const config::ConfigState& config = node->server()->config();
   history.OnNodeVersion(clock.now(), node->name(), config.version().value);
+  history.OnNodeProof(clock.now(), node->name(), config.version().value,
+                      node->server()->ConfigAge(node->LocalNow()));
   for (const auto& [name, service] : config.services()) {
     history.OnPolicyInForce(name, service.policy);
   }
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -129,6 +129,8 @@
   }
   out.reject = message.reject;
   out.context = message.context;
+  out.stamp = message.stamp;
+  out.proof_lag_us = static_cast<uint64_t>(message.proof_lag.count());
   if (message.type == RaftMessageType::kSnapshot) {
     out.snapshot = arena->Array<pumicedyke_wire_SnapshotData>(1);
     Fill(message.snapshot, arena, out.snapshot);
@@ -149,6 +151,8 @@
   }
   message.reject = in.reject;
   message.context = in.context;
+  message.stamp = in.stamp;
+  message.proof_lag = Duration(static_cast<int64_t>(in.proof_lag_us));
   if (in.snapshot != nullptr) {
     message.snapshot = Read(*in.snapshot);
   }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -64,6 +64,12 @@
   /// Echoed by the reply: the send time of an append in the sender's clock, or a read's ticket.
   uint64_t context = 0;
   SnapshotData snapshot;
+  /// Reply to an append: a mark of the member's clock. Append or snapshot: the newest mark that the
+  /// leader has from its receiver, zero if there is none or the leader has no proof.
+  uint64_t stamp = 0;
+  /// With a leader's `stamp`: how long before that mark came in a majority was last known to follow
+  /// the leader, at most zero.
+  Duration proof_lag{};
 };
 
 struct NodeHello {
--- a/test/consensus/raft_test.cc
+++ b/test/consensus/raft_test.cc
@@ -35,13 +35,14 @@
     }
   }
 
-  void Start(MemberId id) {
+  void Start(MemberId id) { Start(id, id * 7, now_); }
+  void Start(MemberId id, uint64_t seed, Timestamp started) {
     Replica& replica = replicas_[id];
     replica.applied.clear();
     replica.storage =
         std::make_unique<storage::LogStorage>(replica.files.get(), storage::LogStorageOptions{});
     replica.raft = std::make_unique<Raft>(id, RaftOptions{}, replica.storage.get(),
-                                          *replica.storage->Recover(), id * 7, now_);
+                                          *replica.storage->Recover(), seed, started);
   }
 
   void RunFor(Duration time) {
@@ -73,8 +74,10 @@
           entries_into_the_cut_ += message.entries.size();
         }
         const bool delivered = replicas_.contains(message.to) && !cut_.contains(message.from) &&
-                               !cut_.contains(message.to);
-        if (delivered) {
+                               !cut_.contains(message.to) && !mute_.contains(message.from);
+        if (delivered && held_for_ == message.to) {
+          held_.push_back(message);
+        } else if (delivered) {
           replicas_.at(message.to).raft->Receive(now_, message);
         }
       }
@@ -106,6 +109,17 @@
   std::vector<std::string> applied(MemberId id) { return replicas_.at(id).applied; }
   void Cut(MemberId id) { cut_.insert(id); }
   void Heal() { cut_.clear(); }
+  /// Nothing that it says arrives; it hears the others.
+  void Mute(MemberId id) { mute_.insert(id); }
+  /// What is sent to it stays under way until Release().
+  void HoldFor(MemberId id) { held_for_ = id; }
+  void Release() {
+    held_for_ = 0;
+    for (const wire::RaftMessage& message : std::exchange(held_, {})) {
+      at(message.to).Receive(now_, message);
+    }
+  }
+  const std::vector<wire::RaftMessage>& held() const { return held_; }
   /// Log entries that were sent to members behind a cut.
   size_t entries_into_the_cut() const { return entries_into_the_cut_; }
   Timestamp now() const { return now_; }
@@ -120,10 +134,18 @@
   };
   std::map<MemberId, Replica> replicas_;
   std::set<MemberId> cut_;
+  std::set<MemberId> mute_;
+  MemberId held_for_ = 0;
+  std::vector<wire::RaftMessage> held_;
   size_t entries_into_the_cut_ = 0;
   Timestamp now_{Seconds(100)};
 };
 
+bool Proves(Group& group, MemberId id, Timestamp moment) {
+  const std::optional<Timestamp> proven = group.at(id).ProvenAt(group.now());
+  return proven.has_value() && *proven > moment;
+}
+
 }  // namespace
 
 class RaftTest : public CppUnit::TestFixture {
@@ -137,9 +159,105 @@
   CPPUNIT_TEST(SilentMemberIsSentNoEntriesAgainAndAgain);
   CPPUNIT_TEST(RestartedMajorityWithItsLeaderElectsAtOnce);
   CPPUNIT_TEST(RestartedMajorityWithoutTheLeaderWaitsItsLeaseOut);
+  CPPUNIT_TEST(EveryReplicaProvesThatItIsCurrentAllTheTime);
+  CPPUNIT_TEST(FollowerOfALeaderThatHearsNobodyProvesNothing);
+  CPPUNIT_TEST(WordThatWasLongUnderWayProvesOnlyWhenItWasAskedFor);
+  CPPUNIT_TEST(ReplicaThatIsBehindProvesNothingUntilItHasCaughtUp);
+  CPPUNIT_TEST(EchoOfAnEarlierLifeProvesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void EveryReplicaProvesThatItIsCurrentAllTheTime() {
+    Group group;
+    group.Propose("a");
+    for (int i = 0; i < 100; ++i) {
+      group.RunFor(kStep);
+      for (MemberId id = 1; id <= 3; ++id) {
+        CPPUNIT_ASSERT(group.at(id).ProvenAt(group.now()).has_value());
+        const Duration age = group.now() - *group.at(id).ProvenAt(group.now());
+        CPPUNIT_ASSERT(age <= 3 * RaftOptions{}.heartbeat_interval);
+      }
+    }
+  }
+
+  /// Others may lead by now: the leader's word alone says nothing.
+  void FollowerOfALeaderThatHearsNobodyProvesNothing() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    group.Propose("a");
+    const Timestamp silent = group.now();
+    group.Mute(group.Other(leader));
+    group.Mute(group.Other(group.Other(leader)));
+    for (int i = 0; i < 50; ++i) {
+      group.RunFor(kStep);
+      for (MemberId id = 1; id <= 3; ++id) {
+        CPPUNIT_ASSERT(!Proves(group, id, silent));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(leader, group.at(group.Other(leader)).leader());
+  }
+
+  /// As for a replica that stood still while the others went on.
+  void WordThatWasLongUnderWayProvesOnlyWhenItWasAskedFor() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    const MemberId late = group.Other(leader);
+    group.Propose("a");
+    const Timestamp held = group.now();
+    group.HoldFor(late);
+    group.RunFor(Milliseconds(250));
+    group.Release();
+    CPPUNIT_ASSERT(group.at(late).ProvenAt(group.now()).has_value());
+    CPPUNIT_ASSERT(!Proves(group, late, held));
+  }
+
+  void ReplicaThatIsBehindProvesNothingUntilItHasCaughtUp() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    const MemberId behind = group.Other(leader);
+    group.Propose("a");
+    group.Cut(behind);
+    constexpr size_t kChanges = 600;
+    static_assert(kChanges > 2 * RaftOptions{}.max_entries_per_message);
+    for (size_t i = 0; i < kChanges; ++i) {
+      CPPUNIT_ASSERT(group.at(leader).Propose(group.now(), "b").ok());
+    }
+    group.RunFor(kStep);
+    const uint64_t committed = group.at(leader).commit_index();
+    const Timestamp acknowledged = group.now();
+    group.Heal();
+    size_t steps_behind = 0;
+    for (int i = 0; i < 100; ++i) {
+      group.HoldFor(behind);
+      group.RunFor(kStep);
+      group.Release();
+      const bool has_all = group.at(behind).commit_index() >= committed;
+      steps_behind += has_all ? 0 : 1;
+      CPPUNIT_ASSERT(has_all || !Proves(group, behind, acknowledged));
+    }
+    CPPUNIT_ASSERT(steps_behind > 1);
+    CPPUNIT_ASSERT(Proves(group, behind, acknowledged));
+  }
+
+  /// The machine was started again, and with it its clock.
+  void EchoOfAnEarlierLifeProvesNothing() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    const MemberId restarted = group.Other(leader);
+    group.Propose("a");
+    group.HoldFor(restarted);
+    group.RunFor(Milliseconds(200));
+    CPPUNIT_ASSERT(!group.held().empty());
+    for (const wire::RaftMessage& message : group.held()) {
+      CPPUNIT_ASSERT(message.stamp != 0);
+    }
+    group.Start(restarted, /*seed=*/77, group.now() - Seconds(5));
+    group.Release();
+    CPPUNIT_ASSERT(!group.at(restarted).ProvenAt(group.now()).has_value());
+    group.RunFor(Milliseconds(200));
+    CPPUNIT_ASSERT(group.at(restarted).ProvenAt(group.now()).has_value());
+  }
+
   /// Well before an election timeout is over: nobody can hold the old lease any more.
   void RestartedMajorityWithItsLeaderElectsAtOnce() {
     Group group;
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -138,10 +138,14 @@
     RaftMessage message;
     message.type = RaftMessageType::kAppend;
     message.entries.push_back({1, 1, EntryKind::kCommand, std::string(300000, 'x')});
+    message.stamp = 0xfedcba9876543210;
+    message.proof_lag = Milliseconds(7);
     const auto decoded = DecodeEnvelope(Encode(Envelope{"c", 1, message}));
     CPPUNIT_ASSERT(decoded.ok());
     const auto& back = std::get<RaftMessage>(decoded->body);
     CPPUNIT_ASSERT(back.entries.at(0).data == message.entries[0].data);
+    CPPUNIT_ASSERT_EQUAL(message.stamp, back.stamp);
+    CPPUNIT_ASSERT(back.proof_lag == message.proof_lag);
   }
 
   void GarbageIsRefusedOrHarmless() {
