--- a/src/admission/entry_gate.cc
+++ b/src/admission/entry_gate.cc
@@ -26,6 +26,12 @@
   return table.keys().Find(key) == nullptr ? ResultCode::kUnknownKey : ResultCode::kOk;
 }
 
+Duration EntryGate::RetryAfter(ResultCode code, Timestamp now, Timestamp proven_at) const {
+  return code == ResultCode::kKeysUnproven
+             ? tenants::RetryWhenUnproven(options_.key_lease, now, proven_at)
+             : Duration(0);
+}
+
 EntryDecision EntryGate::Enter(Timestamp now, RequestId id, const routing::RouteTable& table,
                                const routing::Route& route, std::string_view key,
                                Timestamp proven_at) {
@@ -34,8 +40,7 @@
   }
   const ResultCode code = Recheck(now, table, route, key, proven_at);
   if (code != ResultCode::kOk) {
-    const bool passes = code == ResultCode::kKeysUnproven;
-    return Refused(code, passes ? options_.retry_when_unproven : Duration(0));
+    return Refused(code, RetryAfter(code, now, proven_at));
   }
   const tenants::Tenant* tenant = table.keys().Find(key);
   if (!tenant->limited()) {
--- a/src/admission/entry_gate.h
+++ b/src/admission/entry_gate.h
@@ -18,8 +18,6 @@
 struct EntryOptions {
   tenants::KeyLeaseOptions key_lease;
   limits::LimitOptions limits;
-  /// When to come back if it cannot be proved that keys are current.
-  Duration retry_when_unproven = Milliseconds(250);
   /// A route with a shorter objective is urgent: its requests ask no other gateway if they need
   /// not.
   Duration urgent_objective = Milliseconds(100);
@@ -53,6 +51,9 @@
   ResultCode Recheck(Timestamp now, const routing::RouteTable& table, const routing::Route& route,
                      std::string_view key, Timestamp proven_at) const;
 
+  /// When to come back after a refusal with this code by Recheck(); zero: not said.
+  Duration RetryAfter(ResultCode code, Timestamp now, Timestamp proven_at) const;
+
   limits::TenantLimits& limits() { return limits_; }
   const limits::TenantLimits& limits() const { return limits_; }
   const EntryOptions& options() const { return options_; }
--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -84,6 +84,11 @@
   }
 }
 
+bool GatewayServer::KeysProven(Timestamp now) const {
+  return table_ == nullptr || !table_->set().keyed ||
+         tenants::KeysProven(options_.entry.key_lease, now, subscriber_.proven_at());
+}
+
 void GatewayServer::BeginHeld(Timestamp now, RequestId id, const HeldRequest& held) {
   const routing::Route* route = table_->Find(held.request->host, held.request->path());
   if (route == nullptr) {
@@ -94,7 +99,7 @@
   const ResultCode code =
       gate_.Recheck(now, *table_, *route, held.request->api_key, subscriber_.proven_at());
   if (code != ResultCode::kOk) {
-    Refuse(now, id, held.request, code, Duration(0));
+    Refuse(now, id, held.request, code, gate_.RetryAfter(code, now, subscriber_.proven_at()));
     return;
   }
   StartExecution(now, id, *route, held.request, table_->keys().Find(held.request->api_key),
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -37,6 +37,8 @@
                    .node = options_.node,
                    .incarnation = options_.incarnation,
                    .control_machines = options_.control.size(),
+                   .silence_limit = tenants::SilenceLimit(options_.entry.key_lease,
+                                                          node::SubscriberOptions{}.silence_limit),
                    .starting_silence_limit = Milliseconds(200),
                    .note_changed_leafs = true},
                   now),
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -246,6 +246,8 @@
   const std::set<RequestIdentity>& quarantined() const { return quarantined_; }
   uint64_t config_version() const { return subscriber_.config().version().value; }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
+  /// Whether requests with keys may begin as far as the keys' age goes; true if no route needs any.
+  bool KeysProven(Timestamp now) const;
 
  private:
   /// What is kept per route name across documents.
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -165,6 +165,13 @@
                                  {"document_version", document_version_},
                                  {"config_age_ms", ToMilliseconds(server.ConfigAge(now))}});
   }
+  if (keys_proven_ != server.KeysProven(now)) {
+    keys_proven_ = !keys_proven_;
+    LogEvent(keys_proven_ ? "keys_proven" : "keys_unproven",
+             {{"config_version", server.config_version()},
+              {"document_version", document_version_},
+              {"config_age_ms", ToMilliseconds(server.ConfigAge(now))}});
+  }
   NoteZones(now, server);
   NoteQuarantine(now, server);
   if (changed_leafs_.empty() || now - leafs_looked_at_ < kLeafsInterval) {
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -42,6 +42,7 @@
   LogLimiter limiter_{kLinesPerSecond};
   bool ready_ = false;
   uint64_t document_version_ = 0;
+  bool keys_proven_ = true;
   Timestamp leafs_looked_at_{};
   /// Leafs of which something has changed since they were looked at.
   std::set<std::string> changed_leafs_;
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -60,8 +60,10 @@
   page.Gauge("pumicedyke_gateway_document_version", "Version of the routes in force.",
              static_cast<double>(server.document_version()));
   page.Gauge("pumicedyke_gateway_config_age_seconds",
-             "Time since a control machine confirmed the configuration.",
+             "Time since the configuration was last proved current.",
              ToMilliseconds(server.ConfigAge(now)) / 1000.0);
+  page.Gauge("pumicedyke_gateway_keys_proven", "1 while requests with keys may begin.",
+             server.KeysProven(now) ? 1 : 0);
   page.Counter("pumicedyke_gateway_leaf_connections_total", "Connections opened to leafs.",
                static_cast<double>(client.connections_opened()));
   page.Gauge("pumicedyke_gateway_leaf_requests", "Requests out at leafs.",
