--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -183,6 +183,7 @@
     return;
   }
   absl::StatusOr<routing::RouteSet> set = documents_->Read(document.text);
+  document_unread_ = !set.ok();
   if (!set.ok()) {
     return;
   }
--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -60,7 +60,7 @@
     return;
   }
   // Whoever has no key learns nothing else, and costs no more than this.
-  if (gate_.Recheck(now, *table_, *route, request->api_key, subscriber_.proven_at()) ==
+  if (gate_.Recheck(now, *table_, *route, request->api_key, KeysProvenAt()) ==
       ResultCode::kUnknownKey) {
     Refuse(now, id, std::move(request), ResultCode::kUnknownKey, Duration(0));
     return;
@@ -75,7 +75,7 @@
     return;
   }
   const admission::EntryDecision entry =
-      gate_.Enter(now, id, *table_, *route, request->api_key, subscriber_.proven_at());
+      gate_.Enter(now, id, *table_, *route, request->api_key, KeysProvenAt());
   switch (entry.verdict) {
     case admission::EntryVerdict::kAdmitted:
       StartExecution(now, id, *route, std::move(request), entry.tenant, arrived);
@@ -90,9 +90,13 @@
   }
 }
 
+Timestamp GatewayServer::KeysProvenAt() const {
+  return document_unread_ ? node::kNeverProven : subscriber_.proven_at();
+}
+
 bool GatewayServer::KeysProven(Timestamp now) const {
   return table_ == nullptr || !table_->set().keyed ||
-         tenants::KeysProven(options_.entry.key_lease, now, subscriber_.proven_at());
+         tenants::KeysProven(options_.entry.key_lease, now, KeysProvenAt());
 }
 
 void GatewayServer::BeginHeld(Timestamp now, RequestId id, const HeldRequest& held) {
@@ -103,9 +107,9 @@
   }
   // The document may have changed while the limit was asked for.
   const ResultCode code =
-      gate_.Recheck(now, *table_, *route, held.request->api_key, subscriber_.proven_at());
+      gate_.Recheck(now, *table_, *route, held.request->api_key, KeysProvenAt());
   if (code != ResultCode::kOk) {
-    Refuse(now, id, held.request, code, gate_.RetryAfter(code, now, subscriber_.proven_at()));
+    Refuse(now, id, held.request, code, gate_.RetryAfter(code, now, KeysProvenAt()));
     return;
   }
   StartExecution(now, id, *route, held.request, table_->keys().Find(held.request->api_key),
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -387,6 +387,8 @@
   /// Starts the early requests once there are routes, and refuses those that waited long enough.
   void ReleaseEarly(Timestamp now);
   /// The limit allows it: starts it, unless it is not allowed any more.
+  /// When the keys in force here were last proved to be those that operators were told of.
+  Timestamp KeysProvenAt() const;
   void BeginHeld(Timestamp now, RequestId id, const HeldRequest& held);
   /// Carries out what the limits of tenants ask for.
   void CollectEntry(Timestamp now);
@@ -505,6 +507,8 @@
   balance::LeafPool pool_;
   PoolKeeper keeper_;
   std::shared_ptr<const routing::RouteTable> table_;
+  /// The newest document means nothing to this program: which keys it took away is not known.
+  bool document_unread_ = false;
   std::map<std::string, RouteRuntime> runtimes_;
   std::map<std::string, std::unique_ptr<balance::SlidingWindowBudget>> budgets_;
   struct TargetKey {
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/json.h"
+#include "common/result_code.h"
 #include "config/config_state.h"
 #include "gateway/gateway_server.h"
 
@@ -32,7 +33,13 @@
   /// Routes that need no key.
   std::set<std::string> open;
 
+  /// A document that only a later program understands.
+  static constexpr char kUnreadable[] = "unreadable";
+
   absl::StatusOr<routing::RouteSet> Read(std::string_view text) const override {
+    if (text == kUnreadable) {
+      return MakeStatus(ResultCode::kInvalidConfig, "unreadable");
+    }
     routing::RouteSet set;
     for (const Json& item : Json::parse(text)) {
       routing::Route route;
@@ -135,6 +142,14 @@
     feed.version = state_.version().value;
     server.OnControlMessage(now, kControl, {"test", feed.version, feed});
   }
+  /// The same, to the greeting that was sent at `asked`, by a machine whose proof is this old.
+  void Prove(Timestamp asked, Duration proof_age = {}) {
+    wire::ConfigFeed feed;
+    feed.version = state_.version().value;
+    feed.echo = static_cast<uint64_t>(asked.time_since_epoch().count());
+    feed.proof_age = proof_age;
+    server.OnControlMessage(now, kControl, {"test", feed.version, feed});
+  }
   /// Other gateways, by the word of the control machine.
   void Peers(std::vector<wire::GatewayRecord> peers) {
     wire::GatewayFeed feed;
