--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -185,6 +185,7 @@
     return;
   }
   absl::StatusOr<routing::RouteSet> set = documents_->Read(document.text);
+  document_unread_ = !set.ok();
   if (!set.ok()) {
     return;
   }
--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -74,7 +74,7 @@
     return;
   }
   // Whoever has no key learns nothing else, and costs no more than this.
-  if (gate_.Recheck(now, *table_, *route, request->api_key, subscriber_.proven_at()) ==
+  if (gate_.Recheck(now, *table_, *route, request->api_key, KeysProvenAt()) ==
       ResultCode::kUnknownKey) {
     RefuseUnknown(now, id, std::move(request), arrived, ResultCode::kUnknownKey);
     return;
@@ -89,7 +89,7 @@
     return;
   }
   const admission::EntryDecision entry =
-      gate_.Enter(now, id, *table_, *route, request->api_key, subscriber_.proven_at());
+      gate_.Enter(now, id, *table_, *route, request->api_key, KeysProvenAt());
   switch (entry.verdict) {
     case admission::EntryVerdict::kAdmitted:
       StartExecution(now, id, *route, std::move(request), entry.tenant, arrived);
@@ -104,6 +104,15 @@
   }
 }
 
+Timestamp GatewayServer::KeysProvenAt() const {
+  return document_unread_ ? node::kNeverProven : subscriber_.proven_at();
+}
+
+bool GatewayServer::KeysProven(Timestamp now) const {
+  return table_ == nullptr || !table_->set().keyed ||
+         tenants::KeysProven(options_.entry.key_lease, now, KeysProvenAt());
+}
+
 void GatewayServer::BeginHeld(Timestamp now, RequestId id, const HeldRequest& held) {
   const routing::Route* route = table_->Find(held.request->host, held.request->path());
   if (route == nullptr) {
@@ -112,9 +121,9 @@
   }
   // The document may have changed while the limit was asked for.
   const ResultCode code =
-      gate_.Recheck(now, *table_, *route, held.request->api_key, subscriber_.proven_at());
+      gate_.Recheck(now, *table_, *route, held.request->api_key, KeysProvenAt());
   if (code != ResultCode::kOk) {
-    Refuse(now, id, held.request, code, Duration(0));
+    Refuse(now, id, held.request, code, gate_.RetryAfter(code, now, KeysProvenAt()));
     return;
   }
   StartExecution(now, id, *route, held.request, table_->keys().Find(held.request->api_key),
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -250,6 +250,8 @@
   const std::set<RequestIdentity>& quarantined() const { return quarantined_; }
   uint64_t config_version() const { return subscriber_.config().version().value; }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
+  /// Whether requests with keys may begin as far as the keys' age goes; true if no route needs any.
+  bool KeysProven(Timestamp now) const;
 
  private:
   /// What is kept per route name across documents.
@@ -402,6 +404,8 @@
   void RefuseUnknown(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
                      Timestamp arrived, ResultCode code);
   /// The limit allows it: starts it, unless it is not allowed any more.
+  /// When the keys in force here were last proved to be those that operators were told of.
+  Timestamp KeysProvenAt() const;
   void BeginHeld(Timestamp now, RequestId id, const HeldRequest& held);
   /// Carries out what the limits of tenants ask for.
   void CollectEntry(Timestamp now);
@@ -485,6 +489,8 @@
   balance::LeafPool pool_;
   PoolKeeper keeper_;
   std::shared_ptr<const routing::RouteTable> table_;
+  /// The newest document means nothing to this program: which keys it took away is not known.
+  bool document_unread_ = false;
   std::map<std::string, RouteRuntime> runtimes_;
   std::map<std::string, std::unique_ptr<balance::SlidingWindowBudget>> budgets_;
   struct TargetKey {
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/json.h"
+#include "common/result_code.h"
 #include "config/config_state.h"
 #include "gateway/gateway_server.h"
 
@@ -32,7 +33,13 @@
   /// Routes that need no key.
   std::set<std::string> open;
 
+  /// A document that only a later program understands.
+  static constexpr char kUnreadable[] = "unreadable";
+
   absl::StatusOr<routing::RouteSet> Read(std::string_view text) const override {
+    if (text == kUnreadable) {
+      return MakeStatus(ResultCode::kInvalidConfig, "unreadable");
+    }
     routing::RouteSet set;
     for (const Json& item : Json::parse(text)) {
       routing::Route route;
@@ -135,14 +142,17 @@
     feed.version = state_.version().value;
     server.OnControlMessage(now, kControl, {"test", feed.version, feed});
   }
-  /// A control machine answers a greeting that was sent now: nothing newer is in force.
-  void Prove() {
+  /// A control machine answers the greeting that was sent at `asked`; its own proof is this old.
+  void Prove(Timestamp asked, Duration proof_age = {}) {
     wire::ConfigFeed feed;
     feed.version = state_.version().value;
-    feed.echo = static_cast<uint64_t>(now.time_since_epoch().count());
+    feed.echo = static_cast<uint64_t>(asked.time_since_epoch().count());
+    feed.proof_age = proof_age;
     server.OnControlMessage(now, kControl, {"test", feed.version, feed});
     Take();
   }
+  /// The same, to a greeting that was sent now.
+  void Prove() { Prove(now); }
   /// Other gateways, by the word of the control machine.
   void Peers(std::vector<wire::GatewayRecord> peers) {
     wire::GatewayFeed feed;
