Answers that lack parts go out when waiting costs more than the parts are worth; urgent kinds first

Cause: margins of 10 and 20 ms and 0.2 and 0.36 of the objective, whatever the way and the gateway's own lag: with 3 ms to the client and 0.12 cores answers left in time by the gateway's clock and came late, with 1 ms and 0.28 cores parts were thrown away.

Change: the root of a shared gather learns when the parts of a route's answers come (hazards, censored by answers that went out) and what passes between the moment at which an answer is due and a loop turn after it was written; the way comes from the client's connection (TCP_INFO, one call a connection). query/answer_moment weighs parts to come against lateness. Without a known way or without what the client spent the margins are as before. Of what one turn of the loop read, woke or sends, the more urgent goes first, as do calls that wait for a connection to a leaf. The log and the metrics of an answer come after it.

Seen to fail without the change: KnownWayAndSmallLagLeaveMoreTime, LargeLagIsLearnt, UrgentRequestsAreSentFirst.

--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -148,7 +148,7 @@
   if (it->second.shared != nullptr) {
     it->second.shared->AbandonAll();
     for (const query::GroupCancel& cancel : it->second.shared->TakeActions().cancels) {
-      CancelQuestion(cancel);
+      CancelQuestion(it->second, cancel);
     }
     Remove(id);
     return;
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -32,9 +32,9 @@
 
 }  // namespace
 
-void GatewayServer::SendWord(PeerSessionId session, wire::PartialAnswer word) {
+void GatewayServer::SendWord(PeerSessionId session, wire::PartialAnswer word, int priority) {
   output_.peer_replies.push_back(
-      {session, {options_.cluster, document_version(), std::move(word)}});
+      {session, {options_.cluster, document_version(), std::move(word)}, priority});
 }
 
 void GatewayServer::OnPeerQuestion(Timestamp now, PeerSessionId session,
@@ -85,14 +85,15 @@
 
 void GatewayServer::OnPartialQuery(Timestamp now, PeerSessionId session,
                                    const wire::PartialQuery& query, Timestamp arrived) {
+  const auto priority = static_cast<int>(query.priority);
   const bool refused = table_ == nullptr || query.shards.empty() ||
                        active_.size() >= options_.knobs.max_in_progress ||
                        quarantined_.contains(query.identity) || now >= arrived + query.budget;
   if (refused) {
-    SendWord(session, WordWithoutParts(query.id, wire::PartialStage::kRefused));
+    SendWord(session, WordWithoutParts(query.id, wire::PartialStage::kRefused), priority);
     return;
   }
-  SendWord(session, WordWithoutParts(query.id, wire::PartialStage::kAccepted));
+  SendWord(session, WordWithoutParts(query.id, wire::PartialStage::kAccepted), priority);
   if (query.stand_by) {
     std::erase_if(stand_by_, [now](const auto& item) {
       return now >= item.second.arrived + item.second.query.budget;
@@ -170,7 +171,8 @@
     stand_by_.erase(ready);
     if (now >= question.arrived + question.query.budget || table_ == nullptr ||
         quarantined_.contains(question.query.identity)) {
-      SendWord(session, WordWithoutParts(confirm.id, wire::PartialStage::kRefused));
+      SendWord(session, WordWithoutParts(confirm.id, wire::PartialStage::kRefused),
+               static_cast<int>(question.query.priority));
       return;
     }
     StartPartial(now, session, question.query, question.arrived);
@@ -241,7 +243,7 @@
     }
     word.run = static_cast<uint32_t>(answer->run);
     word.extra = answer->extra_sub_requests;
-    SendWord(job.session, std::move(word));
+    SendWord(job.session, std::move(word), active.priority);
     output_.partials.push_back({active.request->request_id, active.request->identity, job.route,
                                 answer->run, now - active.execution->started(),
                                 answer->coverage.total(), answer->extra_sub_requests,
@@ -255,9 +257,10 @@
   const bool report = !job.unreported.empty() && now >= reported;
   if (report || now >= sign) {
     const bool with_parts = report && !job.unreported.empty();
-    SendWord(job.session, with_parts
-                              ? TakePartialWord(&job, wire::PartialStage::kParts)
-                              : WordWithoutParts(job.question, wire::PartialStage::kAccepted));
+    SendWord(job.session,
+             with_parts ? TakePartialWord(&job, wire::PartialStage::kParts)
+                        : WordWithoutParts(job.question, wire::PartialStage::kAccepted),
+             active.priority);
     job.last_word = now;
   }
   Timestamp wake =
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -27,6 +27,24 @@
   return Duration(static_cast<int64_t>(static_cast<double>(whole.count()) * part));
 }
 
+template <typename Item>
+void UrgentFirst(std::vector<Item>* items) {
+  const auto before = [](const Item& a, const Item& b) { return a.priority < b.priority; };
+  if (!std::is_sorted(items->begin(), items->end(), before)) {
+    std::stable_sort(items->begin(), items->end(), before);
+  }
+}
+
+/// What the lag of answers is taken to be before one was seen: from one word's work to that of as
+/// many as may come with it.
+RecentDurations LagToBeginWith(const GatewayOptions& options) {
+  RecentDurations lag(options.knobs.lag_memory);
+  for (const size_t words : {1U, 2U, 4U, 8U, 16U, 32U}) {
+    lag.Record(TimeForWords(words, options.processor_share, options.knobs.sharing_costs));
+  }
+  return lag;
+}
+
 }  // namespace
 
 GatewayServer::GatewayServer(GatewayOptions options, const routing::DocumentReader* documents,
@@ -45,6 +63,7 @@
       pool_(options_.knobs.balance, options_.incarnation),
       keeper_(options_.node, options_.zone, &pool_),
       witness_(options_.knobs.witness),
+      answer_lag_(LagToBeginWith(options_)),
       gate_(options_.entry, options_.node, options_.incarnation),
       started_(now) {
   LearnControl(options_.control);
@@ -52,7 +71,14 @@
 
 GatewayServer::~GatewayServer() = default;
 
-GatewayOutput GatewayServer::TakeOutput() { return std::exchange(output_, {}); }
+GatewayOutput GatewayServer::TakeOutput() {
+  GatewayOutput output = std::exchange(output_, {});
+  UrgentFirst(&output.answers);
+  UrgentFirst(&output.peer_messages);
+  UrgentFirst(&output.peer_replies);
+  UrgentFirst(&output.sends);
+  return output;
+}
 
 // ---- Requests -----------------------------------------------------------------------------------
 
@@ -260,6 +286,7 @@
     out.shard = send.shard;
     out.keep_headers = !active->gathers;
     out.tenant = active->tenant;
+    out.priority = active->priority;
     WatchRun(now, *active, out, record.service);
     output_.sends.push_back(std::move(out));
   }
@@ -303,6 +330,7 @@
   out.request = active.request;
   out.code = answer.code;
   out.run = answer.run;
+  out.priority = active.priority;
   out.retry_after = answer.code == ResultCode::kQuarantined ? options_.knobs.retry_when_quarantined
                                                             : answer.retry_after;
   out.trace.route = active.route->name;
@@ -361,9 +389,21 @@
   gate_.limits().Tick(now);
   CollectEntry(now);
   ReportRuns(now);
-  while (!wakes_.empty() && wakes_.begin()->first <= now) {
-    const RequestId id = wakes_.begin()->second;
-    Advance(now, id);
+  WakeRequests(now);
+}
+
+void GatewayServer::WakeRequests(Timestamp now) {
+  std::vector<std::pair<int, RequestId>> due;
+  for (auto it = wakes_.begin(); it != wakes_.end() && it->first <= now; ++it) {
+    due.emplace_back(active_.at(it->second).priority, it->second);
+  }
+  std::stable_sort(due.begin(), due.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [priority, id] : due) {
+    // One that came before it may have ended it.
+    if (active_.contains(id)) {
+      Advance(now, id);
+    }
     const auto it = active_.find(id);
     if (it != active_.end() && it->second.wake <= now) {
       // Asks to be called at once again: the loop's next turn is soon enough.
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -16,6 +16,7 @@
 #include "balance/extra_load_budget.h"
 #include "balance/latency_tracker.h"
 #include "balance/leaf_pool.h"
+#include "common/recent_durations.h"
 #include "common/region_map.h"
 #include "directory/near_first.h"
 #include "gateway/leaf_view.h"
@@ -26,6 +27,7 @@
 #include "node/config_subscriber.h"
 #include "node/id_source.h"
 #include "quarantine/run_witness.h"
+#include "query/answer_moment.h"
 #include "query/request_execution.h"
 #include "query/shared_gather.h"
 #include "routing/route_table.h"
@@ -115,6 +117,8 @@
   quarantine::WitnessOptions witness;
   /// What was seen of lost runs is told to control this soon.
   Duration run_report_interval = Milliseconds(20);
+  /// Answers after which one counts half for what is known of their lag.
+  double lag_memory = 32;
   /// Requests with more body than this are gathered alone: each merger would need a copy.
   size_t longest_shared_body = 16 * 1024;
 };
@@ -160,6 +164,8 @@
 struct PeerMessage {
   std::string address;
   wire::Envelope envelope;
+  /// Of the request that it is about; zero is the most urgent.
+  int priority = 0;
 };
 
 /// Names one connection of another gateway to this one.
@@ -169,6 +175,8 @@
 struct PeerReply {
   PeerSessionId session = 0;
   wire::Envelope envelope;
+  /// As in PeerMessage.
+  int priority = 0;
 };
 
 struct GatewayOutput {
@@ -206,6 +214,8 @@
   void OnRequest(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
                  Timestamp arrived);
   void OnClientGone(Timestamp now, RequestId id);
+  /// The last byte of an answer was handed to the operating system.
+  void OnAnswerWritten(Timestamp now, const RequestTrace& trace);
   void OnLeafReply(Timestamp now, const query::LeafReply& reply);
   /// What became of a sub-request that was cancelled and whose leaf was left to finish.
   void OnAbandonedReply(Timestamp now, const query::LeafReply& reply);
@@ -231,6 +241,8 @@
   /// Knows routes and may be sent clients.
   bool ready() const { return table_ != nullptr && !draining_; }
 
+  /// Of all that waits to be sent, the more urgent comes first; what is about the same request
+  /// stays in order.
   GatewayOutput TakeOutput();
 
   /// Where a client may go, best first, by what was last heard of the gateways. One that
@@ -256,6 +268,8 @@
     Duration longest_patience{};
     /// How many said so.
     uint64_t patiences = 0;
+    /// When the parts of its answers come, if gateways share them; made for its first answer.
+    std::optional<query::ArrivalCurve> arrivals;
   };
   /// The shards of a route or the leafs of a service, as an execution wants them.
   struct Target {
@@ -410,6 +424,13 @@
   // Sharing a request's shards with other gateways: as the one that the client reached.
   /// Groups that the shards of a route are cut into for other gateways; 1: none is asked.
   size_t GroupsOf(const routing::Route& route) const;
+  /// How much of the objective is left to gateways from a request's arrival on: what the client has
+  /// spent and the way in both directions are off. Unset: it cannot be told.
+  std::optional<Duration> LeftToGateways(const routing::Route& route,
+                                         const PayloadRequest& request) const;
+  /// Decides when an answer that lacks parts goes out by what was learnt, where there is enough to
+  /// go by.
+  void SetLearntDue(const Active& active, query::SharedGather* shared);
   /// As PlanFor(), but the answer is due earlier by the time that the words of all mergers take.
   policy::QueryPlan SharedPlanFor(const routing::Route& route, const PayloadRequest& request,
                                   size_t groups) const;
@@ -420,7 +441,7 @@
   bool StartShared(Timestamp now, RequestId id, Active* active, Timestamp arrived);
   void CollectShared(Timestamp now, RequestId id);
   void Ask(Timestamp now, const Active& active, const query::GroupQuestion& question);
-  void CancelQuestion(const query::GroupCancel& cancel);
+  void CancelQuestion(const Active& active, const query::GroupCancel& cancel);
   void AnswerShared(Timestamp now, RequestId id, const Active& active,
                     query::SharedOutcome outcome);
   /// A group of shards of a request, and the groups beside it.
@@ -469,7 +490,7 @@
   void StopPartial(Timestamp now, RequestId id, bool stop_work);
   void CollectPartial(Timestamp now, RequestId id, const std::optional<query::Answer>& answer);
   wire::PartialAnswer TakePartialWord(PartialJob* job, wire::PartialStage stage);
-  void SendWord(PeerSessionId session, wire::PartialAnswer word);
+  void SendWord(PeerSessionId session, wire::PartialAnswer word, int priority);
   /// Gateways that own a group, this one among them; zero: it is none of them.
   size_t FellowOwners(const GroupPlace& place, const std::set<std::string>& homes);
   /// The same for the group of a question, by the document that is held here.
@@ -477,6 +498,8 @@
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
   void Refuse(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
               ResultCode code, Duration retry_after);
+  /// Lets requests go on whose time has come, the more urgent first.
+  void WakeRequests(Timestamp now);
   void Schedule(RequestId id, Timestamp wake);
   void Remove(RequestId id);
 
@@ -529,6 +552,8 @@
   std::map<std::pair<PeerSessionId, uint64_t>, StandBy> stand_by_;
   uint64_t partials_begun_ = 0;
   quarantine::RunWitness witness_;
+  /// What passes between the moment at which an answer is due and its last byte.
+  RecentDurations answer_lag_;
   std::set<RequestIdentity> quarantined_;
   Timestamp runs_reported_{};
   admission::EntryGate gate_;
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -133,6 +133,36 @@
   return plan;
 }
 
+std::optional<Duration> GatewayServer::LeftToGateways(const routing::Route& route,
+                                                      const PayloadRequest& request) const {
+  const std::optional<Duration> spent = SpentByClient(route, request);
+  if (!spent.has_value() || request.round_trip.count() == 0) {
+    return std::nullopt;
+  }
+  return route.objective - *spent - request.round_trip;
+}
+
+void GatewayServer::SetLearntDue(const Active& active, query::SharedGather* shared) {
+  const std::optional<Duration> left = LeftToGateways(*active.route, *active.request);
+  if (!left.has_value()) {
+    return;
+  }
+  std::optional<query::ArrivalCurve>& arrivals = active.runtime->arrivals;
+  if (!arrivals.has_value()) {
+    arrivals.emplace(active.route->objective);
+  }
+  const size_t shards = active.route->shards.size();
+  shared->SetDue([this, &arrivals, due = *left, shards](Duration elapsed, size_t covered) {
+    return query::BestMoment({elapsed, due, covered, shards}, *arrivals, answer_lag_);
+  });
+}
+
+void GatewayServer::OnAnswerWritten(Timestamp now, const RequestTrace& trace) {
+  if (trace.due.has_value()) {
+    answer_lag_.Record(now - *trace.due);
+  }
+}
+
 Duration GatewayServer::ReportLead(size_t groups) const {
   const SharingCosts& costs = options_.knobs.sharing_costs;
   return costs.hop + TimeForWords(groups, options_.processor_share, costs);
@@ -171,6 +201,7 @@
   active->shared = std::make_unique<query::SharedGather>(
       SharedPlanFor(route, *active->request, groups), ranges, options, choose,
       [this] { return ids_.Next(); }, arrived);
+  SetLearntDue(*active, active->shared.get());
   active->shared->Advance(now);
   CollectShared(now, id);
   return true;
@@ -201,13 +232,14 @@
   query.priority = static_cast<uint32_t>(active.priority);
   query.homes.assign(active.route->homes.begin(), active.route->homes.end());
   output_.peer_messages.push_back(
-      {question.merger, {options_.cluster, document_version(), std::move(query)}});
+      {question.merger, {options_.cluster, document_version(), std::move(query)}, active.priority});
 }
 
-void GatewayServer::CancelQuestion(const query::GroupCancel& cancel) {
+void GatewayServer::CancelQuestion(const Active& active, const query::GroupCancel& cancel) {
   output_.peer_messages.push_back(
       {cancel.merger,
-       {options_.cluster, document_version(), wire::PartialCancel{cancel.id, cancel.stop_work}}});
+       {options_.cluster, document_version(), wire::PartialCancel{cancel.id, cancel.stop_work}},
+       active.priority});
 }
 
 void GatewayServer::CollectShared(Timestamp now, RequestId id) {
@@ -217,12 +249,13 @@
     suspects_[merger] = now + options_.knobs.merger_suspicion;
   }
   for (const query::GroupCancel& cancel : actions.cancels) {
-    CancelQuestion(cancel);
+    CancelQuestion(active, cancel);
   }
   for (const query::GroupConfirmation& confirmation : actions.confirmations) {
     output_.peer_messages.push_back(
         {confirmation.merger,
-         {options_.cluster, document_version(), wire::PartialConfirm{confirmation.id}}});
+         {options_.cluster, document_version(), wire::PartialConfirm{confirmation.id}},
+         active.priority});
   }
   for (const query::GroupQuestion& question : actions.questions) {
     request_of_question_[question.id] = id;
@@ -244,11 +277,21 @@
   out.request = active.request;
   out.code = outcome.code;
   out.run = outcome.run;
+  out.priority = active.priority;
   out.trace.route = active.route->name;
   out.trace.tenant = active.tenant;
   out.trace.document_version = active.table->version();
   out.trace.config_age = subscriber_.Age(now);
   out.trace.elapsed = now - active.shared->started();
+  out.trace.decided = now;
+  out.trace.round_trip = active.request->round_trip;
+  out.trace.spent = SpentByClient(*active.route, *active.request);
+  if (outcome.code == ResultCode::kPartial) {
+    out.trace.due = std::min(now, active.shared->answer_due());
+  }
+  if (std::optional<query::ArrivalCurve>& arrivals = active.runtime->arrivals) {
+    arrivals->Record(active.shared->arrivals(), active.route->shards.size(), out.trace.elapsed);
+  }
   out.trace.extra_sub_requests = outcome.extra;
   out.trace.missing = std::move(outcome.missing);
   out.trace.questions = active.shared->Questions();
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   Duration deadline{};
   /// The client's API key; empty: it sent none. Not among `headers`.
   std::string api_key;
+  /// To the client and back, as its connection tells; zero: not known.
+  Duration round_trip{};
 
   std::string path() const { return target.substr(0, target.find('?')); }
 };
@@ -56,6 +59,8 @@
   bool keep_headers = true;
   /// Whose request it is, as leafs are told whatever the client claimed; empty: nobody's.
   std::string tenant;
+  /// Of the request; zero is the most urgent.
+  int priority = 0;
 };
 
 struct LeafCancel {
@@ -73,6 +78,12 @@
   uint64_t document_version = 0;
   Duration config_age{};
   Duration elapsed{};
+  /// To the client and back, and what the client had spent when the request came, if known.
+  Duration round_trip{};
+  std::optional<Duration> spent;
+  /// When the answer was decided on, and, of one that lacks parts, when that was due.
+  Timestamp decided{};
+  std::optional<Timestamp> due;
   uint32_t extra_sub_requests = 0;
   std::vector<query::AttemptRecord> attempts;
   std::vector<query::MissingShard> missing;
@@ -108,6 +119,8 @@
   size_t missing_shards = 0;
   /// When it makes sense to come back; zero: not said.
   Duration retry_after{};
+  /// Of the request; zero is the most urgent.
+  int priority = 0;
   RequestTrace trace;
 };
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -308,7 +308,10 @@
   call->started = net::EventLoop::Now();
   call->timer = loop_->RunAt(call->started + call->request.timeout, [this, id] { OnTimeout(id); });
   calls_[id] = call;
-  host->waiting.push_back(std::move(call));
+  const auto behind = std::upper_bound(
+      host->waiting.begin(), host->waiting.end(), call,
+      [](const auto& a, const auto& b) { return a->request.priority < b->request.priority; });
+  host->waiting.insert(behind, std::move(call));
   Dispatch(host.get());
   return id;
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -49,6 +49,8 @@
   size_t max_connections = 0;
   /// No request to the address is to be expected soon: its connection is closed like one of many.
   bool close_soon = false;
+  /// Of calls that wait for a connection, those with the least go first.
+  int priority = 0;
 };
 
 struct ClientResponse {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -155,8 +155,13 @@
     serving_ = true;
     Rearm();
     const uint64_t number = ++request_number_;
+    if (number == 1) {
+      round_trip_ = stream_.RoundTrip();
+    }
+    HttpRequest request = ToRequest(std::move(message));
+    request.round_trip = round_trip_;
     const std::weak_ptr<Connection> self = weak_from_this();
-    server_->handler_(ToRequest(std::move(message)),
+    server_->handler_(std::move(request),
                       Responder(
                           [self, number](HttpResponse response) {
                             if (const auto connection = self.lock()) {
@@ -261,6 +266,7 @@
   bool head_only_ = false;
   bool continued_ = false;
   uint64_t request_number_ = 0;
+  Duration round_trip_{};
   std::function<void()> on_gone_;
   Timestamp idle_since_{};
   Timestamp request_started_{};
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -27,6 +27,8 @@
   /// As it came: path and query, not decoded.
   std::string target;
   Headers headers;
+  /// To the client and back, as measured when its connection was made; zero: not known.
+  Duration round_trip{};
 };
 
 struct HttpResponse {
--- a/src/net/byte_stream.cc
+++ b/src/net/byte_stream.cc
@@ -94,6 +94,13 @@
   }
 }
 
+Duration ByteStream::RoundTrip() const {
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const bool known = open() && ::getsockopt(handle_, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+  return known ? Microseconds(info.tcpi_rtt) : Duration(0);
+}
+
 void ByteStream::WantWrites(bool want) {
   if (want != wants_writes_ && open()) {
     wants_writes_ = want;
--- a/src/net/byte_stream.h
+++ b/src/net/byte_stream.h
@@ -55,6 +55,8 @@
   /// False: not one byte can have reached the peer.
   bool was_connected() const { return was_connected_; }
   size_t unwritten() const { return output_.size(); }
+  /// As the operating system has measured it. One system call. @return zero: not known.
+  Duration RoundTrip() const;
 
   int handle_input(ACE_HANDLE handle) override;
   int handle_output(ACE_HANDLE handle) override;
--- a/src/query/shared_gather.cc
+++ b/src/query/shared_gather.cc
@@ -19,7 +19,8 @@
       choose_(std::move(choose)),
       next_id_(std::move(next_id)),
       started_(started),
-      deadline_(started + plan.deadline) {
+      deadline_(started + plan.deadline),
+      answer_due_(plan.wait) {
   size_t shards = 0;
   for (const ShardRange& range : groups) {
     groups_.emplace_back().shards = range;
@@ -202,7 +203,7 @@
         Accept(&group, question);
       }
       question->state = QuestionState::kDone;
-      TakeParts(group, word);
+      TakeParts(now, group, word);
       ran_ |= word.run == static_cast<uint32_t>(RunState::kRan);
       unknown_ |= word.run == static_cast<uint32_t>(RunState::kUnknown);
       End(&group);
@@ -211,13 +212,14 @@
       if (question->state == QuestionState::kAsked) {
         Accept(&group, question);
       }
-      TakeParts(group, word);
+      TakeParts(now, group, word);
       break;
   }
   Evaluate(now);
 }
 
-void SharedGather::TakeParts(const Group& group, const wire::PartialAnswer& word) {
+void SharedGather::TakeParts(Timestamp now, const Group& group, const wire::PartialAnswer& word) {
+  const size_t before = covered_;
   for (const wire::PartialPart& part : word.parts) {
     if (part.shard >= group.shards.count) {
       continue;
@@ -228,6 +230,9 @@
     outcome_.signatures.push_back(part.signature);
     ran_ = true;
   }
+  if (covered_ > before) {
+    arrivals_.push_back({now - started_, covered_ - before});
+  }
   for (const wire::PartialGap& gap : word.gaps) {
     if (gap.shard < group.shards.count) {
       shards_[group.shards.first + gap.shard].reason = static_cast<MissingReason>(gap.reason);
@@ -283,11 +288,19 @@
     Finish(ResultCode::kCoverageNotReached);
   } else if (now >= deadline_) {
     Finish(ResultCode::kDeadlineExceeded);
-  } else if (Enough() && now - started_ >= plan_.wait) {
+  } else if (Enough() && IsDue(now)) {
     Finish(ResultCode::kPartial);
   }
 }
 
+bool SharedGather::IsDue(Timestamp now) {
+  if (due_ != nullptr && covered_ != covered_when_due_) {
+    covered_when_due_ = covered_;
+    answer_due_ = due_(now - started_, covered_);
+  }
+  return now - started_ >= answer_due_;
+}
+
 void SharedGather::Finish(ResultCode failure) {
   answered_ = true;
   for (size_t i = 0; i < shards_.size(); ++i) {
@@ -348,7 +361,7 @@
 
 Timestamp SharedGather::NextWake(Timestamp now) const {
   Timestamp wake = deadline_;
-  const Timestamp wait_over = started_ + plan_.wait;
+  const Timestamp wait_over = started_ + answer_due_;
   if (wait_over > now) {
     wake = std::min(wake, wait_over);
   }
--- a/src/query/shared_gather.h
+++ b/src/query/shared_gather.h
@@ -17,11 +17,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/result_code.h"
 #include "common/types.h"
 #include "policy/policy_program.h"
+#include "query/answer_moment.h"
 #include "query/messages.h"
 #include "wire/messages.h"
 
@@ -104,11 +106,18 @@
   using ChooseCb = std::function<std::optional<std::string>(Timestamp now, size_t group,
                                                             const std::set<std::string>& tried)>;
   using NextIdCb = std::function<uint64_t()>;
+  /// @return when an answer goes out that may and lacks parts, counted from the start, if so many
+  /// shards are covered `elapsed` after it and nothing more comes.
+  using DueCb = std::function<Duration(Duration elapsed, size_t covered)>;
 
   /// @param groups cover every shard once.
   SharedGather(const policy::QueryPlan& plan, const std::vector<ShardRange>& groups,
                SharedGatherOptions options, ChooseCb choose, NextIdCb next_id, Timestamp started);
 
+  /// Asked whenever parts have come. Without it, answers that lack parts go out when the plan's
+  /// wait is over.
+  void SetDue(DueCb due) { due_ = std::move(due); }
+
   /// Asks what can be asked, gives up on silent mergers, and answers if it is time.
   void Advance(Timestamp now);
   /// Words that answer no open question are ignored.
@@ -122,6 +131,10 @@
   /// When Advance() must be called next, if nothing comes before.
   Timestamp NextWake(Timestamp now) const;
   Timestamp started() const { return started_; }
+  /// When an answer that lacks parts was last thought to be due.
+  Timestamp answer_due() const { return started_ + answer_due_; }
+  /// When parts came, in the order of time.
+  const std::vector<PartsArrival>& arrivals() const { return arrivals_; }
   /// Every question so far.
   std::vector<QuestionRecord> Questions() const;
 
@@ -168,7 +181,7 @@
   /// A merger has spoken for the first time: the group is its own.
   void Accept(Group* group, Question* question);
   void End(Group* group);
-  void TakeParts(const Group& group, const wire::PartialAnswer& word);
+  void TakeParts(Timestamp now, const Group& group, const wire::PartialAnswer& word);
   bool Silent(Timestamp now, const Question& question) const;
   /// When something has to be decided about a group.
   Timestamp GroupWake(Timestamp now, const Group& group) const;
@@ -176,6 +189,8 @@
   void Evaluate(Timestamp now);
   void Finish(ResultCode failure);
   bool Enough() const;
+  /// Whether an answer that lacks parts goes out now.
+  bool IsDue(Timestamp now);
 
   policy::QueryPlan plan_;
   SharedGatherOptions options_;
@@ -183,6 +198,11 @@
   NextIdCb next_id_;
   Timestamp started_;
   Timestamp deadline_;
+  DueCb due_;
+  Duration answer_due_;
+  /// Shards that were covered when that was thought; unset: nobody was asked.
+  std::optional<size_t> covered_when_due_;
+  std::vector<PartsArrival> arrivals_;
   std::vector<Group> groups_;
   std::vector<Shard> shards_;
   std::map<uint64_t, size_t> group_of_;
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -57,6 +57,15 @@
   std::vector<std::string> names_;
 };
 
+Json OptionalJson(const std::optional<Duration>& duration) {
+  return duration.has_value() ? Json(ToMilliseconds(*duration)) : Json();
+}
+
+/// How long before it was decided on an answer that lacks parts was due.
+Json DueBefore(const gateway::RequestTrace& trace) {
+  return trace.due.has_value() ? OptionalJson(trace.decided - *trace.due) : Json();
+}
+
 Json MissingJson(const std::vector<query::MissingShard>& missing) {
   Json list = Json::array();
   for (const query::MissingShard& shard : missing) {
@@ -93,7 +102,11 @@
                                 {"status", status},
                                 {"run", query::RunStateName(answer.run)},
                                 {"client_waits_ms", ToMilliseconds(answer.request->deadline)},
+                                {"client_spent_ms", OptionalJson(trace.spent)},
+                                {"round_trip_ms", ToMilliseconds(trace.round_trip)},
                                 {"elapsed_ms", ToMilliseconds(trace.elapsed)},
+                                {"written_ms", ToMilliseconds(now - trace.decided)},
+                                {"due_before_ms", DueBefore(trace)},
                                 {"document_version", trace.document_version},
                                 {"config_age_ms", ToMilliseconds(trace.config_age)},
                                 {"retry_after_ms", ToMilliseconds(answer.retry_after)},
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -167,18 +167,37 @@
   }
   peer_frames_ = std::make_unique<net::FrameServer>(
       loop_,
-      [this](uint64_t session, const wire::Envelope& envelope) {
-        server_->OnPeerQuestion(net::EventLoop::Now(), session, envelope,
-                                loop_->earliest_arrival());
-        CarryOutSoon();
+      [this](uint64_t session, wire::Envelope envelope) {
+        OnPeerQuestion(session, std::move(envelope));
       },
       [this](uint64_t session) {
+        questions_.CloseSession(session);
         server_->OnPeerSessionClosed(net::EventLoop::Now(), session);
         CarryOutSoon();
       });
   return peer_frames_->Listen(settings_.peer_listen);
 }
 
+void GatewayProcess::OnPeerQuestion(uint64_t session, wire::Envelope envelope) {
+  CarryOutSoon();
+  if (const auto* cancel = std::get_if<wire::PartialCancel>(&envelope.body)) {
+    if (questions_.Cancel(session, cancel->id)) {
+      return;
+    }
+  }
+  gateway::ArrivedQuestion question{session, std::move(envelope), loop_->earliest_arrival()};
+  if (!questions_.Add(&question)) {
+    server_->OnPeerQuestion(net::EventLoop::Now(), session, question.envelope, question.arrived);
+  }
+}
+
+void GatewayProcess::BeginQuestions() {
+  while (const std::optional<gateway::ArrivedQuestion> question = questions_.Take()) {
+    server_->OnPeerQuestion(net::EventLoop::Now(), question->session, question->envelope,
+                            question->arrived);
+  }
+}
+
 void GatewayProcess::OnLinkChange(const gateway::ControlLinkChange& change) {
   log_.OnControlLink(change.address, change.up);
   if (!change.up) {
@@ -198,7 +217,7 @@
   CarryOut();
   AdoptLimits();
   log_.OnState(now, *server_);
-  if (stop_.started() && stop_.Done(now, server_->Drained())) {
+  if (stop_.started() && stop_.Done(now, server_->Drained() && answers_unnoted_ == 0)) {
     loop_->Stop();
   }
   return stop_.started() ? std::min(now + kStopPoll, server_->NextWake(now))
@@ -229,18 +248,11 @@
 
 void GatewayProcess::CarryOut() {
   carry_out_due_ = false;
+  BeginQuestions();
   gateway::GatewayOutput output = server_->TakeOutput();
   // Clients wait for the answers; nobody waits for what is cancelled.
-  for (const gateway::GatewayAnswer& answer : output.answers) {
-    const auto waiting = waiting_.find(answer.id);
-    if (waiting != waiting_.end()) {
-      http::HttpResponse response = dialect_->WriteAnswer(answer);
-      const int status = response.status;
-      waiting->second.Send(std::move(response));
-      waiting_.erase(waiting);
-      metrics_.OnAnswer(answer);
-      log_.OnAnswer(net::EventLoop::Now(), answer, status);
-    }
+  for (gateway::GatewayAnswer& answer : output.answers) {
+    SendAnswer(std::move(answer));
   }
   for (const gateway::PeerReply& reply : output.peer_replies) {
     peer_frames_->Send(reply.session, reply.envelope);
@@ -273,8 +285,30 @@
   }
 }
 
+void GatewayProcess::SendAnswer(gateway::GatewayAnswer answer) {
+  const auto waiting = waiting_.find(answer.id);
+  if (waiting == waiting_.end()) {
+    return;
+  }
+  http::HttpResponse response = dialect_->WriteAnswer(answer);
+  const int status = response.status;
+  waiting->second.Send(std::move(response));
+  waiting_.erase(waiting);
+  // Once the loop comes round: by then the answer has left, whatever this turn still had to do, and
+  // nobody waits for the log.
+  ++answers_unnoted_;
+  loop_->Defer([this, status, answer = std::move(answer)] {
+    --answers_unnoted_;
+    const Timestamp now = net::EventLoop::Now();
+    server_->OnAnswerWritten(now, answer.trace);
+    metrics_.OnAnswer(answer);
+    log_.OnAnswer(now, answer, status);
+  });
+}
+
 void GatewayProcess::SendToLeaf(gateway::LeafSend send) {
   http::ClientRequest request = dialect_->WriteLeafRequest(send);
+  request.priority = send.priority;
   const SubRequestId id = send.id;
   const std::string leaf = send.leaf;
   const auto on_done = [this, send = std::move(send)](http::ClientResponse response) {
@@ -374,11 +408,13 @@
     responder.Send({ready ? 200 : 503, ready ? "ready\n" : "not ready\n", "text/plain"});
     return;
   }
+  const Duration round_trip = request.round_trip;
   absl::StatusOr<gateway::PayloadRequest> payload = dialect_->ReadRequest(std::move(request));
   if (!payload.ok()) {
     responder.Send(dialect_->WriteRefusal(payload.status()));
     return;
   }
+  payload->round_trip = round_trip;
   const RequestId id{next_request_++};
   responder.WatchClient([this, id, request_id = payload->request_id] {
     waiting_.erase(id);
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -9,6 +9,7 @@
 
 #include "gateway/dialect.h"
 #include "gateway/gateway_server.h"
+#include "gateway/question_queue.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "net/event_loop.h"
@@ -73,6 +74,7 @@
   void CarryOut();
   /// Carries out what is ready once the current event is dealt with.
   void CarryOutSoon();
+  void SendAnswer(gateway::GatewayAnswer answer);
   void SendToLeaf(gateway::LeafSend send);
   void CancelAtLeaf(const gateway::LeafCancel& cancel);
   /// Leaves the leaf to finish, so that the connection lives on.
@@ -85,6 +87,9 @@
   void OnHttp(http::HttpRequest request, http::Responder responder);
   absl::Status ListenForMetrics();
   absl::Status ListenForDirectory();
+  void OnPeerQuestion(uint64_t session, wire::Envelope envelope);
+  /// The questions of this turn, the more urgent first.
+  void BeginQuestions();
   void OnLinkChange(const gateway::ControlLinkChange& change);
   void AdoptLimits();
 
@@ -99,8 +104,11 @@
   /// Questions of other gateways, and connections to those asked, by address.
   std::unique_ptr<net::FrameServer> peer_frames_;
   std::map<std::string, std::unique_ptr<net::FrameClient>> peers_;
+  gateway::QuestionQueue questions_;
   std::map<RequestId, http::Responder> waiting_;
   std::map<SubRequestId, LeafCall> calls_;
+  /// Answers that were sent and are not in the log and the metrics yet.
+  size_t answers_unnoted_ = 0;
   uint64_t next_request_ = 1;
   uint64_t limits_version_ = 0;
   bool carry_out_due_ = false;
--- /dev/null
+++ b/test/gateway/gateway_urgency_test.cc
@@ -0,0 +1,198 @@
+// Tight aims and urgent kinds at a gateway, without sockets.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_harness.h"
+#include "gateway/gateway_server.h"
+#include "gateway/record_merge.h"
+
+namespace pumicedyke::gateway {
+namespace {
+
+constexpr size_t kShards = 90;
+/// What the harness's routes allow.
+constexpr Duration kObjective = Milliseconds(100);
+constexpr Duration kPatience = Seconds(2);
+/// A part that comes then came too late before: answers went out after 87 ms.
+constexpr Duration kLatePart = Milliseconds(89);
+/// The longest time that one turn of the loop takes beyond a due moment here.
+constexpr Duration kStep = Milliseconds(1);
+
+std::string Service(size_t i) { return "s" + std::to_string(i); }
+
+/// A gateway of 0.12 cores that shares requests over 90 shards with five others.
+struct Root {
+  Root() : h(Options()) {
+    Json route = {"all", "/all/", true};
+    std::vector<wire::LeafRecord> leafs;
+    for (size_t i = 0; i < kShards; ++i) {
+      route.push_back(Service(i));
+      leafs.push_back(GatewayHarness::Leaf("leaf" + std::to_string(i), Service(i)));
+    }
+    h.Put(1, Json::array({route}).dump());
+    h.Report(leafs);
+    std::vector<wire::GatewayRecord> peers;
+    for (const char* node : {"g1", "g2", "g3", "g4", "g5", "g6"}) {
+      peers.push_back({node, "north", std::string(node) + ":7500"});
+    }
+    h.Peers(peers);
+    h.Take();
+  }
+  static GatewayOptions Options() {
+    GatewayOptions options = GatewayHarness::Options();
+    options.zone = "north";
+    options.peer_address = "10.0.0.9:7500";
+    options.processor_share = 0.12;
+    return options;
+  }
+
+  void Ask(Duration round_trip, Duration patience = kPatience) {
+    questions.clear();
+    h.peer_messages.clear();
+    h.answers.clear();
+    auto request = std::make_shared<PayloadRequest>();
+    request->request_id = "r" + std::to_string(++asked);
+    request->method = "GET";
+    request->target = "/all/" + std::to_string(asked);
+    request->host = kHost;
+    request->deadline = patience;
+    request->round_trip = round_trip;
+    began = h.now;
+    h.server.OnRequest(h.now, RequestId{1000 + asked}, std::move(request), h.now);
+    h.Take();
+    for (const PeerMessage& message : h.peer_messages) {
+      if (const auto* query = std::get_if<wire::PartialQuery>(&message.envelope.body)) {
+        questions.push_back(*query);
+        addresses.push_back(message.address);
+      }
+    }
+  }
+  /// All shards of a group but the first `missing` ones are in.
+  void Word(size_t group, uint32_t missing) {
+    const wire::PartialQuery& question = questions.at(group);
+    wire::PartialAnswer word;
+    word.id = question.id;
+    word.stage = missing == 0 ? wire::PartialStage::kDone : wire::PartialStage::kParts;
+    for (uint32_t i = missing; i < question.shards.size(); ++i) {
+      word.parts.push_back({i, "sig"});
+    }
+    word.records = std::string(kRecordBytes, 'a');
+    h.server.OnPeerWord(h.now, addresses.at(group), {"test", 1, word});
+    h.Take();
+  }
+  /// Two shards of the first group come late or not at all. @return when the answer goes out, since
+  /// the request came.
+  Duration AnswerWithoutTwo(Duration round_trip, Duration lag, Duration patience = kPatience,
+                            std::optional<Duration> late = std::nullopt) {
+    Ask(round_trip, patience);
+    h.Pass(Milliseconds(20));
+    for (size_t i = 0; i < questions.size(); ++i) {
+      Word(i, i == 0 ? 2 : 0);
+    }
+    while (h.answers.empty() && h.now < began + Seconds(3)) {
+      h.Pass(kStep);
+      if (h.answers.empty() && late.has_value() && h.now >= began + *late) {
+        Word(0, 0);
+      }
+    }
+    const Duration took = h.now - began;
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.answers.size());
+    h.server.OnAnswerWritten(h.now + lag, h.answers[0].trace);
+    return took;
+  }
+  /// The same without them after enough answers with this lag, to half of which they came.
+  Duration Learn(Duration round_trip, Duration lag) {
+    for (int i = 0; i < 100; ++i) {
+      const std::optional<Duration> late = i % 2 == 0 ? std::optional(kLatePart) : std::nullopt;
+      AnswerWithoutTwo(round_trip, lag, kPatience, late);
+    }
+    return AnswerWithoutTwo(round_trip, lag);
+  }
+
+  GatewayHarness h;
+  Timestamp began{};
+  std::vector<wire::PartialQuery> questions;
+  std::vector<std::string> addresses;
+  uint64_t asked = 0;
+};
+
+}  // namespace
+
+class GatewayUrgencyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewayUrgencyTest);
+  CPPUNIT_TEST(WithoutARoundTripTheMarginIsAsBefore);
+  CPPUNIT_TEST(KnownWayAndSmallLagLeaveMoreTime);
+  CPPUNIT_TEST(LargeLagIsLearnt);
+  CPPUNIT_TEST(WhatTheClientSpentIsOff);
+  CPPUNIT_TEST(UrgentRequestsAreSentFirst);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void WithoutARoundTripTheMarginIsAsBefore() {
+    Root root;
+    const GatewayKnobs knobs;
+    const Duration words = TimeForWords(6, 0.12, knobs.sharing_costs);
+    const Duration took = root.AnswerWithoutTwo(Duration(0), Milliseconds(1));
+    CPPUNIT_ASSERT(took >= kObjective - knobs.way_margin - words - kStep);
+    CPPUNIT_ASSERT(took <= kObjective - knobs.way_margin);
+  }
+
+  /// The client is 3 ms away and answers leave within 1 ms.
+  void KnownWayAndSmallLagLeaveMoreTime() {
+    Root root;
+    const Duration took = root.Learn(Milliseconds(6), Milliseconds(1));
+    CPPUNIT_ASSERT(took >= kLatePart);
+    CPPUNIT_ASSERT(took + Milliseconds(6) + Milliseconds(1) <= kObjective + kStep);
+  }
+
+  /// Ten times as much and more: the loop is late with everything.
+  void LargeLagIsLearnt() {
+    Root root;
+    const Duration lag = Milliseconds(30);
+    const Duration took = root.Learn(Milliseconds(6), lag);
+    CPPUNIT_ASSERT(took + Milliseconds(6) + lag <= kObjective + kStep);
+  }
+
+  void WhatTheClientSpentIsOff() {
+    Root root;
+    const Duration usual = root.Learn(Milliseconds(6), Milliseconds(1));
+    const Duration spent = Milliseconds(15);
+    const Duration took =
+        root.AnswerWithoutTwo(Milliseconds(6), Milliseconds(1), kPatience - spent);
+    CPPUNIT_ASSERT(took <= usual - spent + 3 * kStep);
+  }
+
+  /// A merger has questions of two kinds: what it sends for the urgent one is ahead of what it was
+  /// asked for before.
+  void UrgentRequestsAreSentFirst() {
+    Root root;
+    for (const uint32_t priority : {4, 0, 2}) {
+      wire::PartialQuery query;
+      query.id = 10 + priority;
+      query.route = "all";
+      query.method = "GET";
+      query.budget = Milliseconds(500);
+      query.objective = kObjective;
+      query.max_attempts = 1;
+      query.groups = 6;
+      query.priority = priority;
+      query.shards = {Service(2 * priority), Service(2 * priority + 1)};
+      root.h.server.OnPeerQuestion(root.h.now, 3, {"test", 1, query}, root.h.now);
+    }
+    root.h.Take();
+    CPPUNIT_ASSERT_EQUAL(size_t{6}, root.h.sends.size());
+    const auto urgent_first = [](const auto& a, const auto& b) { return a.priority < b.priority; };
+    CPPUNIT_ASSERT(std::is_sorted(root.h.sends.begin(), root.h.sends.end(), urgent_first));
+    CPPUNIT_ASSERT(
+        std::is_sorted(root.h.peer_replies.begin(), root.h.peer_replies.end(), urgent_first));
+    CPPUNIT_ASSERT_EQUAL(4, root.h.sends.back().priority);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayUrgencyTest);
+
+}  // namespace pumicedyke::gateway
--- a/test/query/shared_gather_test.cc
+++ b/test/query/shared_gather_test.cc
@@ -61,6 +61,8 @@
     }
   }
 
+  void SetDue(SharedGather::DueCb due) { gather_.SetDue(std::move(due)); }
+
   Timestamp now = kStart;
   std::vector<GroupQuestion> questions;
   std::vector<uint64_t> confirmed;
@@ -104,6 +106,7 @@
 
 class SharedGatherTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SharedGatherTest);
+  CPPUNIT_TEST(AnswersWhenItIsSaidToBeDue);
   CPPUNIT_TEST(WholeAnswerGoesOutAtOnce);
   CPPUNIT_TEST(AnswersBeforeTheObjectiveWithEnoughShards);
   CPPUNIT_TEST(WaitsForCoverageBeyondTheObjective);
@@ -125,6 +128,31 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Who decides is asked again for each part that comes, and not before there is enough.
+  void AnswersWhenItIsSaidToBeDue() {
+    Gather gather;
+    std::vector<size_t> asked;
+    gather.SetDue([&asked](Duration elapsed, size_t covered) {
+      asked.push_back(covered);
+      CPPUNIT_ASSERT(elapsed == Milliseconds(covered == 2 ? 20 : 30));
+      return Milliseconds(covered == 2 ? 200 : 120);
+    });
+    gather.Pass(Milliseconds(10));
+    gather.Word(1, wire::PartialStage::kParts, {0});
+    CPPUNIT_ASSERT(asked.empty());
+    gather.Pass(Milliseconds(10));
+    gather.Word(2, wire::PartialStage::kParts, {0});
+    gather.Pass(Milliseconds(10));
+    gather.Word(1, wire::PartialStage::kParts, {1});
+    CPPUNIT_ASSERT((asked == std::vector<size_t>{2, 3}));
+    gather.Pass(Milliseconds(89));
+    CPPUNIT_ASSERT(!gather.outcome.has_value());
+    gather.Pass(Milliseconds(1));
+    CPPUNIT_ASSERT(gather.outcome.has_value());
+    CPPUNIT_ASSERT(gather.outcome->code == ResultCode::kPartial);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, gather.outcome->missing.size());
+  }
+
   void WholeAnswerGoesOutAtOnce() {
     Gather g;
     CPPUNIT_ASSERT_EQUAL(size_t{2}, g.questions.size());
