--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   Duration deadline{};
   /// The client's API key; empty: it sent none, or more than one.
   std::string api_key;
+  /// To the client and back, as its connection tells; zero: not known.
+  Duration round_trip{};
 
   std::string path() const { return target.substr(0, target.find('?')); }
 };
@@ -62,6 +65,8 @@
   std::string tenant;
   /// Goes instead of the request's own head, if it is set: see HeadWithCaller().
   std::shared_ptr<const std::string> head;
+  /// Of the request; zero is the most urgent.
+  int priority = 0;
 };
 
 /// What goes to leafs of a request whose document has no tenants: the client's words about itself
@@ -83,6 +88,12 @@
   uint64_t document_version = 0;
   Duration config_age{};
   Duration elapsed{};
+  /// To the client and back, and what the client had spent when the request came, if known.
+  Duration round_trip{};
+  std::optional<Duration> spent;
+  /// When the answer was decided on, and, of one that lacks parts, when that was due.
+  Timestamp decided{};
+  std::optional<Timestamp> due;
   uint32_t extra_sub_requests = 0;
   std::vector<query::AttemptRecord> attempts;
   std::vector<query::MissingShard> missing;
@@ -120,6 +131,8 @@
   size_t missing_shards = 0;
   /// When it makes sense to come back; zero: not said.
   Duration retry_after{};
+  /// Of the request; zero is the most urgent.
+  int priority = 0;
   RequestTrace trace;
 };
 
