--- a/src/programs/pumicectl_main.cc
+++ b/src/programs/pumicectl_main.cc
@@ -256,6 +256,45 @@
   return 0;
 }
 
+int ShowTenants(const Arguments& /*arguments*/) {
+  const http::ClientResponse response = AskControl("/v1/config", "");
+  const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object()) {
+    return Fail(ExitCode::kUnavailable, "no control machine answered");
+  }
+  if (!json.contains("services")) {
+    std::cout << json.dump() << "\n";
+    return ExitCodeOf(response, json);
+  }
+  const Json tenants = json.value("tenants", Json());
+  if (FLAGS_json) {
+    std::cout << tenants.dump() << "\n";
+    return 0;
+  }
+  if (tenants.is_null()) {
+    std::cout << "the document has no tenants: nobody needs a key\n";
+    return 0;
+  }
+  std::cout << "document version " << json["document_version"] << "\n";
+  for (const Json& tenant : tenants) {
+    const double limit = tenant["requests_per_second"].get<double>();
+    std::cout << tenant["name"].get<std::string>() << ": " << tenant["keys"] << " keys, ";
+    if (limit > 0) {
+      std::cout << limit << " requests a second and " << tenant["burst"] << " at once";
+    } else {
+      std::cout << "no limit";
+    }
+    if (!tenant["priority"].is_null()) {
+      std::cout << ", priority " << tenant["priority"];
+    }
+    for (const Json& region : tenant["regions"]) {
+      std::cout << ", " << region.get<std::string>();
+    }
+    std::cout << "\n";
+  }
+  return 0;
+}
+
 void PrintAnswer(const query::Answer& answer) {
   std::cout << InfoOf(answer.code).name << " (" << static_cast<int>(answer.code) << ")"
             << (answer.message.empty() ? "" : ": " + answer.message) << "\n";
@@ -361,6 +400,7 @@
       {"release", {"release IDENTITY", "lets a stopped request go again", 1, &Release}},
       {"status", {"status", "shows the control machines", 0, &ShowStatus}},
       {"config", {"config", "shows the configuration, read from a quorum", 0, &ShowConfig}},
+      {"tenants", {"tenants", "shows tenants and their limits, never their keys", 0, &ShowTenants}},
       {"query", {"query SERVICE TEXT", "asks a node (--node)", 2, &Query}},
   };
   return *commands;
--- /dev/null
+++ b/src/server/config_view.cc
@@ -0,0 +1,25 @@
+#include "server/config_view.h"
+
+#include "common/json.h"
+#include "tenants/tenant_view.h"
+
+namespace pumicedyke::server {
+
+std::string ViewOfConfig(const std::string& state, const routing::DocumentReader* documents) {
+  constexpr char kDocument[] = "document";
+  Json json = Json::parse(state, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object() || !json.contains(kDocument)) {
+    return state;
+  }
+  const std::string text = json.value(kDocument, "");
+  json.erase(kDocument);
+  if (documents != nullptr) {
+    const absl::StatusOr<routing::RouteSet> set = documents->Read(text);
+    if (set.ok() && set->keyed) {
+      json["tenants"] = tenants::Describe(set->tenants);
+    }
+  }
+  return json.dump();
+}
+
+}  // namespace pumicedyke::server
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -6,6 +6,7 @@
 #include "common/result_code.h"
 #include "http/metrics.h"
 #include "policy/policy_program.h"
+#include "server/config_view.h"
 #include "server/control_process.h"
 #include "server/process.h"
 
@@ -44,7 +45,7 @@
     server_->ReadStatus(now, Await(SendReply(std::move(responder))));
     CarryOut();
   } else if (request.path == "/v1/config" && request.method == "GET") {
-    server_->ReadConfig(now, Await(SendReply(std::move(responder))));
+    ReadConfig(now, std::move(responder));
     CarryOut();
   } else if (request.path == "/v1/changes" && request.method == "POST") {
     OnChange(request, std::move(responder));
@@ -53,6 +54,16 @@
   }
 }
 
+void ControlProcess::ReadConfig(Timestamp now, http::Responder responder) {
+  const routing::DocumentReader* documents = dialect_ == nullptr ? nullptr : &dialect_->documents();
+  const auto send = SendReply(std::move(responder));
+  server_->ReadConfig(now, Await([send, documents](const control::OperatorReply& reply) {
+                        control::OperatorReply shown = reply;
+                        shown.body = ViewOfConfig(reply.body, documents);
+                        send(shown);
+                      }));
+}
+
 void ControlProcess::OnChange(const http::HttpRequest& request, http::Responder responder) {
   absl::StatusOr<Json> json = ParseObject(request.body, "the request body");
   if (!json.ok()) {
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -107,6 +107,8 @@
   void OnFrame(uint64_t session, const wire::Envelope& envelope);
   void OnOperator(const http::HttpRequest& request, http::Responder responder);
   void OnChange(const http::HttpRequest& request, http::Responder responder);
+  /// Answers with the configuration, without API keys.
+  void ReadConfig(Timestamp now, http::Responder responder);
   std::string MetricsText(Timestamp now) const;
   /// Remembers who waits for a reply. @return the ticket to ask with.
   control::TicketId Await(ReplyCb on_reply);
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -70,6 +70,14 @@
       .dump();
 }
 
+/// The same with a tenant; the route /one/ is open if `open`.
+std::string KeyedDocument(uint64_t version, const std::string& key, bool open) {
+  Json document = Json::parse(Document(version));
+  document["tenants"] = Json::array({{{"name", "acme"}, {"api_keys", {key}}}});
+  document["routes"][0]["public"] = open;
+  return document.dump();
+}
+
 std::string Header(const http::ClientResponse& response, const std::string& name) {
   const std::string* value = http::FindHeader(response.headers, name);
   return value == nullptr ? "" : *value;
@@ -102,6 +110,7 @@
 class PlatformEndToEndTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformEndToEndTest);
   CPPUNIT_TEST(WholePathServes);
+  CPPUNIT_TEST(KeysOpenTheDoorAndGoNoFurther);
   CPPUNIT_TEST(GathersOfManyShardsAreShared);
   CPPUNIT_TEST(MetricsTellWhatWasAnswered);
   CPPUNIT_TEST(InvalidDocumentIsNeverInForce);
@@ -153,6 +162,60 @@
   }
 
   /// The second gateway asks leafs for the first one; when it is killed, the first works alone.
+  void KeysOpenTheDoorAndGoNoFurther() {
+    PlatformFleet fleet;
+    StandInLeaf leaf0("leaf-a", "s0");
+    StandInLeaf leaf1("leaf-b", "s1");
+    const auto ask = [&fleet](const std::string& path, const std::string& key) {
+      return fleet.AskAt(fleet.gateway_address(), path,
+                         {{"Authorization", "Bearer " + key}, {"X-Tenant", "somebody"}});
+    };
+    // Without tenants both words go on to leafs.
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(7)));
+    fleet.Beat({&leaf0, &leaf1});
+    fleet.WaitWhole("/all/1");
+    CPPUNIT_ASSERT_EQUAL(200, ask("/one/1", "hush-1").status);
+    const http::Headers before = leaf0.heard();
+    CPPUNIT_ASSERT_EQUAL(std::string("Bearer hush-1"), *http::FindHeader(before, "Authorization"));
+    CPPUNIT_ASSERT_EQUAL(std::string("somebody"), *http::FindHeader(before, "X-Tenant"));
+    // With tenants, only the tenant's name does.
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(KeyedDocument(8, "hush-1", /*open=*/false)));
+    e2e::WaitFor("keys to be asked for", [&] { return fleet.Ask("/one/1").status == 401; });
+    // A gateway that is not sure for a moment says 503, never 200.
+    const auto refused = [&ask](const std::string& path, const std::string& key) {
+      int status = 0;
+      e2e::WaitFor("a verdict", [&] {
+        status = ask(path, key).status;
+        return status != 503;
+      });
+      return status;
+    };
+    for (const auto& [path, leaf] : {std::pair("/one/1", &leaf0), std::pair("/all/1", &leaf1)}) {
+      CPPUNIT_ASSERT_EQUAL(401, fleet.Ask(path).status);
+      CPPUNIT_ASSERT_EQUAL(401, refused(path, "hush-2"));
+      CPPUNIT_ASSERT_EQUAL(200, ask(path, "hush-1").status);
+      e2e::WaitFor("the leaf to be told of the tenant", [&] {
+        const http::Headers now = leaf->heard();
+        const std::string* tenant = http::FindHeader(now, "X-Tenant");
+        return tenant != nullptr && *tenant == "acme";
+      });
+      const http::Headers heard = leaf->heard();
+      CPPUNIT_ASSERT(http::FindHeader(heard, "Authorization") == nullptr);
+      CPPUNIT_ASSERT_EQUAL(1L, std::count_if(heard.begin(), heard.end(), [](const auto& header) {
+                             return http::SameName(header.name, "X-Tenant");
+                           }));
+    }
+    // Another key, and an open route, which drops what is claimed.
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(KeyedDocument(9, "hush-2", /*open=*/true)));
+    e2e::WaitFor("the new key", [&] { return ask("/all/1", "hush-2").status == 200; });
+    CPPUNIT_ASSERT_EQUAL(401, refused("/all/1", "hush-1"));
+    CPPUNIT_ASSERT_EQUAL(200, ask("/one/1", "hush-1").status);
+    const http::Headers open = leaf0.heard();
+    for (const char* name : {"Authorization", "X-Tenant"}) {
+      CPPUNIT_ASSERT_MESSAGE(name, http::FindHeader(open, name) == nullptr);
+    }
+  }
+
   void GathersOfManyShardsAreShared() {
     constexpr size_t kShards = 30;
     PlatformFleet fleet;
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -56,6 +56,10 @@
 }
 
 void StandInLeaf::OnRequest(const http::HttpRequest& request, http::Responder responder) {
+  {
+    const std::lock_guard lock(mutex_);
+    heard_ = request.headers;
+  }
   http::HttpResponse response;
   const std::string request_id = Value(request.headers, "X-Request-Id");
   response.headers = {{"X-Instance-Id", id_}, {"X-Request-Id", request_id}};
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,6 +31,11 @@
   int runs() const { return runs_; }
   /// Requests that it was told to give up because their connection went away.
   int given_up() const { return given_up_; }
+  /// Headers of what it was sent last.
+  http::Headers heard() const {
+    const std::lock_guard lock(mutex_);
+    return heard_;
+  }
   /// From now on requests are held and never answered.
   void Hold() { hold_ = true; }
   /// From now on requests are refused unseen.
@@ -49,6 +55,8 @@
   std::atomic<bool> shed_{false};
   std::atomic<bool> stop_{false};
   int sequence_ = 0;
+  mutable std::mutex mutex_;
+  http::Headers heard_;
   std::thread thread_;
 };
 
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -71,6 +71,9 @@
     query.groups = 9;
     query.shards = {"s1", "s2"};
     query.identity = {0x0123456789abcdef, 42};
+    query.homes = {"west"};
+    query.tenant = "acme";
+    query.priority = 3;
     const auto decoded = DecodeEnvelope(Encode(Envelope{"c", 1, query}));
     CPPUNIT_ASSERT(decoded.ok());
     const auto& back = std::get<PartialQuery>(decoded->body);
@@ -89,6 +92,9 @@
     CPPUNIT_ASSERT(back.again);
     CPPUNIT_ASSERT_EQUAL(query.groups, back.groups);
     CPPUNIT_ASSERT(query.shards == back.shards);
+    CPPUNIT_ASSERT(query.homes == back.homes);
+    CPPUNIT_ASSERT_EQUAL(query.tenant, back.tenant);
+    CPPUNIT_ASSERT_EQUAL(query.priority, back.priority);
   }
 
   void PartialAnswerSurvives() {
