Limits of tenants over all gateways: accounts kept by rendezvous hashing, lent on demand

Cause: the facade granted everything; a tenant's rate and burst were not kept. Ruled out: a fixed split (88 gateways, limits down to 0.1 a second: most of a small tenant's requests would be refused), a quorum per grant (hops), trust in one list of gateways (lists differ for a while; control lists by itself). Change: a tenant's limit is cut into accounts of some 4 requests a second; each has a first keeper with a token bucket of the limit and a second one that lends of what the bound leaves beyond it (limits/account_terms: the sum stays below the bound). A keeper fills its account only after the former one has handed it over (claim) or a settling time has passed, and lends only by a proof younger than its lease. Borrowers ask one hop, remember where nothing is left, try other parts and the reserve, keep a little ahead by demand and give back what is unused. LimitAsk names the part, claims, and which loan comes back; of_reserve is gone: the keeper knows its own role.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -125,8 +125,12 @@
   } else if (const auto* notice = std::get_if<wire::SuspectNotice>(&envelope.body)) {
     witness_.OnWarned(now, notice->requests);
   } else if (const auto* peers = std::get_if<wire::GatewayFeed>(&envelope.body)) {
+    const uint64_t changes = peers_.changes();
     peers_.OnFeed(address, *peers);
-    TellLimitsOfGateways(now);
+    if (peers_.changes() != changes) {
+      TellLimitsOfGateways(now);
+      CollectEntry(now);
+    }
     peers_changed_ = now;
     links_[address].next_presence =
         std::min(links_[address].next_presence, now + PresenceInterval(now, address));
--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -132,7 +132,7 @@
     const wire::GatewayRecord& record = *peers_.Find(node);
     gateways.push_back({node, record.peer_address, record.zone});
   }
-  gate_.limits().SetGateways(now, std::move(gateways));
+  gate_.limits().SetGateways(now, gateways);
 }
 
 void GatewayServer::OnClientGone(Timestamp now, RequestId id) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -358,7 +358,7 @@
   SyncPool(now);
   GreetControl(now);
   ReleaseEarly(now);
-  gate_.limits().Tick(now);
+  gate_.limits().Tick(now, subscriber_.proven_at());
   CollectEntry(now);
   ReportRuns(now);
   while (!wakes_.empty() && wakes_.begin()->first <= now) {
--- a/src/limits/tenant_limits.h
+++ b/src/limits/tenant_limits.h
@@ -1,14 +1,18 @@
 // The limits of tenants over all gateways, from the point of view of one of them: as the one that
 // keeps the accounts of some tenants, and as one that borrows from others. No socket, clock or
-// thread: events in, output out.
+// thread: events in, output out. docs/design/tenant-limits.md.
 #pragma once
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-#include "common/result_code.h"
 #include "common/types.h"
+#include "limits/keeper_placement.h"
+#include "limits/limit_borrower.h"
+#include "limits/limit_gateway.h"
+#include "limits/limit_keeper.h"
+#include "limits/limit_messages.h"
 #include "limits/limit_options.h"
 #include "tenants/tenant.h"
 #include "wire/messages.h"
@@ -17,55 +21,8 @@
 
 struct LimitOptions {
   LimitBound bound;
-};
-
-/// A gateway that may keep accounts.
-struct LimitGateway {
-  std::string node;
-  /// Where other gateways reach it.
-  std::string address;
-  std::string zone;
-  bool operator==(const LimitGateway&) const = default;
-};
-
-enum class LimitVerdict {
-  /// Paid for: it may begin.
-  kGranted,
-  /// Its keeper is being asked: a LimitDecision with its id will come.
-  kWaiting,
-  /// Beyond the limit, or nobody can say that it is not.
-  kRefused,
-};
-
-struct LimitAnswer {
-  LimitVerdict verdict = LimitVerdict::kGranted;
-  /// If refused: when tokens will be there.
-  Duration retry_after{};
-};
-
-/// The end of a wait.
-struct LimitDecision {
-  RequestId id;
-  bool granted = false;
-  Duration retry_after{};
-};
-
-/// A question to the gateway that keeps an account.
-struct LimitQuestion {
-  std::string address;
-  wire::LimitAsk ask;
-};
-
-/// Word to a gateway that asked; `session` names its connection.
-struct LimitWord {
-  uint64_t session = 0;
-  wire::LimitGrant grant;
-};
-
-struct LimitOutput {
-  std::vector<LimitDecision> decisions;
-  std::vector<LimitQuestion> questions;
-  std::vector<LimitWord> words;
+  KeeperOptions keeper;
+  BorrowerOptions borrower;
 };
 
 /// Lives on the event loop's thread.
@@ -73,11 +30,13 @@
  public:
   /// @param node name of this gateway. @param incarnation of this life of it.
   TenantLimits(LimitOptions options, std::string node, uint64_t incarnation);
+  TenantLimits(const TenantLimits&) = delete;
+  TenantLimits& operator=(const TenantLimits&) = delete;
 
   /// The tenants of the newest document.
   void SetTenants(Timestamp now, const std::vector<tenants::Tenant>& tenants);
-  /// All gateways that serve, by word of control, this one among them.
-  void SetGateways(Timestamp now, std::vector<LimitGateway> gateways);
+  /// All gateways that serve, by word of control, this one among them if it does.
+  void SetGateways(Timestamp now, const std::vector<LimitGateway>& gateways);
 
   /// A request of a tenant wants to begin.
   /// @param proven_at when this gateway's configuration was last proved current: one that is cut
@@ -94,14 +53,27 @@
   /// The connection to a gateway broke.
   void OnGatewayLost(Timestamp now, const std::string& address);
 
-  void Tick(Timestamp now);
+  /// @param proven_at as for Admit().
+  void Tick(Timestamp now, Timestamp proven_at);
   Timestamp NextWake(Timestamp now) const;
   LimitOutput TakeOutput();
 
+  const LimitKeeper& keeper() const { return keeper_; }
+
  private:
+  bool off() const { return options_.bound.window.count() == 0; }
+  /// Takes over who keeps what.
+  void SyncRoles(Timestamp now);
+  void SendClaims(Timestamp now);
+
   LimitOptions options_;
   std::string node_;
-  uint64_t incarnation_;
+  uint64_t next_id_;
+  KeeperPlacement placement_;
+  LimitKeeper keeper_;
+  LimitBorrower borrower_;
+  /// The accounts this gateway kept, first or second, and who kept them first.
+  std::map<AccountId, std::string> kept_;
   LimitOutput output_;
 };
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -475,12 +475,13 @@
 
 void Fill(const LimitAsk& ask, Arena* arena, pumicedyke_wire_Envelope* envelope) {
   envelope->which_body = pumicedyke_wire_Envelope_limit_ask_tag;
-  envelope->body.limit_ask = {ask.id, arena->String(ask.tenant), ask.wanted, ask.returned,
-                              ask.of_reserve};
+  envelope->body.limit_ask = {
+      ask.id,         arena->String(ask.tenant), ask.part, ask.wanted, ask.claim, ask.returned,
+      ask.returned_of};
 }
 
 LimitAsk Read(const pumicedyke_wire_LimitAsk& in) {
-  return {in.id, Text(in.tenant), in.wanted, in.returned, in.of_reserve};
+  return {in.id, Text(in.tenant), in.part, in.wanted, in.claim, in.returned, in.returned_of};
 }
 
 void Fill(const LimitGrant& grant, Arena* arena, pumicedyke_wire_Envelope* envelope) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -338,23 +338,27 @@
   bool current = false;
 };
 
-/// A gateway asks the one that keeps a tenant's account for the right to send requests of it.
+/// A gateway asks one that keeps an account of a tenant for the right to send requests of it, gives
+/// back what it did not use, or claims the account itself.
 struct LimitAsk {
   /// Unique among the sender's questions.
   uint64_t id = 0;
   std::string tenant;
+  /// Which of the tenant's accounts.
+  uint32_t part = 0;
   uint32_t wanted = 0;
-  /// Lent before and not used.
+  /// The sender keeps the account from now on.
+  bool claim = false;
+  /// Lent by the answer to the question `returned_of` and not used.
   uint32_t returned = 0;
-  /// The first keeper did not answer: asks the second, which lends of what is set aside for that.
-  bool of_reserve = false;
+  uint64_t returned_of = 0;
 };
 
 enum class LimitStage : uint32_t {
   kGranted = 1,
   /// Nothing is left for now.
   kExhausted = 2,
-  /// Keeps no account of the tenant, or cannot prove that nobody else does.
+  /// Does not keep the account, or cannot tell yet that nobody else does.
   kNotKeeper = 3,
 };
 
@@ -363,6 +367,7 @@
   uint64_t id = 0;
   std::string tenant;
   LimitStage stage = LimitStage::kNotKeeper;
+  /// Lent; to a claim that is granted: what the account holds, which goes over to the claimer.
   uint32_t granted = 0;
   /// What is granted may be used for this long after the question was sent.
   Duration lifetime{};
--- /dev/null
+++ b/test/limits/simulated_fleet.cc
@@ -0,0 +1,368 @@
+#include "limits/simulated_fleet.h"
+
+#include <algorithm>
+
+namespace pumicedyke::limits {
+namespace {
+
+constexpr Duration kStep = Milliseconds(2);
+constexpr Duration kTick = Milliseconds(10);
+constexpr Duration kControlInterval = Milliseconds(100);
+constexpr Duration kSilence = Milliseconds(1800);
+
+}  // namespace
+
+SimulatedFleet::SimulatedFleet(FleetOptions options) : options_(options), random_(options.seed) {
+  for (size_t i = 0; i < options_.gateways; ++i) {
+    AddGateway();
+  }
+}
+
+size_t SimulatedFleet::AddGateway() {
+  gateways_.emplace_back();
+  gateways_.back().node = "g" + std::to_string(gateways_.size() - 1);
+  Start(gateways_.size() - 1);
+  return gateways_.size() - 1;
+}
+
+void SimulatedFleet::Start(size_t i) {
+  Gateway& gateway = gateways_[i];
+  if (gateway.limits != nullptr) {
+    return;
+  }
+  gateway.limits =
+      std::make_unique<TenantLimits>(options_.limits, gateway.node, ++gateway.incarnation);
+  gateway.draining = false;
+  gateway.proven_at = Timestamp{};
+  gateway.was_told = false;
+  std::vector<tenants::Tenant> tenants;
+  for (const Demand& demand : demands_) {
+    tenants.push_back(demand.tenant);
+  }
+  gateway.limits->SetTenants(now_, tenants);
+}
+
+void SimulatedFleet::Kill(size_t i, bool noticed) {
+  Gateway& gateway = gateways_[i];
+  gateway.limits.reset();
+  gateway.waiting.clear();
+  gateway.frozen_until = Timestamp{};
+  if (!noticed) {
+    return;
+  }
+  gateway.listed = false;
+  const std::string address = gateway.node;
+  for (size_t other = 0; other < gateways_.size(); ++other) {
+    At(now_ + Milliseconds(5), other, [this, other, address] {
+      gateways_[other].limits->OnGatewayLost(now_, address);
+      Collect(other);
+    });
+  }
+}
+
+void SimulatedFleet::Drain(size_t i) { gateways_[i].draining = true; }
+
+void SimulatedFleet::Freeze(size_t i, Duration length) {
+  gateways_[i].frozen_until = std::max(gateways_[i].frozen_until, now_ + length);
+}
+
+void SimulatedFleet::Cut(size_t i, bool in, bool out, Duration length) {
+  if (in) {
+    gateways_[i].in_cut_until = now_ + length;
+  }
+  if (out) {
+    gateways_[i].out_cut_until = now_ + length;
+  }
+}
+
+void SimulatedFleet::Lag(size_t i, Duration lag) { gateways_[i].lag = lag; }
+
+void SimulatedFleet::CutFromControl(size_t i, Duration length) {
+  gateways_[i].control_cut_until = now_ + length;
+}
+
+void SimulatedFleet::Hide(size_t i, std::set<size_t> hidden, Duration length) {
+  gateways_[i].hidden = std::move(hidden);
+  gateways_[i].hidden_until = now_ + length;
+}
+
+void SimulatedFleet::SetDemand(std::vector<Demand> demands) {
+  demands_ = std::move(demands);
+  counts_.assign(demands_.size(), {});
+  owed_.clear();
+  std::vector<tenants::Tenant> tenants;
+  for (const Demand& demand : demands_) {
+    tenants.push_back(demand.tenant);
+    owed_.push_back(
+        {demand.tenant.requests_per_second, demand.tenant.burst, demand.tenant.burst, now_});
+  }
+  for (Gateway& gateway : gateways_) {
+    if (gateway.limits != nullptr) {
+      gateway.limits->SetTenants(now_, tenants);
+    }
+  }
+}
+
+void SimulatedFleet::SetLimit(size_t tenant, double per_second, double burst, Duration spread) {
+  demands_[tenant].tenant.requests_per_second = per_second;
+  demands_[tenant].tenant.burst = burst;
+  std::vector<tenants::Tenant> tenants;
+  for (const Demand& demand : demands_) {
+    tenants.push_back(demand.tenant);
+  }
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    const auto late = static_cast<int64_t>(Chance() * static_cast<double>(spread.count()));
+    At(now_ + Duration(late), i, [this, i, tenants] {
+      gateways_[i].limits->SetTenants(now_, tenants);
+      Collect(i);
+    });
+  }
+}
+
+void SimulatedFleet::At(Timestamp when, size_t gateway, std::function<void()> run) {
+  events_.emplace(when, Event{gateway, gateways_[gateway].incarnation, std::move(run)});
+}
+
+std::optional<size_t> SimulatedFleet::AtAddress(const std::string& address) const {
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    if (gateways_[i].node == address) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+uint64_t SimulatedFleet::Session(size_t from, size_t to) const {
+  return (static_cast<uint64_t>(from) << 40) + (gateways_[from].incarnation << 20) + to + 1;
+}
+
+std::vector<LimitGateway> SimulatedFleet::Records(const std::set<size_t>& listed) const {
+  std::vector<LimitGateway> records;
+  records.reserve(listed.size());
+  for (const size_t i : listed) {
+    records.push_back({gateways_[i].node, gateways_[i].node, "zone"});
+  }
+  return records;
+}
+
+size_t SimulatedFleet::KeeperOf(size_t tenant, uint32_t part) const {
+  KeeperPlacement placement;
+  const AccountId account{demands_[tenant].tenant.name, part};
+  placement.SetAccounts({account});
+  placement.SetGateways(Records(lists_.back().second));
+  const LimitGateway* first = placement.Find(account).first;
+  return first == nullptr ? 0 : AtAddress(first->address).value();
+}
+
+void SimulatedFleet::Deliver(size_t from, size_t to, const std::function<void()>& run) {
+  ++messages_;
+  ++gateways_[from].sent;
+  const bool cut = now_ < gateways_[from].out_cut_until || now_ < gateways_[to].in_cut_until;
+  if (cut || gateways_[to].limits == nullptr || Chance() < options_.message_loss) {
+    return;
+  }
+  const double slow = Chance() < 0.01 ? 60 : 1;
+  const Duration delay(static_cast<int64_t>((500 + 2000 * Chance()) * slow));
+  At(now_ + delay, to, run);
+}
+
+void SimulatedFleet::Note(size_t tenant, bool granted, Duration retry_after) {
+  TenantCount& count = counts_[tenant];
+  if (granted) {
+    ++count.granted;
+    count.used.push_back(now_);
+  } else {
+    ++count.refused;
+    count.retry_after.push_back(retry_after);
+  }
+}
+
+void SimulatedFleet::Collect(size_t i) {
+  Gateway& gateway = gateways_[i];
+  LimitOutput out = gateway.limits->TakeOutput();
+  for (const LimitDecision& decision : out.decisions) {
+    const auto it = gateway.waiting.find(decision.id.value);
+    if (it != gateway.waiting.end()) {
+      Note(it->second, decision.granted, decision.retry_after);
+      gateway.waiting.erase(it);
+    }
+  }
+  for (const LimitQuestion& question : out.questions) {
+    const std::optional<size_t> to = AtAddress(question.address);
+    if (!to.has_value()) {
+      continue;
+    }
+    const uint64_t session = Session(i, *to);
+    Deliver(i, *to, [this, to, session, ask = question.ask] {
+      gateways_[*to].limits->OnAsk(now_, session, ask, gateways_[*to].proven_at);
+      Collect(*to);
+    });
+  }
+  for (const LimitWord& word : out.words) {
+    const auto to = static_cast<size_t>(word.session >> 40);
+    if (Session(to, i) != word.session) {
+      continue;  // Of a life that is over.
+    }
+    Deliver(i, to, [this, to, i, grant = word.grant] {
+      gateways_[to].limits->OnGrant(now_, gateways_[i].node, grant);
+      Collect(to);
+    });
+  }
+}
+
+std::optional<bool> SimulatedFleet::AskAt(size_t i, size_t tenant) {
+  Gateway& gateway = gateways_[i];
+  TenantCount& count = counts_[tenant];
+  ++count.asked;
+  const RequestId id{++next_request_};
+  const uint64_t refused = count.refused;
+  const uint64_t granted = count.granted;
+  gateway.waiting[id.value] = tenant;
+  const LimitAnswer answer =
+      gateway.limits->Admit(now_, id, demands_[tenant].tenant, gateway.proven_at, false);
+  if (answer.verdict != LimitVerdict::kWaiting) {
+    gateway.waiting.erase(id.value);
+    Note(tenant, answer.verdict == LimitVerdict::kGranted, answer.retry_after);
+  }
+  Collect(i);
+  if (count.granted > granted) {
+    return true;
+  }
+  if (count.refused > refused) {
+    return false;
+  }
+  return std::nullopt;
+}
+
+void SimulatedFleet::Arrivals() {
+  const double seconds = std::chrono::duration<double>(kStep).count();
+  for (size_t tenant = 0; tenant < demands_.size(); ++tenant) {
+    const Demand& demand = demands_[tenant];
+    std::poisson_distribution<int> arrivals(demand.per_second * seconds);
+    const int count = demand.per_second > 0 ? arrivals(random_) : 0;
+    for (int i = 0; i < count; ++i) {
+      std::vector<double> weights = demand.weights;
+      weights.resize(gateways_.size(), demand.weights.empty() ? 1 : 0);
+      for (size_t g = 0; g < gateways_.size(); ++g) {
+        const bool serves = gateways_[g].limits != nullptr && !Frozen(g);
+        weights[g] = serves ? weights[g] : 0;
+      }
+      if (std::all_of(weights.begin(), weights.end(), [](double w) { return w == 0; })) {
+        continue;
+      }
+      std::discrete_distribution<size_t> choose(weights.begin(), weights.end());
+      Refill(&owed_[tenant], now_);
+      const bool owed = Take(&owed_[tenant], 1) == 1;
+      counts_[tenant].owed += owed ? 1 : 0;
+      AskAt(choose(random_), tenant);
+    }
+  }
+}
+
+void SimulatedFleet::Control() {
+  std::set<size_t> listed;
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    Gateway& gateway = gateways_[i];
+    const bool speaks = gateway.limits != nullptr && !Frozen(i) && now_ >= gateway.out_cut_until &&
+                        now_ >= gateway.control_cut_until;
+    if (speaks) {
+      gateway.heard = now_;
+      gateway.listed = !gateway.draining;
+    } else if (now_ - gateway.heard >= kSilence) {
+      gateway.listed = false;
+    }
+    if (gateway.listed) {
+      listed.insert(i);
+    }
+  }
+  lists_.emplace_back(now_, listed);
+  while (lists_.size() > 1 && now_ - lists_.front().first > Seconds(4)) {
+    lists_.pop_front();
+  }
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    Gateway& gateway = gateways_[i];
+    const bool in_touch = now_ >= gateway.in_cut_until && now_ >= gateway.out_cut_until &&
+                          now_ >= gateway.control_cut_until;
+    if (gateway.limits == nullptr || Frozen(i) || !in_touch) {
+      continue;
+    }
+    auto list = lists_.rbegin();
+    while (now_ - list->first < gateway.lag && std::next(list) != lists_.rend()) {
+      ++list;
+    }
+    std::set<size_t> told = list->second;
+    if (now_ < gateway.hidden_until) {
+      std::erase_if(told, [&](size_t one) { return gateway.hidden.contains(one); });
+    }
+    gateway.proven_at = now_;
+    if (told != gateway.told || !gateway.was_told) {
+      gateway.limits->SetGateways(now_, Records(told));
+      gateway.told = std::move(told);
+      gateway.was_told = true;
+      Collect(i);
+    }
+  }
+}
+
+void SimulatedFleet::Step() {
+  now_ += kStep;
+  while (!events_.empty() && events_.begin()->first <= now_) {
+    const Event event = events_.begin()->second;
+    events_.erase(events_.begin());
+    Gateway& gateway = gateways_[event.gateway];
+    if (gateway.limits == nullptr || gateway.incarnation != event.incarnation) {
+      continue;
+    }
+    if (Frozen(event.gateway)) {
+      events_.emplace(gateway.frozen_until, event);
+      continue;
+    }
+    event.run();
+  }
+  if (now_ >= next_control_) {
+    next_control_ = now_ + kControlInterval;
+    Control();
+  }
+  Arrivals();
+  if (now_ < next_tick_) {
+    return;
+  }
+  next_tick_ = now_ + kTick;
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    Gateway& gateway = gateways_[i];
+    if (gateway.limits != nullptr && !Frozen(i)) {
+      gateway.limits->Tick(now_, gateway.proven_at);
+      Collect(i);
+    }
+  }
+}
+
+void SimulatedFleet::Run(Duration length) {
+  const Timestamp end = now_ + length;
+  while (now_ < end) {
+    Step();
+  }
+}
+
+double SimulatedFleet::Fullness(size_t tenant, double per_second, double burst, Timestamp from,
+                                Timestamp until) const {
+  const LimitBound& bound = options_.limits.bound;
+  const double window = std::chrono::duration<double>(bound.window).count();
+  const double most = (per_second * window + burst) * (1 + bound.overage) + bound.slack;
+  const std::vector<Timestamp>& used = counts_[tenant].used;
+  double fullest = 0;
+  size_t end = 0;
+  // The fullest window begins with a use.
+  for (size_t begin = 0; begin < used.size(); ++begin) {
+    end = std::max(end, begin);
+    while (end < used.size() && used[end] <= used[begin] + bound.window) {
+      ++end;
+    }
+    if (used[begin] >= from && used[begin] < until) {
+      fullest = std::max(fullest, static_cast<double>(end - begin) / most);
+    }
+  }
+  return fullest;
+}
+
+}  // namespace pumicedyke::limits
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(GatewayFeedAndPresenceSurvive);
   CPPUNIT_TEST(GarbageIsRefusedOrHarmless);
   CPPUNIT_TEST(RunReportsAndNoticesSurvive);
+  CPPUNIT_TEST(LimitAsksAndGrantsSurvive);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -54,6 +55,30 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{8}, back.request);
   }
 
+  void LimitAsksAndGrantsSurvive() {
+    const LimitAsk ask{uint64_t{5} << 40, "tenant", 3, 17, true, 2, uint64_t{4} << 40};
+    const auto asked = DecodeEnvelope(Encode(Envelope{"c", 1, ask}));
+    CPPUNIT_ASSERT(asked.ok());
+    const auto& back = std::get<LimitAsk>(asked->body);
+    CPPUNIT_ASSERT_EQUAL(ask.id, back.id);
+    CPPUNIT_ASSERT_EQUAL(ask.tenant, back.tenant);
+    CPPUNIT_ASSERT_EQUAL(ask.part, back.part);
+    CPPUNIT_ASSERT_EQUAL(ask.wanted, back.wanted);
+    CPPUNIT_ASSERT_EQUAL(ask.claim, back.claim);
+    CPPUNIT_ASSERT_EQUAL(ask.returned, back.returned);
+    CPPUNIT_ASSERT_EQUAL(ask.returned_of, back.returned_of);
+    const LimitGrant grant{9, "tenant", LimitStage::kExhausted, 4, Milliseconds(300), Seconds(2)};
+    const auto granted = DecodeEnvelope(Encode(Envelope{"c", 1, grant}));
+    CPPUNIT_ASSERT(granted.ok());
+    const auto& word = std::get<LimitGrant>(granted->body);
+    CPPUNIT_ASSERT_EQUAL(grant.id, word.id);
+    CPPUNIT_ASSERT_EQUAL(grant.tenant, word.tenant);
+    CPPUNIT_ASSERT(grant.stage == word.stage);
+    CPPUNIT_ASSERT_EQUAL(grant.granted, word.granted);
+    CPPUNIT_ASSERT(grant.lifetime == word.lifetime);
+    CPPUNIT_ASSERT(grant.retry_after == word.retry_after);
+  }
+
   void PartialQuerySurvives() {
     PartialQuery query;
     query.id = 7;
