Refusals: leafs learn a refusal rate, gathers ask again within the allowance, allowance in order

Cause: two refusals of a shard ended it unless an untried leaf stood ready, and a leaf that sheds part of what comes looked busy, because each refusal lowered its concurrency limit although it had room. Ruled out: max_attempts as the bound (refused sends do not run); a leaf's illness (it serves the rest). Change: a leaf's refusals are a rate of their own in LeafPool, which weighs in the choice; only refusals for lack of room (told load, or six in a row) lower the limit. Gathers ask refusing leafs again after 2 ms as long as the allowance lasts; where every leaf of a shard refuses, requests are paid for by a rank that all owners work out alike, up to the coverage they need; hedges leave half of the allowance. A merger tells of shards it gave up at once when the whole may be lost with them. LeafPoolTest.SheddingLowersTheLimit told no load: it is now one that is full, or one that refuses six times in a row; GatewayPropertyTest lets a gather return to a leaf that refused it with room, and bounds all extra sends by the allowance.

--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -18,6 +18,8 @@
   virtual void OnRegular(Timestamp now, double share) = 0;
   /// @return whether one extra sub-request may be sent; it is then paid for.
   virtual bool TrySpend(Timestamp now) = 0;
+  /// @return the part that is left of what may be spent, 0 to 1.
+  virtual double PartLeft(Timestamp now) = 0;
 };
 
 /// A token bucket: a fixed share of the regular sub-requests. A sub-request that replaces one which
@@ -38,6 +40,8 @@
     return true;
   }
 
+  double PartLeft(Timestamp /*now*/) override { return tokens_ / burst_; }
+
   double tokens() const { return tokens_; }
 
  private:
@@ -59,21 +63,20 @@
   void OnRegular(Timestamp now, double /*share*/) override { Current(now).regular += 1; }
 
   bool TrySpend(Timestamp now) override {
-    Current(now);
-    double regular = 0;
-    double extra = 0;
-    for (size_t i = 0; i < steps_.size(); ++i) {
-      extra += steps_[i].extra;
-      // The oldest step may lie outside the window already: it earns nothing.
-      regular += i == OldestStep() ? 0 : steps_[i].regular;
-    }
-    if (extra + 1 > ratio_ * regular + allowance_) {
+    const Step sum = Sum(now);
+    if (sum.extra + 1 > Bound(sum)) {
       return false;
     }
     Current(now).extra += 1;
     return true;
   }
 
+  double PartLeft(Timestamp now) override {
+    const Step sum = Sum(now);
+    const double bound = Bound(sum);
+    return bound <= 0 ? 0 : std::clamp(1 - sum.extra / bound, 0.0, 1.0);
+  }
+
  private:
   static constexpr int kSteps = 20;
   struct Step {
@@ -81,6 +84,20 @@
     double extra = 0;
   };
 
+  double Bound(const Step& sum) const { return ratio_ * sum.regular + allowance_; }
+
+  /// Of the window that ends now.
+  Step Sum(Timestamp now) {
+    Current(now);
+    Step sum;
+    for (size_t i = 0; i < steps_.size(); ++i) {
+      sum.extra += steps_[i].extra;
+      // The oldest step may lie outside the window already: it earns nothing.
+      sum.regular += i == OldestStep() ? 0 : steps_[i].regular;
+    }
+    return sum;
+  }
+
   size_t OldestStep() const { return static_cast<size_t>((number_ + 1) % (kSteps + 1)); }
 
   Step& Current(Timestamp now) {
--- a/src/balance/knobs.h
+++ b/src/balance/knobs.h
@@ -1,6 +1,7 @@
 // Every tunable of load balancing, in one place. docs/PERFORMANCE.md says which round set which.
 #pragma once
 
+#include "balance/refusal_history.h"
 #include "common/types.h"
 
 namespace pumicedyke::balance {
@@ -49,6 +50,11 @@
   double queue_tolerance = 1.5;
   Duration decrease_interval = Milliseconds(10);
 
+  RefusalWeights refusals{};
+  /// What one refusal costs, in times that a sub-request takes: part of an allowance and a pause.
+  /// Zero: refusals do not count in the choice between leafs.
+  double refusal_cost = 20;
+
   /// Consecutive failures that eject a leaf, and for how long at first and at most.
   int ejection_failures = 3;
   Duration ejection_time = Milliseconds(500);
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -152,7 +152,9 @@
   const double queue = LoadOf(state, now) / static_cast<double>(state.slots);
   const double distance = (state.placement.remote ? knobs_.remote_penalty : 1.0) *
                           (state.placement.preferred ? 1.0 : knobs_.outside_subset_penalty);
-  const double score = distance * (1.0 + queue) * SlownessOf(state, now);
+  const double refused = RefusalsUntilTaken(RefusalRate(state.refusals, knobs_.refusals, now));
+  const double tries = 1.0 + knobs_.refusal_cost * refused;
+  const double score = distance * (1.0 + queue) * SlownessOf(state, now) * tries;
   constexpr double kStalledPenalty = 100.0;
   return Stalled(state, now) ? score * kStalledPenalty : score;
 }
@@ -242,11 +244,21 @@
   state->slowness_at = now;
 }
 
+void LeafPool::NoteShed(LeafState* state, Timestamp now, uint32_t load) {
+  const bool full = load > state->slots * knobs_.queue_tolerance;
+  NoteRefused(knobs_.refusals, now, full, &state->refusals);
+  // One that has room refuses for another cause: sending it less would not make it take more.
+  if (state->refusals.crowded) {
+    Decrease(state, now, knobs_.shed_decrease);
+  }
+}
+
 void LeafPool::NoteSuccess(LeafState* state, Timestamp now, double slowness, uint32_t load) {
   if (state->failures >= knobs_.ejection_failures) {
     // Back from ejection: start from one request at a time.
     state->limit = 1.0;
   }
+  NoteTaken(knobs_.refusals, now, &state->refusals);
   state->failures = 0;
   state->losses = 0;
   state->ejection = Duration(0);
@@ -298,7 +310,7 @@
       NoteSuccess(&state, now, slowness, reply.load);
       break;
     case query::LeafStatus::kShed:
-      Decrease(&state, now, knobs_.shed_decrease);
+      NoteShed(&state, now, reply.load);
       break;
     case query::LeafStatus::kNotSent:
       // Nothing listens there: what it said of leaving before it was gone may be out of date.
@@ -385,6 +397,16 @@
   return std::max(least, 0.0);
 }
 
+double LeafPool::RefusalRateOf(Timestamp now, const std::string& leaf) const {
+  const auto it = leafs_.find(leaf);
+  return it == leafs_.end() ? 0 : RefusalRate(it->second.refusals, knobs_.refusals, now);
+}
+
+bool LeafPool::Crowded(const std::string& leaf) const {
+  const auto it = leafs_.find(leaf);
+  return it != leafs_.end() && it->second.refusals.crowded;
+}
+
 uint32_t LeafPool::Outstanding(const std::string& leaf) const {
   const auto it = leafs_.find(leaf);
   return it == leafs_.end() ? 0 : static_cast<uint32_t>(it->second.out.size());
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "balance/knobs.h"
+#include "balance/refusal_history.h"
 #include "common/types.h"
 #include "query/messages.h"
 
@@ -84,6 +85,11 @@
   /// Requests per slot at the least full of `replicas` that can be used; 0 if none can.
   double Fullness(Timestamp now, const std::vector<std::string>& replicas) const;
 
+  /// The part of what is sent that the leaf is expected to refuse.
+  double RefusalRateOf(Timestamp now, const std::string& leaf) const;
+  /// The leaf's last refusal was for lack of room: asking it again soon is in vain.
+  bool Crowded(const std::string& leaf) const;
+
   uint32_t Outstanding(const std::string& leaf) const;
   double Limit(const std::string& leaf) const;
   std::vector<std::string> Names() const;
@@ -117,6 +123,7 @@
     Duration expected{};
     double load = 0;
     Timestamp load_at{};
+    RefusalHistory refusals;
     double fullness = 0;
     Timestamp last_decrease{};
     Timestamp last_sent{};
@@ -150,6 +157,7 @@
   void NoteFailure(LeafState* state, Timestamp now);
   /// A sub-request that was out for `used` times as long as expected was given up.
   void NoteLoss(LeafState* state, Timestamp now, double used);
+  void NoteShed(LeafState* state, Timestamp now, uint32_t load);
   void NoteSuccess(LeafState* state, Timestamp now, double slowness, uint32_t load);
 
   BalanceKnobs knobs_;
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -23,6 +23,15 @@
   return request;
 }
 
+std::vector<wire::PartialGap> GapsOf(const std::vector<query::MissingShard>& missing) {
+  std::vector<wire::PartialGap> gaps;
+  gaps.reserve(missing.size());
+  for (const query::MissingShard& shard : missing) {
+    gaps.push_back({static_cast<uint32_t>(shard.shard.value), static_cast<uint32_t>(shard.reason)});
+  }
+  return gaps;
+}
+
 wire::PartialAnswer WordWithoutParts(uint64_t question, wire::PartialStage stage) {
   wire::PartialAnswer word;
   word.id = question;
@@ -65,22 +74,31 @@
   return among_them ? fellows : 0;
 }
 
-size_t GatewayServer::FellowOwners(const wire::PartialQuery& query) {
+std::optional<GatewayServer::GroupOfRoute> GatewayServer::FindGroup(
+    const wire::PartialQuery& query) const {
   const auto& routes = table_->set().routes;
   const auto route = std::find_if(routes.begin(), routes.end(), [&query](const auto& candidate) {
     return candidate.name == query.route;
   });
-  // Another document than the root's may cut the shards otherwise: the group is none of ours then.
   if (route == routes.end() || query.groups == 0 || query.groups > route->shards.size()) {
-    return 0;
+    return std::nullopt;
   }
-  const std::vector<query::ShardRange> ranges = CutIntoGroups(route->shards.size(), query.groups);
+  std::vector<query::ShardRange> ranges = CutIntoGroups(route->shards.size(), query.groups);
   for (size_t i = 0; i < ranges.size(); ++i) {
     if (route->shards[ranges[i].first] == query.shards.front()) {
-      return FellowOwners(PlaceOf(route->shards, ranges, i), route->homes);
+      return GroupOfRoute{&*route, std::move(ranges), i};
     }
   }
-  return 0;
+  return std::nullopt;
+}
+
+size_t GatewayServer::FellowOwners(const GroupOfRoute& group) {
+  return FellowOwners(PlaceOf(group.route->shards, group.ranges, group.index), group.route->homes);
+}
+
+size_t GatewayServer::MayMissOf(const GroupOfRoute& group, const std::string& request_id) {
+  return query::MayMiss(group.route->shards.size(), group.route->min_coverage, group.ranges.size(),
+                        group.index, request_id);
 }
 
 void GatewayServer::OnPartialQuery(Timestamp now, PeerSessionId session,
@@ -119,11 +137,13 @@
                               .route = query.route,
                               .report_at = arrived + query.report_after,
                               .last_word = now,
-                              .unreported = {}};
+                              .unreported = {},
+                              .unreported_gaps = {}};
   MergeForLackOfLeafs(now, query.shards);
   const std::set<std::string> homes(query.homes.begin(), query.homes.end());
   const Target& target = TargetOf(query.shards, homes);
-  const size_t fellows = FellowOwners(query);
+  const std::optional<GroupOfRoute> group = FindGroup(query);
+  const size_t fellows = group.has_value() ? FellowOwners(*group) : 0;
   const double spare = options_.knobs.spare_gateways;
   const double allowance = fellows == 0 ? OrdinaryAllowance(/*shared=*/true)
                                         : options_.knobs.mergers_allowance_share *
@@ -147,6 +167,10 @@
   plan.hedge_quantile = options_.knobs.hedge_quantile;
   plan.max_attempts = std::max(1U, query.max_attempts);
   query::ExecutionOptions options = ExecutionOptionsFor(now, *active.request);
+  options.ask_refusing_again = true;
+  options.rank = query::RankOf(query.request_id);
+  options.may_miss = group.has_value() ? MayMissOf(*group, query.request_id) : 0;
+  active.partial->may_miss = options.may_miss;
   options.charge_first = query.again;
   options.report_parts = true;
   options.hold_attempts = plan.max_attempts > 1 && !query.stand_by;
@@ -223,6 +247,9 @@
   }
   word.records = MergeGreatest(bodies, job->top_records);
   job->unreported.clear();
+  if (stage != wire::PartialStage::kDone) {
+    word.gaps = GapsOf(std::exchange(job->unreported_gaps, {}));
+  }
   return word;
 }
 
@@ -233,12 +260,13 @@
   for (query::ShardPayload& part : active.execution->TakeNewParts()) {
     job.unreported.push_back(std::move(part));
   }
+  for (const query::MissingShard& gap : active.execution->TakeNewGaps()) {
+    job.unreported_gaps.push_back(gap);
+    ++job.gaps;
+  }
   if (answer.has_value()) {
     wire::PartialAnswer word = TakePartialWord(&job, wire::PartialStage::kDone);
-    for (const query::MissingShard& missing : answer->coverage.missing) {
-      word.gaps.push_back(
-          {static_cast<uint32_t>(missing.shard.value), static_cast<uint32_t>(missing.reason)});
-    }
+    word.gaps = GapsOf(answer->coverage.missing);
     word.run = static_cast<uint32_t>(answer->run);
     word.extra = answer->extra_sub_requests;
     SendWord(job.session, std::move(word));
@@ -252,16 +280,20 @@
   const Timestamp reported =
       std::max(job.report_at, job.last_word + options_.knobs.report_interval);
   const Timestamp sign = job.last_word + options_.knobs.sign_of_life;
-  const bool report = !job.unreported.empty() && now >= reported;
+  // The whole gather may be lost with this group: the one that asked need not wait to hear of it.
+  const bool hopeless = !job.unreported_gaps.empty() && job.gaps > job.may_miss &&
+                        now >= job.last_word + options_.knobs.report_interval;
+  const bool report = hopeless || (!job.unreported.empty() && now >= reported);
   if (report || now >= sign) {
-    const bool with_parts = report && !job.unreported.empty();
-    SendWord(job.session, with_parts
-                              ? TakePartialWord(&job, wire::PartialStage::kParts)
-                              : WordWithoutParts(job.question, wire::PartialStage::kAccepted));
+    SendWord(job.session, report ? TakePartialWord(&job, wire::PartialStage::kParts)
+                                 : WordWithoutParts(job.question, wire::PartialStage::kAccepted));
     job.last_word = now;
   }
   Timestamp wake =
       std::min(active.execution->NextWake(now), job.last_word + options_.knobs.sign_of_life);
+  if (!job.unreported_gaps.empty() && job.gaps > job.may_miss) {
+    wake = std::min(wake, job.last_word + options_.knobs.report_interval);
+  }
   if (!job.unreported.empty() || job.report_at > now) {
     wake = std::min(wake, std::max(job.report_at, job.last_word + options_.knobs.report_interval));
   }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -216,9 +216,14 @@
   caller.snapshot = snapshot.id;
   query::ServiceContext context{&pool_, target.budgets.front(), active.runtime->latencies.get(),
                                 [this] { return SubRequestId{ids_.Next()}; }, target.budgets};
+  query::ExecutionOptions options = ExecutionOptionsFor(now, *active.request);
+  options.ask_refusing_again = route.gathers();
+  options.rank = query::RankOf(active.request->request_id);
+  options.may_miss = query::MayMiss(services.size(), route.min_coverage, /*groups=*/1,
+                                    /*group=*/0, active.request->request_id);
   active.execution = std::make_unique<query::RequestExecution>(
       std::move(caller), PlanFor(route, *active.request), nullptr, target.service, snapshot,
-      std::move(context), ExecutionOptionsFor(now, *active.request), arrived);
+      std::move(context), options, arrived);
   active.execution->Advance(now);
   Collect(now, id);
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -273,6 +273,11 @@
     Timestamp report_at{};
     Timestamp last_word{};
     std::vector<query::ShardPayload> unreported;
+    /// Shards that were given up and not told yet.
+    std::vector<query::MissingShard> unreported_gaps;
+    /// Given up so far, and how many of them the whole gather can do without.
+    size_t gaps = 0;
+    size_t may_miss = 0;
   };
   struct Active {
     std::shared_ptr<const PayloadRequest> request;
@@ -472,8 +477,18 @@
   void SendWord(PeerSessionId session, wire::PartialAnswer word);
   /// Gateways that own a group, this one among them; zero: it is none of them.
   size_t FellowOwners(const GroupPlace& place, const std::set<std::string>& homes);
-  /// The same for the group of a question, by the document that is held here.
-  size_t FellowOwners(const wire::PartialQuery& query);
+  /// A group by the document that is held here.
+  struct GroupOfRoute {
+    const routing::Route* route = nullptr;
+    std::vector<query::ShardRange> ranges;
+    size_t index = 0;
+  };
+  /// The group that a question is about; another document than the root's may cut the shards
+  /// otherwise: it is none of ours then.
+  std::optional<GroupOfRoute> FindGroup(const wire::PartialQuery& query) const;
+  size_t FellowOwners(const GroupOfRoute& group);
+  /// How many of its shards the whole gather can do without.
+  static size_t MayMissOf(const GroupOfRoute& group, const std::string& request_id);
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
   void Refuse(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
               ResultCode code, Duration retry_after);
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -116,6 +116,9 @@
   ++given_up_;
   held_nowhere_ |= shard->not_held >= shard->shard.replicas.size();
   SetWaiting(shard, false);
+  if (options_.report_parts) {
+    new_gaps_.push_back({shard->shard.id, shard->reason});
+  }
 }
 
 void RequestExecution::Advance(Timestamp now) {
@@ -214,23 +217,34 @@
       GiveUp(shard);
       return;
     }
-    shard->tried.clear();
-    const Duration pause = kFirstRoundPause * (1 << shard->rounds);
-    shard->next_round = now + std::min(pause, kLongestRoundPause);
-    ++shard->rounds;
-    SetWaiting(shard, true);
+    StartNextRound(now, shard);
+    return;
+  }
+  if (RefusedInPassing(*shard) && !WorthAskingAgain(now, *shard)) {
+    GiveUp(shard);
     return;
   }
   const bool first = shard->attempts.empty() && !options_.charge_first;
   const SendKind kind = first         ? SendKind::kFirst
                         : all_refused ? SendKind::kReplacement
                                       : SendKind::kExtra;
-  const bool sent = SendTo(now, shard, kind);
-  if (!sent && RefusedOften(*shard)) {
+  const SendResult result = SendTo(now, shard, kind);
+  const bool denied = result == SendResult::kNoAllowance && RefusedInPassing(*shard);
+  if (denied || (result != SendResult::kSent && RefusedOften(*shard))) {
     GiveUp(shard);
     return;
   }
-  SetWaiting(shard, !sent);
+  SetWaiting(shard, result != SendResult::kSent);
+}
+
+void RequestExecution::StartNextRound(Timestamp now, ShardProgress* shard) {
+  shard->tried.clear();
+  // Leafs without room need ever more time; the others may take the next one.
+  const int growth = RefusedInPassing(*shard) ? 0 : shard->rounds;
+  const Duration pause = kFirstRoundPause * (1 << growth);
+  shard->next_round = now + std::min(pause, kLongestRoundPause);
+  ++shard->rounds;
+  SetWaiting(shard, true);
 }
 
 balance::ExtraLoadLimit* RequestExecution::BudgetOf(const ShardProgress& shard) const {
@@ -251,7 +265,54 @@
 }
 
 bool RequestExecution::RefusedOften(const ShardProgress& shard) const {
-  return plan_.max_attempts > 0 && shard.attempts.size() >= plan_.max_attempts;
+  const auto counted = std::count_if(shard.attempts.begin(), shard.attempts.end(),
+                                     [](const Attempt& attempt) { return !attempt.passing; });
+  return plan_.max_attempts > 0 && static_cast<uint32_t>(counted) >= plan_.max_attempts;
+}
+
+bool RequestExecution::RefusedInPassing(const ShardProgress& shard) const {
+  return !shard.attempts.empty() && shard.attempts.back().passing;
+}
+
+bool RequestExecution::RefusedEverywhere(Timestamp now, const ShardProgress& shard) const {
+  const auto& replicas = shard.shard.replicas;
+  return std::all_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
+    return context_.pool->RefusalRateOf(now, replica) >= kFrequentRefusals;
+  });
+}
+
+bool RequestExecution::IsPaidFor(Timestamp now) {
+  if (!paid_for_.has_value()) {
+    std::vector<double> left;
+    for (const ShardProgress& shard : shards_) {
+      if (RefusedEverywhere(now, shard)) {
+        left.push_back(BudgetOf(shard)->PartLeft(now));
+      }
+    }
+    paid_for_ = PaidFor(options_.rank, std::move(left), options_.may_miss);
+  }
+  return *paid_for_;
+}
+
+bool RequestExecution::WorthAskingAgain(Timestamp now, const ShardProgress& shard) {
+  // Elsewhere a leaf is left that takes it.
+  if (!RefusedEverywhere(now, shard)) {
+    return true;
+  }
+  const GatherNeed need{options_.may_miss, shards_.size() - covered_};
+  return IsPaidFor(now) && WorthReplacing(need, BudgetOf(shard)->PartLeft(now));
+}
+
+bool RequestExecution::WorthHedge(Timestamp now, const ShardProgress& shard) const {
+  if (!options_.ask_refusing_again) {
+    return true;
+  }
+  const auto& replicas = shard.shard.replicas;
+  const bool refusals =
+      std::any_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
+        return context_.pool->RefusalRateOf(now, replica) >= kFrequentRefusals;
+      });
+  return WorthHedging(refusals, BudgetOf(shard)->PartLeft(now));
 }
 
 bool RequestExecution::OnProbation() const {
@@ -276,10 +337,11 @@
   probes_lost_ += attempt.probe && !proven_ ? 1 : 0;
 }
 
-bool RequestExecution::SendTo(Timestamp now, ShardProgress* shard, SendKind kind) {
+RequestExecution::SendResult RequestExecution::SendTo(Timestamp now, ShardProgress* shard,
+                                                      SendKind kind) {
   const bool probe = OnProbation();
   if (probe && !MayProbe(now)) {
-    return false;
+    return SendResult::kNoLeaf;
   }
   std::set<std::string> excluded = shard->tried;
   const bool others_only = RefusedOften(*shard);
@@ -291,10 +353,10 @@
   const std::optional<std::string> leaf =
       context_.pool->Choose(now, shard->shard.replicas, excluded);
   if (!leaf.has_value()) {
-    return false;
+    return SendResult::kNoLeaf;
   }
   if (!MayPay(now, *shard, kind)) {
-    return false;
+    return SendResult::kNoAllowance;
   }
   if (kind == SendKind::kFirst) {
     BudgetOf(*shard)->OnRegular(now, plan_.extra_load);
@@ -308,7 +370,7 @@
   context_.pool->OnSent(now, *leaf, id, ExpectedLatency());
   ++sent_;
   extra_ += kind == SendKind::kFirst ? 0 : 1;
-  return true;
+  return SendResult::kSent;
 }
 
 Duration RequestExecution::ExpectedLatency() const {
@@ -332,7 +394,9 @@
 void RequestExecution::MaybeHedge(Timestamp now, ShardProgress* shard) {
   const bool single =
       ActiveAttempts(*shard) == 1 && shard->shard.replicas.size() > 1 && !Held(*shard);
-  if (single && MayAttemptAgain(*shard) && now - shard->attempts.back().sent >= HedgeDelay()) {
+  const bool due =
+      single && MayAttemptAgain(*shard) && now - shard->attempts.back().sent >= HedgeDelay();
+  if (due && WorthHedge(now, *shard)) {
     SendTo(now, shard, SendKind::kExtra);
   }
 }
@@ -368,6 +432,8 @@
     attempt->state = refused                 ? AttemptState::kRefused
                      : reply.connection_lost ? AttemptState::kLost
                                              : AttemptState::kFailed;
+    attempt->passing = options_.ask_refusing_again && reply.status == LeafStatus::kShed &&
+                       !context_.pool->Crowded(reply.leaf);
     Refused(&shard, reply);
   }
   if (was_on_probation != OnProbation() || FailedProbation()) {
@@ -529,7 +595,7 @@
   }
   const size_t active = ActiveAttempts(shard);
   if (active == 0) {
-    return std::max(shard.next_round, now + options_.poll);
+    return shard.next_round > now ? shard.next_round : now + options_.poll;
   }
   const Timestamp sent = shard.attempts.back().sent;
   if (options_.naive_retry_timeout.count() > 0) {
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -18,6 +18,7 @@
 #include "common/types.h"
 #include "config/model.h"
 #include "policy/policy_program.h"
+#include "query/extra_order.h"
 #include "query/messages.h"
 
 namespace pumicedyke::query {
@@ -48,6 +49,14 @@
   double hedge_median_factor = 0;
   /// A sub-request that replaces a refused one is charged to the budget, too.
   bool charge_replacements = false;
+  /// A leaf that refused although it has room is asked again after a short pause, as long as the
+  /// budget and the order of spending (extra_order.h) allow it. For gathers, whose other shards may
+  /// have run meanwhile; otherwise the caller hears of the refusal at once.
+  bool ask_refusing_again = false;
+  /// With `ask_refusing_again`: this request's place among those that compete for the budget.
+  double rank = 0;
+  /// With `ask_refusing_again`: shards that the request can do without.
+  size_t may_miss = 0;
   /// Somebody else may have sent already: a shard's first sub-request is charged like a hedge.
   bool charge_first = false;
   /// Parts can be taken with TakeNewParts() as they come.
@@ -127,6 +136,8 @@
   ExecutionActions TakeActions();
   /// Parts that came since the last call; with `report_parts` only.
   std::vector<ShardPayload> TakeNewParts() { return std::exchange(new_parts_, {}); }
+  /// Shards that were given up since the last call; with `report_parts` only.
+  std::vector<MissingShard> TakeNewGaps() { return std::exchange(new_gaps_, {}); }
   /// When Advance() must be called next, if no reply comes before.
   Timestamp NextWake(Timestamp now) const;
 
@@ -157,6 +168,8 @@
     AttemptState state = AttemptState::kPossiblyRunning;
     /// Sent on probation.
     bool probe = false;
+    /// It was refused by a leaf that has room and may take the next one.
+    bool passing = false;
   };
   struct ShardProgress {
     config::Shard shard;
@@ -187,13 +200,15 @@
     /// A hedge, or a retry after an attempt that may have run.
     kExtra,
   };
+  enum class SendResult { kSent, kNoLeaf, kNoAllowance };
   bool MayPay(Timestamp now, const ShardProgress& shard, SendKind kind) const;
   balance::ExtraLoadLimit* BudgetOf(const ShardProgress& shard) const;
   /// Attempts that ran or may have: the cap on attempts protects leafs from working twice, and one
   /// that a leaf refused cost it no work.
   static uint32_t PossibleRuns(const ShardProgress& shard);
   bool MayAttemptAgain(const ShardProgress& shard) const;
-  /// As many attempts were made as may run, and some of them were refused.
+  /// As many attempts were made as may run, and some of them were refused; those that a leaf with
+  /// room refused don't count.
   bool RefusedOften(const ShardProgress& shard) const;
   /// No leaf has answered it yet, and it may be what ends them.
   bool OnProbation() const;
@@ -204,7 +219,17 @@
   bool FailedProbation() const { return !proven_ && probes_lost_ >= options_.most_lost_probes; }
   /// It was sent to once and must not be again yet.
   bool Held(const ShardProgress& shard) const;
-  bool SendTo(Timestamp now, ShardProgress* shard, SendKind kind);
+  /// The order of spending holds for this shard: a leaf with room has refused it.
+  bool RefusedInPassing(const ShardProgress& shard) const;
+  /// Every leaf of the shard refuses often.
+  bool RefusedEverywhere(Timestamp now, const ShardProgress& shard) const;
+  /// Decides, when it is asked first, whether this request is paid for at such shards.
+  bool IsPaidFor(Timestamp now);
+  bool WorthAskingAgain(Timestamp now, const ShardProgress& shard);
+  bool WorthHedge(Timestamp now, const ShardProgress& shard) const;
+  /// Every replica was tried in vain: the next round comes after a pause.
+  void StartNextRound(Timestamp now, ShardProgress* shard);
+  SendResult SendTo(Timestamp now, ShardProgress* shard, SendKind kind);
   void SendPrimaryOrRetry(Timestamp now, ShardProgress* shard);
   void MaybeHedge(Timestamp now, ShardProgress* shard);
   void MaybeNaiveRetry(Timestamp now, ShardProgress* shard);
@@ -257,7 +282,10 @@
   /// Those among them that were tries on probation.
   size_t probes_lost_ = 0;
   ExecutionActions actions_;
+  /// What IsPaidFor() decided.
+  std::optional<bool> paid_for_;
   std::vector<ShardPayload> new_parts_;
+  std::vector<MissingShard> new_gaps_;
 };
 
 }  // namespace pumicedyke::query
--- a/src/query/shared_gather.cc
+++ b/src/query/shared_gather.cc
@@ -160,7 +160,7 @@
   group->ended = true;
   for (size_t i = 0; i < group->shards.count; ++i) {
     Shard& shard = shards_[group->shards.first + i];
-    lost_ += shard.covered ? 0 : 1;
+    Lose(&shard);
     const bool untold = !shard.covered && shard.reason == MissingReason::kNotSent;
     if (untold && !group->questions.empty()) {
       shard.reason = MissingReason::kUnreachable;
@@ -168,6 +168,18 @@
   }
 }
 
+void SharedGather::Lose(Shard* shard) {
+  lost_ += shard->covered || shard->lost ? 0 : 1;
+  shard->lost = !shard->covered;
+}
+
+void SharedGather::Cover(Shard* shard) {
+  covered_ += shard->covered ? 0 : 1;
+  lost_ -= shard->lost ? 1 : 0;
+  shard->covered = true;
+  shard->lost = false;
+}
+
 SharedGather::Question* SharedGather::FindOpen(uint64_t id) {
   const auto found = group_of_.find(id);
   if (found == group_of_.end() || answered_) {
@@ -222,15 +234,15 @@
     if (part.shard >= group.shards.count) {
       continue;
     }
-    Shard& shard = shards_[group.shards.first + part.shard];
-    covered_ += shard.covered ? 0 : 1;
-    shard.covered = true;
+    Cover(&shards_[group.shards.first + part.shard]);
     outcome_.signatures.push_back(part.signature);
     ran_ = true;
   }
   for (const wire::PartialGap& gap : word.gaps) {
     if (gap.shard < group.shards.count) {
-      shards_[group.shards.first + gap.shard].reason = static_cast<MissingReason>(gap.reason);
+      Shard& shard = shards_[group.shards.first + gap.shard];
+      shard.reason = static_cast<MissingReason>(gap.reason);
+      Lose(&shard);
     }
   }
   if (!word.records.empty()) {
--- a/src/query/shared_gather.h
+++ b/src/query/shared_gather.h
@@ -152,6 +152,8 @@
   };
   struct Shard {
     bool covered = false;
+    /// Its merger has said that no part will come.
+    bool lost = false;
     MissingReason reason = MissingReason::kNotSent;
   };
 
@@ -168,6 +170,8 @@
   /// A merger has spoken for the first time: the group is its own.
   void Accept(Group* group, Question* question);
   void End(Group* group);
+  void Lose(Shard* shard);
+  void Cover(Shard* shard);
   void TakeParts(const Group& group, const wire::PartialAnswer& word);
   bool Silent(Timestamp now, const Question& question) const;
   /// When something has to be decided about a group.
@@ -187,7 +191,7 @@
   std::vector<Shard> shards_;
   std::map<uint64_t, size_t> group_of_;
   size_t covered_ = 0;
-  /// Shards without a part in groups that have ended.
+  /// Shards that get no part: their merger gave them up, or their group has ended.
   size_t lost_ = 0;
   bool ran_ = false;
   bool unknown_ = false;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -284,7 +284,7 @@
   std::vector<PartialPart> parts;
   /// The greatest records of these parts.
   std::string records;
-  /// With the last word only.
+  /// Shards of which no part will come. The last word names all that are missing.
   std::vector<PartialGap> gaps;
   /// A query::RunState, with the last word only.
   uint32_t run = 0;
--- a/test/balance/leaf_pool_test.cc
+++ b/test/balance/leaf_pool_test.cc
@@ -45,7 +45,9 @@
   CPPUNIT_TEST(UnknownLeafWaitsForItsFirstReport);
   CPPUNIT_TEST(LeafThatWasGoneWaitsForAFreshReport);
   CPPUNIT_TEST(FailuresEjectAndProbationBringsBack);
-  CPPUNIT_TEST(SheddingLowersTheLimit);
+  CPPUNIT_TEST(SheddingForLackOfRoomLowersTheLimit);
+  CPPUNIT_TEST(LeafThatRefusesWithRoomStaysOpen);
+  CPPUNIT_TEST(LeafThatRefusesOftenIsDrawnLessOftenUntilItRecovers);
   CPPUNIT_TEST(ExtraLoadStaysWithinItsShare);
   CPPUNIT_TEST(LeafsAreComparedByWhatWasExpectedOfThem);
   CPPUNIT_TEST(LeafLeftAloneLooksNoFasterThanUsual);
@@ -217,13 +219,63 @@
     CPPUNIT_ASSERT(pool.AvailabilityOf("a", back) == Availability::kReady);
   }
 
-  void SheddingLowersTheLimit() {
+  void SheddingForLackOfRoomLowersTheLimit() {
     LeafPool pool({}, 1);
     pool.Configure(kStart, "a", 4);
     const double before = pool.Limit("a");
     pool.OnSent(kStart, "a", SubRequestId{1});
-    pool.OnReply(kStart, Reply("a", SubRequestId{1}, query::LeafStatus::kShed));
+    query::LeafReply full = Reply("a", SubRequestId{1}, query::LeafStatus::kShed);
+    full.load = 16;
+    pool.OnReply(kStart, full);
     CPPUNIT_ASSERT(pool.Limit("a") < before);
+    CPPUNIT_ASSERT(pool.Crowded("a"));
+    // One that does not tell its load is known to be full by its refusals in a row.
+    pool.Configure(kStart, "b", 4);
+    uint64_t id = 1;
+    while (id < 20 && !pool.Crowded("b")) {
+      pool.OnSent(kStart, "b", SubRequestId{++id});
+      pool.OnReply(kStart, Reply("b", SubRequestId{id}, query::LeafStatus::kShed));
+    }
+    CPPUNIT_ASSERT(pool.Limit("b") < before);
+  }
+
+  /// A leaf that sheds two requests of three at random seemed busy to everybody after a few.
+  void LeafThatRefusesWithRoomStaysOpen() {
+    LeafPool pool({}, 1);
+    pool.Configure(kStart, "a", 2);
+    Timestamp now = kStart;
+    for (uint64_t id = 1; id <= 30; ++id) {
+      now += Milliseconds(20);
+      pool.OnSent(now, "a", SubRequestId{id});
+      const bool taken = id % 3 == 0;
+      pool.OnReply(now, Reply("a", SubRequestId{id},
+                              taken ? query::LeafStatus::kOk : query::LeafStatus::kShed));
+      CPPUNIT_ASSERT(pool.AvailabilityOf("a", now) == Availability::kReady);
+      CPPUNIT_ASSERT(!pool.Crowded("a"));
+    }
+    CPPUNIT_ASSERT(pool.RefusalRateOf(now, "a") > 0.4);
+  }
+
+  void LeafThatRefusesOftenIsDrawnLessOftenUntilItRecovers() {
+    LeafPool pool({}, 1);
+    pool.Configure(kStart, "a", 2);
+    pool.Configure(kStart, "b", 2);
+    uint64_t id = 0;
+    for (int i = 0; i < 3; ++i) {
+      pool.OnSent(kStart, "a", SubRequestId{++id});
+      pool.OnReply(kStart, Reply("a", SubRequestId{id}, query::LeafStatus::kShed));
+    }
+    CPPUNIT_ASSERT(Draws(&pool, kStart, "a", "b") < 30);
+    // It is not forgotten at once, but in time.
+    CPPUNIT_ASSERT(Draws(&pool, kStart + Seconds(2), "a", "b") < 100);
+    CPPUNIT_ASSERT(Draws(&pool, kStart + Seconds(40), "a", "b") > 400);
+    // What it takes again tells the same sooner.
+    const Timestamp later = kStart + Seconds(5);
+    for (int i = 0; i < 8; ++i) {
+      pool.OnSent(later, "a", SubRequestId{++id});
+      pool.OnReply(later, Reply("a", SubRequestId{id}, query::LeafStatus::kOk));
+    }
+    CPPUNIT_ASSERT(Draws(&pool, later, "a", "b") > 300);
   }
 
   void ExtraLoadStaysWithinItsShare() {
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -150,8 +150,9 @@
     return id;
   }
   void Reply(const LeafSend& send, query::LeafStatus status, const std::string& body = "",
-             int http_status = 200) {
+             int http_status = 200, uint32_t load = 0) {
     query::LeafReply reply;
+    reply.load = load;
     reply.id = send.id;
     reply.leaf = send.leaf;
     reply.shard = send.shard;
--- a/test/gateway/gateway_property_test.cc
+++ b/test/gateway/gateway_property_test.cc
@@ -19,6 +19,8 @@
     R"([["one", "/one/", true, "s2"], ["job", "/job/", false, "s0"], ["all", "/all/", true, "s1", "s2"]])";
 constexpr uint32_t kMaxAttempts = 2;
 constexpr Duration kTimeout = Seconds(2);
+/// Told by a leaf that refuses for lack of room.
+constexpr uint32_t kFullLoad = 50;
 /// Sends are looked at this late at most.
 constexpr Duration kSlice = Milliseconds(5);
 
@@ -31,6 +33,8 @@
   std::map<uint64_t, uint32_t> runs;
   std::map<uint64_t, std::set<std::string>> leafs;
   std::map<uint64_t, uint32_t> attempts;
+  /// Services that got it.
+  std::set<std::string> sent_to;
   int may_have_run = 0;
 };
 
@@ -115,7 +119,12 @@
       --asked.may_have_run;
       --asked.runs[send.shard.value];
     }
-    h_.Reply(send, status, status == LeafStatus::kOk ? std::string(kRecordBytes, 'r') : "");
+    const bool full = status == LeafStatus::kShed && *rc::gen::arbitrary<bool>();
+    Asked& refused = asked_.at(RequestOf(send));
+    const bool passing = status == LeafStatus::kShed && !full && refused.kind == "all";
+    refused.attempts[send.shard.value] -= passing ? 1 : 0;
+    h_.Reply(send, status, status == LeafStatus::kOk ? std::string(kRecordBytes, 'r') : "", 200,
+             full ? kFullLoad : 0);
   }
 
   void ClientLeaves() {
@@ -144,9 +153,15 @@
       RC_ASSERT(!retired_.contains(send.leaf));
       RC_ASSERT(!asked.left);
       RC_ASSERT(++asked.runs[send.shard.value] <= kMaxAttempts);
-      // Beyond the cap only what was refused goes on, and to no leaf a second time.
+      // Beyond the cap only what was refused goes on, and to no leaf a second time. Refusals of
+      // gathers by leafs that have room don't count.
       const bool fresh = asked.leafs[send.shard.value].insert(send.leaf).second;
       RC_ASSERT(++asked.attempts[send.shard.value] <= kMaxAttempts || fresh);
+      // All histories are shorter than a window of the budget, or nearly so: twice the bound.
+      const std::string service = send.leaf.substr(0, 2);
+      const bool first = asked.sent_to.insert(service).second;
+      ++(first ? regular_ : extra_)[service];
+      RC_ASSERT(extra_[service] <= 2 * GatewayOptions{}.extra_load.allowance + regular_[service]);
       RC_ASSERT(h_.now + send.budget <= asked.at + kTimeout + kSlice);
       ++asked.may_have_run;
       RC_ASSERT(asked.kind != "job" || asked.may_have_run <= 1);
@@ -173,6 +188,8 @@
   std::map<uint64_t, Asked> asked_;
   std::vector<LeafSend> open_;
   std::set<std::string> retired_;
+  std::map<std::string, double> regular_;
+  std::map<std::string, double> extra_;
 };
 
 }  // namespace
