Steps of gathered answers in metrics and logs; mergers keep two connections a leaf; lighter lag to begin with

Cause: each gateway sees few answers of a kind, so what the lag is taken to be at first decides most of them: 16 ms were in it, and answers of clients that had spent nothing went out 8 ms before they were due. Each new connection takes 6 ms of an aim of 50; of two that a leaf's slots need, one was closed after a second of rest. An unready poll went on for as long as events came, and what was due at the end of the turn waited.

Change: the lag begins with the work of 1 to 8 words; 2 ms are left for what no gateway sees (whole milliseconds of clients, the answer's bytes on its link). Two connections to each leaf stay at mergers, within their part. One pass a poll.

--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -118,6 +118,7 @@
                               .question = query.id,
                               .top_records = query.top_records,
                               .route = query.route,
+                              .begun = now,
                               .report_at = arrived + query.report_after,
                               .last_word = now,
                               .unreported = {}};
@@ -245,9 +246,10 @@
     word.extra = answer->extra_sub_requests;
     SendWord(job.session, std::move(word), active.priority);
     output_.partials.push_back({active.request->request_id, active.request->identity, job.route,
-                                answer->run, now - active.execution->started(),
-                                answer->coverage.total(), answer->extra_sub_requests,
-                                active.execution->Attempts(), answer->coverage.missing});
+                                answer->run, job.begun - active.execution->started(),
+                                now - active.execution->started(), answer->coverage.total(),
+                                answer->extra_sub_requests, active.execution->Attempts(),
+                                answer->coverage.missing});
     Remove(id);
     return;
   }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -39,7 +39,7 @@
 /// many as may come with it.
 RecentDurations LagToBeginWith(const GatewayOptions& options) {
   RecentDurations lag(options.knobs.lag_memory);
-  for (const size_t words : {1U, 2U, 4U, 8U, 16U, 32U}) {
+  for (const size_t words : {1U, 2U, 2U, 4U, 4U, 8U}) {
     lag.Record(TimeForWords(words, options.processor_share, options.knobs.sharing_costs));
   }
   return lag;
@@ -152,6 +152,11 @@
   return runtime;
 }
 
+Duration GatewayServer::LeafLatency(const std::string& route, double quantile) const {
+  const auto runtime = runtimes_.find(route);
+  return runtime == runtimes_.end() ? Duration(0) : runtime->second.latencies->Quantile(quantile);
+}
+
 std::optional<Duration> GatewayServer::SpentByClient(const routing::Route& route,
                                                      const PayloadRequest& request) const {
   const auto runtime = runtimes_.find(route.name);
@@ -283,6 +288,10 @@
     out.max_connections = std::max(ConnectionShare(record.service), active->merger_connections);
     out.keep_connection =
         active->merger_connections > 0 || keeper_.IsPreferred(record.service, send.leaf);
+    if (active->merger_connections > 0) {
+      out.kept_connections =
+          std::min(options_.knobs.merger_kept_connections, active->merger_connections);
+    }
     out.shard = send.shard;
     out.keep_headers = !active->gathers;
     out.tenant = active->tenant;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -117,6 +117,12 @@
   quarantine::WitnessOptions witness;
   /// What was seen of lost runs is told to control this soon.
   Duration run_report_interval = Milliseconds(20);
+  /// What a gateway cannot see of an answer's lateness: clients tell whole milliseconds, and the
+  /// answer's bytes take time on the links.
+  Duration unseen_lag = Milliseconds(2);
+  /// Connections that a merger keeps to each leaf of its shards: as many as a leaf mostly works on
+  /// at once. One that is made anew takes longer than a tight aim bears.
+  size_t merger_kept_connections = 2;
   /// Answers after which one counts half for what is known of their lag.
   double lag_memory = 32;
   /// Requests with more body than this are gathered alone: each merger would need a copy.
@@ -254,6 +260,8 @@
   const LeafView& leafs() const { return view_; }
   const PeerView& peers() const { return peers_; }
   size_t in_progress() const { return active_.size(); }
+  /// How long sub-requests of a route took of late, by quantile; zero: the route has asked no leaf.
+  Duration LeafLatency(const std::string& route, double quantile) const;
   /// Requests that are sent to no leaf.
   const std::set<RequestIdentity>& quarantined() const { return quarantined_; }
   uint64_t config_version() const { return subscriber_.config().version().value; }
@@ -283,6 +291,7 @@
     uint64_t question = 0;
     size_t top_records = 0;
     std::string route;
+    Timestamp begun{};
     /// What is in by then is reported, and what comes later as it comes.
     Timestamp report_at{};
     Timestamp last_word{};
@@ -425,7 +434,7 @@
   /// Groups that the shards of a route are cut into for other gateways; 1: none is asked.
   size_t GroupsOf(const routing::Route& route) const;
   /// How much of the objective is left to gateways from a request's arrival on: what the client has
-  /// spent and the way in both directions are off. Unset: it cannot be told.
+  /// spent, the way in both directions and what cannot be seen are off. Unset: it cannot be told.
   std::optional<Duration> LeftToGateways(const routing::Route& route,
                                          const PayloadRequest& request) const;
   /// Decides when an answer that lacks parts goes out by what was learnt, where there is enough to
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -139,7 +139,7 @@
   if (!spent.has_value() || request.round_trip.count() == 0) {
     return std::nullopt;
   }
-  return route.objective - *spent - request.round_trip;
+  return route.objective - *spent - request.round_trip - options_.knobs.unseen_lag;
 }
 
 void GatewayServer::SetLearntDue(const Active& active, query::SharedGather* shared) {
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -61,6 +61,8 @@
   std::string tenant;
   /// Of the request; zero is the most urgent.
   int priority = 0;
+  /// With `keep_connection`: how many connections are kept.
+  size_t kept_connections = 1;
 };
 
 struct LeafCancel {
@@ -97,6 +99,8 @@
   RequestIdentity identity;
   std::string route;
   query::RunState run = query::RunState::kNotRun;
+  /// From the question's arrival to its beginning, and to its end.
+  Duration waited{};
   Duration elapsed{};
   size_t shards = 0;
   uint32_t extra_sub_requests = 0;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -148,7 +148,7 @@
     }
     if (call_->Expired(net::EventLoop::Now())) {
       const std::shared_ptr<Call> call = std::exchange(call_, nullptr);
-      ArmIdleTimer(/*close_soon=*/true);
+      ArmIdleTimer(/*kept=*/0);
       client_->OnIdle(this);
       client_->Expire(call);
       return;
@@ -214,7 +214,7 @@
     ++served_;
     const std::shared_ptr<Call> call = std::exchange(call_, nullptr);
     if (reusable) {
-      ArmIdleTimer(call->request.close_soon);
+      ArmIdleTimer(call->request.close_soon ? 0 : call->request.kept_connections);
       client_->OnIdle(this);
     } else {
       Close();
@@ -222,10 +222,10 @@
     client_->Finish(call, std::move(response));
   }
 
-  void ArmIdleTimer(bool close_soon) {
-    Duration limit = close_soon || host_->connections.size() > 1
-                         ? client_->options_.surplus_idle_limit
-                         : client_->options_.idle_limit;
+  /// @param kept connections of the address that stay.
+  void ArmIdleTimer(size_t kept) {
+    Duration limit = host_->connections.size() > kept ? client_->options_.surplus_idle_limit
+                                                      : client_->options_.idle_limit;
     if (idle_limit_.count() > 0) {
       limit = std::min(limit, idle_limit_);
     }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -49,6 +49,8 @@
   size_t max_connections = 0;
   /// No request to the address is to be expected soon: its connection is closed like one of many.
   bool close_soon = false;
+  /// Otherwise as many connections to the address outlive the surplus limit.
+  size_t kept_connections = 1;
   /// Of calls that wait for a connection, those with the least go first.
   int priority = 0;
 };
@@ -76,7 +78,7 @@
   size_t max_connections_per_host = 8;
   /// Idle connections are closed after this, or a little before the peer's own limit.
   Duration idle_limit = Seconds(60);
-  /// The same for all but one connection of an address: peers count the connections of a process
+  /// The same for connections of an address beyond those that are kept: peers count the connections of a process
   /// that lost power as open for long, so no more are kept than are needed.
   Duration surplus_idle_limit = Milliseconds(1000);
   Duration connect_timeout = Milliseconds(1000);
--- a/src/net/poller.cc
+++ b/src/net/poller.cc
@@ -94,7 +94,9 @@
 void Poller::Poll(Duration longest_wait) {
   waiting_ = true;
   if (longest_wait.count() <= 0) {
-    event_base_loop(base_, EVLOOP_NONBLOCK);
+    // Once: without that it goes on for as long as events come, and whatever waits for the end of
+    // this turn waits as long.
+    event_base_loop(base_, EVLOOP_NONBLOCK | EVLOOP_ONCE);
     return;
   }
   const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(longest_wait);
--- a/src/query/shared_gather.cc
+++ b/src/query/shared_gather.cc
@@ -138,7 +138,8 @@
   return true;
 }
 
-void SharedGather::Accept(Group* group, Question* question) {
+void SharedGather::Accept(Timestamp now, Group* group, Question* question) {
+  question->accepted = now;
   if (question->stand_by) {
     if (Question* slow = WorkingOf(group); slow != nullptr) {
       Replace(group, slow);
@@ -200,7 +201,7 @@
       break;
     case wire::PartialStage::kDone:
       if (question->state == QuestionState::kAsked) {
-        Accept(&group, question);
+        Accept(now, &group, question);
       }
       question->state = QuestionState::kDone;
       TakeParts(now, group, word);
@@ -210,7 +211,7 @@
       break;
     default:
       if (question->state == QuestionState::kAsked) {
-        Accept(&group, question);
+        Accept(now, &group, question);
       }
       TakeParts(now, group, word);
       break;
@@ -393,8 +394,14 @@
   std::vector<QuestionRecord> records;
   for (const Group& group : groups_) {
     for (const Question& question : group.questions) {
-      records.push_back(
-          {question.group, question.merger, question.sent - started_, name_of(question.state)});
+      QuestionRecord& record = records.emplace_back();
+      record.group = question.group;
+      record.merger = question.merger;
+      record.sent = question.sent - started_;
+      if (question.accepted.has_value()) {
+        record.accepted_after = *question.accepted - question.sent;
+      }
+      record.state = name_of(question.state);
     }
   }
   return records;
--- a/src/query/shared_gather.h
+++ b/src/query/shared_gather.h
@@ -95,6 +95,8 @@
   size_t group = 0;
   std::string merger;
   Duration sent{};
+  /// After what its first word came; unset: none came.
+  std::optional<Duration> accepted_after;
   /// "asked", "accepted", "done", "refused", "unused" or "lost".
   const char* state = "";
 };
@@ -150,6 +152,8 @@
     QuestionState state = QuestionState::kAsked;
     /// Nothing is sent for it yet, and nothing will be unless it is confirmed.
     bool stand_by = false;
+    /// When its first word came.
+    std::optional<Timestamp> accepted = {};
     bool open() const {
       return state == QuestionState::kAsked || state == QuestionState::kAccepted;
     }
@@ -179,7 +183,7 @@
   /// Gives up on a merger that is not heard of, and stops it in case it is only slow.
   void Replace(Group* group, Question* question);
   /// A merger has spoken for the first time: the group is its own.
-  void Accept(Group* group, Question* question);
+  void Accept(Timestamp now, Group* group, Question* question);
   void End(Group* group);
   void TakeParts(Timestamp now, const Group& group, const wire::PartialAnswer& word);
   bool Silent(Timestamp now, const Question& question) const;
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -26,6 +26,10 @@
   return list;
 }
 
+Json OptionalJson(const std::optional<Duration>& duration) {
+  return duration.has_value() ? Json(ToMilliseconds(*duration)) : Json();
+}
+
 /// Questions to other gateways: all of them, since a failed part is followed from here.
 Json QuestionsJson(const std::vector<query::QuestionRecord>& questions) {
   Json list = Json::array();
@@ -33,6 +37,7 @@
     list.push_back({{"group", question.group},
                     {"merger", question.merger},
                     {"sent_ms", ToMilliseconds(question.sent)},
+                    {"accepted_after_ms", OptionalJson(question.accepted_after)},
                     {"state", question.state}});
   }
   return list;
@@ -57,10 +62,6 @@
   std::vector<std::string> names_;
 };
 
-Json OptionalJson(const std::optional<Duration>& duration) {
-  return duration.has_value() ? Json(ToMilliseconds(*duration)) : Json();
-}
-
 /// How long before it was decided on an answer that lacks parts was due.
 Json DueBefore(const gateway::RequestTrace& trace) {
   return trace.due.has_value() ? OptionalJson(trace.decided - *trace.due) : Json();
@@ -125,6 +126,7 @@
                                 {"identity", ToText(trace.identity)},
                                 {"route", trace.route},
                                 {"run", query::RunStateName(trace.run)},
+                                {"waited_ms", ToMilliseconds(trace.waited)},
                                 {"elapsed_ms", ToMilliseconds(trace.elapsed)},
                                 {"shards", trace.shards},
                                 {"extra", trace.extra_sub_requests},
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -1,20 +1,89 @@
 #include "server/gateway_metrics.h"
 
 #include <algorithm>
+#include <array>
 
 #include "common/log.h"
 #include "http/metrics.h"
 
 namespace pumicedyke::server {
+namespace {
+
+struct NamedQuantile {
+  double quantile;
+  const char* name;
+};
+constexpr std::array<NamedQuantile, 3> kQuantiles = {{{0.5, "0.5"}, {0.9, "0.9"}, {0.99, "0.99"}}};
+
+}  // namespace
+
+RouteCounts* GatewayMetrics::CountsOf(const std::string& route) {
+  const bool counted_apart = routes_.contains(route) || routes_.size() < kMaxRoutes;
+  return &routes_[counted_apart ? route : std::string()];
+}
+
+void GatewayMetrics::RecordStep(RouteCounts* counts, const char* step, Duration duration) {
+  counts->steps.try_emplace(step, kStepMemory).first->second.Record(duration);
+}
+
+void GatewayMetrics::OnPartial(const gateway::PartialTrace& partial) {
+  RouteCounts* counts = CountsOf(partial.route);
+  RecordStep(counts, "question_wait", partial.waited);
+  RecordStep(counts, "merge", partial.elapsed);
+}
 
 void GatewayMetrics::OnAnswer(const gateway::GatewayAnswer& answer) {
-  const std::string& name = answer.trace.route;
-  const bool counted_apart = routes_.contains(name) || routes_.size() < kMaxRoutes;
-  RouteCounts& counts = routes_[counted_apart ? name : std::string()];
+  const gateway::RequestTrace& trace = answer.trace;
+  RouteCounts& counts = *CountsOf(trace.route);
   ++counts.answers[answer.code];
-  counts.extra_sub_requests += answer.trace.extra_sub_requests;
+  counts.extra_sub_requests += trace.extra_sub_requests;
   counts.missing_shards += answer.missing_shards;
-  Record(&counts.latency, answer.trace.elapsed);
+  Record(&counts.latency, trace.elapsed);
+  if (!answer.gathered) {
+    return;
+  }
+  RecordStep(&counts, "decide", trace.elapsed);
+  if (trace.spent.has_value()) {
+    RecordStep(&counts, "client_spent", *trace.spent);
+  }
+  if (trace.round_trip.count() > 0) {
+    RecordStep(&counts, "way", trace.round_trip);
+  }
+  if (trace.due.has_value()) {
+    RecordStep(&counts, "overdue", trace.decided - *trace.due);
+  }
+  for (const query::QuestionRecord& question : trace.questions) {
+    if (question.accepted_after.has_value()) {
+      RecordStep(&counts, "accept", *question.accepted_after);
+    }
+  }
+}
+
+void GatewayMetrics::OnAnswerWritten(Timestamp now, const gateway::GatewayAnswer& answer) {
+  if (answer.gathered) {
+    RecordStep(CountsOf(answer.trace.route), "write", now - answer.trace.decided);
+  }
+}
+
+void GatewayMetrics::AddSteps(http::MetricsPage* page, const gateway::GatewayServer& server) const {
+  constexpr double kMilliseconds = 1000;
+  const auto add = [page](const std::string& route, const std::string& step, const char* quantile,
+                          Duration value) {
+    page->Gauge("pumicedyke_gateway_step_seconds", "Where the time of gathered answers goes.",
+                ToMilliseconds(value) / kMilliseconds,
+                {{"route", route}, {"step", step}, {"quantile", quantile}});
+  };
+  for (const auto& [route, counts] : routes_) {
+    if (counts.steps.empty()) {
+      continue;
+    }
+    for (const auto& [quantile, name] : kQuantiles) {
+      for (const auto& [step, durations] : counts.steps) {
+        add(route, step, name, durations.Quantile(quantile));
+      }
+      add(route, "leaf", name, server.LeafLatency(route, quantile));
+    }
+  }
 }
 
 std::string GatewayMetrics::Text(Timestamp now, const gateway::GatewayServer& server,
@@ -46,6 +115,7 @@
     page.AddHistogram("pumicedyke_gateway_latency_seconds", "From arrival to answer.",
                       counts.latency, {{"route", route}});
   }
+  AddSteps(&page, server);
   const gateway::LeafView& view = server.leafs();
   const auto usable = std::count_if(view.leafs().begin(), view.leafs().end(),
                                     [](const auto& item) { return !item.second.draining; });
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -261,6 +261,7 @@
     SendToPeer(message);
   }
   for (const gateway::PartialTrace& partial : output.partials) {
+    metrics_.OnPartial(partial);
     log_.OnPartial(net::EventLoop::Now(), partial);
   }
   for (gateway::LeafSend& send : output.sends) {
@@ -294,6 +295,7 @@
   const int status = response.status;
   waiting->second.Send(std::move(response));
   waiting_.erase(waiting);
+  metrics_.OnAnswer(answer);
   // Once the loop comes round: by then the answer has left, whatever this turn still had to do, and
   // nobody waits for the log.
   ++answers_unnoted_;
@@ -301,7 +303,7 @@
     --answers_unnoted_;
     const Timestamp now = net::EventLoop::Now();
     server_->OnAnswerWritten(now, answer.trace);
-    metrics_.OnAnswer(answer);
+    metrics_.OnAnswerWritten(now, answer);
     log_.OnAnswer(now, answer, status);
   });
 }
@@ -309,6 +311,7 @@
 void GatewayProcess::SendToLeaf(gateway::LeafSend send) {
   http::ClientRequest request = dialect_->WriteLeafRequest(send);
   request.priority = send.priority;
+  request.kept_connections = send.kept_connections;
   const SubRequestId id = send.id;
   const std::string leaf = send.leaf;
   const auto on_done = [this, send = std::move(send)](http::ClientResponse response) {
