--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -67,6 +67,8 @@
   std::shared_ptr<const std::string> head;
   /// Of the request; zero is the most urgent.
   int priority = 0;
+  /// With `keep_connection`: how many connections are kept.
+  size_t kept_connections = 1;
 };
 
 /// What goes to leafs of a request whose document has no tenants: the client's words about itself
@@ -109,6 +111,8 @@
   /// As the gateway that asked says.
   std::string tenant;
   query::RunState run = query::RunState::kNotRun;
+  /// From the question's arrival to its beginning, and to its end.
+  Duration waited{};
   Duration elapsed{};
   size_t shards = 0;
   uint32_t extra_sub_requests = 0;
