A leaf that starts again under its id: lives are told apart by when they began

Cause: a heartbeat's born was not read. A new life under an old id was stale until its sequence had passed that of the former one, inherited its draining for ever, and gateways kept its latencies.

Change: (id, born) is the life. Registry, committed leafs, retired leafs and gateways' views judge by the last life that anybody tells of; words of a former one are acknowledged and count for nothing; a retirement binds its life and earlier ones, one that names no life the known one. A gateway's pool forgets a former life. Leafs that never say when they were born are judged as before, stored state without lives loads.

--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -1,6 +1,7 @@
 #include "config/config_state.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "common/result_code.h"
 
@@ -137,7 +138,8 @@
 bool ConfigState::IsSettled(const Change& change) const {
   const auto is_known = [this](const ReportedLeaf& leaf) {
     const auto it = reported_.find(leaf.id);
-    return retired_.contains(leaf.id) || (it != reported_.end() && it->second == leaf);
+    return IsRetired(leaf.id, leaf.born_ms) || IsFormerLife(leaf.id, leaf.born_ms) ||
+           (it != reported_.end() && it->second == leaf);
   };
   if (change.kind == ChangeKind::kReportLeafs) {
     return std::all_of(change.reported.begin(), change.reported.end(), is_known);
@@ -147,7 +149,7 @@
                         [this](const ReportedLeaf& leaf) { return IsReportedBy(leaf); });
   }
   if (change.kind == ChangeKind::kRetireLeaf) {
-    return retired_.contains(change.leaf);
+    return IsRetired(change.leaf, RetiringLife(change));
   }
   if (ConcernsZone(change.kind)) {
     const auto zone = zones_.find(change.zone);
@@ -166,12 +168,37 @@
 
 bool ConfigState::IsReportedBy(const ReportedLeaf& leaf) const {
   const auto it = reported_.find(leaf.id);
-  return it != reported_.end() && it->second.reporter == leaf.reporter;
+  return it != reported_.end() && it->second.reporter == leaf.reporter &&
+         it->second.born_ms == leaf.born_ms;
 }
 
-void ConfigState::Retire(const std::string& leaf) {
-  reported_.erase(leaf);
-  if (!retired_.insert(leaf).second) {
+bool ConfigState::IsFormerLife(const std::string& leaf, uint64_t born_ms) const {
+  const auto it = reported_.find(leaf);
+  const auto retired = retired_.find(leaf);
+  return (it != reported_.end() && born_ms < it->second.born_ms) ||
+         (retired != retired_.end() && born_ms < retired->second);
+}
+
+uint64_t ConfigState::RetiringLife(const Change& change) const {
+  const auto it = reported_.find(change.leaf);
+  const bool says = change.born_ms != 0 || it == reported_.end();
+  return says ? change.born_ms : it->second.born_ms;
+}
+
+void ConfigState::Report(const ReportedLeaf& leaf) {
+  if (!IsRetired(leaf.id, leaf.born_ms) && !IsFormerLife(leaf.id, leaf.born_ms)) {
+    reported_[leaf.id] = leaf;
+  }
+}
+
+void ConfigState::Retire(const std::string& leaf, uint64_t born_ms) {
+  const auto known = reported_.find(leaf);
+  if (known != reported_.end() && known->second.born_ms <= born_ms) {
+    reported_.erase(known);
+  }
+  const auto [life, inserted] = retired_.try_emplace(leaf, born_ms);
+  life->second = std::max(life->second, born_ms);
+  if (!inserted) {
     return;
   }
   retired_order_.push_back(leaf);
@@ -245,16 +272,14 @@
       leaving_.erase(change.leaf);
       break;
     case ChangeKind::kRetireLeaf:
-      Retire(change.leaf);
+      Retire(change.leaf, RetiringLife(change));
       break;
     case ChangeKind::kPutDocument:
       document_ = change.document;
       break;
     case ChangeKind::kReportLeafs:
       for (const ReportedLeaf& leaf : change.reported) {
-        if (!retired_.contains(leaf.id)) {
-          reported_[leaf.id] = leaf;
-        }
+        Report(leaf);
       }
       break;
     case ChangeKind::kForgetLeafs:
@@ -285,10 +310,14 @@
   for (const auto& [request, record] : quarantine_) {
     quarantine[ToText(request)] = record;
   }
+  std::map<std::string, uint64_t> retired_lives;
+  std::copy_if(retired_.begin(), retired_.end(), std::inserter(retired_lives, retired_lives.end()),
+               [](const auto& item) { return item.second != 0; });
   return Json{{"version", version_},
               {"services", services_},
               {"leaving", leaving_},
               {"retired", retired_order_},
+              {"retired_lives", retired_lives},
               {"document_version", document_.version},
               {"document", document_.text},
               {"reported", reported_},
@@ -306,7 +335,14 @@
     json.at("leaving").get_to(state.leaving_);
     // Absent in what was written before leafs reported by themselves.
     state.retired_order_ = json.value("retired", std::deque<std::string>());
-    state.retired_.insert(state.retired_order_.begin(), state.retired_order_.end());
+    for (const std::string& leaf : state.retired_order_) {
+      state.retired_.emplace(leaf, 0);
+    }
+    // Absent in what was written before leafs said when they were born.
+    for (const auto& [leaf, born_ms] :
+         json.value("retired_lives", std::map<std::string, uint64_t>())) {
+      state.retired_[leaf] = born_ms;
+    }
     state.document_.version = json.value("document_version", uint64_t{0});
     state.document_.text = json.value("document", "");
     state.reported_ = json.value("reported", std::map<std::string, ReportedLeaf>());
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -28,8 +28,16 @@
   const Service* FindService(const std::string& name) const;
   bool IsLeaving(const std::string& leaf) const { return leaving_.contains(leaf); }
   const std::set<std::string>& leaving() const { return leaving_; }
-  /// Leafs that said for good that they leave; the newest kKeptRetired of them.
-  const std::set<std::string>& retired() const { return retired_; }
+  /// Leafs that said for good that they leave, with the last life that did; the newest kKeptRetired
+  /// of them.
+  const std::map<std::string, uint64_t>& retired() const { return retired_; }
+  /// Whether this life of the leaf has said so, or a later one.
+  bool IsRetired(const std::string& leaf, uint64_t born_ms) const {
+    const auto it = retired_.find(leaf);
+    return it != retired_.end() && born_ms <= it->second;
+  }
+  /// Whether a later life of the leaf is committed, or has retired.
+  bool IsFormerLife(const std::string& leaf, uint64_t born_ms) const;
   const RouteDocument& document() const { return document_; }
   /// Leafs that report by heartbeats and have neither retired nor fallen silent, by id.
   const std::map<std::string, ReportedLeaf>& reported() const { return reported_; }
@@ -66,10 +74,14 @@
 
  private:
   bool HasLeaf(const std::string& id) const;
-  void Retire(const std::string& leaf);
+  /// The life of a leaf that a kRetireLeaf is about.
+  uint64_t RetiringLife(const Change& change) const;
+  void Retire(const std::string& leaf, uint64_t born_ms);
+  void Report(const ReportedLeaf& leaf);
   void Quarantine(const RequestIdentity& request);
   void Release(const RequestIdentity& request, bool on_parole);
-  /// Whether the committed word on a leaf is by its reporter, who alone may take it back.
+  /// Whether the committed word on this life of a leaf is by its reporter, who alone may take it
+  /// back.
   bool IsReportedBy(const ReportedLeaf& leaf) const;
   absl::Status ValidateService(const Change& change) const;
   absl::Status ValidateSnapshot(const Change& change) const;
@@ -78,7 +90,7 @@
   ConfigVersion version_;
   std::map<std::string, Service> services_;
   std::set<std::string> leaving_;
-  std::set<std::string> retired_;
+  std::map<std::string, uint64_t> retired_;
   /// The same, oldest first.
   std::deque<std::string> retired_order_;
   RouteDocument document_;
--- a/src/config/model.cc
+++ b/src/config/model.cc
@@ -202,6 +202,14 @@
   return absl::OkStatus();
 }
 
+absl::Status ReadRetired(const Json& json, Change* change) {
+  absl::Status status = ReadName(json, "leaf", "leaf", &change->leaf);
+  if (status.ok() && json.contains("born")) {
+    status = ReadUnsigned(json, "born", "born", &change->born_ms);
+  }
+  return status;
+}
+
 absl::Status ReadRequest(const Json& json, Change* change) {
   const bool is_text = json.contains("request") && json["request"].is_string();
   const std::optional<RequestIdentity> request =
@@ -229,8 +237,9 @@
       return ReadPolicy(json, &change->policy);
     case ChangeKind::kMarkLeaving:
     case ChangeKind::kClearLeaving:
-    case ChangeKind::kRetireLeaf:
       return ReadName(json, "leaf", "leaf", &change->leaf);
+    case ChangeKind::kRetireLeaf:
+      return ReadRetired(json, change);
     case ChangeKind::kPutDocument:
       return ReadDocument(json, &change->document);
     case ChangeKind::kReportLeafs:
@@ -255,6 +264,25 @@
 
 }  // namespace
 
+void to_json(Json& json, const ReportedLeaf& leaf) {
+  json = {{"id", leaf.id},     {"service", leaf.service}, {"address", leaf.address},
+          {"zone", leaf.zone}, {"slots", leaf.slots},     {"reporter", leaf.reporter}};
+  if (leaf.born_ms != 0) {
+    json["born"] = leaf.born_ms;
+  }
+}
+
+void from_json(const Json& json, ReportedLeaf& leaf) {
+  json.at("id").get_to(leaf.id);
+  json.at("service").get_to(leaf.service);
+  json.at("address").get_to(leaf.address);
+  json.at("zone").get_to(leaf.zone);
+  json.at("slots").get_to(leaf.slots);
+  json.at("reporter").get_to(leaf.reporter);
+  // Absent where leafs do not say it, and in what was written before they did.
+  leaf.born_ms = json.value("born", uint64_t{0});
+}
+
 bool ConcernsZone(ChangeKind kind) {
   return kind == ChangeKind::kEvacuateZone || kind == ChangeKind::kRestoreZone;
 }
@@ -302,6 +330,9 @@
     case ChangeKind::kClearLeaving:
     case ChangeKind::kRetireLeaf:
       json["leaf"] = change.leaf;
+      if (change.born_ms != 0) {
+        json["born"] = change.born_ms;
+      }
       break;
     case ChangeKind::kPutDocument:
       json["document_version"] = change.document.version;
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -61,6 +61,8 @@
   uint32_t slots = 1;
   /// The control machine that it reports to, and the only one that may say it is gone.
   MemberId reporter = 0;
+  /// When this life of the leaf began, by its own clock; zero: it did not say.
+  uint64_t born_ms = 0;
   bool operator==(const ReportedLeaf&) const = default;
 };
 
@@ -96,7 +98,8 @@
   kPutPolicy,
   kMarkLeaving,
   kClearLeaving,
-  /// A leaf that reports by heartbeats is leaving for good; its id never comes back.
+  /// A leaf that reports by heartbeats is leaving for good. Its id may come back only as a later
+  /// life.
   kRetireLeaf,
   /// A whole numbered document of routes; the highest number wins.
   kPutDocument,
@@ -130,6 +133,9 @@
   std::string policy;
   /// The leaf of kMarkLeaving, kClearLeaving and kRetireLeaf.
   std::string leaf;
+  /// kRetireLeaf: the last life that leaves, see ReportedLeaf::born_ms; zero: the one that is
+  /// known.
+  uint64_t born_ms = 0;
   RouteDocument document;
   /// The zone of kEvacuateZone and kRestoreZone.
   std::string zone;
@@ -137,7 +143,7 @@
   RequestIdentity request;
   /// kReleaseRequest: it is remembered that it was stopped before.
   bool on_parole = false;
-  /// The leafs of kReportLeafs and kForgetLeafs; of the latter only id and reporter count.
+  /// The leafs of kReportLeafs and kForgetLeafs; of the latter only id, life and reporter count.
   std::vector<ReportedLeaf> reported;
 };
 
@@ -154,7 +160,8 @@
 void to_json(Json& json, const Change& change);
 void from_json(const Json& json, Change& change);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Leaf, id, address, zone, slots)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReportedLeaf, id, service, address, zone, slots, reporter)
+void to_json(Json& json, const ReportedLeaf& leaf);
+void from_json(const Json& json, ReportedLeaf& leaf);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ZoneState, evacuated, revision)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuarantineRecord, stopped, times)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Shard, id, replicas)
--- a/src/control/dialect.h
+++ b/src/control/dialect.h
@@ -28,6 +28,8 @@
 /// A leaf leaves for good.
 struct RetireLeaf {
   std::string leaf;
+  /// When the life that leaves began; zero: it did not say.
+  uint64_t born_ms = 0;
 };
 /// A client asks where to go.
 struct FindGateways {
--- a/src/control/discovery_server.cc
+++ b/src/control/discovery_server.cc
@@ -21,8 +21,8 @@
   return registry_.OnReport(now, report, elsewhere);
 }
 
-void DiscoveryServer::OnLeafRetired(Timestamp now, const std::string& leaf) {
-  registry_.OnDeparture(now, leaf);
+void DiscoveryServer::OnLeafRetired(Timestamp now, const std::string& leaf, uint64_t born_ms) {
+  registry_.OnDeparture(now, leaf, born_ms);
   FeedAll(now);
 }
 
--- a/src/control/discovery_server.h
+++ b/src/control/discovery_server.h
@@ -40,7 +40,7 @@
   registry::ReportVerdict OnLeafReport(Timestamp now, const registry::LeafReport& report,
                                        const std::string* elsewhere = nullptr);
   /// A leaf's departure was committed.
-  void OnLeafRetired(Timestamp now, const std::string& leaf);
+  void OnLeafRetired(Timestamp now, const std::string& leaf, uint64_t born_ms = 0);
 
   void OnPresence(Timestamp now, SessionId session, const wire::GatewayPresence& presence);
   void OnSessionClosed(SessionId session);
--- a/src/control/leaf_committer.cc
+++ b/src/control/leaf_committer.cc
@@ -45,11 +45,11 @@
   change.kind = config::ChangeKind::kReportLeafs;
   for (const std::string& id : heard) {
     const wire::LeafRecord* record = registry.Find(id);
-    if (record == nullptr || record->draining || committed.retired().contains(id)) {
+    if (record == nullptr || record->draining || committed.IsRetired(id, record->born_ms)) {
       continue;
     }
-    const config::ReportedLeaf leaf{id,           record->service, record->address,
-                                    record->zone, record->slots,   self_};
+    const config::ReportedLeaf leaf{
+        id, record->service, record->address, record->zone, record->slots, self_, record->born_ms};
     const auto known = committed.reported().find(id);
     const bool settled = known != committed.reported().end() && known->second == leaf;
     if (!settled) {
--- a/src/gateway/leaf_view.cc
+++ b/src/gateway/leaf_view.cc
@@ -40,7 +40,7 @@
     state.unconfirmed.erase(record.leaf);
     stale_.insert(record.leaf);
     if (record.draining) {
-      MarkLeaving(record.leaf);
+      MarkLeaving(record.leaf, record.born_ms);
     }
   }
   for (const std::string& leaf : feed.gone) {
@@ -76,6 +76,10 @@
 }
 
 void LeafView::NoteCold(Timestamp now, const wire::LeafRecord& record) {
+  const auto before = leafs_.find(record.leaf);
+  if (before != leafs_.end() && before->second.born_ms < record.born_ms) {
+    cold_until_.erase(record.leaf);
+  }
   if (record.cold_milliseconds == 0) {
     return;
   }
@@ -115,9 +119,9 @@
   return it == restored_at_.end() ? std::nullopt : std::optional(it->second);
 }
 
-void LeafView::MarkLeaving(const std::string& leaf) {
+void LeafView::MarkLeaving(const std::string& leaf, uint64_t born_ms) {
   const auto it = leafs_.find(leaf);
-  if (it == leafs_.end() || it->second.draining) {
+  if (it == leafs_.end() || it->second.draining || it->second.born_ms > born_ms) {
     return;
   }
   it->second.draining = true;
@@ -127,6 +131,13 @@
   ++version_;
 }
 
+void LeafView::MarkRetired(const std::string& leaf) {
+  const auto retired = committed_->retired().find(leaf);
+  if (retired != committed_->retired().end()) {
+    MarkLeaving(leaf, retired->second);
+  }
+}
+
 void LeafView::OnSourceLost(Timestamp now, const std::string& source) {
   const auto it = sources_.find(source);
   if (it != sources_.end() && !it->second.lost) {
@@ -140,9 +151,7 @@
 void LeafView::OnCommitted(Timestamp now, const std::vector<std::string>& leafs) {
   for (const std::string& leaf : leafs) {
     stale_.insert(leaf);
-    if (committed_->retired().contains(leaf)) {
-      MarkLeaving(leaf);
-    }
+    MarkRetired(leaf);
   }
   Changed(now);
 }
@@ -158,8 +167,8 @@
     stale_.insert(leaf);
   }
   only_committed_at_.clear();
-  for (const std::string& leaf : committed_->retired()) {
-    MarkLeaving(leaf);
+  for (const auto& [leaf, born_ms] : committed_->retired()) {
+    MarkLeaving(leaf, born_ms);
   }
   Merge(now);
 }
@@ -212,26 +221,39 @@
   return it == by_service_.end() ? *none : it->second;
 }
 
+uint64_t LeafView::LastLife(const std::string& leaf) const {
+  const auto committed = committed_->reported().find(leaf);
+  uint64_t last = committed == committed_->reported().end() ? 0 : committed->second.born_ms;
+  for (const auto& [name, source] : sources_) {
+    for (const auto* records : {&source.records, &source.unconfirmed}) {
+      const auto it = records->find(leaf);
+      last = std::max(last, it == records->end() ? 0 : it->second.born_ms);
+    }
+  }
+  return last;
+}
+
 std::optional<wire::LeafRecord> LeafView::WordOn(const std::string& leaf) const {
   std::optional<wire::LeafRecord> word;
+  const uint64_t life = LastLife(leaf);
   const auto committed = committed_->reported().find(leaf);
-  if (committed != committed_->reported().end()) {
+  if (committed != committed_->reported().end() && committed->second.born_ms == life) {
     const config::ReportedLeaf& said = committed->second;
-    word = {leaf, said.service, said.address, said.zone, said.slots, /*draining=*/false, 0};
+    word = {leaf, said.service, said.address, said.zone, said.slots, /*draining=*/false, 0, life};
   }
   for (const auto& [name, source] : sources_) {
     for (const auto* records : {&source.records, &source.unconfirmed}) {
       const auto it = records->find(leaf);
-      if (it == records->end()) {
+      if (it == records->end() || it->second.born_ms != life) {
         continue;
       }
       const bool draining = it->second.draining || (word.has_value() && word->draining);
       word = word.has_value() ? *word : it->second;
-      // The most pessimistic word wins: draining is never taken back.
+      // The most pessimistic word wins: draining is never taken back in one life.
       word->draining = draining;
     }
   }
-  if (word.has_value() && committed_->retired().contains(leaf)) {
+  if (word.has_value() && committed_->IsRetired(leaf, life)) {
     word->draining = true;
   }
   return word;
@@ -311,9 +333,10 @@
     leafs_.erase(known);
     return true;
   }
+  const bool new_life = known != leafs_.end() && known->second.born_ms != record->born_ms;
   leafs_[leaf] = *record;
   List(*record);
-  changes_.push_back({leaf, record->service});
+  changes_.push_back({leaf, record->service, new_life});
   return true;
 }
 
--- a/src/gateway/leaf_view.h
+++ b/src/gateway/leaf_view.h
@@ -35,6 +35,8 @@
 struct LeafChange {
   std::string leaf;
   std::string service;
+  /// It has started again under its id: nothing that was learned of it before holds.
+  bool new_life = false;
 };
 
 /// Lives on the event loop's thread.
@@ -109,7 +111,8 @@
   };
   /// Something changed: merges now or, soon after the last time, later.
   void Changed(Timestamp now);
-  /// All words on a leaf taken together, the most pessimistic on each point; unset: there is none.
+  /// All words on the last life of a leaf taken together, the most pessimistic on each point;
+  /// unset: there is none.
   std::optional<wire::LeafRecord> WordOn(const std::string& leaf) const;
   /// Whether a control machine tells of the leaf by its heartbeats.
   bool IsReported(const std::string& leaf) const;
@@ -123,7 +126,11 @@
   void TouchCommittedAt(const std::string& address);
   void List(const wire::LeafRecord& record);
   void Unlist(const wire::LeafRecord& record);
-  void MarkLeaving(const std::string& leaf);
+  /// @param born_ms the last life that leaves.
+  void MarkLeaving(const std::string& leaf, uint64_t born_ms);
+  void MarkRetired(const std::string& leaf);
+  /// The last life of the leaf that anybody tells of.
+  uint64_t LastLife(const std::string& leaf) const;
   void NoteCold(Timestamp now, const wire::LeafRecord& record);
 
   std::vector<std::string> newly_leaving_;
--- a/src/gateway/pool_keeper.cc
+++ b/src/gateway/pool_keeper.cc
@@ -22,6 +22,9 @@
                       const PoolSetting& setting) {
   std::set<std::string> services;
   for (const LeafChange& change : changes) {
+    if (change.new_life) {
+      pool_->Remove(change.leaf);
+    }
     Take(now, view, change.leaf);
     services.insert(change.service);
   }
--- a/src/registry/leaf_registry.cc
+++ b/src/registry/leaf_registry.cc
@@ -4,6 +4,11 @@
 
 namespace pumicedyke::registry {
 
+bool LeafRegistry::IsStale(const LeafReport& report, const Entry& known) {
+  const bool former_life = report.record.born_ms < known.record.born_ms;
+  return former_life || report.sequence <= known.sequence;
+}
+
 const LeafRegistry::Entry* LeafRegistry::HolderOf(const wire::LeafRecord& record) const {
   const auto holder = holders_.find(record.address);
   if (holder == holders_.end() || holder->second == record.leaf) {
@@ -53,21 +58,26 @@
 
 ReportVerdict LeafRegistry::OnReport(Timestamp now, const LeafReport& report,
                                      const std::string* elsewhere) {
-  if (!leafs_.contains(report.record.leaf) && !MayTakeAddress(now, report, elsewhere)) {
+  const auto known = leafs_.find(report.record.leaf);
+  const bool inserted = known == leafs_.end();
+  const bool reborn = !inserted && report.record.born_ms > known->second.record.born_ms;
+  if ((inserted || reborn) && !MayTakeAddress(now, report, elsewhere)) {
     return ReportVerdict::kUnconfirmed;
   }
-  auto [it, inserted] = leafs_.try_emplace(report.record.leaf);
-  Entry& entry = it->second;
-  if (!inserted && report.sequence <= entry.sequence) {
+  Entry& entry = leafs_[report.record.leaf];
+  if (!inserted && !reborn && IsStale(report, entry)) {
     return ReportVerdict::kStale;
   }
-  if (inserted) {
+  if (reborn) {
+    EndLife(&entry);
+  }
+  if (inserted || reborn) {
     ReplaceHolder(report);
   }
   wire::LeafRecord record = report.record;
   const Timestamp cold_until = now + Milliseconds(static_cast<int64_t>(record.cold_milliseconds));
   record.cold_milliseconds = 0;
-  // Draining is never taken back.
+  // Draining is never taken back in one life.
   record.draining |= entry.record.draining;
   entry.sequence = report.sequence;
   entry.heard = now;
@@ -83,14 +93,25 @@
   }
   entry.record = std::move(record);
   NoteChange(&entry);
+  if (reborn) {
+    return ReportVerdict::kReborn;
+  }
   return inserted ? ReportVerdict::kNew : ReportVerdict::kChanged;
 }
 
-bool LeafRegistry::OnDeparture(Timestamp now, const std::string& leaf) {
+bool LeafRegistry::OnDeparture(Timestamp now, const std::string& leaf, uint64_t born_ms) {
   const auto it = leafs_.find(leaf);
   if (it == leafs_.end()) {
     return false;
   }
+  const bool former = born_ms != 0 && born_ms < it->second.record.born_ms;
+  if (former) {
+    return false;
+  }
+  if (born_ms > it->second.record.born_ms) {
+    EndLife(&it->second);
+    it->second.record.born_ms = born_ms;
+  }
   it->second.heard = now;
   heard_.insert(leaf);
   if (!it->second.record.draining) {
@@ -100,6 +121,16 @@
   return true;
 }
 
+void LeafRegistry::EndLife(Entry* entry) {
+  const auto holder = holders_.find(entry->record.address);
+  if (holder != holders_.end() && holder->second == entry->record.leaf) {
+    holders_.erase(holder);
+  }
+  entry->sequence = 0;
+  entry->record.draining = false;
+  entry->cold_until = Timestamp{};
+}
+
 void LeafRegistry::NoteChange(Entry* entry) {
   by_change_.erase(entry->changed);
   entry->changed = ++version_;
--- a/src/registry/leaf_registry.h
+++ b/src/registry/leaf_registry.h
@@ -19,7 +19,8 @@
 /// One heartbeat of a leaf.
 struct LeafReport {
   wire::LeafRecord record;
-  /// Rises with each heartbeat of one incarnation, so that a late one can be known.
+  /// Rises with each heartbeat of one life (wire::LeafRecord::born_ms), so that a late one can be
+  /// known.
   uint64_t sequence = 0;
 };
 
@@ -45,8 +46,10 @@
   kKnown,
   kNew,
   kChanged,
-  /// A later heartbeat came before this one.
+  /// A later heartbeat came before this one, or one of a later life.
   kStale,
+  /// A known leaf has started again under its id: nothing of its former life holds.
+  kReborn,
   /// Another leaf is at the address; whether it has ended shows later. Not told to anybody yet.
   kUnconfirmed,
 };
@@ -59,9 +62,11 @@
   /// reports to another control machine; null: there is none.
   ReportVerdict OnReport(Timestamp now, const LeafReport& report,
                          const std::string* elsewhere = nullptr);
-  /// The leaf is leaving for good: it is draining from now on, whatever late heartbeats say.
-  /// @return false if it is not known here.
-  bool OnDeparture(Timestamp now, const std::string& leaf);
+  /// This life of the leaf is leaving for good: it is draining from now on, whatever late
+  /// heartbeats say.
+  /// @param born_ms zero: the life that is known.
+  /// @return false if it is not known here, or has been followed by another one.
+  bool OnDeparture(Timestamp now, const std::string& leaf, uint64_t born_ms = 0);
   /// Drops leafs that have been silent for too long. @return their ids.
   std::vector<std::string> DropSilent(Timestamp now);
 
@@ -102,6 +107,7 @@
     uint64_t version = 0;
   };
 
+  static bool IsStale(const LeafReport& report, const Entry& known);
   void Remove(const std::string& leaf);
   /// Counts a change of this leaf.
   void NoteChange(Entry* entry);
@@ -110,6 +116,8 @@
   /// that reports elsewhere is passed as `elsewhere`; null: it knows none at the address.
   bool MayTakeAddress(Timestamp now, const LeafReport& report, const std::string* elsewhere);
   void ReplaceHolder(const LeafReport& report);
+  /// Forgets what was known of the leaf's former life.
+  void EndLife(Entry* entry);
   /// The other leaf at this address that was heard of last, if any.
   const Entry* HolderOf(const wire::LeafRecord& record) const;
   void ForgetClaims(Timestamp now);
--- a/src/server/control_dialect_calls.cc
+++ b/src/server/control_dialect_calls.cc
@@ -124,11 +124,20 @@
     return;
   }
   const std::string leaf = command.report.record.leaf;
-  const bool retired = server_->state().config().retired().contains(leaf);
+  const uint64_t born_ms = command.report.record.born_ms;
+  if (IsFormerLife(leaf, born_ms)) {
+    // Nobody must report it again: the leaf has started anew since.
+    LogEvent("leaf_former_life",
+             {{"leaf", leaf}, {"born_ms", born_ms}, {"sequence", command.report.sequence}});
+    responder.Send(dialect_->WriteAccepted());
+    return;
+  }
+  const bool retired = server_->state().config().IsRetired(leaf, born_ms);
   if (command.report.record.draining && !retired) {
     config::Change change;
     change.kind = config::ChangeKind::kRetireLeaf;
     change.leaf = leaf;
+    change.born_ms = born_ms;
     SubmitFor(change, std::move(responder), [this, report = std::move(command.report)] {
       discovery_->OnLeafReport(net::EventLoop::Now(), report);
       LogEvent("leaf_retired", {{"leaf", report.record.leaf}, {"by", "heartbeat"}});
@@ -143,6 +152,12 @@
                                   {"address", command.report.record.address},
                                   {"sequence", command.report.sequence}});
   }
+  if (verdict == registry::ReportVerdict::kReborn) {
+    LogEvent("leaf_reborn", {{"leaf", leaf},
+                             {"address", command.report.record.address},
+                             {"born_ms", born_ms},
+                             {"sequence", command.report.sequence}});
+  }
   responder.Send(dialect_->WriteAccepted());
   CarryOut();
 }
@@ -151,12 +166,21 @@
   config::Change change;
   change.kind = config::ChangeKind::kRetireLeaf;
   change.leaf = command.leaf;
-  SubmitFor(change, std::move(responder), [this, leaf = command.leaf] {
-    discovery_->OnLeafRetired(net::EventLoop::Now(), leaf);
-    LogEvent("leaf_retired", {{"leaf", leaf}, {"by", "its own call"}});
+  const wire::LeafRecord* known = discovery_->registry().Find(command.leaf);
+  const bool says = command.born_ms != 0 || known == nullptr;
+  change.born_ms = says ? command.born_ms : known->born_ms;
+  SubmitFor(change, std::move(responder), [this, leaf = command.leaf, born_ms = change.born_ms] {
+    discovery_->OnLeafRetired(net::EventLoop::Now(), leaf, born_ms);
+    LogEvent("leaf_retired", {{"leaf", leaf}, {"by", "its own call"}, {"born_ms", born_ms}});
   });
 }
 
+bool ControlProcess::IsFormerLife(const std::string& leaf, uint64_t born_ms) const {
+  const wire::LeafRecord* known = discovery_->registry().Find(leaf);
+  const bool former_here = known != nullptr && born_ms < known->born_ms;
+  return former_here || server_->state().config().IsFormerLife(leaf, born_ms);
+}
+
 bool ControlProcess::KnowsZone(const std::string& zone) const {
   if (settings_.regions.empty() || settings_.regions.Knows(zone)) {
     return true;
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -116,6 +116,8 @@
   void Run(control::PutDocument command, http::Responder responder);
   void Run(const control::GetDocument& command, http::Responder responder);
   void Run(control::ReportLeaf command, http::Responder responder);
+  /// Whether a later life of the leaf has been heard of.
+  bool IsFormerLife(const std::string& leaf, uint64_t born_ms) const;
   void Run(const control::RetireLeaf& command, http::Responder responder);
   void Run(const control::FindGateways& command, http::Responder responder);
   void Run(const control::OrderZone& command, http::Responder responder);
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -197,7 +197,8 @@
       }
       continue;
     }
-    if (before == leafs_.end()) {
+    const bool back = before != leafs_.end() && before->second && !known->second.draining;
+    if (before == leafs_.end() || back) {
       come.Add(leaf);
     } else if (before->second != known->second.draining) {
       leaving.Add(leaf);
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -9,6 +9,7 @@
 #include "common/settings.h"
 #include "http/metrics.h"
 #include "node/incarnation_store.h"
+#include "node/platform_list.h"
 #include "server/process.h"
 #include "storage/posix_file_system.h"
 
@@ -301,14 +302,14 @@
   call.timeout = kProbeTimeout;
   client_->Start(call, [this](const http::ClientResponse& response) {
     platform_call_ = false;
-    const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
-    if (!response.ok() || !json.is_object() || !json.contains("leaving")) {
+    if (!response.ok()) {
       return;  // The last list that was read stays in force.
     }
-    try {
-      server_->OnPlatformLeaving(json["leaving"].get<std::set<std::string>>());
-    } catch (const Json::exception& error) {
-      LogError("platform_list", {{"error", error.what()}});
+    const absl::StatusOr<std::set<std::string>> leaving = node::ReadPlatformList(response.body);
+    if (leaving.ok()) {
+      server_->OnPlatformLeaving(*leaving);
+    } else {
+      LogError("platform_list", {{"error", std::string(leaving.status().message())}});
     }
   });
 }
--- /dev/null
+++ b/test/config/committed_lives_test.cc
@@ -0,0 +1,159 @@
+// Lives of a leaf as the replicated state tells them apart.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "common/json.h"
+#include "config/config_state.h"
+#include "control/leaf_committer.h"
+
+namespace pumicedyke::config {
+namespace {
+
+constexpr MemberId kReporter = 7;
+
+ReportedLeaf LeafOf(uint64_t born_ms, MemberId reporter = kReporter) {
+  return {"a", "desk", "10.0.0.1:80", "north", 2, reporter, born_ms};
+}
+
+Change Reported(ChangeKind kind, const ReportedLeaf& leaf) {
+  Change change;
+  change.kind = kind;
+  change.reported = {leaf};
+  return change;
+}
+
+Change Retired(uint64_t born_ms) {
+  Change change;
+  change.kind = ChangeKind::kRetireLeaf;
+  change.leaf = "a";
+  change.born_ms = born_ms;
+  return change;
+}
+
+/// As it comes from the log.
+void Apply(ConfigState* state, const Change& change) {
+  state->Apply(*ParseChange(Json::parse(Json(change).dump())));
+}
+
+}  // namespace
+
+class CommittedLivesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CommittedLivesTest);
+  CPPUNIT_TEST(RetiredLifeDoesNotBindTheNext);
+  CPPUNIT_TEST(LateRetirementOfAFormerLifeTakesNothing);
+  CPPUNIT_TEST(RetirementThatNamesNoLifeIsOfTheCommittedOne);
+  CPPUNIT_TEST(FormerLifeIsNotCommittedAgain);
+  CPPUNIT_TEST(ForgettingAFormerLifeLeavesTheNext);
+  CPPUNIT_TEST(LeafsThatNeverSayAreAsEver);
+  CPPUNIT_TEST(LivesSurviveTheirText);
+  CPPUNIT_TEST(OlderTextHasNoLives);
+  CPPUNIT_TEST(CommitterCommitsTheNewLife);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RetiredLifeDoesNotBindTheNext() {
+    ConfigState state;
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(1000)));
+    Apply(&state, Retired(1000));
+    CPPUNIT_ASSERT(state.reported().empty());
+    CPPUNIT_ASSERT(state.IsRetired("a", 1000));
+    CPPUNIT_ASSERT(!state.IsRetired("a", 2000));
+    const Change next = Reported(ChangeKind::kReportLeafs, LeafOf(2000));
+    CPPUNIT_ASSERT(!state.IsSettled(next));
+    Apply(&state, next);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2000}, state.reported().at("a").born_ms);
+  }
+
+  void LateRetirementOfAFormerLifeTakesNothing() {
+    ConfigState state;
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(2000)));
+    Apply(&state, Retired(1000));
+    CPPUNIT_ASSERT(state.reported().contains("a"));
+    CPPUNIT_ASSERT(!state.IsRetired("a", 2000));
+  }
+
+  void RetirementThatNamesNoLifeIsOfTheCommittedOne() {
+    ConfigState state;
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(2000)));
+    Apply(&state, Retired(0));
+    CPPUNIT_ASSERT(state.reported().empty());
+    CPPUNIT_ASSERT(state.IsRetired("a", 2000));
+    CPPUNIT_ASSERT(!state.IsRetired("a", 3000));
+  }
+
+  void FormerLifeIsNotCommittedAgain() {
+    ConfigState state;
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(2000)));
+    const Change old = Reported(ChangeKind::kReportLeafs, LeafOf(1000, kReporter + 1));
+    CPPUNIT_ASSERT(state.IsSettled(old));
+    Apply(&state, old);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2000}, state.reported().at("a").born_ms);
+    CPPUNIT_ASSERT(state.IsFormerLife("a", 1000));
+    CPPUNIT_ASSERT(!state.IsFormerLife("a", 2000));
+  }
+
+  /// The same machine proposed both, and the first was passed on twice.
+  void ForgettingAFormerLifeLeavesTheNext() {
+    ConfigState state;
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(2000)));
+    const Change forget = Reported(ChangeKind::kForgetLeafs, LeafOf(1000));
+    CPPUNIT_ASSERT(state.IsSettled(forget));
+    Apply(&state, forget);
+    CPPUNIT_ASSERT(state.reported().contains("a"));
+    Apply(&state, Reported(ChangeKind::kForgetLeafs, LeafOf(2000)));
+    CPPUNIT_ASSERT(state.reported().empty());
+  }
+
+  void LeafsThatNeverSayAreAsEver() {
+    ConfigState state;
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(0)));
+    Apply(&state, Retired(0));
+    CPPUNIT_ASSERT(state.IsRetired("a", 0));
+    CPPUNIT_ASSERT(state.IsSettled(Retired(0)));
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(0)));
+    CPPUNIT_ASSERT(state.reported().empty());
+    CPPUNIT_ASSERT(!Json(LeafOf(0)).contains("born"));
+    CPPUNIT_ASSERT(!Json(Retired(0)).contains("born"));
+  }
+
+  void LivesSurviveTheirText() {
+    ConfigState state;
+    Apply(&state, Retired(1000));
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(2000)));
+    const auto read = ConfigState::Deserialize(state.Serialize());
+    CPPUNIT_ASSERT(read.ok());
+    CPPUNIT_ASSERT(read->retired() == state.retired());
+    CPPUNIT_ASSERT(read->reported() == state.reported());
+    CPPUNIT_ASSERT_EQUAL(state.Serialize(), read->Serialize());
+  }
+
+  void OlderTextHasNoLives() {
+    ConfigState state;
+    Apply(&state, Reported(ChangeKind::kReportLeafs, LeafOf(0)));
+    Change other = Retired(0);
+    other.leaf = "b";
+    Apply(&state, other);
+    Json text = Json::parse(state.Serialize());
+    text.erase("retired_lives");
+    const auto read = ConfigState::Deserialize(text.dump());
+    CPPUNIT_ASSERT(read.ok());
+    CPPUNIT_ASSERT(read->reported() == state.reported());
+    CPPUNIT_ASSERT(read->IsRetired("b", 0));
+  }
+
+  void CommitterCommitsTheNewLife() {
+    constexpr Timestamp kStart{Seconds(100)};
+    ConfigState state;
+    Apply(&state, Retired(1000));
+    registry::LeafRegistry registry({});
+    control::LeafCommitter committer({}, kReporter, kStart);
+    registry.OnReport(kStart, {{"a", "desk", "10.0.0.1:80", "north", 2, false, 0, 1000}, 9});
+    CPPUNIT_ASSERT(!committer.Propose(kStart, &registry, state, {kReporter}, true).has_value());
+    registry.OnReport(kStart, {{"a", "desk", "10.0.0.1:80", "north", 2, false, 0, 2000}, 1});
+    const auto change = committer.Propose(kStart + Seconds(1), &registry, state, {kReporter}, true);
+    CPPUNIT_ASSERT(change.has_value());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2000}, change->reported.front().born_ms);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(CommittedLivesTest);
+
+}  // namespace pumicedyke::config
