A change that a deposed leader took is passed on to whoever leads

Cause: a leader that was deposed kept its proposal until three seconds were over. Only commands were compared with what stands at their index: a new leader's first entry, which is none, left the operator waiting and then refused.

Ruled out by tests on a group of five without a network: the change at a follower whose leader is lost, at every follower (within 1.2 s), and the loss of a follower (at once).

Change: what was proposed in a term that this machine no longer leads is given up at the next look: operators' changes go on as passed-on ones (twice is once), those of peers are repeated by the peers and are no longer refused for them.

--- a/src/control/control_commands.cc
+++ b/src/control/control_commands.cc
@@ -48,7 +48,9 @@
 }
 
 void ControlServer::SendForwarded(Timestamp now, uint64_t ticket, ForwardedCommand* forwarded) {
-  forwarded->leader = raft_.leader();
+  // One that leads itself by now proposes it at its next look (ForwardAgain()).
+  const bool leads = raft_.role() == consensus::Role::kLeader;
+  forwarded->leader = leads ? 0 : raft_.leader();
   forwarded->sent = now;
   if (forwarded->leader != 0) {
     SendToMember(forwarded->leader, wire::Forwarded{identity_.member, ticket, forwarded->command});
@@ -93,13 +95,46 @@
     AnswerNoQuorum(origin);
     return;
   }
-  Proposal& proposal = proposals_[*index];
-  if (proposal.term != 0) {
-    // An entry of an earlier term at this index was cut off; whether it lives on elsewhere is
-    // unknown here.
-    AnswerNoQuorum(proposal.origin);
+  const bool repeats = origin.kind == Origin::Kind::kOperator;
+  Proposal cut_off =
+      std::exchange(proposals_[*index], {raft_.term(), origin, repeats ? command : std::string()});
+  if (cut_off.term != 0) {
+    GiveUp(now, std::move(cut_off));
+  }
+}
+
+void ControlServer::GiveUp(Timestamp now, Proposal proposal) {
+  switch (proposal.origin.kind) {
+    case Origin::Kind::kOperator: {
+      const uint64_t ticket = next_ticket_++;
+      ForwardedCommand& forwarded = forwarded_[ticket];
+      forwarded.origin = proposal.origin;
+      forwarded.command = std::move(proposal.command);
+      SendForwarded(now, ticket, &forwarded);
+      break;
+    }
+    case Origin::Kind::kPeer:
+      // It passes the command on again by itself.
+      break;
+    default:
+      AnswerNoQuorum(proposal.origin);
+      break;
+  }
+}
+
+void ControlServer::GiveUpDeposed(Timestamp now) {
+  const bool leads = raft_.role() == consensus::Role::kLeader;
+  std::vector<Proposal> deposed;
+  std::erase_if(proposals_, [&](auto& item) {
+    const bool ours = leads && item.second.term == raft_.term();
+    if (!ours) {
+      deposed.push_back(std::move(item.second));
+    }
+    return !ours;
+  });
+  for (Proposal& proposal : deposed) {
+    GiveUp(now, std::move(proposal));
   }
-  proposal = {raft_.term(), origin};
 }
 
 void ControlServer::AnswerNoQuorum(const Origin& origin) {
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -59,6 +59,7 @@
   raft_.Tick(now);
   DrainRaft(now);
   ExpirePending(now);
+  GiveUpDeposed(now);
   ForwardAgain(now);
   ReadAgain(now);
   std::erase_if(sessions_, [&](const auto& item) {
@@ -129,13 +130,13 @@
     applied_index_ = applied.index;
     const auto it = proposals_.find(applied.index);
     if (it != proposals_.end()) {
-      const Proposal proposal = it->second;
+      Proposal proposal = std::move(it->second);
       proposals_.erase(it);
-      // Another term's entry at this index means that ours was replaced: its fate is unknown here.
+      // Another term's entry at this index means that ours was replaced.
       if (proposal.term == applied.term) {
         Answer(proposal.origin, result);
       } else {
-        AnswerNoQuorum(proposal.origin);
+        GiveUp(now, std::move(proposal));
       }
     }
   }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -173,6 +173,13 @@
     uint64_t request = 0;
     Timestamp deadline{};
   };
+  /// A command that this leader proposed; the term tells whether it is still ours.
+  struct Proposal {
+    uint64_t term = 0;
+    Origin origin;
+    /// Kept for operators' changes, to be passed on if this machine is deposed.
+    std::string command;
+  };
   /// A command that another machine, the leader, has to propose.
   struct ForwardedCommand {
     Origin origin;
@@ -195,6 +202,10 @@
   /// The command's fate is unknown here.
   void AnswerNoQuorum(const Origin& origin);
   void ExpirePending(Timestamp now);
+  /// The entry of a proposal may have been cut off: what repeats is passed on to whoever leads now.
+  void GiveUp(Timestamp now, Proposal proposal);
+  /// Gives up what this machine proposed in terms in which it leads no more.
+  void GiveUpDeposed(Timestamp now);
   /// Passes commands on again that the leader of that time does not answer.
   void ForwardAgain(Timestamp now);
   /// Asks again for reads that the leader of that time does not answer.
@@ -259,11 +270,7 @@
   int64_t wall_ms_ = 0;
 
   std::map<SessionId, Session> sessions_;
-  /// Commands proposed by this leader, by log index; the term tells whether it is still ours.
-  struct Proposal {
-    uint64_t term = 0;
-    Origin origin;
-  };
+  /// By log index.
   std::map<uint64_t, Proposal> proposals_;
   /// Commands passed to the leader, by ticket.
   std::map<uint64_t, ForwardedCommand> forwarded_;
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(FeedSurvives);
   CPPUNIT_TEST(LedgerRequestSurvives);
   CPPUNIT_TEST(LargeEntriesSurvive);
+  CPPUNIT_TEST(GreetingsAreSmall);
   CPPUNIT_TEST(PartialQuerySurvives);
   CPPUNIT_TEST(PartialAnswerSurvives);
   CPPUNIT_TEST(GatewayFeedAndPresenceSurvive);
@@ -133,6 +134,19 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{6}, told.peers_version);
   }
 
+  /// Sent four times a second by each node: bounds what a node spends on control.
+  void GreetingsAreSmall() {
+    constexpr size_t kMostBytes = 128;
+    const uint64_t year_us = uint64_t{365} * 24 * 3600 * 1000000;
+    const NodeHello hello{"node-of-a-usual-name-4711", ~uint64_t{0}, 1000000, false, year_us};
+    CPPUNIT_ASSERT(Encode(Envelope{"cluster", 1000000, hello}).size() < kMostBytes);
+    ConfigFeed feed;
+    feed.version = 1000000;
+    feed.echo = year_us;
+    feed.proof_age = Milliseconds(400);
+    CPPUNIT_ASSERT(Encode(Envelope{"cluster", 1000000, feed}).size() < kMostBytes);
+  }
+
   /// nanopb as packaged counts field sizes in 16 bits; larger values are cut into pieces.
   void LargeEntriesSurvive() {
     RaftMessage message;
