--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -173,12 +173,6 @@
   return passing && shard.rounds < kMaxRounds;
 }
 
-uint32_t RequestExecution::PossibleRuns(const ShardProgress& shard) {
-  return static_cast<uint32_t>(std::count_if(
-      shard.attempts.begin(), shard.attempts.end(),
-      [](const Attempt& attempt) { return attempt.state != AttemptState::kRefused; }));
-}
-
 bool RequestExecution::Held(const ShardProgress& shard) const {
   return options_.hold_attempts && PossibleRuns(shard) > 0;
 }
@@ -247,74 +241,6 @@
   SetWaiting(shard, true);
 }
 
-balance::ExtraLoadLimit* RequestExecution::BudgetOf(const ShardProgress& shard) const {
-  const auto index = static_cast<size_t>(&shard - shards_.data());
-  return index < context_.shard_budgets.size() ? context_.shard_budgets[index] : context_.budget;
-}
-
-bool RequestExecution::MayPay(Timestamp now, const ShardProgress& shard, SendKind kind) const {
-  const bool budgeted =
-      options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
-  const bool charged =
-      kind == SendKind::kExtra || (kind == SendKind::kReplacement && options_.charge_replacements);
-  return !budgeted || !charged || BudgetOf(shard)->TrySpend(now);
-}
-
-bool RequestExecution::MayAttemptAgain(const ShardProgress& shard) const {
-  return plan_.max_attempts == 0 || PossibleRuns(shard) < plan_.max_attempts;
-}
-
-bool RequestExecution::RefusedOften(const ShardProgress& shard) const {
-  const auto counted = std::count_if(shard.attempts.begin(), shard.attempts.end(),
-                                     [](const Attempt& attempt) { return !attempt.passing; });
-  return plan_.max_attempts > 0 && static_cast<uint32_t>(counted) >= plan_.max_attempts;
-}
-
-bool RequestExecution::RefusedInPassing(const ShardProgress& shard) const {
-  return !shard.attempts.empty() && shard.attempts.back().passing;
-}
-
-bool RequestExecution::RefusedEverywhere(Timestamp now, const ShardProgress& shard) const {
-  const auto& replicas = shard.shard.replicas;
-  return std::all_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
-    return context_.pool->RefusalRateOf(now, replica) >= kFrequentRefusals;
-  });
-}
-
-bool RequestExecution::IsPaidFor(Timestamp now) {
-  if (!paid_for_.has_value()) {
-    std::vector<double> left;
-    for (const ShardProgress& shard : shards_) {
-      if (RefusedEverywhere(now, shard)) {
-        left.push_back(BudgetOf(shard)->PartLeft(now));
-      }
-    }
-    paid_for_ = PaidFor(options_.rank, std::move(left), options_.may_miss);
-  }
-  return *paid_for_;
-}
-
-bool RequestExecution::WorthAskingAgain(Timestamp now, const ShardProgress& shard) {
-  // Elsewhere a leaf is left that takes it.
-  if (!RefusedEverywhere(now, shard)) {
-    return true;
-  }
-  const GatherNeed need{options_.may_miss, shards_.size() - covered_};
-  return IsPaidFor(now) && WorthReplacing(need, BudgetOf(shard)->PartLeft(now));
-}
-
-bool RequestExecution::WorthHedge(Timestamp now, const ShardProgress& shard) const {
-  if (!options_.ask_refusing_again) {
-    return true;
-  }
-  const auto& replicas = shard.shard.replicas;
-  const bool refusals =
-      std::any_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
-        return context_.pool->RefusalRateOf(now, replica) >= kFrequentRefusals;
-      });
-  return WorthHedging(refusals, BudgetOf(shard)->PartLeft(now));
-}
-
 bool RequestExecution::OnProbation() const {
   return !proven_ && (options_.on_probation || lost_ >= options_.losses_before_probation);
 }
--- a/test/gateway/gateway_server_test.cc
+++ b/test/gateway/gateway_server_test.cc
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(UnrepeatableMayFollowARefusal);
   CPPUNIT_TEST(LeafsOwnFailureIsPassedOn);
   CPPUNIT_TEST(GathersTheGreatest);
+  CPPUNIT_TEST(GatherAsksALeafThatRefusesWithRoomAgainAndAgain);
+  CPPUNIT_TEST(GatherLeavesAFullLeafAloneAfterItsAttempts);
   CPPUNIT_TEST(AnswersBeforeTheObjectiveWithEnoughShards);
   CPPUNIT_TEST(MarginFollowsWhatTheClientHasSpent);
   CPPUNIT_TEST(HedgesSoonWhereManyLeafsAreSlow);
@@ -294,6 +296,45 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, h.answers[0].missing_shards);
   }
 
+  /// Two refusals within two milliseconds ended a shard.
+  void GatherAsksALeafThatRefusesWithRoomAgainAndAgain() {
+    GatewayOptions options = GatewayHarness::Options();
+    options.extra_load.allowance = 100;
+    GatewayHarness h(options);
+    StartGathering(&h);
+    h.Ask("/all/1");
+    for (size_t i = 0; i < 3; ++i) {
+      h.Reply(h.sends[i], query::LeafStatus::kOk, Record('a'));
+    }
+    for (size_t i = 3; i < 6; ++i) {
+      CPPUNIT_ASSERT_EQUAL(i + 1, h.sends.size());
+      CPPUNIT_ASSERT_EQUAL(h.sends[3].leaf, h.sends[i].leaf);
+      h.Reply(h.sends[i], query::LeafStatus::kShed);
+      // Not in the same moment: it has just said no.
+      CPPUNIT_ASSERT_EQUAL(i + 1, h.sends.size());
+      h.Pass(Milliseconds(3));
+    }
+    h.Reply(h.sends.at(6), query::LeafStatus::kOk, Record('b'));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, h.answers.at(0).signatures.size());
+  }
+
+  void GatherLeavesAFullLeafAloneAfterItsAttempts() {
+    constexpr uint32_t kFull = 50;
+    GatewayHarness h;
+    StartGathering(&h);
+    h.Ask("/all/1");
+    for (size_t i = 0; i < 3; ++i) {
+      h.Reply(h.sends[i], query::LeafStatus::kOk, Record('a'));
+    }
+    h.Reply(h.sends[3], query::LeafStatus::kShed, "", 200, kFull);
+    h.Pass(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, h.sends.size());
+    h.Reply(h.sends[4], query::LeafStatus::kShed, "", 200, kFull);
+    // Nothing more can come: what is there goes out.
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.answers.at(0).missing_shards);
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, h.sends.size());
+  }
+
   void AnswersBeforeTheObjectiveWithEnoughShards() {
     GatewayHarness h;
     StartGathering(&h);
--- a/test/query/shared_gather_test.cc
+++ b/test/query/shared_gather_test.cc
@@ -48,6 +48,17 @@
     gather_.OnWord(now, word);
     Take();
   }
+  /// The merger has given shards up, and works on the others.
+  void Gaps(uint64_t id, const std::vector<uint32_t>& shards) {
+    wire::PartialAnswer word;
+    word.id = id;
+    word.stage = wire::PartialStage::kParts;
+    for (const uint32_t shard : shards) {
+      word.gaps.push_back({shard, static_cast<uint32_t>(MissingReason::kShed)});
+    }
+    gather_.OnWord(now, word);
+    Take();
+  }
   void Lose(const std::string& merger) {
     gather_.OnMergerLost(now, merger);
     Take();
@@ -120,6 +131,8 @@
   CPPUNIT_TEST(LateWordOfAReplacedMergerIsIgnored);
   CPPUNIT_TEST(NotRunOnlyIfEveryMergerSaidSo);
   CPPUNIT_TEST(MissingShardsOutOfReachEndItAtOnce);
+  CPPUNIT_TEST(ShardsGivenUpEarlyEndItAsSoonAsTooManyAre);
+  CPPUNIT_TEST(PartOfAShardThatWasGivenUpCounts);
   CPPUNIT_TEST(AbandoningStopsWork);
   CPPUNIT_TEST(NeverMoreAttemptsThanAllowed);
   CPPUNIT_TEST_SUITE_END();
@@ -326,6 +339,35 @@
     CPPUNIT_ASSERT(g.outcome->code == ResultCode::kCoverageNotReached);
   }
 
+  /// Mergers that had given a shard up went on with the others, and the client was held meanwhile.
+  void ShardsGivenUpEarlyEndItAsSoonAsTooManyAre() {
+    Gather g;
+    g.Word(1, wire::PartialStage::kAccepted);
+    g.Word(2, wire::PartialStage::kAccepted);
+    g.Gaps(1, {0, 1});
+    CPPUNIT_ASSERT(!g.outcome.has_value());
+    // Told twice is lost once.
+    g.Gaps(1, {0, 1});
+    CPPUNIT_ASSERT(!g.outcome.has_value());
+    g.Gaps(2, {0});
+    CPPUNIT_ASSERT(g.outcome->code == ResultCode::kCoverageNotReached);
+    CPPUNIT_ASSERT(g.outcome->missing.at(0).reason == MissingReason::kShed);
+    // Both may have sent.
+    CPPUNIT_ASSERT(g.outcome->run == RunState::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, g.cancels.size());
+  }
+
+  void PartOfAShardThatWasGivenUpCounts() {
+    Gather g;
+    g.Word(1, wire::PartialStage::kAccepted);
+    g.Gaps(1, {0, 1});
+    g.Word(1, wire::PartialStage::kParts, {0});
+    g.Word(1, wire::PartialStage::kDone);
+    g.Word(2, wire::PartialStage::kDone, {0, 1});
+    CPPUNIT_ASSERT(g.outcome->code == ResultCode::kPartial);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.outcome->missing.size());
+  }
+
   void AbandoningStopsWork() {
     SharedGather gather(
         Gather::Plan(2), {{0, 2}, {2, 2}}, {},
