The JSON interface's door: the same key ring and gate, tenants of its own

Nodes answered whoever came. Where the configuration has a list of tenants (change put_tenants, with submission id and revision), a request needs the key of one, leafs get the tenant's name in each sub-request, and a tenant's priority goes before the policy's. What a tenant ran under an idempotency key is kept apart from others'.

The reader of the key's header is one for both doors (http/bearer_key).

--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/result_code.h"
+#include "config/tenant_list.h"
 
 namespace pumicedyke::config {
 namespace {
@@ -93,6 +94,7 @@
     case ChangeKind::kEvacuateZone:
     case ChangeKind::kRestoreZone:
     case ChangeKind::kReleaseRequest:
+    case ChangeKind::kPutTenants:
       return absl::OkStatus();
     case ChangeKind::kQuarantineRequest:
       return ValidateQuarantine(change);
@@ -125,6 +127,9 @@
     const auto zone = zones_.find(change.zone);
     return zone == zones_.end() ? 0 : zone->second.revision;
   }
+  if (change.kind == ChangeKind::kPutTenants) {
+    return tenants_.revision;
+  }
   const Service* service = FindService(change.service);
   return service == nullptr ? 0 : service->revision;
 }
@@ -277,6 +282,9 @@
     case ChangeKind::kReleaseRequest:
       Release(change.request, change.on_parole);
       break;
+    case ChangeKind::kPutTenants:
+      tenants_ = {tenants_.revision + 1, change.tenants};
+      break;
   }
 }
 
@@ -285,16 +293,20 @@
   for (const auto& [request, record] : quarantine_) {
     quarantine[ToText(request)] = record;
   }
-  return Json{{"version", version_},
-              {"services", services_},
-              {"leaving", leaving_},
-              {"retired", retired_order_},
-              {"document_version", document_.version},
-              {"document", document_.text},
-              {"reported", reported_},
-              {"zones", zones_},
-              {"quarantine", quarantine}}
-      .dump();
+  Json json{{"version", version_},
+            {"services", services_},
+            {"leaving", leaving_},
+            {"retired", retired_order_},
+            {"document_version", document_.version},
+            {"document", document_.text},
+            {"reported", reported_},
+            {"zones", zones_},
+            {"quarantine", quarantine}};
+  if (tenants_.revision > 0) {
+    json["tenants_revision"] = tenants_.revision;
+    json["tenants"] = TenantsJson(tenants_.tenants);
+  }
+  return json.dump();
 }
 
 absl::StatusOr<ConfigState> ConfigState::Deserialize(const std::string& bytes) {
@@ -312,6 +324,13 @@
     state.reported_ = json.value("reported", std::map<std::string, ReportedLeaf>());
     // Absent in what was written before zones could be evacuated.
     state.zones_ = json.value("zones", std::map<std::string, ZoneState>());
+    // Absent as long as no list of tenants was put.
+    state.tenants_.revision = json.value("tenants_revision", uint64_t{0});
+    if (state.tenants_.revision > 0) {
+      if (absl::Status status = ReadTenants(json, &state.tenants_.tenants); !status.ok()) {
+        return status;
+      }
+    }
     // Absent in what was written before requests could be stopped.
     const auto quarantine = json.value("quarantine", std::map<std::string, QuarantineRecord>());
     for (const auto& [text, record] : quarantine) {
--- a/src/config/config_state.h
+++ b/src/config/config_state.h
@@ -47,6 +47,8 @@
   }
   /// Requests that are to be sent to no leaf.
   std::set<RequestIdentity> StoppedRequests() const;
+  /// Who may ask nodes.
+  const TenantList& tenants() const { return tenants_; }
   /// Revision of what the change is about, a service or a zone; zero: it has none yet.
   uint64_t RevisionOf(const Change& change) const;
 
@@ -82,6 +84,7 @@
   /// The same, oldest first.
   std::deque<std::string> retired_order_;
   RouteDocument document_;
+  TenantList tenants_;
   std::map<std::string, ReportedLeaf> reported_;
   std::map<std::string, ZoneState> zones_;
   std::map<RequestIdentity, QuarantineRecord> quarantine_;
--- a/src/config/model.cc
+++ b/src/config/model.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "common/result_code.h"
+#include "config/tenant_list.h"
 
 namespace pumicedyke::config {
 namespace {
@@ -15,7 +16,7 @@
 constexpr size_t kMaxPolicyBytes = 16 * 1024;
 constexpr uint32_t kMaxSlots = 10000;
 
-constexpr std::array<std::pair<ChangeKind, const char*>, 14> kKindNames = {{
+constexpr std::array<std::pair<ChangeKind, const char*>, 15> kKindNames = {{
     {ChangeKind::kPutService, "put_service"},
     {ChangeKind::kRemoveService, "remove_service"},
     {ChangeKind::kPublishSnapshot, "publish_snapshot"},
@@ -30,6 +31,7 @@
     {ChangeKind::kRestoreZone, "restore_zone"},
     {ChangeKind::kQuarantineRequest, "quarantine_request"},
     {ChangeKind::kReleaseRequest, "release_request"},
+    {ChangeKind::kPutTenants, "put_tenants"},
 }};
 
 absl::Status FieldError(const std::string& field, const std::string& allowed) {
@@ -242,6 +244,8 @@
     case ChangeKind::kQuarantineRequest:
     case ChangeKind::kReleaseRequest:
       return ReadRequest(json, change);
+    case ChangeKind::kPutTenants:
+      return ReadTenants(json, &change->tenants);
     case ChangeKind::kRemoveService:
       break;
   }
@@ -261,7 +265,7 @@
 
 bool IsIdempotent(ChangeKind kind) {
   return !ConcernsService(kind) && kind != ChangeKind::kMarkLeaving &&
-         kind != ChangeKind::kClearLeaving;
+         kind != ChangeKind::kClearLeaving && kind != ChangeKind::kPutTenants;
 }
 
 const PublishedSnapshot* Service::FindSnapshot(SnapshotId id) const {
@@ -322,6 +326,9 @@
       json["request"] = ToText(change.request);
       json["on_parole"] = change.on_parole;
       break;
+    case ChangeKind::kPutTenants:
+      json["tenants"] = TenantsJson(change.tenants);
+      break;
     case ChangeKind::kRemoveService:
       break;
   }
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -10,6 +10,7 @@
 #include "common/json.h"
 #include "common/request_identity.h"
 #include "common/types.h"
+#include "tenants/tenant.h"
 
 namespace pumicedyke::config {
 
@@ -81,6 +82,14 @@
   uint32_t times = 0;
 };
 
+/// Who may ask nodes. Routes say it for gateways in their document.
+struct TenantList {
+  /// Counts the changes of this list.
+  uint64_t revision = 0;
+  /// Unset: nobody needs a key.
+  std::optional<std::vector<tenants::Tenant>> tenants;
+};
+
 /// Routes as operators put them, whole: kept byte for byte. What the bytes mean is for the
 /// routing::DocumentReader of the process that uses them.
 struct RouteDocument {
@@ -110,6 +119,8 @@
   /// A request, by its identity, is sent to no leaf any more, until it is released.
   kQuarantineRequest,
   kReleaseRequest,
+  /// The whole list of tenants, or that nobody needs a key.
+  kPutTenants,
 };
 
 bool ConcernsZone(ChangeKind kind);
@@ -139,6 +150,8 @@
   bool on_parole = false;
   /// The leafs of kReportLeafs and kForgetLeafs; of the latter only id and reporter count.
   std::vector<ReportedLeaf> reported;
+  /// The tenants of kPutTenants; unset: nobody needs a key.
+  std::optional<std::vector<tenants::Tenant>> tenants;
 };
 
 /// What became of a submission.
--- a/src/node/node_admission.cc
+++ b/src/node/node_admission.cc
@@ -6,6 +6,7 @@
 
 #include "common/result_code.h"
 #include "node/node_server.h"
+#include "policy/priority.h"
 
 namespace pumicedyke::node {
 
@@ -14,6 +15,8 @@
 
 namespace {
 
+/// Stands in no header, hence in no key of a caller.
+constexpr char kSeparator = '\x1f';
 constexpr Duration kOverloadRetryAfter = Milliseconds(200);
 constexpr Duration kLongestRetryAfter = Seconds(5);
 constexpr Duration kNotReadyRetryAfter = Milliseconds(500);
@@ -83,10 +86,9 @@
       longest = std::max(longest, pool_.ExpectedWait(now, shard.replicas));
     }
   }
-  constexpr double kTopPriority = 9.0;
-  const double patience =
-      options_.knobs.admission_low +
-      (options_.knobs.admission_high - options_.knobs.admission_low) * plan.priority / kTopPriority;
+  const double patience = options_.knobs.admission_low +
+                          (options_.knobs.admission_high - options_.knobs.admission_low) *
+                              plan.priority / policy::kTopPriority;
   const auto bearable = std::chrono::duration_cast<Duration>(plan.deadline * patience);
   if (longest <= bearable) {
     return std::nullopt;
@@ -94,6 +96,12 @@
   return std::max(longest - bearable, Milliseconds(1));
 }
 
+admission::EntryDecision NodeServer::Enter(Timestamp now, RequestId id,
+                                           const query::CallerRequest& request) {
+  return gate_.Enter(now, id, *tenants_, routing::Route{}, request.api_key,
+                     subscriber_.proven_at());
+}
+
 void NodeServer::OnCallerRequest(Timestamp now, RequestId id, const query::CallerRequest& request) {
   ++counters_.requests;
   // An earlier attempt under the same key may have run; only the ledger could tell.
@@ -111,6 +119,11 @@
     refuse(ResultCode::kStaleConfiguration, "control is out of reach", kNotReadyRetryAfter);
     return;
   }
+  const admission::EntryDecision entry = Enter(now, id, request);
+  if (entry.verdict != admission::EntryVerdict::kAdmitted) {
+    refuse(entry.code, std::string(InfoOf(entry.code).meaning), entry.retry_after);
+    return;
+  }
   if (subscriber_.config().IsQuarantined(request.identity)) {
     refuse(ResultCode::kQuarantined, "this request ended the leafs that ran it",
            options_.retry_when_quarantined);
@@ -133,6 +146,9 @@
     refuse(CodeOf(plan.status()), std::string(plan.status().message()));
     return;
   }
+  if (entry.tenant != nullptr && entry.tenant->priority.has_value()) {
+    plan->priority = std::max(0, policy::kTopPriority - *entry.tenant->priority);
+  }
   for (const ShardId& wanted : request.shards) {
     const bool known = std::any_of(snapshot->shards.begin(), snapshot->shards.end(),
                                    [&](const config::Shard& shard) { return shard.id == wanted; });
@@ -153,6 +169,7 @@
   }
   Active& active = active_[id];
   active.request = request;
+  active.request.tenant = entry.tenant == nullptr ? std::string() : entry.tenant->name;
   active.plan = *plan;
   active.program = runtime.program;
   active.snapshot = snapshot->id;
@@ -182,7 +199,10 @@
 }
 
 void NodeServer::StartClaim(Timestamp now, RequestId id, Active* active) {
-  active->ledger_key = active->request.service + "/" + active->request.idempotency_key;
+  // What one tenant has run under a key is none of another's business.
+  const std::string& tenant = active->request.tenant;
+  active->ledger_key = active->request.service + "/" + (tenant.empty() ? "" : tenant + kSeparator) +
+                       active->request.idempotency_key;
   active->claim_owner = ledger_.Claim(now, active->ledger_key, Fingerprint(active->request));
   active->claim_pending = true;
   claims_[active->claim_owner] = id;
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -24,6 +24,8 @@
       origin_(options_.subscriber.node + "." + std::to_string(options_.incarnation)),
       ids_(options_.incarnation),
       subscriber_(options_.subscriber, now),
+      gate_({}, options_.subscriber.node, options_.incarnation),
+      tenants_(std::make_shared<const routing::RouteTable>(routing::RouteSet{})),
       ledger_(options_.subscriber.cluster, origin_, &ids_),
       pool_(options_.knobs, options_.seed),
       witness_(options_.witness),
@@ -56,7 +58,20 @@
   ledger_.RepeatAll(now);
 }
 
+void NodeServer::ApplyTenants() {
+  const config::TenantList& list = subscriber_.config().tenants();
+  if (list.revision == tenants_revision_) {
+    return;
+  }
+  tenants_revision_ = list.revision;
+  routing::RouteSet set;
+  set.keyed = list.tenants.has_value();
+  set.tenants = list.tenants.value_or(std::vector<tenants::Tenant>{});
+  tenants_ = std::make_shared<const routing::RouteTable>(std::move(set));
+}
+
 void NodeServer::ApplyConfig(Timestamp now) {
+  ApplyTenants();
   const config::ConfigState& config = subscriber_.config();
   for (const auto& [name, service] : config.services()) {
     ServiceRuntime& runtime = services_[name];
@@ -220,6 +235,7 @@
   query::ExecutionActions actions = active.execution->TakeActions();
   for (query::LeafRequest& request : actions.sends) {
     request.origin = origin_;
+    request.tenant = active.request.tenant;
     request_of_[request.id] = id;
     active.sub_requests.push_back(request.id);
     WatchRun(now, id, active.request, request);
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/entry_gate.h"
 #include "balance/admission_throttle.h"
 #include "balance/leaf_pool.h"
 #include "node/config_subscriber.h"
@@ -140,10 +141,13 @@
   // Configuration.
   void ApplyConfig(Timestamp now);
   void CompilePolicy(ServiceRuntime* runtime);
+  void ApplyTenants();
 
   // Admission.
   absl::StatusOr<policy::QueryPlan> PlanFor(const ServiceRuntime& runtime,
                                             const query::CallerRequest& request) const;
+  /// Whether the caller may ask, as gateways decide it.
+  admission::EntryDecision Enter(Timestamp now, RequestId id, const query::CallerRequest& request);
   std::optional<Duration> RefusalWait(Timestamp now, const policy::QueryPlan& plan,
                                       const query::CallerRequest& request,
                                       const config::PublishedSnapshot& snapshot,
@@ -178,6 +182,10 @@
   std::string origin_;
   IdSource ids_;
   ConfigSubscriber subscriber_;
+  admission::EntryGate gate_;
+  /// The tenants of the configuration in force, in the form that the gate takes.
+  std::shared_ptr<const routing::RouteTable> tenants_;
+  uint64_t tenants_revision_ = 0;
   LedgerClient ledger_;
   balance::LeafPool pool_;
   quarantine::RunWitness witness_;
--- a/src/programs/pumicectl_main.cc
+++ b/src/programs/pumicectl_main.cc
@@ -256,6 +256,22 @@
   return 0;
 }
 
+int PutTenants(const Arguments& arguments) {
+  if (arguments[0] == "none") {
+    return Submit({{"kind", "put_tenants"}, {"tenants", nullptr}});
+  }
+  bool ok = false;
+  const std::string text = ReadFile(arguments[0], &ok);
+  if (!ok) {
+    return Fail(ExitCode::kUsage, "cannot read " + arguments[0]);
+  }
+  const Json tenants = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (!tenants.is_array()) {
+    return Fail(ExitCode::kUsage, arguments[0] + " holds no JSON list");
+  }
+  return Submit({{"kind", "put_tenants"}, {"tenants", tenants}});
+}
+
 int ShowTenants(const Arguments& /*arguments*/) {
   const http::ClientResponse response = AskControl("/v1/config", "");
   const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
@@ -272,10 +288,9 @@
     return 0;
   }
   if (tenants.is_null()) {
-    std::cout << "the document has no tenants: nobody needs a key\n";
+    std::cout << "there are no tenants: nobody needs a key\n";
     return 0;
   }
-  std::cout << "document version " << json["document_version"] << "\n";
   for (const Json& tenant : tenants) {
     const double limit = tenant["requests_per_second"].get<double>();
     std::cout << tenant["name"].get<std::string>() << ": " << tenant["keys"] << " keys, ";
@@ -400,6 +415,8 @@
       {"release", {"release IDENTITY", "lets a stopped request go again", 1, &Release}},
       {"status", {"status", "shows the control machines", 0, &ShowStatus}},
       {"config", {"config", "shows the configuration, read from a quorum", 0, &ShowConfig}},
+      {"put-tenants",
+       {"put-tenants FILE|none", "who may ask nodes (JSON list); none: anybody", 1, &PutTenants}},
       {"tenants", {"tenants", "shows tenants and their limits, never their keys", 0, &ShowTenants}},
       {"query", {"query SERVICE TEXT", "asks a node (--node)", 2, &Query}},
   };
--- a/src/query/messages.cc
+++ b/src/query/messages.cc
@@ -217,16 +217,20 @@
 }
 
 Json LeafRequestToJson(const LeafRequest& request) {
-  return Json{{"origin", request.origin},
-              {"id", request.id},
-              {"leaf", request.leaf},
-              {"service", request.service},
-              {"shard", request.shard},
-              {"snapshot", request.snapshot},
-              {"query", request.query},
-              {"budget_us", request.budget.count()},
-              {"idempotency_key", request.idempotency_key},
-              {"repeatable", request.repeatable}};
+  Json json{{"origin", request.origin},
+            {"id", request.id},
+            {"leaf", request.leaf},
+            {"service", request.service},
+            {"shard", request.shard},
+            {"snapshot", request.snapshot},
+            {"query", request.query},
+            {"budget_us", request.budget.count()},
+            {"idempotency_key", request.idempotency_key},
+            {"repeatable", request.repeatable}};
+  if (!request.tenant.empty()) {
+    json["tenant"] = request.tenant;
+  }
+  return json;
 }
 
 absl::StatusOr<LeafRequest> LeafRequestFromJson(const std::string& text) {
@@ -246,6 +250,7 @@
     request.budget = Duration(json->at("budget_us").get<int64_t>());
     request.idempotency_key = json->value("idempotency_key", "");
     request.repeatable = json->value("repeatable", true);
+    request.tenant = json->value("tenant", "");
   } catch (const Json::exception& error) {
     return MakeStatus(ResultCode::kMalformedRequest, error.what());
   }
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -38,6 +38,8 @@
   /// Set for work that must not run twice; such a request is sent on a fresh connection.
   std::string idempotency_key;
   bool repeatable = true;
+  /// Whose request it is; empty: nobody's, or nobody needs a key.
+  std::string tenant = {};
 };
 
 enum class LeafStatus {
@@ -142,6 +144,10 @@
   /// From a continuation token: the snapshot to stay on.
   std::optional<SnapshotId> snapshot;
   size_t limit = 0;
+  /// The caller's API key; empty: it sent none.
+  std::string api_key;
+  /// Whose request it is, by the node's word; empty: nobody's.
+  std::string tenant;
 };
 
 struct Answer {
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "common/result_code.h"
 #include "common/settings.h"
+#include "http/bearer_key.h"
 #include "http/metrics.h"
 #include "node/incarnation_store.h"
 #include "server/process.h"
@@ -254,6 +255,7 @@
     return;
   }
   parsed->identity = IdentityOf(*parsed, request.authorization);
+  parsed->api_key = http::BearerKey(request.headers);
   const RequestId id{next_request_++};
   waiting_.emplace(id, std::move(responder));
   server_->OnCallerRequest(net::EventLoop::Now(), id, *parsed);
