--- /dev/null
+++ b/src/bench/limit_lending.cc
@@ -0,0 +1,273 @@
+#include "bench/limit_lending.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <random>
+#include <utility>
+
+#include "absl/strings/str_format.h"
+#include "limits/tenant_limits.h"
+#include "sim/limit_fleet.h"
+#include "wire/codec.h"
+
+namespace pumicedyke::bench {
+namespace {
+
+using limits::Demand;
+
+constexpr size_t kTenants = 86;
+constexpr double kRequestsPerGateway = 0.55;
+constexpr double kHeadroom = 1.6;
+constexpr double kOver = 8;
+constexpr Duration kWarm = Seconds(14);
+constexpr int kSeconds = 40;
+constexpr size_t kMostPlayed = 985;
+constexpr double kPacketHeaders = 52;
+constexpr uint64_t kSeed = 17;
+
+std::vector<Demand> Demands(size_t gateways, double of_limit) {
+  const double total = kRequestsPerGateway * static_cast<double>(gateways);
+  double sum = 0;
+  for (size_t i = 1; i <= kTenants; ++i) {
+    sum += std::pow(static_cast<double>(i), -1.2);
+  }
+  std::vector<Demand> demands;
+  for (size_t i = 1; i <= kTenants; ++i) {
+    Demand demand;
+    demand.tenant.name = "tenant-" + std::to_string(i);
+    demand.tenant.requests_per_second =
+        kHeadroom * total * std::pow(static_cast<double>(i), -1.2) / sum;
+    demand.tenant.burst = std::max(2.0, demand.tenant.requests_per_second);
+    demand.per_second = demand.tenant.requests_per_second * of_limit;
+    demands.push_back(std::move(demand));
+  }
+  return demands;
+}
+
+/// The mean of a question and its answer on the wire.
+double BytesPerMessage() {
+  const uint64_t id = uint64_t{1} << 40;
+  const wire::LimitAsk ask{id, "tenant-11", 3, 1, false, 0, 0};
+  const wire::LimitGrant grant{id, "tenant-11",       wire::LimitStage::kGranted,
+                               1,  Milliseconds(300), {}};
+  const size_t bytes = wire::Encode(wire::Envelope{"cluster", 12, ask}).size() +
+                       wire::Encode(wire::Envelope{"cluster", 12, grant}).size();
+  return static_cast<double>(bytes) / 2 + kPacketHeaders;
+}
+
+/// A borrower and a keeper hand each other their messages.
+double GrantsPerSecond(size_t gateways) {
+  constexpr int kGrants = 50000;
+  const limits::LimitOptions options{{Seconds(5), 0.1, 20}, {}, {}};
+  std::vector<limits::LimitGateway> list;
+  for (size_t i = 0; i < gateways; ++i) {
+    const std::string node = "g" + std::to_string(i);
+    list.push_back({node, node, "zone"});
+  }
+  std::vector<tenants::Tenant> tenants;
+  for (const Demand& demand : Demands(gateways, 0)) {
+    tenants.push_back(demand.tenant);
+  }
+  tenants::Tenant& asked = tenants.front();
+  asked.requests_per_second = 4;
+  asked.burst = 2 * kGrants;
+  limits::KeeperPlacement placement;
+  placement.SetAccounts({{asked.name, 0}});
+  placement.SetGateways(list);
+  const std::string first = placement.Find({asked.name, 0}).first->node;
+  limits::TenantLimits keeper(options, first, 1);
+  limits::TenantLimits borrower(options, first == "g0" ? "g1" : "g0", 1);
+  Timestamp now{Seconds(1000)};
+  for (limits::TenantLimits* one : {&keeper, &borrower}) {
+    one->SetTenants(now, tenants);
+    one->SetGateways(now, list);
+  }
+  uint64_t lent = 0;
+  for (int i = 0; i < 60000; ++i) {
+    now += Milliseconds(500);
+    keeper.Tick(now, now);
+    keeper.TakeOutput();
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  for (uint64_t i = 1; i <= kGrants; ++i) {
+    now += Microseconds(10);
+    borrower.Admit(now, RequestId{i}, asked, now, false);
+    for (const limits::LimitQuestion& question : borrower.TakeOutput().questions) {
+      keeper.OnAsk(now, 1, question.ask, now);
+      for (const limits::LimitWord& word : keeper.TakeOutput().words) {
+        borrower.OnGrant(now, first, word.grant);
+        lent += word.grant.granted;
+      }
+    }
+  }
+  const auto elapsed = std::chrono::steady_clock::now() - begin;
+  return static_cast<double>(std::min<uint64_t>(lent, kGrants)) /
+         std::chrono::duration<double>(elapsed).count();
+}
+
+LimitCost MeasureLending(size_t gateways) {
+  LimitCost cost{.way = "lending", .gateways = gateways};
+  cost.played = std::min(gateways, kMostPlayed);
+  cost.grants_per_second = GrantsPerSecond(gateways);
+  limits::SimulatedFleet fleet({.gateways = cost.played, .seed = kSeed});
+  fleet.SetDemand(Demands(cost.played, 0));
+  fleet.Run(kWarm);
+  const std::vector<Demand> within = Demands(cost.played, 1 / kHeadroom);
+  fleet.SetDemand(within);
+  const uint64_t before = fleet.messages();
+  fleet.Run(Seconds(kSeconds));
+  cost.bytes_per_node_second = static_cast<double>(fleet.messages() - before) * BytesPerMessage() /
+                               kSeconds / static_cast<double>(cost.played);
+  uint64_t refused = 0;
+  uint64_t asked = 0;
+  for (size_t i = 0; i < kTenants; ++i) {
+    refused += fleet.count(i).refused;
+    asked += fleet.count(i).asked;
+  }
+  cost.refused_below = 1000.0 * static_cast<double>(refused) / static_cast<double>(asked);
+  const std::vector<Demand> over = Demands(cost.played, kOver);
+  fleet.SetDemand(over);
+  fleet.Run(Seconds(kSeconds));
+  double granted = 0;
+  double given = 0;
+  for (size_t i = 0; i < kTenants; ++i) {
+    const tenants::Tenant& tenant = over[i].tenant;
+    granted += static_cast<double>(fleet.count(i).granted);
+    given += tenant.requests_per_second * kSeconds;
+    cost.fullest = std::max(cost.fullest, fleet.Fullness(i, tenant.requests_per_second,
+                                                         tenant.burst, {}, Timestamp::max()));
+  }
+  cost.used_when_over = granted / given;
+  return cost;
+}
+
+/// A simpler way: one tenant's counts, by gateway.
+class SimpleWay {
+ public:
+  SimpleWay(bool reports, size_t gateways, const tenants::Tenant& tenant, Timestamp now)
+      : reports_(reports), rate_(tenant.requests_per_second) {
+    const double part = 1.0 / static_cast<double>(gateways);
+    const double cap = reports_ ? tenant.burst : std::max(1.0, tenant.burst * part);
+    parts_.assign(gateways, {rate_ * (reports_ ? 1 : part), cap, cap, now});
+    unreported_.assign(gateways, 0);
+    reported_.assign(gateways, now);
+    all_ = {rate_, tenant.burst, tenant.burst, now};
+  }
+  bool Grant(size_t gateway, Timestamp now) {
+    constexpr Duration kReportInterval = Milliseconds(500);
+    if (reports_ && now - reported_[gateway] >= kReportInterval) {
+      // What it granted is told, and what is left of all is heard.
+      reported_[gateway] = now;
+      limits::Refill(&all_, now);
+      all_.level -= std::exchange(unreported_[gateway], 0);
+      parts_[gateway].level = all_.level;
+      parts_[gateway].at = now;
+      messages_ += 2;
+    }
+    limits::Refill(&parts_[gateway], now);
+    const bool granted = limits::Take(&parts_[gateway], 1) == 1;
+    unreported_[gateway] += granted ? 1 : 0;
+    return granted;
+  }
+  uint64_t messages() const { return messages_; }
+
+ private:
+  bool reports_;
+  double rate_;
+  /// What each gateway believes to have.
+  std::vector<limits::TokenBucket> parts_;
+  std::vector<double> unreported_;
+  std::vector<Timestamp> reported_;
+  limits::TokenBucket all_;
+  uint64_t messages_ = 0;
+};
+
+struct SimpleCount {
+  uint64_t asked = 0;
+  uint64_t granted = 0;
+  uint64_t messages = 0;
+  double fullest = 0;
+};
+
+SimpleCount PlaySimple(bool reports, size_t gateways, const Demand& demand, uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::exponential_distribution<> gap(demand.per_second);
+  std::uniform_int_distribution<size_t> any(0, gateways - 1);
+  Timestamp now{Seconds(1000)};
+  const Timestamp end = now + Seconds(kSeconds);
+  SimpleWay way(reports, gateways, demand.tenant, now);
+  SimpleCount count;
+  std::vector<Timestamp> used;
+  while ((now += Duration(static_cast<int64_t>(gap(random) * 1e6))) < end) {
+    ++count.asked;
+    if (way.Grant(any(random), now)) {
+      ++count.granted;
+      used.push_back(now);
+    }
+  }
+  const double most = (demand.tenant.requests_per_second * 5 + demand.tenant.burst) * 1.1 + 20;
+  size_t last = 0;
+  for (size_t first = 0; first < used.size(); ++first) {
+    while (last < used.size() && used[last] <= used[first] + Seconds(5)) {
+      ++last;
+    }
+    count.fullest = std::max(count.fullest, static_cast<double>(last - first) / most);
+  }
+  count.messages = way.messages();
+  return count;
+}
+
+LimitCost MeasureSimple(bool reports, size_t gateways) {
+  LimitCost cost{.way = reports ? "counting, reports" : "fixed split", .gateways = gateways};
+  cost.played = gateways;
+  double asked = 0;
+  double refused = 0;
+  double messages = 0;
+  for (const Demand& demand : Demands(gateways, 1 / kHeadroom)) {
+    const SimpleCount count = PlaySimple(reports, gateways, demand, kSeed);
+    asked += static_cast<double>(count.asked);
+    refused += static_cast<double>(count.asked - count.granted);
+    messages += static_cast<double>(count.messages);
+  }
+  cost.refused_below = 1000 * refused / asked;
+  cost.bytes_per_node_second =
+      messages * BytesPerMessage() / kSeconds / static_cast<double>(gateways);
+  double granted = 0;
+  double given = 0;
+  for (const Demand& demand : Demands(gateways, kOver)) {
+    const SimpleCount count = PlaySimple(reports, gateways, demand, kSeed);
+    granted += static_cast<double>(count.granted);
+    given += demand.tenant.requests_per_second * kSeconds;
+    cost.fullest = std::max(cost.fullest, count.fullest);
+  }
+  cost.used_when_over = granted / given;
+  return cost;
+}
+
+}  // namespace
+
+std::vector<LimitCost> MeasureLimits() {
+  std::vector<LimitCost> costs;
+  for (const size_t gateways : {88, 985, 8800}) {
+    costs.push_back(MeasureLending(gateways));
+    costs.push_back(MeasureSimple(true, gateways));
+    costs.push_back(MeasureSimple(false, gateways));
+  }
+  return costs;
+}
+
+std::string LimitCostTable(const std::vector<LimitCost>& costs) {
+  std::string text =
+      "way                gateways  played   grants/s   bytes/node/s   refused of 1000   used of "
+      "limit at x8   fullest window\n";
+  for (const LimitCost& cost : costs) {
+    absl::StrAppendFormat(&text, "%-18s %8d %7d %10.0f %14.1f %17.2f %21.2f %16.2f\n", cost.way,
+                          cost.gateways, cost.played, cost.grants_per_second,
+                          cost.bytes_per_node_second, cost.refused_below, cost.used_when_over,
+                          cost.fullest);
+  }
+  return text;
+}
+
+}  // namespace pumicedyke::bench
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -247,6 +247,7 @@
   size_t in_progress() const { return active_.size(); }
   /// Requests that are sent to no leaf.
   const std::set<RequestIdentity>& quarantined() const { return quarantined_; }
+  const limits::TenantLimits& limits() const { return gate_.limits(); }
   uint64_t config_version() const { return subscriber_.config().version().value; }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
 
--- a/src/limits/limit_borrower.cc
+++ b/src/limits/limit_borrower.cc
@@ -38,27 +38,43 @@
       next_id_(next_id) {}
 
 void LimitBorrower::SetTenants(const std::map<std::string, uint32_t>& parts) {
-  for (auto& [tenant, borrowing] : borrowings_) {
-    if (parts.contains(tenant)) {
+  parts_ = parts;
+  for (auto it = borrowings_.begin(); it != borrowings_.end();) {
+    const auto found = parts_.find(it->first);
+    if (found != parts_.end()) {
+      Cut(found->second, &it->second);
+      ++it;
       continue;
     }
-    for (const RequestId id : std::exchange(borrowing.queued, {})) {
+    for (const RequestId id : it->second.queued) {
       output_.decisions.push_back({id, false, options_.unknown_retry});
     }
+    it = borrowings_.erase(it);
   }
-  std::erase_if(borrowings_, [&](const auto& item) { return !parts.contains(item.first); });
-  for (const auto& [tenant, count] : parts) {
-    Borrowing& borrowing = borrowings_[tenant];
-    borrowing.parts = count;
-    const uint64_t hash = XXH64(node_.data(), node_.size(), 0);
-    borrowing.preferred = static_cast<uint32_t>(hash % count);
-    if (borrowing.refusals == 0) {
-      borrowing.refusals = hash % kSpreadStarts;
-    }
-    borrowing.spent_until.assign(count, Timestamp{});
+}
+
+void LimitBorrower::Cut(uint32_t parts, Borrowing* borrowing) const {
+  const uint64_t hash = XXH64(node_.data(), node_.size(), 0);
+  borrowing->parts = parts;
+  borrowing->preferred = static_cast<uint32_t>(hash % parts);
+  borrowing->spent_until.assign(parts, Timestamp{});
+  if (borrowing->refusals == 0) {
+    borrowing->refusals = hash % kSpreadStarts;
   }
 }
 
+LimitBorrower::Borrowing* LimitBorrower::BorrowingOf(const std::string& tenant) {
+  const auto parts = parts_.find(tenant);
+  if (parts == parts_.end()) {
+    return nullptr;
+  }
+  const auto [it, is_new] = borrowings_.try_emplace(tenant);
+  if (is_new) {
+    Cut(parts->second, &it->second);
+  }
+  return &it->second;
+}
+
 void LimitBorrower::NoteDemand(Timestamp now, Borrowing* borrowing) const {
   const double passed = InSeconds(now - borrowing->demand_at) / InSeconds(options_.demand_window);
   borrowing->demand = borrowing->demand * std::exp(-std::max(0.0, passed)) + 1;
@@ -205,11 +221,11 @@
 }
 
 LimitAnswer LimitBorrower::Admit(Timestamp now, RequestId id, const std::string& tenant) {
-  const auto it = borrowings_.find(tenant);
-  if (it == borrowings_.end()) {
+  Borrowing* found = BorrowingOf(tenant);
+  if (found == nullptr) {
     return {LimitVerdict::kRefused, options_.unknown_retry};
   }
-  Borrowing& borrowing = it->second;
+  Borrowing& borrowing = *found;
   NoteDemand(now, &borrowing);
   if (UseBatch(now, &borrowing)) {
     return {};
--- a/src/limits/limit_borrower.h
+++ b/src/limits/limit_borrower.h
@@ -106,6 +106,10 @@
     uint64_t refusals = 0;
   };
 
+  /// Takes over how many accounts the tenant has.
+  void Cut(uint32_t parts, Borrowing* borrowing) const;
+  /// @return null: it has no limit.
+  Borrowing* BorrowingOf(const std::string& tenant);
   void NoteDemand(Timestamp now, Borrowing* borrowing) const;
   static bool UseBatch(Timestamp now, Borrowing* borrowing);
   uint32_t Ahead(const Borrowing& borrowing, const AccountId& account) const;
@@ -133,6 +137,8 @@
   const KeeperPlacement* placement_;
   LimitKeeper* keeper_;
   uint64_t* next_id_;
+  std::map<std::string, uint32_t> parts_;
+  /// Of tenants that have sent requests here.
   std::map<std::string, Borrowing> borrowings_;
   std::map<uint64_t, Question> questions_;
   std::map<std::string, Timestamp> suspected_until_;
--- a/src/limits/limit_keeper.cc
+++ b/src/limits/limit_keeper.cc
@@ -21,6 +21,7 @@
 void LimitKeeper::Settle(Timestamp now, Account* account) {
   Refill(&account->bucket, now);
   account->settled = true;
+  ++changes_;
   account->was_first = false;
   const bool first = account->role == KeeperRole::kFirst;
   account->bucket.rate = first ? account->terms.rate : account->terms.reserve_rate;
@@ -28,8 +29,9 @@
   account->bucket.level = std::min(account->bucket.level, account->bucket.cap);
 }
 
-void LimitKeeper::Unsettle(Timestamp now, Account* account) const {
+void LimitKeeper::Unsettle(Timestamp now, Account* account) {
   Refill(&account->bucket, now);
+  changes_ += account->settled ? 1 : 0;
   account->settled = false;
   account->settles_at = now + options_.settling;
   account->bucket.rate = 0;
@@ -77,6 +79,7 @@
     kept.kept_until = now + options_.kept_for_claim;
   }
   kept.role = role;
+  ++changes_;
   if (MayResume(now, kept)) {
     Settle(now, &kept);
     return;
--- a/src/limits/limit_keeper.h
+++ b/src/limits/limit_keeper.h
@@ -116,6 +116,8 @@
   /// Whether requests of this gateway need ask nobody else.
   bool Keeps(const AccountId& account) const;
   std::vector<AccountFigures> Figures() const;
+  /// Counts changes of what is kept and of whether it has settled.
+  uint64_t changes() const { return changes_; }
 
  private:
   struct Loan {
@@ -148,13 +150,13 @@
 
   bool Proven(Timestamp now) const { return now - proven_at_ <= options_.lease; }
   /// Fills it from now on by its role.
-  static void Settle(Timestamp now, Account* account);
+  void Settle(Timestamp now, Account* account);
   /// Nobody else has begun to fill it since it fell from this gateway.
   static bool MayResume(Timestamp now, const Account& account) {
     return account.was_first && account.role == KeeperRole::kFirst && now < account.kept_until;
   }
   /// Stops filling it.
-  void Unsettle(Timestamp now, Account* account) const;
+  void Unsettle(Timestamp now, Account* account);
   /// When the next one that is turned away is to come back.
   Duration NextSlot(Timestamp now, Account* account) const;
   void SettleDue(Timestamp now);
@@ -164,6 +166,7 @@
   std::map<AccountId, AccountTerms> terms_;
   std::map<AccountId, Account> accounts_;
   std::map<uint64_t, Claim> claims_;
+  uint64_t changes_ = 0;
 };
 
 }  // namespace pumicedyke::limits
--- a/src/programs/pumicedyke_bench_main.cc
+++ b/src/programs/pumicedyke_bench_main.cc
@@ -1,5 +1,5 @@
 // Benchmarks in simulated time: `run SCENARIO`, `compare A.json B.json`; and of what a change costs
-// a gateway, `changes`. docs/PERFORMANCE.md.
+// a gateway, `changes`, and what tenants' limits cost, `limits`. docs/PERFORMANCE.md.
 #include <gflags/gflags.h>
 
 #include <atomic>
@@ -16,6 +16,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "bench/leaf_changes.h"
+#include "bench/limit_lending.h"
 #include "bench/report.h"
 #include "policy/policy_program.h"
 
@@ -148,7 +149,7 @@
 
 int main(int argc, char** argv) {
   using namespace pumicedyke::bench;  // NOLINT
-  gflags::SetUsageMessage("run SCENARIO.toml | compare BEFORE.json AFTER.json | changes");
+  gflags::SetUsageMessage("run SCENARIO.toml | compare BEFORE.json AFTER.json | changes | limits");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   if (arguments.size() == 2 && arguments[0] == "run") {
@@ -161,5 +162,9 @@
     std::cout << LeafChangeTable(MeasureLeafChanges({500, 2000, 9574, 30000, 60000}));
     return 0;
   }
-  return Fail("expects 'run SCENARIO', 'compare BEFORE AFTER' or 'changes'");
+  if (arguments.size() == 1 && arguments[0] == "limits") {
+    std::cout << LimitCostTable(MeasureLimits());
+    return 0;
+  }
+  return Fail("expects 'run SCENARIO', 'compare BEFORE AFTER', 'changes' or 'limits'");
 }
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -169,6 +169,7 @@
   }
   NoteZones(now, server);
   NoteQuarantine(now, server);
+  NoteAccounts(now, server);
   if (changed_leafs_.empty() || now - leafs_looked_at_ < kLeafsInterval) {
     return;
   }
@@ -206,6 +207,32 @@
   }
 }
 
+void GatewayLog::NoteAccounts(Timestamp now, const gateway::GatewayServer& server) {
+  const limits::LimitKeeper& keeper = server.limits().keeper();
+  if (keeper.changes() == account_changes_ || now - accounts_looked_at_ < kLeafsInterval) {
+    return;
+  }
+  accounts_looked_at_ = now;
+  account_changes_ = keeper.changes();
+  NameList first;
+  NameList second;
+  NameList settling;
+  for (const limits::AccountFigures& account : keeper.Figures()) {
+    const std::string name = account.account.tenant + "/" + std::to_string(account.account.part);
+    if (!account.settled) {
+      settling.Add(name);
+    } else if (account.role == limits::KeeperRole::kFirst) {
+      first.Add(name);
+    } else {
+      second.Add(name);
+    }
+  }
+  LogEvent("limit_accounts", {{"first", first.ToJson()},
+                              {"second", second.ToJson()},
+                              {"settling", settling.ToJson()},
+                              {"config_age_ms", ToMilliseconds(server.ConfigAge(now))}});
+}
+
 void GatewayLog::NoteQuarantine(Timestamp now, const gateway::GatewayServer& server) {
   if (server.quarantined() == quarantined_) {
     return;
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -37,12 +37,17 @@
   bool Allow(Timestamp now);
   void NoteZones(Timestamp now, const gateway::GatewayServer& server);
   void NoteLeafs(const gateway::LeafView& view);
+  /// The accounts of tenants that this gateway keeps.
+  void NoteAccounts(Timestamp now, const gateway::GatewayServer& server);
   void NoteQuarantine(Timestamp now, const gateway::GatewayServer& server);
 
   LogLimiter limiter_{kLinesPerSecond};
   bool ready_ = false;
   uint64_t document_version_ = 0;
   Timestamp leafs_looked_at_{};
+  Timestamp accounts_looked_at_{};
+  /// Changes of accounts that were looked at.
+  uint64_t account_changes_ = 0;
   /// Leafs of which something has changed since they were looked at.
   std::set<std::string> changed_leafs_;
   /// What was believed of each leaf then: whether it leaves.
--- a/test/limits/simulated_fleet.cc
+++ b/src/sim/limit_fleet.cc
@@ -1,4 +1,4 @@
-#include "limits/simulated_fleet.h"
+#include "sim/limit_fleet.h"
 
 #include <algorithm>
 
@@ -21,6 +21,7 @@
 size_t SimulatedFleet::AddGateway() {
   gateways_.emplace_back();
   gateways_.back().node = "g" + std::to_string(gateways_.size() - 1);
+  by_address_[gateways_.back().node] = gateways_.size() - 1;
   Start(gateways_.size() - 1);
   return gateways_.size() - 1;
 }
@@ -34,7 +35,7 @@
       std::make_unique<TenantLimits>(options_.limits, gateway.node, ++gateway.incarnation);
   gateway.draining = false;
   gateway.proven_at = Timestamp{};
-  gateway.was_told = false;
+  gateway.told = 0;
   std::vector<tenants::Tenant> tenants;
   for (const Demand& demand : demands_) {
     tenants.push_back(demand.tenant);
@@ -84,6 +85,7 @@
 void SimulatedFleet::Hide(size_t i, std::set<size_t> hidden, Duration length) {
   gateways_[i].hidden = std::move(hidden);
   gateways_[i].hidden_until = now_ + length;
+  gateways_[i].told = 0;
 }
 
 void SimulatedFleet::SetDemand(std::vector<Demand> demands) {
@@ -124,12 +126,8 @@
 }
 
 std::optional<size_t> SimulatedFleet::AtAddress(const std::string& address) const {
-  for (size_t i = 0; i < gateways_.size(); ++i) {
-    if (gateways_[i].node == address) {
-      return i;
-    }
-  }
-  return std::nullopt;
+  const auto it = by_address_.find(address);
+  return it == by_address_.end() ? std::nullopt : std::optional(it->second);
 }
 
 uint64_t SimulatedFleet::Session(size_t from, size_t to) const {
@@ -149,7 +147,7 @@
   KeeperPlacement placement;
   const AccountId account{demands_[tenant].tenant.name, part};
   placement.SetAccounts({account});
-  placement.SetGateways(Records(lists_.back().second));
+  placement.SetGateways(Records(lists_.back().nodes));
   const LimitGateway* first = placement.Find(account).first;
   return first == nullptr ? 0 : AtAddress(first->address).value();
 }
@@ -234,6 +232,19 @@
   return std::nullopt;
 }
 
+std::optional<size_t> SimulatedFleet::Choose(const Demand& demand) {
+  constexpr int kTries = 20;
+  std::uniform_int_distribution<size_t> any(0, gateways_.size() - 1);
+  std::discrete_distribution<size_t> weighted(demand.weights.begin(), demand.weights.end());
+  for (int i = 0; i < kTries; ++i) {
+    const size_t gateway = demand.weights.empty() ? any(random_) : weighted(random_);
+    if (gateways_[gateway].limits != nullptr && !Frozen(gateway)) {
+      return gateway;
+    }
+  }
+  return std::nullopt;
+}
+
 void SimulatedFleet::Arrivals() {
   const double seconds = std::chrono::duration<double>(kStep).count();
   for (size_t tenant = 0; tenant < demands_.size(); ++tenant) {
@@ -241,20 +252,13 @@
     std::poisson_distribution<int> arrivals(demand.per_second * seconds);
     const int count = demand.per_second > 0 ? arrivals(random_) : 0;
     for (int i = 0; i < count; ++i) {
-      std::vector<double> weights = demand.weights;
-      weights.resize(gateways_.size(), demand.weights.empty() ? 1 : 0);
-      for (size_t g = 0; g < gateways_.size(); ++g) {
-        const bool serves = gateways_[g].limits != nullptr && !Frozen(g);
-        weights[g] = serves ? weights[g] : 0;
-      }
-      if (std::all_of(weights.begin(), weights.end(), [](double w) { return w == 0; })) {
+      const std::optional<size_t> gateway = Choose(demand);
+      if (!gateway.has_value()) {
         continue;
       }
-      std::discrete_distribution<size_t> choose(weights.begin(), weights.end());
       Refill(&owed_[tenant], now_);
-      const bool owed = Take(&owed_[tenant], 1) == 1;
-      counts_[tenant].owed += owed ? 1 : 0;
-      AskAt(choose(random_), tenant);
+      counts_[tenant].owed += Take(&owed_[tenant], 1);
+      AskAt(*gateway, tenant);
     }
   }
 }
@@ -275,8 +279,10 @@
       listed.insert(i);
     }
   }
-  lists_.emplace_back(now_, listed);
-  while (lists_.size() > 1 && now_ - lists_.front().first > Seconds(4)) {
+  if (lists_.empty() || lists_.back().nodes != listed) {
+    lists_.push_back({now_, lists_.empty() ? 1 : lists_.back().number + 1, std::move(listed)});
+  }
+  while (lists_.size() > 1 && now_ - lists_[1].since > Seconds(4)) {
     lists_.pop_front();
   }
   for (size_t i = 0; i < gateways_.size(); ++i) {
@@ -287,21 +293,28 @@
       continue;
     }
     auto list = lists_.rbegin();
-    while (now_ - list->first < gateway.lag && std::next(list) != lists_.rend()) {
+    while (now_ - list->since < gateway.lag && std::next(list) != lists_.rend()) {
       ++list;
     }
-    std::set<size_t> told = list->second;
-    if (now_ < gateway.hidden_until) {
-      std::erase_if(told, [&](size_t one) { return gateway.hidden.contains(one); });
-    }
     gateway.proven_at = now_;
-    if (told != gateway.told || !gateway.was_told) {
-      gateway.limits->SetGateways(now_, Records(told));
-      gateway.told = std::move(told);
-      gateway.was_told = true;
-      Collect(i);
-    }
+    Tell(i, *list);
+  }
+}
+
+void SimulatedFleet::Tell(size_t i, const List& list) {
+  Gateway& gateway = gateways_[i];
+  const bool hides = now_ < gateway.hidden_until;
+  if (gateway.told == list.number && gateway.told_hidden == hides) {
+    return;
   }
+  std::set<size_t> nodes = list.nodes;
+  if (hides) {
+    std::erase_if(nodes, [&](size_t one) { return gateway.hidden.contains(one); });
+  }
+  gateway.told = list.number;
+  gateway.told_hidden = hides;
+  gateway.limits->SetGateways(now_, Records(nodes));
+  Collect(i);
 }
 
 void SimulatedFleet::Step() {
--- a/test/limits/simulated_fleet.h
+++ b/src/sim/limit_fleet.h
@@ -22,8 +22,6 @@
   uint64_t seed = 1;
   LimitOptions limits{.bound = {Seconds(5), 0.1, 20}, .keeper = {}, .borrower = {}};
   double message_loss = 0;
-  /// A gateway's list of the others may be so old.
-  Duration longest_lag = Milliseconds(50);
 };
 
 /// What a tenant sends.
@@ -38,8 +36,7 @@
   uint64_t asked = 0;
   uint64_t granted = 0;
   uint64_t refused = 0;
-  /// Refused although a token bucket that knew everything would have granted.
-  uint64_t refused_below = 0;
+  /// What one token bucket that knew everything would have granted.
   uint64_t owed = 0;
   std::vector<Timestamp> used;
   std::vector<Duration> retry_after;
@@ -56,7 +53,7 @@
   /// Asks at one gateway now. @return unset: it waits.
   std::optional<bool> AskAt(size_t gateway, size_t tenant);
 
-  // Faults.
+  // Faults. `lag` and hidden ones of Hide() stand for what gateways may know differently.
   void Kill(size_t gateway, bool noticed);
   void Start(size_t gateway);
   /// Leaves the list first, and ends later.
@@ -104,11 +101,18 @@
     std::set<size_t> hidden;
     Timestamp hidden_until{};
     Duration lag{};
-    std::set<size_t> told;
-    bool was_told = false;
+    /// Number of the list that it was told; zero: none.
+    uint64_t told = 0;
+    bool told_hidden = false;
     std::map<uint64_t, size_t> waiting;
     uint64_t sent = 0;
   };
+  /// What control lists since then.
+  struct List {
+    Timestamp since{};
+    uint64_t number = 0;
+    std::set<size_t> nodes;
+  };
   struct Event {
     size_t gateway = 0;
     uint64_t incarnation = 0;
@@ -118,6 +122,9 @@
   void Step();
   void Control();
   void Arrivals();
+  /// A gateway that serves; none could be found: unset.
+  std::optional<size_t> Choose(const Demand& demand);
+  void Tell(size_t gateway, const List& list);
   void Collect(size_t gateway);
   void Deliver(size_t from, size_t to, const std::function<void()>& run);
   void Note(size_t tenant, bool granted, Duration retry_after);
@@ -137,7 +144,8 @@
   /// Token buckets that know everything.
   std::vector<TokenBucket> owed_;
   std::multimap<Timestamp, Event> events_;
-  std::deque<std::pair<Timestamp, std::set<size_t>>> lists_;
+  std::deque<List> lists_;
+  std::map<std::string, size_t> by_address_;
   Timestamp next_control_{};
   Timestamp next_tick_{};
   uint64_t next_request_ = 0;
--- a/test/limits/tenant_limits_test.cc
+++ b/test/limits/tenant_limits_test.cc
@@ -8,7 +8,7 @@
 #include <cmath>
 #include <iostream>
 
-#include "limits/simulated_fleet.h"
+#include "sim/limit_fleet.h"
 
 namespace pumicedyke::limits {
 namespace {
