--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -268,6 +268,7 @@
   Duration LeafLatency(const std::string& route, double quantile) const;
   /// Requests that are sent to no leaf.
   const std::set<RequestIdentity>& quarantined() const { return quarantined_; }
+  const limits::TenantLimits& limits() const { return gate_.limits(); }
   uint64_t config_version() const { return subscriber_.config().version().value; }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
   /// Whether requests with keys may begin as far as the keys' age goes; true if no route needs any.
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -37,6 +37,8 @@
   bool Allow(Timestamp now);
   void NoteZones(Timestamp now, const gateway::GatewayServer& server);
   void NoteLeafs(const gateway::LeafView& view);
+  /// The accounts of tenants that this gateway keeps.
+  void NoteAccounts(Timestamp now, const gateway::GatewayServer& server);
   void NoteQuarantine(Timestamp now, const gateway::GatewayServer& server);
 
   LogLimiter limiter_{kLinesPerSecond};
@@ -44,6 +46,9 @@
   uint64_t document_version_ = 0;
   bool keys_proven_ = true;
   Timestamp leafs_looked_at_{};
+  Timestamp accounts_looked_at_{};
+  /// Changes of accounts that were looked at.
+  uint64_t account_changes_ = 0;
   /// Leafs of which something has changed since they were looked at.
   std::set<std::string> changed_leafs_;
   /// What was believed of each leaf then: whether it leaves.
