--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -78,8 +78,8 @@
   size_t max_connections_per_host = 8;
   /// Idle connections are closed after this, or a little before the peer's own limit.
   Duration idle_limit = Seconds(60);
-  /// The same for connections of an address beyond those that are kept: peers count the connections of a process
-  /// that lost power as open for long, so no more are kept than are needed.
+  /// The same for connections of an address beyond those that are kept: peers count the connections
+  /// of a process that lost power as open for long, so no more are kept than are needed.
   Duration surplus_idle_limit = Milliseconds(1000);
   Duration connect_timeout = Milliseconds(1000);
 };
--- a/test/gateway/gateway_tenants_property_test.cc
+++ b/test/gateway/gateway_tenants_property_test.cc
@@ -26,6 +26,7 @@
       }
     }
     std::vector<tenants::Tenant> list;
+    list.reserve(by_name.size());
     for (const auto& [name, tenant] : by_name) {
       list.push_back(tenant);
     }
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -190,7 +190,13 @@
       });
       return status;
     };
-    for (const auto& [path, leaf] : {std::pair("/one/1", &leaf0), std::pair("/all/1", &leaf1)}) {
+    struct Place {
+      std::string path;
+      StandInLeaf* leaf;
+    };
+    for (const Place& place : {Place{"/one/1", &leaf0}, Place{"/all/1", &leaf1}}) {
+      const std::string& path = place.path;
+      StandInLeaf* leaf = place.leaf;
       CPPUNIT_ASSERT_EQUAL(401, fleet.Ask(path).status);
       CPPUNIT_ASSERT_EQUAL(401, refused(path, "hush-2"));
       CPPUNIT_ASSERT_EQUAL(200, ask(path, "hush-1").status);
--- a/test/server/gateway_metrics_test.cc
+++ b/test/server/gateway_metrics_test.cc
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "gateway/gateway_harness.h"
 #include "net/event_loop.h"
 
@@ -40,8 +41,8 @@
     for (const std::string step :
          {"client_spent", "way", "decide", "overdue", "write", "question_wait", "merge", "leaf"}) {
       for (const std::string quantile : {"0.5", "0.9", "0.99"}) {
-        const std::string sample = "pumicedyke_gateway_step_seconds{quantile=\"" + quantile +
-                                   "\",route=\"all\",step=\"" + step + "\"} ";
+        const std::string sample = absl::StrCat("pumicedyke_gateway_step_seconds{quantile=\"",
+                                                quantile, "\",route=\"all\",step=\"", step, "\"} ");
         CPPUNIT_ASSERT_MESSAGE(sample, text.find(sample) != std::string::npos);
       }
     }
