A flag that nothing read goes; a comment stands where it belongs

Cause: Admit() promised that urgent requests ask nobody, which is not built (docs/design/tenant-limits.md says why). Tests of limits and gateways passed.

--- a/src/admission/entry_gate.cc
+++ b/src/admission/entry_gate.cc
@@ -46,8 +46,7 @@
   if (!tenant->limited()) {
     return {EntryVerdict::kAdmitted, ResultCode::kOk, {}, tenant};
   }
-  const bool urgent = route.objective < options_.urgent_objective;
-  const limits::LimitAnswer answer = limits_.Admit(now, id, *tenant, proven_at, urgent);
+  const limits::LimitAnswer answer = limits_.Admit(now, id, *tenant, proven_at);
   switch (answer.verdict) {
     case limits::LimitVerdict::kGranted:
       return {EntryVerdict::kAdmitted, ResultCode::kOk, {}, tenant};
--- a/src/admission/entry_gate.h
+++ b/src/admission/entry_gate.h
@@ -18,9 +18,6 @@
 struct EntryOptions {
   tenants::KeyLeaseOptions key_lease;
   limits::LimitOptions limits;
-  /// A route with a shorter objective is urgent: its requests ask no other gateway if they need
-  /// not.
-  Duration urgent_objective = Milliseconds(100);
 };
 
 enum class EntryVerdict { kAdmitted, kWaiting, kRefused };
--- a/src/bench/limit_lending.cc
+++ b/src/bench/limit_lending.cc
@@ -92,7 +92,7 @@
   const auto begin = std::chrono::steady_clock::now();
   for (uint64_t i = 1; i <= kGrants; ++i) {
     now += Microseconds(10);
-    borrower.Admit(now, RequestId{i}, asked, now, false);
+    borrower.Admit(now, RequestId{i}, asked, now);
     for (const limits::LimitQuestion& question : borrower.TakeOutput().questions) {
       keeper.OnAsk(now, 1, question.ask, now);
       for (const limits::LimitWord& word : keeper.TakeOutput().words) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -432,9 +432,9 @@
   /// a key it waits for nothing.
   void RefuseUnknown(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
                      Timestamp arrived, ResultCode code);
-  /// The limit allows it: starts it, unless it is not allowed any more.
   /// When the keys in force here were last proved to be those that operators were told of.
   Timestamp KeysProvenAt() const;
+  /// The limit allows it: starts it, unless it is not allowed any more.
   void BeginHeld(Timestamp now, RequestId id, const HeldRequest& held);
   /// Carries out what the limits of tenants ask for.
   void CollectEntry(Timestamp now);
--- a/src/limits/tenant_limits.cc
+++ b/src/limits/tenant_limits.cc
@@ -81,7 +81,7 @@
 }
 
 LimitAnswer TenantLimits::Admit(Timestamp now, RequestId id, const tenants::Tenant& tenant,
-                                Timestamp proven_at, bool /*urgent*/) {
+                                Timestamp proven_at) {
   if (off() || !tenant.limited()) {
     return {};
   }
--- a/src/limits/tenant_limits.h
+++ b/src/limits/tenant_limits.h
@@ -41,9 +41,8 @@
   /// A request of a tenant wants to begin.
   /// @param proven_at when this gateway's configuration was last proved current: one that is cut
   /// off keeps no accounts.
-  /// @param urgent its objective leaves no time for a question, if that can be avoided.
-  LimitAnswer Admit(Timestamp now, RequestId id, const tenants::Tenant& tenant, Timestamp proven_at,
-                    bool urgent);
+  LimitAnswer Admit(Timestamp now, RequestId id, const tenants::Tenant& tenant,
+                    Timestamp proven_at);
   /// A request that waits is not wanted any more.
   void Withdraw(Timestamp now, RequestId id);
 
--- a/src/sim/limit_fleet.cc
+++ b/src/sim/limit_fleet.cc
@@ -217,7 +217,7 @@
   const uint64_t granted = count.granted;
   gateway.waiting[id.value] = tenant;
   const LimitAnswer answer =
-      gateway.limits->Admit(now_, id, demands_[tenant].tenant, gateway.proven_at, false);
+      gateway.limits->Admit(now_, id, demands_[tenant].tenant, gateway.proven_at);
   if (answer.verdict != LimitVerdict::kWaiting) {
     gateway.waiting.erase(id.value);
     Note(tenant, answer.verdict == LimitVerdict::kGranted, answer.retry_after);
