Sight: a failed test of real processes keeps its logs and says what was answered

Cause: two listed tests failed once each and left nothing but an assertion: the fleet's folder went with the fixture, and the answer's text was not printed. Change: fixtures leave their folder when a failed check is on its way through them, and print where it is; the two assertions print the answer's body. Checks and bounds are as before.

--- a/test/e2e/failure_test.cc
+++ b/test/e2e/failure_test.cc
@@ -362,7 +362,7 @@
     }
     fleet.processes.at("node0")->Kill();
     const Json outcome = fleet.Query(1, body, "job-1");
-    CPPUNIT_ASSERT_EQUAL(0, outcome["code"].get<int>());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(outcome.dump(), 0, outcome["code"].get<int>());
     const Json other{{"service", "desk"}, {"query", "something else"}};
     CPPUNIT_ASSERT_EQUAL(Number(ResultCode::kIdempotencyKeyReused),
                          fleet.Query(1, other, "job-1")["code"].get<int>());
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -13,8 +13,10 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -89,6 +91,16 @@
   }
 }
 
+void RemoveUnlessFailing(const std::string& folder) {
+  if (std::uncaught_exceptions() > 0) {
+    std::cout << "logs of the failed test: " << std::filesystem::canonical(folder).string()
+              << std::endl;
+    return;
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(folder, ignored);
+}
+
 // Below the range that the system takes ports of outgoing connections from: such a connection could
 // take the port before the process that it is for listens.
 constexpr uint16_t kFirstPort = 10000;
@@ -214,8 +226,7 @@
 
 Fleet::~Fleet() {
   processes.clear();
-  std::error_code ignored;
-  std::filesystem::remove_all(folder_, ignored);
+  RemoveUnlessFailing(folder_);
 }
 
 std::vector<std::string> Fleet::ControlFlags(int index) const {
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -19,6 +19,10 @@
 /// Fails the test if `condition` does not hold in time.
 void WaitFor(const std::string& what, const std::function<bool()>& condition);
 
+/// Removes the folder, unless a failed check is on its way through the caller: then it says where
+/// the processes' logs are.
+void RemoveUnlessFailing(const std::string& folder);
+
 /// An address of loopback that is free at this moment.
 std::string FreeAddress();
 
--- a/test/platform/fatal_request_test.cc
+++ b/test/platform/fatal_request_test.cc
@@ -118,6 +118,10 @@
   void RequestToOneLeafThatEndsLeafsIsStoppedEverywhere() { StopsEverywhere("/one/fatal"); }
 
  private:
+  static void CheckServed(const http::ClientResponse& response) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 200, response.status);
+  }
+
   static void StopsEverywhere(const std::string& path) {
     MortalFleet fleet;
     // The request comes again, at whichever gateway.
@@ -133,8 +137,8 @@
     // Once the leafs are back, all else is served: to that caller, and that path to others.
     for (const std::string& gateway : fleet.gateways()) {
       fleet.WaitWhole(gateway);
-      CPPUNIT_ASSERT_EQUAL(200, fleet.AskAs(kFatalCaller, gateway, "/all/usual").status);
-      CPPUNIT_ASSERT_EQUAL(200, fleet.AskAs("Bearer alice", gateway, path).status);
+      CheckServed(fleet.AskAs(kFatalCaller, gateway, "/all/usual"));
+      CheckServed(fleet.AskAs("Bearer alice", gateway, path));
     }
     const int deaths = fleet.Deaths();
     for (size_t i = 0; i < 4 * kGateways; ++i) {
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -117,8 +117,7 @@
 
 PlatformFleet::~PlatformFleet() {
   processes.clear();
-  std::error_code ignored;
-  std::filesystem::remove_all(folder_, ignored);
+  e2e::RemoveUnlessFailing(folder_);
 }
 
 std::string PlatformFleet::ServiceAddress(int index) const {
