Fix: what no allowance pays for is answered at once; a request that loses its leafs leaves allowance to others

Callers saw: 503 deadline_exceeded after all of their time, "not run", with a leaf of the service free (FatalRequestTest.RequestToOneLeafThatEndsLeafsIsStoppedEverywhere, listed). Cause: a shard whose second send was denied for lack of allowance was tried again every 2 ms until the deadline; and the fatal request of that test had used the allowance up, a second send an attempt. Ruled out: unusable leafs, the quarantine taking another's request, load by itself. Change: RequestExecution gives up shards that wait for allowance alone once nothing else is out; a request that lost runs before and has succeeded nowhere since may use half of the allowance (ExtraLoadLimit::TrySpendPart). The log says `unpaid`.

--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -17,7 +17,10 @@
   /// A regular sub-request was sent under a policy that allows `share` extra ones for it.
   virtual void OnRegular(Timestamp now, double share) = 0;
   /// @return whether one extra sub-request may be sent; it is then paid for.
-  virtual bool TrySpend(Timestamp now) = 0;
+  bool TrySpend(Timestamp now) { return TrySpendPart(now, 1.0); }
+  /// The same for whoever may use no more than `part` of what may be spent, 0 to 1: the rest is
+  /// left to others.
+  virtual bool TrySpendPart(Timestamp now, double part) = 0;
   /// @return the part that is left of what may be spent, 0 to 1.
   virtual double PartLeft(Timestamp now) = 0;
 };
@@ -32,8 +35,8 @@
     tokens_ = std::min(burst_, tokens_ + share);
   }
 
-  bool TrySpend(Timestamp /*now*/) override {
-    if (tokens_ < 1.0) {
+  bool TrySpendPart(Timestamp /*now*/, double part) override {
+    if (tokens_ < 1.0 + (1.0 - part) * burst_) {
       return false;
     }
     tokens_ -= 1.0;
@@ -62,9 +65,9 @@
 
   void OnRegular(Timestamp now, double /*share*/) override { Current(now).regular += 1; }
 
-  bool TrySpend(Timestamp now) override {
+  bool TrySpendPart(Timestamp now, double part) override {
     const Step sum = Sum(now);
-    if (sum.extra + 1 > Bound(sum)) {
+    if (sum.extra + 1 > part * Bound(sum)) {
       return false;
     }
     Current(now).extra += 1;
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -266,8 +266,8 @@
     output_.partials.push_back({active.request->request_id, active.request->identity, job.route,
                                 active.tenant, answer->run, job.begun - active.execution->started(),
                                 now - active.execution->started(), answer->coverage.total(),
-                                answer->extra_sub_requests, active.execution->Attempts(),
-                                answer->coverage.missing});
+                                answer->extra_sub_requests, answer->unpaid_shards,
+                                active.execution->Attempts(), answer->coverage.missing});
     Remove(id);
     return;
   }
--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -24,6 +24,7 @@
                                                            const PayloadRequest& request) const {
   query::ExecutionOptions options = options_.execution;
   options.on_probation = witness_.IsSuspect(now, request.identity);
+  options.accused = witness_.IsAccused(request.identity);
   return options;
 }
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -367,6 +367,7 @@
   out.trace.config_age = subscriber_.Age(now);
   out.trace.elapsed = now - active.execution->started();
   out.trace.extra_sub_requests = answer.extra_sub_requests;
+  out.trace.unpaid_shards = answer.unpaid_shards;
   out.trace.attempts = active.execution->Attempts();
   out.trace.missing = answer.coverage.missing;
   const bool success = answer.code == ResultCode::kOk || answer.code == ResultCode::kPartial;
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -97,6 +97,8 @@
   Timestamp decided{};
   std::optional<Timestamp> due;
   uint32_t extra_sub_requests = 0;
+  /// Shards that were given up because nothing paid for another sub-request.
+  uint32_t unpaid_shards = 0;
   std::vector<query::AttemptRecord> attempts;
   std::vector<query::MissingShard> missing;
   /// Questions to other gateways, if they shared the work.
@@ -116,6 +118,8 @@
   Duration elapsed{};
   size_t shards = 0;
   uint32_t extra_sub_requests = 0;
+  /// Shards that were given up because nothing paid for another sub-request.
+  uint32_t unpaid_shards = 0;
   std::vector<query::AttemptRecord> attempts;
   std::vector<query::MissingShard> missing;
 };
--- a/src/node/node_admission.cc
+++ b/src/node/node_admission.cc
@@ -236,6 +236,7 @@
   plan.deadline = active->deadline - now;
   query::ExecutionOptions options = options_.execution;
   options.on_probation = witness_.IsSuspect(now, active->request.identity);
+  options.accused = witness_.IsAccused(active->request.identity);
   active->execution = std::make_unique<query::RequestExecution>(
       active->request, plan, active->program.get(), runtime.service, *snapshot, std::move(context),
       options, now);
--- a/src/quarantine/run_witness.cc
+++ b/src/quarantine/run_witness.cc
@@ -95,6 +95,11 @@
   return suspect != suspects_.end() && suspect->second.leafs.size() >= options_.suspicious_leafs;
 }
 
+bool RunWitness::IsAccused(const RequestIdentity& identity) const {
+  const auto suspect = suspects_.find(identity);
+  return suspect != suspects_.end() && !suspect->second.harmless;
+}
+
 std::optional<wire::RunReport> RunWitness::TakeReport() {
   return std::exchange(report_, std::nullopt);
 }
--- a/src/quarantine/run_witness.h
+++ b/src/quarantine/run_witness.h
@@ -62,6 +62,8 @@
 
   /// Whether the request should be tried at one leaf before it goes to many.
   bool IsSuspect(Timestamp now, const RequestIdentity& identity) const;
+  /// Whether earlier attempts at the request lost runs and none has succeeded since.
+  bool IsAccused(const RequestIdentity& identity) const;
   /// @return what control has not been told yet, if anything.
   std::optional<wire::RunReport> TakeReport();
   bool has_report() const { return report_.has_value(); }
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -165,6 +165,8 @@
   /// Sub-requests sent for this answer, of which extra ones (hedges and retries).
   uint32_t sub_requests = 0;
   uint32_t extra_sub_requests = 0;
+  /// Shards that were given up because nothing paid for another sub-request.
+  uint32_t unpaid_shards = 0;
   /// For requests that are passed on unread: one for each included shard.
   std::vector<ShardPayload> payloads = {};
   /// The newest failure that a leaf answered with, if a shard is missing because of it.
--- a/src/query/request_answer.cc
+++ b/src/query/request_answer.cc
@@ -115,6 +115,7 @@
   }
   answer.sub_requests = sent_;
   answer.extra_sub_requests = extra_;
+  answer.unpaid_shards = given_up_unpaid_;
   if (!answer.coverage.missing.empty() && plan_.repeatable) {
     answer.continuation =
         EncodeContinuation(request_.service, snapshot_id_, answer.coverage.missing);
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -68,6 +68,7 @@
   shard_of_.clear();
   covered_ = 0;
   given_up_ = 0;
+  unpaid_ = 0;
   held_nowhere_ = false;
   for (const config::Shard& shard : snapshot.shards) {
     if (WantsShard(shard.id)) {
@@ -105,6 +106,25 @@
   }
 }
 
+void RequestExecution::SetUnpaid(ShardProgress* shard, bool unpaid) {
+  if (shard->unpaid != unpaid) {
+    shard->unpaid = unpaid;
+    unpaid_ += unpaid ? 1 : -1;
+  }
+}
+
+void RequestExecution::GiveUpUnpaid() {
+  if (unpaid_ == 0 || covered_ + given_up_ + unpaid_ < shards_.size()) {
+    return;
+  }
+  for (ShardProgress& shard : shards_) {
+    if (shard.unpaid) {
+      ++given_up_unpaid_;
+      GiveUp(&shard);
+    }
+  }
+}
+
 size_t RequestExecution::ActiveAttempts(const ShardProgress& shard) const {
   return static_cast<size_t>(std::count_if(
       shard.attempts.begin(), shard.attempts.end(),
@@ -116,6 +136,7 @@
   ++given_up_;
   held_nowhere_ |= shard->not_held >= shard->shard.replicas.size();
   SetWaiting(shard, false);
+  SetUnpaid(shard, false);
   if (options_.report_parts) {
     new_gaps_.push_back({shard->shard.id, shard->reason});
   }
@@ -183,6 +204,7 @@
 }
 
 void RequestExecution::SendPrimaryOrRetry(Timestamp now, ShardProgress* shard) {
+  SetUnpaid(shard, false);
   if (Held(*shard)) {
     return;
   }
@@ -228,6 +250,7 @@
     GiveUp(shard);
     return;
   }
+  SetUnpaid(shard, result == SendResult::kNoAllowance);
   SetWaiting(shard, result != SendResult::kSent);
 }
 
@@ -446,6 +469,7 @@
   if (answered_) {
     return;
   }
+  GiveUpUnpaid();
   const size_t possible = shards_.size() - given_up_;
   const auto total = static_cast<double>(shards_.size());
   const bool restart_pays =
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -69,6 +69,9 @@
   bool on_probation = false;
   /// One may be lost by chance where connections break by themselves.
   size_t most_lost_probes = 2;
+  /// Earlier attempts at the request lost runs with their leafs, and none has succeeded since: it
+  /// leaves part of the allowance to others.
+  bool accused = false;
   /// It goes on probation by itself once its runs at this many leafs were lost and none succeeded.
   size_t losses_before_probation = 3;
   /// Baseline: retries after this time-out without a budget; zero means off.
@@ -181,6 +184,8 @@
     bool covered = false;
     bool given_up = false;
     bool waiting = false;
+    /// Nothing is out, and nothing paid for another try when it was last asked.
+    bool unpaid = false;
     MissingReason reason = MissingReason::kNotSent;
     size_t not_held = 0;
     /// Times that every replica was tried in vain, and when to try them again.
@@ -190,6 +195,10 @@
 
   void PinSnapshot(const config::PublishedSnapshot& snapshot);
   void GiveUp(ShardProgress* shard);
+  void SetUnpaid(ShardProgress* shard, bool unpaid);
+  /// Gives up what only more allowance could help, once nothing else is waited for: the caller's
+  /// next try is a first one, which needs none.
+  void GiveUpUnpaid();
   Timestamp ShardWake(Timestamp now, const ShardProgress& shard) const;
   bool WantsShard(ShardId id) const;
   void AdvanceShard(Timestamp now, ShardProgress* shard);
@@ -265,6 +274,10 @@
   std::map<SubRequestId, size_t> shard_of_;
   size_t covered_ = 0;
   size_t given_up_ = 0;
+  /// Shards that wait for allowance alone.
+  size_t unpaid_ = 0;
+  /// Shards that were given up for lack of it.
+  uint32_t given_up_unpaid_ = 0;
   /// No replica of some shard holds the pinned snapshot.
   bool held_nowhere_ = false;
   /// When some shard may have to be looked at again; may be too early, never too late.
--- a/src/query/request_spending.cc
+++ b/src/query/request_spending.cc
@@ -7,6 +7,13 @@
 #include "query/request_execution.h"
 
 namespace pumicedyke::query {
+namespace {
+
+/// Part of the allowance that requests may use which were there when leafs ended. One of them may
+/// be what ends them, and what it spends is missing to all others that lose a leaf.
+constexpr double kPartOfAccused = 0.5;
+
+}  // namespace
 
 uint32_t RequestExecution::PossibleRuns(const ShardProgress& shard) {
   return static_cast<uint32_t>(std::count_if(
@@ -24,7 +31,8 @@
       options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
   const bool charged =
       kind == SendKind::kExtra || (kind == SendKind::kReplacement && options_.charge_replacements);
-  return !budgeted || !charged || BudgetOf(shard)->TrySpend(now);
+  const double part = options_.accused ? kPartOfAccused : 1.0;
+  return !budgeted || !charged || BudgetOf(shard)->TrySpendPart(now, part);
 }
 
 bool RequestExecution::MayAttemptAgain(const ShardProgress& shard) const {
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -113,6 +113,7 @@
                                 {"config_age_ms", ToMilliseconds(trace.config_age)},
                                 {"retry_after_ms", ToMilliseconds(answer.retry_after)},
                                 {"extra", trace.extra_sub_requests},
+                                {"unpaid", trace.unpaid_shards},
                                 {"missing", MissingJson(trace.missing)},
                                 {"questions", QuestionsJson(trace.questions)},
                                 {"attempts", AttemptsJson(trace.attempts, sampled)}});
@@ -132,6 +133,7 @@
                                 {"elapsed_ms", ToMilliseconds(trace.elapsed)},
                                 {"shards", trace.shards},
                                 {"extra", trace.extra_sub_requests},
+                                {"unpaid", trace.unpaid_shards},
                                 {"missing", MissingJson(trace.missing)},
                                 {"attempts", AttemptsJson(trace.attempts, sampled)}});
 }
--- /dev/null
+++ b/test/gateway/gateway_allowance_test.cc
@@ -0,0 +1,129 @@
+// What a gateway does with the allowance of extra sub-requests where it is short.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "gateway/gateway_harness.h"
+
+namespace pumicedyke::gateway {
+namespace {
+
+constexpr char kDocument[] =
+    R"([["all", "/all/", true, "s0", "s1", "s2"], ["one", "/one/", true, "s0"]])";
+constexpr size_t kShards = 3;
+
+GatewayOptions WithAllowance(double allowance, double ratio) {
+  GatewayOptions options = GatewayHarness::Options();
+  options.extra_load = {Seconds(10), ratio, allowance};
+  return options;
+}
+
+/// A gateway with three shards and two leafs each. It shares the allowance with one spare.
+struct Frugal {
+  explicit Frugal(double allowance, double ratio = 0) : h(WithAllowance(allowance, ratio)) {
+    std::vector<wire::LeafRecord> leafs;
+    for (size_t i = 0; i < 2 * kShards; ++i) {
+      leafs.push_back(
+          GatewayHarness::Leaf("leaf" + std::to_string(i), "s" + std::to_string(i % kShards)));
+    }
+    h.Put(1, kDocument);
+    h.Report(leafs);
+  }
+
+  GatewayHarness h;
+};
+
+}  // namespace
+
+class GatewayAllowanceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GatewayAllowanceTest);
+  CPPUNIT_TEST(RefusedRequestThatNothingPaysForIsRefusedAtOnce);
+  CPPUNIT_TEST(LostRequestThatNothingPaysForFailsAtOnce);
+  CPPUNIT_TEST(GatherAnswersOnceNothingIsOutThatCouldBePaidFor);
+  CPPUNIT_TEST(AllowanceIsWaitedForWhileOtherShardsRun);
+  CPPUNIT_TEST(RequestThatLosesItsLeafsLeavesAllowanceToOthers);
+  CPPUNIT_TEST(RequestThatHasSucceededSinceSpendsAsOthers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// It was held until its deadline: for a second, with a leaf free that would have taken it.
+  void RefusedRequestThatNothingPaysForIsRefusedAtOnce() {
+    Frugal g(/*allowance=*/0);
+    g.h.Ask("/one/x");
+    g.h.Reply(g.h.sends.at(0), query::LeafStatus::kDraining);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    const GatewayAnswer& answer = g.h.answers.front();
+    CPPUNIT_ASSERT(answer.code == ResultCode::kCoverageNotReached);
+    CPPUNIT_ASSERT(answer.run == query::RunState::kNotRun);
+    CPPUNIT_ASSERT(answer.retry_after > Duration(0));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.sends.size());
+    // The client's next try is a first one, and goes to the leaf that is left.
+    g.h.Ask("/one/x");
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, g.h.sends.size());
+    CPPUNIT_ASSERT(g.h.sends[0].leaf != g.h.sends[1].leaf);
+  }
+
+  void LostRequestThatNothingPaysForFailsAtOnce() {
+    Frugal g(/*allowance=*/0);
+    g.h.Ask("/one/x");
+    g.h.Lose(g.h.sends.at(0));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT(g.h.answers.front().run == query::RunState::kUnknown);
+  }
+
+  void GatherAnswersOnceNothingIsOutThatCouldBePaidFor() {
+    Frugal g(/*allowance=*/0);
+    g.h.Ask("/all/x");
+    CPPUNIT_ASSERT_EQUAL(kShards, g.h.sends.size());
+    g.h.Reply(g.h.sends[0], query::LeafStatus::kDraining);
+    g.h.Reply(g.h.sends[1], query::LeafStatus::kOk, "sixteen bytes...");
+    CPPUNIT_ASSERT(g.h.answers.empty());
+    g.h.Reply(g.h.sends[2], query::LeafStatus::kOk, "sixteen bytes...");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT(g.h.answers.front().code == ResultCode::kPartial);
+  }
+
+  void AllowanceIsWaitedForWhileOtherShardsRun() {
+    Frugal g(/*allowance=*/0, /*ratio=*/0.5);
+    g.h.Ask("/all/x");
+    g.h.Reply(g.h.sends.at(0), query::LeafStatus::kDraining);
+    g.h.Pass(Milliseconds(5));
+    CPPUNIT_ASSERT_EQUAL(kShards, g.h.sends.size());
+    // Another request earns what pays for it.
+    g.h.Ask("/all/y");
+    CPPUNIT_ASSERT_EQUAL(2 * kShards, g.h.sends.size());
+    g.h.Pass(Milliseconds(5));
+    CPPUNIT_ASSERT_EQUAL(2 * kShards + 1, g.h.sends.size());
+    CPPUNIT_ASSERT(g.h.answers.empty());
+  }
+
+  /// What nobody else has left to be sent again with is spent on a request that may be what ends
+  /// the leafs.
+  void RequestThatLosesItsLeafsLeavesAllowanceToOthers() {
+    Frugal g(/*allowance=*/4);
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      const size_t before = g.h.sends.size();
+      g.h.Ask("/one/fatal");
+      for (size_t i = before; i < g.h.sends.size(); ++i) {
+        g.h.Lose(g.h.sends[i]);
+      }
+      g.h.Pass(Seconds(1));
+    }
+    const size_t sent = g.h.sends.size();
+    g.h.Ask("/one/other");
+    CPPUNIT_ASSERT_EQUAL(sent + 1, g.h.sends.size());
+    g.h.Reply(g.h.sends.back(), query::LeafStatus::kDraining);
+    CPPUNIT_ASSERT_EQUAL(sent + 2, g.h.sends.size());
+  }
+
+  void RequestThatHasSucceededSinceSpendsAsOthers() {
+    Frugal g(/*allowance=*/4);
+    g.h.Ask("/one/x");
+    g.h.Lose(g.h.sends.at(0));
+    g.h.Reply(g.h.sends.at(1), query::LeafStatus::kOk, "sixteen bytes...");
+    g.h.Ask("/one/x");
+    g.h.Lose(g.h.sends.at(2));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, g.h.sends.size());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayAllowanceTest);
+
+}  // namespace pumicedyke::gateway
--- a/test/node/node_tenants_test.cc
+++ b/test/node/node_tenants_test.cc
@@ -1,74 +1,20 @@
 // The door of the product's own interface where the configuration has tenants, without sockets.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <memory>
-
 #include "common/json.h"
 #include "common/result_code.h"
 #include "config/config_state.h"
 #include "config/tenant_list.h"
-#include "node/node_server.h"
+#include "node/node_harness.h"
 #include "server/config_view.h"
 
 namespace pumicedyke::node {
 namespace {
 
-constexpr Timestamp kStart{Seconds(100)};
-
 constexpr char kTenants[] = R"([{"name":"acme","keys":["hush-1","hush-2"],"priority":9},
                                 {"name":"other","keys":["hush-3"]}])";
 
-/// A node with one service of one shard at two leafs.
-struct Door {
-  Door() {
-    NodeOptions options;
-    options.subscriber.cluster = "test";
-    options.subscriber.node = "n1";
-    server = std::make_unique<NodeServer>(options, kStart);
-    Put(R"({"kind":"put_service","submission_id":"a","service":"desk","leafs":[
-          {"id":"a","address":"10.0.0.1:80","slots":4},{"id":"b","address":"10.0.0.2:80","slots":4}]})");
-    Put(R"({"kind":"publish_snapshot","submission_id":"b","service":"desk","snapshot":{"id":1,
-          "shards":[{"id":0,"replicas":["a","b"]}]}})");
-  }
-  void Put(const std::string& change) {
-    const auto parsed = config::ParseChange(Json::parse(change));
-    CPPUNIT_ASSERT_MESSAGE(parsed.status().ToString(), parsed.ok());
-    state.Apply(*parsed);
-    wire::ConfigFeed feed;
-    feed.version = state.version().value;
-    feed.full = true;
-    feed.state = state.Serialize();
-    server->OnControlMessage(now, {"test", feed.version, feed});
-    Take();
-  }
-  void PutTenants(const std::string& list) {
-    Put(R"({"kind":"put_tenants","submission_id":"c","tenants":)" + list + "}");
-  }
-  void Ask(const std::string& key) {
-    query::CallerRequest request;
-    request.service = "desk";
-    request.query = "x";
-    request.api_key = key;
-    server->OnCallerRequest(now, RequestId{++asked}, request);
-    Take();
-  }
-  void Take() {
-    NodeOutput output = server->TakeOutput();
-    for (query::LeafRequest& send : output.sends) {
-      sends.push_back(std::move(send));
-    }
-    for (CallerAnswer& answer : output.answers) {
-      answers.push_back(std::move(answer));
-    }
-  }
-
-  config::ConfigState state;
-  std::unique_ptr<NodeServer> server;
-  std::vector<query::LeafRequest> sends;
-  std::vector<CallerAnswer> answers;
-  Timestamp now = kStart;
-  uint64_t asked = 0;
-};
+using Door = NodeHarness;
 
 }  // namespace
 
