Fix: lost runs are told to control until it has taken them

Cause: a node told each lost run once, to the control machine that it followed; one that was gone took it with it, and nobody else heard. Gateways tell all machines, but once as well. Ruled out: judging, shares, a success elsewhere. Change: quarantine/report_sender: numbered reports, one after the other, repeated until a control machine in touch with a quorum says that it took them; evidence counts a report once and for when it was seen. Changed stand-in: the gateway harness's control machine takes reports, as the product's does.

--- a/src/control/control_commands.cc
+++ b/src/control/control_commands.cc
@@ -201,6 +201,14 @@
   }
 }
 
+void ControlServer::OnRunReportOf(Timestamp now, SessionId session, const wire::RunReport& report) {
+  OnRunReport(now, report);
+  // One that is cut off may be the only one that knows: whoever reports tells others, too.
+  if (report.number != 0 && IsCurrent(now)) {
+    output_.sessions.push_back({session, Wrap(wire::RunReportTaken{report.number})});
+  }
+}
+
 void ControlServer::KeepQuarantine(Timestamp now) {
   if (shutting_down_ || !options_.stop_fatal_requests || !IsCurrent(now)) {
     return;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -108,7 +108,7 @@
   } else if (const auto* request = std::get_if<wire::LedgerRequest>(&envelope.body)) {
     OnLedgerRequest(now, session, *request);
   } else if (const auto* report = std::get_if<wire::RunReport>(&envelope.body)) {
-    OnRunReport(now, *report);
+    OnRunReportOf(now, session, *report);
   }
   DrainRaft(now);
 }
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -230,6 +230,8 @@
   // Requests that end the leafs that run them.
   /// Notes what a gateway or node saw, and passes it on to the others if nobody else does.
   void OnRunReport(Timestamp now, wire::RunReport report);
+  /// The same of a gateway or node, which tells again until it hears that the report was taken.
+  void OnRunReportOf(Timestamp now, SessionId session, const wire::RunReport& report);
   /// Proposes to stop requests, or to let them go again, and warns of suspects.
   void KeepQuarantine(Timestamp now);
   void WarnOfSuspects();
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -124,6 +124,9 @@
     OnLeafFeed(now, address, *leafs);
   } else if (const auto* notice = std::get_if<wire::SuspectNotice>(&envelope.body)) {
     witness_.OnWarned(now, notice->requests);
+  } else if (const auto* taken = std::get_if<wire::RunReportTaken>(&envelope.body)) {
+    reports_.OnTaken(taken->number);
+    ReportRuns(now);
   } else if (const auto* peers = std::get_if<wire::GatewayFeed>(&envelope.body)) {
     const uint64_t changes = peers_.changes();
     peers_.OnFeed(address, *peers);
--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -29,14 +29,16 @@
 }
 
 void GatewayServer::ReportRuns(Timestamp now) {
-  if (now - runs_reported_ < options_.knobs.run_report_interval) {
-    return;
+  if (now - runs_reported_ >= options_.knobs.run_report_interval) {
+    if (std::optional<wire::RunReport> seen = witness_.TakeReport()) {
+      runs_reported_ = now;
+      reports_.Add(now, *std::move(seen));
+    }
   }
-  std::optional<wire::RunReport> report = witness_.TakeReport();
+  std::optional<wire::RunReport> report = reports_.TakeDue(now);
   if (!report.has_value()) {
     return;
   }
-  runs_reported_ = now;
   // Whichever control machine leads next has to know, too.
   report->relayed = true;
   for (const std::string& address : control_) {
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -46,6 +46,12 @@
   return lag;
 }
 
+/// Names this life of the gateway among all that report to control.
+uint64_t ReporterOf(const GatewayOptions& options) {
+  const std::string life = options.node + "." + std::to_string(options.incarnation);
+  return XXH64(life.data(), life.size(), 0);
+}
+
 }  // namespace
 
 GatewayServer::GatewayServer(GatewayOptions options, const routing::DocumentReader* documents,
@@ -67,6 +73,7 @@
       keeper_(options_.node, options_.zone, &pool_),
       owners_(options_.node, options_.zone, &view_, &peers_, &options_.regions),
       witness_(options_.knobs.witness),
+      reports_(ReporterOf(options_)),
       answer_lag_(LagToBeginWith(options_)),
       gate_(options_.entry, options_.node, options_.incarnation),
       started_(now) {
@@ -455,6 +462,7 @@
   if (witness_.has_report()) {
     wake = std::min(wake, runs_reported_ + options_.knobs.run_report_interval);
   }
+  wake = std::min(wake, reports_.next().value_or(wake));
   wake = std::min(wake, view_.next_merge().value_or(wake));
   wake = std::min(wake, gate_.limits().NextWake(now));
   return wake;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -27,6 +27,7 @@
 #include "gateway/pool_keeper.h"
 #include "node/config_subscriber.h"
 #include "node/id_source.h"
+#include "quarantine/report_sender.h"
 #include "quarantine/run_witness.h"
 #include "query/answer_moment.h"
 #include "query/request_execution.h"
@@ -565,6 +566,7 @@
   std::map<std::pair<PeerSessionId, uint64_t>, StandBy> stand_by_;
   uint64_t partials_begun_ = 0;
   quarantine::RunWitness witness_;
+  quarantine::ReportSender reports_;
   /// What passes between the moment at which an answer is due and its last byte.
   RecentDurations answer_lag_;
   std::set<RequestIdentity> quarantined_;
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -29,6 +29,7 @@
       ledger_(options_.subscriber.cluster, origin_, &ids_),
       pool_(options_.knobs, options_.seed),
       witness_(options_.witness),
+      reports_(XXH64(origin_.data(), origin_.size(), 0)),
       random_(options_.seed) {}
 
 NodeOutput NodeServer::TakeOutput() { return std::exchange(output_, {}); }
@@ -46,6 +47,8 @@
     }
   } else if (const auto* notice = std::get_if<wire::SuspectNotice>(&envelope.body)) {
     witness_.OnWarned(now, notice->requests);
+  } else if (const auto* taken = std::get_if<wire::RunReportTaken>(&envelope.body)) {
+    reports_.OnTaken(taken->number);
   } else if (const auto* reply = std::get_if<wire::LedgerReply>(&envelope.body)) {
     if (const auto verdict = ledger_.OnReply(now, *reply)) {
       OnClaimVerdict(now, *verdict);
@@ -56,6 +59,7 @@
 void NodeServer::OnControlDisconnected(Timestamp now) {
   subscriber_.OnDisconnected(now);
   ledger_.RepeatAll(now);
+  reports_.RepeatNow();
 }
 
 void NodeServer::ApplyTenants() {
@@ -370,6 +374,9 @@
     output_.control.push_back(std::move(envelope));
   }
   if (std::optional<wire::RunReport> report = witness_.TakeReport()) {
+    reports_.Add(now, *std::move(report));
+  }
+  if (std::optional<wire::RunReport> report = reports_.TakeDue(now)) {
     output_.control.push_back(
         {options_.subscriber.cluster, subscriber_.config().version().value, *std::move(report)});
   }
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -19,6 +19,7 @@
 #include "node/id_source.h"
 #include "node/ledger_client.h"
 #include "policy/policy_program.h"
+#include "quarantine/report_sender.h"
 #include "quarantine/run_witness.h"
 #include "query/messages.h"
 #include "query/request_execution.h"
@@ -189,6 +190,7 @@
   LedgerClient ledger_;
   balance::LeafPool pool_;
   quarantine::RunWitness witness_;
+  quarantine::ReportSender reports_;
   std::mt19937_64 random_;
   std::map<std::string, ServiceRuntime> services_;
   std::map<RequestId, Active> active_;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -23,9 +23,30 @@
 
 }  // namespace
 
+bool CrashEvidence::IsNew(Timestamp now, const wire::RunReport& report) {
+  if (report.number == 0) {
+    return true;
+  }
+  LastReport& last = reporters_[report.reporter];
+  if (report.number <= last.number) {
+    return false;
+  }
+  last = {report.number, now};
+  if (reporters_.size() > options_.most_reporters) {
+    reporters_.erase(
+        std::min_element(reporters_.begin(), reporters_.end(),
+                         [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+  }
+  return true;
+}
+
 void CrashEvidence::OnReport(Timestamp now, const wire::RunReport& report) {
+  if (!IsNew(now, report)) {
+    return;
+  }
+  const Timestamp seen = now - std::clamp(report.age, Duration(0), options_.memory);
   for (const wire::LostRun& run : report.lost) {
-    NoteLost(now, run);
+    NoteLost(seen, run);
   }
   for (const RequestIdentity& identity : report.succeeded) {
     Acquit(identity);
@@ -37,9 +58,9 @@
   ++version_;
 }
 
-void CrashEvidence::NoteLost(Timestamp now, const wire::LostRun& run) {
+void CrashEvidence::NoteLost(Timestamp seen, const wire::LostRun& run) {
   succeeded_.erase(run.identity);
-  auto& runs = EndOf(now, run).runs;
+  auto& runs = EndOf(seen, run).runs;
   if (runs.size() < options_.most_runs_per_leaf || runs.contains(run.identity)) {
     runs[run.identity].insert(run.attempt);
   }
@@ -50,18 +71,20 @@
   }
 }
 
-CrashEvidence::LeafEnd& CrashEvidence::EndOf(Timestamp now, const wire::LostRun& run) {
+CrashEvidence::LeafEnd& CrashEvidence::EndOf(Timestamp seen, const wire::LostRun& run) {
   const auto after = ends_.upper_bound({run.leaf, next_end_});
   if (after != ends_.begin()) {
     const auto last = std::prev(after);
-    const bool same = last->first.first == run.leaf && now - last->second.at < options_.one_end;
+    // Reports of several processes on one end may be of different age.
+    const bool same = last->first.first == run.leaf &&
+                      std::chrono::abs(seen - last->second.at) < options_.one_end;
     if (same) {
       return last->second;
     }
   }
   LeafEnd& end = ends_[{run.leaf, next_end_++}];
   end.service = run.service;
-  end.at = now;
+  end.at = seen;
   return end;
 }
 
@@ -77,6 +100,7 @@
   const size_t forgotten =
       std::erase_if(ends_, [&](const auto& item) { return is_old(item.second.at); }) +
       std::erase_if(succeeded_, [&](const auto& item) { return is_old(item.second); });
+  std::erase_if(reporters_, [&](const auto& item) { return is_old(item.second.at); });
   version_ += forgotten > 0 ? 1 : 0;
 }
 
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -23,6 +23,8 @@
   /// Leafs that are remembered, the oldest are forgotten first; and requests at each of them.
   size_t most_leafs = 8192;
   size_t most_runs_per_leaf = 64;
+  /// Processes whose reports are told from ones that come again; the oldest are forgotten first.
+  size_t most_reporters = 16384;
   /// Requests that are judged at a time, those at most leafs first.
   size_t most_accused = 32;
   /// Runs that are lost at one leaf within this time are lost by one end of it. Later it has ended
@@ -56,6 +58,8 @@
  public:
   explicit CrashEvidence(EvidenceOptions options) : options_(options) {}
 
+  /// A report that has come before, or that a later one of the same process overtook, is passed
+  /// over.
   void OnReport(Timestamp now, const wire::RunReport& report);
   void Tick(Timestamp now);
   /// What is held against the request counts no more.
@@ -83,9 +87,16 @@
   using EndKey = std::pair<std::string, uint64_t>;
   using LeafEnds = std::map<EndKey, const LeafEnd*>;
 
-  void NoteLost(Timestamp now, const wire::LostRun& run);
+  struct LastReport {
+    uint64_t number = 0;
+    Timestamp at{};
+  };
+
+  /// Whether the report is the latest of its process.
+  bool IsNew(Timestamp now, const wire::RunReport& report);
+  void NoteLost(Timestamp seen, const wire::LostRun& run);
   /// The end of the leaf that is happening now.
-  LeafEnd& EndOf(Timestamp now, const wire::LostRun& run);
+  LeafEnd& EndOf(Timestamp seen, const wire::LostRun& run);
   /// What one request was there for.
   struct Presence {
     size_t leafs = 0;
@@ -103,6 +114,7 @@
   std::map<EndKey, LeafEnd> ends_;
   uint64_t next_end_ = 1;
   std::map<RequestIdentity, Timestamp> succeeded_;
+  std::map<uint64_t, LastReport> reporters_;
   uint64_t version_ = 0;
 };
 
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -166,7 +166,9 @@
   for (const std::string& leaf : report.answering) {
     answering.Add(leaf);
   }
-  LogEvent("runs_reported", {{"lost_at", lost.ToJson()},
+  LogEvent("runs_reported", {{"number", report.number},
+                             {"age_ms", ToMilliseconds(report.age)},
+                             {"lost_at", lost.ToJson()},
                              {"identities", identities.ToJson()},
                              {"succeeded", succeeded.ToJson()},
                              {"answering", answering.ToJson()}});
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -463,6 +463,14 @@
   out.succeeded = FillAll(report.succeeded, arena, &out.succeeded_count);
   out.answering = arena->Strings(report.answering, &out.answering_count);
   out.relayed = report.relayed;
+  out.reporter = report.reporter;
+  out.number = report.number;
+  out.age_us = static_cast<uint64_t>(report.age.count());
+}
+
+void Fill(const RunReportTaken& taken, Arena* /*arena*/, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_run_report_taken_tag;
+  envelope->body.run_report_taken.number = taken.number;
 }
 
 RunReport Read(const pumicedyke_wire_RunReport& in) {
@@ -474,6 +482,9 @@
   report.succeeded = ReadAll(in.succeeded, in.succeeded_count);
   report.answering = Texts(in.answering, in.answering_count);
   report.relayed = in.relayed;
+  report.reporter = in.reporter;
+  report.number = in.number;
+  report.age = Duration(static_cast<int64_t>(in.age_us));
   return report;
 }
 
@@ -516,6 +527,8 @@
           ReadAll(in.body.suspect_notice.requests, in.body.suspect_notice.requests_count)});
     case pumicedyke_wire_Envelope_run_report_tag:
       return Body(Read(in.body.run_report));
+    case pumicedyke_wire_Envelope_run_report_taken_tag:
+      return Body(RunReportTaken{in.body.run_report_taken.number});
     case pumicedyke_wire_Envelope_hello_tag:
       return Body(NodeHello{Text(in.body.hello.node), in.body.hello.incarnation,
                             in.body.hello.version, in.body.hello.starting, in.body.hello.sent});
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -317,6 +317,17 @@
   std::vector<std::string> answering;
   /// Passed on already, or sent to every control machine.
   bool relayed = false;
+  /// Names this life of the process that reports.
+  uint64_t reporter = 0;
+  /// Counts its reports: one that comes again counts once. Zero: reports are not counted.
+  uint64_t number = 0;
+  /// How long ago this was seen, when it was told.
+  Duration age{};
+};
+
+/// A control machine that is in touch with a quorum has taken the report of this number.
+struct RunReportTaken {
+  uint64_t number = 0;
 };
 
 /// Control warns of requests that were at several leafs as these ended, and succeeded nowhere
@@ -381,10 +392,11 @@
   Duration retry_after{};
 };
 
-using Body = std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply,
-                          JoinRequest, Forwarded, ForwardedReply, GatewayPresence, LeafFeed,
-                          JoinReply, GatewayFeed, PartialQuery, PartialCancel, PartialAnswer,
-                          PartialConfirm, RunReport, SuspectNotice, LimitAsk, LimitGrant>;
+using Body =
+    std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply, JoinRequest,
+                 Forwarded, ForwardedReply, GatewayPresence, LeafFeed, JoinReply, GatewayFeed,
+                 PartialQuery, PartialCancel, PartialAnswer, PartialConfirm, RunReport,
+                 SuspectNotice, LimitAsk, LimitGrant, RunReportTaken>;
 
 struct Envelope {
   std::string cluster;
--- a/test/control/control_group_test.cc
+++ b/test/control/control_group_test.cc
@@ -76,6 +76,10 @@
         for (PeerMessage& message : output.peers) {
           messages.emplace_back(id, std::move(message));
         }
+        for (const SessionMessage& message : output.sessions) {
+          const auto* taken = std::get_if<wire::RunReportTaken>(&message.envelope.body);
+          taken_ += taken != nullptr ? 1 : 0;
+        }
         for (const OperatorReply& reply : output.operators) {
           answers_[reply.ticket] = reply.body;
         }
@@ -131,6 +135,13 @@
   }
   int CodeOf(TicketId ticket) const { return Json::parse(answers_.at(ticket)).value("code", -1); }
 
+  /// A node tells one machine of lost runs. @return whether that takes the report.
+  bool Report(MemberId to, const wire::RunReport& report) {
+    const size_t before = taken_;
+    machines_.at(to).server->OnNodeMessage(now_, /*session=*/1, {"test", 0, report});
+    Deliver();
+    return taken_ > before;
+  }
   /// Neither sends nor gets anything, and stands still.
   void Lose(MemberId id) { lost_.insert(id); }
   void Regain(MemberId id) { lost_.erase(id); }
@@ -155,6 +166,7 @@
 
   std::map<MemberId, Machine> machines_;
   std::map<TicketId, std::string> answers_;
+  size_t taken_ = 0;
   std::set<MemberId> lost_;
   std::set<MemberId> side_;
   uint64_t starts_ = 0;
@@ -171,6 +183,7 @@
   CPPUNIT_TEST(ChangeAtAFollowerOutlivesItsLeader);
   CPPUNIT_TEST(ChangeAfterAFollowerIsLostWaitsForNothing);
   CPPUNIT_TEST(ChangeThatADeposedLeaderTookIsPassedOn);
+  CPPUNIT_TEST(ReportIsTakenByWhoeverIsInTouchAndReachesAll);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -210,6 +223,32 @@
     CPPUNIT_ASSERT_EQUAL(0, group.CodeOf(1));
     CPPUNIT_ASSERT(*took <= kAcknowledged);
   }
+
+  /// A machine that is cut off knows of it alone: it leaves the node to tell another one.
+  void ReportIsTakenByWhoeverIsInTouchAndReachesAll() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    wire::RunReport report;
+    report.lost = {{IdentityOf({"fatal"}), 1, "leaf", "s"}};
+    report.reporter = 7;
+    report.number = 1;
+    const MemberId alone = group.Other(leader);
+    group.Split({alone});
+    group.RunFor(Seconds(3));
+    CPPUNIT_ASSERT(!group.Report(alone, report));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, group.at(leader).evidence().leafs());
+    const MemberId next = group.Other(leader, 2);
+    CPPUNIT_ASSERT(group.Report(next, report));
+    for (MemberId id = 1; id <= kMachines; ++id) {
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, group.at(id).evidence().leafs());
+    }
+    // Told again since the word of it was lost: taken again, counted once.
+    CPPUNIT_ASSERT(group.Report(next, report));
+    group.Split({});
+    group.RunFor(Seconds(3));
+    CPPUNIT_ASSERT(group.Report(alone, report));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, group.at(alone).evidence().leafs());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlGroupTest);
 
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -153,6 +153,8 @@
   }
   /// The same, to a greeting that was sent now.
   void Prove() { Prove(now); }
+  /// Whether the control machine takes reports of lost runs.
+  bool takes_reports = true;
   /// Other gateways, by the word of the control machine.
   void Peers(std::vector<wire::GatewayRecord> peers) {
     wire::GatewayFeed feed;
@@ -246,6 +248,9 @@
       links.push_back(change);
     }
     for (ControlMessage& message : output.control) {
+      if (const auto* report = std::get_if<wire::RunReport>(&message.envelope.body)) {
+        TakeReport(*report);
+      }
       control.push_back(std::move(message));
     }
   }
@@ -268,6 +273,11 @@
   Timestamp now = kStart;
 
  private:
+  void TakeReport(const wire::RunReport& report) {
+    if (takes_reports) {
+      server.OnControlMessage(now, kControl, {"test", 0, wire::RunReportTaken{report.number}});
+    }
+  }
   RequestId Ask(std::shared_ptr<PayloadRequest> request, Duration unread) {
     const RequestId id{asked_};
     server.OnRequest(now, id, std::move(request), now - unread);
--- a/test/gateway/gateway_quarantine_test.cc
+++ b/test/gateway/gateway_quarantine_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(ReadyAnswerIsDeliveredAllTheSame);
   CPPUNIT_TEST(MergerRefusesWhatIsStopped);
   CPPUNIT_TEST(LostRunsAreReported);
+  CPPUNIT_TEST(LostRunsAreReportedUntilControlHasTakenThem);
   CPPUNIT_TEST(RunsThatWereGivenUpAreReported);
   CPPUNIT_TEST(AfterThreeLossesOneLeafIsTriedBeforeOthers);
   CPPUNIT_TEST(TwoLostProbesEndTheRequest);
@@ -162,6 +163,23 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, g.Reported().succeeded.size());
   }
 
+  /// All control machines were starting again when it was told first.
+  void LostRunsAreReportedUntilControlHasTakenThem() {
+    Guarded g;
+    g.h.takes_reports = false;
+    g.h.Ask("/all/fatal");
+    g.h.Lose(g.h.sends[0]);
+    g.h.Pass(Seconds(1));
+    const size_t told = g.Reported().lost.size();
+    CPPUNIT_ASSERT(told > 1);
+    g.h.takes_reports = true;
+    g.h.Pass(Seconds(2));
+    const size_t taken = g.Reported().lost.size();
+    CPPUNIT_ASSERT(taken > told);
+    g.h.Pass(Seconds(10));
+    CPPUNIT_ASSERT_EQUAL(taken, g.Reported().lost.size());
+  }
+
   /// The leaf ends after the client has got its answer.
   void RunsThatWereGivenUpAreReported() {
     Guarded g;
--- a/test/quarantine/crash_evidence_test.cc
+++ b/test/quarantine/crash_evidence_test.cc
@@ -58,6 +58,8 @@
   CPPUNIT_TEST(LeafThatAnswersHasNotEnded);
   CPPUNIT_TEST(LeafThatComesBackUnderItsNameEndsAgain);
   CPPUNIT_TEST(CrashLoopWithoutCommonRequestBlamesNobody);
+  CPPUNIT_TEST(ReportThatComesAgainCountsOnce);
+  CPPUNIT_TEST(LateReportCountsForWhenItWasSeen);
   CPPUNIT_TEST(TwoFatalRequestsAreBothFound);
   CPPUNIT_TEST(ManyFatalRequestsAreAllFound);
   CPPUNIT_TEST(CrashLoopUnderManyWhoRepeatBlamesNobody);
@@ -242,6 +244,48 @@
     trial->End("c", {kFatal}, 3);
     CPPUNIT_ASSERT(trial->IsGuilty(kFatal));
   }
+
+  /// Told again since nobody had said that it was taken, or passed on by two control machines.
+  void ReportThatComesAgainCountsOnce() {
+    Trial fixture;
+    wire::RunReport report;
+    report.reporter = 7;
+    for (report.number = 1; report.number <= 2; ++report.number) {
+      report.lost = {{kFatal, report.number, "a", "s"}};
+      for (int i = 0; i < 3; ++i) {
+        fixture.evidence.OnReport(fixture.now, report);
+        fixture.now += Seconds(2);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, fixture.evidence.leafs());
+    // Another process counts by itself.
+    report.reporter = 8;
+    report.number = 1;
+    fixture.evidence.OnReport(fixture.now, report);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, fixture.evidence.leafs());
+  }
+
+  void LateReportCountsForWhenItWasSeen() {
+    Trial fixture;
+    wire::RunReport report;
+    report.reporter = 7;
+    // Three ends a second apart, all told when control is back.
+    for (report.number = 1; report.number <= 3; ++report.number) {
+      report.age = Seconds(4) - Seconds(1) * static_cast<int64_t>(report.number);
+      report.lost = {{kFatal, report.number, "leaf" + std::to_string(report.number), "s"}};
+      fixture.evidence.OnReport(fixture.now, report);
+    }
+    CPPUNIT_ASSERT(fixture.IsGuilty(kFatal));
+    // Nobody's clock is believed beyond what is remembered.
+    report.number = 4;
+    report.age = Duration::max();
+    fixture.evidence.OnReport(fixture.now, report);
+    report.number = 5;
+    report.age = Duration(-1);
+    fixture.evidence.OnReport(fixture.now, report);
+    fixture.evidence.Tick(fixture.now);
+    CPPUNIT_ASSERT(fixture.IsGuilty(kFatal));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashEvidenceTest);
 
