Fix: the outcome of unrepeatable work is in the ledger before it is told

Callers saw: 207 already_running, for as long as a key is remembered, for work whose outcome another node had told before it ended (FailureTest.UnrepeatableWorkRunsOnce, listed). Cause: a node answered first and told the ledger after that; a node that ended in between took the outcome with it, and its claim on the key stayed. The same for refusals and keys that are given back. Ruled out: load by itself, a lost claim, the ledger losing what it committed. Change: node/held_answers: an answer whose outcome is certain waits for the ledger, half of the caller's time at most, a refusal 200 ms; told without the ledger it says "recorded": false. New scenario told-outcomes, invariant told-outcome-stays, mechanism record-before-answer. Cost: one commit of the control group before the answer, as for the claim before the work.

--- a/src/node/ledger_client.cc
+++ b/src/node/ledger_client.cc
@@ -46,16 +46,13 @@
   }
   const Pending pending = it->second;
   pending_.erase(it);
-  if (pending.request.operation != wire::LedgerOperation::kClaim) {
-    return std::nullopt;
-  }
   if (pending.abandoned) {
     if (reply.verdict == wire::LedgerVerdict::kGranted) {
       Release(now, pending.request.owner, pending.request.key);
     }
     return std::nullopt;
   }
-  return Verdict{pending.request.owner, reply.verdict, reply.outcome};
+  return Verdict{pending.request.operation, pending.request.owner, reply.verdict, reply.outcome};
 }
 
 void LedgerClient::RepeatAll(Timestamp now) {
--- a/src/node/ledger_client.h
+++ b/src/node/ledger_client.h
@@ -33,11 +33,12 @@
   void RepeatAll(Timestamp now);
 
   struct Verdict {
+    wire::LedgerOperation operation;
     std::string owner;
     wire::LedgerVerdict verdict;
     std::string outcome;
   };
-  /// @return the verdict of a claim that is still wanted.
+  /// @return the verdict of a claim that is still wanted, or of what the ledger was told.
   std::optional<Verdict> OnReply(Timestamp now, const wire::LedgerReply& reply);
 
   /// @return messages that are due, first sends and repeats.
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr size_t kMaxLedgerOutcomeBytes = 32 * 1024;
+/// A refusal waits no longer than this for the ledger to have the key back.
+constexpr Duration kRefusalPatience = Milliseconds(200);
 
 }  // namespace
 
@@ -51,7 +53,7 @@
     reports_.OnTaken(taken->number);
   } else if (const auto* reply = std::get_if<wire::LedgerReply>(&envelope.body)) {
     if (const auto verdict = ledger_.OnReply(now, *reply)) {
-      OnClaimVerdict(now, *verdict);
+      OnLedgerVerdict(now, *verdict);
     }
   }
 }
@@ -125,6 +127,14 @@
 
 // ---- Progress -----------------------------------------------------------------------------------
 
+void NodeServer::OnLedgerVerdict(Timestamp now, const LedgerClient::Verdict& verdict) {
+  if (verdict.operation == wire::LedgerOperation::kClaim) {
+    OnClaimVerdict(now, verdict);
+  } else if (std::optional<CallerAnswer> answer = held_.Release(verdict.owner)) {
+    output_.answers.push_back(*std::move(answer));
+  }
+}
+
 void NodeServer::OnClaimVerdict(Timestamp now, const LedgerClient::Verdict& verdict) {
   const auto claim = claims_.find(verdict.owner);
   if (claim == claims_.end()) {
@@ -305,7 +315,20 @@
   active->answered = true;
   active->linger_until = now + options_.linger;
   Schedule(id, active->linger_until);
-  output_.answers.push_back({id, std::move(answer)});
+  Tell(now, id, *active, std::move(answer));
+}
+
+void NodeServer::Tell(Timestamp now, RequestId id, const Active& active, Answer answer) {
+  // What the ledger is told of now must be there for whoever asks again, at any node.
+  const bool recorded_next = options_.record_before_answer && !active.claim_owner.empty() &&
+                             !active.execution->HasUnknownOutcome();
+  if (!recorded_next) {
+    output_.answers.push_back({id, std::move(answer)});
+    return;
+  }
+  const Duration patience =
+      answer.run == RunState::kNotRun ? kRefusalPatience : (active.deadline - now) / 2;
+  held_.Hold(active.claim_owner, {id, std::move(answer)}, now + patience);
 }
 
 void NodeServer::RecordOutcome(Timestamp now, const Active& active) {
@@ -328,6 +351,7 @@
 }
 
 void NodeServer::OnCallerGone(Timestamp now, RequestId id) {
+  held_.Drop(id);
   const auto found = active_.find(id);
   const bool cancellable = found != active_.end() && found->second.plan.repeatable &&
                            found->second.execution != nullptr && !found->second.answered;
@@ -380,6 +404,9 @@
     output_.control.push_back(
         {options_.subscriber.cluster, subscriber_.config().version().value, *std::move(report)});
   }
+  for (CallerAnswer& answer : held_.TakeOverdue(now)) {
+    output_.answers.push_back(std::move(answer));
+  }
   while (!wakes_.empty() && wakes_.top().first <= now) {
     const auto [wake, id] = wakes_.top();
     wakes_.pop();
@@ -407,10 +434,10 @@
 
 Timestamp NodeServer::NextWake(Timestamp now) const {
   constexpr Duration kIdleInterval = Milliseconds(50);
-  const Timestamp idle = now + kIdleInterval;
+  const Timestamp idle = std::min(now + kIdleInterval, held_.next().value_or(Timestamp::max()));
   return wakes_.empty() ? idle : std::min(idle, wakes_.top().first);
 }
 
-bool NodeServer::Drained() const { return active_.empty() && ledger_.idle(); }
+bool NodeServer::Drained() const { return active_.empty() && held_.empty() && ledger_.idle(); }
 
 }  // namespace pumicedyke::node
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -16,6 +16,7 @@
 #include "balance/admission_throttle.h"
 #include "balance/leaf_pool.h"
 #include "node/config_subscriber.h"
+#include "node/held_answers.h"
 #include "node/id_source.h"
 #include "node/ledger_client.h"
 #include "policy/policy_program.h"
@@ -47,6 +48,7 @@
   /// Off only in simulations that show what the checks are for.
   bool reply_id_check = true;
   bool ledger_before_dispatch = true;
+  bool record_before_answer = true;
   bool leaving_mark = true;
   /// When to come back with a request that the fleet has stopped.
   Duration retry_when_quarantined = Seconds(60);
@@ -55,11 +57,6 @@
   std::optional<policy::QueryPlan> plan_override;
 };
 
-struct CallerAnswer {
-  RequestId request;
-  query::Answer answer;
-};
-
 struct NodeOutput {
   std::vector<query::LeafRequest> sends;
   std::vector<query::SubRequestCancel> cancels;
@@ -165,10 +162,13 @@
   void StopQuarantined(Timestamp now);
 
   // Progress.
+  void OnLedgerVerdict(Timestamp now, const LedgerClient::Verdict& verdict);
   void OnClaimVerdict(Timestamp now, const LedgerClient::Verdict& verdict);
   void AnswerFromLedger(Timestamp now, RequestId id, const LedgerClient::Verdict& verdict);
   void CollectActions(Timestamp now, RequestId id);
   void RestartOnOtherSnapshot(Timestamp now, Active* active);
+  /// Gives the answer, or holds it until the ledger has the outcome.
+  void Tell(Timestamp now, RequestId id, const Active& active, query::Answer answer);
   void RecordOutcome(Timestamp now, const Active& active);
   void Finish(Timestamp now, RequestId id, Active* active, query::Answer answer);
   void Remove(Timestamp now, RequestId id);
@@ -188,6 +188,7 @@
   std::shared_ptr<const routing::RouteTable> tenants_;
   uint64_t tenants_revision_ = 0;
   LedgerClient ledger_;
+  HeldAnswers held_;
   balance::LeafPool pool_;
   quarantine::RunWitness witness_;
   quarantine::ReportSender reports_;
--- a/src/query/messages.cc
+++ b/src/query/messages.cc
@@ -175,6 +175,9 @@
   if (!answer.continuation.empty()) {
     json["continuation"] = answer.continuation;
   }
+  if (!answer.recorded) {
+    json["recorded"] = false;
+  }
   if (answer.retry_after.count() > 0) {
     json["retry_after_ms"] = ToMilliseconds(answer.retry_after);
   }
@@ -197,6 +200,7 @@
     answer.config_age = Duration(static_cast<int64_t>(json->value("config_age_ms", 0.0) * 1000));
     answer.retry_after = Duration(static_cast<int64_t>(json->value("retry_after_ms", 0.0) * 1000));
     answer.continuation = json->value("continuation", "");
+    answer.recorded = json->value("recorded", true);
     if (json->contains("snapshot")) {
       json->at("snapshot").get_to(answer.snapshot);
       const Json& coverage = json->at("coverage");
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -162,6 +162,9 @@
   Duration config_age{};
   std::string continuation;
   Duration retry_after{};
+  /// Of unrepeatable work: false if the ledger had not taken the outcome when it was told, so that
+  /// somebody who asks again may not get it yet.
+  bool recorded = true;
   /// Sub-requests sent for this answer, of which extra ones (hedges and retries).
   uint32_t sub_requests = 0;
   uint32_t extra_sub_requests = 0;
--- a/src/sim/actors.cc
+++ b/src/sim/actors.cc
@@ -116,6 +116,42 @@
   world_->Ask(node, request, again);
 }
 
+// ---- A caller that asks again for what it was told ---------------------------------------------
+
+void RepeatingCaller::Start(Timestamp end) {
+  end_ = end;
+  Loop();
+}
+
+void RepeatingCaller::Loop() {
+  if (world_->clock.now() >= end_) {
+    return;
+  }
+  query::CallerRequest request;
+  request.service = kJobService;
+  request.idempotency_key = absl::StrCat("repeated-", ++asked_);
+  request.query = "work of " + request.idempotency_key;
+  const auto node = static_cast<size_t>(asked_ % 2);
+  world_->Ask(node, request, [this, request, node](const query::Answer& answer) {
+    constexpr int kTimes = 3;
+    if (answer.code == ResultCode::kOk) {
+      AskAgain(request, 1 - node, kTimes);
+    }
+  });
+  world_->clock.After(Milliseconds(world_->Between(5, 25)), [this] { Loop(); });
+}
+
+void RepeatingCaller::AskAgain(const query::CallerRequest& request, size_t node, int times) {
+  if (times == 0) {
+    return;
+  }
+  // What is lost for good is missed later, too, by those who could not be answered at first.
+  world_->clock.After(Milliseconds(world_->Between(1, 800)), [this, request, node, times] {
+    world_->Ask(node, request, [](const query::Answer&) {});
+    AskAgain(request, 1 - node, times - 1);
+  });
+}
+
 void Caller::FollowContinuation(const query::CallerRequest& request, const query::Answer& answer) {
   const absl::StatusOr<query::Continuation> token = query::DecodeContinuation(answer.continuation);
   if (!token.ok()) {
--- a/src/sim/actors.h
+++ b/src/sim/actors.h
@@ -66,6 +66,22 @@
   Timestamp end_{};
 };
 
+/// Asks for unrepeatable work at both nodes in turn, and again at the other one as soon as it is
+/// told the outcome.
+class RepeatingCaller {
+ public:
+  explicit RepeatingCaller(World* world) : world_(world) {}
+  void Start(Timestamp end);
+
+ private:
+  void Loop();
+  void AskAgain(const query::CallerRequest& request, size_t node, int times);
+
+  World* world_;
+  uint64_t asked_ = 0;
+  Timestamp end_{};
+};
+
 struct OperatorOptions {
   bool races = false;
   bool repartitions = false;
--- a/src/sim/history.cc
+++ b/src/sim/history.cc
@@ -60,12 +60,31 @@
     CheckResults(time, call, answer);
     CheckCoverage(time, call, answer);
   }
+  if (!call.idempotency_key.empty()) {
+    CheckToldOutcome(time, call, answer);
+  }
   const bool refused = answer.code != ResultCode::kOk && answer.code != ResultCode::kPartial;
   if (refused && answer.run == query::RunState::kNotRun) {
     not_run_.push_back({id, time});
   }
 }
 
+void History::CheckToldOutcome(Timestamp time, const CallRecord& call,
+                               const query::Answer& answer) {
+  const auto told = outcome_told_.find(call.idempotency_key);
+  if (answer.code == ResultCode::kOk) {
+    if (told == outcome_told_.end() && answer.recorded) {
+      outcome_told_[call.idempotency_key] = time;
+    }
+    return;
+  }
+  const bool asked_later = told != outcome_told_.end() && call.sent > told->second;
+  if (asked_later && answer.code == ResultCode::kAlreadyRunning) {
+    Fail(Invariant::kToldOutcomeStays, time,
+         call.idempotency_key + ": its outcome was told and is not known any more");
+  }
+}
+
 void History::CheckResults(Timestamp time, const CallRecord& call, const query::Answer& answer) {
   std::map<std::string, query::ResultItem> expected;
   for (const ShardId& shard : answer.coverage.included) {
--- a/src/sim/history.h
+++ b/src/sim/history.h
@@ -97,6 +97,9 @@
   bool BelongsToOtherAttempt(const NotRunClaim& claim, const emulator::RunRecord& run) const;
   void CheckResults(Timestamp time, const CallRecord& call, const query::Answer& answer);
   void CheckCoverage(Timestamp time, const CallRecord& call, const query::Answer& answer);
+  /// Whoever asks again for work whose outcome was told gets that outcome, or hears that it could
+  /// not be looked up.
+  void CheckToldOutcome(Timestamp time, const CallRecord& call, const query::Answer& answer);
 
   size_t results_per_shard_;
   std::vector<Violation> violations_;
@@ -108,6 +111,8 @@
   std::vector<CallRecord> calls_;
   std::map<std::string, std::vector<uint64_t>> calls_of_query_;
   std::vector<NotRunClaim> not_run_;
+  /// When an outcome was told that the ledger had taken, by idempotency key.
+  std::map<std::string, Timestamp> outcome_told_;
   std::map<std::string, Timestamp> leaving_since_;
   uint64_t complete_answers_ = 0;
   /// Since when a fatal query should be stopped: it has ended the third leaf, and the word had
--- a/src/sim/mechanisms.cc
+++ b/src/sim/mechanisms.cc
@@ -6,10 +6,10 @@
 namespace pumicedyke::sim {
 
 std::string_view InvariantName(Invariant invariant) {
-  constexpr std::array<std::string_view, 9> kNames = {
-      "one-snapshot",     "truthful-coverage", "own-complete-answer",
-      "not-run-is-proof", "at-most-once",      "leaving-gets-no-work",
-      "planned-stop",     "config-in-force",   "fatal-requests-stopped"};
+  constexpr std::array<std::string_view, 10> kNames = {
+      "one-snapshot",           "truthful-coverage",    "own-complete-answer", "not-run-is-proof",
+      "at-most-once",           "leaving-gets-no-work", "planned-stop",        "config-in-force",
+      "fatal-requests-stopped", "told-outcome-stays"};
   return kNames.at(static_cast<size_t>(invariant));
 }
 
@@ -25,6 +25,8 @@
        "what was handed to a connection may have run"},
       {"ledger-before-dispatch", kAtMostOnce, "node-restart",
        "unrepeatable work is claimed in the replicated ledger first"},
+      {"record-before-answer", kToldOutcomeStays, "told-outcomes",
+       "the outcome of unrepeatable work is in the ledger before it is told"},
       {"leaving-mark", kLeavingGetsNoWork, "drain", "leaving back ends are not chosen"},
       {"drain-before-exit", kPlannedStop, "planned-stop",
        "a stopping process answers what it admitted"},
--- a/src/sim/mechanisms.h
+++ b/src/sim/mechanisms.h
@@ -19,6 +19,7 @@
   kPlannedStop,
   kConfigInForce,
   kFatalRequestsStopped,
+  kToldOutcomeStays,
 };
 std::string_view InvariantName(Invariant invariant);
 
--- a/src/sim/node_host.cc
+++ b/src/sim/node_host.cc
@@ -27,6 +27,7 @@
   options_.execution.sent_tracking = !disabled_.contains("sent-tracking");
   options_.reply_id_check = !disabled_.contains("reply-id-check");
   options_.ledger_before_dispatch = !disabled_.contains("ledger-before-dispatch");
+  options_.record_before_answer = !disabled_.contains("record-before-answer");
   options_.wait_for_platform = true;
   options_.knobs.first_report_patience = kFirstReportPatience;
   options_.max_config_age = kMaxConfigAge;
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -189,6 +189,11 @@
        .fault_interval = Milliseconds(1100),
        .impatient_caller = true,
        .length = Seconds(10)},
+      {.name = "told-outcomes",
+       .what = "nodes and leaders end just after outcomes of unrepeatable work were told",
+       .faults = {kKillNode, kKillNode, kKillControl, kCutLeader},
+       .fault_interval = Milliseconds(150),
+       .repeating_caller = true},
       {.name = "storm",
        .what = "all of it at once, and twice",
        .faults = {kKillLeaf, kFreezeLeaf, kLeaveLeaf, kKillNode, kFreezeNode, kPlannedStopNode,
@@ -241,6 +246,10 @@
   if (scenario.impatient_caller) {
     impatient_caller.Start(end);
   }
+  RepeatingCaller repeating_caller(&world);
+  if (scenario.repeating_caller) {
+    repeating_caller.Start(end);
+  }
   Operators operators(&world, scenario.operators);
   operators.Start(end);
   Nemesis nemesis(&world, scenario.faults, scenario.fault_interval);
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -28,6 +28,8 @@
   bool fatal_caller = false;
   /// Somebody asks for each thing again and again until it is served.
   bool impatient_caller = false;
+  /// Somebody asks again at once for unrepeatable work whose outcome was told.
+  bool repeating_caller = false;
   /// Load and faults end here, counted from the end of the boot.
   Duration length = Seconds(7);
 };
