--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -106,25 +106,6 @@
   }
 }
 
-void RequestExecution::SetUnpaid(ShardProgress* shard, bool unpaid) {
-  if (shard->unpaid != unpaid) {
-    shard->unpaid = unpaid;
-    unpaid_ += unpaid ? 1 : -1;
-  }
-}
-
-void RequestExecution::GiveUpUnpaid() {
-  if (unpaid_ == 0 || covered_ + given_up_ + unpaid_ < shards_.size()) {
-    return;
-  }
-  for (ShardProgress& shard : shards_) {
-    if (shard.unpaid) {
-      ++given_up_unpaid_;
-      GiveUp(&shard);
-    }
-  }
-}
-
 size_t RequestExecution::ActiveAttempts(const ShardProgress& shard) const {
   return static_cast<size_t>(std::count_if(
       shard.attempts.begin(), shard.attempts.end(),
--- a/src/query/request_spending.cc
+++ b/src/query/request_spending.cc
@@ -35,6 +35,25 @@
   return !budgeted || !charged || BudgetOf(shard)->TrySpendPart(now, part);
 }
 
+void RequestExecution::SetUnpaid(ShardProgress* shard, bool unpaid) {
+  if (shard->unpaid != unpaid) {
+    shard->unpaid = unpaid;
+    unpaid_ += unpaid ? 1 : -1;
+  }
+}
+
+void RequestExecution::GiveUpUnpaid() {
+  if (unpaid_ == 0 || covered_ + given_up_ + unpaid_ < shards_.size()) {
+    return;
+  }
+  for (ShardProgress& shard : shards_) {
+    if (shard.unpaid) {
+      ++given_up_unpaid_;
+      GiveUp(&shard);
+    }
+  }
+}
+
 bool RequestExecution::MayAttemptAgain(const ShardProgress& shard) const {
   return plan_.max_attempts == 0 || PossibleRuns(shard) < plan_.max_attempts;
 }
--- /dev/null
+++ b/src/wire/codec_gateways.h
@@ -0,0 +1,36 @@
+// The part of the codec that is about messages of gateways: presence, leafs, shared gathers, lost
+// runs, limits of tenants. For codec.cc alone.
+#pragma once
+
+#include "generated/internal.pb.h"
+#include "wire/arena.h"
+#include "wire/messages.h"
+
+namespace pumicedyke::wire {
+
+/// Fills an envelope. @pre the message and the arena outlive it.
+void Fill(const GatewayPresence& presence, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const LeafFeed& feed, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const GatewayFeed& feed, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const PartialQuery& query, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const PartialCancel& cancel, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const PartialConfirm& confirm, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const PartialAnswer& answer, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const SuspectNotice& notice, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const RunReport& report, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const RunReportTaken& taken, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const LimitAsk& ask, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const LimitGrant& grant, Arena* arena, pumicedyke_wire_Envelope* envelope);
+
+/// Reads a message out of a decoded envelope.
+GatewayPresence Read(const pumicedyke_wire_GatewayPresence& in);
+LeafFeed Read(const pumicedyke_wire_LeafFeed& in);
+GatewayFeed Read(const pumicedyke_wire_GatewayFeed& in);
+PartialQuery Read(const pumicedyke_wire_PartialQuery& in);
+PartialAnswer Read(const pumicedyke_wire_PartialAnswer& in);
+RunReport Read(const pumicedyke_wire_RunReport& in);
+LimitAsk Read(const pumicedyke_wire_LimitAsk& in);
+LimitGrant Read(const pumicedyke_wire_LimitGrant& in);
+std::vector<RequestIdentity> ReadAll(const pumicedyke_wire_RequestIdentity* list, pb_size_t count);
+
+}  // namespace pumicedyke::wire
