Fix: "not run" is told before the key is given back, not after

Cause: refusals of unrepeatable work waited, like outcomes, for the ledger. Change: only outcomes of what ran are held.

--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr size_t kMaxLedgerOutcomeBytes = 32 * 1024;
-/// A refusal waits no longer than this for the ledger to have the key back.
-constexpr Duration kRefusalPatience = Milliseconds(200);
 
 }  // namespace
 
@@ -319,16 +317,17 @@
 }
 
 void NodeServer::Tell(Timestamp now, RequestId id, const Active& active, Answer answer) {
-  // What the ledger is told of now must be there for whoever asks again, at any node.
-  const bool recorded_next = options_.record_before_answer && !active.claim_owner.empty() &&
-                             !active.execution->HasUnknownOutcome();
-  if (!recorded_next) {
+  // What the ledger is told of now must be there for whoever asks again, at any node. "Not run" is
+  // told first: once the key is given back another attempt may run.
+  const bool recorded_first = options_.record_before_answer && !active.claim_owner.empty() &&
+                              !active.execution->HasUnknownOutcome() &&
+                              answer.run != RunState::kNotRun;
+  if (!recorded_first) {
     output_.answers.push_back({id, std::move(answer)});
     return;
   }
-  const Duration patience =
-      answer.run == RunState::kNotRun ? kRefusalPatience : (active.deadline - now) / 2;
-  held_.Hold(active.claim_owner, {id, std::move(answer)}, now + patience);
+  const Timestamp until = now + (active.deadline - now) / 2;
+  held_.Hold(active.claim_owner, {id, std::move(answer)}, until);
 }
 
 void NodeServer::RecordOutcome(Timestamp now, const Active& active) {
