Tests of nodes build a leaf's reply in one place

Change: NodeHarness::ReplyTo; assertions are untouched. Ruled out: merging it with the gateway harness, whose sends are of another type.

--- a/test/node/node_harness.h
+++ b/test/node/node_harness.h
@@ -65,6 +65,16 @@
     server->OnCallerRequest(now, RequestId{++asked}, request);
     Take();
   }
+  /// A leaf's reply to what it was sent, without results.
+  static query::LeafReply ReplyTo(const query::LeafRequest& sent, query::LeafStatus status) {
+    query::LeafReply reply;
+    reply.id = sent.id;
+    reply.leaf = sent.leaf;
+    reply.shard = sent.shard;
+    reply.snapshot = sent.snapshot;
+    reply.status = status;
+    return reply;
+  }
   void Reply(const query::LeafReply& reply) {
     server->OnLeafReply(now, reply);
     Take();
--- a/test/node/node_outcome_test.cc
+++ b/test/node/node_outcome_test.cc
@@ -29,13 +29,7 @@
   }
   wire::LedgerRequest Told() const { return h.Said<wire::LedgerRequest>().back(); }
   void Reply(query::LeafStatus status) {
-    query::LeafReply reply;
-    reply.id = h.sends.back().id;
-    reply.leaf = h.sends.back().leaf;
-    reply.shard = h.sends.back().shard;
-    reply.snapshot = h.sends.back().snapshot;
-    reply.status = status;
-    h.Reply(reply);
+    h.Reply(NodeHarness::ReplyTo(h.sends.back(), status));
     h.Pass(Milliseconds(1));
   }
 
--- a/test/node/node_reports_test.cc
+++ b/test/node/node_reports_test.cc
@@ -20,11 +20,7 @@
     request.query = "fatal";
     request.identity = IdentityOf({"fatal"});
     h.Ask(request);
-    query::LeafReply reply;
-    reply.id = h.sends.at(0).id;
-    reply.leaf = h.sends.at(0).leaf;
-    reply.shard = h.sends.at(0).shard;
-    reply.status = query::LeafStatus::kFailed;
+    query::LeafReply reply = NodeHarness::ReplyTo(h.sends.at(0), query::LeafStatus::kFailed);
     reply.connection_lost = true;
     h.Reply(reply);
     h.Pass(Milliseconds(5));
