Reports of lost runs are acknowledged: each message has one destination

What callers saw: a request that crashes leafs was stopped nowhere.

Cause, from logs of real processes: each gateway's `runs_reported` told number 1 again and again, never number 2. ControlProcess::OnFrame sorted messages by type: NodeHello and LedgerRequest to OnNodeMessage, all else to OnPeerMessage, RunReport with it, which acknowledges nothing; ReportSender waits for the acknowledgement of one report before it sends the next. Simulator and tests called the server past this sorting.

Ruled out: lost acknowledgements (none was ever sent), the evidence (the same reports, unnumbered, were enough before numbers came).

Change: wire/destinations.h names for every type of wire::Body who handles it; a new message does not compile before it has a destination, nor before that destination's handler accepts it. Everything that sorts envelopes dispatches by it, and logs what is meant for others (`misdirected_message`). ControlServer has one OnMessage, which simulator and tests use, too. A report relayed by a control machine is marked (`from_control`) and not answered.

--- a/src/control/control_commands.cc
+++ b/src/control/control_commands.cc
@@ -190,11 +190,22 @@
   Answer(origin, reply.result);
 }
 
-void ControlServer::OnRunReport(Timestamp now, wire::RunReport report) {
+void ControlServer::OnRunReport(Timestamp now, SessionId session, const wire::RunReport& report) {
   quarantine_.OnReport(now, report);
-  if (std::exchange(report.relayed, true)) {
-    return;
+  if (!report.relayed) {
+    RelayRunReport(report);
   }
+  // Acknowledges only with a quorum: a machine without one may be the only one that knows the
+  // report, so the sender must report to others, too.
+  const bool awaited = report.number != 0 && !report.from_control;
+  if (awaited && !shutting_down_ && IsCurrent(now)) {
+    output_.sessions.push_back({session, Wrap(wire::RunReportAck{report.number})});
+  }
+}
+
+void ControlServer::RelayRunReport(wire::RunReport report) {
+  report.relayed = true;
+  report.from_control = true;
   for (const wire::Member& member : raft_.members()) {
     if (member.id != identity_.member) {
       SendToMember(member.id, report);
@@ -202,16 +213,6 @@
   }
 }
 
-void ControlServer::OnRunReportFromNode(Timestamp now, SessionId session,
-                                        const wire::RunReport& report) {
-  OnRunReport(now, report);
-  // Acknowledges only with a quorum: a machine without one may be the only one that knows the
-  // report, so the sender must report to others, too.
-  if (report.number != 0 && IsCurrent(now)) {
-    output_.sessions.push_back({session, Wrap(wire::RunReportAck{report.number})});
-  }
-}
-
 void ControlServer::UpdateQuarantine(Timestamp now) {
   if (shutting_down_ || !options_.stop_fatal_requests || !IsCurrent(now)) {
     return;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "wire/destinations.h"
 #include "wire/packing.h"
 
 namespace pumicedyke::control {
@@ -71,47 +72,24 @@
   DrainRaft(now);
 }
 
-void ControlServer::OnPeerMessage(Timestamp now, const wire::Envelope& envelope) {
+bool ControlServer::OnMessage(Timestamp now, SessionId session, const wire::Envelope& envelope) {
   if (envelope.cluster != options_.cluster) {
-    return;
-  }
-  if (const auto* raft = std::get_if<wire::RaftMessage>(&envelope.body)) {
-    raft_.Receive(now, *raft);
-  } else if (const auto* join = std::get_if<wire::JoinRequest>(&envelope.body)) {
-    OnJoin(now, *join);
-  } else if (const auto* reply = std::get_if<wire::JoinReply>(&envelope.body)) {
-    join_addresses_[reply->leader] = reply->address;
-  } else if (const auto* forwarded = std::get_if<wire::Forwarded>(&envelope.body)) {
-    OnForwarded(now, *forwarded);
-  } else if (const auto* reply = std::get_if<wire::ForwardedReply>(&envelope.body)) {
-    OnForwardedReply(*reply);
-  } else if (const auto* report = std::get_if<wire::RunReport>(&envelope.body)) {
-    OnRunReport(now, *report);
-  }
-  DrainRaft(now);
-}
-
-void ControlServer::OnNodeMessage(Timestamp now, SessionId session,
-                                  const wire::Envelope& envelope) {
-  if (envelope.cluster != options_.cluster) {
-    return;
-  }
-  if (shutting_down_) {
-    // Closes once for each hello, not for each request, since the node repeats its requests after a
-    // close.
-    if (std::holds_alternative<wire::NodeHello>(envelope.body)) {
-      output_.closed_sessions.push_back(session);
-    }
-    return;
-  }
-  if (const auto* hello = std::get_if<wire::NodeHello>(&envelope.body)) {
-    OnHello(now, session, *hello);
-  } else if (const auto* request = std::get_if<wire::LedgerRequest>(&envelope.body)) {
-    OnLedgerRequest(now, session, *request);
-  } else if (const auto* report = std::get_if<wire::RunReport>(&envelope.body)) {
-    OnRunReportFromNode(now, session, *report);
+    return false;
   }
+  using wire::Destination;
+  const bool handled = wire::DispatchTo<Destination::kControlPeer, Destination::kControlSession>(
+      envelope.body,
+      wire::MessageHandler{
+          [&](const wire::RaftMessage& raft) { raft_.Receive(now, raft); },
+          [&](const wire::JoinRequest& join) { OnJoin(now, join); },
+          [&](const wire::JoinReply& reply) { join_addresses_[reply.leader] = reply.address; },
+          [&](const wire::Forwarded& forwarded) { OnForwarded(now, forwarded); },
+          [&](const wire::ForwardedReply& reply) { OnForwardedReply(reply); },
+          [&](const wire::NodeHello& hello) { OnHello(now, session, hello); },
+          [&](const wire::LedgerRequest& request) { OnLedgerRequest(now, session, request); },
+          [&](const wire::RunReport& report) { OnRunReport(now, session, report); }});
   DrainRaft(now);
+  return handled;
 }
 
 void ControlServer::OnSessionClosed(SessionId session) { sessions_.erase(session); }
@@ -233,6 +211,16 @@
 }
 
 void ControlServer::OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello) {
+  if (shutting_down_) {
+    // Closes once for each hello, not for each request, since the node repeats its requests after a
+    // close.
+    output_.closed_sessions.push_back(id);
+    return;
+  }
+  AnswerHello(now, id, hello);
+}
+
+void ControlServer::AnswerHello(Timestamp now, SessionId id, const wire::NodeHello& hello) {
   Session& session = sessions_[id];
   session.node = hello.node;
   session.incarnation = hello.incarnation;
@@ -273,7 +261,7 @@
   for (auto& [id, session] : sessions_) {
     const std::optional<wire::NodeHello> hello = std::exchange(session.pending_hello, std::nullopt);
     if (hello.has_value() && now - session.last_contact < options_.hello_timeout) {
-      OnHello(now, id, *hello);
+      AnswerHello(now, id, *hello);
     }
   }
 }
@@ -332,6 +320,9 @@
 
 void ControlServer::OnLedgerRequest(Timestamp now, SessionId id,
                                     const wire::LedgerRequest& request) {
+  if (shutting_down_) {
+    return;
+  }
   ledger::Operation operation{request.operation,   request.key,     request.owner,
                               request.fingerprint, request.outcome, wall_ms_};
   Origin origin;
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -104,8 +104,10 @@
                 storage::RecoveredState recovered, uint64_t seed, Timestamp now);
 
   void Tick(Timestamp now);
-  void OnPeerMessage(Timestamp now, const wire::Envelope& envelope);
-  void OnNodeMessage(Timestamp now, SessionId session, const wire::Envelope& envelope);
+  /// Handles a message of another control machine, a node or a gateway.
+  /// @param session the connection it arrived on; replies to nodes and gateways are sent there.
+  /// @return whether the message is meant for a control machine of this cluster.
+  bool OnMessage(Timestamp now, SessionId session, const wire::Envelope& envelope);
   void OnSessionClosed(SessionId session);
 
   /// Submits a change of an operator. It is always answered by an OperatorReply with this ticket.
@@ -217,6 +219,7 @@
 
   // The feed.
   void OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello);
+  void AnswerHello(Timestamp now, SessionId id, const wire::NodeHello& hello);
   /// Answers the hellos that waited for a quorum.
   void AnswerPendingHellos(Timestamp now);
   void OnLedgerRequest(Timestamp now, SessionId id, const wire::LedgerRequest& request);
@@ -229,11 +232,10 @@
   OperatorReply ReadReply(const PendingConfigRead& read) const;
 
   // Requests that crash the leafs that run them.
-  /// Records a report of a gateway or node, and relays it to the other machines unless it was
-  /// relayed already.
-  void OnRunReport(Timestamp now, wire::RunReport report);
-  /// Records a report received from a gateway or node, which repeats it until it is acknowledged.
-  void OnRunReportFromNode(Timestamp now, SessionId session, const wire::RunReport& report);
+  /// Records a report and relays it to the other machines unless its sender did. Acknowledges it to
+  /// a gateway or node, which repeats it until then.
+  void OnRunReport(Timestamp now, SessionId session, const wire::RunReport& report);
+  void RelayRunReport(wire::RunReport report);
   /// Proposes to stop or release requests, and notifies the nodes of suspects.
   void UpdateQuarantine(Timestamp now);
   void NotifySuspects();
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/gateway_server.h"
 #include "gateway/merger_placement.h"
+#include "wire/destinations.h"
 
 namespace pumicedyke::gateway {
 
@@ -114,31 +115,38 @@
   }
 }
 
-void GatewayServer::OnControlMessage(Timestamp now, const std::string& address,
+bool GatewayServer::OnControlMessage(Timestamp now, const std::string& address,
                                      const wire::Envelope& envelope) {
   if (envelope.cluster != options_.cluster) {
-    return;
+    return false;
   }
-  if (const auto* feed = std::get_if<wire::ConfigFeed>(&envelope.body)) {
-    OnConfigFeed(now, *feed);
-  } else if (const auto* leafs = std::get_if<wire::LeafFeed>(&envelope.body)) {
-    OnLeafFeed(now, address, *leafs);
-  } else if (const auto* notice = std::get_if<wire::SuspectNotice>(&envelope.body)) {
-    run_tracker_.OnSuspectNotice(now, notice->requests);
-  } else if (const auto* ack = std::get_if<wire::RunReportAck>(&envelope.body)) {
-    reports_.OnAcknowledged(ack->number);
-    ReportRuns(now);
-  } else if (const auto* peers = std::get_if<wire::GatewayFeed>(&envelope.body)) {
-    const uint64_t changes = peers_.changes();
-    peers_.OnFeed(address, *peers);
-    if (peers_.changes() != changes) {
-      UpdateLimitGateways(now);
-      ApplyLimitOutput(now);
-    }
-    peers_changed_ = now;
-    links_[address].next_presence =
-        std::min(links_[address].next_presence, now + PresenceInterval(now, address));
+  using wire::Destination;
+  return wire::DispatchTo<Destination::kNodeOrGateway, Destination::kGateway>(
+      envelope.body,
+      wire::MessageHandler{
+          [&](const wire::ConfigFeed& feed) { OnConfigFeed(now, feed); },
+          [&](const wire::SuspectNotice& notice) {
+            run_tracker_.OnSuspectNotice(now, notice.requests);
+          },
+          [&](const wire::RunReportAck& ack) {
+            reports_.OnAcknowledged(ack.number);
+            ReportRuns(now);
+          },
+          [&](const wire::LeafFeed& leafs) { OnLeafFeed(now, address, leafs); },
+          [&](const wire::GatewayFeed& peers) { OnGatewayFeed(now, address, peers); }});
+}
+
+void GatewayServer::OnGatewayFeed(Timestamp now, const std::string& address,
+                                  const wire::GatewayFeed& feed) {
+  const uint64_t changes = peers_.changes();
+  peers_.OnFeed(address, feed);
+  if (peers_.changes() != changes) {
+    UpdateLimitGateways(now);
+    ApplyLimitOutput(now);
   }
+  peers_changed_ = now;
+  links_[address].next_presence =
+      std::min(links_[address].next_presence, now + PresenceInterval(now, address));
 }
 
 void GatewayServer::OnControlDisconnected(Timestamp now, const std::string& address) {
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/gateway_server.h"
 #include "gateway/record_merge.h"
+#include "wire/destinations.h"
 
 namespace pumicedyke::gateway {
 namespace {
@@ -47,21 +48,21 @@
       {session, {options_.cluster, document_version(), std::move(reply)}, priority});
 }
 
-void GatewayServer::OnPeerRequest(Timestamp now, PeerSessionId session,
+bool GatewayServer::OnPeerRequest(Timestamp now, PeerSessionId session,
                                   const wire::Envelope& envelope, Timestamp arrived) {
   if (envelope.cluster != options_.cluster) {
-    return;
-  }
-  if (const auto* query = std::get_if<wire::PartialQuery>(&envelope.body)) {
-    OnPartialQuery(now, session, *query, arrived);
-  } else if (const auto* cancel = std::get_if<wire::PartialCancel>(&envelope.body)) {
-    OnPartialCancel(now, session, *cancel);
-  } else if (const auto* confirm = std::get_if<wire::PartialConfirm>(&envelope.body)) {
-    OnPartialConfirm(now, session, *confirm);
-  } else if (const auto* ask = std::get_if<wire::LimitRequest>(&envelope.body)) {
-    gate_.limits().OnLimitRequest(now, session, *ask, subscriber_.proven_at());
-    ApplyLimitOutput(now);
+    return false;
   }
+  return wire::DispatchTo<wire::Destination::kGatewayPeerServer>(
+      envelope.body,
+      wire::MessageHandler{
+          [&](const wire::PartialQuery& query) { OnPartialQuery(now, session, query, arrived); },
+          [&](const wire::PartialCancel& cancel) { OnPartialCancel(now, session, cancel); },
+          [&](const wire::PartialConfirm& confirm) { OnPartialConfirm(now, session, confirm); },
+          [&](const wire::LimitRequest& ask) {
+            gate_.limits().OnLimitRequest(now, session, ask, subscriber_.proven_at());
+            ApplyLimitOutput(now);
+          }});
 }
 
 std::optional<GatewayServer::GroupOfRoute> GatewayServer::FindGroup(
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -239,16 +239,17 @@
   /// Called when no outcome of a cancelled sub-request is to be expected.
   void OnSendDropped(SubRequestId id) { run_tracker_.OnDropped(id); }
 
-  void OnControlMessage(Timestamp now, const std::string& address, const wire::Envelope& envelope);
+  /// @return whether the message is meant for a gateway of this cluster; the same below.
+  bool OnControlMessage(Timestamp now, const std::string& address, const wire::Envelope& envelope);
   void OnControlDisconnected(Timestamp now, const std::string& address);
 
   /// Handles a message from another gateway that uses this one as merger or lender.
   /// @param arrived as for OnRequest().
-  void OnPeerRequest(Timestamp now, PeerSessionId session, const wire::Envelope& envelope,
+  bool OnPeerRequest(Timestamp now, PeerSessionId session, const wire::Envelope& envelope,
                      Timestamp arrived);
   void OnPeerSessionClosed(Timestamp now, PeerSessionId session);
   /// Handles a reply from a gateway that this one has sent a request to.
-  void OnPeerReply(Timestamp now, const std::string& address, const wire::Envelope& envelope);
+  bool OnPeerReply(Timestamp now, const std::string& address, const wire::Envelope& envelope);
   void OnPeerDisconnected(Timestamp now, const std::string& address);
 
   /// Adds control machines that are not known yet.
@@ -380,6 +381,7 @@
   };
 
   void OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed);
+  void OnGatewayFeed(Timestamp now, const std::string& address, const wire::GatewayFeed& feed);
   void OnLeafFeed(Timestamp now, const std::string& address, const wire::LeafFeed& feed);
   void AdoptDocument(Timestamp now);
   void SyncPool(Timestamp now);
@@ -505,6 +507,7 @@
                     query::SharedOutcome outcome);
 
   // Shared gathers: this gateway as the merger of a group.
+  void OnPartialAnswer(Timestamp now, const std::string& address, const wire::PartialAnswer& reply);
   void OnPartialQuery(Timestamp now, PeerSessionId session, const wire::PartialQuery& query,
                       Timestamp arrived);
   /// Starts the work on a partial query.
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/gateway_server.h"
 #include "gateway/record_merge.h"
+#include "wire/destinations.h"
 
 namespace pumicedyke::gateway {
 namespace {
@@ -209,27 +210,30 @@
   output_.answers.push_back(std::move(out));
 }
 
-void GatewayServer::OnPeerReply(Timestamp now, const std::string& address,
+bool GatewayServer::OnPeerReply(Timestamp now, const std::string& address,
                                 const wire::Envelope& envelope) {
   if (envelope.cluster != options_.cluster) {
-    return;
-  }
-  if (const auto* grant = std::get_if<wire::LimitGrant>(&envelope.body)) {
-    gate_.limits().OnGrant(now, address, *grant);
-    ApplyLimitOutput(now);
-    return;
-  }
-  const auto* reply = std::get_if<wire::PartialAnswer>(&envelope.body);
-  if (reply == nullptr) {
-    return;
+    return false;
   }
+  return wire::DispatchTo<wire::Destination::kGatewayPeerClient>(
+      envelope.body, wire::MessageHandler{[&](const wire::LimitGrant& grant) {
+                                            gate_.limits().OnGrant(now, address, grant);
+                                            ApplyLimitOutput(now);
+                                          },
+                                          [&](const wire::PartialAnswer& reply) {
+                                            OnPartialAnswer(now, address, reply);
+                                          }});
+}
+
+void GatewayServer::OnPartialAnswer(Timestamp now, const std::string& address,
+                                    const wire::PartialAnswer& reply) {
   owners_.Clear(address);
-  const auto found = request_of_partial_query_.find(reply->id);
+  const auto found = request_of_partial_query_.find(reply.id);
   if (found == request_of_partial_query_.end()) {
     return;
   }
   const RequestId id = found->second;
-  active_.at(id).shared->OnPartialAnswer(now, *reply);
+  active_.at(id).shared->OnPartialAnswer(now, reply);
   CollectShared(now, id);
 }
 
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/result_code.h"
+#include "wire/destinations.h"
 
 namespace pumicedyke::node {
 
@@ -36,23 +37,30 @@
 
 // ---- Configuration ------------------------------------------------------------------------------
 
-void NodeServer::OnControlMessage(Timestamp now, const wire::Envelope& envelope) {
+bool NodeServer::OnControlMessage(Timestamp now, const wire::Envelope& envelope) {
   if (envelope.cluster != options_.subscriber.cluster) {
-    return;
-  }
-  if (const auto* feed = std::get_if<wire::ConfigFeed>(&envelope.body)) {
-    if (subscriber_.OnFeed(now, *feed)) {
-      ApplyConfig(now);
-      StopQuarantined(now);
-    }
-  } else if (const auto* notice = std::get_if<wire::SuspectNotice>(&envelope.body)) {
-    run_tracker_.OnSuspectNotice(now, notice->requests);
-  } else if (const auto* ack = std::get_if<wire::RunReportAck>(&envelope.body)) {
-    reports_.OnAcknowledged(ack->number);
-  } else if (const auto* reply = std::get_if<wire::LedgerReply>(&envelope.body)) {
-    if (const auto verdict = ledger_.OnReply(now, *reply)) {
-      OnLedgerVerdict(now, *verdict);
-    }
+    return false;
+  }
+  using wire::Destination;
+  return wire::DispatchTo<Destination::kNodeOrGateway, Destination::kNode>(
+      envelope.body,
+      wire::MessageHandler{
+          [&](const wire::ConfigFeed& feed) { OnConfigFeed(now, feed); },
+          [&](const wire::SuspectNotice& notice) {
+            run_tracker_.OnSuspectNotice(now, notice.requests);
+          },
+          [&](const wire::RunReportAck& ack) { reports_.OnAcknowledged(ack.number); },
+          [&](const wire::LedgerReply& reply) {
+            if (const auto verdict = ledger_.OnReply(now, reply)) {
+              OnLedgerVerdict(now, *verdict);
+            }
+          }});
+}
+
+void NodeServer::OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed) {
+  if (subscriber_.OnFeed(now, feed)) {
+    ApplyConfig(now);
+    StopQuarantined(now);
   }
 }
 
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -91,7 +91,8 @@
   void OnLeafHealth(Timestamp now, const std::string& leaf, bool draining);
   /// Sets the leafs that the platform's list names as leaving.
   void OnPlatformLeaving(const std::set<std::string>& leafs);
-  void OnControlMessage(Timestamp now, const wire::Envelope& envelope);
+  /// @return whether the message is meant for a node of this cluster.
+  bool OnControlMessage(Timestamp now, const wire::Envelope& envelope);
   void OnControlDisconnected(Timestamp now);
 
   NodeOutput TakeOutput();
@@ -139,6 +140,7 @@
   };
 
   // Configuration.
+  void OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed);
   void ApplyConfig(Timestamp now);
   void CompilePolicy(ServiceRuntime* runtime);
   void ApplyTenants();
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -13,6 +13,7 @@
 #include "common/result_code.h"
 #include "common/settings.h"
 #include "server/process.h"
+#include "wire/destinations.h"
 
 namespace pumicedyke::server {
 namespace {
@@ -414,18 +415,15 @@
     frames_->CloseSession(session);
     return;
   }
-  if (const auto* presence = std::get_if<wire::GatewayPresence>(&envelope.body)) {
-    discovery_->OnPresence(now, session, *presence);
-    DispatchOutput();
-    return;
-  }
-  const bool from_node = std::holds_alternative<wire::NodeHello>(envelope.body) ||
-                         std::holds_alternative<wire::LedgerRequest>(envelope.body);
   server_->SetWallClock(net::EventLoop::WallMilliseconds());
-  if (from_node) {
-    server_->OnNodeMessage(now, session, envelope);
-  } else {
-    server_->OnPeerMessage(now, envelope);
+  const bool handled = wire::DispatchTo<wire::Destination::kDiscovery>(
+                           envelope.body,
+                           [&](const wire::GatewayPresence& presence) {
+                             discovery_->OnPresence(now, session, presence);
+                           }) ||
+                       server_->OnMessage(now, session, envelope);
+  if (!handled) {
+    misdirected_.OnMessage(now, envelope);
   }
   DispatchOutput();
 }
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -18,6 +18,7 @@
 #include "net/frame_socket.h"
 #include "server/control_log.h"
 #include "server/graceful_stop.h"
+#include "server/misdirected_log.h"
 #include "server/settings_watch.h"
 #include "storage/log_storage.h"
 #include "storage/posix_file_system.h"
@@ -157,6 +158,7 @@
   std::map<control::TicketId, ReplyCb> waiting_;
   control::TicketId next_ticket_ = 1;
   ControlLog log_;
+  MisdirectedLog misdirected_;
   SettingsWatch watch_;
   GracefulStop stop_;
 };
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -180,24 +180,28 @@
 
 void GatewayProcess::OnPeerRequest(uint64_t session, wire::Envelope envelope) {
   ScheduleDispatch();
-  if (const auto* cancel = std::get_if<wire::PartialCancel>(&envelope.body)) {
-    if (partial_queries_.Cancel(session, cancel->id)) {
-      return;
-    }
+  const auto* cancel = std::get_if<wire::PartialCancel>(&envelope.body);
+  if (cancel != nullptr && partial_queries_.Cancel(session, cancel->id)) {
+    return;
   }
   gateway::ArrivedPartialQuery partial_query{session, std::move(envelope),
                                              loop_->earliest_arrival()};
   if (!partial_queries_.Add(&partial_query)) {
-    server_->OnPeerRequest(net::EventLoop::Now(), session, partial_query.envelope,
-                           partial_query.arrived);
+    HandlePeerRequest(partial_query);
   }
 }
 
 void GatewayProcess::StartPartialQueries() {
   while (const std::optional<gateway::ArrivedPartialQuery> partial_query =
              partial_queries_.Take()) {
-    server_->OnPeerRequest(net::EventLoop::Now(), partial_query->session, partial_query->envelope,
-                           partial_query->arrived);
+    HandlePeerRequest(*partial_query);
+  }
+}
+
+void GatewayProcess::HandlePeerRequest(const gateway::ArrivedPartialQuery& request) {
+  const Timestamp now = net::EventLoop::Now();
+  if (!server_->OnPeerRequest(now, request.session, request.envelope, request.arrived)) {
+    misdirected_.OnMessage(now, request.envelope);
   }
 }
 
@@ -379,7 +383,10 @@
     link = std::make_unique<net::FrameClient>(
         loop_, address,
         [this, address](const wire::Envelope& envelope) {
-          server_->OnControlMessage(net::EventLoop::Now(), address, envelope);
+          const Timestamp now = net::EventLoop::Now();
+          if (!server_->OnControlMessage(now, address, envelope)) {
+            misdirected_.OnMessage(now, envelope);
+          }
           ScheduleDispatch();
         },
         [this, address] {
@@ -397,7 +404,10 @@
     peer = std::make_unique<net::FrameClient>(
         loop_, address,
         [this, address](const wire::Envelope& envelope) {
-          server_->OnPeerReply(net::EventLoop::Now(), address, envelope);
+          const Timestamp now = net::EventLoop::Now();
+          if (!server_->OnPeerReply(now, address, envelope)) {
+            misdirected_.OnMessage(now, envelope);
+          }
           ScheduleDispatch();
         },
         [this, address] {
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -17,6 +17,7 @@
 #include "server/gateway_log.h"
 #include "server/gateway_metrics.h"
 #include "server/graceful_stop.h"
+#include "server/misdirected_log.h"
 #include "server/settings_watch.h"
 
 namespace pumicedyke::server {
@@ -89,6 +90,7 @@
   absl::Status ListenForMetrics();
   absl::Status ListenForDirectory();
   void OnPeerRequest(uint64_t session, wire::Envelope envelope);
+  void HandlePeerRequest(const gateway::ArrivedPartialQuery& request);
   /// Starts the partial queries of this loop iteration, the most urgent first.
   void StartPartialQueries();
   void OnLinkChange(const gateway::ControlLinkChange& change);
@@ -120,6 +122,7 @@
   std::unique_ptr<http::HttpServer> directory_http_;
   SettingsWatch watch_;
   GracefulStop stop_;
+  MisdirectedLog misdirected_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -207,7 +207,7 @@
     control_ = std::make_unique<net::FrameClient>(
         loop_, settings_.control[control_index_],
         [this](const wire::Envelope& message) {
-          server_->OnControlMessage(net::EventLoop::Now(), message);
+          OnControlMessage(message);
           loop_->Post([this] { DispatchOutput(); });
         },
         [this] { server_->OnControlDisconnected(net::EventLoop::Now()); });
@@ -215,6 +215,13 @@
   control_->Send(envelope);
 }
 
+void NodeProcess::OnControlMessage(const wire::Envelope& message) {
+  const Timestamp now = net::EventLoop::Now();
+  if (!server_->OnControlMessage(now, message)) {
+    misdirected_.OnMessage(now, message);
+  }
+}
+
 void NodeProcess::AnswerCaller(const node::CallerAnswer& answer) {
   const auto waiting = waiting_.find(answer.request);
   if (waiting == waiting_.end()) {
--- a/src/server/node_process.h
+++ b/src/server/node_process.h
@@ -14,6 +14,7 @@
 #include "net/frame_socket.h"
 #include "node/node_server.h"
 #include "server/graceful_stop.h"
+#include "server/misdirected_log.h"
 
 namespace pumicedyke::server {
 
@@ -49,6 +50,7 @@
   void SendToLeaf(const query::LeafRequest& request);
   void CancelAtLeaf(const query::SubRequestCancel& cancel);
   void SendToControl(const wire::Envelope& envelope);
+  void OnControlMessage(const wire::Envelope& message);
   void AnswerCaller(const node::CallerAnswer& answer);
   void OnHttp(const http::HttpRequest& request, http::Responder responder);
   void OnQuery(const http::HttpRequest& request, http::Responder responder);
@@ -75,6 +77,7 @@
   Timestamp next_platform_{};
   bool platform_call_ = false;
   GracefulStop stop_;
+  MisdirectedLog misdirected_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -141,16 +141,9 @@
   }
 }
 
-void ControlHost::Receive(const wire::Envelope& envelope) {
-  Run([this, envelope] {
-    server_->OnPeerMessage(LocalNow(), envelope);
-    DispatchOutput();
-  });
-}
-
-void ControlHost::ReceiveFromNode(control::SessionId session, const wire::Envelope& envelope) {
+void ControlHost::Receive(control::SessionId session, const wire::Envelope& envelope) {
   Run([this, session, envelope] {
-    server_->OnNodeMessage(LocalNow(), session, envelope);
+    server_->OnMessage(LocalNow(), session, envelope);
     DispatchOutput();
   });
 }
--- a/src/sim/control_host.h
+++ b/src/sim/control_host.h
@@ -44,8 +44,7 @@
   /// Shuts down as the product does on SIGTERM; `done` runs once the process has stopped.
   void PlannedStop(std::function<void()> done);
 
-  void Receive(const wire::Envelope& envelope);
-  void ReceiveFromNode(control::SessionId session, const wire::Envelope& envelope);
+  void Receive(control::SessionId session, const wire::Envelope& envelope);
   void Submit(control::TicketId ticket, const config::Change& change);
   void ReadConfig(control::TicketId ticket);
   void ReadStatus(control::TicketId ticket);
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -60,7 +60,7 @@
       network.Send(name, address, [this, address, envelope] {
         for (const auto& control : controls) {
           if (control->name() == address) {
-            control->Receive(envelope);
+            control->Receive(kPeerSession, envelope);
           }
         }
       });
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -107,6 +107,8 @@
  private:
   /// A session number is the node's incarnation times this, plus the node's index.
   static constexpr uint64_t kSessionsPerIncarnation = 10;
+  /// Session of all messages between control machines; incarnations count from 1.
+  static constexpr control::SessionId kPeerSession = 0;
 
   void MakeControls();
   void MakeNodes();
--- a/src/sim/world_control.cc
+++ b/src/sim/world_control.cc
@@ -19,7 +19,7 @@
   const auto node_index = static_cast<uint64_t>(node->name().back() - '0');
   const control::SessionId session = node->incarnation() * kSessionsPerIncarnation + node_index;
   network.Send(node->name(), host->name(),
-               [host, session, envelope] { host->ReceiveFromNode(session, envelope); });
+               [host, session, envelope] { host->Receive(session, envelope); });
 }
 
 void World::SendToSession(const std::string& control, control::SessionId session,
--- a/src/wire/codec_gateways.cc
+++ b/src/wire/codec_gateways.cc
@@ -229,6 +229,7 @@
   out.reporter = report.reporter;
   out.number = report.number;
   out.age_us = static_cast<uint64_t>(report.age.count());
+  out.from_control = report.from_control;
 }
 
 void Fill(const RunReportAck& ack, Arena* /*arena*/, pumicedyke_wire_Envelope* envelope) {
@@ -248,6 +249,7 @@
   report.reporter = in.reporter;
   report.number = in.number;
   report.age = Duration(static_cast<int64_t>(in.age_us));
+  report.from_control = in.from_control;
   return report;
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -327,6 +327,8 @@
   uint64_t number = 0;
   /// Age of the observation when the report was sent.
   Duration age{};
+  /// Forwarded by a control machine, which awaits no acknowledgement.
+  bool from_control = false;
 };
 
 /// Acknowledges the report of this number. Sent by control machines in contact with a quorum.
--- a/test/control/control_group_test.cc
+++ b/test/control/control_group_test.cc
@@ -89,7 +89,7 @@
         for (auto& [id, machine] : machines_) {
           const bool addressed = AddressOf(id) == message.address && Connected(from, id);
           if (addressed) {
-            machine.server->OnPeerMessage(now_, message.envelope);
+            machine.server->OnMessage(now_, /*session=*/0, message.envelope);
           }
         }
       }
@@ -139,10 +139,15 @@
   /// report.
   bool Report(MemberId to, const wire::RunReport& report) {
     const size_t before = acknowledged_;
-    machines_.at(to).server->OnNodeMessage(now_, /*session=*/1, {"test", 0, report});
+    Deliver(to, report);
     Deliver();
     return acknowledged_ > before;
   }
+  size_t acknowledged() const { return acknowledged_; }
+  /// Delivers a message to one machine. @return whether it was meant for a control machine.
+  bool Deliver(MemberId to, wire::Body body) {
+    return machines_.at(to).server->OnMessage(now_, /*session=*/1, {"test", 0, std::move(body)});
+  }
   /// Pauses a machine: it neither sends nor receives.
   void Pause(MemberId id) { paused_.insert(id); }
   void Resume(MemberId id) { paused_.erase(id); }
@@ -185,6 +190,8 @@
   CPPUNIT_TEST(ChangeIsNotDelayedByLostFollower);
   CPPUNIT_TEST(ChangeAtDeposedLeaderIsForwarded);
   CPPUNIT_TEST(ReportIsAcknowledgedWithQuorumAndRelayedToAll);
+  CPPUNIT_TEST(ReportsAreAcknowledgedToTheirSendersOnly);
+  CPPUNIT_TEST(MessagesForOthersAreNotHandled);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -251,6 +258,37 @@
     CPPUNIT_ASSERT(group.Report(isolated, report));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, group.at(isolated).evidence().leafs());
   }
+
+  /// Gateways send a report to every machine, marked as one that is not relayed further; control
+  /// machines mark those that they relay themselves.
+  void ReportsAreAcknowledgedToTheirSendersOnly() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    wire::RunReport report;
+    report.lost = {{IdentityOf({"fatal"}), 1, "leaf", "s"}};
+    report.reporter = 7;
+    report.number = 1;
+    report.relayed = true;
+    CPPUNIT_ASSERT(group.Report(leader, report));
+    report.from_control = true;
+    CPPUNIT_ASSERT(!group.Report(leader, report));
+    // One that a machine relays reaches each of the others once and is acknowledged by none.
+    report = {};
+    report.reporter = 8;
+    report.number = 1;
+    const size_t before = group.acknowledged();
+    CPPUNIT_ASSERT(group.Report(leader, report));
+    CPPUNIT_ASSERT_EQUAL(before + 1, group.acknowledged());
+  }
+
+  void MessagesForOthersAreNotHandled() {
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    CPPUNIT_ASSERT(!group.Deliver(leader, wire::RunReportAck{1}));
+    CPPUNIT_ASSERT(!group.Deliver(leader, wire::PartialCancel{1, true}));
+    CPPUNIT_ASSERT(!group.Deliver(leader, wire::GatewayPresence{}));
+    CPPUNIT_ASSERT(group.Deliver(leader, wire::RunReport{}));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlGroupTest);
 
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -19,6 +19,7 @@
 #include <iostream>
 #include <thread>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 extern char** environ;  // NOLINT
@@ -378,6 +379,16 @@
   return http::FetchBlocking(request);
 }
 
+std::optional<double> Metric(const std::string& address, const std::string& name) {
+  std::istringstream page(Get(address, "/metrics").body);
+  for (std::string line; std::getline(page, line);) {
+    if (absl::StartsWith(line, name + " ")) {
+      return std::stod(line.substr(name.size()));
+    }
+  }
+  return std::nullopt;
+}
+
 http::ClientResponse Post(const std::string& address, const std::string& path,
                           const std::string& body, const std::string& key) {
   http::ClientRequest request;
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -111,6 +111,8 @@
 };
 
 http::ClientResponse Get(const std::string& address, const std::string& path);
+/// Reads a metric without labels of the process at `address`; unset if its page has none.
+std::optional<double> Metric(const std::string& address, const std::string& name);
 http::ClientResponse Post(const std::string& address, const std::string& path,
                           const std::string& body, const std::string& key = "");
 
--- a/test/platform/crashing_leaf.cc
+++ b/test/platform/crashing_leaf.cc
@@ -1,12 +1,9 @@
 #include "platform/crashing_leaf.h"
 
-#include <cppunit/TestAssert.h>
-
 #include <utility>
 
 #include "common/json.h"
 #include "e2e/fleet.h"
-#include "net/event_loop.h"
 
 namespace pumicedyke::platform {
 namespace {
@@ -24,54 +21,18 @@
       service_(std::move(service)),
       fatal_(std::move(fatal)),
       answered_(std::move(answered)),
-      address_(e2e::FreeAddress()),
-      thread_([this] { Serve(); }) {
-  e2e::WaitFor("a crashing leaf to listen", [this] { return incarnation_ > 0; });
-}
-
-CrashingLeaf::~CrashingLeaf() {
-  stop_ = true;
-  thread_.join();
-}
-
-std::string CrashingLeaf::id() const { return name_ + "-" + std::to_string(incarnation_.load()); }
+      server_([this](const http::HttpRequest& request) { return Handle(request); }) {}
 
-void CrashingLeaf::Serve() {
-  while (!stop_) {
-    RunIncarnation();
-  }
-}
-
-void CrashingLeaf::RunIncarnation() {
-  net::EventLoop loop;
-  http::HttpServer server(&loop, {},
-                          [this](const http::HttpRequest& request, http::Responder responder) {
-                            OnRequest(request, std::move(responder));
-                          });
-  if (!server.Listen(address_).ok()) {
-    return;
-  }
-  loop_ = &loop;
-  ++incarnation_;
-  loop.Run([this, &loop](Timestamp now) {
-    if (stop_) {
-      loop.Stop();
-    }
-    return now + Milliseconds(20);
-  });
-  loop_ = nullptr;
-}
+std::string CrashingLeaf::id() const { return name_ + "-" + std::to_string(server_.incarnation()); }
 
-void CrashingLeaf::OnRequest(const http::HttpRequest& request, http::Responder responder) {
+std::optional<http::HttpResponse> CrashingLeaf::Handle(const http::HttpRequest& request) const {
   http::HttpResponse response;
   const std::string request_id = Value(request.headers, "X-Request-Id");
   response.headers = {{"X-Instance-Id", id()}, {"X-Request-Id", request_id}};
   if (Value(request.headers, "X-Expect-Instance") != id()) {
     response.status = 421;
   } else if (fatal_(request)) {
-    ++crashes_;
-    loop_->Stop();
-    return;
+    return std::nullopt;
   } else {
     response.headers.push_back({"X-Server-Stamp", id() + "." + request_id});
     response.body = "sixteen bytes...";
@@ -79,16 +40,17 @@
       answered_(request_id);
     }
   }
-  responder.Send(std::move(response));
+  return response;
 }
 
 int CrashingLeaf::SendHeartbeat(const std::string& control) {
-  if (heartbeat_incarnation_ != incarnation_) {
-    heartbeat_incarnation_ = incarnation_;
+  if (heartbeat_incarnation_ != server_.incarnation()) {
+    heartbeat_incarnation_ = server_.incarnation();
     heartbeats_ = 0;
   }
-  const Json body{{"backend", service_}, {"address", address_}, {"zone", "north"},
-                  {"version", "v1"},     {"slots", 2},          {"state", "ready"},
+  const Json body{{"backend", service_}, {"address", server_.address()},
+                  {"zone", "north"},     {"version", "v1"},
+                  {"slots", 2},          {"state", "ready"},
                   {"cold_left_ms", 0},   {"seq", ++heartbeats_}};
   return e2e::Post(control, "/v1/instances/" + id() + "/heartbeat", body.dump()).status;
 }
--- a/test/platform/crashing_leaf.h
+++ b/test/platform/crashing_leaf.h
@@ -2,14 +2,11 @@
 // as a new incarnation.
 #pragma once
 
-#include <atomic>
 #include <functional>
-#include <mutex>
+#include <optional>
 #include <string>
-#include <thread>
 
-#include "http/http_server.h"
-#include "net/event_loop.h"
+#include "e2e/crashing_server.h"
 
 namespace pumicedyke::platform {
 
@@ -23,38 +20,27 @@
   /// thread.
   CrashingLeaf(std::string name, std::string service, IsFatalCb fatal,
                AnsweredCb answered = nullptr);
-  ~CrashingLeaf();
-  CrashingLeaf(const CrashingLeaf&) = delete;
-  CrashingLeaf& operator=(const CrashingLeaf&) = delete;
 
   /// Number of requests that crashed the leaf.
-  int crashes() const { return crashes_; }
+  int crashes() const { return server_.crashes(); }
   const std::string& service() const { return service_; }
   /// Sends a heartbeat of the current incarnation. @return its HTTP status.
   int SendHeartbeat(const std::string& control);
 
  private:
-  void Serve();
-  /// Runs one incarnation until it crashes or is stopped.
-  void RunIncarnation();
-  void OnRequest(const http::HttpRequest& request, http::Responder responder);
+  /// Runs on the leaf's thread. @return the response; none: the leaf crashes.
+  std::optional<http::HttpResponse> Handle(const http::HttpRequest& request) const;
   std::string id() const;
 
   const std::string name_;
   const std::string service_;
   const IsFatalCb fatal_;
   const AnsweredCb answered_;
-  const std::string address_;
-  std::atomic<int> crashes_{0};
-  std::atomic<bool> stop_{false};
-  /// Number of the current incarnation, counted from 1.
-  std::atomic<int> incarnation_{0};
   /// Number of heartbeats of the incarnation `heartbeat_incarnation_`.
   int heartbeats_ = 0;
   int heartbeat_incarnation_ = 0;
-  /// Event loop of the current incarnation; used only on the leaf's thread.
-  net::EventLoop* loop_ = nullptr;
-  std::thread thread_;
+  /// Last, because its thread uses the other members.
+  e2e::CrashingServer server_;
 };
 
 }  // namespace pumicedyke::platform
--- a/test/platform/fatal_request_test.cc
+++ b/test/platform/fatal_request_test.cc
@@ -87,6 +87,25 @@
                                      const std::string& path) {
     return fleet_.SendRequestTo(gateway, path, {{kCallerHeader, caller}});
   }
+  /// Sends a fatal request. If it crashes leafs, waits until each control machine has evidence of
+  /// that.
+  http::ClientResponse SendFatalRequest(const std::string& gateway, const std::string& path) {
+    const int crashes = Crashes();
+    std::vector<double> evidence;
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      evidence.push_back(Evidence(i));
+    }
+    http::ClientResponse response = SendRequestAs(kFatalCaller, gateway, path);
+    for (int i = 0; i < PlatformFleet::kControls && Crashes() > crashes; ++i) {
+      e2e::WaitFor("evidence of the crash by " + path,
+                   [&] { return Evidence(i) > evidence[static_cast<size_t>(i)]; });
+    }
+    return response;
+  }
+  /// Number of crashes of leafs that a control machine knows.
+  double Evidence(int control) const {
+    return e2e::Metric(fleet_.OperatorAddress(control), "pumicedyke_control_ended_leafs").value();
+  }
   int Crashes() const {
     return std::accumulate(leafs_.begin(), leafs_.end(), 0,
                            [](int sum, const auto& leaf) { return sum + leaf->crashes(); });
@@ -112,6 +131,7 @@
   CPPUNIT_TEST_SUITE(FatalRequestTest);
   CPPUNIT_TEST(GatherThatCrashesLeafsIsStoppedEverywhere);
   CPPUNIT_TEST(RequestToOneLeafThatCrashesLeafsIsStoppedEverywhere);
+  CPPUNIT_TEST(FatalRequestsOneAfterTheOtherAreAllStopped);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -120,6 +140,34 @@
     CheckStoppedEverywhere("/one/fatal");
   }
 
+  /// Guards against reports of lost runs that no control machine acknowledges: each gateway waited
+  /// for its first report to be acknowledged and never told of later fatal requests.
+  void FatalRequestsOneAfterTheOtherAreAllStopped() {
+    CrashingFleet fleet;
+    constexpr int kFatalRequests = 4;
+    const std::vector<std::string> gateways(fleet.gateways().begin(), fleet.gateways().begin() + 2);
+    for (int i = 0; i < kFatalRequests; ++i) {
+      const std::string path = "/all/fatal-" + std::to_string(i);
+      size_t turn = 0;
+      size_t refused_in_a_row = 0;
+      e2e::WaitFor("both gateways to refuse " + path, [&] {
+        fleet.SendHeartbeats();
+        const std::string& gateway = gateways[turn++ % gateways.size()];
+        const bool refused = IsQuarantined(fleet.SendFatalRequest(gateway, path));
+        refused_in_a_row = refused ? refused_in_a_row + 1 : 0;
+        return refused_in_a_row >= gateways.size();
+      });
+    }
+    const int crashes = fleet.Crashes();
+    for (int i = 0; i < kFatalRequests; ++i) {
+      const std::string path = "/all/fatal-" + std::to_string(i);
+      for (const std::string& gateway : gateways) {
+        CPPUNIT_ASSERT(IsQuarantined(fleet.SendRequestAs(kFatalCaller, gateway, path)));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(crashes, fleet.Crashes());
+  }
+
  private:
   static void CheckServed(const http::ClientResponse& response) {
     CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 200, response.status);
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -128,6 +128,10 @@
   return HostOf(index) + ":" + directory_port_;
 }
 
+std::string PlatformFleet::OperatorAddress(int index) const {
+  return processes.at("c" + std::to_string(index))->Address("operator");
+}
+
 void PlatformFleet::StartControl(int index, bool bootstrap) {
   const std::string name = "c" + std::to_string(index);
   const std::string file = folder_ + "/" + name + ".toml";
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -86,6 +86,8 @@
   std::string DataFolder(int index) const;
   std::string ServiceAddress(int index) const;
   std::string DirectoryAddress(int index) const;
+  /// Address of a control machine's metrics.
+  std::string OperatorAddress(int index) const;
   const std::string& gateway_address() const { return gateway_address_; }
   const std::string& gateway_directory_address() const { return gateway_directory_address_; }
   const std::string& ready_address() const { return ready_address_; }
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -213,6 +213,7 @@
     report.succeeded = {{7, 8}};
     report.alive_leafs = {"leaf-c"};
     report.relayed = true;
+    report.from_control = true;
     const auto decoded = DecodeEnvelope(Encode(Envelope{"c", 1, report}));
     CPPUNIT_ASSERT(decoded.ok());
     const auto& back = std::get<RunReport>(decoded->body);
@@ -224,6 +225,10 @@
     CPPUNIT_ASSERT(back.succeeded == report.succeeded);
     CPPUNIT_ASSERT(back.alive_leafs == report.alive_leafs);
     CPPUNIT_ASSERT(back.relayed);
+    CPPUNIT_ASSERT(back.from_control);
+    const auto decoded_ack = DecodeEnvelope(Encode(Envelope{"c", 1, RunReportAck{13}}));
+    CPPUNIT_ASSERT(decoded_ack.ok());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{13}, std::get<RunReportAck>(decoded_ack->body).number);
     const SuspectNotice notice{{{9, 10}, {11, 12}}};
     const auto decoded_notice = DecodeEnvelope(Encode(Envelope{"c", 1, notice}));
     CPPUNIT_ASSERT(decoded_notice.ok());
