No report of lost runs waits for the acknowledgement of another

Control recognizes repeated reports by a window of 256 numbers instead of the highest number alone, so that a repeated one counts although later ones have arrived.

--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -35,17 +35,15 @@
       reports_.Add(now, *std::move(seen));
     }
   }
-  std::optional<wire::RunReport> report = reports_.TakeDue(now);
-  if (!report.has_value()) {
-    return;
-  }
-  // The next leader among the control machines needs the report, too.
-  report->relayed = true;
-  for (const std::string& address : control_) {
-    output_.control.push_back(
-        {address, {options_.cluster, subscriber_.config().version().value, *report}});
+  for (wire::RunReport& report : reports_.TakeDue(now)) {
+    // The next leader among the control machines needs the report, too.
+    report.relayed = true;
+    for (const std::string& address : control_) {
+      output_.control.push_back(
+          {address, {options_.cluster, subscriber_.config().version().value, report}});
+    }
+    output_.runs_reported.push_back(std::move(report));
   }
-  output_.runs_reported = std::move(report);
 }
 
 void GatewayServer::ApplyQuarantine(Timestamp now) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -210,8 +210,8 @@
   std::vector<PeerMessage> peer_messages;
   std::vector<PeerReply> peer_replies;
   std::vector<PartialTrace> partials;
-  /// Report of lost runs sent to control, for the log.
-  std::optional<wire::RunReport> runs_reported;
+  /// Reports of lost runs sent to control, for the log.
+  std::vector<wire::RunReport> runs_reported;
 };
 
 class GatewayServer {
@@ -272,6 +272,8 @@
   const routing::RouteTable* table() const { return table_.get(); }
   const LeafView& leafs() const { return view_; }
   const PeerView& peers() const { return peers_; }
+  /// Reports of lost runs that wait for an acknowledgement.
+  const quarantine::ReportSender& reports() const { return reports_; }
   size_t in_progress() const { return active_.size(); }
   /// Returns a quantile of the recent sub-request latencies of a route; zero if there were none.
   Duration LeafLatency(const std::string& route, double quantile) const;
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -409,9 +409,9 @@
   if (std::optional<wire::RunReport> report = run_tracker_.TakeReport()) {
     reports_.Add(now, *std::move(report));
   }
-  if (std::optional<wire::RunReport> report = reports_.TakeDue(now)) {
+  for (wire::RunReport& report : reports_.TakeDue(now)) {
     output_.control.push_back(
-        {options_.subscriber.cluster, subscriber_.config().version().value, *std::move(report)});
+        {options_.subscriber.cluster, subscriber_.config().version().value, std::move(report)});
   }
   for (CallerAnswer& answer : held_.TakeOverdue(now)) {
     output_.answers.push_back(std::move(answer));
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -110,6 +110,8 @@
   const config::ConfigState& config() const { return subscriber_.config(); }
   const NodeCounters& counters() const { return counters_; }
   const balance::LeafPool& pool() const { return pool_; }
+  /// Reports of lost runs that wait for an acknowledgement.
+  const quarantine::ReportSender& reports() const { return reports_; }
   size_t in_progress() const { return active_.size(); }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
 
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -27,17 +27,31 @@
   if (report.number == 0) {
     return true;
   }
-  LastReport& last = reporters_[report.reporter];
-  if (report.number <= last.number) {
-    return false;
+  Reporter& reporter = reporters_[report.reporter];
+  reporter.last_contact = now;
+  if (report.number > reporter.highest) {
+    reporter.received <<= std::min<uint64_t>(report.number - reporter.highest, kReorderWindow);
+    reporter.highest = report.number;
+  }
+  const uint64_t behind = reporter.highest - report.number;
+  const bool is_new = behind < kReorderWindow && !reporter.received.test(behind);
+  if (is_new) {
+    reporter.received.set(behind);
   }
-  last = {report.number, now};
   if (reporters_.size() > options_.max_reporters) {
     reporters_.erase(
-        std::min_element(reporters_.begin(), reporters_.end(),
-                         [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+        std::min_element(reporters_.begin(), reporters_.end(), [](const auto& a, const auto& b) {
+          return a.second.last_contact < b.second.last_contact;
+        }));
   }
-  return true;
+  return is_new;
+}
+
+bool CrashEvidence::HasSucceededSince(const wire::RunReport& report,
+                                      const RequestIdentity& identity) const {
+  const auto success = succeeded_.find(identity);
+  return success != succeeded_.end() && report.number != 0 &&
+         success->second.reporter == report.reporter && success->second.number > report.number;
 }
 
 void CrashEvidence::OnReport(Timestamp now, const wire::RunReport& report) {
@@ -46,11 +60,13 @@
   }
   const Timestamp seen = now - std::clamp(report.age, Duration(0), options_.retention);
   for (const wire::LostRun& run : report.lost) {
-    RecordLost(seen, run);
+    if (!HasSucceededSince(report, run.identity)) {
+      RecordLost(seen, run);
+    }
   }
   for (const RequestIdentity& identity : report.succeeded) {
     Clear(identity);
-    succeeded_[identity] = now;
+    succeeded_[identity] = {now, report.reporter, report.number};
   }
   for (const std::string& leaf : report.alive_leafs) {
     crashes_.erase(crashes_.lower_bound({leaf, 0}), crashes_.upper_bound({leaf, next_crash_}));
@@ -99,8 +115,8 @@
   const auto is_old = [&](Timestamp at) { return now - at > options_.retention; };
   const size_t forgotten =
       std::erase_if(crashes_, [&](const auto& item) { return is_old(item.second.at); }) +
-      std::erase_if(succeeded_, [&](const auto& item) { return is_old(item.second); });
-  std::erase_if(reporters_, [&](const auto& item) { return is_old(item.second.at); });
+      std::erase_if(succeeded_, [&](const auto& item) { return is_old(item.second.at); });
+  std::erase_if(reporters_, [&](const auto& item) { return is_old(item.second.last_contact); });
   version_ += forgotten > 0 ? 1 : 0;
 }
 
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -5,6 +5,7 @@
 // clock.
 #pragma once
 
+#include <bitset>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -61,8 +62,7 @@
  public:
   explicit CrashEvidence(EvidenceOptions options) : options_(options) {}
 
-  /// Records a report. Ignores repeated reports and those overtaken by a later one of the same
-  /// process.
+  /// Records a report. Ignores repeated ones. Numbered reports may arrive in any order.
   void OnReport(Timestamp now, const wire::RunReport& report);
   void Tick(Timestamp now);
   /// Discards the evidence against the request.
@@ -92,13 +92,27 @@
   using CrashKey = std::pair<std::string, uint64_t>;
   using LeafCrashes = std::map<CrashKey, const LeafCrash*>;
 
-  struct LastReport {
-    uint64_t number = 0;
+  /// Number of reports before the highest one of a process that may still arrive.
+  static constexpr size_t kReorderWindow = 256;
+
+  /// The reports received from one process.
+  struct Reporter {
+    uint64_t highest = 0;
+    /// Bit n: report `highest - n` was received.
+    std::bitset<kReorderWindow> received;
+    Timestamp last_contact{};
+  };
+  /// The report that cleared a request.
+  struct Success {
     Timestamp at{};
+    uint64_t reporter = 0;
+    uint64_t number = 0;
   };
 
-  /// Returns true if the report is newer than all earlier ones of its process.
+  /// Returns true if the report was not received before.
   bool IsNew(Timestamp now, const wire::RunReport& report);
+  /// Returns true if the same process has reported a success of the request in a later report.
+  bool HasSucceededSince(const wire::RunReport& report, const RequestIdentity& identity) const;
   void RecordLost(Timestamp seen, const wire::LostRun& run);
   /// Returns the record of the crash to which the lost run belongs; creates it if necessary.
   LeafCrash& FindOrAddCrash(Timestamp seen, const wire::LostRun& run);
@@ -119,8 +133,8 @@
   EvidenceOptions options_;
   std::map<CrashKey, LeafCrash> crashes_;
   uint64_t next_crash_ = 1;
-  std::map<RequestIdentity, Timestamp> succeeded_;
-  std::map<uint64_t, LastReport> reporters_;
+  std::map<RequestIdentity, Success> succeeded_;
+  std::map<uint64_t, Reporter> reporters_;
   uint64_t version_ = 0;
 };
 
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "http/metrics.h"
+#include "server/report_log.h"
 
 namespace pumicedyke::server {
 namespace {
@@ -147,6 +148,7 @@
   page.Counter("pumicedyke_log_lines_dropped_total",
                "Log lines dropped because standard output did not accept them.",
                static_cast<double>(DroppedLogLines()));
+  AddReportMetrics(now, server.reports(), &page);
   page.AddProcess();
   return page.Text();
 }
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -224,6 +224,7 @@
   DispatchOutput();
   ApplyLimits();
   log_.OnState(now, *server_);
+  report_log_.OnState(now, server_->reports());
   if (stop_.started() && stop_.Done(now, server_->Drained() && unlogged_answers_ == 0)) {
     loop_->Stop();
   }
@@ -285,8 +286,8 @@
   for (const gateway::ControlLinkChange& change : output.link_changes) {
     OnLinkChange(change);
   }
-  if (output.runs_reported.has_value()) {
-    log_.OnRunReport(net::EventLoop::Now(), *output.runs_reported);
+  for (const wire::RunReport& report : output.runs_reported) {
+    log_.OnRunReport(net::EventLoop::Now(), report);
   }
   for (const gateway::ControlMessage& message : output.control) {
     SendToControl(message);
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -18,6 +18,7 @@
 #include "server/gateway_metrics.h"
 #include "server/graceful_stop.h"
 #include "server/misdirected_log.h"
+#include "server/report_log.h"
 #include "server/settings_watch.h"
 
 namespace pumicedyke::server {
@@ -123,6 +124,7 @@
   SettingsWatch watch_;
   GracefulStop stop_;
   MisdirectedLog misdirected_;
+  ReportLog report_log_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -126,6 +126,7 @@
   PollHealth(now);
   PollPlatform(now);
   DispatchOutput();
+  report_log_.OnState(now, server_->reports());
   if (stop_.started() && stop_.Done(now, server_->Drained())) {
     loop_->Stop();
   }
@@ -364,6 +365,7 @@
     page.Gauge("pumicedyke_leaf_limit", "Requests this node may have in flight at the leaf.",
                server_->pool().Limit(leaf), {{"leaf", leaf}});
   }
+  AddReportMetrics(now, server_->reports(), &page);
   page.AddProcess();
   return page.Text();
 }
--- a/src/server/node_process.h
+++ b/src/server/node_process.h
@@ -15,6 +15,7 @@
 #include "node/node_server.h"
 #include "server/graceful_stop.h"
 #include "server/misdirected_log.h"
+#include "server/report_log.h"
 
 namespace pumicedyke::server {
 
@@ -78,6 +79,7 @@
   bool platform_call_ = false;
   GracefulStop stop_;
   MisdirectedLog misdirected_;
+  ReportLog report_log_;
 };
 
 }  // namespace pumicedyke::server
--- a/test/e2e/node_fatal_request_test.cc
+++ b/test/e2e/node_fatal_request_test.cc
@@ -69,6 +69,10 @@
     const Json answer = fleet_.Query(0, {{"service", "desk"}, {"query", query}});
     return static_cast<ResultCode>(answer.value("code", -1));
   }
+  /// Number of the node's reports that no control machine has acknowledged.
+  double PendingReports() const {
+    return Metric(fleet_.NodeAddress(0), "pumicedyke_run_reports_pending").value();
+  }
   int Crashes() const {
     int crashes = 0;
     for (const auto& leaf : leafs_) {
@@ -100,6 +104,7 @@
       WaitFor(query + " to be stopped",
               [&] { return fleet.SendQuery(query) == ResultCode::kQuarantined; });
     }
+    WaitFor("all reports to be acknowledged", [&] { return fleet.PendingReports() == 0; });
     const int crashes = fleet.Crashes();
     for (int i = 0; i < kFatalQueries; ++i) {
       CPPUNIT_ASSERT(fleet.SendQuery(absl::StrCat("fatal-", i)) == ResultCode::kQuarantined);
--- a/test/platform/fatal_request_test.cc
+++ b/test/platform/fatal_request_test.cc
@@ -106,6 +106,10 @@
   double Evidence(int control) const {
     return e2e::Metric(fleet_.OperatorAddress(control), "pumicedyke_control_ended_leafs").value();
   }
+  /// Number of reports of the first gateway that no control machine has acknowledged.
+  double PendingReports() const {
+    return e2e::Metric(fleet_.metrics_address(), "pumicedyke_run_reports_pending").value();
+  }
   int Crashes() const {
     return std::accumulate(leafs_.begin(), leafs_.end(), 0,
                            [](int sum, const auto& leaf) { return sum + leaf->crashes(); });
@@ -158,6 +162,7 @@
         return refused_in_a_row >= gateways.size();
       });
     }
+    e2e::WaitFor("all reports to be acknowledged", [&] { return fleet.PendingReports() == 0; });
     const int crashes = fleet.Crashes();
     for (int i = 0; i < kFatalRequests; ++i) {
       const std::string path = "/all/fatal-" + std::to_string(i);
--- a/test/quarantine/crash_evidence_test.cc
+++ b/test/quarantine/crash_evidence_test.cc
@@ -61,6 +61,8 @@
   CPPUNIT_TEST(CrashLoopWithoutCommonRequestConfirmsNone);
   CPPUNIT_TEST(RepeatedNumberedReportCountsOnce);
   CPPUNIT_TEST(LateReportCountsAtItsTimeOfObservation);
+  CPPUNIT_TEST(OvertakenReportsCount);
+  CPPUNIT_TEST(OvertakenLossDoesNotRevokeLaterSuccess);
   CPPUNIT_TEST(TwoFatalRequestsAreBothFound);
   CPPUNIT_TEST(ManyFatalRequestsAreAllFound);
   CPPUNIT_TEST(CrashLoopUnderManyRetryingClientsConfirmsNone);
@@ -271,6 +273,44 @@
     CPPUNIT_ASSERT_EQUAL(size_t{3}, fixture.evidence.leafs());
   }
 
+  /// A report that was lost with its connection is repeated after later ones have arrived.
+  void OvertakenReportsCount() {
+    EvidenceFixture fixture;
+    wire::RunReport report;
+    report.reporter = 7;
+    for (const uint64_t number : {300, 2, 299, 301, 2, 299, 300, 45}) {
+      report.number = number;
+      report.lost = {{kFatal, number, "leaf" + std::to_string(number), "s"}};
+      fixture.evidence.OnReport(fixture.now, report);
+    }
+    // Number 2 was too far behind to tell whether it had arrived before.
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, fixture.evidence.leafs());
+    report.number = 46;
+    report.lost = {{kFatal, 46, "leaf46", "s"}};
+    fixture.evidence.OnReport(fixture.now, report);
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, fixture.evidence.leafs());
+  }
+
+  void OvertakenLossDoesNotRevokeLaterSuccess() {
+    EvidenceFixture fixture;
+    wire::RunReport success;
+    success.reporter = 7;
+    success.number = 2;
+    success.succeeded = {kFatal};
+    fixture.evidence.OnReport(fixture.now, success);
+    wire::RunReport loss;
+    loss.reporter = 7;
+    loss.number = 1;
+    loss.lost = {{kFatal, 1, "a", "s"}, {kConcurrent, 1, "a", "s"}};
+    fixture.evidence.OnReport(fixture.now, loss);
+    CPPUNIT_ASSERT(fixture.evidence.HasSucceeded(kFatal));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fixture.evidence.leafs());
+    // A loss after the success revokes it, as does one that another process reports.
+    loss.number = 3;
+    fixture.evidence.OnReport(fixture.now, loss);
+    CPPUNIT_ASSERT(!fixture.evidence.HasSucceeded(kFatal));
+  }
+
   void LateReportCountsAtItsTimeOfObservation() {
     EvidenceFixture fixture;
     wire::RunReport report;
