A process that was paused in its planned stop answers what arrived

What callers saw: a request sent on an open connection to a node, gateway or control machine that stood still late in its planned stop got a reset instead of an answer; the process ended with 0.

Cause, from traces and real processes: GracefulStop closed kept connections by the clock, 500 ms after the grace, whatever had arrived on them, and the loop calls its owner before it reads; a pause below 250 ms restarts no grace. The simulator had code of its own for when a node may end, and let a process that goes on read before its timers run, which the real loop does not.

Change: a process ends when no connection of a caller is open. A kept one is closed only if no byte waits on it; connections that wait to be accepted are accepted before the listener closes; control's service and directory ports and the gateways' directory port count, too. StopSequence holds the phases, without sockets; programs and simulator share it, for control machines as well, and the simulator counts an operator's call from its arrival.

RawConnection and its copies in two test files are one now (e2e/raw_connection).

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <cstring>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/numbers.h"
 #include "common/result_code.h"
@@ -97,9 +98,13 @@
   }
   ~Connection() { loop_->CancelTimer(timer_); }
 
-  /// Whether part of a request was received, or a request or its response is still in progress.
-  bool busy() const {
-    return serving_ || parser_.state() != ParseState::kEmpty || stream_.unwritten() > 0;
+  /// Closes the connection unless a request or its response is in progress, or bytes have arrived.
+  void CloseIfIdle() {
+    const bool busy =
+        serving_ || closing_ || parser_.state() != ParseState::kEmpty || stream_.unwritten() > 0;
+    if (!busy && !stream_.HasUnreadInput()) {
+      OnEnd();
+    }
   }
   /// Closes the connection because the server is being destroyed. Later responses are ignored.
   void Detach() {
@@ -327,21 +332,25 @@
 }
 
 int HttpServer::handle_input(ACE_HANDLE /*handle*/) {
-  for (int accepted = 0; accepted < kAcceptsPerIteration; ++accepted) {
-    const ACE_HANDLE handle = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (handle == ACE_INVALID_HANDLE) {
-      return 0;
-    }
-    if (connections_.size() >= options_.max_connections) {
-      ::close(handle);
-      continue;
-    }
-    const uint64_t id = next_connection_++;
-    connections_.emplace(id, std::make_shared<Connection>(this, id, handle));
+  for (int accepted = 0; accepted < kAcceptsPerIteration && Accept(); ++accepted) {
   }
   return 0;
 }
 
+bool HttpServer::Accept() {
+  const ACE_HANDLE handle = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (handle == ACE_INVALID_HANDLE) {
+    return false;
+  }
+  if (connections_.size() >= options_.max_connections) {
+    ::close(handle);
+    return true;
+  }
+  const uint64_t id = next_connection_++;
+  connections_.emplace(id, std::make_shared<Connection>(this, id, handle));
+  return true;
+}
+
 void HttpServer::Remove(uint64_t id) {
   const auto it = connections_.find(id);
   if (it != connections_.end()) {
@@ -352,15 +361,24 @@
 }
 
 void HttpServer::StopListening() {
-  if (listener_ != ACE_INVALID_HANDLE) {
-    loop_->poller()->Remove(this);
-    ::close(std::exchange(listener_, ACE_INVALID_HANDLE));
+  if (listener_ == ACE_INVALID_HANDLE) {
+    return;
+  }
+  for (int accepted = 0; accepted < kBacklog && Accept(); ++accepted) {
   }
+  loop_->poller()->Remove(this);
+  ::close(std::exchange(listener_, ACE_INVALID_HANDLE));
 }
 
-size_t HttpServer::in_flight() const {
-  return static_cast<size_t>(std::count_if(connections_.begin(), connections_.end(),
-                                           [](const auto& item) { return item.second->busy(); }));
+void HttpServer::CloseIdleConnections() {
+  // Closing removes the connection from the map.
+  std::vector<std::shared_ptr<Connection>> open;
+  for (const auto& [id, connection] : connections_) {
+    open.push_back(connection);
+  }
+  for (const auto& connection : open) {
+    connection->CloseIfIdle();
+  }
 }
 
 }  // namespace pumicedyke::http
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -94,10 +94,11 @@
   void SetOptions(const HttpServerOptions& options) { options_ = options; }
   /// From now on, each response closes its connection.
   void StartDraining() { draining_ = true; }
-  /// Stops accepting connections.
+  /// Stops accepting connections. Those that clients have already opened are accepted first.
   void StopListening();
-  /// Number of requests that were at least partly received and are not answered yet.
-  size_t in_flight() const;
+  /// Closes the connections without a request. One on which bytes have arrived stays open, also if
+  /// they were not read yet.
+  void CloseIdleConnections();
   unsigned connections() const { return static_cast<unsigned>(connections_.size()); }
 
   int handle_input(ACE_HANDLE handle) override;
@@ -106,6 +107,8 @@
  private:
   class Connection;
   friend class Connection;
+  /// Accepts one connection. @return false if none waits.
+  bool Accept();
   void Remove(uint64_t id);
 
   net::EventLoop* loop_;
--- a/src/net/byte_stream.cc
+++ b/src/net/byte_stream.cc
@@ -95,6 +95,11 @@
   }
 }
 
+bool ByteStream::HasUnreadInput() const {
+  char byte = 0;
+  return open() && ::recv(handle_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 Duration ByteStream::RoundTrip() const {
   tcp_info info{};
   socklen_t length = sizeof(info);
--- a/src/net/byte_stream.h
+++ b/src/net/byte_stream.h
@@ -56,6 +56,8 @@
   /// Whether the connection was ever established. If not, no byte can have reached the peer.
   bool was_connected() const { return was_connected_; }
   size_t unwritten() const { return output_.size(); }
+  /// Whether bytes have arrived that no callback was given yet. Makes one system call.
+  bool HasUnreadInput() const;
   /// Returns the round-trip time measured by the operating system, or zero if not known. Makes one
   /// system call.
   Duration RoundTrip() const;
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -448,12 +448,7 @@
     loop_->Stop();
     return;
   }
-  stop_.Start(now, http_.get());
-  for (const auto& http : {service_http_.get(), directory_http_.get()}) {
-    if (http != nullptr) {
-      http->StartDraining();
-    }
-  }
+  stop_.Start(now, {http_.get(), service_http_.get(), directory_http_.get()});
   server_->StartShutdown(now);
   DispatchOutput();
 }
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -460,7 +460,7 @@
 void GatewayProcess::Stop() {
   LogEvent("stopping", {});
   const Timestamp now = net::EventLoop::Now();
-  stop_.Start(now, http_.get());
+  stop_.Start(now, {http_.get(), directory_http_.get()});
   server_->StartDraining(now);
   DispatchOutput();
 }
--- a/src/server/graceful_stop.h
+++ b/src/server/graceful_stop.h
@@ -1,19 +1,25 @@
 // Sequence of a planned stop. The process first serves for a grace period in which its answers send
 // callers elsewhere, then accepts no more connections, then waits for requests in flight. No
-// request is interrupted.
+// request is interrupted, and none that has arrived is left unread.
 #pragma once
 
+#include <vector>
+
 #include "common/types.h"
 #include "http/http_server.h"
+#include "server/stop_sequence.h"
 
 namespace pumicedyke::server {
 
+/// Used on the event loop's thread only.
 class GracefulStop {
  public:
-  explicit GracefulStop(Duration grace) : grace_(grace) {}
+  explicit GracefulStop(Duration grace) : sequence_(grace) {}
 
-  void Start(Timestamp now, http::HttpServer* http);
-  bool started() const { return http_ != nullptr; }
+  /// @param servers those whose callers must be answered; null ones are left out. They must outlive
+  /// this object.
+  void Start(Timestamp now, const std::vector<http::HttpServer*>& servers);
+  bool started() const { return started_; }
 
   /// Must be called on every tick after Start().
   /// @param idle whether no admitted request waits for an answer.
@@ -21,10 +27,9 @@
   bool Done(Timestamp now, bool idle);
 
  private:
-  Duration grace_;
-  http::HttpServer* http_ = nullptr;
-  Timestamp grace_end_{};
-  Timestamp last_tick_{};
+  StopSequence sequence_;
+  bool started_ = false;
+  std::vector<http::HttpServer*> servers_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/leaf_process.cc
+++ b/src/server/leaf_process.cc
@@ -34,7 +34,7 @@
 }
 
 void LeafProcess::Stop() {
-  stop_.Start(net::EventLoop::Now(), http_.get());
+  stop_.Start(net::EventLoop::Now(), {http_.get()});
   model_.SetDraining(true);
 }
 
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -372,7 +372,7 @@
 
 void NodeProcess::Stop() {
   LogEvent("stopping", {{"in_progress", server_->in_progress()}});
-  stop_.Start(net::EventLoop::Now(), http_.get());
+  stop_.Start(net::EventLoop::Now(), {http_.get()});
 }
 
 }  // namespace pumicedyke::server
--- a/src/sim/control_host.cc
+++ b/src/sim/control_host.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr Duration kTickInterval = Milliseconds(10);
-constexpr Duration kStopGrace = Milliseconds(300);
+
 constexpr size_t kSnapshotLogBytes = 60000;
 constexpr char kCluster[] = "sim";
 
@@ -74,6 +74,7 @@
   server_ = std::make_unique<control::ControlServer>(
       options, *identity, storage_.get(), std::move(recovered), seed_ * 1000 + starts_, LocalNow());
   open_tickets_ = 0;
+  accepts_ = true;
   RunAfter(kTickInterval, [this] { Tick(); });
   DispatchOutput();
 }
@@ -93,7 +94,7 @@
 
 void ControlHost::PlannedStop(std::function<void()> done) {
   stopped_ = std::move(done);
-  stop_not_before_ = LocalNow() + kStopGrace;
+  stop_.Start(LocalNow());
   server_->StartShutdown(LocalNow());
   DispatchOutput();
   if (disabled_.contains("drain-before-exit")) {
@@ -112,15 +113,33 @@
 }
 
 void ControlHost::CheckPlannedStop() {
-  const bool can_stop = stopped_ != nullptr && LocalNow() >= stop_not_before_ &&
-                        server_->Drained() && open_tickets_ == 0;
-  if (can_stop) {
+  if (stopped_ != nullptr && MayExit()) {
     std::function<void()> stopped = std::move(stopped_);
     Kill();
     stopped();
   }
 }
 
+bool ControlHost::MayExit() {
+  const server::StopPhase phase = stop_.Advance(LocalNow());
+  // Operators keep a connection open until the machine closes it.
+  accepts_ = accepts_ && (phase != server::StopPhase::kClosingIdle || HasUnread());
+  const size_t connections = accepts_ ? 1 : 0;
+  return server::StopSequence::MayExit(phase, server_->Drained() && open_tickets_ == 0,
+                                       connections);
+}
+
+void ControlHost::RunForOperator(std::function<void()> call) {
+  if (!alive() || !accepts_) {
+    return;
+  }
+  ++open_tickets_;
+  Run([this, call = std::move(call)] {
+    call();
+    DispatchOutput();
+  });
+}
+
 void ControlHost::DispatchOutput() {
   control::ControlOutput output = server_->TakeOutput();
   for (const control::PeerMessage& message : output.peers) {
@@ -149,19 +168,11 @@
 }
 
 void ControlHost::Submit(control::TicketId ticket, const config::Change& change) {
-  Run([this, ticket, change] {
-    ++open_tickets_;
-    server_->Submit(LocalNow(), ticket, change);
-    DispatchOutput();
-  });
+  RunForOperator([this, ticket, change] { server_->Submit(LocalNow(), ticket, change); });
 }
 
 void ControlHost::ReadConfig(control::TicketId ticket) {
-  Run([this, ticket] {
-    ++open_tickets_;
-    server_->ReadConfig(LocalNow(), ticket);
-    DispatchOutput();
-  });
+  RunForOperator([this, ticket] { server_->ReadConfig(LocalNow(), ticket); });
 }
 
 bool ControlHost::Leads() const {
@@ -169,11 +180,7 @@
 }
 
 void ControlHost::ReadStatus(control::TicketId ticket) {
-  Run([this, ticket] {
-    ++open_tickets_;
-    server_->ReadStatus(LocalNow(), ticket);
-    DispatchOutput();
-  });
+  RunForOperator([this, ticket] { server_->ReadStatus(LocalNow(), ticket); });
 }
 
 int64_t ControlHost::DurableVersion() {
--- a/src/sim/control_host.h
+++ b/src/sim/control_host.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "control/control_server.h"
+#include "server/stop_sequence.h"
 #include "sim/mechanisms.h"
 #include "sim/sim_file_system.h"
 #include "sim/sim_process.h"
@@ -57,10 +58,16 @@
   size_t open_tickets() const { return open_tickets_; }
 
  private:
+  static constexpr Duration kStopGrace = Milliseconds(300);
+
   void Tick();
   void DispatchOutput();
   MemberId InitialMemberId(const std::string& machine) const;
   void CheckPlannedStop();
+  /// Whether the planned stop is complete.
+  bool MayExit();
+  /// Runs an operator's call, unless the machine has closed its connections.
+  void RunForOperator(std::function<void()> call);
 
   std::vector<std::string> founders_;
   size_t voters_;
@@ -72,7 +79,8 @@
   std::unique_ptr<storage::LogStorage> storage_;
   std::unique_ptr<control::ControlServer> server_;
   std::function<void()> stopped_;
-  Timestamp stop_not_before_{};
+  server::StopSequence stop_{kStopGrace};
+  bool accepts_ = true;
   size_t open_tickets_ = 0;
 };
 
--- a/src/sim/node_host.cc
+++ b/src/sim/node_host.cc
@@ -6,7 +6,6 @@
 namespace pumicedyke::sim {
 namespace {
 
-constexpr Duration kStopGrace = Milliseconds(500);
 constexpr Duration kFirstReportTimeout = Seconds(5);
 constexpr Duration kMaxConfigAge = Seconds(3);
 constexpr Duration kMinTickInterval = Milliseconds(1);
@@ -41,6 +40,7 @@
   options_.subscriber.incarnation = incarnation_;
   server_ = std::make_unique<node::NodeServer>(options_, LocalNow());
   next_tick_ = Timestamp{};
+  accepts_ = true;
   Step();
 }
 
@@ -52,7 +52,7 @@
 
 void NodeHost::PlannedStop(std::function<void()> done) {
   stopped_ = std::move(done);
-  stop_not_before_ = LocalNow() + kStopGrace;
+  stop_.Start(LocalNow());
   if (disabled_.contains("drain-before-exit")) {
     std::function<void()> stopped = std::move(stopped_);
     Kill();
@@ -63,8 +63,7 @@
 void NodeHost::Step() {
   server_->Tick(LocalNow());
   DispatchOutput();
-  const bool can_stop = stopped_ != nullptr && LocalNow() >= stop_not_before_ && server_->Drained();
-  if (can_stop) {
+  if (stopped_ != nullptr && MayExit()) {
     std::function<void()> stopped = std::move(stopped_);
     Kill();
     stopped();
@@ -73,6 +72,14 @@
   ScheduleTick();
 }
 
+bool NodeHost::MayExit() {
+  const server::StopPhase phase = stop_.Advance(LocalNow());
+  // Callers keep a connection open until the node closes it.
+  accepts_ = accepts_ && (phase != server::StopPhase::kClosingIdle || HasUnread());
+  const size_t connections = accepts_ ? 1 : 0;
+  return server::StopSequence::MayExit(phase, server_->Drained(), connections);
+}
+
 void NodeHost::ScheduleTick() {
   const Timestamp now = LocalNow();
   const Timestamp wake = std::max(server_->NextWake(now), now + kMinTickInterval);
--- a/src/sim/node_host.h
+++ b/src/sim/node_host.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "node/node_server.h"
+#include "server/stop_sequence.h"
 #include "sim/mechanisms.h"
 #include "sim/sim_process.h"
 
@@ -32,6 +33,9 @@
   /// Shuts down as the product does on SIGTERM.
   void PlannedStop(std::function<void()> done);
   bool stopping() const { return stopped_ != nullptr; }
+  /// Whether callers' requests reach the node. A stopping node refuses them once it has closed its
+  /// connections.
+  bool accepts() const { return alive() && accepts_; }
 
   void Ask(RequestId id, const query::CallerRequest& request);
   /// Delivers a reply. Replies to a previous incarnation are delivered, too; the node must
@@ -47,7 +51,11 @@
   node::NodeServer* server() { return server_.get(); }
 
  private:
+  static constexpr Duration kStopGrace = Milliseconds(500);
+
   void Step();
+  /// Whether the planned stop is complete.
+  bool MayExit();
   void DispatchOutput();
   void ScheduleTick();
 
@@ -57,7 +65,8 @@
   uint64_t incarnation_ = 0;
   std::unique_ptr<node::NodeServer> server_;
   std::function<void()> stopped_;
-  Timestamp stop_not_before_{};
+  server::StopSequence stop_{kStopGrace};
+  bool accepts_ = true;
   Timestamp next_tick_{};
 };
 
--- a/src/sim/sim_process.h
+++ b/src/sim/sim_process.h
@@ -55,19 +55,24 @@
   }
 
   void Pause() { paused_ = alive_; }
-  /// Resumes the process. As in the event loop, received work runs before expired timers.
+  /// Resumes the process. As in the event loop, expired timers run before anything is read.
   void Resume() {
     paused_ = false;
-    std::deque<std::function<void()>> due = std::exchange(backlog_, {});
     const std::deque<std::function<void()>> overdue = std::exchange(overdue_, {});
-    due.insert(due.end(), overdue.begin(), overdue.end());
     const uint64_t epoch = epoch_;
-    for (const auto& work : due) {
+    for (const auto& work : overdue) {
       if (epoch == epoch_) {
         work();
       }
     }
+    while (HasUnread() && !paused_) {
+      const std::function<void()> work = std::move(backlog_.front());
+      backlog_.pop_front();
+      work();
+    }
   }
+  /// Whether something has arrived that the process has not read yet.
+  bool HasUnread() const { return !backlog_.empty(); }
 
  protected:
   void MarkStarted() {
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -279,7 +279,7 @@
 
 bool World::Ask(size_t index, const query::CallerRequest& request, AnswerCb on_answer) {
   NodeHost* node = nodes[index].get();
-  if (!node->alive()) {
+  if (!node->accepts()) {
     return false;
   }
   CallRecord record{request.query,  request.service,  request.idempotency_key,
--- a/test/e2e/contract_test.cc
+++ b/test/e2e/contract_test.cc
@@ -1,10 +1,6 @@
 // Table-driven tests of the contracts of all interfaces: callers, back ends, platform, operators
 // and internal ports. Bad input gets a numbered error that names the field, or a closed connection.
-#include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <fstream>
 #include <regex>
@@ -13,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "e2e/fleet.h"
+#include "e2e/raw_connection.h"
 #include "http/http_server.h"
 #include "wire/codec.h"
 
@@ -26,43 +23,6 @@
     "  return { deadline_ms = 5000, coverage = 1, extra_load = 0.3 }\n"
     "end";
 
-/// A connection on which a test sends arbitrary bytes.
-class RawConnection {
- public:
-  explicit RawConnection(const std::string& address) {
-    std::string host;
-    uint16_t port = 0;
-    CPPUNIT_ASSERT(http::SplitAddress(address, &host, &port));
-    sockaddr_in peer{};
-    peer.sin_family = AF_INET;
-    peer.sin_port = htons(port);
-    ::inet_pton(AF_INET, host.c_str(), &peer.sin_addr);
-    socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    CPPUNIT_ASSERT(::connect(socket_, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)) == 0);
-  }
-  ~RawConnection() { ::close(socket_); }
-  RawConnection(const RawConnection&) = delete;
-  RawConnection& operator=(const RawConnection&) = delete;
-
-  void SendBytes(const std::string& text) const {
-    (void)!::send(socket_, text.data(), text.size(), MSG_NOSIGNAL);
-  }
-  void StopSending() const { ::shutdown(socket_, SHUT_WR); }
-  /// Reads until the peer closes the connection.
-  std::string ReadToEnd() const {
-    std::string text;
-    char buffer[4096];
-    for (ssize_t got = ::read(socket_, buffer, sizeof(buffer)); got > 0;
-         got = ::read(socket_, buffer, sizeof(buffer))) {
-      text.append(buffer, static_cast<size_t>(got));
-    }
-    return text;
-  }
-
- private:
-  int socket_ = -1;
-};
-
 struct Case {
   std::string body;
   int code;
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -164,6 +164,13 @@
 
 void Process::Signal(int number) const { ::kill(pid_, number); }
 
+void Process::Pause() const {
+  Signal(SIGSTOP);
+  siginfo_t info{};
+  CPPUNIT_ASSERT_EQUAL(
+      0, ::waitid(P_PID, static_cast<id_t>(pid_), &info, WSTOPPED | WEXITED | WNOWAIT));
+}
+
 void Process::Kill() {
   if (running()) {
     Signal(SIGKILL);
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -38,6 +38,8 @@
   /// Returns "127.0.0.1:port" for a kind of port ("http", "control", "operator").
   std::string Address(const std::string& kind) const;
   void Signal(int number) const;
+  /// Stops the process with SIGSTOP and waits until it stands still; SIGCONT continues it.
+  void Pause() const;
   void Kill();
   /// Waits for the process to exit. @return its exit code, or the negated signal that ended it.
   int Wait();
--- /dev/null
+++ b/test/e2e/raw_connection.h
@@ -0,0 +1,32 @@
+// A connection on which a test sends arbitrary bytes, and reads what comes back.
+#pragma once
+
+#include <string>
+
+namespace pumicedyke::e2e {
+
+class RawConnection {
+ public:
+  /// Connects; fails the test if that is refused.
+  explicit RawConnection(const std::string& address);
+  ~RawConnection();
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  void SendBytes(const std::string& text) const;
+  void StopSending() const;
+  /// Reads until the peer closes the connection.
+  std::string ReadToEnd() const;
+  /// Reads until `end` has arrived or the peer closes the connection.
+  std::string ReadUntil(const std::string& end) const;
+  /// Returns what has arrived, without waiting.
+  std::string ReadAvailable();
+  /// Whether ReadAvailable() has found the connection closed or reset by the peer.
+  bool closed() const { return closed_; }
+
+ private:
+  int socket_ = -1;
+  bool closed_ = false;
+};
+
+}  // namespace pumicedyke::e2e
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -1,14 +1,11 @@
 // End-to-end tests on real processes: documents, heartbeats, the directory and requests, also while
 // processes stop or are killed and when callers send malformed input.
-#include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <csignal>
 
 #include "common/json.h"
+#include "e2e/raw_connection.h"
 #include "platform/platform_fleet.h"
 
 namespace pumicedyke::platform {
@@ -85,24 +82,9 @@
 
 /// Sends bytes on a new connection. @return all bytes received until the peer closed it.
 std::string SendRawBytes(const std::string& address, const std::string& bytes) {
-  std::string host;
-  uint16_t port = 0;
-  CPPUNIT_ASSERT(http::SplitAddress(address, &host, &port));
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in remote{};
-  remote.sin_family = AF_INET;
-  remote.sin_port = htons(port);
-  ::inet_pton(AF_INET, host.c_str(), &remote.sin_addr);
-  CPPUNIT_ASSERT(::connect(socket, reinterpret_cast<sockaddr*>(&remote), sizeof(remote)) == 0);
-  CPPUNIT_ASSERT(::write(socket, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
-  std::string answer;
-  char buffer[4096];
-  for (ssize_t got = ::read(socket, buffer, sizeof(buffer)); got > 0;
-       got = ::read(socket, buffer, sizeof(buffer))) {
-    answer.append(buffer, static_cast<size_t>(got));
-  }
-  ::close(socket);
-  return answer;
+  const e2e::RawConnection connection(address);
+  connection.SendBytes(bytes);
+  return connection.ReadToEnd();
 }
 
 }  // namespace
