pumicedyke-node reads PUMICEDYKE_CONFIG, as the other programs do

Seen: a node whose settings file was named by the environment said that required fields were missing. Cause: its main passed the flag alone to the reader.

--- a/src/programs/pumicedyke_node_main.cc
+++ b/src/programs/pumicedyke_node_main.cc
@@ -29,7 +29,7 @@
   gflags::SetUsageMessage("runs one pumicedyke node");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   StartLog("pumicedyke-node");
-  auto settings = server::ReadNodeSettings(FLAGS_settings);
+  auto settings = server::ReadNodeSettings(server::SettingsPath(FLAGS_settings));
   if (!settings.ok()) {
     return server::ReportFailure("pumicedyke-node", settings.status());
   }
