The leaf stand-in refuses a 'draining' that is no boolean

Seen by reading: get<bool>() threw out of the event loop and ended the stand-in. Change: an error that names the field. Test: ContractTest.BackEnds failed before (no answer to {"draining":"yes"}), passes now.

--- a/src/server/leaf_process.cc
+++ b/src/server/leaf_process.cc
@@ -89,6 +89,11 @@
     responder.Send(ErrorResponse(ResultCode::kMalformedRequest, "not a JSON object"));
     return;
   }
+  if (json.contains("draining") && !json["draining"].is_boolean()) {
+    responder.Send(
+        ErrorResponse(ResultCode::kMalformedRequest, "field 'draining' must be a boolean"));
+    return;
+  }
   if (json.contains("draining")) {
     model_.SetDraining(json["draining"].get<bool>());
   }
--- a/test/e2e/contract_test.cc
+++ b/test/e2e/contract_test.cc
@@ -2,6 +2,7 @@
 // and internal ports. Bad input gets a numbered error that names the field, or a closed connection.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <regex>
 #include <string>
@@ -69,6 +70,7 @@
   CPPUNIT_TEST(InternalPorts);
   CPPUNIT_TEST(EveryProcessHasHealthAndMetrics);
   CPPUNIT_TEST(SettingsAreChecked);
+  CPPUNIT_TEST(SettingsFileMayBeNamedByTheEnvironment);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -238,6 +240,9 @@
     Fleet& fleet = *SharedFleet();
     CheckCases(fleet.processes.at("leaf0")->Address("http"), "/v1/search",
                {{" ", 100, ""}, {"{}", 100, ""}, {R"({"id":1,"shard":"one"})", 100, ""}});
+    // The stand-in's own interface for tests.
+    CheckCases(fleet.processes.at("leaf0")->Address("http"), "/v1/admin",
+               {{" ", 100, ""}, {R"({"draining":"yes"})", 100, "'draining'"}});
     // With a back end that gives malformed replies, the shard is missing and may have run.
     const std::string nonsense = fleet.processes.at("platform")->Address("http");
     Json change{{"kind", "put_service"},
@@ -318,6 +323,19 @@
     CPPUNIT_ASSERT_EQUAL(2, RunProgram("pumicectl", {"no-such-command"}));
     CPPUNIT_ASSERT_EQUAL(2, RunProgram("pumicedyke-sim", {"--scenario", "none"}));
   }
+
+  void SettingsFileMayBeNamedByTheEnvironment() {
+    const std::string file = std::string(BINARY_DIR) + "/environment_test.toml";
+    std::ofstream(file) << "cluster = \"c\"\nspeed = 3\n";
+    ::setenv("PUMICEDYKE_CONFIG", file.c_str(), /*overwrite=*/1);
+    for (const char* program : {"pumicedyke-node", "pumicedyke-gateway", "pumicedyke-control"}) {
+      std::string output;
+      CPPUNIT_ASSERT(RunProgram(program, {"--check_settings"}, &output) != 0);
+      CPPUNIT_ASSERT_MESSAGE(absl::StrCat(program, ": ", output),
+                             output.find(":2: field 'speed'") != std::string::npos);
+    }
+    ::unsetenv("PUMICEDYKE_CONFIG");
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ContractTest);
 
