--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -117,7 +117,6 @@
   friend class Connection;
 
   void Dispatch(Host* host);
-  void Assign(const std::shared_ptr<Call>& call, const std::shared_ptr<Connection>& connection);
   void Finish(const std::shared_ptr<Call>& call, ClientResponse response);
   void OnIdle(Connection* connection);
   void OnClosed(Connection* connection);
