Policy test asks for the key by its name; the lender test says what pays

PlanSeesTheRequest read r.idempotency_key, which no request has, so that its plan was repeatable whatever the request; the field is has_idempotency_key. SmallTenantIsUnaffectedByTheLossOfItsLender sends 1 a second against 0.8 with a burst of 2: eight fit (0.8 x 8 + 2); its comment says so, its checks stay.

--- a/test/limits/tenant_limits_test.cc
+++ b/test/limits/tenant_limits_test.cc
@@ -289,7 +289,8 @@
       fleet.SetDemand({DemandOf("small", 0.8, 2, 0)});
       fleet.Run(kWarmup);
       fleet.Kill(fleet.LenderOf(0), noticed);
-      // Evenly spaced requests. The new lender refills the account only several seconds later.
+      // Evenly spaced requests, a little faster than the limit: the burst of two pays for the rest.
+      // The new lender refills the account only several seconds later.
       for (int i = 0; i < 8; ++i) {
         size_t gateway = 11 * static_cast<size_t>(i);
         gateway = gateway == fleet.LenderOf(0) ? gateway + 1 : gateway;
--- a/test/policy/policy_program_test.cc
+++ b/test/policy/policy_program_test.cc
@@ -65,7 +65,7 @@
     const auto program = PolicyProgram::Compile(
         "function plan(r)\n"
         "  if r.class == 'batch' then return { coverage = 1, deadline_ms = r.shards * 10 } end\n"
-        "  return { coverage = 0.5, repeatable = not r.idempotency_key }\n"
+        "  return { coverage = 0.5, repeatable = not r.has_idempotency_key }\n"
         "end");
     CPPUNIT_ASSERT(program.ok());
     const auto batch = (*program)->Plan({"batch", {}, 7, false});
@@ -74,6 +74,10 @@
     const auto other = (*program)->Plan({"", {}, 7, true});
     CPPUNIT_ASSERT(other.ok());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, other->min_coverage, 1e-9);
+    CPPUNIT_ASSERT(!other->repeatable);
+    const auto without_key = (*program)->Plan({"", {}, 7, false});
+    CPPUNIT_ASSERT(without_key.ok());
+    CPPUNIT_ASSERT(without_key->repeatable);
   }
 
   void DecideIsCalled() {
