--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -94,6 +94,8 @@
   return e2e::Post(control, "/v1/instances/" + id_ + "/heartbeat", body.dump()).status;
 }
 
+int ControlIndex(const std::string& process) { return std::stoi(process.substr(1)); }
+
 // ---- PlatformFleet ------------------------------------------------------------------------------
 
 PlatformFleet::PlatformFleet(const PlatformFleetOptions& options)
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -60,6 +60,9 @@
   std::thread thread_;
 };
 
+/// Returns the index of the control machine whose process has this name, such as "c11".
+int ControlIndex(const std::string& process);
+
 struct PlatformFleetOptions {
   int controls = 3;
   /// Number of control machines that may fail at once.
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -14,8 +14,6 @@
 constexpr Duration kGatewayRecovery = Seconds(1);
 constexpr int kMaxHangups = 4;
 
-int ControlIndex(const std::string& process) { return process.back() - '0'; }
-
 }  // namespace
 
 Faults::Faults(uint64_t seed, FaultOptions options, platform::PlatformFleet* fleet,
@@ -118,7 +116,7 @@
 
 void Faults::RestartProcess(const std::string& process) {
   if (process.front() == 'c') {
-    fleet_->StartControl(ControlIndex(process), /*bootstrap=*/false);
+    fleet_->StartControl(platform::ControlIndex(process), /*bootstrap=*/false);
   } else {
     fleet_->RestartGateway(process);
   }
@@ -187,7 +185,7 @@
   ++injected_["wipe_control"];
   e2e::Process* process = fleet_->processes.at(name).get();
   process->Kill();
-  std::filesystem::remove_all(fleet_->DataFolder(ControlIndex(name)));
+  std::filesystem::remove_all(fleet_->DataFolder(platform::ControlIndex(name)));
   const Timestamp restart_time = now + RandomDuration(50, 1000);
   ScheduleUndo(restart_time, [this, name] { RestartProcess(name); });
   busy_[name] = restart_time + kControlRecovery;
--- a/test/test_main.cc
+++ b/test/test_main.cc
@@ -10,6 +10,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -38,6 +39,29 @@
   return "";
 }
 
+constexpr char kUsage[] =
+    "Runs the tests. Flags:\n"
+    "  --only NAME             runs only tests whose path contains NAME\n"
+    "  --known_red NAME,...    passes over failures of these tests, and prints them\n"
+    "  --help                  prints this\n";
+
+/// Checks the flags. @return the exit code if the program must end at once.
+std::optional<int> CheckFlags(int argc, char** argv) {
+  const std::set<std::string> with_value = {"--only", "--known_red"};
+  for (int i = 1; i < argc; ++i) {
+    const std::string flag = argv[i];
+    if (flag == "--help") {
+      std::cout << kUsage;
+      return 0;
+    }
+    if (!with_value.contains(flag) || ++i == argc) {
+      std::cerr << "bad flag or no value: " << flag << "\n" << kUsage;
+      return 2;
+    }
+  }
+  return std::nullopt;
+}
+
 /// @return how many tests failed that are not known to; the others are printed.
 int CountFailed(const CppUnit::TestResultCollector& collector, const std::string& known_red) {
   const std::set<std::string> known = absl::StrSplit(known_red, ',');
@@ -71,6 +95,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  if (const std::optional<int> exit_code = CheckFlags(argc, argv)) {
+    return *exit_code;
+  }
   pumicedyke::StartLog("pumicedyke-tests");
   // Properties are tried on the same cases every run.
   constexpr char kPropertySeed[] = "seed=20261202 max_success=200";
