--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -100,9 +100,23 @@
   busy_[process] = end_time + (process.front() == 'c' ? kControlRecovery : kGatewayRecovery);
 }
 
+Timestamp Faults::PauseLater(Timestamp now, const std::string& process) {
+  ++injected_["pause_stopping"];
+  const Timestamp start_time = now + RandomDuration(100, 1000);
+  const Timestamp end_time = start_time + RandomDuration(20, 240);
+  ScheduleUndo(start_time, [this, process] { fleet_->processes.at(process)->Signal(SIGSTOP); });
+  ScheduleUndo(end_time, [this, process] { fleet_->processes.at(process)->Signal(SIGCONT); });
+  return end_time;
+}
+
 void Faults::TerminateAndRestart(Timestamp now, const std::string& process, int signal) {
-  const Timestamp restart_time = now + RandomDuration(50, 2000);
+  Timestamp restart_time = now + RandomDuration(50, 2000);
   fleet_->processes.at(process)->Signal(signal);
+  if (signal == SIGTERM && random_() % 2 == 0) {
+    // Some stand still late in their stop; clients go on sending on open connections.
+    const Timestamp pause_end = PauseLater(now, process);
+    restart_time = std::max(restart_time, pause_end + Milliseconds(1));
+  }
   ScheduleUndo(restart_time, [this, process, signal] {
     // A planned stop first answers all admitted requests.
     const int ended = fleet_->processes.at(process)->Wait();
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -52,6 +52,8 @@
   void KillAllControls(Timestamp now);
 
   void Pause(Timestamp now, const std::string& process);
+  /// Pauses a process that was told to stop, some time later. @return when it goes on.
+  Timestamp PauseLater(Timestamp now, const std::string& process);
   /// Sends a signal that ends the process, and restarts it later.
   void TerminateAndRestart(Timestamp now, const std::string& process, int signal);
   void RestartProcess(const std::string& process);
