--- a/src/wire/destinations.h
+++ b/src/wire/destinations.h
@@ -116,5 +116,7 @@
 struct MessageHandler : Handlers... {
   using Handlers::operator()...;
 };
+template <typename... Handlers>
+MessageHandler(Handlers...) -> MessageHandler<Handlers...>;
 
 }  // namespace pumicedyke::wire
--- a/test/platform/fatal_request_test.cc
+++ b/test/platform/fatal_request_test.cc
@@ -92,6 +92,7 @@
   http::ClientResponse SendFatalRequest(const std::string& gateway, const std::string& path) {
     const int crashes = Crashes();
     std::vector<double> evidence;
+    evidence.reserve(PlatformFleet::kControls);
     for (int i = 0; i < PlatformFleet::kControls; ++i) {
       evidence.push_back(Evidence(i));
     }
--- a/test/quarantine/report_sender_test.cc
+++ b/test/quarantine/report_sender_test.cc
@@ -23,6 +23,7 @@
 
 std::vector<uint64_t> Numbers(const std::vector<wire::RunReport>& reports) {
   std::vector<uint64_t> numbers;
+  numbers.reserve(reports.size());
   for (const wire::RunReport& report : reports) {
     numbers.push_back(report.number);
   }
