--- a/src/control/control_commands.cc
+++ b/src/control/control_commands.cc
@@ -219,6 +219,7 @@
   }
   const bool leads = raft_.role() == consensus::Role::kLeader;
   std::optional<QuarantineProposal> proposal = quarantine_.Propose(now, state_.config(), leads);
+  output_.insufficient = quarantine_.TakeInsufficient();
   NotifySuspects();
   if (!proposal.has_value()) {
     return;
@@ -234,6 +235,7 @@
   if (notice.requests.empty() || sessions_.empty()) {
     return;
   }
+  output_.suspects = notice.requests;
   SessionMessage message{sessions_.begin()->first, Wrap(std::move(notice))};
   for (auto it = std::next(sessions_.begin()); it != sessions_.end(); ++it) {
     message.others.push_back(it->first);
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -88,6 +88,10 @@
   std::vector<SessionId> closed_sessions;
   /// Quarantine changes proposed by this machine, for the log.
   std::vector<QuarantineProposal> quarantine;
+  /// Suspects that gateways and nodes were warned of, and evidence that is not sufficient yet, for
+  /// the log.
+  std::vector<RequestIdentity> suspects;
+  std::vector<quarantine::CrashFinding> insufficient;
 };
 
 /// Status of one replica, as reported to operators.
--- a/src/control/quarantine_manager.cc
+++ b/src/control/quarantine_manager.cc
@@ -19,6 +19,7 @@
   evidence_.Tick(now);
   UpdateStopped(now, committed);
   UpdateSuspects();
+  AssessSuspects(committed);
   std::optional<QuarantineProposal> proposal = ProposeRelease(now, committed, leads);
   if (!proposal.has_value()) {
     proposal = ProposeStop(now, committed, leads);
@@ -59,6 +60,20 @@
   suspects_ = std::move(suspects);
 }
 
+void QuarantineManager::AssessSuspects(const config::ConfigState& committed) {
+  constexpr size_t kMaxAssessed = 4;
+  std::erase_if(assessed_leafs_, [&](const auto& item) { return !suspects_.contains(item.first); });
+  for (const RequestIdentity& identity : suspects_) {
+    const size_t leafs = evidence_.CrashedLeafs(identity);
+    const bool known = committed.IsQuarantined(identity) || assessed_leafs_[identity] == leafs;
+    if (known || insufficient_.size() >= kMaxAssessed) {
+      continue;
+    }
+    assessed_leafs_[identity] = leafs;
+    insufficient_.push_back(evidence_.Assess(identity, {}));
+  }
+}
+
 Duration QuarantineManager::HoldDuration(const config::QuarantineRecord& record) const {
   const int before = static_cast<int>(record.times) - 1;
   return options_.hold * (1 << std::clamp(before, 0, options_.max_doublings));
--- a/src/control/quarantine_manager.h
+++ b/src/control/quarantine_manager.h
@@ -60,6 +60,11 @@
   /// Returns requests that became suspects since the last call. Gateways and nodes run a suspect at
   /// one leaf first.
   std::vector<RequestIdentity> TakeNewSuspects() { return std::exchange(new_suspects_, {}); }
+  /// Returns the evidence against suspects that is not sufficient and has changed since it was last
+  /// returned, for the log; a few at a time.
+  std::vector<quarantine::CrashFinding> TakeInsufficient() {
+    return std::exchange(insufficient_, {});
+  }
   /// Notifies that the last proposal was decided, or that its outcome is unknown.
   void OnAnswer() { pending_ = false; }
   const quarantine::CrashEvidence& evidence() const { return evidence_; }
@@ -71,6 +76,7 @@
                                                    const config::ConfigState& committed,
                                                    bool leads);
   void UpdateSuspects();
+  void AssessSuspects(const config::ConfigState& committed);
   /// Updates the times since which this machine knows the stopped requests.
   void UpdateStopped(Timestamp now, const config::ConfigState& committed);
   Duration HoldDuration(const config::QuarantineRecord& record) const;
@@ -84,6 +90,9 @@
   std::set<RequestIdentity> suspects_;
   std::vector<RequestIdentity> new_suspects_;
   uint64_t suspects_version_ = 0;
+  /// Evidence for the log, and how many crashed leafs of each suspect were last logged.
+  std::vector<quarantine::CrashFinding> insufficient_;
+  std::map<RequestIdentity, size_t> assessed_leafs_;
   uint64_t evaluated_version_ = 0;
   Timestamp evaluated_at_{};
   bool pending_ = false;
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -125,9 +125,7 @@
       envelope.body,
       wire::MessageHandler{
           [&](const wire::ConfigFeed& feed) { OnConfigFeed(now, feed); },
-          [&](const wire::SuspectNotice& notice) {
-            run_tracker_.OnSuspectNotice(now, notice.requests);
-          },
+          [&](const wire::SuspectNotice& notice) { OnSuspectNotice(now, notice); },
           [&](const wire::RunReportAck& ack) {
             reports_.OnAcknowledged(ack.number);
             ReportRuns(now);
--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -20,10 +20,20 @@
   run_tracker_.OnEnded(now, reply);
 }
 
+void GatewayServer::OnSuspectNotice(Timestamp now, const wire::SuspectNotice& notice) {
+  run_tracker_.OnSuspectNotice(now, notice.requests);
+  output_.suspects_noticed.insert(output_.suspects_noticed.end(), notice.requests.begin(),
+                                  notice.requests.end());
+}
+
 query::ExecutionOptions GatewayServer::ExecutionOptionsFor(Timestamp now,
-                                                           const PayloadRequest& request) const {
+                                                           const PayloadRequest& request) {
   query::ExecutionOptions options = options_.execution;
-  options.on_probation = run_tracker_.IsSuspect(now, request.identity);
+  const quarantine::Suspicion suspicion = run_tracker_.SuspicionOf(now, request.identity);
+  options.on_probation = suspicion != quarantine::Suspicion::kNone;
+  if (options.on_probation) {
+    output_.suspect_attempts.push_back({request.request_id, request.identity, suspicion});
+  }
   options.has_uncleared_losses = run_tracker_.HasUnclearedLosses(request.identity);
   return options;
 }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -195,6 +195,13 @@
   int priority = 0;
 };
 
+/// An attempt at a suspect request, for the log.
+struct SuspectAttempt {
+  std::string request_id;
+  RequestIdentity identity;
+  quarantine::Suspicion suspicion = quarantine::Suspicion::kNone;
+};
+
 struct GatewayOutput {
   std::vector<LeafSend> sends;
   /// Leafs closed to new work: requests to them that are not written yet must not be sent.
@@ -210,8 +217,11 @@
   std::vector<PeerMessage> peer_messages;
   std::vector<PeerReply> peer_replies;
   std::vector<PartialTrace> partials;
-  /// Reports of lost runs sent to control, for the log.
+  /// Reports of lost runs sent to control, for the log; the same below.
   std::vector<wire::RunReport> runs_reported;
+  /// Requests that a control machine warned of.
+  std::vector<RequestIdentity> suspects_noticed;
+  std::vector<SuspectAttempt> suspect_attempts;
 };
 
 class GatewayServer {
@@ -467,7 +477,8 @@
   void ReportRuns(Timestamp now);
   /// Returns the execution options for a request: a request that has lost leafs before is tried at
   /// one leaf first.
-  query::ExecutionOptions ExecutionOptionsFor(Timestamp now, const PayloadRequest& request) const;
+  query::ExecutionOptions ExecutionOptionsFor(Timestamp now, const PayloadRequest& request);
+  void OnSuspectNotice(Timestamp now, const wire::SuspectNotice& notice);
 
   /// Applies pending leaf reports at once if a service has no usable leaf.
   void MergeIfLeafsMissing(Timestamp now, const std::vector<std::string>& services);
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -220,13 +220,29 @@
   return candidates;
 }
 
+size_t CrashEvidence::CrashedLeafs(const RequestIdentity& identity) const {
+  return static_cast<size_t>(
+      std::count_if(crashes_.begin(), crashes_.end(),
+                    [&](const auto& item) { return item.second.runs.contains(identity); }));
+}
+
+CrashEvidence::LeafCrashes CrashEvidence::AllCrashes() const {
+  LeafCrashes crashes;
+  for (const auto& [leaf, crash] : crashes_) {
+    crashes[leaf] = &crash;
+  }
+  return crashes;
+}
+
+CrashFinding CrashEvidence::Assess(const RequestIdentity& identity,
+                                   const std::set<RequestIdentity>& known_fatal) const {
+  return Evaluate(identity, AllCrashes(), Candidates(known_fatal));
+}
+
 std::vector<CrashFinding> CrashEvidence::FatalRequests(
     const std::set<RequestIdentity>& known_fatal) const {
   std::set<RequestIdentity> candidates = Candidates(known_fatal);
-  LeafCrashes unexplained;
-  for (const auto& [leaf, crash] : crashes_) {
-    unexplained[leaf] = &crash;
-  }
+  LeafCrashes unexplained = AllCrashes();
   std::vector<CrashFinding> confirmed;
   while (true) {
     std::optional<CrashFinding> worst;
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -71,9 +71,15 @@
   /// Returns the requests that are confirmed as fatal.
   /// @param known_fatal requests confirmed earlier, for which one more crash is sufficient.
   std::vector<CrashFinding> FatalRequests(const std::set<RequestIdentity>& known_fatal) const;
+  /// Returns the evidence against a request, sufficient or not. Crashes that another request
+  /// explains count, too.
+  CrashFinding Assess(const RequestIdentity& identity,
+                      const std::set<RequestIdentity>& known_fatal) const;
   /// Returns the requests that were running at enough crashed leafs, regardless of the number of
   /// attempts.
   std::set<RequestIdentity> Suspects() const;
+  /// Number of leafs that crashed while they ran the request.
+  size_t CrashedLeafs(const RequestIdentity& identity) const;
   /// Whether the request has succeeded since its last lost run.
   bool HasSucceeded(const RequestIdentity& identity) const { return succeeded_.contains(identity); }
   /// Rises with each change of the evidence.
@@ -124,6 +130,7 @@
   std::map<RequestIdentity, Occurrence> Occurrences() const;
   /// Returns the requests that may be fatal, before any crash is attributed to one of them.
   std::set<RequestIdentity> Candidates(const std::set<RequestIdentity>& known_fatal) const;
+  LeafCrashes AllCrashes() const;
   CrashFinding Evaluate(const RequestIdentity& identity, const LeafCrashes& unexplained,
                         const std::set<RequestIdentity>& candidates) const;
   size_t CountTimePoints(std::vector<Timestamp> times) const;
--- a/src/quarantine/run_tracker.cc
+++ b/src/quarantine/run_tracker.cc
@@ -86,14 +86,16 @@
   }
 }
 
-bool RunTracker::IsSuspect(Timestamp now, const RequestIdentity& identity) const {
-  const auto warning = warnings_.find(identity);
-  if (warning != warnings_.end() && now - warning->second < options_.warning) {
-    return true;
-  }
+Suspicion RunTracker::SuspicionOf(Timestamp now, const RequestIdentity& identity) const {
   const auto suspect = suspects_.find(identity);
-  return suspect != suspects_.end() &&
-         suspect->second.leafs.size() >= options_.suspect_leaf_threshold;
+  const bool own_losses = suspect != suspects_.end() &&
+                          suspect->second.leafs.size() >= options_.suspect_leaf_threshold;
+  if (own_losses) {
+    return Suspicion::kOwnLosses;
+  }
+  const auto warning = warnings_.find(identity);
+  const bool warned = warning != warnings_.end() && now - warning->second < options_.warning;
+  return warned ? Suspicion::kNotice : Suspicion::kNone;
 }
 
 bool RunTracker::HasUnclearedLosses(const RequestIdentity& identity) const {
--- a/src/quarantine/run_tracker.h
+++ b/src/quarantine/run_tracker.h
@@ -44,6 +44,15 @@
   Timestamp sent{};
 };
 
+/// Why a request counts as a suspect.
+enum class Suspicion {
+  kNone,
+  /// This process lost its runs at several leafs.
+  kOwnLosses,
+  /// A control machine warned of it.
+  kNotice,
+};
+
 /// Used on the event loop's thread only.
 class RunTracker {
  public:
@@ -62,8 +71,11 @@
   /// Handles a warning of the control machines: other processes have seen these requests lose runs.
   void OnSuspectNotice(Timestamp now, const std::vector<RequestIdentity>& requests);
 
-  /// Whether the request should be tried at one leaf before it goes to many.
-  bool IsSuspect(Timestamp now, const RequestIdentity& identity) const;
+  /// Whether, and why, the request should be tried at one leaf before it goes to many.
+  Suspicion SuspicionOf(Timestamp now, const RequestIdentity& identity) const;
+  bool IsSuspect(Timestamp now, const RequestIdentity& identity) const {
+    return SuspicionOf(now, identity) != Suspicion::kNone;
+  }
   /// Whether earlier attempts at the request lost runs and none has succeeded since.
   bool HasUnclearedLosses(const RequestIdentity& identity) const;
   /// Returns the observations that were not reported yet, if any.
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -33,6 +33,26 @@
             {"share", proposal.finding.share}});
 }
 
+void ControlLog::OnInsufficientEvidence(const quarantine::CrashFinding& finding) {
+  LogEvent("evidence_insufficient", {{"identity", ToText(finding.identity)},
+                                     {"leafs", finding.leafs},
+                                     {"attempts", finding.attempts},
+                                     {"moments", finding.time_points},
+                                     {"share", finding.share}});
+}
+
+void ControlLog::OnSuspects(const std::vector<RequestIdentity>& requests) {
+  constexpr size_t kMaxNames = 4;
+  if (requests.empty()) {
+    return;
+  }
+  std::vector<std::string> first;
+  for (size_t i = 0; i < std::min(kMaxNames, requests.size()); ++i) {
+    first.push_back(ToText(requests[i]));
+  }
+  LogEvent("suspects_announced", {{"count", requests.size()}, {"first", first}});
+}
+
 void ControlLog::LogQuarantineChanges(const config::ConfigState& config) {
   const size_t stopped = config.StoppedRequests().size();
   if (stopped != stopped_requests_) {
--- a/src/server/control_log.h
+++ b/src/server/control_log.h
@@ -15,6 +15,10 @@
                const control::DiscoveryServer& discovery);
   /// Logs a proposal to stop or release a request, with its reason.
   static void OnQuarantineProposal(const control::QuarantineProposal& proposal);
+  /// Logs evidence against a suspect that is not sufficient to stop it.
+  static void OnInsufficientEvidence(const quarantine::CrashFinding& finding);
+  /// Logs the suspects that gateways and nodes were warned of.
+  static void OnSuspects(const std::vector<RequestIdentity>& requests);
 
  private:
   void LogQuarantineChanges(const config::ConfigState& config);
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -112,6 +112,9 @@
              static_cast<double>(server_->state().config().quarantine().size()));
   page.Gauge("pumicedyke_control_ended_leafs", "Leafs that recently lost runs.",
              static_cast<double>(server_->evidence().leafs()));
+  page.Gauge("pumicedyke_control_suspects",
+             "Requests that ran at several leafs when these crashed, and have not succeeded since.",
+             static_cast<double>(server_->evidence().Suspects().size()));
   page.AddProcess();
   return page.Text();
 }
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -373,6 +373,10 @@
   for (const control::QuarantineProposal& proposal : output.quarantine) {
     ControlLog::OnQuarantineProposal(proposal);
   }
+  for (const quarantine::CrashFinding& finding : output.insufficient) {
+    ControlLog::OnInsufficientEvidence(finding);
+  }
+  ControlLog::OnSuspects(output.suspects);
   for (const control::SessionId session : output.closed_sessions) {
     frames_->CloseSession(session);
   }
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -174,6 +174,27 @@
                              {"answering", alive_leafs.ToJson()}});
 }
 
+void GatewayLog::OnSuspectsNoticed(Timestamp now, const std::vector<RequestIdentity>& requests) {
+  if (requests.empty() || !Allow(now)) {
+    return;
+  }
+  NameList identities;
+  for (const RequestIdentity& request : requests) {
+    identities.Add(ToText(request));
+  }
+  LogEvent("suspects_noticed", {{"identities", identities.ToJson()}});
+}
+
+void GatewayLog::OnSuspectAttempt(Timestamp now, const gateway::SuspectAttempt& attempt) {
+  if (!Allow(now)) {
+    return;
+  }
+  const bool own = attempt.suspicion == quarantine::Suspicion::kOwnLosses;
+  LogEvent("suspect_started", {{"request", attempt.request_id},
+                               {"identity", ToText(attempt.identity)},
+                               {"known_by", own ? "own_losses" : "notice"}});
+}
+
 void GatewayLog::OnControlLink(const std::string& address, bool up) {
   LogEvent(up ? "control_regained" : "control_lost", {{"control", address}});
 }
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -21,6 +21,10 @@
   void OnClientDisconnected(Timestamp now, const std::string& request_id);
   /// Logs a report of lost runs to control, by leaf and request.
   void OnRunReport(Timestamp now, const wire::RunReport& report);
+  /// Logs the requests that a control machine warned of.
+  void OnSuspectsNoticed(Timestamp now, const std::vector<RequestIdentity>& requests);
+  /// Logs that a suspect request is tried, and how this gateway knew of the suspicion.
+  void OnSuspectAttempt(Timestamp now, const gateway::SuspectAttempt& attempt);
   void OnControlLink(const std::string& address, bool up);
   /// Marks leafs whose state has changed.
   void OnLeafChanges(const std::vector<std::string>& leafs) {
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -286,6 +286,10 @@
   for (const gateway::ControlLinkChange& change : output.link_changes) {
     OnLinkChange(change);
   }
+  log_.OnSuspectsNoticed(net::EventLoop::Now(), output.suspects_noticed);
+  for (const gateway::SuspectAttempt& attempt : output.suspect_attempts) {
+    log_.OnSuspectAttempt(net::EventLoop::Now(), attempt);
+  }
   for (const wire::RunReport& report : output.runs_reported) {
     log_.OnRunReport(net::EventLoop::Now(), report);
   }
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -107,7 +107,7 @@
   /// Waits until the gateway answers 200 for the path with no shard missing.
   void WaitForAllShards(const std::string& path);
   http::ClientResponse SendRequest(const std::string& path, int64_t deadline_ms = 2000);
-  /// Sends a request with additional headers to any gateway.
+  /// Sends a request with additional headers to any gateway. Thread-safe.
   http::ClientResponse SendRequestTo(const std::string& gateway, const std::string& path,
                                      const http::Headers& headers, int64_t deadline_ms = 2000);
 
@@ -133,7 +133,7 @@
   std::string metrics_address_;
   std::string gateway_directory_address_;
   std::string second_metrics_address_;
-  int request_count_ = 0;
+  std::atomic<int> request_count_ = 0;
 };
 
 }  // namespace pumicedyke::platform
