--- a/src/common/result_code.h
+++ b/src/common/result_code.h
@@ -40,6 +40,7 @@
   kQuarantined = 211,
   kTenantLimit = 212,
   kKeysUnproven = 213,
+  kOnTrial = 214,
   // Operators' requests.
   kRevisionConflict = 300,
   kInvalidConfig = 301,
--- a/src/control/control_commands.cc
+++ b/src/control/control_commands.cc
@@ -152,6 +152,14 @@
     case Origin::Kind::kQuarantine:
       quarantine_.OnAnswer();
       break;
+    case Origin::Kind::kTrial:
+      AnswerTrial(origin, result);
+      break;
+    case Origin::Kind::kSuspects:
+      suspects_pending_ = false;
+      break;
+    case Origin::Kind::kNobody:
+      break;
     case Origin::Kind::kPeer:
       SendToMember(origin.peer, wire::ForwardedReply{origin.ticket, result});
       break;
@@ -190,59 +198,6 @@
   Answer(origin, reply.result);
 }
 
-void ControlServer::OnRunReport(Timestamp now, SessionId session, const wire::RunReport& report) {
-  quarantine_.OnReport(now, report);
-  if (!report.relayed) {
-    RelayRunReport(report);
-  }
-  // Acknowledges only with a quorum: a machine without one may be the only one that knows the
-  // report, so the sender must report to others, too.
-  const bool awaited = report.number != 0 && !report.from_control;
-  if (awaited && !shutting_down_ && IsCurrent(now)) {
-    output_.sessions.push_back({session, Wrap(wire::RunReportAck{report.number})});
-  }
-}
-
-void ControlServer::RelayRunReport(wire::RunReport report) {
-  report.relayed = true;
-  report.from_control = true;
-  for (const wire::Member& member : raft_.members()) {
-    if (member.id != identity_.member) {
-      SendToMember(member.id, report);
-    }
-  }
-}
-
-void ControlServer::UpdateQuarantine(Timestamp now) {
-  if (shutting_down_ || !options_.stop_fatal_requests || !IsCurrent(now)) {
-    return;
-  }
-  const bool leads = raft_.role() == consensus::Role::kLeader;
-  std::optional<QuarantineProposal> proposal = quarantine_.Propose(now, state_.config(), leads);
-  output_.insufficient = quarantine_.TakeInsufficient();
-  NotifySuspects();
-  if (!proposal.has_value()) {
-    return;
-  }
-  Origin origin;
-  origin.kind = Origin::Kind::kQuarantine;
-  Route(now, EncodeCommand(proposal->change), origin);
-  output_.quarantine.push_back(*std::move(proposal));
-}
-
-void ControlServer::NotifySuspects() {
-  wire::SuspectNotice notice{quarantine_.TakeNewSuspects()};
-  if (notice.requests.empty() || sessions_.empty()) {
-    return;
-  }
-  output_.suspects = notice.requests;
-  SessionMessage message{sessions_.begin()->first, Wrap(std::move(notice))};
-  for (auto it = std::next(sessions_.begin()); it != sessions_.end(); ++it) {
-    message.others.push_back(it->first);
-  }
-  output_.sessions.push_back(std::move(message));
-}
-
 void ControlServer::ExpirePending(Timestamp now) {
   std::erase_if(forwarded_, [&](const auto& item) {
     const bool expired = now >= item.second.origin.deadline;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -87,7 +87,8 @@
           [&](const wire::ForwardedReply& reply) { OnForwardedReply(reply); },
           [&](const wire::NodeHello& hello) { OnHello(now, session, hello); },
           [&](const wire::LedgerRequest& request) { OnLedgerRequest(now, session, request); },
-          [&](const wire::RunReport& report) { OnRunReport(now, session, report); }});
+          [&](const wire::RunReport& report) { OnRunReport(now, session, report); },
+          [&](const wire::TrialRequest& request) { OnTrialRequest(now, session, request); }});
   DrainRaft(now);
   return handled;
 }
@@ -181,7 +182,7 @@
       const auto session = sessions_.find(it->second);
       if (session != sessions_.end()) {
         session->second.awaiting_read = false;
-        session->second.admitted = true;
+        Admit(session->first, &session->second);
         session->second.full_sent = now;
         Feed(now, session->first, &session->second, /*full=*/true, session->second.read_hello_sent);
       }
@@ -249,11 +250,18 @@
     }
     return;
   }
-  session.admitted = true;
+  Admit(id, &session);
   session.sent_version = hello.version;
   Feed(now, id, &session, /*full=*/false, hello.sent);
 }
 
+void ControlServer::Admit(SessionId id, Session* session) {
+  if (!session->admitted) {
+    session->admitted = true;
+    NotifySession(id);
+  }
+}
+
 void ControlServer::AnswerPendingHellos(Timestamp now) {
   if (!IsCurrent(now)) {
     return;
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -92,6 +92,8 @@
   /// the log.
   std::vector<RequestIdentity> suspects;
   std::vector<quarantine::CrashFinding> insufficient;
+  /// Decisions on trials, for the log.
+  std::vector<wire::TrialReply> trials;
 };
 
 /// Status of one replica, as reported to operators.
@@ -172,11 +174,23 @@
   };
   /// Where the result of a proposed command goes.
   struct Origin {
-    enum class Kind { kOperator, kLedger, kPeer, kQuarantine } kind = Kind::kOperator;
+    enum class Kind {
+      kOperator,
+      kLedger,
+      kPeer,
+      kQuarantine,
+      /// The list of suspects, proposed by this machine.
+      kSuspects,
+      /// A gateway or node that asks for a trial.
+      kTrial,
+      kNobody,
+    } kind = Kind::kOperator;
     TicketId ticket = 0;
     SessionId session = 0;
     MemberId peer = 0;
+    /// The request of the ledger's client, or the attempt that asks for a trial.
     uint64_t request = 0;
+    RequestIdentity identity;
     Timestamp deadline{};
   };
   /// A command proposed by this leader; valid only while the term is unchanged.
@@ -224,6 +238,9 @@
   // The feed.
   void OnHello(Timestamp now, SessionId id, const wire::NodeHello& hello);
   void AnswerHello(Timestamp now, SessionId id, const wire::NodeHello& hello);
+  /// Admits a session to the feed. It learns of the suspects first: with the first feed a gateway
+  /// starts to send requests.
+  void Admit(SessionId id, Session* session);
   /// Answers the hellos that waited for a quorum.
   void AnswerPendingHellos(Timestamp now);
   void OnLedgerRequest(Timestamp now, SessionId id, const wire::LedgerRequest& request);
@@ -243,6 +260,13 @@
   /// Proposes to stop or release requests, and notifies the nodes of suspects.
   void UpdateQuarantine(Timestamp now);
   void NotifySuspects();
+  /// Tells a new session of all suspects.
+  void NotifySession(SessionId id);
+  /// On the leader: keeps the replicated list of suspects up to date.
+  void ProposeSuspects(Timestamp now);
+  void OnTrialRequest(Timestamp now, SessionId session, const wire::TrialRequest& request);
+  void AnswerTrial(const Origin& origin, const std::string& result);
+  void ReplyToTrial(const Origin& origin, wire::TrialReply reply);
 
   // Replicas.
   void OnJoin(Timestamp now, const wire::JoinRequest& join);
@@ -278,6 +302,9 @@
   std::string packed_config_;
   uint64_t packed_version_ = 0;
   int64_t wall_ms_ = 0;
+  /// Whether and since when a change of the list of suspects is being decided.
+  bool suspects_pending_ = false;
+  Timestamp suspects_proposed_{};
 
   std::map<SessionId, Session> sessions_;
   /// By log index.
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -11,6 +11,7 @@
 
 constexpr char kChangeField[] = "change";
 constexpr char kLedgerField[] = "ledger";
+constexpr char kSuspectsField[] = "suspects";
 
 }  // namespace
 
@@ -22,6 +23,10 @@
   return Json{{kLedgerField, operation}}.dump();
 }
 
+std::string EncodeCommand(const quarantine::SuspectOperation& operation) {
+  return Json{{kSuspectsField, operation}}.dump();
+}
+
 std::string ControlState::Apply(const std::string& command) {
   const Json json = Json::parse(command, nullptr, /*allow_exceptions=*/false);
   if (json.is_object() && json.contains(kChangeField)) {
@@ -34,6 +39,9 @@
     const ledger::Result result = ledger_.Apply(json[kLedgerField].get<ledger::Operation>());
     return Json{{"verdict", result.verdict}, {"outcome", result.outcome}}.dump();
   }
+  if (json.is_object() && json.contains(kSuspectsField)) {
+    return Json(suspects_.Apply(json[kSuspectsField].get<quarantine::SuspectOperation>())).dump();
+  }
   return Json(config::ChangeResult{static_cast<int>(ResultCode::kCorruptState),
                                    "command cannot be read", config_.version().value, 0})
       .dump();
@@ -98,7 +106,8 @@
   return Json{{"config", config_.Serialize()},
               {"ledger", ledger_.ToJson()},
               {"submissions", submissions_},
-              {"submission_order", submission_order_}}
+              {"submission_order", submission_order_},
+              {kSuspectsField, suspects_.ToJson()}}
       .dump();
 }
 
@@ -115,6 +124,10 @@
     restored.ledger_.FromJson(json.at("ledger"));
     json.at("submissions").get_to(restored.submissions_);
     json.at("submission_order").get_to(restored.submission_order_);
+    // Snapshots of older versions have no suspects.
+    if (json.contains(kSuspectsField)) {
+      restored.suspects_.FromJson(json[kSuspectsField]);
+    }
   } catch (const Json::exception& error) {
     return MakeStatus(ResultCode::kCorruptState, error.what());
   }
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -1,4 +1,5 @@
-// The replicated state: the configuration, the results of submissions, and the ledger.
+// The replicated state: the configuration, the results of submissions, the ledger, and the suspect
+// requests.
 #pragma once
 
 #include <deque>
@@ -8,6 +9,7 @@
 #include "absl/status/status.h"
 #include "config/config_state.h"
 #include "ledger/ledger.h"
+#include "quarantine/suspect_table.h"
 #include "wire/messages.h"
 
 namespace pumicedyke::control {
@@ -33,9 +35,11 @@
   bool compare_and_set = true;
 };
 
-/// Encodes a command of the log: a configuration change or a ledger operation.
+/// Encodes a command of the log: a configuration change, or an operation on the ledger or on the
+/// suspect requests.
 std::string EncodeCommand(const config::Change& change);
 std::string EncodeCommand(const ledger::Operation& operation);
+std::string EncodeCommand(const quarantine::SuspectOperation& operation);
 
 class ControlState {
  public:
@@ -46,6 +50,7 @@
 
   const config::ConfigState& config() const { return config_; }
   const ledger::Ledger& ledger() const { return ledger_; }
+  const quarantine::SuspectTable& suspects() const { return suspects_; }
   /// Returns the accepted changes of recent versions, oldest first, without gaps.
   const std::deque<wire::ConfigChange>& changes() const { return changes_; }
 
@@ -60,6 +65,7 @@
   ControlStateOptions options_;
   config::ConfigState config_;
   ledger::Ledger ledger_;
+  quarantine::SuspectTable suspects_;
   std::map<std::string, Submission> submissions_;
   std::deque<std::string> submission_order_;
   std::deque<wire::ConfigChange> changes_;
--- a/src/control/quarantine_manager.cc
+++ b/src/control/quarantine_manager.cc
@@ -60,6 +60,31 @@
   suspects_ = std::move(suspects);
 }
 
+std::optional<quarantine::SuspectOperation> QuarantineManager::NextSuspectOperation(
+    const quarantine::SuspectTable& table, int64_t wall_ms) const {
+  const int64_t retention_ms = options_.evidence.retention / Milliseconds(1);
+  quarantine::SuspectOperation clear{.kind = quarantine::SuspectOperation::Kind::kClear};
+  for (const auto& [identity, record] : table.suspects()) {
+    const bool old = wall_ms - std::max(record.added_ms, record.granted_ms) > retention_ms;
+    if (evidence_.HasSucceeded(identity) || old) {
+      clear.requests.push_back(identity);
+    }
+  }
+  if (!clear.requests.empty()) {
+    return clear;
+  }
+  const size_t room =
+      quarantine::kMaxSuspects - std::min(quarantine::kMaxSuspects, table.suspects().size());
+  quarantine::SuspectOperation accuse{.kind = quarantine::SuspectOperation::Kind::kAccuse};
+  for (const RequestIdentity& identity : suspects_) {
+    if (!table.Contains(identity) &&
+        accuse.requests.size() < std::min(room, options_.max_new_suspects)) {
+      accuse.requests.push_back(identity);
+    }
+  }
+  return accuse.requests.empty() ? std::nullopt : std::optional(accuse);
+}
+
 void QuarantineManager::AssessSuspects(const config::ConfigState& committed) {
   constexpr size_t kMaxAssessed = 4;
   std::erase_if(assessed_leafs_, [&](const auto& item) { return !suspects_.contains(item.first); });
--- a/src/control/quarantine_manager.h
+++ b/src/control/quarantine_manager.h
@@ -65,6 +65,12 @@
   std::vector<quarantine::CrashFinding> TakeInsufficient() {
     return std::exchange(insufficient_, {});
   }
+  /// Returns the next change of the replicated list of suspects: adds the suspects known here, or
+  /// removes those that have succeeded or were not seen for long. Unset: the list is up to date.
+  /// @param wall_ms wall clock of this machine.
+  std::optional<quarantine::SuspectOperation> NextSuspectOperation(
+      const quarantine::SuspectTable& table, int64_t wall_ms) const;
+  const std::set<RequestIdentity>& suspects() const { return suspects_; }
   /// Notifies that the last proposal was decided, or that its outcome is unknown.
   void OnAnswer() { pending_ = false; }
   const quarantine::CrashEvidence& evidence() const { return evidence_; }
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -126,6 +126,7 @@
       wire::MessageHandler{
           [&](const wire::ConfigFeed& feed) { OnConfigFeed(now, feed); },
           [&](const wire::SuspectNotice& notice) { OnSuspectNotice(now, notice); },
+          [&](const wire::TrialReply& reply) { OnTrialReply(now, reply); },
           [&](const wire::RunReportAck& ack) {
             reports_.OnAcknowledged(ack.number);
             ReportRuns(now);
--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -92,7 +92,7 @@
       gate_.Admit(now, id, *table_, *route, request->api_key, KeysProvenAt());
   switch (entry.result) {
     case admission::EntryResult::kAdmitted:
-      StartExecution(now, id, *route, std::move(request), entry.tenant, arrived);
+      StartAdmitted(now, id, *route, std::move(request), entry.tenant, arrived);
       break;
     case admission::EntryResult::kWaiting:
       held_[id] = {std::move(request), arrived};
@@ -113,21 +113,36 @@
          tenants::KeysProven(options_.entry.key_lease, now, KeysProvenAt());
 }
 
-void GatewayServer::StartHeld(Timestamp now, RequestId id, const HeldRequest& held) {
+void GatewayServer::StartAdmitted(Timestamp now, RequestId id, const routing::Route& route,
+                                  std::shared_ptr<const PayloadRequest> request,
+                                  const tenants::Tenant* tenant, Timestamp arrived) {
+  if (SuspicionOf(now, request->identity) != quarantine::Suspicion::kNone) {
+    AskForTrial(now, id, std::move(request), arrived);
+    return;
+  }
+  StartExecution(now, id, route, std::move(request), tenant, arrived, /*trial=*/0);
+}
+
+void GatewayServer::StartHeld(Timestamp now, RequestId id, const HeldRequest& held,
+                              std::optional<uint32_t> trial) {
   const routing::Route* route = table_->Find(held.request->host, held.request->path());
   if (route == nullptr) {
     Refuse(now, id, held.request, ResultCode::kUnknownPath, Duration(0));
     return;
   }
-  // The document may have changed while the limit was requested.
+  // The document may have changed while the limit or the trial was requested.
   const ResultCode code =
       gate_.Recheck(now, *table_, *route, held.request->api_key, KeysProvenAt());
   if (code != ResultCode::kOk) {
     Refuse(now, id, held.request, code, gate_.RetryAfter(code, now, KeysProvenAt()));
     return;
   }
-  StartExecution(now, id, *route, held.request, table_->keys().Find(held.request->api_key),
-                 held.arrived);
+  const tenants::Tenant* tenant = table_->keys().Find(held.request->api_key);
+  if (trial.has_value()) {
+    StartExecution(now, id, *route, held.request, tenant, held.arrived, *trial);
+  } else {
+    StartAdmitted(now, id, *route, held.request, tenant, held.arrived);
+  }
 }
 
 void GatewayServer::ApplyLimitOutput(Timestamp now) {
@@ -148,7 +163,7 @@
     const HeldRequest held = std::move(found->second);
     held_.erase(found);
     if (decision.granted) {
-      StartHeld(now, decision.id, held);
+      StartHeld(now, decision.id, held, /*trial=*/std::nullopt);
     } else {
       Refuse(now, decision.id, held.request, ResultCode::kTenantLimit, decision.retry_after);
     }
@@ -166,6 +181,10 @@
 
 void GatewayServer::OnClientDisconnected(Timestamp now, RequestId id) {
   early_.erase(id);
+  if (awaiting_trial_.erase(id) > 0) {
+    trials_.Withdraw(id);
+    return;
+  }
   if (held_.erase(id) > 0) {
     gate_.limits().Withdraw(now, id);
     return;
--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -1,5 +1,5 @@
 // GatewayServer's protection of leafs from requests that crash them: tracks the outcome of every
-// run, reports to control, and stops quarantined requests.
+// run, reports to control, tries suspects with control's permission, and stops quarantined requests.
 #include <xxhash.h>
 
 #include <algorithm>
@@ -9,11 +9,80 @@
 
 namespace pumicedyke::gateway {
 
+namespace {
+
+/// Retry hint when too many requests wait for a trial.
+constexpr Duration kRetryWithoutTrial = Milliseconds(500);
+
+/// Distinguishes the client's attempts at the same request.
+uint64_t AttemptOf(const PayloadRequest& request) {
+  return XXH64(request.request_id.data(), request.request_id.size(), 0);
+}
+
+}  // namespace
+
 void GatewayServer::TrackRun(Timestamp now, const Active& active, const LeafSend& send,
                              const std::string& service) {
-  const std::string& attempt = active.request->request_id;
-  run_tracker_.OnSent(send.id, {active.request->identity, XXH64(attempt.data(), attempt.size(), 0),
-                                send.leaf, service, now});
+  run_tracker_.OnSent(send.id, {active.request->identity, AttemptOf(*active.request), send.leaf,
+                                service, now, active.trial});
+}
+
+quarantine::Suspicion GatewayServer::SuspicionOf(Timestamp now,
+                                                 const RequestIdentity& identity) const {
+  if (subscriber_.config().quarantine().contains(identity)) {
+    return quarantine::Suspicion::kNotice;
+  }
+  return run_tracker_.SuspicionOf(now, identity);
+}
+
+void GatewayServer::AskForTrial(Timestamp now, RequestId id,
+                                std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
+  if (!trials_.Ask(now, id, request->identity, AttemptOf(*request))) {
+    Refuse(now, id, std::move(request), ResultCode::kOnTrial, kRetryWithoutTrial);
+    return;
+  }
+  awaiting_trial_[id] = {std::move(request), arrived};
+  UpdateTrials(now);
+}
+
+void GatewayServer::OnTrialReply(Timestamp now, const wire::TrialReply& reply) {
+  if (reply.verdict == wire::TrialVerdict::kNotNeeded) {
+    run_tracker_.OnCleared(reply.identity);
+  }
+  if (const auto outcome = trials_.OnReply(now, reply)) {
+    OnTrialOutcome(now, *outcome);
+  }
+}
+
+void GatewayServer::OnTrialOutcome(Timestamp now, const quarantine::TrialOutcome& outcome) {
+  const auto found = awaiting_trial_.find(outcome.request);
+  const HeldRequest held = std::move(found->second);
+  awaiting_trial_.erase(found);
+  output_.trials.push_back({held.request->request_id, held.request->identity, outcome});
+  if (outcome.verdict == wire::TrialVerdict::kDenied) {
+    Refuse(now, outcome.request, held.request, ResultCode::kOnTrial, outcome.retry_after);
+  } else if (quarantined_.contains(held.request->identity)) {
+    Refuse(now, outcome.request, held.request, ResultCode::kQuarantined,
+           options_.knobs.retry_when_quarantined);
+  } else {
+    StartHeld(now, outcome.request, held, outcome.number);
+  }
+}
+
+void GatewayServer::UpdateTrials(Timestamp now) {
+  for (const quarantine::TrialOutcome& overdue : trials_.TakeOverdue(now)) {
+    OnTrialOutcome(now, overdue);
+  }
+  for (const wire::TrialRequest& request : trials_.TakeMessages(now)) {
+    output_.control.push_back({control_[subscriber_.control()],
+                               {options_.cluster, subscriber_.config().version().value, request}});
+  }
+}
+
+void GatewayServer::EndTrial(const Active& active) {
+  if (active.trial > 0 && active.execution->CurrentRunState() == query::RunState::kNotRun) {
+    trials_.Return(active.request->identity, AttemptOf(*active.request), active.trial);
+  }
 }
 
 void GatewayServer::OnAbandonedReply(Timestamp now, const query::LeafReply& reply) {
@@ -29,7 +98,7 @@
 query::ExecutionOptions GatewayServer::ExecutionOptionsFor(Timestamp now,
                                                            const PayloadRequest& request) {
   query::ExecutionOptions options = options_.execution;
-  const quarantine::Suspicion suspicion = run_tracker_.SuspicionOf(now, request.identity);
+  const quarantine::Suspicion suspicion = SuspicionOf(now, request.identity);
   options.on_probation = suspicion != quarantine::Suspicion::kNone;
   if (options.on_probation) {
     output_.suspect_attempts.push_back({request.request_id, request.identity, suspicion});
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -230,7 +230,8 @@
 
 void GatewayServer::StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                                    std::shared_ptr<const PayloadRequest> request,
-                                   const tenants::Tenant* tenant, Timestamp arrived) {
+                                   const tenants::Tenant* tenant, Timestamp arrived,
+                                   uint32_t trial) {
   std::optional<std::set<std::string>> allowed_regions = routing::AllowedRegionsOf(route, tenant);
   if (!allowed_regions.has_value()) {
     Refuse(now, id, std::move(request), ResultCode::kCoverageNotReached, Duration(0));
@@ -239,6 +240,7 @@
   Active& active = active_[id];
   active.request = std::move(request);
   active.allowed_regions = *std::move(allowed_regions);
+  active.trial = trial;
   if (!table_->set().keyed) {
     active.head = HeadWithCallerHeaders(*active.request);
   }
@@ -344,6 +346,7 @@
     return;
   }
   if (answer.has_value()) {
+    EndTrial(active);
     Answer(now, id, active, *answer);
     Remove(id);
     return;
@@ -429,6 +432,7 @@
   gate_.limits().Tick(now, subscriber_.proven_at());
   ApplyLimitOutput(now);
   ReportRuns(now);
+  UpdateTrials(now);
   WakeRequests(now);
 }
 
@@ -468,6 +472,7 @@
     wake = std::min(wake, runs_reported_ + options_.knobs.run_report_interval);
   }
   wake = std::min(wake, reports_.next().value_or(wake));
+  wake = std::min(wake, trials_.next().value_or(wake));
   wake = std::min(wake, view_.next_merge().value_or(wake));
   wake = std::min(wake, gate_.limits().NextWake(now));
   return wake;
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -29,6 +29,7 @@
 #include "node/id_source.h"
 #include "quarantine/report_sender.h"
 #include "quarantine/run_tracker.h"
+#include "quarantine/trial_client.h"
 #include "query/answer_timing.h"
 #include "query/request_execution.h"
 #include "query/shared_gather.h"
@@ -202,6 +203,13 @@
   quarantine::Suspicion suspicion = quarantine::Suspicion::kNone;
 };
 
+/// The decision on a trial of a suspect request, for the log.
+struct TrialRecord {
+  std::string request_id;
+  RequestIdentity identity;
+  quarantine::TrialOutcome outcome;
+};
+
 struct GatewayOutput {
   std::vector<LeafSend> sends;
   /// Leafs closed to new work: requests to them that are not written yet must not be sent.
@@ -222,6 +230,7 @@
   /// Requests that a control machine warned of.
   std::vector<RequestIdentity> suspects_noticed;
   std::vector<SuspectAttempt> suspect_attempts;
+  std::vector<TrialRecord> trials;
 };
 
 class GatewayServer {
@@ -266,7 +275,9 @@
   void AddControlMachines(const std::vector<std::string>& addresses);
   /// Directs clients to other gateways from now on; requests that still arrive are served.
   void StartDraining(Timestamp now);
-  bool Drained() const { return active_.empty() && early_.empty() && held_.empty(); }
+  bool Drained() const {
+    return active_.empty() && early_.empty() && held_.empty() && awaiting_trial_.empty();
+  }
   /// Returns whether routes are known and clients may be directed here.
   bool ready() const { return table_ != nullptr && !draining_; }
 
@@ -342,6 +353,8 @@
     bool gathers = false;
     /// Name of the tenant; empty: none.
     std::string tenant;
+    /// Number of the trial granted to a suspect request; zero: none.
+    uint32_t trial = 0;
     /// Zero is the most urgent.
     int priority = 0;
     /// Regions whose leafs may be queried; empty: all.
@@ -372,7 +385,7 @@
     /// Version of the routes known when it arrived; zero: none.
     uint64_t document_version = 0;
   };
-  /// A request that waits for the decision on its tenant's limit.
+  /// A request that waits for the decision on its tenant's limit or on its trial.
   struct HeldRequest {
     std::shared_ptr<const PayloadRequest> request;
     Timestamp arrived;
@@ -462,8 +475,14 @@
                      Timestamp arrived, ResultCode code);
   /// Returns when the keys in force here were last proven to be those acknowledged to operators.
   Timestamp KeysProvenAt() const;
-  /// Starts a held request after its limit was granted, if it is still permitted.
-  void StartHeld(Timestamp now, RequestId id, const HeldRequest& held);
+  /// Starts a held request after its limit or trial was granted, if it is still permitted.
+  /// @param trial number of the granted trial, zero if none is needed; unset: not decided yet.
+  void StartHeld(Timestamp now, RequestId id, const HeldRequest& held,
+                 std::optional<uint32_t> trial);
+  /// Starts an admitted request. A suspect has to wait for a trial.
+  void StartAdmitted(Timestamp now, RequestId id, const routing::Route& route,
+                     std::shared_ptr<const PayloadRequest> request, const tenants::Tenant* tenant,
+                     Timestamp arrived);
   /// Processes the output of the tenants' limits.
   void ApplyLimitOutput(Timestamp now);
   void UpdateLimitGateways(Timestamp now);
@@ -479,12 +498,22 @@
   /// one leaf first.
   query::ExecutionOptions ExecutionOptionsFor(Timestamp now, const PayloadRequest& request);
   void OnSuspectNotice(Timestamp now, const wire::SuspectNotice& notice);
+  /// Why the request counts as a suspect here. One that was released conditionally does, too.
+  quarantine::Suspicion SuspicionOf(Timestamp now, const RequestIdentity& identity) const;
+  void AskForTrial(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
+                   Timestamp arrived);
+  void OnTrialReply(Timestamp now, const wire::TrialReply& reply);
+  void OnTrialOutcome(Timestamp now, const quarantine::TrialOutcome& outcome);
+  /// Returns the permission if no leaf has run the request.
+  void EndTrial(const Active& active);
+  /// Sends questions, and refuses requests that have waited too long for a trial.
+  void UpdateTrials(Timestamp now);
 
   /// Applies pending leaf reports at once if a service has no usable leaf.
   void MergeIfLeafsMissing(Timestamp now, const std::vector<std::string>& services);
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
                       std::shared_ptr<const PayloadRequest> request, const tenants::Tenant* tenant,
-                      Timestamp arrived);
+                      Timestamp arrived, uint32_t trial);
   void Collect(Timestamp now, RequestId id);
   void CollectSends(Timestamp now, Active* active, RequestId id,
                     const query::ExecutionActions& actions);
@@ -609,6 +638,8 @@
   Timestamp runs_reported_{};
   admission::EntryGate gate_;
   std::map<RequestId, HeldRequest> held_;
+  quarantine::TrialClient trials_;
+  std::map<RequestId, HeldRequest> awaiting_trial_;
   bool draining_ = false;
   Timestamp started_;
   std::map<RequestId, Active> active_;
--- a/src/node/node_admission.cc
+++ b/src/node/node_admission.cc
@@ -178,11 +178,19 @@
   if (plan->repeatable) {
     // A key on repeatable work is accepted but has no effect.
     active.request.idempotency_key.clear();
-    StartExecution(now, id, &active);
-  } else if (!options_.ledger_before_dispatch) {
-    StartExecution(now, id, &active);
+  }
+  if (IsSuspect(now, request.identity)) {
+    AskForTrial(now, id, &active);
+  } else {
+    StartAdmitted(now, id, &active);
+  }
+}
+
+void NodeServer::StartAdmitted(Timestamp now, RequestId id, Active* active) {
+  if (active->plan.repeatable || !options_.ledger_before_dispatch) {
+    StartExecution(now, id, active);
   } else {
-    StartClaim(now, id, &active);
+    StartClaim(now, id, active);
   }
 }
 
@@ -236,7 +244,7 @@
   policy::QueryPlan plan = active->plan;
   plan.deadline = active->deadline - now;
   query::ExecutionOptions options = options_.execution;
-  options.on_probation = run_tracker_.IsSuspect(now, active->request.identity);
+  options.on_probation = IsSuspect(now, active->request.identity);
   options.has_uncleared_losses = run_tracker_.HasUnclearedLosses(active->request.identity);
   active->execution = std::make_unique<query::RequestExecution>(
       active->request, plan, active->program.get(), runtime.service, *snapshot, std::move(context),
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -49,6 +49,7 @@
           [&](const wire::SuspectNotice& notice) {
             run_tracker_.OnSuspectNotice(now, notice.requests);
           },
+          [&](const wire::TrialReply& reply) { OnTrialReply(now, reply); },
           [&](const wire::RunReportAck& ack) { reports_.OnAcknowledged(ack.number); },
           [&](const wire::LedgerReply& reply) {
             if (const auto verdict = ledger_.OnReply(now, reply)) {
@@ -259,7 +260,7 @@
     request.tenant = active.request.tenant;
     request_of_[request.id] = id;
     active.sub_requests.push_back(request.id);
-    TrackRun(now, id, active.request, request);
+    TrackRun(now, id, active, request);
     output_.sends.push_back(std::move(request));
   }
   for (query::SubRequestCancel& cancel : actions.cancels) {
@@ -281,29 +282,6 @@
   }
 }
 
-void NodeServer::TrackRun(Timestamp now, RequestId id, const query::CallerRequest& request,
-                          const query::LeafRequest& sent) {
-  const std::string attempt = origin_ + "/" + std::to_string(id.value);
-  run_tracker_.OnSent(sent.id, {request.identity, XXH64(attempt.data(), attempt.size(), 0),
-                                sent.leaf, request.service, now});
-}
-
-void NodeServer::StopQuarantined(Timestamp now) {
-  const std::set<RequestIdentity> quarantined = subscriber_.config().StoppedRequests();
-  run_tracker_.OnQuarantined(quarantined);
-  std::vector<RequestId> stopped;
-  for (const auto& [id, active] : active_) {
-    const bool running = active.execution != nullptr && !active.answered;
-    if (running && quarantined.contains(active.request.identity)) {
-      stopped.push_back(id);
-    }
-  }
-  for (const RequestId id : stopped) {
-    active_.at(id).execution->Stop(now, ResultCode::kQuarantined);
-    CollectActions(now, id);
-  }
-}
-
 void NodeServer::Finish(Timestamp now, RequestId id, Active* active, Answer answer) {
   answer.config_version = subscriber_.config().version();
   answer.config_age = subscriber_.Age(now);
@@ -319,6 +297,9 @@
   } else {
     ++counters_.refused;
   }
+  if (active->trial > 0 && active->execution->CurrentRunState() == RunState::kNotRun) {
+    trials_.Return(active->request.identity, AttemptOf(id), active->trial);
+  }
   active->answered = true;
   active->late_outcome_deadline = now + options_.late_outcome_timeout;
   Schedule(id, active->late_outcome_deadline);
@@ -362,6 +343,11 @@
 void NodeServer::OnCallerDisconnected(Timestamp now, RequestId id) {
   held_.Drop(id);
   const auto found = active_.find(id);
+  if (found != active_.end() && found->second.trial_pending) {
+    trials_.Withdraw(id);
+    Remove(now, id);
+    return;
+  }
   const bool cancellable = found != active_.end() && found->second.plan.repeatable &&
                            found->second.execution != nullptr && !found->second.answered;
   if (!cancellable) {
@@ -406,6 +392,7 @@
   for (wire::Envelope& envelope : ledger_.Tick(now)) {
     output_.control.push_back(std::move(envelope));
   }
+  UpdateTrials(now);
   if (std::optional<wire::RunReport> report = run_tracker_.TakeReport()) {
     reports_.Add(now, *std::move(report));
   }
@@ -424,7 +411,9 @@
       continue;  // Superseded by a later call of Schedule().
     }
     Active& active = active_.at(id);
-    if (active.claim_pending) {
+    if (active.trial_pending) {
+      RefuseTrial(now, id, options_.retry_when_quarantined);
+    } else if (active.claim_pending) {
       // This attempt dispatched nothing, but an earlier one with the same key may have.
       ledger_.AbandonClaim(active.claim_owner);
       Refuse(now, id, ResultCode::kLedgerUnavailable,
@@ -443,7 +432,8 @@
 
 Timestamp NodeServer::NextWake(Timestamp now) const {
   constexpr Duration kIdleInterval = Milliseconds(50);
-  const Timestamp idle = std::min(now + kIdleInterval, held_.next().value_or(Timestamp::max()));
+  Timestamp idle = std::min(now + kIdleInterval, held_.next().value_or(Timestamp::max()));
+  idle = std::min(idle, trials_.next().value_or(idle));
   return wakes_.empty() ? idle : std::min(idle, wakes_.top().first);
 }
 
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -22,6 +22,7 @@
 #include "policy/policy_program.h"
 #include "quarantine/report_sender.h"
 #include "quarantine/run_tracker.h"
+#include "quarantine/trial_client.h"
 #include "query/messages.h"
 #include "query/request_execution.h"
 #include "wire/messages.h"
@@ -53,6 +54,8 @@
   bool leaving_mark = true;
   /// Retry delay for requests that the fleet has stopped.
   Duration retry_when_quarantined = Seconds(60);
+  /// Retry hint when too many requests wait for a trial.
+  Duration retry_without_trial = Milliseconds(500);
   quarantine::RunTrackerOptions run_tracker{.names_identify_incarnations = false};
   /// Replaces the policies of all services in benchmarks.
   std::optional<policy::QueryPlan> plan_override;
@@ -136,6 +139,10 @@
     Timestamp deadline{};
     Timestamp late_outcome_deadline{};
     bool claim_pending = false;
+    /// Whether the request waits for the decision on its trial.
+    bool trial_pending = false;
+    /// Number of the trial granted to a suspect request; zero: none.
+    uint32_t trial = 0;
     bool answered = false;
     policy::QueryPlan plan;
     SnapshotId snapshot;
@@ -157,14 +164,23 @@
                                                  const query::CallerRequest& request,
                                                  const config::PublishedSnapshot& snapshot,
                                                  balance::AdmissionThrottle* throttle);
+  /// Starts an admitted request: claims its key, if it has one that counts, and executes it.
+  void StartAdmitted(Timestamp now, RequestId id, Active* active);
   void StartClaim(Timestamp now, RequestId id, Active* active);
   void StartExecution(Timestamp now, RequestId id, Active* active);
   void Refuse(Timestamp now, RequestId id, ResultCode code, const std::string& message,
               query::RunState run, Duration retry_after);
 
   // Requests that crash the leafs that run them.
-  void TrackRun(Timestamp now, RequestId id, const query::CallerRequest& request,
-                const query::LeafRequest& sent);
+  void TrackRun(Timestamp now, RequestId id, const Active& active, const query::LeafRequest& sent);
+  bool IsSuspect(Timestamp now, const RequestIdentity& identity) const;
+  uint64_t AttemptOf(RequestId id) const;
+  void AskForTrial(Timestamp now, RequestId id, Active* active);
+  void OnTrialReply(Timestamp now, const wire::TrialReply& reply);
+  void OnTrialOutcome(Timestamp now, const quarantine::TrialOutcome& outcome);
+  void RefuseTrial(Timestamp now, RequestId id, Duration retry_after);
+  /// Sends questions, and refuses requests that have waited too long for a trial.
+  void UpdateTrials(Timestamp now);
   /// Stops the requests in progress that the fleet has stopped.
   void StopQuarantined(Timestamp now);
 
@@ -199,6 +215,7 @@
   balance::LeafPool pool_;
   quarantine::RunTracker run_tracker_;
   quarantine::ReportSender reports_;
+  quarantine::TrialClient trials_;
   std::mt19937_64 random_;
   std::map<std::string, ServiceRuntime> services_;
   std::map<RequestId, Active> active_;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -76,9 +76,11 @@
 
 void CrashEvidence::RecordLost(Timestamp seen, const wire::LostRun& run) {
   succeeded_.erase(run.identity);
-  auto& runs = FindOrAddCrash(seen, run).runs;
+  LeafCrash& crash = FindOrAddCrash(seen, run);
+  auto& runs = crash.runs;
   if (runs.size() < options_.max_runs_per_leaf || runs.contains(run.identity)) {
     runs[run.identity].insert(run.attempt);
+    RecordTrial(&crash, run);
   }
   if (crashes_.size() > options_.max_leafs) {
     crashes_.erase(
@@ -87,6 +89,13 @@
   }
 }
 
+void CrashEvidence::RecordTrial(LeafCrash* crash, const wire::LostRun& run) {
+  if (run.trial > 0) {
+    uint32_t& trial = crash->trials[run.identity];
+    trial = std::max(trial, run.trial);
+  }
+}
+
 CrashEvidence::LeafCrash& CrashEvidence::FindOrAddCrash(Timestamp seen, const wire::LostRun& run) {
   const auto after = crashes_.upper_bound({run.leaf, next_crash_});
   if (after != crashes_.begin()) {
@@ -107,6 +116,7 @@
 void CrashEvidence::Clear(const RequestIdentity& identity) {
   for (auto& [leaf, crash] : crashes_) {
     crash.runs.erase(identity);
+    crash.trials.erase(identity);
   }
   ++version_;
 }
@@ -135,6 +145,9 @@
     ++finding.leafs;
     attempts.insert(runs->second.begin(), runs->second.end());
     services.insert(crash->service);
+    const auto trial = crash->trials.find(identity);
+    finding.failed_trial =
+        std::max(finding.failed_trial, trial == crash->trials.end() ? 0 : trial->second);
     times.push_back(crash->at);
   }
   if (times.empty()) {
@@ -239,11 +252,31 @@
   return Evaluate(identity, AllCrashes(), Candidates(known_fatal));
 }
 
+std::set<RequestIdentity> CrashEvidence::FailedInTrials() const {
+  std::set<RequestIdentity> failed;
+  for (const auto& [leaf, crash] : crashes_) {
+    for (const auto& [identity, trial] : crash.trials) {
+      if (trial >= options_.failed_trials) {
+        failed.insert(identity);
+      }
+    }
+  }
+  return failed;
+}
+
 std::vector<CrashFinding> CrashEvidence::FatalRequests(
     const std::set<RequestIdentity>& known_fatal) const {
   std::set<RequestIdentity> candidates = Candidates(known_fatal);
   LeafCrashes unexplained = AllCrashes();
   std::vector<CrashFinding> confirmed;
+  for (const RequestIdentity& identity : FailedInTrials()) {
+    confirmed.push_back(Evaluate(identity, AllCrashes(), candidates));
+  }
+  for (const CrashFinding& finding : confirmed) {
+    candidates.erase(finding.identity);
+    std::erase_if(unexplained,
+                  [&](const auto& item) { return item.second->runs.contains(finding.identity); });
+  }
   while (true) {
     std::optional<CrashFinding> worst;
     for (const RequestIdentity& identity : candidates) {
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -15,6 +15,7 @@
 
 #include "common/request_identity.h"
 #include "common/types.h"
+#include "quarantine/suspect_table.h"
 #include "wire/messages.h"
 
 namespace pumicedyke::quarantine {
@@ -46,6 +47,9 @@
   /// first and last crash. Crashes of which another request is the only candidate are not counted,
   /// because several requests may be fatal at the same time.
   double share = 0.5;
+  /// It is also confirmed, whatever else crashes, if it lost a run in the trial of this number
+  /// (suspect_table.h): the leafs of the trials were chosen for it, and it has succeeded nowhere.
+  uint32_t failed_trials = kMaxTrials;
 };
 
 /// The evidence on which a request is confirmed as fatal.
@@ -56,6 +60,8 @@
   size_t time_points = 0;
   /// Share of the crashes of its services' leafs, between its first and last one, that it explains.
   double share = 0;
+  /// Highest number of a trial in which it lost a run; zero: none.
+  uint32_t failed_trial = 0;
 };
 
 class CrashEvidence {
@@ -93,6 +99,8 @@
     Timestamp at{};
     /// Attempts by request.
     std::map<RequestIdentity, std::set<uint64_t>> runs;
+    /// Numbers of the trials of which these runs were part.
+    std::map<RequestIdentity, uint32_t> trials;
   };
   /// A leaf and the sequence number of its crash.
   using CrashKey = std::pair<std::string, uint64_t>;
@@ -120,6 +128,7 @@
   /// Returns true if the same process has reported a success of the request in a later report.
   bool HasSucceededSince(const wire::RunReport& report, const RequestIdentity& identity) const;
   void RecordLost(Timestamp seen, const wire::LostRun& run);
+  static void RecordTrial(LeafCrash* crash, const wire::LostRun& run);
   /// Returns the record of the crash to which the lost run belongs; creates it if necessary.
   LeafCrash& FindOrAddCrash(Timestamp seen, const wire::LostRun& run);
   /// The crashes during which one request was running.
@@ -131,6 +140,8 @@
   /// Returns the requests that may be fatal, before any crash is attributed to one of them.
   std::set<RequestIdentity> Candidates(const std::set<RequestIdentity>& known_fatal) const;
   LeafCrashes AllCrashes() const;
+  /// Returns the requests that lost their last trial.
+  std::set<RequestIdentity> FailedInTrials() const;
   CrashFinding Evaluate(const RequestIdentity& identity, const LeafCrashes& unexplained,
                         const std::set<RequestIdentity>& candidates) const;
   size_t CountTimePoints(std::vector<Timestamp> times) const;
--- a/src/quarantine/run_tracker.cc
+++ b/src/quarantine/run_tracker.cc
@@ -35,7 +35,7 @@
   suspect.leafs.insert(run.leaf);
   suspect.last_lost = now;
   lost_at_[run.leaf] = now;
-  Report().lost.push_back({run.identity, run.attempt, run.leaf, run.service});
+  Report().lost.push_back({run.identity, run.attempt, run.leaf, run.service, run.trial});
   DiscardOld(now);
 }
 
@@ -71,10 +71,20 @@
     const auto suspect = suspects_.find(request);
     if (suspect != suspects_.end() && suspect->second.cleared) {
       Report().succeeded.push_back(request);
-    } else if (warnings_.size() < options_.max_suspects) {
+    } else {
       warnings_[request] = now;
     }
   }
+  while (warnings_.size() > options_.max_warnings) {
+    warnings_.erase(
+        std::min_element(warnings_.begin(), warnings_.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+}
+
+void RunTracker::OnCleared(const RequestIdentity& identity) {
+  warnings_.erase(identity);
+  suspects_.erase(identity);
 }
 
 void RunTracker::OnQuarantined(const std::set<RequestIdentity>& requests) {
--- a/src/quarantine/run_tracker.h
+++ b/src/quarantine/run_tracker.h
@@ -21,8 +21,10 @@
 struct RunTrackerOptions {
   /// Observations older than this are discarded.
   Duration retention = Seconds(600);
-  /// Lifetime of a warning. It is short because the request may only have run at the same time.
-  Duration warning = Seconds(60);
+  /// Lifetime of a warning: as long as the evidence that control has.
+  Duration warning = Seconds(600);
+  /// Maximum number of warnings; the oldest are evicted first.
+  size_t max_warnings = 2048;
   /// Maximum numbers of tracked requests and leafs; the oldest are evicted first.
   size_t max_suspects = 512;
   size_t max_leafs = 4096;
@@ -42,6 +44,8 @@
   std::string leaf;
   std::string service;
   Timestamp sent{};
+  /// Number of the trial that the run is part of; zero: none.
+  uint32_t trial = 0;
 };
 
 /// Why a request counts as a suspect.
@@ -71,6 +75,9 @@
   /// Handles a warning of the control machines: other processes have seen these requests lose runs.
   void OnSuspectNotice(Timestamp now, const std::vector<RequestIdentity>& requests);
 
+  /// A control machine knows that the request has succeeded.
+  void OnCleared(const RequestIdentity& identity);
+
   /// Whether, and why, the request should be tried at one leaf before it goes to many.
   Suspicion SuspicionOf(Timestamp now, const RequestIdentity& identity) const;
   bool IsSuspect(Timestamp now, const RequestIdentity& identity) const {
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -261,8 +261,10 @@
       last_sent = std::max(last_sent, shard.attempts.back().sent);
     }
   }
-  // A paused leaf must not block the request, so a second probe may run beside it.
-  return running == 0 || (running == 1 && now - last_sent >= HedgeDelay());
+  // A paused leaf must not block the request, so a second probe may run beside it. All of them may
+  // be lost.
+  return running == 0 || (running + probes_lost_ < options_.max_lost_probes &&
+                          now - last_sent >= HedgeDelay());
 }
 
 void RequestExecution::RecordLost(const Attempt& attempt) {
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -41,6 +41,13 @@
                                      {"share", finding.share}});
 }
 
+void ControlLog::OnTrial(const wire::TrialReply& decision) {
+  LogEvent("trial_decided", {{"identity", ToText(decision.identity)},
+                             {"verdict", wire::TrialVerdictName(decision.verdict)},
+                             {"number", decision.number},
+                             {"retry_after_ms", ToMilliseconds(decision.retry_after)}});
+}
+
 void ControlLog::OnSuspects(const std::vector<RequestIdentity>& requests) {
   constexpr size_t kMaxNames = 4;
   if (requests.empty()) {
--- a/src/server/control_log.h
+++ b/src/server/control_log.h
@@ -17,6 +17,8 @@
   static void OnQuarantineProposal(const control::QuarantineProposal& proposal);
   /// Logs evidence against a suspect that is not sufficient to stop it.
   static void OnInsufficientEvidence(const quarantine::CrashFinding& finding);
+  /// Logs the decision on a trial of a suspect.
+  static void OnTrial(const wire::TrialReply& decision);
   /// Logs the suspects that gateways and nodes were warned of.
   static void OnSuspects(const std::vector<RequestIdentity>& requests);
 
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -114,7 +114,7 @@
              static_cast<double>(server_->evidence().leafs()));
   page.Gauge("pumicedyke_control_suspects",
              "Requests that ran at several leafs when these crashed, and have not succeeded since.",
-             static_cast<double>(server_->evidence().Suspects().size()));
+             static_cast<double>(server_->state().suspects().suspects().size()));
   page.AddProcess();
   return page.Text();
 }
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -377,6 +377,9 @@
     ControlLog::OnInsufficientEvidence(finding);
   }
   ControlLog::OnSuspects(output.suspects);
+  for (const wire::TrialReply& decision : output.trials) {
+    ControlLog::OnTrial(decision);
+  }
   for (const control::SessionId session : output.closed_sessions) {
     frames_->CloseSession(session);
   }
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -25,6 +25,8 @@
   void OnSuspectsNoticed(Timestamp now, const std::vector<RequestIdentity>& requests);
   /// Logs that a suspect request is tried, and how this gateway knew of the suspicion.
   void OnSuspectAttempt(Timestamp now, const gateway::SuspectAttempt& attempt);
+  /// Logs the decision on a trial of a suspect request.
+  void OnTrial(Timestamp now, const gateway::TrialRecord& trial);
   void OnControlLink(const std::string& address, bool up);
   /// Marks leafs whose state has changed.
   void OnLeafChanges(const std::vector<std::string>& leafs) {
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -148,6 +148,10 @@
   page.Counter("pumicedyke_log_lines_dropped_total",
                "Log lines dropped because standard output did not accept them.",
                static_cast<double>(DroppedLogLines()));
+  for (const auto& [verdict, trials] : trials_) {
+    page.Counter("pumicedyke_gateway_trials_total", "Decisions on trials of suspect requests.",
+                 static_cast<double>(trials), {{"verdict", wire::TrialVerdictName(verdict)}});
+  }
   AddReportMetrics(now, server.reports(), &page);
   page.AddProcess();
   return page.Text();
--- a/src/server/gateway_metrics.h
+++ b/src/server/gateway_metrics.h
@@ -33,6 +33,7 @@
   void OnPartial(const gateway::PartialTrace& partial);
   void OnClientDisconnected() { ++disconnected_clients_; }
   void OnControlLost() { ++control_lost_; }
+  void OnTrial(const quarantine::TrialOutcome& outcome) { ++trials_[outcome.verdict]; }
 
   /// Returns the page in the Prometheus text format. @param now on the gateway's clock.
   std::string Text(Timestamp now, const gateway::GatewayServer& server,
@@ -52,6 +53,7 @@
   std::map<std::string, RouteCounts> routes_;
   uint64_t disconnected_clients_ = 0;
   uint64_t control_lost_ = 0;
+  std::map<wire::TrialVerdict, uint64_t> trials_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -290,6 +290,10 @@
   for (const gateway::SuspectAttempt& attempt : output.suspect_attempts) {
     log_.OnSuspectAttempt(net::EventLoop::Now(), attempt);
   }
+  for (const gateway::TrialRecord& trial : output.trials) {
+    metrics_.OnTrial(trial.outcome);
+    log_.OnTrial(net::EventLoop::Now(), trial);
+  }
   for (const wire::RunReport& report : output.runs_reported) {
     log_.OnRunReport(net::EventLoop::Now(), report);
   }
--- a/src/sim/actors.cc
+++ b/src/sim/actors.cc
@@ -76,9 +76,21 @@
   if (world_->clock.now() >= end_) {
     return;
   }
-  const auto node = static_cast<size_t>(world_->Between(0, 1));
-  world_->Ask(node, Request(), [](const query::Answer&) {});
-  world_->clock.After(Milliseconds(world_->Between(150, 600)), [this] { Loop(); });
+  if (options_.at_both_nodes) {
+    SendToBothNodes();
+    world_->clock.After(Milliseconds(world_->Between(20, 60)), [this] { SendToBothNodes(); });
+  } else {
+    const auto node = static_cast<size_t>(world_->Between(0, 1));
+    world_->Ask(node, Request(), [](const query::Answer&) {});
+  }
+  const Duration pause(world_->Between(options_.min_pause.count(), options_.max_pause.count()));
+  world_->clock.After(pause, [this] { Loop(); });
+}
+
+void FatalCaller::SendToBothNodes() {
+  for (const size_t node : {size_t{0}, size_t{1}}) {
+    world_->Ask(node, Request(), [](const query::Answer&) {});
+  }
 }
 
 // ---- A caller that retries quickly --------------------------------------------------------------
--- a/src/sim/actors.h
+++ b/src/sim/actors.h
@@ -39,17 +39,28 @@
   Timestamp end_{};
 };
 
+struct FatalCallerOptions {
+  /// Time between occurrences of the query.
+  Duration min_pause = Milliseconds(150);
+  Duration max_pause = Milliseconds(600);
+  /// Whether each occurrence reaches both nodes at the same moment and is repeated at both soon
+  /// after. Otherwise it reaches one of them.
+  bool at_both_nodes = false;
+};
+
 /// Repeatedly sends a query that crashes every leaf that runs it, to either node at random.
 class FatalCaller {
  public:
-  explicit FatalCaller(World* world) : world_(world) {}
+  FatalCaller(World* world, const FatalCallerOptions& options) : world_(world), options_(options) {}
   void Start(Timestamp end);
   static query::CallerRequest Request();
 
  private:
   void Loop();
+  void SendToBothNodes();
 
   World* world_;
+  FatalCallerOptions options_;
   Timestamp end_{};
 };
 
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -177,14 +177,24 @@
        .what = "a query that crashes every leaf that runs it is sent repeatedly to either node",
        .faults = {kKillLeaf, kPauseLeaf, kKillNode},
        .fault_interval = Milliseconds(1500),
-       .fatal_caller = true,
+       .fatal_caller = FatalCallerOptions{},
        .length = Seconds(12)},
       {.name = "fatal-query-control",
        .what = "as fatal-query, while control machines crash and are cut off",
        .faults = {kKillLeaf, kKillNode, kKillControl, kCutLeader, kPauseLeader},
        .fault_interval = Milliseconds(1800),
-       .fatal_caller = true,
+       .fatal_caller = FatalCallerOptions{},
        .length = Seconds(16)},
+      {.name = "rare-fatal-query",
+       .what = "a query that crashes leafs reaches both nodes at once every few seconds, while leafs "
+               "crash for other reasons and nodes and all control machines are killed",
+       .faults = {kKillLeaf, kKillLeaf, kKillAllLeafs, kKillNode, kKillControl, kKillAllControls,
+                  kCutLeader},
+       .fault_interval = Milliseconds(1000),
+       .fatal_caller = FatalCallerOptions{.min_pause = Seconds(4),
+                                          .max_pause = Seconds(7),
+                                          .at_both_nodes = true},
+       .length = Seconds(40)},
       {.name = "crash-loop",
        .what = "all leafs crash at once repeatedly, for reasons unrelated to the requests that are "
                "retried meanwhile",
@@ -241,8 +251,8 @@
     callers.push_back(std::make_unique<Caller>(&world, node, absl::StrCat("caller-", node)));
     callers.back()->Start(end);
   }
-  FatalCaller fatal_caller(&world);
-  if (scenario.fatal_caller) {
+  FatalCaller fatal_caller(&world, scenario.fatal_caller.value_or(FatalCallerOptions{}));
+  if (scenario.fatal_caller.has_value()) {
     fatal_caller.Start(end);
   }
   RetryingCaller retrying_caller(&world);
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,7 +26,7 @@
   /// Number of changes submitted one after the other before the load and the faults start.
   int initial_changes = 0;
   /// Adds a FatalCaller.
-  bool fatal_caller = false;
+  std::optional<FatalCallerOptions> fatal_caller = {};
   /// Adds a RetryingCaller.
   bool retrying_caller = false;
   /// Adds a RepeatingCaller.
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -192,6 +192,10 @@
       return Body(Read(in.body.run_report));
     case pumicedyke_wire_Envelope_run_report_taken_tag:
       return Body(RunReportAck{in.body.run_report_taken.number});
+    case pumicedyke_wire_Envelope_trial_request_tag:
+      return Body(Read(in.body.trial_request));
+    case pumicedyke_wire_Envelope_trial_reply_tag:
+      return Body(Read(in.body.trial_reply));
     case pumicedyke_wire_Envelope_hello_tag:
       return Body(NodeHello{Text(in.body.hello.node), in.body.hello.incarnation,
                             in.body.hello.version, in.body.hello.starting, in.body.hello.sent});
--- a/src/wire/codec_gateways.cc
+++ b/src/wire/codec_gateways.cc
@@ -221,7 +221,7 @@
   for (size_t i = 0; i < report.lost.size(); ++i) {
     const LostRun& run = report.lost[i];
     out.lost[i] = {true, Fill(run.identity), run.attempt, arena->String(run.leaf),
-                   arena->String(run.service)};
+                   arena->String(run.service), run.trial};
   }
   out.succeeded = FillAll(report.succeeded, arena, &out.succeeded_count);
   out.answering = arena->Strings(report.alive_leafs, &out.answering_count);
@@ -241,7 +241,8 @@
   RunReport report;
   for (pb_size_t i = 0; i < in.lost_count; ++i) {
     const pumicedyke_wire_LostRun& run = in.lost[i];
-    report.lost.push_back({Read(run.identity), run.attempt, Text(run.leaf), Text(run.service)});
+    report.lost.push_back(
+        {Read(run.identity), run.attempt, Text(run.leaf), Text(run.service), run.trial});
   }
   report.succeeded = ReadAll(in.succeeded, in.succeeded_count);
   report.alive_leafs = Texts(in.answering, in.answering_count);
@@ -253,6 +254,30 @@
   return report;
 }
 
+void Fill(const TrialRequest& request, Arena* /*arena*/, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_trial_request_tag;
+  envelope->body.trial_request = {true, Fill(request.identity), request.attempt, request.returned};
+}
+
+TrialRequest Read(const pumicedyke_wire_TrialRequest& in) {
+  return {Read(in.identity), in.attempt, in.returned};
+}
+
+void Fill(const TrialReply& reply, Arena* /*arena*/, pumicedyke_wire_Envelope* envelope) {
+  envelope->which_body = pumicedyke_wire_Envelope_trial_reply_tag;
+  envelope->body.trial_reply = {true,
+                                Fill(reply.identity),
+                                reply.attempt,
+                                static_cast<uint32_t>(reply.verdict),
+                                reply.number,
+                                static_cast<uint64_t>(reply.retry_after.count())};
+}
+
+TrialReply Read(const pumicedyke_wire_TrialReply& in) {
+  return {Read(in.identity), in.attempt, static_cast<TrialVerdict>(in.verdict), in.number,
+          Duration(static_cast<int64_t>(in.retry_after_us))};
+}
+
 void Fill(const LimitRequest& ask, Arena* arena, pumicedyke_wire_Envelope* envelope) {
   envelope->which_body = pumicedyke_wire_Envelope_limit_ask_tag;
   envelope->body.limit_ask = {
--- a/src/wire/codec_gateways.h
+++ b/src/wire/codec_gateways.h
@@ -19,6 +19,8 @@
 void Fill(const SuspectNotice& notice, Arena* arena, pumicedyke_wire_Envelope* envelope);
 void Fill(const RunReport& report, Arena* arena, pumicedyke_wire_Envelope* envelope);
 void Fill(const RunReportAck& ack, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const TrialRequest& request, Arena* arena, pumicedyke_wire_Envelope* envelope);
+void Fill(const TrialReply& reply, Arena* arena, pumicedyke_wire_Envelope* envelope);
 void Fill(const LimitRequest& ask, Arena* arena, pumicedyke_wire_Envelope* envelope);
 void Fill(const LimitGrant& grant, Arena* arena, pumicedyke_wire_Envelope* envelope);
 
@@ -29,6 +31,8 @@
 PartialQuery Read(const pumicedyke_wire_PartialQuery& in);
 PartialAnswer Read(const pumicedyke_wire_PartialAnswer& in);
 RunReport Read(const pumicedyke_wire_RunReport& in);
+TrialRequest Read(const pumicedyke_wire_TrialRequest& in);
+TrialReply Read(const pumicedyke_wire_TrialReply& in);
 LimitRequest Read(const pumicedyke_wire_LimitAsk& in);
 LimitGrant Read(const pumicedyke_wire_LimitGrant& in);
 std::vector<RequestIdentity> ReadAll(const pumicedyke_wire_RequestIdentity* list, pb_size_t count);
--- a/src/wire/destinations.h
+++ b/src/wire/destinations.h
@@ -54,6 +54,8 @@
 /// Control machines also relay it to each other; `from_control` tells those apart.
 template <>
 struct DestinationOf<RunReport> : GoesTo<Destination::kControlSession> {};
+template <>
+struct DestinationOf<TrialRequest> : GoesTo<Destination::kControlSession> {};
 
 template <>
 struct DestinationOf<GatewayPresence> : GoesTo<Destination::kDiscovery> {};
@@ -64,6 +66,8 @@
 struct DestinationOf<SuspectNotice> : GoesTo<Destination::kNodeOrGateway> {};
 template <>
 struct DestinationOf<RunReportAck> : GoesTo<Destination::kNodeOrGateway> {};
+template <>
+struct DestinationOf<TrialReply> : GoesTo<Destination::kNodeOrGateway> {};
 
 template <>
 struct DestinationOf<LedgerReply> : GoesTo<Destination::kNode> {};
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -308,6 +308,8 @@
   uint64_t attempt = 0;
   std::string leaf;
   std::string service;
+  /// Number of the trial that the run was part of; zero: none.
+  uint32_t trial = 0;
 };
 
 /// Reports to the control machines which runs of a gateway or node were lost with their leaf, and
@@ -342,6 +344,47 @@
   std::vector<RequestIdentity> requests;
 };
 
+/// Asks a control machine for permission to try a suspect request, or returns a permission that was
+/// not used. Permissions are counted for the whole fleet. Repeating the message changes nothing.
+struct TrialRequest {
+  RequestIdentity identity;
+  /// The client's attempt, as in LostRun.
+  uint64_t attempt = 0;
+  /// Number of the trial that is returned; zero: permission is requested.
+  uint32_t returned = 0;
+};
+
+enum class TrialVerdict : uint8_t {
+  kGranted = 0,
+  /// Another trial has just begun, or too many have failed.
+  kDenied = 1,
+  /// The request has succeeded since it became a suspect.
+  kNotNeeded = 2,
+};
+
+/// Returns the name of a verdict in logs and metrics.
+constexpr const char* TrialVerdictName(TrialVerdict verdict) {
+  switch (verdict) {
+    case TrialVerdict::kGranted:
+      return "granted";
+    case TrialVerdict::kNotNeeded:
+      return "not_needed";
+    default:
+      return "denied";
+  }
+}
+
+/// The answer to a request for permission.
+struct TrialReply {
+  RequestIdentity identity;
+  uint64_t attempt = 0;
+  TrialVerdict verdict = TrialVerdict::kDenied;
+  /// Number of the granted trial, counted from 1.
+  uint32_t number = 0;
+  /// When to ask again after a denial.
+  Duration retry_after{};
+};
+
 /// Changes among the leafs that report to one control machine.
 struct LeafFeed {
   /// Zero: `records` is the full list. Otherwise it lists the changes since that version.
@@ -403,7 +446,7 @@
     std::variant<RaftMessage, NodeHello, ConfigFeed, LedgerRequest, LedgerReply, JoinRequest,
                  Forwarded, ForwardedReply, GatewayPresence, LeafFeed, JoinReply, GatewayFeed,
                  PartialQuery, PartialCancel, PartialAnswer, PartialConfirm, RunReport,
-                 SuspectNotice, LimitRequest, LimitGrant, RunReportAck>;
+                 SuspectNotice, LimitRequest, LimitGrant, RunReportAck, TrialRequest, TrialReply>;
 
 struct Envelope {
   std::string cluster;
--- a/test/control/control_group.h
+++ b/test/control/control_group.h
@@ -61,6 +61,7 @@
     for (const Timestamp end = now_ + time; now_ < end; now_ += kStep) {
       for (auto& [id, machine] : machines_) {
         if (!paused_.contains(id)) {
+          machine.server->SetWallClock(now_.time_since_epoch() / Milliseconds(1));
           machine.server->Tick(now_);
         }
       }
@@ -83,6 +84,12 @@
             ++acknowledged_;
             acknowledged_numbers_.push_back(acknowledgement->number);
           }
+          if (const auto* trial = std::get_if<wire::TrialReply>(&message.envelope.body)) {
+            trial_replies_.push_back(*trial);
+          }
+          if (const auto* notice = std::get_if<wire::SuspectNotice>(&message.envelope.body)) {
+            notices_.push_back(*notice);
+          }
         }
         for (const OperatorReply& reply : output.operators) {
           answers_[reply.ticket] = reply.body;
@@ -150,6 +157,19 @@
   size_t acknowledged() const { return acknowledged_; }
   /// Returns the numbers of the reports acknowledged since the last call.
   std::vector<uint64_t> TakeAcknowledged() { return std::exchange(acknowledged_numbers_, {}); }
+  /// Returns the decisions on trials since the last call; the same below for warnings.
+  std::vector<wire::TrialReply> TakeTrialReplies() { return std::exchange(trial_replies_, {}); }
+  std::vector<wire::SuspectNotice> TakeNotices() { return std::exchange(notices_, {}); }
+  /// Kills all machines at once and starts them again with their disks.
+  void RestartAll() {
+    for (auto& [id, machine] : machines_) {
+      machine.server.reset();
+      machine.files->Crash();
+    }
+    for (MemberId id = 1; id <= kMachines; ++id) {
+      Start(id);
+    }
+  }
   /// Whether a machine is in reach of clients.
   bool InReach(MemberId id) const { return !paused_.contains(id); }
   Timestamp now() const { return now_; }
@@ -183,6 +203,8 @@
   std::map<TicketId, std::string> answers_;
   size_t acknowledged_ = 0;
   std::vector<uint64_t> acknowledged_numbers_;
+  std::vector<wire::TrialReply> trial_replies_;
+  std::vector<wire::SuspectNotice> notices_;
   std::set<MemberId> paused_;
   std::set<MemberId> side_;
   uint64_t starts_ = 0;
--- a/test/gateway/gateway_harness.h
+++ b/test/gateway/gateway_harness.h
@@ -111,6 +111,13 @@
     change.request = IdentityOf({target});
     Apply(change);
   }
+  void ReleaseConditionally(const std::string& target) {
+    config::Change change;
+    change.kind = config::ChangeKind::kReleaseRequest;
+    change.request = IdentityOf({target});
+    change.conditional = true;
+    Apply(change);
+  }
   /// Sends a control machine's warning about a suspect request.
   void Warn(const std::string& target) {
     server.OnControlMessage(now, kControl,
@@ -155,6 +162,10 @@
   void Prove() { Prove(now); }
   /// Whether the control machine acknowledges reports of lost runs.
   bool acknowledges_reports = true;
+  /// How the control machine answers requests for trials; unset: not at all.
+  std::optional<wire::TrialVerdict> trial_verdict = wire::TrialVerdict::kGranted;
+  /// Requests for trials, and returned ones, that the control machine has received.
+  std::vector<wire::TrialRequest> trial_requests;
   /// Sends the control machine's list of gateways.
   void Peers(std::vector<wire::GatewayRecord> peers) {
     wire::GatewayFeed feed;
@@ -256,6 +267,7 @@
       }
       control.push_back(std::move(message));
     }
+    AnswerTrials();
   }
 
   /// Sets the request rate of cold leafs in documents put from now on.
@@ -283,6 +295,28 @@
       server.OnControlMessage(now, kControl, {"test", 0, wire::RunReportAck{report.number}});
     }
   }
+  /// Answers the requests for trials among the messages to control that were not answered before.
+  void AnswerTrials() {
+    bool answered = false;
+    for (; answered_control_ < control.size(); ++answered_control_) {
+      const auto* request =
+          std::get_if<wire::TrialRequest>(&control[answered_control_].envelope.body);
+      if (request == nullptr) {
+        continue;
+      }
+      trial_requests.push_back(*request);
+      if (request->returned == 0 && trial_verdict.has_value()) {
+        answered = true;
+        wire::TrialReply reply{request->identity, request->attempt, *trial_verdict, 0,
+                               Milliseconds(300)};
+        reply.number = reply.verdict == wire::TrialVerdict::kGranted ? 1 : 0;
+        server.OnControlMessage(now, kControl, {"test", 0, reply});
+      }
+    }
+    if (answered) {
+      Take();
+    }
+  }
   RequestId Ask(std::shared_ptr<PayloadRequest> request, Duration unread_time) {
     const RequestId id{request_count_};
     server.OnRequest(now, id, std::move(request), now - unread_time);
@@ -304,6 +338,8 @@
   uint64_t leaf_version_ = 0;
   uint64_t peers_version_ = 0;
   uint64_t request_count_ = 0;
+  /// Number of messages to control that were looked at for requests for trials.
+  size_t answered_control_ = 0;
 
  public:
   GatewayServer server;
--- a/test/gateway/gateway_quarantine_test.cc
+++ b/test/gateway/gateway_quarantine_test.cc
@@ -56,6 +56,13 @@
   CPPUNIT_TEST(OneAnswerEndsProbation);
   CPPUNIT_TEST(SilentProbeIsFollowedByAnother);
   CPPUNIT_TEST(SuspectOfAWarningIsTriedAtOneLeaf);
+  CPPUNIT_TEST(SuspectIsNotSentWithoutATrial);
+  CPPUNIT_TEST(SuspectIsRefusedIfControlDoesNotAnswer);
+  CPPUNIT_TEST(ClearedSuspectIsSentToAllLeafs);
+  CPPUNIT_TEST(UnusedTrialIsReturned);
+  CPPUNIT_TEST(RunsOfATrialAreReportedWithItsNumber);
+  CPPUNIT_TEST(ConditionallyReleasedRequestNeedsATrial);
+  CPPUNIT_TEST(TwoProbesAreNeverExceeded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -262,6 +269,114 @@
     CPPUNIT_ASSERT_EQUAL(2 + kShards, g.h.sends.size());
   }
 
+  /// Guards against gateways that each try a suspect by their own allowance.
+  void SuspectIsNotSentWithoutATrial() {
+    TwelveLeafs g;
+    g.h.trial_verdict = wire::TrialVerdict::kDenied;
+    g.h.Warn("/all/fatal");
+    g.h.Ask("/all/fatal");
+    CPPUNIT_ASSERT(g.h.sends.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT(g.h.answers.front().code == ResultCode::kOnTrial);
+    CPPUNIT_ASSERT(g.h.answers.front().run == query::RunState::kNotRun);
+    CPPUNIT_ASSERT(g.h.answers.front().retry_after == Milliseconds(300));
+    g.h.Ask("/all/other");
+    CPPUNIT_ASSERT_EQUAL(kShards, g.h.sends.size());
+  }
+
+  void SuspectIsRefusedIfControlDoesNotAnswer() {
+    TwelveLeafs g;
+    g.h.trial_verdict.reset();
+    g.h.Warn("/all/fatal");
+    g.h.Ask("/all/fatal", Seconds(2));
+    CPPUNIT_ASSERT(g.h.answers.empty());
+    CPPUNIT_ASSERT(!g.h.server.Drained());
+    g.h.Pass(quarantine::TrialClientOptions{}.max_wait);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT(g.h.answers.front().code == ResultCode::kOnTrial);
+    CPPUNIT_ASSERT(g.h.answers.front().retry_after > Duration(0));
+    CPPUNIT_ASSERT(g.h.server.Drained());
+    // The question was repeated, with the same attempt.
+    CPPUNIT_ASSERT(g.h.trial_requests.size() > 1);
+    CPPUNIT_ASSERT_EQUAL(g.h.trial_requests.front().attempt, g.h.trial_requests.back().attempt);
+    // A client that leaves is forgotten.
+    const RequestId id = g.h.Ask("/all/fatal", Seconds(2));
+    g.h.server.OnClientDisconnected(g.h.now, id);
+    CPPUNIT_ASSERT(g.h.server.Drained());
+    g.h.Pass(Seconds(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT(g.h.sends.empty());
+  }
+
+  /// A warning may be older than the success that cleared the request.
+  void ClearedSuspectIsSentToAllLeafs() {
+    TwelveLeafs g;
+    g.h.trial_verdict = wire::TrialVerdict::kNotNeeded;
+    g.h.Warn("/all/harmless");
+    g.h.Ask("/all/harmless");
+    CPPUNIT_ASSERT_EQUAL(kShards, g.h.sends.size());
+    g.h.Ask("/all/harmless");
+    CPPUNIT_ASSERT_EQUAL(2 * kShards, g.h.sends.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.trial_requests.size());
+  }
+
+  void UnusedTrialIsReturned() {
+    TwelveLeafs g;
+    g.h.Warn("/one/harmless");
+    g.h.Ask("/one/harmless");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.sends.size());
+    for (size_t i = 0; i < g.h.sends.size() && g.h.answers.empty(); ++i) {
+      g.h.Reply(g.h.sends[i], query::LeafStatus::kNotSent);
+      g.h.Pass(Milliseconds(15));
+    }
+    g.h.Pass(Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, g.h.trial_requests.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, g.h.trial_requests.back().returned);
+    // One that a leaf may have run is not returned.
+    g.h.Ask("/one/harmless");
+    g.h.Lose(g.h.sends.back());
+    g.h.Pass(Seconds(2));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, g.h.trial_requests.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{0}, g.h.trial_requests.back().returned);
+  }
+
+  void RunsOfATrialAreReportedWithItsNumber() {
+    TwelveLeafs g;
+    g.h.Warn("/all/fatal");
+    g.h.Ask("/all/fatal");
+    g.h.Lose(g.h.sends.back());
+    g.h.Pass(Milliseconds(50));
+    const wire::RunReport report = g.Reported();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, report.lost.size());
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, report.lost.front().trial);
+    CPPUNIT_ASSERT_EQUAL(g.h.trial_requests.front().attempt, report.lost.front().attempt);
+  }
+
+  void ConditionallyReleasedRequestNeedsATrial() {
+    TwelveLeafs g;
+    g.h.Quarantine("/all/fatal");
+    g.h.ReleaseConditionally("/all/fatal");
+    g.h.Ask("/all/fatal");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.trial_requests.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.sends.size());
+  }
+
+  /// Guards against a third probe beside a silent one once the first is lost: one attempt crashed
+  /// three leafs.
+  void TwoProbesAreNeverExceeded() {
+    TwelveLeafs g;
+    g.h.Warn("/all/fatal");
+    g.h.Ask("/all/fatal", Seconds(2));
+    g.h.Pass(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, g.h.sends.size());
+    g.h.Lose(g.h.sends.front());
+    g.h.Pass(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, g.h.sends.size());
+    g.h.Lose(g.h.sends.back());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+  }
+
  private:
   static void LoseThree(TwelveLeafs* g) {
     CPPUNIT_ASSERT_EQUAL(kShards, g->h.sends.size());
--- a/test/quarantine/crash_evidence_test.cc
+++ b/test/quarantine/crash_evidence_test.cc
@@ -28,6 +28,13 @@
     evidence.OnReport(now, report);
     now += EvidenceOptions{}.time_point_gap;
   }
+  /// Reports that a leaf crashed in a trial of kFatal.
+  void LoseTrial(const std::string& leaf, uint32_t number) {
+    wire::RunReport report;
+    report.lost = {{kFatal, number, leaf, "s", number}};
+    evidence.OnReport(now, report);
+    now += EvidenceOptions{}.time_point_gap;
+  }
   void Succeeded(const RequestIdentity& request) {
     wire::RunReport report;
     report.succeeded = {request};
@@ -67,6 +74,8 @@
   CPPUNIT_TEST(ManyFatalRequestsAreAllFound);
   CPPUNIT_TEST(CrashLoopUnderManyRetryingClientsConfirmsNone);
   CPPUNIT_TEST(KnownFatalRequestIsConfirmedAtTheNextCrash);
+  CPPUNIT_TEST(OtherCrashesDoNotHideLostTrials);
+  CPPUNIT_TEST(LostTrialsAreForgivenIfTheLeafAnswers);
   CPPUNIT_TEST(RepeatedReportsCountOnce);
   CPPUNIT_TEST(EvidenceExpires);
   CPPUNIT_TEST_SUITE_END();
@@ -224,6 +233,31 @@
     CPPUNIT_ASSERT(!fixture.IsConfirmed(kFatal, {kFatal}));
   }
 
+  /// Guards against a verdict that requires the request to be present at most crashes of its
+  /// services.
+  void OtherCrashesDoNotHideLostTrials() {
+    EvidenceFixture fixture;
+    for (uint64_t turn = 0; turn < 100; ++turn) {
+      fixture.Crash("other" + std::to_string(turn), {IdentityOf({std::to_string(turn)})}, turn);
+    }
+    fixture.LoseTrial("a", 1);
+    CPPUNIT_ASSERT(!fixture.IsConfirmed(kFatal));
+    fixture.LoseTrial("b", kMaxTrials);
+    CPPUNIT_ASSERT(fixture.IsConfirmed(kFatal));
+    // Nothing else is blamed for these crashes, or confirmed with them.
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fixture.evidence.FatalRequests({}).size());
+    fixture.Succeeded(kFatal);
+    CPPUNIT_ASSERT(!fixture.IsConfirmed(kFatal));
+  }
+
+  void LostTrialsAreForgivenIfTheLeafAnswers() {
+    EvidenceFixture fixture;
+    fixture.LoseTrial("a", kMaxTrials);
+    CPPUNIT_ASSERT(fixture.IsConfirmed(kFatal));
+    fixture.Answers("a");
+    CPPUNIT_ASSERT(!fixture.IsConfirmed(kFatal));
+  }
+
   void RepeatedReportsCountOnce() {
     EvidenceFixture fixture;
     for (int i = 0; i < 3; ++i) {
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(GatewayFeedAndPresenceSurvive);
   CPPUNIT_TEST(GarbageIsRefusedOrHarmless);
   CPPUNIT_TEST(RunReportsAndNoticesSurvive);
+  CPPUNIT_TEST(TrialsSurvive);
   CPPUNIT_TEST(LimitRequestsAndGrantsSurvive);
   CPPUNIT_TEST_SUITE_END();
 
@@ -209,7 +210,7 @@
 
   void RunReportsAndNoticesSurvive() {
     RunReport report;
-    report.lost = {{{1, 2}, 3, "leaf-a", "desk"}, {{4, 5}, 6, "leaf-b", "desk"}};
+    report.lost = {{{1, 2}, 3, "leaf-a", "desk"}, {{4, 5}, 6, "leaf-b", "desk", 2}};
     report.succeeded = {{7, 8}};
     report.alive_leafs = {"leaf-c"};
     report.relayed = true;
@@ -222,6 +223,7 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{6}, back.lost[1].attempt);
     CPPUNIT_ASSERT_EQUAL(std::string("leaf-b"), back.lost[1].leaf);
     CPPUNIT_ASSERT_EQUAL(std::string("desk"), back.lost[1].service);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{2}, back.lost[1].trial);
     CPPUNIT_ASSERT(back.succeeded == report.succeeded);
     CPPUNIT_ASSERT(back.alive_leafs == report.alive_leafs);
     CPPUNIT_ASSERT(back.relayed);
@@ -234,6 +236,25 @@
     CPPUNIT_ASSERT(decoded_notice.ok());
     CPPUNIT_ASSERT(std::get<SuspectNotice>(decoded_notice->body).requests == notice.requests);
   }
+
+  void TrialsSurvive() {
+    const TrialRequest request{{1, 2}, 3, 4};
+    const auto asked = DecodeEnvelope(Encode(Envelope{"c", 1, request}));
+    CPPUNIT_ASSERT(asked.ok());
+    const auto& back = std::get<TrialRequest>(asked->body);
+    CPPUNIT_ASSERT(back.identity == request.identity);
+    CPPUNIT_ASSERT_EQUAL(request.attempt, back.attempt);
+    CPPUNIT_ASSERT_EQUAL(request.returned, back.returned);
+    const TrialReply reply{{5, 6}, 7, TrialVerdict::kNotNeeded, 8, Milliseconds(9)};
+    const auto replied = DecodeEnvelope(Encode(Envelope{"c", 1, reply}));
+    CPPUNIT_ASSERT(replied.ok());
+    const auto& back_reply = std::get<TrialReply>(replied->body);
+    CPPUNIT_ASSERT(back_reply.identity == reply.identity);
+    CPPUNIT_ASSERT_EQUAL(reply.attempt, back_reply.attempt);
+    CPPUNIT_ASSERT(back_reply.verdict == reply.verdict);
+    CPPUNIT_ASSERT_EQUAL(reply.number, back_reply.number);
+    CPPUNIT_ASSERT(back_reply.retry_after == reply.retry_after);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
 
--- a/test/wire/destinations_test.cc
+++ b/test/wire/destinations_test.cc
@@ -33,10 +33,12 @@
                                      {NodeHello{}, Destination::kControlSession},
                                      {LedgerRequest{}, Destination::kControlSession},
                                      {RunReport{}, Destination::kControlSession},
+                                     {TrialRequest{}, Destination::kControlSession},
                                      {GatewayPresence{}, Destination::kDiscovery},
                                      {ConfigFeed{}, Destination::kNodeOrGateway},
                                      {SuspectNotice{}, Destination::kNodeOrGateway},
                                      {RunReportAck{}, Destination::kNodeOrGateway},
+                                     {TrialReply{}, Destination::kNodeOrGateway},
                                      {LedgerReply{}, Destination::kNode},
                                      {LeafFeed{}, Destination::kGateway},
                                      {GatewayFeed{}, Destination::kGateway},
@@ -62,6 +64,7 @@
       return DispatchTo<Destination::kControlSession>(
           body, MessageHandler{[&](const NodeHello& message) { hello = message.version; },
                                [](const LedgerRequest& /*message*/) {},
+                               [](const TrialRequest& /*message*/) {},
                                [&](const RunReport& message) { report = message.number; }});
     };
     CPPUNIT_ASSERT(dispatch(NodeHello{.node = "n", .version = 5}));
