A suspect that no leaf accepts is refused at once

Cause: probation lets one shard at a time probe; while no leaf is ready nothing is sent, abandoned or counted. Evidence: request_answered with deadline_exceeded, not_run, no attempts, all shards not_sent. Mend: a probation that has lasted 100 ms and has no probe running ends; the trial is returned, Retry-After tells when leafs are ready again. SuspectWithoutALeafIsRefusedAtOnce failed before (answered after 1,990 ms).

--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -129,6 +129,7 @@
     return;
   }
   wake_ = deadline_;
+  LimitProbation(now);
   for (ShardProgress& shard : shards_) {
     AdvanceShard(now, &shard);
     wake_ = std::min(wake_, ShardWake(now, shard));
@@ -252,6 +253,17 @@
   return !proven_harmless_ && (options_.on_probation || lost_ >= options_.losses_before_probation);
 }
 
+void RequestExecution::LimitProbation(Timestamp now) {
+  if (!OnProbation()) {
+    return;
+  }
+  probation_started_ = probation_started_.value_or(now);
+  const bool running =
+      std::any_of(shards_.begin(), shards_.end(),
+                  [this](const ShardProgress& shard) { return ActiveAttempts(shard) > 0; });
+  no_leaf_for_probe_ |= !running && now - *probation_started_ >= options_.max_probe_wait;
+}
+
 bool RequestExecution::MayProbe(Timestamp now) const {
   size_t running = 0;
   Timestamp last_sent{};
@@ -263,8 +275,8 @@
   }
   // A paused leaf must not block the request, so a second probe may run beside it. All of them may
   // be lost.
-  return running == 0 || (running + probes_lost_ < options_.max_lost_probes &&
-                          now - last_sent >= HedgeDelay());
+  return running == 0 ||
+         (running + probes_lost_ < options_.max_lost_probes && now - last_sent >= HedgeDelay());
 }
 
 void RequestExecution::RecordLost(const Attempt& attempt) {
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -71,6 +71,9 @@
   bool on_probation = false;
   /// Above one, since a single connection may break by chance.
   size_t max_lost_probes = 2;
+  /// A request on probation fails once it has been so for this long and no probe is running: none
+  /// of its leafs accepts one.
+  Duration max_probe_wait = Milliseconds(100);
   /// Earlier attempts of the request lost runs because their leafs disconnected, and none has
   /// succeeded since: the request may use only part of the budget.
   bool has_uncleared_losses = false;
@@ -231,10 +234,13 @@
   /// Returns whether another probe may be sent while on probation.
   bool MayProbe(Timestamp now) const;
   void RecordLost(const Attempt& attempt);
-  /// Returns whether the maximum number of probes was lost: nothing more is sent.
+  /// Returns whether the maximum number of probes was lost, or no leaf accepted one in time:
+  /// nothing more is sent.
   bool FailedProbation() const {
-    return !proven_harmless_ && probes_lost_ >= options_.max_lost_probes;
+    return !proven_harmless_ && (probes_lost_ >= options_.max_lost_probes || no_leaf_for_probe_);
   }
+  /// Ends a probation without a running probe that has lasted too long.
+  void LimitProbation(Timestamp now);
   /// Returns whether further attempts for the shard are held back (`hold_attempts`).
   bool IsHeld(const ShardProgress& shard) const;
   /// Returns whether the last attempt was refused by a leaf with room, so that retries follow the
@@ -306,6 +312,9 @@
   size_t lost_ = 0;
   /// Those among them that were probes.
   size_t probes_lost_ = 0;
+  /// Since when the request is on probation.
+  std::optional<Timestamp> probation_started_;
+  bool no_leaf_for_probe_ = false;
   ExecutionActions actions_;
   /// Cached result of QualifiesForBudget().
   std::optional<bool> qualifies_for_budget_;
--- a/test/gateway/gateway_quarantine_test.cc
+++ b/test/gateway/gateway_quarantine_test.cc
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(RunsOfATrialAreReportedWithItsNumber);
   CPPUNIT_TEST(ConditionallyReleasedRequestNeedsATrial);
   CPPUNIT_TEST(TwoProbesAreNeverExceeded);
+  CPPUNIT_TEST(SuspectWithoutALeafIsRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -377,6 +378,30 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
   }
 
+  /// Guards against suspects that wait for a leaf until their deadline while all leafs are down.
+  void SuspectWithoutALeafIsRefusedAtOnce() {
+    TwelveLeafs g;
+    size_t lost = 0;
+    // The gateway learns that all leafs are down, and ejects them.
+    for (int i = 0; i < 8; ++i) {
+      g.h.Ask("/one/" + std::to_string(i), Milliseconds(100));
+      g.h.Ask("/all/" + std::to_string(i), Milliseconds(100));
+      for (; lost < g.h.sends.size(); ++lost) {
+        g.h.Lose(g.h.sends[lost]);
+      }
+      g.h.Pass(Milliseconds(20));
+    }
+    g.h.Pass(Milliseconds(100));
+    g.h.answers.clear();
+    g.h.Warn("/all/suspect");
+    g.h.Ask("/all/suspect", Seconds(2));
+    g.h.Pass(query::ExecutionOptions{}.max_probe_wait + Milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT(g.h.answers.front().run == query::RunState::kNotRun);
+    CPPUNIT_ASSERT(g.h.answers.front().retry_after > Duration(0));
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, g.h.trial_requests.back().returned);
+  }
+
  private:
   static void LoseThree(TwelveLeafs* g) {
     CPPUNIT_ASSERT_EQUAL(kShards, g->h.sends.size());
