--- a/src/common/result_code.cc
+++ b/src/common/result_code.cc
@@ -53,7 +53,8 @@
       {kKeysUnproven, "keys_unproven", 503,
        "It cannot be proved that the API keys known here are still current."},
       {kOnTrial, "on_trial", 503,
-       "Leafs ended under this very request, and it is being tried or may not be; see Retry-After."},
+       "Leafs ended under this very request, and it is being tried or may not be; see "
+       "Retry-After."},
       {kRevisionConflict, "revision_conflict", 409, "The object has another revision by now."},
       {kInvalidConfig, "invalid_config", 400, "A field of the change is not allowed."},
       {kPolicyRejected, "policy_rejected", 400, "The policy program was refused; see the message."},
--- a/src/control/control_quarantine.cc
+++ b/src/control/control_quarantine.cc
@@ -89,8 +89,7 @@
     suspects.insert(identity);
   }
   if (!suspects.empty()) {
-    output_.sessions.push_back(
-        {id, Wrap(wire::SuspectNotice{{suspects.begin(), suspects.end()}})});
+    output_.sessions.push_back({id, Wrap(wire::SuspectNotice{{suspects.begin(), suspects.end()}})});
   }
 }
 
--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -1,5 +1,6 @@
 // GatewayServer's protection of leafs from requests that crash them: tracks the outcome of every
-// run, reports to control, tries suspects with control's permission, and stops quarantined requests.
+// run, reports to control, tries suspects with control's permission, and stops quarantined
+// requests.
 #include <xxhash.h>
 
 #include <algorithm>
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -71,8 +71,7 @@
 bool GatewayServer::StartShared(Timestamp now, RequestId id, Active* active, Timestamp arrived) {
   const routing::Route& route = *active->route;
   // A suspect request is tried at one leaf, not at one leaf by each merger.
-  const bool suspect =
-      SuspicionOf(now, active->request->identity) != quarantine::Suspicion::kNone;
+  const bool suspect = SuspicionOf(now, active->request->identity) != quarantine::Suspicion::kNone;
   const bool may_share =
       !suspect && active->request->body.size() <= options_.knobs.max_shared_body_bytes;
   const size_t groups = may_share ? GroupsOf(route) : 1;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -234,9 +234,9 @@
 }
 
 size_t CrashEvidence::CrashedLeafs(const RequestIdentity& identity) const {
-  return static_cast<size_t>(
-      std::count_if(crashes_.begin(), crashes_.end(),
-                    [&](const auto& item) { return item.second.runs.contains(identity); }));
+  return static_cast<size_t>(std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& item) {
+    return item.second.runs.contains(identity);
+  }));
 }
 
 CrashEvidence::LeafCrashes CrashEvidence::AllCrashes() const {
--- a/src/quarantine/run_tracker.cc
+++ b/src/quarantine/run_tracker.cc
@@ -98,8 +98,8 @@
 
 Suspicion RunTracker::SuspicionOf(Timestamp now, const RequestIdentity& identity) const {
   const auto suspect = suspects_.find(identity);
-  const bool own_losses = suspect != suspects_.end() &&
-                          suspect->second.leafs.size() >= options_.suspect_leaf_threshold;
+  const bool own_losses =
+      suspect != suspects_.end() && suspect->second.leafs.size() >= options_.suspect_leaf_threshold;
   if (own_losses) {
     return Suspicion::kOwnLosses;
   }
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -33,7 +33,21 @@
             {"share", proposal.finding.share}});
 }
 
-void ControlLog::OnInsufficientEvidence(const quarantine::CrashFinding& finding) {
+bool ControlLog::Allow(Timestamp now) {
+  constexpr Duration kSecond = Seconds(1);
+  if (!limiter_.Allow(now.time_since_epoch() / kSecond)) {
+    return false;
+  }
+  if (const uint64_t left_out = limiter_.TakeSuppressed(); left_out > 0) {
+    LogEvent("lines_left_out", {{"lines", left_out}, {"dropped", DroppedLogLines()}});
+  }
+  return true;
+}
+
+void ControlLog::OnInsufficientEvidence(Timestamp now, const quarantine::CrashFinding& finding) {
+  if (!Allow(now)) {
+    return;
+  }
   LogEvent("evidence_insufficient", {{"identity", ToText(finding.identity)},
                                      {"leafs", finding.leafs},
                                      {"attempts", finding.attempts},
@@ -41,16 +55,19 @@
                                      {"share", finding.share}});
 }
 
-void ControlLog::OnTrial(const wire::TrialReply& decision) {
+void ControlLog::OnTrial(Timestamp now, const wire::TrialReply& decision) {
+  if (!Allow(now)) {
+    return;
+  }
   LogEvent("trial_decided", {{"identity", ToText(decision.identity)},
                              {"verdict", wire::TrialVerdictName(decision.verdict)},
                              {"number", decision.number},
                              {"retry_after_ms", ToMilliseconds(decision.retry_after)}});
 }
 
-void ControlLog::OnSuspects(const std::vector<RequestIdentity>& requests) {
+void ControlLog::OnSuspects(Timestamp now, const std::vector<RequestIdentity>& requests) {
   constexpr size_t kMaxNames = 4;
-  if (requests.empty()) {
+  if (requests.empty() || !Allow(now)) {
     return;
   }
   std::vector<std::string> first;
--- a/src/server/control_log.h
+++ b/src/server/control_log.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "common/log.h"
 #include "control/control_server.h"
 #include "control/discovery_server.h"
 
@@ -16,15 +17,20 @@
   /// Logs a proposal to stop or release a request, with its reason.
   static void OnQuarantineProposal(const control::QuarantineProposal& proposal);
   /// Logs evidence against a suspect that is not sufficient to stop it.
-  static void OnInsufficientEvidence(const quarantine::CrashFinding& finding);
+  void OnInsufficientEvidence(Timestamp now, const quarantine::CrashFinding& finding);
   /// Logs the decision on a trial of a suspect.
-  static void OnTrial(const wire::TrialReply& decision);
+  void OnTrial(Timestamp now, const wire::TrialReply& decision);
   /// Logs the suspects that gateways and nodes were warned of.
-  static void OnSuspects(const std::vector<RequestIdentity>& requests);
+  void OnSuspects(Timestamp now, const std::vector<RequestIdentity>& requests);
 
  private:
+  /// Maximum number of lines about suspects in a second.
+  static constexpr uint32_t kLinesPerSecond = 20;
+  /// Whether one more line about a suspect may be logged.
+  bool Allow(Timestamp now);
   void LogQuarantineChanges(const config::ConfigState& config);
 
+  LogLimiter limiter_{kLinesPerSecond};
   size_t stopped_requests_ = 0;
   consensus::Role role_ = consensus::Role::kFollower;
   uint64_t term_ = 0;
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -374,11 +374,11 @@
     ControlLog::OnQuarantineProposal(proposal);
   }
   for (const quarantine::CrashFinding& finding : output.insufficient) {
-    ControlLog::OnInsufficientEvidence(finding);
+    log_.OnInsufficientEvidence(net::EventLoop::Now(), finding);
   }
-  ControlLog::OnSuspects(output.suspects);
+  log_.OnSuspects(net::EventLoop::Now(), output.suspects);
   for (const wire::TrialReply& decision : output.trials) {
-    ControlLog::OnTrial(decision);
+    log_.OnTrial(net::EventLoop::Now(), decision);
   }
   for (const control::SessionId session : output.closed_sessions) {
     frames_->CloseSession(session);
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -199,14 +199,13 @@
   if (!Allow(now)) {
     return;
   }
-  LogEvent("trial_decided",
-           {{"request", trial.request_id},
-            {"identity", ToText(trial.identity)},
-            {"verdict", wire::TrialVerdictName(trial.outcome.verdict)},
-            {"answered", trial.outcome.answered},
-            {"number", trial.outcome.number},
-            {"waited_ms", ToMilliseconds(trial.outcome.waited)},
-            {"retry_after_ms", ToMilliseconds(trial.outcome.retry_after)}});
+  LogEvent("trial_decided", {{"request", trial.request_id},
+                             {"identity", ToText(trial.identity)},
+                             {"verdict", wire::TrialVerdictName(trial.outcome.verdict)},
+                             {"answered", trial.outcome.answered},
+                             {"number", trial.outcome.number},
+                             {"waited_ms", ToMilliseconds(trial.outcome.waited)},
+                             {"retry_after_ms", ToMilliseconds(trial.outcome.retry_after)}});
 }
 
 void GatewayLog::OnControlLink(const std::string& address, bool up) {
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -186,14 +186,15 @@
        .fatal_caller = FatalCallerOptions{},
        .length = Seconds(16)},
       {.name = "rare-fatal-query",
-       .what = "a query that crashes leafs reaches both nodes at once every few seconds, while leafs "
-               "crash for other reasons and nodes and all control machines are killed",
+       .what =
+           "a query that crashes leafs reaches both nodes at once every few seconds, while leafs "
+           "crash for other reasons and nodes and all control machines are killed",
        .faults = {kKillLeaf, kKillLeaf, kKillAllLeafs, kKillNode, kKillControl, kKillAllControls,
                   kCutLeader},
        .fault_interval = Milliseconds(1000),
-       .fatal_caller = FatalCallerOptions{.min_pause = Seconds(4),
-                                          .max_pause = Seconds(7),
-                                          .at_both_nodes = true},
+       .fatal_caller =
+           FatalCallerOptions{
+               .min_pause = Seconds(4), .max_pause = Seconds(7), .at_both_nodes = true},
        .length = Seconds(40)},
       {.name = "crash-loop",
        .what = "all leafs crash at once repeatedly, for reasons unrelated to the requests that are "
--- a/src/wire/codec_gateways.cc
+++ b/src/wire/codec_gateways.cc
@@ -220,8 +220,12 @@
   out.lost = arena->Array<pumicedyke_wire_LostRun>(report.lost.size());
   for (size_t i = 0; i < report.lost.size(); ++i) {
     const LostRun& run = report.lost[i];
-    out.lost[i] = {true, Fill(run.identity), run.attempt, arena->String(run.leaf),
-                   arena->String(run.service), run.trial};
+    out.lost[i] = {true,
+                   Fill(run.identity),
+                   run.attempt,
+                   arena->String(run.leaf),
+                   arena->String(run.service),
+                   run.trial};
   }
   out.succeeded = FillAll(report.succeeded, arena, &out.succeeded_count);
   out.answering = arena->Strings(report.alive_leafs, &out.answering_count);
@@ -265,12 +269,9 @@
 
 void Fill(const TrialReply& reply, Arena* /*arena*/, pumicedyke_wire_Envelope* envelope) {
   envelope->which_body = pumicedyke_wire_Envelope_trial_reply_tag;
-  envelope->body.trial_reply = {true,
-                                Fill(reply.identity),
-                                reply.attempt,
-                                static_cast<uint32_t>(reply.verdict),
-                                reply.number,
-                                static_cast<uint64_t>(reply.retry_after.count())};
+  envelope->body.trial_reply = {true,          Fill(reply.identity),
+                                reply.attempt, static_cast<uint32_t>(reply.verdict),
+                                reply.number,  static_cast<uint64_t>(reply.retry_after.count())};
 }
 
 TrialReply Read(const pumicedyke_wire_TrialReply& in) {
