All suspects are announced, and finding them costs one pass over the evidence

By reading, while the change was read again: beyond 64 new suspects in one evaluation the others were never announced, and the evidence for the log was counted once for each suspect and crash: with thousands of both, as after the loss of a zone, that is a second of control's processor. Counted in one pass now; those left over are announced next. Requests known to be fatal take no place among those that lost a trial. ManySuspectsAreAllAnnounced (its failure on the code before was not run).

--- a/src/control/control_quarantine.cc
+++ b/src/control/control_quarantine.cc
@@ -84,12 +84,14 @@
 }
 
 void ControlServer::NotifySession(SessionId id) {
-  std::set<RequestIdentity> suspects = quarantine_.suspects();
-  for (const auto& [identity, record] : state_.suspects().suspects()) {
-    suspects.insert(identity);
+  wire::SuspectNotice notice{state_.suspects().Identities()};
+  for (const auto& [identity, leafs] : quarantine_.suspects()) {
+    if (!state_.suspects().Contains(identity)) {
+      notice.requests.push_back(identity);
+    }
   }
-  if (!suspects.empty()) {
-    output_.sessions.push_back({id, Wrap(wire::SuspectNotice{{suspects.begin(), suspects.end()}})});
+  if (!notice.requests.empty()) {
+    output_.sessions.push_back({id, Wrap(std::move(notice))});
   }
 }
 
@@ -107,7 +109,9 @@
   const bool needed =
       options_.stop_fatal_requests && !quarantine_.evidence().HasSucceeded(request.identity);
   if (!returns && !needed) {
-    ReplyToTrial(origin, {.verdict = wire::TrialVerdict::kNotNeeded});
+    wire::TrialReply reply;
+    reply.verdict = wire::TrialVerdict::kNotNeeded;
+    ReplyToTrial(origin, reply);
     return;
   }
   using Kind = quarantine::SuspectOperation::Kind;
@@ -130,10 +134,11 @@
     return;
   }
   const auto decision = json.get<quarantine::TrialDecision>();
-  ReplyToTrial(origin, {.verdict = decision.granted ? wire::TrialVerdict::kGranted
-                                                    : wire::TrialVerdict::kDenied,
-                        .number = decision.number,
-                        .retry_after = Milliseconds(decision.retry_after_ms)});
+  wire::TrialReply reply;
+  reply.verdict = decision.granted ? wire::TrialVerdict::kGranted : wire::TrialVerdict::kDenied;
+  reply.number = decision.number;
+  reply.retry_after = Milliseconds(decision.retry_after_ms);
+  ReplyToTrial(origin, reply);
 }
 
 void ControlServer::ReplyToTrial(const Origin& origin, wire::TrialReply reply) {
--- a/src/control/quarantine_manager.cc
+++ b/src/control/quarantine_manager.cc
@@ -5,6 +5,12 @@
 #include <vector>
 
 namespace pumicedyke::control {
+namespace {
+
+/// Maximum number of suspects whose evidence is logged at a time.
+constexpr size_t kMaxAssessed = 4;
+
+}  // namespace
 
 std::optional<QuarantineProposal> QuarantineManager::Propose(Timestamp now,
                                                              const config::ConfigState& committed,
@@ -18,8 +24,7 @@
   evaluated_at_ = now;
   evidence_.Tick(now);
   UpdateStopped(now, committed);
-  UpdateSuspects();
-  AssessSuspects(committed);
+  UpdateSuspects(committed);
   std::optional<QuarantineProposal> proposal = ProposeRelease(now, committed, leads);
   if (!proposal.has_value()) {
     proposal = ProposeStop(now, committed, leads);
@@ -46,18 +51,24 @@
   }
 }
 
-void QuarantineManager::UpdateSuspects() {
-  if (suspects_version_ == evidence_.version()) {
+void QuarantineManager::UpdateSuspects(const config::ConfigState& committed) {
+  const bool all_announced = announced_.size() == suspects_.size();
+  if (suspects_version_ == evidence_.version() && all_announced) {
     return;
   }
   suspects_version_ = evidence_.version();
-  std::set<RequestIdentity> suspects = evidence_.Suspects();
-  for (const RequestIdentity& identity : suspects) {
-    if (!suspects_.contains(identity) && new_suspects_.size() < options_.max_new_suspects) {
+  const std::map<RequestIdentity, size_t> before = std::exchange(suspects_, evidence_.Suspects());
+  std::erase_if(announced_, [this](const auto& item) { return !suspects_.contains(item); });
+  for (const auto& [identity, leafs] : suspects_) {
+    if (new_suspects_.size() < options_.max_new_suspects && announced_.insert(identity).second) {
       new_suspects_.push_back(identity);
     }
+    const auto known = before.find(identity);
+    const bool changed = known == before.end() || known->second != leafs;
+    if (changed && insufficient_.size() < kMaxAssessed && !committed.IsQuarantined(identity)) {
+      insufficient_.push_back(evidence_.Assess(identity, {}));
+    }
   }
-  suspects_ = std::move(suspects);
 }
 
 std::optional<quarantine::SuspectOperation> QuarantineManager::NextSuspectOperation(
@@ -76,7 +87,7 @@
   const size_t room =
       quarantine::kMaxSuspects - std::min(quarantine::kMaxSuspects, table.suspects().size());
   quarantine::SuspectOperation accuse{.kind = quarantine::SuspectOperation::Kind::kAccuse};
-  for (const RequestIdentity& identity : suspects_) {
+  for (const auto& [identity, leafs] : suspects_) {
     if (!table.Contains(identity) &&
         accuse.requests.size() < std::min(room, options_.max_new_suspects)) {
       accuse.requests.push_back(identity);
@@ -85,20 +96,6 @@
   return accuse.requests.empty() ? std::nullopt : std::optional(accuse);
 }
 
-void QuarantineManager::AssessSuspects(const config::ConfigState& committed) {
-  constexpr size_t kMaxAssessed = 4;
-  std::erase_if(assessed_leafs_, [&](const auto& item) { return !suspects_.contains(item.first); });
-  for (const RequestIdentity& identity : suspects_) {
-    const size_t leafs = evidence_.CrashedLeafs(identity);
-    const bool known = committed.IsQuarantined(identity) || assessed_leafs_[identity] == leafs;
-    if (known || insufficient_.size() >= kMaxAssessed) {
-      continue;
-    }
-    assessed_leafs_[identity] = leafs;
-    insufficient_.push_back(evidence_.Assess(identity, {}));
-  }
-}
-
 Duration QuarantineManager::HoldDuration(const config::QuarantineRecord& record) const {
   const int before = static_cast<int>(record.times) - 1;
   return options_.hold * (1 << std::clamp(before, 0, options_.max_doublings));
--- a/src/control/quarantine_manager.h
+++ b/src/control/quarantine_manager.h
@@ -70,7 +70,9 @@
   /// @param wall_ms wall clock of this machine.
   std::optional<quarantine::SuspectOperation> NextSuspectOperation(
       const quarantine::SuspectTable& table, int64_t wall_ms) const;
-  const std::set<RequestIdentity>& suspects() const { return suspects_; }
+  /// Requests that were running at several leafs when these crashed, with the number of these
+  /// leafs.
+  const std::map<RequestIdentity, size_t>& suspects() const { return suspects_; }
   /// Notifies that the last proposal was decided, or that its outcome is unknown.
   void OnAnswer() { pending_ = false; }
   const quarantine::CrashEvidence& evidence() const { return evidence_; }
@@ -81,8 +83,8 @@
   std::optional<QuarantineProposal> ProposeRelease(Timestamp now,
                                                    const config::ConfigState& committed,
                                                    bool leads);
-  void UpdateSuspects();
-  void AssessSuspects(const config::ConfigState& committed);
+  /// Finds new suspects, and evidence for the log.
+  void UpdateSuspects(const config::ConfigState& committed);
   /// Updates the times since which this machine knows the stopped requests.
   void UpdateStopped(Timestamp now, const config::ConfigState& committed);
   Duration HoldDuration(const config::QuarantineRecord& record) const;
@@ -92,13 +94,13 @@
   /// When the evidence against a request first sufficed.
   std::map<RequestIdentity, Timestamp> confirmed_since_;
   std::map<RequestIdentity, Timestamp> stopped_since_;
-  /// Suspects that were announced before.
-  std::set<RequestIdentity> suspects_;
+  std::map<RequestIdentity, size_t> suspects_;
+  /// Suspects that were returned by TakeNewSuspects() or will be next.
+  std::set<RequestIdentity> announced_;
   std::vector<RequestIdentity> new_suspects_;
   uint64_t suspects_version_ = 0;
-  /// Evidence for the log, and how many crashed leafs of each suspect were last logged.
+  /// Evidence for the log.
   std::vector<quarantine::CrashFinding> insufficient_;
-  std::map<RequestIdentity, size_t> assessed_leafs_;
   uint64_t evaluated_version_ = 0;
   Timestamp evaluated_at_{};
   bool pending_ = false;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -202,11 +202,11 @@
   return occurrences;
 }
 
-std::set<RequestIdentity> CrashEvidence::Suspects() const {
-  std::set<RequestIdentity> suspects;
+std::map<RequestIdentity, size_t> CrashEvidence::Suspects() const {
+  std::map<RequestIdentity, size_t> suspects;
   for (const auto& [identity, occurrence] : Occurrences()) {
     if (occurrence.leafs >= options_.leafs) {
-      suspects.insert(identity);
+      suspects[identity] = occurrence.leafs;
     }
   }
   return suspects;
@@ -233,12 +233,6 @@
   return candidates;
 }
 
-size_t CrashEvidence::CrashedLeafs(const RequestIdentity& identity) const {
-  return static_cast<size_t>(std::count_if(crashes_.begin(), crashes_.end(), [&](const auto& item) {
-    return item.second.runs.contains(identity);
-  }));
-}
-
 CrashEvidence::LeafCrashes CrashEvidence::AllCrashes() const {
   LeafCrashes crashes;
   for (const auto& [leaf, crash] : crashes_) {
@@ -270,7 +264,10 @@
   LeafCrashes unexplained = AllCrashes();
   std::vector<CrashFinding> confirmed;
   for (const RequestIdentity& identity : FailedInTrials()) {
-    confirmed.push_back(Evaluate(identity, AllCrashes(), candidates));
+    // Those known to be fatal are evaluated as candidates.
+    if (!known_fatal.contains(identity) && confirmed.size() < options_.max_candidates) {
+      confirmed.push_back(Evaluate(identity, unexplained, candidates));
+    }
   }
   for (const CrashFinding& finding : confirmed) {
     candidates.erase(finding.identity);
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -82,10 +82,8 @@
   CrashFinding Assess(const RequestIdentity& identity,
                       const std::set<RequestIdentity>& known_fatal) const;
   /// Returns the requests that were running at enough crashed leafs, regardless of the number of
-  /// attempts.
-  std::set<RequestIdentity> Suspects() const;
-  /// Number of leafs that crashed while they ran the request.
-  size_t CrashedLeafs(const RequestIdentity& identity) const;
+  /// attempts, with the number of these leafs.
+  std::map<RequestIdentity, size_t> Suspects() const;
   /// Whether the request has succeeded since its last lost run.
   bool HasSucceeded(const RequestIdentity& identity) const { return succeeded_.contains(identity); }
   /// Rises with each change of the evidence.
--- a/src/quarantine/suspect_table.h
+++ b/src/quarantine/suspect_table.h
@@ -35,7 +35,7 @@
     kClear = 3,
   };
   Kind kind = Kind::kAccuse;
-  std::vector<RequestIdentity> requests;
+  std::vector<RequestIdentity> requests = {};
   /// The client's attempt that is to be tried. A repeated operation gets the same trial.
   uint64_t attempt = 0;
   uint32_t number = 0;
--- a/test/control/quarantine_manager_test.cc
+++ b/test/control/quarantine_manager_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(ReleasedConditionallyAfterHoldTime);
   CPPUNIT_TEST(UnansweredProposalIsRepeated);
   CPPUNIT_TEST(MachineWithoutReportsDoesNotReleaseEarly);
+  CPPUNIT_TEST(ManySuspectsAreAllAnnounced);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -122,6 +123,28 @@
     CPPUNIT_ASSERT(proposals >= 2 && proposals <= 3);
   }
 
+  /// Guards against suspects beyond the limit of one announcement that were never announced.
+  void ManySuspectsAreAllAnnounced() {
+    Harness harness;
+    const size_t count = 3 * QuarantineOptions{}.max_new_suspects;
+    wire::RunReport report;
+    for (size_t i = 0; i < count; ++i) {
+      for (const char* leaf : {"a", "b", "c"}) {
+        report.lost.push_back({IdentityOf({std::to_string(i)}), 1, leaf + std::to_string(i), "s"});
+      }
+    }
+    harness.manager.OnReport(harness.now, report);
+    std::set<RequestIdentity> announced;
+    for (int round = 0; round < 4; ++round) {
+      harness.RunFor(Milliseconds(300));
+      for (const RequestIdentity& identity : harness.manager.TakeNewSuspects()) {
+        CPPUNIT_ASSERT(announced.insert(identity).second);
+      }
+      CPPUNIT_ASSERT(harness.manager.TakeInsufficient().size() <= 4);
+    }
+    CPPUNIT_ASSERT_EQUAL(count, announced.size());
+  }
+
   /// The leader changed or was restarted.
   void MachineWithoutReportsDoesNotReleaseEarly() {
     Harness harness;
