Test of all gateways together waits until each is warned; gateways tell how many suspects they know

Cause, by the logs of all five: the fatal gather ended leafs, and the burst at all gateways came 0.10 to 0.11 s later, 11 to 14 ms before the warning arrived: control evaluates evidence each 100 ms, each of its machines by its own clock and for its own connections. Four or five gateways which could not know sent whole gathers. The users' rule counts sends later than contact_ms (4 s and more) after the third crash, so these sends are allowed; the test counted them. Change: the test waits until every gateway knows the suspect, by a new metric, pumicedyke_gateway_suspects; so does OtherCrashesDoNotHideAFatalRequest, where the same could happen. Bounds and checks are as they were.

--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -295,6 +295,8 @@
   const PeerView& peers() const { return peers_; }
   /// Reports of lost runs that wait for an acknowledgement.
   const quarantine::ReportSender& reports() const { return reports_; }
+  /// Returns the number of requests that are sent to leafs with control's permission only.
+  size_t CountSuspects(Timestamp now) const { return run_tracker_.CountSuspects(now); }
   size_t in_progress() const { return active_.size(); }
   /// Returns a quantile of the recent sub-request latencies of a route; zero if there were none.
   Duration LeafLatency(const std::string& route, double quantile) const;
--- a/src/quarantine/run_tracker.cc
+++ b/src/quarantine/run_tracker.cc
@@ -97,15 +97,31 @@
 }
 
 Suspicion RunTracker::SuspicionOf(Timestamp now, const RequestIdentity& identity) const {
-  const auto suspect = suspects_.find(identity);
-  const bool own_losses =
-      suspect != suspects_.end() && suspect->second.leafs.size() >= options_.suspect_leaf_threshold;
-  if (own_losses) {
+  if (HasOwnLosses(identity)) {
     return Suspicion::kOwnLosses;
   }
+  return IsWarned(now, identity) ? Suspicion::kNotice : Suspicion::kNone;
+}
+
+bool RunTracker::HasOwnLosses(const RequestIdentity& identity) const {
+  const auto suspect = suspects_.find(identity);
+  return suspect != suspects_.end() &&
+         suspect->second.leafs.size() >= options_.suspect_leaf_threshold;
+}
+
+bool RunTracker::IsWarned(Timestamp now, const RequestIdentity& identity) const {
   const auto warning = warnings_.find(identity);
-  const bool warned = warning != warnings_.end() && now - warning->second < options_.warning;
-  return warned ? Suspicion::kNotice : Suspicion::kNone;
+  return warning != warnings_.end() && now - warning->second < options_.warning;
+}
+
+size_t RunTracker::CountSuspects(Timestamp now) const {
+  const auto lost_here =
+      std::count_if(suspects_.begin(), suspects_.end(),
+                    [this](const auto& item) { return HasOwnLosses(item.first); });
+  const auto warned_only = std::count_if(warnings_.begin(), warnings_.end(), [&](const auto& item) {
+    return IsWarned(now, item.first) && !HasOwnLosses(item.first);
+  });
+  return static_cast<size_t>(lost_here + warned_only);
 }
 
 bool RunTracker::HasUnclearedLosses(const RequestIdentity& identity) const {
--- a/src/quarantine/run_tracker.h
+++ b/src/quarantine/run_tracker.h
@@ -83,6 +83,8 @@
   bool IsSuspect(Timestamp now, const RequestIdentity& identity) const {
     return SuspicionOf(now, identity) != Suspicion::kNone;
   }
+  /// Returns the number of requests that count as suspects.
+  size_t CountSuspects(Timestamp now) const;
   /// Whether earlier attempts at the request lost runs and none has succeeded since.
   bool HasUnclearedLosses(const RequestIdentity& identity) const;
   /// Returns the observations that were not reported yet, if any.
@@ -97,6 +99,8 @@
     bool cleared = false;
   };
 
+  bool HasOwnLosses(const RequestIdentity& identity) const;
+  bool IsWarned(Timestamp now, const RequestIdentity& identity) const;
   void RecordLost(Timestamp now, const Run& run);
   void RecordAnswer(const Run& run, bool succeeded);
   void RecordSuccess(const RequestIdentity& identity);
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -152,6 +152,9 @@
     page.Counter("pumicedyke_gateway_trials_total", "Decisions on trials of suspect requests.",
                  static_cast<double>(trials), {{"verdict", wire::TrialVerdictName(verdict)}});
   }
+  page.Gauge("pumicedyke_gateway_suspects",
+             "Suspect requests, which are sent with control's permission only.",
+             static_cast<double>(server.CountSuspects(now)));
   AddReportMetrics(now, server.reports(), &page);
   page.AddProcess();
   return page.Text();
--- a/test/platform/crashing_fleet.cc
+++ b/test/platform/crashing_fleet.cc
@@ -128,6 +128,15 @@
   }
 }
 
+void CrashingFleet::WaitUntilAllSuspect() const {
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    const std::string& metrics = fleet_.MetricsAddressOf(GatewayName(i));
+    e2e::WaitFor(GatewayName(i) + " to know the suspect", [&metrics] {
+      return e2e::Metric(metrics, "pumicedyke_gateway_suspects").value_or(0) > 0;
+    });
+  }
+}
+
 void CrashingFleet::RestartAllControl() {
   for (int i = 0; i < PlatformFleet::kControls; ++i) {
     fleet_.processes.at("c" + std::to_string(i))->Kill();
--- a/test/platform/crashing_fleet.h
+++ b/test/platform/crashing_fleet.h
@@ -38,6 +38,8 @@
   http::ClientResponse SendFatalRequest(const std::string& gateway, const std::string& path);
   /// Sends the same fatal request to several gateways at the same moment.
   void SendFatalRequestToAll(const std::vector<std::string>& gateways, const std::string& path);
+  /// Waits until each gateway knows a suspect request. Until then a gateway may send it.
+  void WaitUntilAllSuspect() const;
   /// Kills all control machines at once and starts them again.
   void RestartAllControl();
   /// Kills a gateway and starts it again at the same address; waits until it serves.
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -95,6 +95,10 @@
   const std::string& gateway_directory_address() const { return gateway_directory_address_; }
   const std::string& ready_address() const { return ready_address_; }
   const std::string& metrics_address() const { return metrics_address_; }
+  /// Address of a gateway's metrics, by the name of its process.
+  const std::string& MetricsAddressOf(const std::string& gateway) const {
+    return gateways_.at(gateway).metrics;
+  }
   const std::string& second_metrics_address() const { return second_metrics_address_; }
 
   /// Puts a document at the control machines in turn until one answers definitely. @return the last
--- a/test/platform/suspect_request_test.cc
+++ b/test/platform/suspect_request_test.cc
@@ -44,6 +44,7 @@
     fleet.SendFatalRequest(fleet.gateways().front(), kFatalPath);
     CPPUNIT_ASSERT(fleet.Crashes() >= 3);
     const size_t first_attempts = fleet.FatalAttempts();
+    fleet.WaitUntilAllSuspect();
     for (const std::string& gateway : fleet.gateways()) {
       fleet.WaitForAllShards(gateway);
     }
@@ -59,6 +60,7 @@
     int other_crashes = 0;
     fleet.SendFatalRequest(fleet.gateways().front(), kFatalPath);
     const size_t first_attempts = fleet.FatalAttempts();
+    fleet.WaitUntilAllSuspect();
     for (size_t round = 0; round < 2 * kMaxLaterAttempts; ++round) {
       // More crashes than those of the fatal request so far.
       const int wanted = fleet.Crashes() - other_crashes + kMaxProbes + 1;
--- a/test/quarantine/run_tracker_test.cc
+++ b/test/quarantine/run_tracker_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(QuarantinedRequestThatSucceededIsReportedAgain);
   CPPUNIT_TEST(RunsOfUnknownRequestsAreNotTracked);
   CPPUNIT_TEST(WarningHoldsUntilSuccessOrExpiry);
+  CPPUNIT_TEST(EachSuspectCountsOnce);
   CPPUNIT_TEST(SuspectsAreBounded);
   CPPUNIT_TEST_SUITE_END();
 
@@ -122,6 +123,20 @@
     CPPUNIT_ASSERT(tracked.run_tracker.TakeReport()->succeeded == std::vector{kRequest});
   }
 
+  void EachSuspectCountsOnce() {
+    TrackedRuns tracked;
+    const RequestIdentity warned_only = IdentityOf({"warned"});
+    tracked.run_tracker.OnSuspectNotice(tracked.now, {kRequest, warned_only});
+    for (const char* leaf : {"a", "b", "c"}) {
+      tracked.Lose(tracked.Send(leaf));
+    }
+    const Timestamp expiry = tracked.now + RunTrackerOptions{}.warning;
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, tracked.run_tracker.CountSuspects(tracked.now));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, tracked.run_tracker.CountSuspects(expiry));
+    tracked.Answer(tracked.Send("d"), query::LeafStatus::kOk);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, tracked.run_tracker.CountSuspects(tracked.now));
+  }
+
   void SuspectsAreBounded() {
     TrackedRuns tracked;
     for (const char* leaf : {"a", "b", "c"}) {
