--- a/test/e2e/crashing_server.cc
+++ b/test/e2e/crashing_server.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "e2e/fleet.h"
+#include "e2e/free_address.h"
 
 namespace pumicedyke::e2e {
 
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -1,12 +1,9 @@
 #include "e2e/fleet.h"
 
-#include <arpa/inet.h>
 #include <cppunit/TestAssert.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <spawn.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -21,6 +18,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "e2e/free_address.h"
 
 extern char** environ;  // NOLINT
 
@@ -103,34 +101,6 @@
   std::filesystem::remove_all(folder, ignored);
 }
 
-// Below the system's range for ports of outgoing connections. Such a connection could otherwise
-// take a port before the process that it is meant for listens on it.
-constexpr uint16_t kFirstPort = 10000;
-constexpr uint16_t kPorts = 20000;
-
-std::string FreeAddress() {
-  // Test processes that run in parallel start at different ports, further apart than the number of
-  // ports that one of them needs. A soak with a dozen gateways and sixty leafs needs about 150.
-  constexpr int kPortsOfOneProcess = 397;
-  static auto next = static_cast<uint16_t>(::getpid() * kPortsOfOneProcess % kPorts);
-  for (int tries = 0; tries < kPorts; ++tries) {
-    next = static_cast<uint16_t>((next + 1) % kPorts);
-    const auto port = static_cast<uint16_t>(kFirstPort + next);
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_ANY);
-    address.sin_port = htons(port);
-    const bool free = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-    ::close(socket);
-    if (free) {
-      return absl::StrCat("127.0.0.1:", port);
-    }
-  }
-  CPPUNIT_FAIL("no free port");
-  return {};
-}
-
 // ---- Process ------------------------------------------------------------------------------------
 
 Process::Process(const std::string& name, const std::string& program,
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -23,9 +23,6 @@
 /// prints where the processes' logs are.
 void RemoveUnlessFailing(const std::string& folder);
 
-/// Returns a loopback address whose port is currently free.
-std::string FreeAddress();
-
 class Process {
  public:
   /// Starts build/bin/`program` and waits until it has written its ports.
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "common/json.h"
+#include "e2e/free_address.h"
 #include "http/http_client.h"
 
 namespace pumicedyke::platform {
