A leaf that may restart under its id is not reported alive

Callers would see: a fatal request that goes on. Cause, by reading: a gateway reports a leaf that answers after it lost runs as alive, and control discards every crash of that name. JSON nodes had this right by an option; it is a property of each run now, for leafs that tell when they were born. Tests, both failed before: LeafThatRestartedUnderItsIdIsNotReportedAlive, LeafThatMayHaveRestartedIsNotReportedAlive (the answer may come before the report of the next life, so comparing the times of birth is not enough).

--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -22,10 +22,12 @@
 
 }  // namespace
 
-void GatewayServer::TrackRun(Timestamp now, const Active& active, const LeafSend& send,
-                             const std::string& service) {
-  run_tracker_.OnSent(send.id, {active.request->identity, AttemptOf(*active.request), send.leaf,
-                                service, now, active.trial});
+void GatewayServer::TrackRun(Timestamp now, const Active& active, SubRequestId id,
+                             const wire::LeafRecord& leaf) {
+  // Leafs that tell when they were started may restart under their id.
+  const bool name_reused = leaf.born_ms != 0;
+  run_tracker_.OnSent(id, {active.request->identity, AttemptOf(*active.request), leaf.leaf,
+                           leaf.service, now, active.trial, name_reused});
 }
 
 quarantine::Suspicion GatewayServer::SuspicionOf(Timestamp now,
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -328,7 +328,7 @@
     out.tenant = active->tenant;
     out.head = active->head;
     out.priority = active->priority;
-    TrackRun(now, *active, out, record.service);
+    TrackRun(now, *active, send.id, record);
     output_.sends.push_back(std::move(out));
   }
   for (const query::SubRequestCancel& cancel : actions.cancels) {
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -492,8 +492,7 @@
   /// Applies the list of quarantined requests and stops those in progress.
   void ApplyQuarantine(Timestamp now);
   void StopQuarantined(Timestamp now, RequestId id);
-  void TrackRun(Timestamp now, const Active& active, const LeafSend& send,
-                const std::string& service);
+  void TrackRun(Timestamp now, const Active& active, SubRequestId id, const wire::LeafRecord& leaf);
   /// Reports new lost runs to every control machine.
   void ReportRuns(Timestamp now);
   /// Returns the execution options for a request: a request that has lost leafs before is tried at
--- a/src/node/node_quarantine.cc
+++ b/src/node/node_quarantine.cc
@@ -21,7 +21,8 @@
 void NodeServer::TrackRun(Timestamp now, RequestId id, const Active& active,
                           const query::LeafRequest& sent) {
   run_tracker_.OnSent(sent.id, {active.request.identity, AttemptOf(id), sent.leaf,
-                                active.request.service, now, active.trial});
+                                active.request.service, now, active.trial,
+                                /*leaf_name_reused=*/true});
 }
 
 bool NodeServer::IsSuspect(Timestamp now, const RequestIdentity& identity) const {
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -56,7 +56,7 @@
   Duration retry_when_quarantined = Seconds(60);
   /// Retry hint when too many requests wait for a trial.
   Duration retry_without_trial = Milliseconds(500);
-  quarantine::RunTrackerOptions run_tracker{.names_identify_incarnations = false};
+  quarantine::RunTrackerOptions run_tracker;
   /// Replaces the policies of all services in benchmarks.
   std::optional<policy::QueryPlan> plan_override;
 };
--- a/src/quarantine/run_tracker.cc
+++ b/src/quarantine/run_tracker.cc
@@ -41,8 +41,7 @@
 
 void RunTracker::RecordAnswer(const Run& run, bool succeeded) {
   const auto lost = lost_at_.find(run.leaf);
-  const bool alive =
-      options_.names_identify_incarnations && lost != lost_at_.end() && run.sent > lost->second;
+  const bool alive = !run.leaf_name_reused && lost != lost_at_.end() && run.sent > lost->second;
   if (alive) {
     Report().alive_leafs.push_back(run.leaf);
     lost_at_.erase(lost);
--- a/src/quarantine/run_tracker.h
+++ b/src/quarantine/run_tracker.h
@@ -31,9 +31,6 @@
   /// A request that lost runs at this many leafs and has not succeeded since is tried at one leaf
   /// first.
   size_t suspect_leaf_threshold = 3;
-  /// Whether a leaf's name identifies one incarnation, so that a leaf that answers again has not
-  /// crashed.
-  bool names_identify_incarnations = true;
 };
 
 /// One sub-request at a leaf.
@@ -46,6 +43,9 @@
   Timestamp sent{};
   /// Number of the trial that the run is part of; zero: none.
   uint32_t trial = 0;
+  /// Whether the leaf's next incarnation may have the same name, so that a later answer under it
+  /// does not prove that the leaf has not crashed.
+  bool leaf_name_reused = false;
 };
 
 /// Why a request counts as a suspect.
--- a/test/gateway/gateway_quarantine_test.cc
+++ b/test/gateway/gateway_quarantine_test.cc
@@ -23,6 +23,15 @@
     h.Put(1, kDocument);
     h.Report(leafs);
   }
+  void ReportLeafsOfFirstShard(uint64_t born_ms) {
+    std::vector<wire::LeafRecord> leafs;
+    for (const size_t i : {size_t{0}, kShards}) {
+      leafs.push_back(GatewayHarness::Leaf("leaf" + std::to_string(i), "s0"));
+      leafs.back().born_ms = born_ms;
+    }
+    h.Report(leafs);
+    h.Pass(Milliseconds(50));
+  }
   /// Returns all reports of lost runs sent to control, combined.
   wire::RunReport Reported() const {
     wire::RunReport all;
@@ -31,6 +40,8 @@
         all.lost.insert(all.lost.end(), report->lost.begin(), report->lost.end());
         all.succeeded.insert(all.succeeded.end(), report->succeeded.begin(),
                              report->succeeded.end());
+        all.alive_leafs.insert(all.alive_leafs.end(), report->alive_leafs.begin(),
+                               report->alive_leafs.end());
       }
     }
     return all;
@@ -50,6 +61,9 @@
   CPPUNIT_TEST(MergerRefusesQuarantinedRequests);
   CPPUNIT_TEST(LostRunsAreReported);
   CPPUNIT_TEST(LostRunsAreReportedUntilAcknowledged);
+  CPPUNIT_TEST(LeafThatRestartedUnderItsIdIsNotReportedAlive);
+  CPPUNIT_TEST(LeafThatMayHaveRestartedIsNotReportedAlive);
+  CPPUNIT_TEST(LeafWithAnIdOfItsOwnIsReportedAlive);
   CPPUNIT_TEST(AbandonedRunsAreReported);
   CPPUNIT_TEST(AfterThreeLossesOneLeafIsTriedBeforeOthers);
   CPPUNIT_TEST(TwoLostProbesEndTheRequest);
@@ -188,6 +202,25 @@
     CPPUNIT_ASSERT_EQUAL(reported_after, g.Reported().lost.size());
   }
 
+  /// Guards against the loss of evidence where leafs restart under the same id: the first answer of
+  /// the next incarnation proved that the leaf had not crashed.
+  void LeafThatRestartedUnderItsIdIsNotReportedAlive() {
+    const wire::RunReport report = ReportOfLossAndAnswer(1000, 2000);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, report.lost.size());
+    CPPUNIT_ASSERT(report.alive_leafs.empty());
+  }
+
+  /// The same if the answer arrives before the report of the next incarnation.
+  void LeafThatMayHaveRestartedIsNotReportedAlive() {
+    CPPUNIT_ASSERT(ReportOfLossAndAnswer(1000, 1000).alive_leafs.empty());
+  }
+
+  void LeafWithAnIdOfItsOwnIsReportedAlive() {
+    const wire::RunReport report = ReportOfLossAndAnswer(0, 0);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, report.lost.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, report.alive_leafs.size());
+  }
+
   /// The leaf crashes after the client has received its answer.
   void AbandonedRunsAreReported() {
     TwelveLeafs g;
@@ -403,6 +436,21 @@
   }
 
  private:
+  /// Both leafs of a shard lose a run, then one of them answers another request.
+  static wire::RunReport ReportOfLossAndAnswer(uint64_t born_ms, uint64_t born_ms_later) {
+    TwelveLeafs g;
+    g.ReportLeafsOfFirstShard(born_ms);
+    g.h.Ask("/one/fatal");
+    for (size_t i = 0; i < g.h.sends.size(); ++i) {
+      g.h.Lose(g.h.sends[i]);
+    }
+    g.ReportLeafsOfFirstShard(born_ms_later);
+    g.h.Ask("/one/usual");
+    g.h.Reply(g.h.sends.back(), query::LeafStatus::kOk, "sixteen bytes...");
+    g.h.Pass(Milliseconds(50));
+    return g.Reported();
+  }
+
   static void LoseThree(TwelveLeafs* g) {
     CPPUNIT_ASSERT_EQUAL(kShards, g->h.sends.size());
     // The first two are retried at once, as usual.
