review: case 3 also shows that an order that cannot be read is acknowledged

The script first sends a configuration followed by a zero byte and text, which is acknowledged and read back.

--- a/review/standin/unreadable.cc
+++ b/review/standin/unreadable.cc
@@ -1,18 +1,19 @@
-// An operator sends a configuration that cannot be read whole, as PROTOCOL.md says: to another
-// control machine after a failure, until there is a clear answer. Counts the control processes that
-// end by themselves.
+// An operator sends configurations that cannot be read whole, as PROTOCOL.md says: to another
+// control machine after a failure, until there is a clear answer. First one whose last bytes are
+// text, then one whose last bytes are not. Counts the control processes that end by themselves.
 //
 //   unreadable ROOT RECORD
 //
-// With TROUBLE=0 the operator sends a configuration that is valid instead. Exits with 1 if the rule
-// Fault was broken: on half of the core, processes end by themselves three times.
+// With TROUBLE=0 the operator sends valid configurations instead. Exits with 1 if the rule CONFIG
+// was broken ("Anything invalid is acknowledged"), or the rule Fault (on half of the core,
+// processes end by themselves three times).
 #include "fleet.h"
 
 namespace {
 
 using namespace review;  // NOLINT
 
-constexpr double kOrderMs = 40000;
+constexpr double kOrderMs = 30000;
 constexpr double kRestartDelayMs = 300;
 constexpr int kExits = 3;
 
@@ -52,9 +53,21 @@
   out << NowMs() << " version 7 is acknowledged, the gateways are ready\n";
   SleepMs(4000);
 
-  // The bytes after the end of the object are what a sender leaves that sends its whole buffer.
-  const std::string order =
-      disturbed ? Document(8) + std::string("\0\xff\xfe\x80 left over", 13) : Document(8);
+  // What follows the object is what a sender leaves that sends the whole of its buffer.
+  const std::string left_text = disturbed ? std::string("\0 left over", 11) : "";
+  const std::string left_bytes = disturbed ? std::string("\0\xff\xfe\x80 left over", 14) : "";
+  const Message first = Call(fleet.service(0), "POST", "/v1/config/put",
+                             {{"Host", "control"}, {"Content-Type", "application/json"}},
+                             Document(8) + left_text, 3000);
+  const bool acknowledged = StatusOf(first) == 200;
+  SleepMs(500);
+  const Message read =
+      Call(fleet.service(1), "GET", "/v1/config/get", {{"Host", "control"}}, "", 3000);
+  const bool in_force = read.body == Document(8) + left_text;
+  out << NowMs() << " version 8 and left-over text: " << first.first_line
+      << (in_force ? "; it is read back as it was sent\n" : "; it is not read back\n");
+
+  const std::string order = Document(9) + left_bytes;
   std::vector<int> exits(fleet.controls(), 0);
   std::vector<double> restart_at(fleet.controls(), 0);
   double pause = 100;
@@ -93,7 +106,9 @@
   const auto often =
       std::count_if(exits.begin(), exits.end(), [](int count) { return count >= kExits; });
   std::ostringstream summary;
-  summary << "attempts " << attempts << ", last status " << status << ", ends by themselves:";
+  summary << "left-over text: status " << StatusOf(first) << (in_force ? ", in force" : "")
+          << "; left-over bytes: attempts " << attempts << ", last status " << status
+          << ", ends by themselves:";
   for (const int count : exits) {
     summary << " " << count;
   }
@@ -101,6 +116,8 @@
   out << summary.str();
   std::fputs(summary.str().c_str(), stdout);
   std::fflush(stdout);
-  const bool broken = 2 * static_cast<size_t>(often) >= fleet.controls();
-  return broken ? 1 : disturbed || status == 200 ? 0 : 2;
+  const bool fault = 2 * static_cast<size_t>(often) >= fleet.controls();
+  const bool config = disturbed && (acknowledged || in_force);
+  const bool valid_accepted = acknowledged && in_force && status == 200;
+  return fault || config ? 1 : disturbed || valid_accepted ? 0 : 2;
 }
