--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 cd "$(dirname "$0")/.."
 [ -x target/bin/pumicedyke-gateway ] && [ -x target/bin/pumicedyke-control ] || tools/deploy-build
 mkdir -p review/bin
-for name in mutating unreadable; do
+for name in mutating replaced unreadable; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "review/bin/$name" "review/standin/$name.cc"
 done
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -183,7 +183,8 @@
   return answer.first_line.size() < 12 ? 0 : std::atoi(answer.first_line.c_str() + 9);
 }
 
-/// The deployment: control machines 127.0.0.1 to 127.0.0.5 and gateways from 127.0.0.11 on.
+/// The deployment: control machines from 127.0.0.1 on and gateways from 127.0.0.11 on. The first
+/// three control machines are the seeds.
 class Fleet {
  public:
   Fleet(std::string root, int controls, int gateways) : root_(std::move(root)) {
@@ -268,6 +269,12 @@
     ::waitpid(pids_.at(name), nullptr, 0);
     pids_.erase(name);
   }
+  /// Empties the data folder of a control machine whose process does not run.
+  void LoseDisk(size_t control) const {
+    const std::string folder = folder_ + "/data-" + std::to_string(control);
+    const int result = std::system(("rm -rf '" + folder + "'").c_str());
+    static_cast<void>(result);
+  }
   /// Whether the process has ended by itself; it can then be started again.
   bool HasEnded(const std::string& name) {
     const auto it = pids_.find(name);
