--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -20,6 +20,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -188,8 +189,11 @@
 class Fleet {
  public:
   Fleet(std::string root, int controls, int gateways) : root_(std::move(root)) {
-    char name[] = "/tmp/pumicedyke-review-XXXXXX";
-    folder_ = ::mkdtemp(name);
+    folder_ = std::filesystem::temp_directory_path() / "pumicedyke-review-XXXXXX";
+    if (::mkdtemp(folder_.data()) == nullptr) {
+      std::perror("temporary folder");
+      std::exit(2);
+    }
     for (int i = 0; i < controls; ++i) {
       control_ips_.push_back("127.0.0." + std::to_string(1 + i));
     }
