Orders that cannot be read whole are refused, and end no process

Cause: the JSON library takes a zero byte between tokens for the end of the text. What stands behind it was kept with the document, and encoding that as a string of a log command throws for bytes that are not UTF-8, which nothing caught. Ruled out: bytes without a zero byte (BadDocumentsAreRefused had them, refused).

EncodeCommand returns an error instead of throwing, and ControlServer::Route answers it. Related paths, found by following each parse and each strict dump: an Idempotency-Key that is not UTF-8 ended the node, or the control machine that a node sent it to; an order on a zone with such a name where no zones are configured; put_service with an address or zone that is no string; the leaf stand-in's cancel. Each is refused by an error now.

Tests, failed before: DialectTest BodiesWithSurplusBytesAreRefused and BadCommandsAreRefused, ControlGroupTest CommandsThatAreNoTextAreRefusedAtOnce, and on real processes PlatformEndToEndTest UnreadableOrdersAreRefusedAndEndNoProcess, ContractTest BytesThatAreNoTextEndNoProcess and Operators (the two latter shared a fleet whose control machine had ended).

--- a/src/config/config_state.cc
+++ b/src/config/config_state.cc
@@ -340,7 +340,7 @@
 }
 
 absl::StatusOr<ConfigState> ConfigState::Deserialize(const std::string& bytes) {
-  const Json json = Json::parse(bytes, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(bytes);
   ConfigState state;
   try {
     json.at("version").get_to(state.version_);
--- a/src/config/model.cc
+++ b/src/config/model.cc
@@ -38,14 +38,6 @@
   return MakeStatus(ResultCode::kInvalidConfig, "field '" + field + "': " + allowed);
 }
 
-bool IsName(const std::string& text) {
-  const auto allowed = [](char c) {
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
-  };
-  return !text.empty() && text.size() <= kMaxNameLength &&
-         std::all_of(text.begin(), text.end(), allowed);
-}
-
 absl::Status ReadName(const Json& json, const std::string& key, const std::string& field,
                       std::string* out) {
   if (!json.contains(key) || !json[key].is_string() || !IsName(json[key].get<std::string>())) {
@@ -95,10 +87,15 @@
     if (!seen.insert(leaf.id).second) {
       return FieldError(prefix + "id", "is there twice: " + leaf.id);
     }
-    leaf.address = item.value("address", "");
+    if (item.contains("address") && item["address"].is_string()) {
+      leaf.address = item["address"].get<std::string>();
+    }
     if (!IsAddress(leaf.address)) {
       return FieldError(prefix + "address", "must be an IP number and a port");
     }
+    if (item.contains("zone") && !item["zone"].is_string()) {
+      return FieldError(prefix + "zone", "must be a string");
+    }
     leaf.zone = item.value("zone", "");
     uint64_t slots = 1;
     if (item.contains("slots")) {
@@ -268,6 +265,14 @@
 
 }  // namespace
 
+bool IsName(const std::string& text) {
+  const auto allowed = [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
+  };
+  return !text.empty() && text.size() <= kMaxNameLength &&
+         std::all_of(text.begin(), text.end(), allowed);
+}
+
 void to_json(Json& json, const ReportedLeaf& leaf) {
   json = {{"id", leaf.id},     {"service", leaf.service}, {"address", leaf.address},
           {"zone", leaf.zone}, {"slots", leaf.slots},     {"reporter", leaf.reporter}};
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -187,4 +187,7 @@
 /// @return kInvalidConfig naming the first field that is wrong.
 absl::StatusOr<Change> ParseChange(const Json& json);
 
+/// Whether `text` may name a service, a leaf or a zone: 1 to 64 letters, digits, '-', '_' or '.'.
+bool IsName(const std::string& text);
+
 }  // namespace pumicedyke::config
--- a/src/control/control_commands.cc
+++ b/src/control/control_commands.cc
@@ -34,16 +34,22 @@
   DrainRaft(now);
 }
 
-void ControlServer::Route(Timestamp now, const std::string& command, Origin origin) {
+void ControlServer::Route(Timestamp now, const absl::StatusOr<std::string>& command,
+                          Origin origin) {
+  if (!command.ok()) {
+    Answer(origin, ResultJson(CodeOf(command.status()), std::string(command.status().message()),
+                              state_.config().version().value));
+    return;
+  }
   origin.deadline = now + options_.submission_timeout;
   if (raft_.role() == consensus::Role::kLeader) {
-    ProposeHere(now, command, origin);
+    ProposeHere(now, *command, origin);
     return;
   }
   const uint64_t ticket = next_ticket_++;
   ForwardedCommand& forwarded = forwarded_[ticket];
   forwarded.origin = origin;
-  forwarded.command = command;
+  forwarded.command = *command;
   SendForwarded(now, ticket, &forwarded);
 }
 
@@ -164,7 +170,7 @@
       SendToMember(origin.peer, wire::ForwardedReply{origin.ticket, result});
       break;
     case Origin::Kind::kLedger: {
-      const Json json = Json::parse(result, nullptr, /*allow_exceptions=*/false);
+      const Json json = ParseJson(result);
       if (!json.is_object() || !json.contains("verdict")) {
         break;
       }
--- a/src/control/control_quarantine.cc
+++ b/src/control/control_quarantine.cc
@@ -128,7 +128,7 @@
 }
 
 void ControlServer::AnswerTrial(const Origin& origin, const std::string& result) {
-  const Json json = Json::parse(result, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(result);
   if (!json.is_object() || !json.contains("granted")) {
     // Not decided: the gateway or node asks again or refuses the request.
     return;
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -337,7 +337,15 @@
   origin.kind = Origin::Kind::kLedger;
   origin.session = id;
   origin.request = request.request;
-  Route(now, EncodeCommand(operation), origin);
+  const absl::StatusOr<std::string> command = EncodeCommand(operation);
+  if (!command.ok()) {
+    // Such a key was never claimed, so the request has not run. Nodes refuse it themselves, but for
+    // those of an older version.
+    output_.sessions.push_back(
+        {id, Wrap(wire::LedgerReply{request.request, wire::LedgerVerdict::kFingerprintMismatch})});
+    return;
+  }
+  Route(now, command, origin);
 }
 
 // ---- Stopping -----------------------------------------------------------------------------------
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -216,7 +216,7 @@
   };
 
   // Pending commands.
-  void Route(Timestamp now, const std::string& command, Origin origin);
+  void Route(Timestamp now, const absl::StatusOr<std::string>& command, Origin origin);
   void ProposeHere(Timestamp now, const std::string& command, Origin origin);
   void Answer(const Origin& origin, const std::string& result);
   /// Answers that the outcome of the command is unknown on this machine.
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -15,12 +15,12 @@
 
 }  // namespace
 
-std::string EncodeCommand(const config::Change& change) {
-  return Json{{kChangeField, change}}.dump();
+absl::StatusOr<std::string> EncodeCommand(const config::Change& change) {
+  return EncodeJson(Json{{kChangeField, change}});
 }
 
-std::string EncodeCommand(const ledger::Operation& operation) {
-  return Json{{kLedgerField, operation}}.dump();
+absl::StatusOr<std::string> EncodeCommand(const ledger::Operation& operation) {
+  return EncodeJson(Json{{kLedgerField, operation}});
 }
 
 std::string EncodeCommand(const quarantine::SuspectOperation& operation) {
@@ -28,7 +28,7 @@
 }
 
 std::string ControlState::Apply(const std::string& command) {
-  const Json json = Json::parse(command, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(command);
   if (json.is_object() && json.contains(kChangeField)) {
     absl::StatusOr<config::Change> change = config::ParseChange(json[kChangeField]);
     if (change.ok()) {
@@ -114,7 +114,7 @@
 absl::Status ControlState::Restore(const std::string& bytes) {
   ControlState restored(options_);
   try {
-    const Json json = Json::parse(bytes);
+    const Json json = ParseJson(bytes);
     absl::StatusOr<config::ConfigState> config =
         config::ConfigState::Deserialize(json.at("config").get<std::string>());
     if (!config.ok()) {
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "config/config_state.h"
 #include "ledger/ledger.h"
 #include "quarantine/suspect_table.h"
@@ -36,9 +37,9 @@
 };
 
 /// Encodes a command of the log: a configuration change, or an operation on the ledger or on the
-/// suspect requests.
-std::string EncodeCommand(const config::Change& change);
-std::string EncodeCommand(const ledger::Operation& operation);
+/// suspect requests. @return kMalformedRequest if the command contains text that is not UTF-8.
+absl::StatusOr<std::string> EncodeCommand(const config::Change& change);
+absl::StatusOr<std::string> EncodeCommand(const ledger::Operation& operation);
 std::string EncodeCommand(const quarantine::SuspectOperation& operation);
 
 class ControlState {
--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -96,8 +96,7 @@
     if (!command.ok()) {
       return false;
     }
-    absl::StatusOr<config::Change> parsed =
-        config::ParseChange(Json::parse(*command, nullptr, /*allow_exceptions=*/false));
+    absl::StatusOr<config::Change> parsed = config::ParseChange(ParseJson(*command));
     if (!parsed.ok()) {
       return false;
     }
--- a/src/node/platform_list.cc
+++ b/src/node/platform_list.cc
@@ -6,7 +6,7 @@
 namespace pumicedyke::node {
 
 absl::StatusOr<std::set<std::string>> ReadPlatformList(std::string_view bytes) {
-  const Json json = Json::parse(bytes, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(bytes);
   if (!json.is_object() || !json.contains("leaving") || !json["leaving"].is_array()) {
     return MakeStatus(ResultCode::kMalformedRequest, "field 'leaving': must be a list");
   }
--- a/src/programs/pumicectl_main.cc
+++ b/src/programs/pumicectl_main.cc
@@ -80,7 +80,7 @@
 
 /// Whether another control machine, or a later retry, may give a definite answer.
 bool IsRetryable(const http::ClientResponse& response) {
-  const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(response.body);
   const int code = json.is_object() ? json.value("code", 0) : -1;
   return !response.ok() || code == static_cast<int>(ResultCode::kNoQuorum) ||
          code == static_cast<int>(ResultCode::kNotLeader) ||
@@ -121,7 +121,7 @@
 }
 
 int PrintChange(const http::ClientResponse& response) {
-  Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  Json json = ParseJson(response.body);
   if (!json.is_object()) {
     return Fail(ExitCode::kUnavailable,
                 "no control machine answered: " +
@@ -197,7 +197,7 @@
     request.timeout = Seconds(2);
     request.authorization = Authorization();
     const http::ClientResponse response = http::FetchBlocking(request);
-    const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+    const Json json = ParseJson(response.body);
     if (!json.is_object()) {
       std::cerr << address << ": no answer\n";
       continue;
@@ -226,7 +226,7 @@
 
 int ShowConfig(const Arguments& /*arguments*/) {
   const http::ClientResponse response = CallControl("/v1/config", "");
-  const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(response.body);
   if (!json.is_object()) {
     return Fail(ExitCode::kUnavailable, "no control machine answered");
   }
@@ -266,7 +266,7 @@
   if (!ok) {
     return Fail(ExitCode::kUsage, "cannot read " + arguments[0]);
   }
-  const Json tenants = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  const Json tenants = ParseJson(text);
   if (!tenants.is_array()) {
     return Fail(ExitCode::kUsage, arguments[0] + " does not contain a JSON list");
   }
@@ -275,7 +275,7 @@
 
 int ShowTenants(const Arguments& /*arguments*/) {
   const http::ClientResponse response = CallControl("/v1/config", "");
-  const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(response.body);
   if (!json.is_object()) {
     return Fail(ExitCode::kUnavailable, "no control machine answered");
   }
@@ -357,7 +357,7 @@
   request.unrepeatable = !FLAGS_key.empty();
   const http::ClientResponse response = http::FetchBlocking(request);
   absl::StatusOr<query::Answer> answer = query::AnswerFromJson(response.body);
-  const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(response.body);
   if (!json.is_object()) {
     return Fail(ExitCode::kUnavailable, "the node did not answer: " + response.error);
   }
--- a/src/programs/pumicedyke_platform_main.cc
+++ b/src/programs/pumicedyke_platform_main.cc
@@ -24,7 +24,7 @@
       &loop, {}, [&](const http::HttpRequest& request, http::Responder responder) {
         const bool replaces = request.path == "/v1/machines" && request.method == "POST";
         if (replaces) {
-          const Json json = Json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+          const Json json = ParseJson(request.body);
           if (!json.is_object() || !json.contains("leaving") || !json["leaving"].is_array()) {
             responder.Send(server::ErrorResponse(ResultCode::kMalformedRequest,
                                                  "field 'leaving' must be a list of names"));
--- a/src/query/messages.cc
+++ b/src/query/messages.cc
@@ -114,6 +114,10 @@
     return FieldError(ResultCode::kMalformedRequest, "Idempotency-Key",
                       "must be at most 128 bytes");
   }
+  // The ledger and the leafs get the key as text.
+  if (!EncodeJson(idempotency_key).ok()) {
+    return FieldError(ResultCode::kMalformedRequest, "Idempotency-Key", "must be UTF-8 text");
+  }
   for (const auto& [name, value] : json->items()) {
     const std::array<const char*, 7> known = {"service", "query",        "class", "deadline_ms",
                                               "shards",  "continuation", "limit"};
@@ -325,7 +329,7 @@
     return bad;
   }
   try {
-    const Json json = Json::parse(text);
+    const Json json = ParseJson(text);
     Continuation continuation;
     json.at("service").get_to(continuation.service);
     json.at("snapshot").get_to(continuation.snapshot);
--- a/src/server/config_view.cc
+++ b/src/server/config_view.cc
@@ -8,7 +8,7 @@
 
 std::string ViewOfConfig(const std::string& state, const routing::DocumentReader* documents) {
   constexpr char kDocument[] = "document";
-  Json json = Json::parse(state, nullptr, /*allow_exceptions=*/false);
+  Json json = ParseJson(state);
   if (!json.is_object() || !json.contains(kDocument)) {
     return state;
   }
--- a/src/server/control_dialect_calls.cc
+++ b/src/server/control_dialect_calls.cc
@@ -17,7 +17,7 @@
 
 /// Returns the error that a reply of the control server contains, or OK if it is a success.
 absl::Status StatusOfReply(const control::OperatorReply& reply) {
-  const Json body = Json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
+  const Json body = ParseJson(reply.body);
   if (!body.is_object()) {
     return MakeStatus(ResultCode::kInternal, "unreadable reply");
   }
@@ -27,7 +27,7 @@
 
 /// Returns the current revision of the object that a refused change concerned.
 uint64_t RevisionOfReply(const control::OperatorReply& reply) {
-  const Json body = Json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
+  const Json body = ParseJson(reply.body);
   return body.is_object() ? body.value("revision", uint64_t{0}) : 0;
 }
 
@@ -69,6 +69,7 @@
 void ControlProcess::OnDialect(const http::HttpRequest& request, http::Responder responder) {
   absl::StatusOr<control::Command> command = dialect_->ReadCommand(request);
   if (!command.ok()) {
+    log_.OnRefusedCall(net::EventLoop::Now(), request, command.status());
     responder.Send(dialect_->WriteRefusal(command.status()));
     return;
   }
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -14,7 +14,7 @@
 namespace {
 
 int CodeOfReply(const control::OperatorReply& reply) {
-  const Json body = Json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
+  const Json body = ParseJson(reply.body);
   return body.is_object() ? body.value("code", 0) : 0;
 }
 
--- a/src/server/leaf_process.cc
+++ b/src/server/leaf_process.cc
@@ -56,9 +56,10 @@
   if (request.path == "/v1/search") {
     OnSearch(request, std::move(responder));
   } else if (request.path == "/v1/cancel") {
-    const Json json = Json::parse(request.body, nullptr, /*allow_exceptions=*/false);
-    if (json.is_object() && json.contains("id") && json["id"].is_number_unsigned()) {
-      model_.Cancel(net::EventLoop::Now(), json.value("origin", ""),
+    const Json json = ParseJson(request.body);
+    if (json.is_object() && json.contains("id") && json["id"].is_number_unsigned() &&
+        json.contains("origin") && json["origin"].is_string()) {
+      model_.Cancel(net::EventLoop::Now(), json["origin"].get<std::string>(),
                     json["id"].get<SubRequestId>());
     }
     responder.Send({200, "{}"});
@@ -84,7 +85,7 @@
 }
 
 void LeafProcess::OnAdmin(const http::HttpRequest& request, http::Responder responder) {
-  const Json json = Json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(request.body);
   if (!json.is_object()) {
     responder.Send(ErrorResponse(ResultCode::kMalformedRequest, "not a JSON object"));
     return;
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -292,7 +292,7 @@
     call.timeout = kProbeTimeout;
     client_->Start(call, [this, leaf](const http::ClientResponse& response) {
       health_calls_.erase(leaf);
-      const Json json = Json::parse(response.body, nullptr, /*allow_exceptions=*/false);
+      const Json json = ParseJson(response.body);
       const bool readable = response.ok() && json.is_object() && json.contains("draining") &&
                             json["draining"].is_boolean();
       if (readable) {
--- a/src/sim/world_control.cc
+++ b/src/sim/world_control.cc
@@ -52,7 +52,7 @@
   operators_[ticket] = [this, from, host, change,
                         on_result = std::move(on_result)](const std::string& body) {
     network.Send(host->name(), from, [this, change, body, on_result] {
-      const Json json = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+      const Json json = ParseJson(body);
       const auto result = json.get<config::ChangeResult>();
       history.OnOperatorAnswer(clock.now(), change, result);
       on_result(result);
@@ -163,7 +163,7 @@
     }
     const control::TicketId ticket = next_ticket_++;
     operators_[ticket] = [this, name = control->name(), losses = losses_](const std::string& body) {
-      const Json status = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+      const Json status = ParseJson(body);
       const bool about_this_loss = repair_pending && losses == losses_;
       if (about_this_loss && status.value("fully_redundant", false)) {
         OnRedundancyReported(name);
--- a/test/config/zone_order_test.cc
+++ b/test/config/zone_order_test.cc
@@ -17,7 +17,7 @@
 }
 
 config::ChangeResult Apply(ControlState* state, const config::Change& change) {
-  return Json::parse(state->Apply(EncodeCommand(change))).get<config::ChangeResult>();
+  return Json::parse(state->Apply(*EncodeCommand(change))).get<config::ChangeResult>();
 }
 
 }  // namespace
--- a/test/control/control_group.h
+++ b/test/control/control_group.h
@@ -90,6 +90,9 @@
           if (const auto* notice = std::get_if<wire::SuspectNotice>(&message.envelope.body)) {
             notices_.push_back(*notice);
           }
+          if (const auto* verdict = std::get_if<wire::LedgerReply>(&message.envelope.body)) {
+            ledger_replies_.push_back(*verdict);
+          }
         }
         for (const OperatorReply& reply : output.operators) {
           answers_[reply.ticket] = reply.body;
@@ -133,6 +136,9 @@
     config::Change change;
     change.kind = config::ChangeKind::kPutDocument;
     change.document = {version, "{}"};
+    Submit(at, ticket, change);
+  }
+  void Submit(MemberId at, TicketId ticket, const config::Change& change) {
     machines_.at(at).server->Submit(now_, ticket, change);
     Deliver();
   }
@@ -160,6 +166,7 @@
   /// Returns the decisions on trials since the last call; the same below for warnings.
   std::vector<wire::TrialReply> TakeTrialReplies() { return std::exchange(trial_replies_, {}); }
   std::vector<wire::SuspectNotice> TakeNotices() { return std::exchange(notices_, {}); }
+  std::vector<wire::LedgerReply> TakeLedgerReplies() { return std::exchange(ledger_replies_, {}); }
   /// Kills all machines at once and starts them again with their disks.
   void RestartAll() {
     for (auto& [id, machine] : machines_) {
@@ -205,6 +212,7 @@
   std::vector<uint64_t> acknowledged_numbers_;
   std::vector<wire::TrialReply> trial_replies_;
   std::vector<wire::SuspectNotice> notices_;
+  std::vector<wire::LedgerReply> ledger_replies_;
   std::set<MemberId> paused_;
   std::set<MemberId> side_;
   uint64_t starts_ = 0;
--- a/test/control/control_group_test.cc
+++ b/test/control/control_group_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(ReportIsAcknowledgedWithQuorumAndRelayedToAll);
   CPPUNIT_TEST(ReportsAreAcknowledgedToTheirSendersOnly);
   CPPUNIT_TEST(MessagesForOthersAreNotHandled);
+  CPPUNIT_TEST(CommandsThatAreNoTextAreRefusedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -122,6 +123,36 @@
     CPPUNIT_ASSERT(!group.Deliver(leader, wire::GatewayPresence{}));
     CPPUNIT_ASSERT(group.Deliver(leader, wire::RunReport{}));
   }
+
+  /// Guards against bytes that are not UTF-8, which no entry of the log can hold, ending the
+  /// machine that gets them.
+  void CommandsThatAreNoTextAreRefusedAtOnce() {
+    const std::string bytes = "\xff\xfe";
+    Group group;
+    const MemberId leader = group.WaitForLeader();
+    config::Change document;
+    document.kind = config::ChangeKind::kPutDocument;
+    document.document = {1, bytes};
+    config::Change zone;
+    zone.kind = config::ChangeKind::kEvacuateZone;
+    zone.zone = bytes;
+    TicketId ticket = 0;
+    for (const config::Change& change : {document, zone}) {
+      group.Submit(leader, ++ticket, change);
+      CPPUNIT_ASSERT(group.WaitFor(ticket) <= kStep);
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(ResultCode::kMalformedRequest), group.CodeOf(ticket));
+    }
+    // A node of an older version may send such a key: it must not wait for an answer.
+    wire::LedgerRequest claim;
+    claim.key = bytes;
+    claim.request = 7;
+    group.Deliver(leader, claim);
+    group.Deliver();
+    const std::vector<wire::LedgerReply> replies = group.TakeLedgerReplies();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, replies.size());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{7}, replies[0].request);
+    CPPUNIT_ASSERT(replies[0].verdict == wire::LedgerVerdict::kFingerprintMismatch);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlGroupTest);
 
--- a/test/e2e/contract_test.cc
+++ b/test/e2e/contract_test.cc
@@ -60,6 +60,7 @@
 class ContractTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ContractTest);
   CPPUNIT_TEST(Callers);
+  CPPUNIT_TEST(BytesThatAreNoTextEndNoProcess);
   CPPUNIT_TEST(CallersConnections);
   CPPUNIT_TEST(ContinuationStaysOnItsSnapshot);
   CPPUNIT_TEST(DocumentedExamplesMatch);
@@ -106,6 +107,23 @@
         400, Post(fleet.NodeAddress(0), "/v1/query", R"({"service":"desk"})", long_key).status);
   }
 
+  /// Guards against bytes of a caller or an operator that end a node or a control machine.
+  void BytesThatAreNoTextEndNoProcess() {
+    Fleet& fleet = *SharedFleet();
+    const std::string query = R"({"service":"desk","query":"x","class":"job"})";
+    const auto refused = Post(fleet.NodeAddress(0), "/v1/query", query, "key-\xff\xfe");
+    CPPUNIT_ASSERT_EQUAL(400, refused.status);
+    CPPUNIT_ASSERT(refused.body.find("Idempotency-Key") != std::string::npos);
+    const std::string zero("\0 left over", 11);
+    CPPUNIT_ASSERT_EQUAL(400, Post(fleet.NodeAddress(0), "/v1/query", query + zero, "k1").status);
+    const std::string change = R"({"submission_id":"z","kind":"clear_leaving","leaf":"leaf0"})";
+    CPPUNIT_ASSERT_EQUAL(400, Post(fleet.OperatorAddress(0), "/v1/changes", change + zero).status);
+    for (const auto& [name, process] : fleet.processes) {
+      CPPUNIT_ASSERT_MESSAGE(name, !process->HasEnded());
+    }
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Query(0, Json::parse(query), "key-\u00e4")["code"].get<int>());
+  }
+
   void CallersConnections() {
     Fleet& fleet = *SharedFleet();
     const std::string address = fleet.NodeAddress(0);
@@ -181,6 +199,11 @@
          {next() +
               R"("put_service","service":"s","leafs":[{"id":"l","address":"1.2.3.4:5","slots":0}]})",
           301, "'leafs[0].slots'"},
+         {next() + R"("put_service","service":"s","leafs":[{"id":"l","address":7}]})", 301,
+          "'leafs[0].address'"},
+         {next() +
+              R"("put_service","service":"s","leafs":[{"id":"l","address":"1.2.3.4:5","zone":7}]})",
+          301, "'leafs[0].zone'"},
          {next() + R"("publish_snapshot","service":"desk","snapshot":{"id":9,"shards":[]}})", 301,
           "'snapshot.shards'"},
          {next() +
--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -46,6 +46,18 @@
               "idle_timeout_ms":15000}})");
 }
 
+/// Bytes that make a whole JSON text unreadable when they stand beside it.
+std::vector<std::string> SurplusBytes() {
+  return {std::string("\0", 1),
+          std::string("\0\0\0", 3),
+          std::string("\0 left over", 11),
+          std::string("\0{}", 3),
+          std::string("\0\xff\xfe\x80", 4),
+          "\xff",
+          "}",
+          "{}"};
+}
+
 }  // namespace
 
 class DialectTest : public CppUnit::TestFixture {
@@ -53,6 +65,7 @@
   CPPUNIT_TEST(DocumentIsParsed);
   CPPUNIT_TEST(AllowedRegionsAndWarmUpAreRead);
   CPPUNIT_TEST(BadDocumentsAreRefused);
+  CPPUNIT_TEST(BodiesWithSurplusBytesAreRefused);
   CPPUNIT_TEST(ClientRequestsAreRead);
   CPPUNIT_TEST(IdentityCoversContentAndCaller);
   CPPUNIT_TEST(LeafRequestCarriesRequiredHeaders);
@@ -157,6 +170,29 @@
     }
   }
 
+  /// Guards against bodies that are taken although no reader of JSON can read them whole.
+  void BodiesWithSurplusBytesAreRefused() {
+    const ControlDialect dialect;
+    const std::string heartbeat =
+        R"({"backend":"s1","address":"10.0.0.9:8080","slots":2,"state":"ready","seq":4})";
+    const std::pair<std::string, std::string> calls[] = {
+        {"/v1/config/put", Document().dump()},
+        {"/v1/instances/i-1/heartbeat", heartbeat},
+        {"/v1/instances/i-1/deregister", R"({"born":7})"},
+    };
+    for (const auto& [path, body] : calls) {
+      CPPUNIT_ASSERT_MESSAGE(path, dialect.ReadCommand(Request("POST", path, body)).ok());
+      CPPUNIT_ASSERT_MESSAGE(path, dialect.ReadCommand(Request("POST", path, body + "\r\n ")).ok());
+      for (const std::string& surplus : SurplusBytes()) {
+        for (const std::string& text : {body + surplus, body + " " + surplus, surplus + body}) {
+          const auto command = dialect.ReadCommand(Request("POST", path, text));
+          CPPUNIT_ASSERT_MESSAGE(path, !command.ok());
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 400, dialect.WriteRefusal(command.status()).status);
+        }
+      }
+    }
+  }
+
   void ClientRequestsAreRead() {
     const GatewayDialect dialect;
     http::Headers headers = ClientHeaders();
@@ -377,6 +413,8 @@
         {"POST", "/v1/evacuate/hall-1/pause", "", 404},
         {"POST", "/v1/evacuate/a/b/start", "", 404},
         {"POST", "/v1/evacuate//start", "", 400},
+        {"POST", "/v1/evacuate/\xff\xfe/start", "", 400},
+        {"POST", "/v1/evacuate/hall 1/start", "", 400},
         {"POST", "/v1/instances/i-7/heartbeat", "", 400},
         {"POST", "/v1/instances/i-7/heartbeat", "[]", 400},
         {"POST", "/v1/instances/i-7/heartbeat", R"({"backend":"s1","seq":1})", 400},
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(GathersOfManyShardsAreShared);
   CPPUNIT_TEST(MetricsCountAnswers);
   CPPUNIT_TEST(InvalidDocumentIsNeverInForce);
+  CPPUNIT_TEST(UnreadableOrdersAreRefusedAndEndNoProcess);
   CPPUNIT_TEST(MalformedInputDoesNotAffectOthers);
   CPPUNIT_TEST(DrainingLeafGetsNoMoreWork);
   CPPUNIT_TEST(DisconnectedClientCancelsItsRequest);
@@ -279,6 +280,37 @@
     CPPUNIT_ASSERT_EQUAL(Document(7), e2e::Get(fleet.ServiceAddress(1), "/v1/config/get").body);
   }
 
+  /// Guards against orders that end the control machines that get them, or that are in force though
+  /// they cannot be read whole.
+  void UnreadableOrdersAreRefusedAndEndNoProcess() {
+    PlatformFleet fleet;
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(1)));
+    struct Case {
+      const char* what;
+      std::string path;
+      std::string body;
+    };
+    const std::string bytes("\0\xff\xfe\x80 left over", 14);
+    const Case cases[] = {
+        {"text", "/v1/config/put", Document(2) + std::string("\0 left over", 11)},
+        {"bytes", "/v1/config/put", Document(3) + bytes},
+        {"heartbeat", "/v1/instances/x/heartbeat",
+         R"({"backend":"s0","address":"127.0.0.1:9","seq":1})" + bytes},
+        {"zone", "/v1/evacuate/\xff\xfe/start", "{}"},
+    };
+    for (const Case& item : cases) {
+      for (int i = 0; i < PlatformFleet::kControls; ++i) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            item.what, 400, e2e::Post(fleet.ServiceAddress(i), item.path, item.body).status);
+      }
+    }
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      CPPUNIT_ASSERT(!fleet.processes.at("c" + std::to_string(i))->HasEnded());
+      CPPUNIT_ASSERT_EQUAL(Document(1), e2e::Get(fleet.ServiceAddress(i), "/v1/config/get").body);
+    }
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(4)));
+  }
+
   void MalformedInputDoesNotAffectOthers() {
     PlatformFleet fleet;
     FakeLeaf leaf("leaf-a", "s0");
