A document put as a change at the operators' port is checked like any other

Seen: POST /v1/changes with put_document and the text "{" was accepted (code 0), and a document with another version than the change's would have been.

Cause: OnChange checked policies and zones only. Now it reads and validates the document by the same function as the platform's call (routing::ReadValid), and the versions must agree.

--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -49,6 +49,17 @@
 
 }  // namespace
 
+absl::StatusOr<RouteSet> ReadValid(const DocumentReader& reader, std::string_view text) {
+  absl::StatusOr<RouteSet> set = reader.Read(text);
+  if (!set.ok()) {
+    return set;
+  }
+  if (absl::Status status = Validate(*set); !status.ok()) {
+    return status;
+  }
+  return set;
+}
+
 absl::Status Validate(const RouteSet& set) {
   std::set<std::string> known_services;
   for (const ServiceSpec& service : set.services) {
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -102,6 +102,9 @@
 /// @return kInvalidConfig naming the route or tenant and the field.
 absl::Status Validate(const RouteSet& set);
 
+/// Parses a document and checks it with Validate().
+absl::StatusOr<RouteSet> ReadValid(const DocumentReader& reader, std::string_view text);
+
 class RouteTable {
  public:
   /// @param set must be valid.
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -18,6 +18,25 @@
   return body.is_object() ? body.value("code", 0) : 0;
 }
 
+/// Checks a document that an operator puts as a change. @param reader null if this machine has no
+/// document format.
+absl::Status CheckDocument(const config::RouteDocument& document,
+                           const routing::DocumentReader* reader) {
+  if (reader == nullptr) {
+    return MakeStatus(ResultCode::kInvalidConfig, "field 'document': no format is known here");
+  }
+  const absl::StatusOr<routing::RouteSet> set = routing::ReadValid(*reader, document.text);
+  if (!set.ok()) {
+    return MakeStatus(CodeOf(set.status()),
+                      "field 'document': " + std::string(set.status().message()));
+  }
+  if (set->version != document.version) {
+    return MakeStatus(ResultCode::kInvalidConfig,
+                      "field 'document_version': is not the version in the document");
+  }
+  return absl::OkStatus();
+}
+
 /// Returns a callback that forwards a reply to an operator.
 std::function<void(const control::OperatorReply&)> SendReply(http::Responder responder) {
   return [responder](const control::OperatorReply& reply) mutable {
@@ -54,8 +73,12 @@
   }
 }
 
+const routing::DocumentReader* ControlProcess::Documents() const {
+  return dialect_ == nullptr ? nullptr : &dialect_->documents();
+}
+
 void ControlProcess::ReadConfig(Timestamp now, http::Responder responder) {
-  const routing::DocumentReader* documents = dialect_ == nullptr ? nullptr : &dialect_->documents();
+  const routing::DocumentReader* documents = Documents();
   const auto send = SendReply(std::move(responder));
   server_->ReadConfig(now, Await([send, documents](const control::OperatorReply& reply) {
                         control::OperatorReply shown = reply;
@@ -80,6 +103,12 @@
                                  "field 'zone': there is no zone '" + change->zone + "'"));
     return;
   }
+  if (change->kind == config::ChangeKind::kPutDocument) {
+    if (absl::Status status = CheckDocument(change->document, Documents()); !status.ok()) {
+      responder.Send(ErrorResponse(CodeOf(status), std::string(status.message())));
+      return;
+    }
+  }
   if (change->kind == config::ChangeKind::kPutPolicy) {
     if (absl::Status status = policy::PolicyProgram::Check(change->policy); !status.ok()) {
       responder.Send(ErrorResponse(CodeOf(status), std::string(status.message())));
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -111,6 +111,8 @@
   void OnFrame(uint64_t session, const wire::Envelope& envelope);
   void OnOperator(const http::HttpRequest& request, http::Responder responder);
   void OnChange(const http::HttpRequest& request, http::Responder responder);
+  /// Reads documents of this machine's dialect; null if it has none.
+  const routing::DocumentReader* Documents() const;
   /// Replies with the configuration, without API keys.
   void ReadConfig(Timestamp now, http::Responder responder);
   std::string MetricsText(Timestamp now) const;
--- a/test/e2e/contract_test.cc
+++ b/test/e2e/contract_test.cc
@@ -204,6 +204,7 @@
          {next() +
               R"("put_service","service":"s","leafs":[{"id":"l","address":"1.2.3.4:5","zone":7}]})",
           301, "'leafs[0].zone'"},
+         {R"({"kind":"put_document","document_version":9,"document":"{"})", 301, "'document'"},
          {next() + R"("publish_snapshot","service":"desk","snapshot":{"id":9,"shards":[]}})", 301,
           "'snapshot.shards'"},
          {next() +
--- a/test/platform/platform_end_to_end_test.cc
+++ b/test/platform/platform_end_to_end_test.cc
@@ -298,6 +298,13 @@
          R"({"backend":"s0","address":"127.0.0.1:9","seq":1})" + bytes},
         {"zone", "/v1/evacuate/\xff\xfe/start", "{}"},
     };
+    const auto put_as_change = [&fleet](uint64_t version, const std::string& document) {
+      const Json change{
+          {"kind", "put_document"}, {"document_version", version}, {"document", document}};
+      return e2e::Post(fleet.OperatorAddress(0), "/v1/changes", change.dump()).status;
+    };
+    CPPUNIT_ASSERT_EQUAL(400, put_as_change(5, "{"));
+    CPPUNIT_ASSERT_EQUAL(400, put_as_change(5, Document(6)));
     for (const Case& item : cases) {
       for (int i = 0; i < PlatformFleet::kControls; ++i) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
@@ -309,6 +316,7 @@
       CPPUNIT_ASSERT_EQUAL(Document(1), e2e::Get(fleet.ServiceAddress(i), "/v1/config/get").body);
     }
     CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document(4)));
+    CPPUNIT_ASSERT_EQUAL(200, put_as_change(5, Document(5)));
   }
 
   void MalformedInputDoesNotAffectOthers() {
