A late copy of a refusal does not answer the next try of work that may run once

Cause: a refused request came back to the same leaf on the same connection some milliseconds later, with the same id, by which alone a surplus answer is told. The copy of the first refusal was taken for the answer to the second try, which the leaf ran. Ruled out: retries after lost answers (none were lost there), copies to other requests (dropped by their id, tested already).

Change: tries of work that may run once are never sent on a connection that has carried an earlier try of it (ClientRequest::separate_tries); another idle connection serves, else a new one, in the place of an idle one where the leaf's share of connections is used up. Chosen over a new connection for each such request: that costs leafs a connection for each first try and passes their limit. Surplus answers are counted in a metric.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -125,6 +125,11 @@
     client_->loop_->CancelTimer(idle_timer_);
     idle_timer_ = 0;
     call_ = call;
+    if (call->request.separate_tries) {
+      const Timestamp now = net::EventLoop::Now();
+      std::erase_if(carried_, [now](const CarriedEcho& item) { return item.until <= now; });
+      carried_.push_back({call->request.expected_echo, call->started + call->request.timeout});
+    }
     parser_ = std::make_unique<ResponseParser>(MessageLimits{}, call->request.method == "HEAD");
     if (stream_.connected()) {
       WriteRequest();
@@ -137,11 +142,22 @@
   }
   bool idle() const { return call_ == nullptr && stream_.open(); }
   bool used() const { return served_ > 0; }
+  /// Whether a response to an earlier request with this echo may still arrive.
+  bool HasCarried(const std::string& echo) const {
+    return std::any_of(carried_.begin(), carried_.end(),
+                       [&echo](const CarriedEcho& item) { return item.echo == echo; });
+  }
   /// The stream passes bytes to the operating system only once it is connected.
   bool was_connected() const { return stream_.was_connected(); }
   Host* host() const { return host_; }
 
  private:
+  struct CarriedEcho {
+    std::string echo;
+    /// No further try is sent from then on.
+    Timestamp until;
+  };
+
   /// Called only once the connection is established, as the request states the budget left then.
   void WriteRequest() {
     if (call_ == nullptr) {
@@ -154,6 +170,7 @@
       client_->Expire(call);
       return;
     }
+    ++requests_written_;
     stream_.Write(Encode(call_->request, net::EventLoop::Now() - call_->started));
   }
 
@@ -167,6 +184,7 @@
   void OnBytes(std::string* input) {
     if (call_ == nullptr) {
       // Bytes on an idle connection belong to no request.
+      ++client_->surplus_responses_;
       Close();
       return;
     }
@@ -196,6 +214,7 @@
     const bool stale = echo != nullptr && *echo != request.expected_echo;
     if (stale) {
       // A surplus response to an earlier request. The response to this one is still to come.
+      ++client_->surplus_responses_;
       return;
     }
     ClientResponse response;
@@ -205,6 +224,7 @@
     response.headers = std::move(message.headers);
     response.retry_after = RetryAfter(response.headers);
     response.reused_connection = used();
+    response.attributed = echo != nullptr || requests_written_ == 1;
     const bool written = stream_.unwritten() == 0;
     const bool reusable =
         message.keep_alive && rest.empty() && written && !call_->request.unrepeatable;
@@ -273,6 +293,9 @@
   std::shared_ptr<Call> call_;
   std::unique_ptr<ResponseParser> parser_;
   uint64_t served_ = 0;
+  uint64_t requests_written_ = 0;
+  /// Requests sent here whose tries must be separate.
+  std::vector<CarriedEcho> carried_;
   Duration idle_limit_{};
   net::EventLoop::TimerId connect_timer_ = 0;
   net::EventLoop::TimerId idle_timer_ = 0;
@@ -326,16 +349,15 @@
       loop_->Defer([this, call] { Expire(call); });
       continue;
     }
-    std::shared_ptr<Connection> connection;
-    if (!call->request.unrepeatable) {
-      // Prefers the newest connection, so that the others may reach their idle limit.
-      const auto idle = std::find_if(host->connections.rbegin(), host->connections.rend(),
-                                     [](const auto& item) { return item->idle(); });
-      connection = idle == host->connections.rend() ? nullptr : *idle;
-    }
+    std::shared_ptr<Connection> connection = FindIdle(*host, call->request);
     const size_t max_connections = call->request.max_connections > 0
                                        ? call->request.max_connections
                                        : options_.max_connections_per_host;
+    if (connection == nullptr && host->connections.size() >= max_connections &&
+        call->request.separate_tries) {
+      // The call must not wait for an idle connection that it may not use.
+      CloseOneIdle(*host);
+    }
     const bool may_open = call->request.unrepeatable || host->connections.size() < max_connections;
     if (connection == nullptr && !may_open) {
       return;
@@ -351,6 +373,29 @@
   }
 }
 
+std::shared_ptr<HttpClient::Connection> HttpClient::FindIdle(const Host& host,
+                                                             const ClientRequest& request) {
+  if (request.unrepeatable) {
+    return nullptr;
+  }
+  const auto usable = [&request](const std::shared_ptr<Connection>& connection) {
+    return connection->idle() &&
+           !(request.separate_tries && connection->HasCarried(request.expected_echo));
+  };
+  // Prefers the newest connection, so that the others may reach their idle limit.
+  const auto it = std::find_if(host.connections.rbegin(), host.connections.rend(), usable);
+  return it == host.connections.rend() ? nullptr : *it;
+}
+
+void HttpClient::CloseOneIdle(const Host& host) {
+  const auto it = std::find_if(host.connections.begin(), host.connections.end(),
+                               [](const auto& connection) { return connection->idle(); });
+  if (it != host.connections.end()) {
+    const std::shared_ptr<Connection> idle = *it;
+    idle->Close();
+  }
+}
+
 void HttpClient::OnIdle(Connection* connection) {
   loop_->Defer([this, host = connection->host()] { Dispatch(host); });
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -38,6 +38,10 @@
   /// request on the connection and is dropped. Empty: no echo is expected.
   std::string echoed_header;
   std::string expected_echo;
+  /// Tries with the same `expected_echo` are sent on different connections, so that a surplus
+  /// response to one is not taken for the response to another. All tries must be sent within the
+  /// `timeout` of the first.
+  bool separate_tries = false;
   /// Name of the header that states how many whole milliseconds of `budget`, counted from Start(),
   /// are left when the request is written. If none are left, the request is not written and the
   /// call ends as not sent. Empty: no such header.
@@ -68,6 +72,9 @@
   Headers headers;
   /// The connection had already been used by an earlier request.
   bool reused_connection = false;
+  /// The response is provably the one to this request: it carries the expected echo, or no other
+  /// request was sent on its connection.
+  bool attributed = false;
   bool ok() const { return status != 0; }
 };
 
@@ -109,6 +116,9 @@
   /// Number of open calls that were not abandoned.
   size_t in_flight() const;
   uint64_t connections_opened() const { return connections_opened_; }
+  /// Number of times that bytes belonged to no open call: a second response to an earlier request,
+  /// or bytes on an idle connection.
+  uint64_t surplus_responses() const { return surplus_responses_; }
 
  private:
   class Connection;
@@ -117,6 +127,10 @@
   friend class Connection;
 
   void Dispatch(Host* host);
+  /// Returns the newest idle connection that the request may use, or null.
+  static std::shared_ptr<Connection> FindIdle(const Host& host, const ClientRequest& request);
+  /// Closes an idle connection, if there is one, so that another one may be opened in its place.
+  static void CloseOneIdle(const Host& host);
   void Finish(const std::shared_ptr<Call>& call, ClientResponse response);
   void OnIdle(Connection* connection);
   void OnClosed(Connection* connection);
@@ -130,6 +144,7 @@
   std::unordered_map<CallId, std::shared_ptr<Call>> calls_;
   CallId next_id_ = 1;
   uint64_t connections_opened_ = 0;
+  uint64_t surplus_responses_ = 0;
 };
 
 /// Makes one blocking exchange, for command line tools and tests.
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -138,6 +138,9 @@
              server.KeysProven(now) ? 1 : 0);
   page.Counter("pumicedyke_gateway_leaf_connections_total", "Connections opened to leafs.",
                static_cast<double>(client.connections_opened()));
+  page.Counter("pumicedyke_gateway_surplus_responses_total",
+               "Responses of leafs, or other bytes, that belonged to no open request.",
+               static_cast<double>(client.surplus_responses()));
   page.Gauge("pumicedyke_gateway_leaf_requests", "Requests in flight to leafs.",
              static_cast<double>(client.in_flight()));
   page.Counter("pumicedyke_gateway_clients_gone_total",
--- a/test/http/surplus_answer_test.cc
+++ b/test/http/surplus_answer_test.cc
@@ -68,6 +68,10 @@
            "\r\n\r\n" + id;
   }
 
+  static std::string Refusal(const std::string& id) {
+    return "HTTP/1.1 503 Full\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+  }
+
  private:
   int socket_ = -1;
   std::string address_;
@@ -109,6 +113,8 @@
 class SurplusAnswerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SurplusAnswerTest);
   CPPUNIT_TEST(LateSurplusIsDroppedByItsId);
+  CPPUNIT_TEST(SurplusRefusalDoesNotAnswerTheNextTry);
+  CPPUNIT_TEST(OtherRequestsShareConnectionsWithSeparateTries);
   CPPUNIT_TEST(EarlySurplusEndsTheConnection);
   CPPUNIT_TEST(ResetResponseIsIncomplete);
   CPPUNIT_TEST(EndOfConnectionCompletesAnUnframedResponse);
@@ -132,6 +138,55 @@
     CPPUNIT_ASSERT(responses[1].reused_connection);
   }
 
+  /// Guards against a try of work that may run once being taken for refused.
+  void SurplusRefusalDoesNotAnswerTheNextTry() {
+    int served = 0;
+    ScriptedPeer peer(2, [&served](int connection) {
+      const bool first = ++served == 1;
+      ScriptedPeer::ReadHead(connection);
+      ScriptedPeer::Write(connection,
+                          first ? ScriptedPeer::Refusal("one") : ScriptedPeer::Answer("one"));
+      ScriptedPeer::ReadHead(connection);
+      if (first) {
+        ScriptedPeer::Write(connection, ScriptedPeer::Refusal("one"));
+        ScriptedPeer::Write(connection, ScriptedPeer::Answer("one"));
+        ScriptedPeer::ReadHead(connection);
+      }
+    });
+    ClientRequest request = RequestWithId(peer.address(), "one");
+    request.separate_tries = true;
+    const auto responses = Exchange({request, request});
+    CPPUNIT_ASSERT_EQUAL(503, responses[0].status);
+    CPPUNIT_ASSERT_EQUAL(200, responses[1].status);
+    CPPUNIT_ASSERT(!responses[1].reused_connection);
+    CPPUNIT_ASSERT(responses[1].attributed);
+  }
+
+  void OtherRequestsShareConnectionsWithSeparateTries() {
+    ScriptedPeer peer(1, [](int connection) {
+      ScriptedPeer::ReadHead(connection);
+      ScriptedPeer::Write(connection, ScriptedPeer::Refusal("one"));
+      ScriptedPeer::ReadHead(connection);
+      // A response without an id may be a late one to the first request.
+      ScriptedPeer::Write(connection, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+      ScriptedPeer::ReadHead(connection);
+      ScriptedPeer::Write(connection, ScriptedPeer::Refusal("one"));
+      ScriptedPeer::Write(connection, ScriptedPeer::Answer("three"));
+      ScriptedPeer::ReadHead(connection);
+    });
+    std::vector<ClientRequest> requests;
+    for (const char* id : {"one", "two", "three"}) {
+      requests.push_back(RequestWithId(peer.address(), id));
+      requests.back().separate_tries = true;
+    }
+    const auto responses = Exchange(requests);
+    CPPUNIT_ASSERT(responses[0].attributed);
+    CPPUNIT_ASSERT(responses[1].reused_connection);
+    CPPUNIT_ASSERT(!responses[1].attributed);
+    CPPUNIT_ASSERT_EQUAL(std::string("three"), responses[2].body);
+    CPPUNIT_ASSERT(responses[2].attributed);
+  }
+
   void EarlySurplusEndsTheConnection() {
     int served = 0;
     ScriptedPeer peer(2, [&served](int connection) {
--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(IdentityCoversContentAndCaller);
   CPPUNIT_TEST(LeafRequestCarriesRequiredHeaders);
   CPPUNIT_TEST(LeafRepliesAreClassified);
+  CPPUNIT_TEST(RefusalsOfOthersProveNothing);
   CPPUNIT_TEST(AnswersAreWritten);
   CPPUNIT_TEST(CommandsAreRead);
   CPPUNIT_TEST(BadCommandsAreRefused);
@@ -273,6 +274,27 @@
     CPPUNIT_ASSERT(head.find("X-Deadline-Ms") == std::string::npos);
     CPPUNIT_ASSERT_EQUAL(std::string("X-Request-Id"), call.echoed_header);
     CPPUNIT_ASSERT_EQUAL(std::string("9c41"), call.expected_echo);
+    CPPUNIT_ASSERT(!call.separate_tries);
+    send.repeatable = false;
+    CPPUNIT_ASSERT(dialect.WriteLeafRequest(send).separate_tries);
+  }
+
+  /// Guards against work that may run once being sent again because of a refusal that may belong to
+  /// another request.
+  void RefusalsOfOthersProveNothing() {
+    using query::LeafStatus;
+    const GatewayDialect dialect;
+    const gateway::LeafSend once{SubRequestId{1}, "i-7", "", nullptr, {}, false, 1, {}};
+    const gateway::LeafSend repeatable{SubRequestId{1}, "i-7", "", nullptr, {}, true, 1, {}};
+    for (const int status : {421, 429, 503}) {
+      http::ClientResponse response;
+      response.status = status;
+      response.headers = {{"X-Not-Executed", "1"}};
+      CPPUNIT_ASSERT(dialect.ReadLeafReply(once, response).status == LeafStatus::kFailed);
+      CPPUNIT_ASSERT(dialect.ReadLeafReply(repeatable, response).status != LeafStatus::kFailed);
+      response.attributed = true;
+      CPPUNIT_ASSERT(dialect.ReadLeafReply(once, response).status != LeafStatus::kFailed);
+    }
   }
 
   void LeafRepliesAreClassified() {
