A refusal is passed on only if nothing may have run

Cause: RequestExecution kept the signed refusal as the failure to pass on, and the gateway prefers such an answer to its own result. Evidence: GatewayServerTest RefusalIsNotForwardedAfterALaterTry, failed before (run state unknown, payload 503), with the second answer lost and with none.

Refusals of which nothing ran are passed on as before (RefusalIsForwardedIfNothingRan, passed before and after).

--- a/src/query/request_answer.cc
+++ b/src/query/request_answer.cc
@@ -104,7 +104,9 @@
   for (const ShardProgress& shard : shards_) {
     if (shard.payload != nullptr) {
       answer.payloads.push_back({shard.shard.id, shard.payload});
-    } else if (shard.failure != nullptr) {
+    } else if (shard.failure != nullptr &&
+               (!shard.failure_is_refusal || answer.run == RunState::kNotRun)) {
+      // A refusal says that nothing ran, which is wrong once a later attempt may have.
       answer.failure = shard.failure;
     }
     answer.results.insert(answer.results.end(), shard.results.begin(), shard.results.end());
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -430,6 +430,7 @@
   shard->reason = ReasonOf(reply.status);
   if (reply.payload != nullptr) {
     shard->failure = reply.payload;
+    shard->failure_is_refusal = ProvesNotRun(reply.status);
   }
   shard->tried.insert(reply.leaf);
   const bool not_held =
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -191,6 +191,8 @@
     std::vector<ResultItem> results;
     std::shared_ptr<const LeafPayload> payload;
     std::shared_ptr<const LeafPayload> failure;
+    /// Whether `failure` is the response of a leaf that did not run the request.
+    bool failure_is_refusal = false;
     bool covered = false;
     bool abandoned = false;
     bool waiting = false;
--- a/test/gateway/gateway_server_test.cc
+++ b/test/gateway/gateway_server_test.cc
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(RepeatableIsRetriedUpToTheLimit);
   CPPUNIT_TEST(UnrepeatableIsNeverSentAfterItMayHaveRun);
   CPPUNIT_TEST(UnrepeatableIsRetriedAfterARefusal);
+  CPPUNIT_TEST(RefusalIsNotForwardedAfterALaterTry);
+  CPPUNIT_TEST(RefusalIsForwardedIfNothingRan);
   CPPUNIT_TEST(LeafsFailureResponseIsForwarded);
   CPPUNIT_TEST(GathersTheGreatestRecords);
   CPPUNIT_TEST(GatherRetriesALeafThatRefusesWithRoom);
@@ -276,6 +278,36 @@
     CPPUNIT_ASSERT(h.answers.at(0).run == query::RunState::kNotRun);
   }
 
+  /// Guards against "not run" for work that may have run: the signed refusal of its first try was
+  /// passed on after a later try.
+  void RefusalIsNotForwardedAfterALaterTry() {
+    for (const bool answered : {true, false}) {
+      GatewayHarness h;
+      h.Put(1, kPlain);
+      h.Report({GatewayHarness::Leaf("a", "desk"), GatewayHarness::Leaf("b", "desk")});
+      h.Ask("/job/1");
+      h.Reply(h.sends.at(0), query::LeafStatus::kShed, "full", 503);
+      CPPUNIT_ASSERT_EQUAL(size_t{2}, h.sends.size());
+      if (answered) {
+        h.Reply(h.sends.at(1), query::LeafStatus::kFailed);
+      }
+      h.Pass(Seconds(2));
+      CPPUNIT_ASSERT(h.answers.at(0).run == query::RunState::kUnknown);
+      CPPUNIT_ASSERT(h.answers.at(0).payload == nullptr);
+    }
+  }
+
+  void RefusalIsForwardedIfNothingRan() {
+    GatewayHarness h;
+    h.Put(1, kPlain);
+    h.Report({GatewayHarness::Leaf("a", "desk"), GatewayHarness::Leaf("b", "desk")});
+    h.Ask("/job/1");
+    h.Reply(h.sends.at(0), query::LeafStatus::kShed, "full", 503);
+    h.Reply(h.sends.at(1), query::LeafStatus::kShed, "full", 503);
+    CPPUNIT_ASSERT(h.answers.at(0).run == query::RunState::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(503, h.answers.at(0).payload->status);
+  }
+
   void LeafsFailureResponseIsForwarded() {
     GatewayHarness h;
     h.Put(1, kPlain);
