A control machine that was replaced while it was away joins again

Cause: the new replica takes the place of a voter that is silent for 3 s. When that one is back, its own log still lists it as a voter, so it never asks to join; entries go to members only, so nobody tells it. The machine that was meant to be replaced leaves, and four of five voters are left for good. Ruled out: a lost or late acknowledgement (version 8 was committed on a majority of voters, of which two lost their disks); elections (the returned machine's pre-votes are rejected as they must be).

Change: a machine without a leader for a second asks to join, at seeds and known members. A leader ignores members, else adds it without a vote; it then takes the place of the next silent voter. Its log and vote are kept, so its return under the same identity is safe: the argument for single-server changes does not need a new one. members_changed names the machines, join_requested and join_ended are logged.

--- a/src/control/control_replicas.cc
+++ b/src/control/control_replicas.cc
@@ -1,6 +1,8 @@
 // The part of ControlServer that manages the group: the replacement of lost replicas and the status
 // of redundancy.
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "common/json.h"
@@ -14,16 +16,29 @@
 
 }  // namespace
 
+void ControlServer::UpdateJoining(Timestamp now) {
+  if (raft_.leader() != 0) {
+    last_led_ = now;
+  }
+  // Nothing is sent to a machine that is no longer a member, so its own log may still list it.
+  const bool possibly_replaced = now - last_led_ >= options_.rejoin_after;
+  const bool member = raft_.IsMember(identity_.member);
+  asks_to_join_ = !shutting_down_ && (!member || possibly_replaced);
+}
+
 void ControlServer::SendJoin(Timestamp now) {
-  if (raft_.IsMember(identity_.member) || now < next_join_) {
+  if (!asks_to_join_ || now < next_join_) {
     return;
   }
   next_join_ = now + options_.join_interval;
-  for (const std::string& seed : options_.seeds) {
-    if (seed != options_.address) {
-      const wire::JoinRequest join{identity_.member, identity_.machine, options_.address};
-      output_.peers.push_back({seed, Wrap(join)});
-    }
+  std::set<std::string> receivers(options_.seeds.begin(), options_.seeds.end());
+  for (const wire::Member& member : raft_.members()) {
+    receivers.insert(member.address);
+  }
+  receivers.erase(options_.address);
+  const wire::JoinRequest join{identity_.member, identity_.machine, options_.address};
+  for (const std::string& receiver : receivers) {
+    output_.peers.push_back({receiver, Wrap(join)});
   }
 }
 
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -18,7 +18,8 @@
       state_(options_.state),
       quarantine_(options_.quarantine),
       raft_(identity_.member, options_.raft, storage, std::move(recovered), seed, now),
-      next_ticket_(std::mt19937_64(seed)()) {
+      next_ticket_(std::mt19937_64(seed)()),
+      last_led_(now) {
   DrainRaft(now);
 }
 
@@ -67,6 +68,7 @@
     return now - item.second.last_contact > options_.session_timeout;
   });
   UpdateQuarantine(now);
+  UpdateJoining(now);
   SendJoin(now);
   ReplaceLostReplicas(now);
   DrainRaft(now);
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -41,6 +41,9 @@
   /// to the current leader. Applying it twice does no harm.
   Duration forward_timeout = Milliseconds(300);
   Duration join_interval = Milliseconds(300);
+  /// A member without a leader for this long asks to join, since it may have been replaced while it
+  /// was away.
+  Duration rejoin_after = Milliseconds(1000);
   /// Sessions without a hello for this long are removed.
   Duration session_timeout = Seconds(5);
   /// Minimum time before a starting node that repeats its hello is sent the full state again.
@@ -151,6 +154,8 @@
   const consensus::Raft& raft() const { return raft_; }
   const quarantine::CrashEvidence& evidence() const { return quarantine_.evidence(); }
   uint64_t applied_index() const { return applied_index_; }
+  /// Whether this machine asks to join the group.
+  bool asks_to_join() const { return asks_to_join_; }
   size_t session_count() const { return sessions_.size(); }
 
  private:
@@ -274,6 +279,8 @@
   void RelayJoin(const wire::JoinRequest& join);
   /// Sends the address of the leader to the new replica; see wire::JoinReply.
   void ReplyToJoin(const wire::JoinRequest& join);
+  /// Decides whether this machine asks to join.
+  void UpdateJoining(Timestamp now);
   void SendJoin(Timestamp now);
   void ReplaceLostReplicas(Timestamp now);
   size_t WantedVoters() const;
@@ -327,6 +334,9 @@
   /// On the leader: when each member was last known to answer; reset in each term.
   std::map<MemberId, Timestamp> member_last_contact_;
   uint64_t member_last_contact_term_ = 0;
+  /// When this machine last had a leader; its start if it had none.
+  Timestamp last_led_;
+  bool asks_to_join_ = false;
   Timestamp next_join_{};
   bool shutting_down_ = false;
   ControlOutput output_;
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -102,6 +102,30 @@
   }
 }
 
+void ControlLog::LogMembership(const control::ControlServer& server) {
+  std::vector<std::string> voters;
+  std::vector<std::string> others;
+  for (const wire::Member& member : server.raft().members()) {
+    (member.voter ? voters : others).push_back(member.machine);
+  }
+  if (voters != voters_ || others != others_) {
+    voters_ = voters;
+    others_ = others;
+    LogEvent("members_changed", {{"members", voters_.size() + others_.size()},
+                                 {"voters", voters_.size()},
+                                 {"voting", voters_},
+                                 {"others", others_},
+                                 {"commit_index", server.raft().commit_index()}});
+  }
+  if (server.asks_to_join() != asks_to_join_) {
+    asks_to_join_ = server.asks_to_join();
+    LogEvent(asks_to_join_ ? "join_requested" : "join_ended",
+             {{"listed", server.raft().IsMember(server.raft().self())},
+              {"leader", server.raft().leader()},
+              {"commit_index", server.raft().commit_index()}});
+  }
+}
+
 void ControlLog::OnState(Timestamp now, const control::ControlServer& server,
                          const control::DiscoveryServer& discovery) {
   const consensus::Raft& raft = server.raft();
@@ -121,14 +145,7 @@
     LogEvent(current ? "quorum_regained" : "quorum_lost",
              {{"term", term_}, {"commit_index", raft.commit_index()}});
   }
-  const auto voters =
-      static_cast<size_t>(std::count_if(raft.members().begin(), raft.members().end(),
-                                        [](const wire::Member& member) { return member.voter; }));
-  if (raft.members().size() != members_ || voters != voters_) {
-    members_ = raft.members().size();
-    voters_ = voters;
-    LogEvent("members_changed", {{"members", members_}, {"voters", voters_}});
-  }
+  LogMembership(server);
   const bool reporters_changed =
       discovery.registry().size() != leafs_ || discovery.directory().size() != gateways_;
   if (reporters_changed && now - reporters_logged_at_ >= kReportersInterval) {
--- a/src/server/control_log.h
+++ b/src/server/control_log.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
+#include <vector>
 
 #include "common/log.h"
 #include "control/control_server.h"
@@ -31,6 +33,7 @@
   static constexpr uint32_t kLinesPerSecond = 20;
   /// Whether one more line about a suspect may be logged.
   bool Allow(Timestamp now);
+  void LogMembership(const control::ControlServer& server);
   void LogQuarantineChanges(const config::ConfigState& config);
 
   LogLimiter limiter_{kLinesPerSecond};
@@ -40,8 +43,10 @@
   uint64_t term_ = 0;
   MemberId leader_ = 0;
   bool current_ = false;
-  size_t members_ = 0;
-  size_t voters_ = 0;
+  /// Names of the machines in the group.
+  std::vector<std::string> voters_;
+  std::vector<std::string> others_;
+  bool asks_to_join_ = false;
   /// Minimum interval between "reporters_changed" lines, since hundreds of leafs and gateways
   /// connect one by one after a start.
   static constexpr Duration kReportersInterval = Seconds(1);
--- a/test/control/control_group.h
+++ b/test/control/control_group.h
@@ -27,7 +27,9 @@
 /// Machines 1 to 5 and a network that delivers immediately, except from and to lost machines.
 class Group {
  public:
-  Group() {
+  Group() : Group(Duration(0)) {}
+  /// @param replace_silent_after see ControlOptions.
+  explicit Group(Duration replace_silent_after) : replace_silent_after_(replace_silent_after) {
     wire::SnapshotData initial;
     for (MemberId id = 1; id <= kMachines; ++id) {
       initial.members.push_back({id, AddressOf(id), AddressOf(id), /*voter=*/true});
@@ -42,7 +44,9 @@
     }
   }
 
-  void Start(MemberId id) {
+  void Start(MemberId id) { Start(id, id); }
+  /// @param identity the machine's member id, another one than `id` once it has lost its disk.
+  void Start(MemberId id, MemberId identity) {
     Machine& machine = machines_[id];
     machine.log =
         std::make_unique<storage::LogStorage>(machine.files.get(), storage::LogStorageOptions{});
@@ -52,11 +56,52 @@
     for (MemberId other = 1; other <= kMachines; ++other) {
       options.seeds.push_back(AddressOf(other));
     }
+    options.voters = kMachines;
+    options.replace_silent_after = replace_silent_after_;
     machine.server = std::make_unique<ControlServer>(
-        options, wire::Identity{id, "test", AddressOf(id)}, machine.log.get(),
+        options, wire::Identity{identity, "test", AddressOf(id)}, machine.log.get(),
         *machine.log->Recover(), id * 7 + ++starts_, now_);
   }
 
+  /// Adds a machine with an empty disk, which asks to join.
+  void Add(MemberId id) {
+    Machine& machine = machines_[id];
+    machine.files = std::make_unique<sim::SimFileSystem>(id);
+    machine.log =
+        std::make_unique<storage::LogStorage>(machine.files.get(), storage::LogStorageOptions{});
+    CPPUNIT_ASSERT(machine.log->Format({id, "test", AddressOf(id)}, wire::SnapshotData{}).ok());
+    Start(id);
+  }
+  /// Starts a machine again with what its disk has synced.
+  void Restart(MemberId id) {
+    machines_.at(id).server.reset();
+    machines_.at(id).files->Crash();
+    Start(id);
+    Resume(id);
+  }
+  /// Restarts a machine with an empty disk, under another identity.
+  void RestartWithoutDisk(MemberId id, MemberId identity) {
+    Machine& machine = machines_.at(id);
+    machine.server.reset();
+    machine.files->LoseEverything();
+    machine.log =
+        std::make_unique<storage::LogStorage>(machine.files.get(), storage::LogStorageOptions{});
+    CPPUNIT_ASSERT(
+        machine.log->Format({identity, "test", AddressOf(id)}, wire::SnapshotData{}).ok());
+    Start(id, identity);
+    Resume(id);
+  }
+  /// Returns the voters that the leader knows.
+  std::set<MemberId> Voters() const {
+    std::set<MemberId> voters;
+    for (const wire::Member& member : at(Leader()).raft().members()) {
+      if (member.voter) {
+        voters.insert(member.id);
+      }
+    }
+    return voters;
+  }
+
   void RunFor(Duration time) {
     for (const Timestamp end = now_ + time; now_ < end; now_ += kStep) {
       for (auto& [id, machine] : machines_) {
@@ -206,6 +251,7 @@
            side_.contains(from) == side_.contains(to);
   }
 
+  Duration replace_silent_after_;
   std::map<MemberId, Machine> machines_;
   std::map<TicketId, std::string> answers_;
   size_t acknowledged_ = 0;
--- a/test/platform/doubling_leaf.cc
+++ b/test/platform/doubling_leaf.cc
@@ -134,9 +134,8 @@
 }
 
 int DoublingLeaf::SendHeartbeat(const std::string& control) {
-  const Json body{{"backend", service_}, {"address", address_},
-                  {"zone", "north"},     {"version", "v1"},
-                  {"slots", 2},          {"state", "ready"},
+  const Json body{{"backend", service_}, {"address", address_}, {"zone", "north"},
+                  {"version", "v1"},     {"slots", 2},          {"state", "ready"},
                   {"cold_left_ms", 0},   {"seq", ++heartbeats_}};
   return e2e::Post(control, "/v1/instances/" + id_ + "/heartbeat", body.dump()).status;
 }
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -147,7 +147,8 @@
            << "\"\nseeds = [\"" << ServiceAddress(0) << "\", \"" << ServiceAddress(1) << "\", \""
            << ServiceAddress(2) << "\"]\ninternal_port = " << internal_port_
            << "\nbootstrap = " << (bootstrap ? "true" : "false")
-           << "\ntolerated_failures = " << options_.tolerated << "\n";
+           << "\ntolerated_failures = " << options_.tolerated << "\nreplace_silent_after_ms = "
+           << static_cast<int64_t>(ToMilliseconds(options_.replace_silent_after)) << "\n";
   settings.close();
   processes[name] = std::make_unique<e2e::Process>(
       name, "pumicedyke-control", std::vector<std::string>{"--settings", file}, folder_);
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -67,6 +67,9 @@
   int controls = 3;
   /// Number of control machines that may fail at once.
   int tolerated = 1;
+  /// Time after which a silent control machine is replaced by a new one at another address; zero:
+  /// only by one at its own address.
+  Duration replace_silent_after{};
 };
 
 class PlatformFleet {
--- a/test/platform/surplus_refusal_test.cc
+++ b/test/platform/surplus_refusal_test.cc
@@ -55,8 +55,8 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  /// Guards against requests that run twice, or are answered as not run though they ran, because the
-  /// second copy of a leaf's refusal is taken for its answer to the next try.
+  /// Guards against requests that run twice, or are answered as not run though they ran, because
+  /// the second copy of a leaf's refusal is taken for its answer to the next try.
   void LateCopyOfARefusalDoesNotAnswerTheNextTry() {
     PlatformFleet fleet;
     RunCounts runs;
@@ -64,9 +64,8 @@
     DoublingLeaf two("leaf-b", "s0", &runs);
     fleet.Put(Document());
     for (DoublingLeaf* leaf : {&one, &two}) {
-      e2e::WaitFor("a heartbeat to be acknowledged", [&] {
-        return leaf->SendHeartbeat(fleet.ServiceAddress(0)) == kServed;
-      });
+      e2e::WaitFor("a heartbeat to be acknowledged",
+                   [&] { return leaf->SendHeartbeat(fleet.ServiceAddress(0)) == kServed; });
     }
     fleet.WaitUntilServed("/reserve/warm-up");
     for (int i = 0; i < kRequests; ++i) {
