A control machine whose joining was truncated asks again

Cause, by logs: a leader added a new machine and sent it the log just before it was deposed; the entry was truncated at the others. The machine's own log listed it, so it asked no more, and the group never sent it anything. Its predecessor left: four of five voters for good.

Change: a machine that no leader has contacted for a second asks to join (Raft::last_leader_contact).

Test: ReplacedReplicaTest MachineWhoseJoinWasTruncatedJoinsAgain, failed before.

--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -110,6 +110,8 @@
   Role role() const { return role_; }
   uint64_t term() const { return hard_state_.term; }
   MemberId leader() const { return leader_; }
+  /// Returns when a message of a leader last arrived; unset: not since this replica started.
+  std::optional<Timestamp> last_leader_contact() const { return last_leader_contact_; }
   uint64_t commit_index() const { return commit_index_; }
   uint64_t last_index() const;
   uint64_t snapshot_index() const { return snapshot_.index; }
--- a/src/control/control_replicas.cc
+++ b/src/control/control_replicas.cc
@@ -17,10 +17,10 @@
 }  // namespace
 
 void ControlServer::UpdateJoining(Timestamp now) {
-  if (raft_.leader() != 0) {
-    last_led_ = now;
-  }
-  // Nothing is sent to a machine that is no longer a member, so its own log may still list it.
+  const bool leads = raft_.role() == consensus::Role::kLeader;
+  last_led_ = leads ? now : std::max(last_led_, raft_.last_leader_contact().value_or(last_led_));
+  // Nothing is sent to a machine that is not a member of the leader's log, though it may be one of
+  // its own: it was replaced while it was away, or the entry that added it was truncated.
   const bool possibly_replaced = now - last_led_ >= options_.rejoin_after;
   const bool member = raft_.IsMember(identity_.member);
   asks_to_join_ = !shutting_down_ && (!member || possibly_replaced);
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -41,8 +41,8 @@
   /// to the current leader. Applying it twice does no harm.
   Duration forward_timeout = Milliseconds(300);
   Duration join_interval = Milliseconds(300);
-  /// A member without a leader for this long asks to join, since it may have been replaced while it
-  /// was away.
+  /// A member that no leader has contacted for this long asks to join, since the group may not list
+  /// it.
   Duration rejoin_after = Milliseconds(1000);
   /// Sessions without a hello for this long are removed.
   Duration session_timeout = Seconds(5);
@@ -334,7 +334,7 @@
   /// On the leader: when each member was last known to answer; reset in each term.
   std::map<MemberId, Timestamp> member_last_contact_;
   uint64_t member_last_contact_term_ = 0;
-  /// When this machine last had a leader; its start if it had none.
+  /// When this machine last led or was contacted by a leader; its start if it never was.
   Timestamp last_led_;
   bool asks_to_join_ = false;
   Timestamp next_join_{};
--- a/test/control/replaced_replica_test.cc
+++ b/test/control/replaced_replica_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST_SUITE(ReplacedReplicaTest);
   CPPUNIT_TEST(MachineThatWasReplacedWhileCutOffJoinsAgain);
   CPPUNIT_TEST(MachineThatWasReplacedWhileDownJoinsAgain);
+  CPPUNIT_TEST(MachineWhoseJoinWasTruncatedJoinsAgain);
   CPPUNIT_TEST(TwoLostDisksLoseNothingAfterAReplacementBesideACut);
   CPPUNIT_TEST_SUITE_END();
 
@@ -62,6 +63,24 @@
     CheckVoters(group, replaced, away);
   }
 
+  /// Guards against a new machine that is never taken in because the leader that added it was
+  /// deposed before the others had heard of it: its own log lists it, that of the group does not.
+  void MachineWhoseJoinWasTruncatedJoinsAgain() {
+    Group group(kReplaceSilentAfter);
+    const MemberId leader = group.WaitForLeader();
+    group.Split({leader, kSuccessor});
+    group.Add(kSuccessor);
+    group.RunFor(Seconds(1));
+    CPPUNIT_ASSERT(group.at(kSuccessor).raft().IsMember(kSuccessor));
+    CPPUNIT_ASSERT(group.Leader() != leader);
+    CPPUNIT_ASSERT(!group.at(group.Leader()).raft().IsMember(kSuccessor));
+    group.Split({});
+    group.RunFor(kCatchUpTime);
+    CPPUNIT_ASSERT(group.at(group.Leader()).raft().IsMember(kSuccessor));
+    CPPUNIT_ASSERT_EQUAL(group.at(group.Leader()).raft().commit_index(),
+                         group.at(kSuccessor).raft().commit_index());
+  }
+
   /// What callers lose otherwise: the acknowledged configuration, and the group's leader.
   void TwoLostDisksLoseNothingAfterAReplacementBesideACut() {
     Group group(kReplaceSilentAfter);
