A batch of log entries is one write, so that losing part of it is a torn tail

Found by the independent review by reading, with no case: after a loss of power a control machine that was catching up could refuse to start for good ("the log is damaged in the middle").

Cause: one write an entry, one sync a batch.

Change: one write a batch. Test: LogStorageTest AnyLossOfUnsyncedWritesIsATornTail, every subset of the unsynced writes lost, failed before.

--- a/src/storage/log_storage.cc
+++ b/src/storage/log_storage.cc
@@ -207,24 +207,25 @@
   return absl::OkStatus();
 }
 
-absl::Status LogStorage::AppendRecord(const wire::StorageRecord& record) {
-  const std::string framed = FrameRecord(record);
+absl::Status LogStorage::AppendBytes(const std::string& framed) {
   log_bytes_ += framed.size();
   dirty_ = true;
   return log_->Append(framed);
 }
 
 absl::Status LogStorage::Append(const std::vector<wire::LogEntry>& entries) {
+  // One write: of several, a loss of power may take an earlier one and keep a later one, which
+  // Recover() could not tell from damage.
+  std::string framed;
   for (const wire::LogEntry& entry : entries) {
-    absl::Status status = AppendRecord(entry);
-    if (!status.ok()) {
-      return status;
-    }
+    framed += FrameRecord(entry);
   }
-  return absl::OkStatus();
+  return AppendBytes(framed);
 }
 
-absl::Status LogStorage::SaveHardState(const wire::HardState& state) { return AppendRecord(state); }
+absl::Status LogStorage::SaveHardState(const wire::HardState& state) {
+  return AppendBytes(FrameRecord(state));
+}
 
 absl::Status LogStorage::Sync() {
   if (!dirty_ || !options_.sync_before_ack) {
--- a/src/storage/log_storage.h
+++ b/src/storage/log_storage.h
@@ -62,7 +62,7 @@
   size_t log_bytes() const { return log_bytes_; }
 
  private:
-  absl::Status AppendRecord(const wire::StorageRecord& record);
+  absl::Status AppendBytes(const std::string& framed);
   absl::Status ReplaceFile(const std::string& name, std::string_view content);
   absl::Status OpenLog();
 
--- a/test/storage/log_storage_test.cc
+++ b/test/storage/log_storage_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/result_code.h"
@@ -20,7 +21,7 @@
 }
 
 /// Creates a folder with an identity, a synced vote and `count` entries.
-void Fill(sim::SimFileSystem* files, uint64_t count) {
+void Fill(FileSystem* files, uint64_t count) {
   LogStorage storage(files, {});
   CPPUNIT_ASSERT(storage.Format({1, "test", "a"}, {}).ok());
   CPPUNIT_ASSERT(storage.Recover().ok());
@@ -31,6 +32,54 @@
   CPPUNIT_ASSERT(storage.Sync().ok());
 }
 
+/// A disk that remembers the writes since the last sync.
+class WriteRecorder : public sim::SimFileSystem {
+ public:
+  WriteRecorder() : sim::SimFileSystem(kSeed) {}
+
+  absl::StatusOr<std::unique_ptr<AppendFile>> OpenAppend(const std::string& name) override {
+    auto file = sim::SimFileSystem::OpenAppend(name);
+    return std::unique_ptr<AppendFile>(
+        std::make_unique<RecordingFile>(*std::move(file), &unsynced_));
+  }
+  const std::vector<std::string>& unsynced() const { return unsynced_; }
+
+ private:
+  class RecordingFile : public AppendFile {
+   public:
+    RecordingFile(std::unique_ptr<AppendFile> file, std::vector<std::string>* unsynced)
+        : file_(std::move(file)), unsynced_(unsynced) {}
+    absl::Status Append(std::string_view bytes) override {
+      unsynced_->emplace_back(bytes);
+      return file_->Append(bytes);
+    }
+    absl::Status Sync() override {
+      unsynced_->clear();
+      return file_->Sync();
+    }
+
+   private:
+    std::unique_ptr<AppendFile> file_;
+    std::vector<std::string>* unsynced_;
+  };
+
+  std::vector<std::string> unsynced_;
+};
+
+/// Returns the writes as a loss of power leaves them, the lost ones as a hole before a later one.
+std::string LeftOf(const std::vector<std::string>& writes, uint64_t lost) {
+  std::string left;
+  std::string hole;
+  for (size_t i = 0; i < writes.size(); ++i) {
+    if ((lost >> i & 1) != 0) {
+      hole.append(writes[i].size(), '\0');
+    } else {
+      left += std::exchange(hole, "") + writes[i];
+    }
+  }
+  return left;
+}
+
 }  // namespace
 
 class LogStorageTest : public CppUnit::TestFixture {
@@ -39,6 +88,7 @@
   CPPUNIT_TEST(ChangedByteIsDetected);
   CPPUNIT_TEST(SyncedEntriesSurviveACrash);
   CPPUNIT_TEST(RecoveredEntriesSurviveACrash);
+  CPPUNIT_TEST(AnyLossOfUnsyncedWritesIsATornTail);
   CPPUNIT_TEST(AppendingAfterATruncatedTailWorks);
   CPPUNIT_TEST(FolderIsFormattedOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -86,6 +136,27 @@
     CPPUNIT_ASSERT_EQUAL(kEntries, before);
   }
 
+  /// Guards against a machine that refuses to start for good, because a loss of power took an
+  /// earlier write of an unsynced batch and kept a later one.
+  void AnyLossOfUnsyncedWritesIsATornTail() {
+    WriteRecorder files;
+    Fill(&files, 1);
+    LogStorage storage(&files, {});
+    CPPUNIT_ASSERT(storage.Recover().ok());
+    CPPUNIT_ASSERT(
+        storage.Append({Command(2, 3, "b"), Command(3, 3, "c"), Command(4, 3, "d")}).ok());
+    const std::vector<std::string> writes = files.unsynced();
+    for (uint64_t lost = 0; lost < uint64_t{1} << writes.size(); ++lost) {
+      sim::SimFileSystem after(kSeed);
+      Fill(&after, 1);
+      CPPUNIT_ASSERT((*after.OpenAppend("log"))->Append(LeftOf(writes, lost)).ok());
+      LogStorage next(&after, {});
+      const auto state = next.Recover();
+      CPPUNIT_ASSERT(state.ok());
+      CPPUNIT_ASSERT_EQUAL(std::string("entry 1"), state->entries.at(0).data);
+    }
+  }
+
   void ChangedByteIsDetected() {
     sim::SimFileSystem whole(kSeed);
     Fill(&whole, 4);
