--- a/src/control/control_replicas.cc
+++ b/src/control/control_replicas.cc
@@ -19,11 +19,11 @@
 void ControlServer::UpdateJoining(Timestamp now) {
   const bool leads = raft_.role() == consensus::Role::kLeader;
   last_led_ = leads ? now : std::max(last_led_, raft_.last_leader_contact().value_or(last_led_));
-  // Nothing is sent to a machine that is not a member of the leader's log, though it may be one of
-  // its own: it was replaced while it was away, or the entry that added it was truncated.
-  const bool possibly_replaced = now - last_led_ >= options_.rejoin_after;
+  // A leader sends nothing to a machine that is not listed in its log. That machine's own log may
+  // still list it: it was replaced while it was away, or the entry that added it was truncated.
+  const bool possibly_unlisted = now - last_led_ >= options_.rejoin_after;
   const bool member = raft_.IsMember(identity_.member);
-  asks_to_join_ = !shutting_down_ && (!member || possibly_replaced);
+  asks_to_join_ = !shutting_down_ && (!member || possibly_unlisted);
 }
 
 void ControlServer::SendJoin(Timestamp now) {
--- a/test/common/json_test.cc
+++ b/test/common/json_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(TextWithSurplusBytesIsUnreadable);
   CPPUNIT_TEST(ReadableTextCanBeEncoded);
   CPPUNIT_TEST(InvalidTextIsAnError);
+  CPPUNIT_TEST(DeeplyNestedTextIsRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -48,6 +49,14 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string("\"\u00e4\""), *EncodeJson("\u00e4"));
   }
+
+  /// Guards against text whose depth exhausts the stack.
+  void DeeplyNestedTextIsRead() {
+    constexpr size_t kDepth = 4 << 20;
+    const std::string open(kDepth, '[');
+    CPPUNIT_ASSERT(ParseJson(open).is_discarded());
+    CPPUNIT_ASSERT(ParseJson(open + std::string(kDepth, ']')).is_array());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(JsonTest);
 
