--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -2,6 +2,7 @@
 // documents.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "absl/strings/str_cat.h"
 #include "common/json.h"
 #include "common/result_code.h"
 #include "platform/control_dialect.h"
@@ -185,7 +186,8 @@
       CPPUNIT_ASSERT_MESSAGE(path, dialect.ReadCommand(Request("POST", path, body)).ok());
       CPPUNIT_ASSERT_MESSAGE(path, dialect.ReadCommand(Request("POST", path, body + "\r\n ")).ok());
       for (const std::string& surplus : SurplusBytes()) {
-        for (const std::string& text : {body + surplus, body + " " + surplus, surplus + body}) {
+        for (const std::string& text :
+             {body + surplus, absl::StrCat(body, " ", surplus), surplus + body}) {
           const auto command = dialect.ReadCommand(Request("POST", path, text));
           CPPUNIT_ASSERT_MESSAGE(path, !command.ok());
           CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 400, dialect.WriteRefusal(command.status()).status);
