Tests: a listening socket served byte by byte, and heartbeats, stand once

DoublingLeaf and the heartbeats of three fake leafs repeated them; the tests of peers that send without end need both. Also the peak memory of a process, and the addresses of the internal listeners.

No program changes.

--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -148,6 +148,20 @@
   }
 }
 
+uint64_t Process::PeakMemoryBytes() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  constexpr uint64_t kKilobyte = 1024;
+  uint64_t kilobytes = 0;
+  for (std::string word; status >> word;) {
+    if (word == "VmHWM:") {
+      status >> kilobytes;
+      break;
+    }
+  }
+  CPPUNIT_ASSERT(kilobytes > 0);
+  return kilobytes * kKilobyte;
+}
+
 bool Process::HasEnded() {
   int status = 0;
   if (running() && ::waitpid(pid_, &status, WNOHANG) == pid_) {
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -38,6 +38,8 @@
   /// Stops the process with SIGSTOP and waits until it stands still; SIGCONT continues it.
   void Pause() const;
   void Kill();
+  /// The most memory that the running process has had resident so far.
+  uint64_t PeakMemoryBytes() const;
   /// Waits for the process to exit. @return its exit code, or the negated signal that ended it.
   int Wait();
   bool running() const { return pid_ > 0; }
--- a/test/platform/crashing_leaf.cc
+++ b/test/platform/crashing_leaf.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "common/json.h"
-#include "e2e/fleet.h"
+#include "platform/heartbeat.h"
 
 namespace pumicedyke::platform {
 namespace {
@@ -54,11 +54,7 @@
     heartbeat_incarnation_ = server_.incarnation();
     heartbeats_ = 0;
   }
-  const Json body{{"backend", service_}, {"address", server_.address()},
-                  {"zone", "north"},     {"version", "v1"},
-                  {"slots", 2},          {"state", "ready"},
-                  {"cold_left_ms", 0},   {"seq", ++heartbeats_}};
-  return e2e::Post(control, "/v1/instances/" + id() + "/heartbeat", body.dump()).status;
+  return PostHeartbeat(control, {id(), service_, server_.address(), ++heartbeats_});
 }
 
 }  // namespace pumicedyke::platform
--- a/test/platform/doubling_leaf.cc
+++ b/test/platform/doubling_leaf.cc
@@ -1,18 +1,13 @@
 #include "platform/doubling_leaf.h"
 
-#include <arpa/inet.h>
-#include <cppunit/TestAssert.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <utility>
 
-#include "common/json.h"
-#include "e2e/fleet.h"
 #include "http/message_parser.h"
+#include "platform/heartbeat.h"
 
 namespace pumicedyke::platform {
 namespace {
@@ -50,52 +45,16 @@
 }
 
 DoublingLeaf::DoublingLeaf(std::string id, std::string service, RunCounts* runs)
-    : id_(std::move(id)), service_(std::move(service)), runs_(runs) {
-  socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  CPPUNIT_ASSERT(::bind(socket_, reinterpret_cast<sockaddr*>(&address), size) == 0);
-  CPPUNIT_ASSERT(::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-  CPPUNIT_ASSERT(::listen(socket_, 64) == 0);
-  address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-  acceptor_ = std::thread([this] { Accept(); });
-}
+    : id_(std::move(id)),
+      service_(std::move(service)),
+      runs_(runs),
+      listener_([this](int connection) { Serve(connection); }) {}
 
-DoublingLeaf::~DoublingLeaf() {
+void DoublingLeaf::Serve(int connection) {
   {
     const std::lock_guard lock(mutex_);
-    stopped_ = true;
-    for (const auto& [connection, copies] : due_copies_) {
-      ::shutdown(connection, SHUT_RDWR);
-    }
-  }
-  ::shutdown(socket_, SHUT_RDWR);
-  acceptor_.join();
-  for (std::thread& server : servers_) {
-    server.join();
-  }
-  ::close(socket_);
-}
-
-void DoublingLeaf::Accept() {
-  for (;;) {
-    const int connection = ::accept(socket_, nullptr, nullptr);
-    if (connection < 0) {
-      return;
-    }
-    const std::lock_guard lock(mutex_);
-    if (stopped_) {
-      ::close(connection);
-      return;
-    }
     due_copies_[connection];
-    servers_.emplace_back([this, connection] { Serve(connection); });
   }
-}
-
-void DoublingLeaf::Serve(int connection) {
   http::RequestParser parser({});
   std::string input;
   std::array<char, 4096> bytes{};
@@ -108,7 +67,6 @@
   }
   const std::lock_guard lock(mutex_);
   due_copies_.erase(connection);
-  ::close(connection);
 }
 
 void DoublingLeaf::OnRequest(int connection, const http::RequestMessage& request) {
@@ -134,10 +92,7 @@
 }
 
 int DoublingLeaf::SendHeartbeat(const std::string& control) {
-  const Json body{{"backend", service_}, {"address", address_}, {"zone", "north"},
-                  {"version", "v1"},     {"slots", 2},          {"state", "ready"},
-                  {"cold_left_ms", 0},   {"seq", ++heartbeats_}};
-  return e2e::Post(control, "/v1/instances/" + id_ + "/heartbeat", body.dump()).status;
+  return PostHeartbeat(control, {id_, service_, listener_.address(), ++heartbeats_});
 }
 
 }  // namespace pumicedyke::platform
--- a/test/platform/doubling_leaf.h
+++ b/test/platform/doubling_leaf.h
@@ -5,9 +5,9 @@
 #include <map>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "e2e/raw_listener.h"
 #include "http/message.h"
 
 namespace pumicedyke::platform {
@@ -29,7 +29,6 @@
 class DoublingLeaf {
  public:
   DoublingLeaf(std::string id, std::string service, RunCounts* runs);
-  ~DoublingLeaf();
   DoublingLeaf(const DoublingLeaf&) = delete;
   DoublingLeaf& operator=(const DoublingLeaf&) = delete;
 
@@ -39,7 +38,6 @@
   int SendHeartbeat(const std::string& control);
 
  private:
-  void Accept();
   /// Serves one connection until it ends.
   void Serve(int connection);
   void OnRequest(int connection, const http::RequestMessage& request);
@@ -49,17 +47,14 @@
   const std::string id_;
   const std::string service_;
   RunCounts* const runs_;
-  int socket_ = -1;
-  std::string address_;
   std::atomic<int> copies_{0};
   int heartbeats_ = 0;
   std::mutex mutex_;
-  bool stopped_ = false;
   /// Open connections, with the refusals on them whose copy is still due.
   std::map<int, std::vector<std::string>> due_copies_;
   std::map<std::string, int> tries_;
-  std::vector<std::thread> servers_;
-  std::thread acceptor_;
+  /// Last, because its threads use the other members.
+  e2e::RawListener listener_;
 };
 
 }  // namespace pumicedyke::platform
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -10,6 +10,7 @@
 #include "common/json.h"
 #include "e2e/free_address.h"
 #include "http/http_client.h"
+#include "platform/heartbeat.h"
 
 namespace pumicedyke::platform {
 namespace {
@@ -99,11 +100,8 @@
 }
 
 int FakeLeaf::SendHeartbeat(const std::string& control, bool draining) {
-  const Json body{{"backend", service_}, {"address", address()},
-                  {"zone", "north"},     {"version", "v1"},
-                  {"slots", 2},          {"state", draining ? "draining" : "ready"},
-                  {"cold_left_ms", 0},   {"seq", ++sequence_}};
-  return e2e::Post(control, "/v1/instances/" + id_ + "/heartbeat", body.dump()).status;
+  return PostHeartbeat(control,
+                       {id_, service_, address(), ++sequence_, draining ? "draining" : "ready"});
 }
 
 int ControlIndex(const std::string& process) { return std::stoi(process.substr(1)); }
@@ -142,6 +140,10 @@
   return HostOf(index) + ":" + directory_port_;
 }
 
+std::string PlatformFleet::InternalAddress(int index) const {
+  return HostOf(index) + ":" + internal_port_;
+}
+
 std::string PlatformFleet::OperatorAddress(int index) const {
   return processes.at("c" + std::to_string(index))->Address("operator");
 }
@@ -182,7 +184,8 @@
 }
 
 void PlatformFleet::RestartGateway(const std::string& name) {
-  StartGatewayAt(name, gateways_.at(name), /*first_start=*/false);
+  const GatewayAddresses addresses = gateways_.at(name);
+  StartGatewayAt(name, addresses, /*first_start=*/false);
 }
 
 std::string PlatformFleet::DataFolder(int index) const {
@@ -191,14 +194,18 @@
 
 void PlatformFleet::StartGatewayAt(const std::string& process, const GatewayAddresses& addresses,
                                    bool first_start) {
-  gateways_[process] = addresses;
+  GatewayAddresses& known = gateways_[process];
+  known = addresses;
+  if (known.peer.empty()) {
+    known.peer = e2e::FreeAddress();
+  }
   const std::string file = folder_ + "/" + process + ".toml";
   std::ofstream settings(file);
   // The processor share is so small that even a few dozen shards are worth sharing.
   settings << "cluster = \"test\"\nnode = \"" << process << "\"\nzone = \"north\"\nlisten = \""
            << addresses.listen << "\"\nready_listen = \"" << addresses.ready
            << "\"\ndirectory_listen = \"" << addresses.directory << "\"\nmetrics_listen = \""
-           << addresses.metrics << "\"\npeer_listen = \"" << e2e::FreeAddress()
+           << addresses.metrics << "\"\npeer_listen = \"" << known.peer
            << "\"\nprocessor_share = 0.001\nextra_load_allowance = "
            << options_.extra_load_allowance
            << "\nfirst_start = " << (first_start ? "true" : "false") << "\nseeds = [\""
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -114,6 +114,12 @@
   const std::string& MetricsAddressOf(const std::string& gateway) const {
     return gateways_.at(gateway).metrics;
   }
+  /// Address at which a gateway listens for the other gateways, by the name of its process.
+  const std::string& PeerAddressOf(const std::string& gateway) const {
+    return gateways_.at(gateway).peer;
+  }
+  /// Address at which a control machine listens for other control machines and gateways.
+  std::string InternalAddress(int index) const;
   const std::string& second_metrics_address() const { return second_metrics_address_; }
 
   /// Puts a document at the control machines in turn until one answers definitely. @return the last
@@ -138,6 +144,8 @@
     std::string ready;
     std::string metrics;
     std::string directory;
+    /// Chosen at the first start if empty.
+    std::string peer = {};
   };
   /// @param first_start whether no gateway of this fleet has run at these addresses before.
   void StartGatewayAt(const std::string& process, const GatewayAddresses& addresses,
