An announced length that is too long is refused before it is allocated

What callers saw: a leaf that answered with "Content-Length:" and some bytes of the body in the same packet ended the gateway within milliseconds, and the next one with the retry ("terminate called after throwing an instance of 'std::bad_alloc'"). Lengths from 64 MB on were allocated whenever bytes followed the head, also in requests.

Cause: the parser was eager. Beast 1.74 finds the length above the limit, but where more bytes wait its loop goes on with the next state, overwrites the error, and reserves the announced length (impl/basic_parser.ipp: after finish_header() `break`, not `goto done`). The existing test sent no byte after the head.

Ruled out: the limit itself (64 MB, in force without eager), string_body (checks max_size() only).

Change: the parser is not eager; its callers already feed it until nothing is taken. A parser that failed frees what it holds.

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -12,41 +12,49 @@
 namespace beast = boost::beast::http;
 using ErrorCode = boost::beast::error_code;
 
+/// A message that is being read.
 template <bool is_request>
-using Parser = beast::parser<is_request, beast::string_body>;
+struct Reading {
+  beast::parser<is_request, beast::string_body> parser;
+};
 
 template <bool is_request>
-std::unique_ptr<Parser<is_request>> MakeParser(const MessageLimits& limits) {
-  auto parser = std::make_unique<Parser<is_request>>();
-  parser->eager(true);
-  parser->header_limit(limits.header_bytes);
-  parser->body_limit(limits.body_bytes);
-  return parser;
+std::unique_ptr<Reading<is_request>> MakeReading(const MessageLimits& limits) {
+  auto reading = std::make_unique<Reading<is_request>>();
+  // An eager parser goes on to allocate an announced length although it has found it too long.
+  reading->parser.eager(false);
+  reading->parser.header_limit(limits.header_bytes);
+  reading->parser.body_limit(limits.body_bytes);
+  return reading;
 }
 
 /// Feeds the parser until it needs more input, is done or fails. Removes the used input.
 template <bool is_request>
-ErrorCode Put(Parser<is_request>* parser, std::string* input) {
+ErrorCode Put(Reading<is_request>* reading, std::string* input) {
+  auto& parser = reading->parser;
   ErrorCode error;
   size_t used = 0;
-  while (used < input->size() && !parser->is_done()) {
+  while (used < input->size() && !parser.is_done()) {
     const size_t taken =
-        parser->put(boost::asio::const_buffer(input->data() + used, input->size() - used), error);
+        parser.put(boost::asio::const_buffer(input->data() + used, input->size() - used), error);
     used += taken;
     if (error || taken == 0) {
       break;
     }
   }
   input->erase(0, used);
-  return error == beast::error::need_more ? ErrorCode() : error;
+  if (error && error != beast::error::need_more) {
+    return error;
+  }
+  return ErrorCode();
 }
 
 template <bool is_request>
-ParseState StateOf(const Parser<is_request>& parser, bool started) {
-  if (parser.is_done()) {
+ParseState StateOf(const Reading<is_request>& reading, bool started) {
+  if (reading.parser.is_done()) {
     return ParseState::kComplete;
   }
-  if (parser.is_header_done()) {
+  if (reading.parser.is_header_done()) {
     return ParseState::kBody;
   }
   return started ? ParseState::kHead : ParseState::kEmpty;
@@ -74,7 +82,7 @@
 }  // namespace
 
 struct RequestParser::Impl {
-  std::unique_ptr<Parser<true>> parser;
+  std::unique_ptr<Reading<true>> reading;
 };
 
 RequestParser::RequestParser(MessageLimits limits)
@@ -86,43 +94,44 @@
   if (state_ == ParseState::kFailed || state_ == ParseState::kComplete) {
     return state_;
   }
-  if (impl_->parser == nullptr) {
+  if (impl_->reading == nullptr) {
     if (input->empty()) {
       return state_;
     }
-    impl_->parser = MakeParser<true>(limits_);
+    impl_->reading = MakeReading<true>(limits_);
   }
   const bool started = !input->empty() || state_ != ParseState::kEmpty;
-  const ErrorCode error = Put(impl_->parser.get(), input);
+  const ErrorCode error = Put(impl_->reading.get(), input);
   if (error) {
     error_ = ErrorOf(error);
+    impl_->reading.reset();
     state_ = ParseState::kFailed;
   } else {
-    state_ = StateOf(*impl_->parser, started);
+    state_ = StateOf(*impl_->reading, started);
   }
   return state_;
 }
 
 bool RequestParser::ExpectsContinue() const {
-  const auto& message = impl_->parser->get();
+  const auto& message = impl_->reading->parser.get();
   return boost::beast::iequals(message[beast::field::expect], "100-continue");
 }
 
 RequestMessage RequestParser::Take() {
-  auto& message = impl_->parser->get();
+  auto& message = impl_->reading->parser.get();
   RequestMessage request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.headers = CopyHeaders(message);
   request.keep_alive = message.keep_alive();
   request.body = std::move(message.body());
-  impl_->parser.reset();
+  impl_->reading.reset();
   state_ = ParseState::kEmpty;
   return request;
 }
 
 struct ResponseParser::Impl {
-  std::unique_ptr<Parser<false>> parser;
+  std::unique_ptr<Reading<false>> reading;
 };
 
 ResponseParser::ResponseParser(MessageLimits limits, bool to_head)
@@ -134,20 +143,24 @@
   if (state_ == ParseState::kFailed || state_ == ParseState::kComplete) {
     return state_;
   }
-  if (impl_->parser == nullptr) {
-    impl_->parser = MakeParser<false>(limits_);
-    impl_->parser->skip(to_head_);
+  if (impl_->reading == nullptr) {
+    impl_->reading = MakeReading<false>(limits_);
+    impl_->reading->parser.skip(to_head_);
   }
   const bool started = !input->empty() || state_ != ParseState::kEmpty;
-  const ErrorCode error = Put(impl_->parser.get(), input);
-  state_ = error ? ParseState::kFailed : StateOf(*impl_->parser, started);
+  if (Put(impl_->reading.get(), input)) {
+    impl_->reading.reset();
+    state_ = ParseState::kFailed;
+  } else {
+    state_ = StateOf(*impl_->reading, started);
+  }
   return state_;
 }
 
 ParseState ResponseParser::ConsumeEnd() {
-  if (state_ == ParseState::kBody && impl_->parser->need_eof()) {
+  if (state_ == ParseState::kBody && impl_->reading->parser.need_eof()) {
     ErrorCode error;
-    impl_->parser->put_eof(error);
+    impl_->reading->parser.put_eof(error);
     state_ = error ? ParseState::kFailed : ParseState::kComplete;
   } else if (state_ != ParseState::kComplete) {
     state_ = ParseState::kFailed;
@@ -156,14 +169,14 @@
 }
 
 ResponseMessage ResponseParser::Take() {
-  auto& message = impl_->parser->get();
+  auto& message = impl_->reading->parser.get();
   ResponseMessage response;
   response.status = static_cast<int>(message.result_int());
   response.reason = std::string(message.reason());
   response.headers = CopyHeaders(message);
-  response.keep_alive = message.keep_alive() && !impl_->parser->need_eof();
+  response.keep_alive = message.keep_alive() && !impl_->reading->parser.need_eof();
   response.body = std::move(message.body());
-  impl_->parser.reset();
+  impl_->reading.reset();
   state_ = ParseState::kEmpty;
   return response;
 }
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -12,6 +12,7 @@
 
 struct MessageLimits {
   uint32_t header_bytes = 64 * 1024;
+  /// Checked before memory is allocated for an announced length.
   uint64_t body_bytes = 64 << 20;
 };
 
--- a/test/http/message_parser_test.cc
+++ b/test/http/message_parser_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(RequestsAreReadWhole);
   CPPUNIT_TEST(MalformedRequestsFail);
   CPPUNIT_TEST(LimitsAreEnforced);
+  CPPUNIT_TEST(AnnouncedLengthIsCheckedBeforeItIsAllocated);
   CPPUNIT_TEST(ResponsesEndAtTheirLength);
   CPPUNIT_TEST(PiecesGiveTheSameMessages);
   CPPUNIT_TEST(GarbageDoesNoHarm);
@@ -86,6 +87,21 @@
     CPPUNIT_ASSERT(chunked.error() == ParseError::kBodyTooLarge);
   }
 
+  /// Guards against processes that end because a peer announces more bytes than there is memory,
+  /// and sends some of them with the head.
+  void AnnouncedLengthIsCheckedBeforeItIsAllocated() {
+    for (const char* length : {"67108865", "4611686018427387904", "18446744073709551615"}) {
+      const std::string rest = std::string("Content-Length: ") + length + "\r\n\r\nfirst bytes";
+      ResponseParser response({}, false);
+      std::string text = "HTTP/1.1 200 OK\r\n" + rest;
+      CPPUNIT_ASSERT_MESSAGE(length, response.Consume(&text) == ParseState::kFailed);
+      RequestParser request({});
+      text = "PUT / HTTP/1.1\r\n" + rest;
+      CPPUNIT_ASSERT_MESSAGE(length, request.Consume(&text) == ParseState::kFailed);
+      CPPUNIT_ASSERT_MESSAGE(length, request.error() == ParseError::kBodyTooLarge);
+    }
+  }
+
   void ResponsesEndAtTheirLength() {
     std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
     ResponseParser counted({}, false);
