Chunk sizes, extensions and trailers that never end are refused

Cause: Beast takes a size line and all trailers at once. Until their end has come it takes nothing, and the bytes pile up in the stream's input; no limit covers them. Extensions of many small chunks are taken, but count nowhere.

Change: what frames a body may take as much as a head, and 16 bytes more for each byte of the body (a chunk of one byte with a padded size has 12). Bytes that the parser has not taken count.

Bodies in chunks of one byte are still read (SmallChunksWithLongSizesAreRead).

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -12,10 +12,22 @@
 namespace beast = boost::beast::http;
 using ErrorCode = boost::beast::error_code;
 
+/// Bytes of chunk sizes and extensions that each byte of a body may come with. A chunk of one byte
+/// whose size is written with eight digits has twelve.
+constexpr size_t kFramingBytesPerBodyByte = 16;
+
 /// A message that is being read.
 template <bool is_request>
 struct Reading {
   beast::parser<is_request, beast::string_body> parser;
+  /// Bytes of the message that were taken from the input.
+  size_t taken = 0;
+  /// Those of its head.
+  size_t head = 0;
+
+  size_t body() const { return parser.get().body().size(); }
+  /// Bytes after the head that are not part of the body.
+  size_t framing() const { return parser.is_header_done() ? taken - head - body() : 0; }
 };
 
 template <bool is_request>
@@ -28,16 +40,34 @@
   return reading;
 }
 
+/// Whether chunk sizes, extensions and trailers take too many bytes, with those of `rest`, which
+/// belong to a size line or to trailers that have not ended yet.
+template <bool is_request>
+bool FramingIsTooLong(const Reading<is_request>& reading, const std::string& rest,
+                      const MessageLimits& limits) {
+  if (!reading.parser.is_header_done()) {
+    return false;
+  }
+  const size_t unread = reading.parser.is_done() ? 0 : rest.size();
+  return reading.framing() + unread >
+         limits.header_bytes + kFramingBytesPerBodyByte * reading.body();
+}
+
 /// Feeds the parser until it needs more input, is done or fails. Removes the used input.
 template <bool is_request>
-ErrorCode Put(Reading<is_request>* reading, std::string* input) {
+ErrorCode Put(const MessageLimits& limits, Reading<is_request>* reading, std::string* input) {
   auto& parser = reading->parser;
   ErrorCode error;
   size_t used = 0;
   while (used < input->size() && !parser.is_done()) {
+    const bool in_head = !parser.is_header_done();
     const size_t taken =
         parser.put(boost::asio::const_buffer(input->data() + used, input->size() - used), error);
     used += taken;
+    reading->taken += taken;
+    if (in_head) {
+      reading->head += taken;
+    }
     if (error || taken == 0) {
       break;
     }
@@ -46,7 +76,8 @@
   if (error && error != beast::error::need_more) {
     return error;
   }
-  return ErrorCode();
+  return FramingIsTooLong(*reading, *input, limits) ? ErrorCode(beast::error::header_limit)
+                                                    : ErrorCode();
 }
 
 template <bool is_request>
@@ -101,7 +132,7 @@
     impl_->reading = MakeReading<true>(limits_);
   }
   const bool started = !input->empty() || state_ != ParseState::kEmpty;
-  const ErrorCode error = Put(impl_->reading.get(), input);
+  const ErrorCode error = Put(limits_, impl_->reading.get(), input);
   if (error) {
     error_ = ErrorOf(error);
     impl_->reading.reset();
@@ -112,6 +143,10 @@
   return state_;
 }
 
+size_t RequestParser::held_bytes() const {
+  return impl_->reading == nullptr ? 0 : impl_->reading->taken;
+}
+
 bool RequestParser::ExpectsContinue() const {
   const auto& message = impl_->reading->parser.get();
   return boost::beast::iequals(message[beast::field::expect], "100-continue");
@@ -125,9 +160,13 @@
   request.headers = CopyHeaders(message);
   request.keep_alive = message.keep_alive();
   request.body = std::move(message.body());
+  Reset();
+  return request;
+}
+
+void RequestParser::Reset() {
   impl_->reading.reset();
   state_ = ParseState::kEmpty;
-  return request;
 }
 
 struct ResponseParser::Impl {
@@ -148,7 +187,7 @@
     impl_->reading->parser.skip(to_head_);
   }
   const bool started = !input->empty() || state_ != ParseState::kEmpty;
-  if (Put(impl_->reading.get(), input)) {
+  if (Put(limits_, impl_->reading.get(), input)) {
     impl_->reading.reset();
     state_ = ParseState::kFailed;
   } else {
@@ -157,6 +196,10 @@
   return state_;
 }
 
+size_t ResponseParser::held_bytes() const {
+  return impl_->reading == nullptr ? 0 : impl_->reading->taken;
+}
+
 ParseState ResponseParser::ConsumeEnd() {
   if (state_ == ParseState::kBody && impl_->reading->parser.need_eof()) {
     ErrorCode error;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -11,6 +11,8 @@
 namespace pumicedyke::http {
 
 struct MessageLimits {
+  /// Also bounds what frames a body in chunks (sizes, extensions and trailers), beyond a few bytes
+  /// for each byte of the body.
   uint32_t header_bytes = 64 * 1024;
   /// Checked before memory is allocated for an announced length.
   uint64_t body_bytes = 64 << 20;
@@ -39,10 +41,14 @@
   ParseState Consume(std::string* input);
   ParseState state() const { return state_; }
   ParseError error() const { return error_; }
+  /// Number of bytes of the current message that the parser has taken from its input.
+  size_t held_bytes() const;
   /// Whether the sender waits for "100 Continue". Valid once the head is complete.
   bool ExpectsContinue() const;
   /// Returns the complete message and resets the parser for the next one.
   RequestMessage Take();
+  /// Discards what was read of the current message.
+  void Reset();
 
  private:
   struct Impl;
@@ -62,6 +68,8 @@
   /// Handles an orderly close of the connection, which completes a response without a length.
   ParseState ConsumeEnd();
   ParseState state() const { return state_; }
+  /// Number of bytes of the current message that the parser has taken from its input.
+  size_t held_bytes() const;
   ResponseMessage Take();
 
  private:
--- a/test/http/message_parser_test.cc
+++ b/test/http/message_parser_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(MalformedRequestsFail);
   CPPUNIT_TEST(LimitsAreEnforced);
   CPPUNIT_TEST(AnnouncedLengthIsCheckedBeforeItIsAllocated);
+  CPPUNIT_TEST(FramingWithoutEndFails);
+  CPPUNIT_TEST(SmallChunksWithLongSizesAreRead);
   CPPUNIT_TEST(ResponsesEndAtTheirLength);
   CPPUNIT_TEST(PiecesGiveTheSameMessages);
   CPPUNIT_TEST(GarbageDoesNoHarm);
@@ -102,6 +104,57 @@
     }
   }
 
+  /// Guards against memory taken by chunk sizes, extensions and trailers that never end.
+  void FramingWithoutEndFails() {
+    struct Case {
+      const char* name;
+      std::string start;
+      std::string endless;
+    };
+    const Case cases[] = {
+        {"size", "", "0"},
+        {"extension", "1;", "a"},
+        {"extension of the last chunk", "0;", "a"},
+        {"trailer", "0\r\nT: ", "a"},
+        {"trailers", "0\r\n", "T: x\r\n"},
+        {"extensions of many chunks", "", "1;" + std::string(90, 'a') + "\r\nx\r\n"},
+    };
+    const MessageLimits limits{.header_bytes = 200, .body_bytes = 1000};
+    constexpr size_t kMostBytes = 4000;
+    for (const Case& item : cases) {
+      const std::string head = "Transfer-Encoding: chunked\r\n\r\n" + item.start;
+      RequestParser request(limits);
+      ResponseParser response(limits, false);
+      std::string input = "PUT / HTTP/1.1\r\n" + head;
+      std::string answer = "HTTP/1.1 200 OK\r\n" + head;
+      size_t sent = 0;
+      bool open = true;
+      while (open && sent < kMostBytes) {
+        input += item.endless;
+        answer += item.endless;
+        sent += item.endless.size();
+        const bool request_open = request.Consume(&input) != ParseState::kFailed;
+        const bool response_open = response.Consume(&answer) != ParseState::kFailed;
+        open = request_open || response_open;
+      }
+      CPPUNIT_ASSERT_MESSAGE(item.name, !open);
+      CPPUNIT_ASSERT_MESSAGE(item.name, request.error() == ParseError::kHeaderTooLarge);
+    }
+  }
+
+  /// Bodies may come a byte at a time, with sizes padded to a fixed width.
+  void SmallChunksWithLongSizesAreRead() {
+    RequestParser parser({.header_bytes = 200, .body_bytes = 1000});
+    std::string input = "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 900; ++i) {
+      input += "00000001\r\nx\r\n";
+    }
+    CPPUNIT_ASSERT(parser.Consume(&input) == ParseState::kBody);
+    input += "0\r\n\r\n";
+    CPPUNIT_ASSERT(parser.Consume(&input) == ParseState::kComplete);
+    CPPUNIT_ASSERT_EQUAL(size_t{900}, parser.Take().body.size());
+  }
+
   void ResponsesEndAtTheirLength() {
     std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
     ResponseParser counted({}, false);
