--- a/src/http/metrics.cc
+++ b/src/http/metrics.cc
@@ -40,7 +40,13 @@
   samples_.push_back({Kind::kHistogram, name, help, 0, labels, histogram});
 }
 
-void MetricsPage::AddProcess() {
+void MetricsPage::AddProcess(const net::ByteBudget& budget) {
+  Gauge("pumicedyke_held_bytes",
+        "Bytes of unfinished messages and unwritten responses that all connections hold.",
+        static_cast<double>(budget.held()));
+  Counter("pumicedyke_held_bytes_given_up_total",
+          "Connections closed because all together held too many bytes.",
+          static_cast<double>(budget.revocations()));
   rusage usage{};
   ::getrusage(RUSAGE_SELF, &usage);
   const auto seconds = [](const timeval& time) {
--- /dev/null
+++ b/src/net/byte_budget.cc
@@ -0,0 +1,44 @@
+#include "net/byte_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pumicedyke::net {
+
+ByteBudget::Holder::Holder(ByteBudget* budget, std::function<void()> on_revoked)
+    : budget_(budget), on_revoked_(std::move(on_revoked)) {}
+
+ByteBudget::Holder::~Holder() { budget_->Set(this, 0); }
+
+void ByteBudget::Holder::Hold(size_t bytes) {
+  if (revoked_ || bytes == held_) {
+    return;
+  }
+  budget_->Set(this, bytes);
+  while (budget_->held_ > budget_->limit_) {
+    budget_->RevokeLargest();
+  }
+}
+
+void ByteBudget::Set(Holder* holder, size_t bytes) {
+  held_ = held_ - holder->held_ + bytes;
+  holder->held_ = bytes;
+  if (bytes > 0) {
+    holders_.insert(holder);
+  } else {
+    holders_.erase(holder);
+  }
+}
+
+void ByteBudget::RevokeLargest() {
+  Holder* largest =
+      *std::max_element(holders_.begin(), holders_.end(),
+                        [](const Holder* a, const Holder* b) { return a->held_ < b->held_; });
+  last_revoked_bytes_ = largest->held_;
+  Set(largest, 0);
+  largest->revoked_ = true;
+  ++revocations_;
+  largest->on_revoked_();
+}
+
+}  // namespace pumicedyke::net
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "common/types.h"
+#include "net/byte_budget.h"
 #include "net/poller.h"
 
 namespace pumicedyke::net {
@@ -39,6 +40,10 @@
   /// The poller that watches the loop's sockets.
   Poller* poller() { return &poller_; }
 
+  /// Bounds what all connections on this loop hold together.
+  ByteBudget* byte_budget() { return &byte_budget_; }
+  const ByteBudget& byte_budget() const { return byte_budget_; }
+
   /// The earliest time at which the input that is being read may have arrived: the last poll, or
   /// the end of the wait if the loop has waited since.
   Timestamp earliest_arrival() const { return earliest_arrival_; }
@@ -77,6 +82,8 @@
 
   void RecordArrival();
 
+  /// Destroyed last: tasks may own connections.
+  ByteBudget byte_budget_{kDefaultHeldBytes};
   Poller poller_;
   /// Start and end of the last wait for sockets.
   Timestamp wait_start_{};
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -18,6 +18,7 @@
 #include "net/frame_socket.h"
 #include "server/control_log.h"
 #include "server/graceful_stop.h"
+#include "server/held_bytes_log.h"
 #include "server/misdirected_log.h"
 #include "server/settings_watch.h"
 #include "storage/log_storage.h"
@@ -161,6 +162,7 @@
   control::TicketId next_ticket_ = 1;
   ControlLog log_;
   MisdirectedLog misdirected_;
+  HeldBytesLog held_bytes_log_;
   SettingsWatch watch_;
   GracefulStop stop_;
 };
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -113,7 +113,8 @@
 }
 
 std::string GatewayMetrics::Text(Timestamp now, const gateway::GatewayServer& server,
-                                 const http::HttpClient& client) const {
+                                 const http::HttpClient& client,
+                                 const net::ByteBudget& budget) const {
   http::MetricsPage page;
   for (const auto& [route, counts] : routes_) {
     for (const auto& [code, answers] : counts.answers) {
@@ -185,7 +186,7 @@
              static_cast<double>(server.CountSuspects(now)));
   AddExtraLoad(now, server, &page);
   AddReportMetrics(now, server.reports(), &page);
-  page.AddProcess();
+  page.AddProcess(budget);
   return page.Text();
 }
 
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -133,8 +133,9 @@
           responder.Send({404, "only /metrics is here\n", "text/plain"});
           return;
         }
-        responder.Send({200, metrics_.Text(net::EventLoop::Now(), *server_, *client_),
-                        "text/plain; version=0.0.4"});
+        responder.Send(
+            {200, metrics_.Text(net::EventLoop::Now(), *server_, *client_, *loop_->byte_budget()),
+             "text/plain; version=0.0.4"});
       });
   return metrics_http_->Listen(settings_.metrics_listen);
 }
@@ -227,6 +228,7 @@
   ApplyLimits();
   log_.OnState(now, *server_);
   report_log_.OnState(now, server_->reports());
+  held_bytes_log_.OnState(now, *loop_->byte_budget());
   if (stop_.started() && stop_.Done(now, server_->Drained() && unlogged_answers_ == 0)) {
     loop_->Stop();
   }
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -17,6 +17,7 @@
 #include "server/gateway_log.h"
 #include "server/gateway_metrics.h"
 #include "server/graceful_stop.h"
+#include "server/held_bytes_log.h"
 #include "server/misdirected_log.h"
 #include "server/report_log.h"
 #include "server/settings_watch.h"
@@ -127,6 +128,7 @@
   GracefulStop stop_;
   MisdirectedLog misdirected_;
   ReportLog report_log_;
+  HeldBytesLog held_bytes_log_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -127,6 +127,7 @@
   PollPlatform(now);
   DispatchOutput();
   report_log_.OnState(now, server_->reports());
+  held_bytes_log_.OnState(now, *loop_->byte_budget());
   if (stop_.started() && stop_.Done(now, server_->Drained())) {
     loop_->Stop();
   }
@@ -366,7 +367,7 @@
                server_->pool().Limit(leaf), {{"leaf", leaf}});
   }
   AddReportMetrics(now, server_->reports(), &page);
-  page.AddProcess();
+  page.AddProcess(*loop_->byte_budget());
   return page.Text();
 }
 
--- a/src/server/node_process.h
+++ b/src/server/node_process.h
@@ -14,6 +14,7 @@
 #include "net/frame_socket.h"
 #include "node/node_server.h"
 #include "server/graceful_stop.h"
+#include "server/held_bytes_log.h"
 #include "server/misdirected_log.h"
 #include "server/report_log.h"
 
@@ -80,6 +81,7 @@
   GracefulStop stop_;
   MisdirectedLog misdirected_;
   ReportLog report_log_;
+  HeldBytesLog held_bytes_log_;
 };
 
 }  // namespace pumicedyke::server
