Clients cannot make a server hold what they send without end

What callers saw: nothing; the process grew. Three ways: bytes after a request that is still served piled up in the input; requests whose responses the client never reads were all served, and the responses piled up in the output; and an unfinished request was kept for 30 s, as many at once as there are connections. After a refusal the server read and dropped all that came for half a second.

Change: a request is read once the response before it is written, and reading stops while 64 KB of further requests wait (the client has to wait, as TCP is meant to; its disconnect is noticed later then). After a refusal 16 MB are dropped, so that a client that sends its whole document first still reads why it was refused. What a connection holds counts in the budget; a request that has to give its bytes up is refused with 429 and Retry-After. A request takes 10 s at most.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -25,6 +25,12 @@
 /// A client whose request was refused before its end may still be sending. It gets this long to
 /// read the response.
 constexpr Duration kLingerAfterError = Milliseconds(500);
+/// Bytes of further requests that are read while a request is served or its response written.
+constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+/// Bytes that are read and dropped meanwhile. What comes after them is not read.
+constexpr size_t kMaxDroppedBytes = size_t{16} << 20;
+/// Told to clients whose request is refused because all connections together hold too many bytes.
+constexpr Duration kRetryAfterOverload = Seconds(1);
 
 HttpResponse ErrorResponse(ResultCode code) {
   const ResultCodeInfo& info = InfoOf(code);
@@ -32,7 +38,11 @@
                            ",\"result\":\"" + std::string(info.name) +
                            "\",\"run\":\"not_run\",\"message\":\"" + std::string(info.meaning) +
                            "\"}";
-  return {info.http_status, body};
+  HttpResponse response{info.http_status, body};
+  if (code == ResultCode::kOverloaded) {
+    response.retry_after = kRetryAfterOverload;
+  }
+  return response;
 }
 
 ResultCode CodeOfError(ParseError error) {
@@ -90,10 +100,11 @@
         loop_(server->loop_),
         id_(id),
         parser_(Limits(server->options_)),
+        held_(server->loop_->byte_budget(), [this] { RevokeSoon(); }),
         stream_(server->loop_, handle,
                 {.on_bytes = [this](std::string* input) { OnBytes(input); },
                  .on_end = [this](net::StreamEnd) { OnEnd(); },
-                 .on_drained = {}}) {
+                 .on_drained = [this] { OnDrained(); }}) {
     RestartIdleTimer();
   }
   ~Connection() { loop_->CancelTimer(timer_); }
@@ -118,21 +129,23 @@
   }
 
   void OnBytes(std::string* input) {
-    if (serving_ || closing_) {
-      // A pipelined request stays in the input until the response is written. After an error the
-      // input is dropped.
-      if (closing_) {
-        input->clear();
-      }
-      input_ = input;
-      return;
-    }
     input_ = input;
+    if (closing_) {
+      // After an error the input is dropped.
+      dropped_bytes_ += input->size();
+      input->clear();
+    }
     ReadRequests();
+    UpdateFlow();
   }
 
+  /// Whether the next request may be read: responses are written one after the other, and a client
+  /// that does not read them gets no further ones.
+  bool ReadyForRequest() const { return !serving_ && !closing_ && stream_.unwritten() == 0; }
+  bool HasInput() const { return input_ != nullptr && !input_->empty(); }
+
   void ReadRequests() {
-    while (!serving_ && !closing_ && input_ != nullptr && !input_->empty()) {
+    while (ReadyForRequest() && HasInput()) {
       const bool starts_request = parser_.state() == ParseState::kEmpty;
       const ParseState state = parser_.Consume(input_);
       if (starts_request) {
@@ -154,7 +167,52 @@
     }
   }
 
+  void ReadRequestsSoon() {
+    loop_->Defer([self = weak_from_this()] {
+      if (const auto connection = self.lock()) {
+        connection->ReadRequests();
+        connection->UpdateFlow();
+      }
+    });
+  }
+
+  /// Stops reading while further requests wait, and tells the budget what is held.
+  void UpdateFlow() {
+    if (!stream_.open()) {
+      return;
+    }
+    const size_t waiting = HasInput() ? input_->size() : 0;
+    const bool wanted = closing_ ? dropped_bytes_ < kMaxDroppedBytes
+                                 : ReadyForRequest() || waiting < kMaxReadAheadBytes;
+    stream_.SetReading(wanted);
+    held_.Hold(waiting + parser_.held_bytes() + served_bytes_ + stream_.unwritten());
+  }
+
+  /// Called by the budget, possibly from within another connection's work.
+  void RevokeSoon() {
+    loop_->Defer([self = weak_from_this()] {
+      if (const auto connection = self.lock()) {
+        connection->Revoke();
+      }
+    });
+  }
+
+  void Revoke() {
+    if (ReadyForRequest() && parser_.state() != ParseState::kEmpty) {
+      Refuse(ResultCode::kOverloaded);
+    } else if (stream_.open()) {
+      OnEnd();
+    }
+  }
+
+  void OnDrained() {
+    if (HasInput()) {
+      ReadRequestsSoon();
+    }
+  }
+
   void Dispatch() {
+    served_bytes_ = parser_.held_bytes();
     RequestMessage message = parser_.Take();
     keep_alive_ = message.keep_alive;
     head_only_ = message.method == "HEAD";
@@ -188,21 +246,17 @@
       return;
     }
     serving_ = false;
+    served_bytes_ = 0;
     on_disconnect_ = {};
     const bool keep = keep_alive_ && !server_->draining_;
     stream_.Write(EncodeResponse(ToMessage(std::move(response), keep), head_only_));
     RestartIdleTimer();
+    closing_ = !keep;
+    UpdateFlow();
     if (!keep) {
-      closing_ = true;
       stream_.CloseWhenDrained();
-      return;
-    }
-    if (input_ != nullptr && !input_->empty()) {
-      loop_->Defer([self = weak_from_this()] {
-        if (const auto connection = self.lock()) {
-          connection->ReadRequests();
-        }
-      });
+    } else if (HasInput()) {
+      ReadRequestsSoon();
     }
   }
 
@@ -211,7 +265,9 @@
   void Refuse(ResultCode code) {
     closing_ = true;
     stream_.Write(EncodeResponse(ToMessage(ErrorResponse(code), /*keep_alive=*/false), false));
-    input_->clear();
+    parser_.Reset();
+    std::string().swap(*input_);
+    UpdateFlow();
     loop_->CancelTimer(timer_);
     timer_ = loop_->RunAt(net::EventLoop::Now() + kLingerAfterError, [this] { OnEnd(); });
   }
@@ -250,6 +306,7 @@
 
   void OnEnd() {
     stream_.Close();
+    held_.Hold(0);
     loop_->CancelTimer(timer_);
     timer_ = 0;
     if (std::exchange(serving_, false) && on_disconnect_) {
@@ -266,7 +323,12 @@
   net::EventLoop* loop_;
   uint64_t id_;
   RequestParser parser_;
+  net::ByteBudget::Holder held_;
+  /// What has arrived and was not parsed yet; owned by the stream. Null until bytes have arrived.
   std::string* input_ = nullptr;
+  /// Bytes of the request that is being served.
+  size_t served_bytes_ = 0;
+  size_t dropped_bytes_ = 0;
   bool serving_ = false;
   bool closing_ = false;
   bool keep_alive_ = true;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,5 +1,6 @@
 // HTTP/1.1 server on the event loop. Passes complete requests to a handler, which may respond at
-// any later time. Detects at once when a client disconnects before the response.
+// any later time. Detects at once when a client disconnects before the response, unless the client
+// has sent much more meanwhile, which is then left with the operating system.
 #pragma once
 
 #include <ace/Event_Handler.h>
@@ -52,7 +53,7 @@
   /// Seconds after which an idle connection is closed.
   unsigned idle_seconds = 30;
   /// Maximum time from the first byte of a request to its last.
-  Duration request_timeout = Seconds(30);
+  Duration request_timeout = Seconds(10);
 };
 
 /// Sends the response to one request. Only the first response counts. A request whose last
--- a/src/net/byte_stream.cc
+++ b/src/net/byte_stream.cc
@@ -107,10 +107,23 @@
   return known ? Microseconds(info.tcpi_rtt) : Duration(0);
 }
 
+void ByteStream::Watch() {
+  const ACE_Reactor_Mask reads = reading_ ? ACE_Event_Handler::READ_MASK : 0;
+  const ACE_Reactor_Mask writes = wants_writes_ ? ACE_Event_Handler::WRITE_MASK : 0;
+  loop_->poller()->Watch(this, reads | writes);
+}
+
 void ByteStream::WantWrites(bool want) {
   if (want != wants_writes_ && open()) {
     wants_writes_ = want;
-    loop_->poller()->Watch(this, want ? kReadAndWrite : kReadOnly);
+    Watch();
+  }
+}
+
+void ByteStream::SetReading(bool reading) {
+  if (reading != reading_ && connected()) {
+    reading_ = reading;
+    Watch();
   }
 }
 
@@ -140,6 +153,7 @@
     // stream.
     output_.clear();
     WantWrites(false);
+    SetReading(true);
     return;
   }
   output_.erase(0, offset);
@@ -189,7 +203,7 @@
     return handle_output(handle_);
   }
   std::array<char, kReadBytes> buffer;
-  for (int reads = 0; reads < kReadsPerIteration && open(); ++reads) {
+  for (int reads = 0; reads < kReadsPerIteration && open() && reading_; ++reads) {
     const ssize_t received = ::recv(handle_, buffer.data(), buffer.size(), 0);
     if (received < 0 && WouldBlock()) {
       return 0;
--- a/src/net/byte_stream.h
+++ b/src/net/byte_stream.h
@@ -50,6 +50,9 @@
   void Close();
   /// Closes the connection as soon as everything is written.
   void CloseWhenDrained();
+  /// Whether bytes are read as they arrive. While not, they stay with the operating system, so that
+  /// the peer has to wait, and an end of the connection is noticed only when something is written.
+  void SetReading(bool reading);
 
   bool open() const { return handle_ != ACE_INVALID_HANDLE; }
   bool connected() const { return open() && !connecting_; }
@@ -68,6 +71,7 @@
 
  private:
   void Register(ACE_Reactor_Mask mask);
+  void Watch();
   void WantWrites(bool want);
   void Flush();
   void End(StreamEnd end);
@@ -81,6 +85,7 @@
   bool connecting_ = false;
   bool was_connected_ = false;
   bool registered_ = false;
+  bool reading_ = true;
   bool wants_writes_ = false;
   bool close_when_drained_ = false;
 };
--- /dev/null
+++ b/test/http/endless_messages_test.cc
@@ -0,0 +1,142 @@
+// Tests peers of the HTTP client and server that send without end, and what is kept for others.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "e2e/fleet.h"
+#include "e2e/raw_connection.h"
+#include "http/http_server.h"
+#include "net/event_loop.h"
+#include "platform/endless_peers.h"
+
+namespace pumicedyke::http {
+namespace {
+
+using platform::EndlessEnd;
+using platform::SendEndlessTo;
+
+constexpr char kRequest[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+std::string RequestWithBody(size_t length, size_t sent) {
+  return "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n" +
+         std::string(sent, 'x');
+}
+
+/// A server on a thread of its own.
+class ServerThread {
+ public:
+  /// @param held_bytes what all connections may hold together.
+  ServerThread(size_t held_bytes, const HttpServer::Handler& handler) {
+    thread_ = std::thread([this, held_bytes, handler] {
+      net::EventLoop loop;
+      loop.byte_budget()->SetLimit(held_bytes);
+      HttpServer server(&loop, {}, handler);
+      CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
+      port_ = server.port();
+      loop.Run([this, &loop](Timestamp now) {
+        held_ = loop.byte_budget()->held();
+        if (stop_) {
+          loop.Stop();
+        }
+        return now + Milliseconds(5);
+      });
+    });
+    e2e::WaitFor("the server to listen", [this] { return port_ != 0; });
+  }
+  ~ServerThread() {
+    stop_ = true;
+    thread_.join();
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  size_t held() const { return held_; }
+
+ private:
+  std::atomic<uint16_t> port_{0};
+  std::atomic<size_t> held_{0};
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+}  // namespace
+
+class EndlessMessagesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EndlessMessagesTest);
+  CPPUNIT_TEST(BytesAfterARequestAreNotRead);
+  CPPUNIT_TEST(RequestsWhoseResponsesAreNotReadAreNotServed);
+  CPPUNIT_TEST(BytesAfterARefusalAreNotRead);
+  CPPUNIT_TEST(SmallRequestsAreServedBesideALargeOne);
+  CPPUNIT_TEST(PipelinedRequestsAreAllServed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against memory taken by what a client sends while its request is served.
+  void BytesAfterARequestAreNotRead() {
+    std::vector<Responder> held;
+    const ServerThread server(net::kDefaultHeldBytes, [&held](HttpRequest, Responder responder) {
+      held.push_back(std::move(responder));
+    });
+    CPPUNIT_ASSERT(SendEndlessTo(server.address(), {kRequest, "x"}) != EndlessEnd::kTaken);
+  }
+
+  /// Guards against memory taken by responses that a client never reads.
+  void RequestsWhoseResponsesAreNotReadAreNotServed() {
+    const ServerThread server(net::kDefaultHeldBytes, [](HttpRequest, Responder responder) {
+      responder.Send({200, std::string(10000, 'x')});
+    });
+    CPPUNIT_ASSERT(SendEndlessTo(server.address(), {"", kRequest}) != EndlessEnd::kTaken);
+  }
+
+  /// Guards against processor time taken by what a client sends after its request was refused.
+  void BytesAfterARefusalAreNotRead() {
+    const ServerThread server(net::kDefaultHeldBytes, [](HttpRequest, Responder responder) {
+      responder.Send({200, ""});
+    });
+    CPPUNIT_ASSERT(SendEndlessTo(server.address(), {"", "x"}) != EndlessEnd::kTaken);
+  }
+
+  /// Guards against one client's long request taking the room of others' short ones.
+  void SmallRequestsAreServedBesideALargeOne() {
+    const ServerThread server(100000, [](HttpRequest, Responder responder) {
+      responder.Send({200, "served"});
+    });
+    const e2e::RawConnection large(server.address());
+    large.SendBytes(RequestWithBody(90000, 80000));
+    e2e::WaitFor("the large request to arrive", [&] { return server.held() > 80000; });
+    const e2e::RawConnection small(server.address());
+    small.SendBytes(RequestWithBody(40000, 30000));
+    const std::string refusal = large.ReadToEnd();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(refusal, size_t{0}, refusal.find("HTTP/1.1 429"));
+    CPPUNIT_ASSERT(refusal.find("Retry-After: 1\r\n") != std::string::npos);
+    small.SendBytes(std::string(10000, 'x'));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, small.ReadUntil("served").find("HTTP/1.1 200"));
+    e2e::WaitFor("nothing to be held", [&] { return server.held() == 0; });
+  }
+
+  void PipelinedRequestsAreAllServed() {
+    const ServerThread server(net::kDefaultHeldBytes, [](HttpRequest, Responder responder) {
+      responder.Send({200, std::string(100000, 'x')});
+    });
+    const e2e::RawConnection client(server.address());
+    constexpr int kRequests = 100;
+    std::string text;
+    for (int i = 1; i < kRequests; ++i) {
+      text += kRequest;
+    }
+    client.SendBytes(text + "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string answers = client.ReadToEnd();
+    int served = 0;
+    for (size_t at = answers.find("HTTP/1.1 200"); at != std::string::npos;
+         at = answers.find("HTTP/1.1 200", at + 1)) {
+      ++served;
+    }
+    CPPUNIT_ASSERT_EQUAL(kRequests, served);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EndlessMessagesTest);
+
+}  // namespace pumicedyke::http
