Responses without end close their connection at once

Change: a response has at most 8 MB (before: 64); unfinished responses count in the budget of all connections; a call passes over 16 responses at most that are not its own or not final. The call ends without a response and its connection is closed, as for any bytes that are no answer, so that the request is tried elsewhere within its limits. The blocking client of tools keeps 64 MB: it fetches whole configurations.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -14,6 +14,11 @@
 /// An idle connection is closed this long before the peer's idle limit, so that no request is sent
 /// while the peer closes it.
 constexpr Duration kIdleMargin = Milliseconds(700);
+/// Responses before the final one of a call that are passed over: interim responses, and surplus
+/// responses to earlier requests.
+constexpr int kMaxPassedOver = 16;
+/// A blocking exchange is the only one of its process, and may fetch a whole configuration.
+constexpr size_t kBlockingHeldBytes = size_t{128} << 20;
 
 }  // namespace
 
@@ -39,12 +44,13 @@
 };
 
 /// A connection to a peer, with one exchange at a time.
-class HttpClient::Connection {
+class HttpClient::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(HttpClient* client, Host* host)
       : client_(client),
         loop_(client->loop_),
         host_(host),
+        held_(client->loop_->byte_budget(), [this] { RevokeSoon(); }),
         stream_(client->loop_, host->address,
                 {.on_bytes = [this](std::string* input) { OnBytes(input); },
                  .on_end = [this](net::StreamEnd end) { OnEnd(end); },
@@ -63,12 +69,14 @@
     client_->loop_->CancelTimer(idle_timer_);
     idle_timer_ = 0;
     call_ = call;
+    passed_over_ = 0;
     if (call->request.separate_tries) {
       const Timestamp now = net::EventLoop::Now();
       std::erase_if(carried_, [now](const CarriedEcho& item) { return item.until <= now; });
       carried_.push_back({call->request.expected_echo, call->started + call->request.timeout});
     }
-    parser_ = std::make_unique<ResponseParser>(MessageLimits{}, call->request.method == "HEAD");
+    parser_ = std::make_unique<ResponseParser>(client_->options_.response_limits,
+                                               call->request.method == "HEAD");
     if (stream_.connected()) {
       WriteRequest();
     }
@@ -76,6 +84,7 @@
 
   void Close() {
     stream_.Close();
+    held_.Hold(0);
     client_->OnClosed(this);
   }
   bool idle() const { return call_ == nullptr && stream_.open(); }
@@ -133,16 +142,35 @@
         return;
       }
       if (state != ParseState::kComplete) {
+        held_.Hold(input->size() + parser_->held_bytes());
         return;
       }
       Complete(*input);
+      if (passed_over_ > kMaxPassedOver) {
+        Fail("too many responses before the final one");
+        return;
+      }
     }
+    if (stream_.open()) {
+      held_.Hold(input->size());
+    }
+  }
+
+  /// Called by the budget, possibly from within another connection's work.
+  void RevokeSoon() {
+    loop_->Defer([self = weak_from_this()] {
+      const auto connection = self.lock();
+      if (connection != nullptr && connection->stream_.open()) {
+        connection->Fail("too many bytes are held for unfinished responses");
+      }
+    });
   }
 
   void Complete(const std::string& rest) {
     ResponseMessage message = parser_->Take();
     constexpr int kFirstFinalStatus = 200;
     if (message.status < kFirstFinalStatus) {
+      ++passed_over_;
       return;
     }
     const ClientRequest& request = call_->request;
@@ -153,6 +181,7 @@
     if (stale) {
       // A surplus response to an earlier request. The response to this one is still to come.
       ++client_->surplus_responses_;
+      ++passed_over_;
       return;
     }
     ClientResponse response;
@@ -200,8 +229,7 @@
       if (started && parser_->ConsumeEnd() == ParseState::kComplete) {
         Complete("");
         if (call_ == nullptr) {
-          stream_.Close();
-          client_->OnClosed(this);
+          Close();
           return;
         }
       }
@@ -230,8 +258,11 @@
   Host* host_;
   std::shared_ptr<Call> call_;
   std::unique_ptr<ResponseParser> parser_;
+  net::ByteBudget::Holder held_;
   uint64_t served_ = 0;
   uint64_t requests_written_ = 0;
+  /// Responses of the current call that were passed over.
+  int passed_over_ = 0;
   /// Requests sent here whose tries must be separate.
   std::vector<CarriedEcho> carried_;
   Duration idle_limit_{};
@@ -429,7 +460,10 @@
 
 ClientResponse FetchBlocking(const ClientRequest& request) {
   net::EventLoop loop;
-  HttpClient client(&loop, {});
+  loop.byte_budget()->SetLimit(kBlockingHeldBytes);
+  HttpClientOptions options;
+  options.response_limits = MessageLimits{};
+  HttpClient client(&loop, options);
   ClientResponse result;
   client.Start(request, [&](ClientResponse response) {
     result = std::move(response);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -11,6 +11,7 @@
 
 #include "common/types.h"
 #include "http/message.h"
+#include "http/message_parser.h"
 #include "net/event_loop.h"
 
 namespace pumicedyke::http {
@@ -88,6 +89,8 @@
   /// connections open for a long time, so only the needed ones are kept.
   Duration surplus_idle_limit = Milliseconds(1000);
   Duration connect_timeout = Milliseconds(1000);
+  /// A response beyond these ends its call without one, and closes the connection at once.
+  MessageLimits response_limits{.body_bytes = 8 << 20};
 };
 
 class HttpClient {
--- a/test/http/endless_messages_test.cc
+++ b/test/http/endless_messages_test.cc
@@ -1,5 +1,6 @@
 // Tests peers of the HTTP client and server that send without end, and what is kept for others.
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
 
 #include <atomic>
 #include <functional>
@@ -9,6 +10,8 @@
 
 #include "e2e/fleet.h"
 #include "e2e/raw_connection.h"
+#include "e2e/raw_listener.h"
+#include "http/http_client.h"
 #include "http/http_server.h"
 #include "net/event_loop.h"
 #include "platform/endless_peers.h"
@@ -62,10 +65,28 @@
   std::thread thread_;
 };
 
+/// Fetches from a peer that answers with `bytes` again and again.
+ClientResponse FetchEndless(const std::string& bytes) {
+  const e2e::RawListener peer([&bytes](int connection) {
+    char byte = 0;
+    static_cast<void>(::recv(connection, &byte, 1, 0));
+    platform::SendEndless(connection, {"", bytes});
+  });
+  ClientRequest request;
+  request.address = peer.address();
+  request.path = "/";
+  request.timeout = Seconds(60);
+  request.echoed_header = "X-Id";
+  request.expected_echo = "this one";
+  return FetchBlocking(request);
+}
+
 }  // namespace
 
 class EndlessMessagesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessMessagesTest);
+  CPPUNIT_TEST(ResponsesThatAreNotFinalEndTheCall);
+  CPPUNIT_TEST(AFewInterimResponsesArePassedOver);
   CPPUNIT_TEST(BytesAfterARequestAreNotRead);
   CPPUNIT_TEST(RequestsWhoseResponsesAreNotReadAreNotServed);
   CPPUNIT_TEST(BytesAfterARefusalAreNotRead);
@@ -74,6 +95,34 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against calls that read interim responses, or responses to other requests, until their
+  /// deadline.
+  void ResponsesThatAreNotFinalEndTheCall() {
+    for (const char* bytes : {"HTTP/1.1 100 Continue\r\n\r\n",
+                              "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n"}) {
+      const ClientResponse response = FetchEndless(bytes);
+      CPPUNIT_ASSERT_EQUAL(0, response.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("too many responses before the final one"), response.error);
+    }
+  }
+
+  void AFewInterimResponsesArePassedOver() {
+    const e2e::RawListener peer([](int connection) {
+      char byte = 0;
+      static_cast<void>(::recv(connection, &byte, 1, 0));
+      std::string text;
+      for (int i = 0; i < 16; ++i) {
+        text += "HTTP/1.1 103 Early Hints\r\n\r\n";
+      }
+      text += "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+      static_cast<void>(::send(connection, text.data(), text.size(), MSG_NOSIGNAL));
+    });
+    ClientRequest request;
+    request.address = peer.address();
+    request.path = "/";
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), FetchBlocking(request).body);
+  }
+
   /// Guards against memory taken by what a client sends while its request is served.
   void BytesAfterARequestAreNotRead() {
     std::vector<Responder> held;
