Frames between processes that never end close their connection

A peer that announces a frame of up to 64 MB and sends it without end, or not to its end, kept what it had sent for ever, on each of any number of connections: 400 MB of a gateway for eight.

Change: unfinished frames count in the budget of all connections, and a frame takes 30 s at most. Control machines may hold one frame of the greatest size.

FrameThatDoesNotEndClosesItsConnection was not run on the code before.

--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -59,7 +59,8 @@
     : loop_(loop),
       stream_(stream),
       on_message_(std::move(on_message)),
-      on_closed_(std::move(on_closed)) {}
+      on_closed_(std::move(on_closed)),
+      held_(loop->byte_budget(), [this] { Fail(); }) {}
 
 FrameSocket::~FrameSocket() { Close(); }
 
@@ -76,6 +77,7 @@
     loop_->poller()->Remove(this);
   }
   stream_.close();
+  loop_->CancelTimer(std::exchange(frame_timer_, 0));
 }
 
 void FrameSocket::Fail() {
@@ -143,12 +145,28 @@
     return 0;
   }
   input_.append(buffer.data(), static_cast<size_t>(received));
+  const size_t unread = input_.size();
   if (!ParseFrames()) {
     Fail();
+    return 0;
   }
+  UpdateFrameTimer(/*frame_ended=*/input_.size() < unread);
+  held_.Hold(input_.size());
   return 0;
 }
 
+void FrameSocket::UpdateFrameTimer(bool frame_ended) {
+  if (frame_ended) {
+    loop_->CancelTimer(std::exchange(frame_timer_, 0));
+  }
+  if (open_ && !input_.empty() && frame_timer_ == 0) {
+    frame_timer_ = loop_->RunAt(EventLoop::Now() + kFrameTimeout, [this] {
+      frame_timer_ = 0;
+      Fail();
+    });
+  }
+}
+
 bool FrameSocket::ParseFrames() {
   size_t offset = 0;
   while (open_ && input_.size() - offset >= sizeof(FrameHeader)) {
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -24,6 +24,8 @@
 
 /// Maximum size of an accepted frame. A longer or malformed frame closes the connection.
 constexpr size_t kMaxFrameBytes = 64U << 20;
+/// Maximum time from the first byte of a frame to its last. The connection is closed then.
+constexpr Duration kFrameTimeout = Seconds(30);
 /// Maximum bytes waiting to be written. Beyond it the peer counts as stuck and is disconnected.
 constexpr size_t kMaxBacklogBytes = 128U << 20;
 
@@ -56,13 +58,17 @@
   void Fail();
   bool ParseFrames();
   void Flush();
+  /// Starts the time limit of a frame that has begun, or ends that of one that is complete.
+  void UpdateFrameTimer(bool frame_ended);
 
   EventLoop* loop_;
   ACE_SOCK_Stream stream_;
   MessageCb on_message_;
   ClosedCb on_closed_;
+  ByteBudget::Holder held_;
   std::string input_;
   std::string output_;
+  EventLoop::TimerId frame_timer_ = 0;
   bool open_ = false;
   bool writing_ = false;
 };
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -18,6 +18,8 @@
 namespace pumicedyke::server {
 namespace {
 
+/// Leaves room for the largest frame of another control machine.
+constexpr size_t kHeldBytes = net::kMaxFrameBytes + (size_t{1} << 20);
 constexpr Duration kTickInterval = Milliseconds(10);
 /// Minimum interval between updates of the leafs to gateways.
 constexpr Duration kLeafFeedInterval = Milliseconds(50);
@@ -276,6 +278,7 @@
 }
 
 absl::Status ControlProcess::Listen() {
+  loop_->byte_budget()->SetLimit(kHeldBytes);
   discovery_ = std::make_unique<control::DiscoveryServer>(
       control::DiscoveryOptions{settings_.cluster,
                                 settings_.zone,
--- a/test/net/frame_client_test.cc
+++ b/test/net/frame_client_test.cc
@@ -1,16 +1,21 @@
 // Tests that messages sent while the connection is being established arrive.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
 #include <vector>
 
+#include "e2e/fleet.h"
+#include "e2e/raw_connection.h"
 #include "net/event_loop.h"
 #include "net/frame_socket.h"
+#include "net/suspended_clock.h"
 
 namespace pumicedyke::net {
 
 class FrameClientTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FrameClientTest);
   CPPUNIT_TEST(FirstMessagesWaitForTheConnection);
+  CPPUNIT_TEST(FrameThatDoesNotEndClosesItsConnection);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -42,6 +47,36 @@
     const std::vector<std::string> expected = {"first", "second"};
     CPPUNIT_ASSERT(expected == received);
   }
+
+  /// Guards against connections, and the bytes they hold, that are kept for ever for the rest of a
+  /// frame.
+  void FrameThatDoesNotEndClosesItsConnection() {
+    EventLoop loop;
+    FrameServer server(
+        &loop, [](uint64_t, const wire::Envelope&) {}, [&loop](uint64_t) { loop.Stop(); });
+    CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
+    e2e::RawConnection peer("127.0.0.1:" + std::to_string(server.port()));
+    const std::string whole =
+        EncodeFrame({"test", 0, wire::JoinRequest{1, std::string(100, 'm'), ""}});
+    peer.SendBytes(whole + whole.substr(0, whole.size() / 2));
+    // The time passes once the first half has been read.
+    const Timestamp give_up = EventLoop::Now() + 2 * kFrameTimeout;
+    std::unique_ptr<SuspendedFor> suspended;
+    loop.Run([&](Timestamp now) {
+      if (loop.byte_budget()->held() > 0 && suspended == nullptr) {
+        suspended = std::make_unique<SuspendedFor>(kFrameTimeout);
+      }
+      if (now >= give_up) {
+        loop.Stop();
+      }
+      return now + Milliseconds(10);
+    });
+    e2e::WaitFor("the connection to be closed", [&peer] {
+      peer.ReadAvailable();
+      return peer.closed();
+    });
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, loop.byte_budget()->held());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FrameClientTest);
 
