A packed text is not given more room than its bytes can fill

Unpack() allocated, and cleared, the length that the first four bytes announce, up to 64 MB for a message of a few bytes. No compressed byte stands for more than 1,032, so a greater length is refused first.

LengthThatTheBytesCannotHaveIsRefused: the code before allocates 48 MB and then says "packed bytes are broken" (by reading; the test was not run on it).

--- a/src/wire/packing.cc
+++ b/src/wire/packing.cc
@@ -17,6 +17,8 @@
 /// The marker is followed by the length in four bytes, most significant first.
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kHeaderBytes = 1 + kLengthBytes;
+/// No compressed byte stands for more bytes than this.
+constexpr size_t kMaxExpansion = 1032;
 constexpr unsigned kBitsPerByte = 8;
 constexpr unsigned kByteMask = 0xff;
 
@@ -61,7 +63,8 @@
     return std::string(bytes);
   }
   const size_t length = bytes.size() < kHeaderBytes ? kMaxTextBytes + 1 : LengthOf(bytes);
-  if (length > kMaxTextBytes) {
+  // The length is allocated, so it must be one that the bytes can have.
+  if (length > kMaxTextBytes || length > bytes.size() * kMaxExpansion) {
     return MakeStatus(ResultCode::kMalformedRequest, "packed bytes of a wrong length");
   }
   std::string text(length, '\0');
--- a/test/wire/packing_test.cc
+++ b/test/wire/packing_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(PackedTextsAreRestored);
   CPPUNIT_TEST(RepetitiveTextShrinks);
   CPPUNIT_TEST(DamagedBytesAreRefused);
+  CPPUNIT_TEST(LengthThatTheBytesCannotHaveIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -42,6 +43,19 @@
     packed[1] = '\xff';
     CPPUNIT_ASSERT(!Unpack(packed).ok());
   }
+
+  /// Guards against memory allocated for the length that a few bytes announce.
+  void LengthThatTheBytesCannotHaveIsRefused() {
+    std::string packed = Pack(std::string(10000, 'x'));
+    // 48 MB, below the maximum frame size.
+    packed[1] = '\x03';
+    const absl::Status status = Unpack(packed).status();
+    CPPUNIT_ASSERT_EQUAL(std::string("packed bytes of a wrong length"),
+                         std::string(status.message()));
+    // The most that can be packed into so few bytes.
+    const std::string zeros(size_t{32} << 20, '\0');
+    CPPUNIT_ASSERT(Unpack(Pack(zeros)).value() == zeros);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PackingTest);
 
