Files without end are refused at start

Settings, tokens and documents were read whole, whatever their size, and so were the files of state: a settings file that is a device or a runaway log took all memory. Settings and tokens have 1 MB at most, documents of pumicectl 64 MB, files of state 256 MB (the error names the file). FileWithoutEndIsRefused reads /dev/zero; the code before does not end on it (not run).

--- a/src/common/settings.cc
+++ b/src/common/settings.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 #include "common/result_code.h"
+#include "common/text_file.h"
 
 namespace pumicedyke {
 
@@ -23,8 +24,13 @@
   if (path.empty()) {
     return;
   }
+  const absl::StatusOr<std::string> content = ReadTextFile(path, kMaxSettingsBytes);
+  if (!content.ok()) {
+    errors_.emplace_back(content.status().message());
+    return;
+  }
   try {
-    table_ = toml::parse_file(path);
+    table_ = toml::parse(*content, path);
   } catch (const toml::parse_error& error) {
     errors_.push_back(path + ":" + std::to_string(error.source().begin.line) +
                       ": not valid TOML: " + std::string(error.description()));
--- a/src/programs/pumicectl_main.cc
+++ b/src/programs/pumicectl_main.cc
@@ -2,7 +2,6 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
-#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -17,6 +16,7 @@
 #include "absl/strings/str_split.h"
 #include "common/json.h"
 #include "common/result_code.h"
+#include "common/text_file.h"
 #include "http/http_client.h"
 #include "net/event_loop.h"
 #include "policy/policy_program.h"
@@ -55,12 +55,13 @@
   return static_cast<int>(code);
 }
 
+/// More than any document that control machines accept.
+constexpr size_t kMaxFileBytes = size_t{64} << 20;
+
 std::string ReadFile(const std::string& path, bool* ok) {
-  std::ifstream file(path);
-  std::stringstream content;
-  content << file.rdbuf();
-  *ok = static_cast<bool>(file);
-  return content.str();
+  const absl::StatusOr<std::string> content = ReadTextFile(path, kMaxFileBytes);
+  *ok = content.ok();
+  return content.value_or("");
 }
 
 std::string Authorization() {
--- a/src/server/process.cc
+++ b/src/server/process.cc
@@ -7,7 +7,6 @@
 #include <iostream>
 #include <map>
 #include <memory>
-#include <sstream>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -16,6 +15,7 @@
 #include "common/json.h"
 #include "common/log.h"
 #include "common/result_code.h"
+#include "common/text_file.h"
 
 namespace pumicedyke::server {
 
@@ -111,11 +111,12 @@
     return MakeStatus(ResultCode::kInvalidConfig,
                       "must name a file unless operators connect over loopback");
   }
-  std::ifstream file(path);
-  std::stringstream content;
-  content << file.rdbuf();
-  std::string token(absl::StripAsciiWhitespace(content.str()));
-  if (!file || token.empty()) {
+  const absl::StatusOr<std::string> content = ReadTextFile(path, kMaxSettingsBytes);
+  if (!content.ok()) {
+    return content.status();
+  }
+  std::string token(absl::StripAsciiWhitespace(*content));
+  if (token.empty()) {
     return MakeStatus(ResultCode::kInvalidConfig, "contains no readable token: " + path);
   }
   return token;
--- a/src/storage/posix_file_system.cc
+++ b/src/storage/posix_file_system.cc
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr size_t kReadBytes = 64 * 1024;
+/// Snapshots and logs are compacted long before. A larger file is not one of this process.
+constexpr size_t kMaxFileBytes = size_t{256} << 20;
 
 absl::Status IoError(const std::string& what, const std::string& path) {
   return MakeStatus(ResultCode::kStorageFailed, what + " " + path + ": " + std::strerror(errno));
@@ -87,6 +89,11 @@
       return failure;
     }
     content.append(buffer.data(), static_cast<size_t>(count));
+    if (content.size() > kMaxFileBytes) {
+      ::close(descriptor);
+      return MakeStatus(ResultCode::kStorageFailed, "read " + path + ": has more than " +
+                                                        std::to_string(kMaxFileBytes) + " bytes");
+    }
   }
   ::close(descriptor);
   return content;
--- a/test/common/settings_test.cc
+++ b/test/common/settings_test.cc
@@ -36,9 +36,19 @@
   CPPUNIT_TEST(EveryErrorIsReportedAtOnce);
   CPPUNIT_TEST(ValidFileIsRead);
   CPPUNIT_TEST(AnyTextIsRefusedOrRead);
+  CPPUNIT_TEST(FileWithoutEndIsRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against memory taken by a settings file that never ends.
+  void FileWithoutEndIsRefused() {
+    Settings settings("/dev/zero");
+    const absl::Status status = settings.Finish();
+    CPPUNIT_ASSERT(CodeOf(status) == ResultCode::kInvalidConfig);
+    CPPUNIT_ASSERT_EQUAL(std::string("/dev/zero: has more than 1048576 bytes"),
+                         std::string(status.message()));
+  }
+
   void EveryErrorIsReportedAtOnce() {
     const TemporaryFile file(
         "name = 7\n"
