Processes say what they were built from

Now `started` and `recovered` carry the commit ("-dirty" where files differ; "unknown" where the sources are no checkout), and the metrics have pumicedyke_build_info.

--- a/src/http/metrics.cc
+++ b/src/http/metrics.cc
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <limits>
 
+#include "common/build_identity.h"
+
 namespace pumicedyke::http {
 namespace {
 
@@ -41,6 +43,8 @@
 }
 
 void MetricsPage::AddProcess(const net::ByteBudget& budget) {
+  Gauge("pumicedyke_build_info", "What the program was built from.", 1,
+        {{"build", BuildIdentity()}});
   Gauge("pumicedyke_held_bytes",
         "Bytes of unfinished messages and unwritten responses that all connections hold.",
         static_cast<double>(budget.held()));
--- a/src/http/metrics.h
+++ b/src/http/metrics.h
@@ -21,7 +21,8 @@
   /// Adds a histogram in seconds. All samples of one name must be added consecutively.
   void AddHistogram(const std::string& name, const std::string& help, const Histogram& histogram,
                     const Labels& labels = {});
-  /// Adds the CPU time and the resident memory of this process, and what its connections hold.
+  /// Adds what this process was built from, its CPU time and resident memory, and what its
+  /// connections hold.
   void AddProcess(const net::ByteBudget& budget);
   std::string Text() const;
 
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "absl/strings/str_split.h"
+#include "common/build_identity.h"
 #include "common/log.h"
 #include "common/result_code.h"
 #include "common/settings.h"
@@ -229,7 +230,8 @@
     DispatchOutput();
   }
   const wire::Identity& identity = opened->identity;
-  LogEvent("recovered", {{"member", identity.member},
+  LogEvent("recovered", {{"build", BuildIdentity()},
+                         {"member", identity.member},
                          {"snapshot_index", opened->recovered.snapshot.index},
                          {"entries", opened->recovered.entries.size()},
                          {"cut_bytes", opened->recovered.cut_bytes}});
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "common/build_identity.h"
 #include "common/log.h"
 #include "common/result_code.h"
 #include "common/settings.h"
@@ -118,7 +119,9 @@
   if (absl::Status status = ListenForPeers(); !status.ok()) {
     return status;
   }
-  LogEvent("started", {{"incarnation", options.incarnation}, {"listen", settings_.listen}});
+  LogEvent("started", {{"build", BuildIdentity()},
+                       {"incarnation", options.incarnation},
+                       {"listen", settings_.listen}});
   return WritePortFile(settings_.port_file, "http " + std::to_string(http_->port()) + "\n");
 }
 
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/build_identity.h"
 #include "common/json.h"
 #include "common/log.h"
 #include "common/result_code.h"
@@ -113,7 +114,8 @@
     return status;
   }
   control_index_ = settings_.control.size();
-  LogEvent("started", {{"incarnation", *incarnation}, {"port", http_->port()}});
+  LogEvent("started",
+           {{"build", BuildIdentity()}, {"incarnation", *incarnation}, {"port", http_->port()}});
   return WritePortFile(settings_.port_file, "http " + std::to_string(http_->port()) + "\n");
 }
 
