Roots prefer merging gateways that may repeat: owners of before

While gateways are counted out, the owners of most groups change; a new owner has no share of the limit for 11.5 s, but roots asked it like any other, so that nearly every gather had a group without repeats.

Change: each root keeps when a gateway became an owner of a group. Of a group's owners those that were owners before come first, in all zones, for the holding time. An owner that was absent for up to 10 s (the term of a share) is as before: it may only have been out of control's sight, and its share lasts as long. In the first 11.5 s of a root's process all owners count alike. No share changes, so the limit holds as before. The load of one gateway stays the same on average: what it does not get as a newcomer it gets as an owner of before.

Considered and not built: giving newcomers the spare gateway's share, halved for each. After a restart of control each gateway's list of the others is another one for a moment, so that several would take the same half.

GroupsStayWithOwnersOfBefore and OwnerThatWasOutOfSightIsAsBefore fail without the preference.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -246,7 +246,7 @@
   }
   ownership_inputs_ = inputs;
   ownerships_synced_at_ = now;
-  extra_load_.SetOwnerships(now, Ownerships());
+  extra_load_.SetOwnerships(now, Ownerships(now));
 }
 
 std::vector<const routing::Route*> GatewayServer::DistinctSharedGathers() const {
@@ -262,7 +262,7 @@
   return distinct;
 }
 
-ShardOwnerships GatewayServer::Ownerships() {
+ShardOwnerships GatewayServer::Ownerships(Timestamp now) {
   // A shard of several routes has the owners of its groups in all of them.
   std::map<std::string, std::set<std::string>> owners_of;
   for (const routing::Route* route : DistinctSharedGathers()) {
@@ -270,7 +270,7 @@
         CutIntoGroups(route->shards.size(), GroupsOf(*route));
     for (size_t i = 0; i < ranges.size(); ++i) {
       const GroupPlace place = PlaceOf(route->shards, ranges, i);
-      const std::set<std::string> owners = owners_.OwnersOf(place, route->allowed_regions);
+      const std::set<std::string> owners = owners_.OwnersOf(now, place, route->allowed_regions);
       for (const std::string& shard : place.shards) {
         owners_of[shard].insert(owners.begin(), owners.end());
       }
@@ -297,7 +297,7 @@
   return until;
 }
 
-std::map<std::string, double> GatewayServer::ColdSharesOfMergers() {
+std::map<std::string, double> GatewayServer::ColdSharesOfMergers(Timestamp now) {
   std::map<std::string, double> shares;
   for (const routing::Route& route : table_->set().routes) {
     const size_t groups = GroupsOf(route);
@@ -307,7 +307,7 @@
     const std::vector<query::ShardRange> ranges = CutIntoGroups(route.shards.size(), groups);
     for (size_t i = 0; i < ranges.size(); ++i) {
       const GroupPlace place = PlaceOf(route.shards, ranges, i);
-      const size_t co_owners = owners_.CoOwnerCount(place, route.allowed_regions);
+      const size_t co_owners = owners_.CoOwnerCount(now, place, route.allowed_regions);
       for (const std::string& shard : place.shards) {
         const double share = co_owners == 0 ? 0.0 : 1.0 / static_cast<double>(co_owners);
         const auto [it, inserted] = shares.emplace(shard, share);
@@ -351,7 +351,7 @@
       continue;
     }
     if (!merger_shares.has_value()) {
-      merger_shares = ColdSharesOfMergers();
+      merger_shares = ColdSharesOfMergers(now);
     }
     const double capacity = options_.knobs.cold_share * service->cold_requests_per_second;
     const auto share = merger_shares->find(record.service);
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -83,8 +83,8 @@
   return std::nullopt;
 }
 
-size_t GatewayServer::CoOwnersOf(const GroupOfRoute& group) {
-  return owners_.CoOwnerCount(PlaceOf(group.route->shards, group.ranges, group.index),
+size_t GatewayServer::CoOwnersOf(Timestamp now, const GroupOfRoute& group) {
+  return owners_.CoOwnerCount(now, PlaceOf(group.route->shards, group.ranges, group.index),
                               group.route->allowed_regions);
 }
 
@@ -138,7 +138,7 @@
   const std::set<std::string> allowed_regions(query.allowed_regions.begin(),
                                               query.allowed_regions.end());
   const std::optional<GroupOfRoute> group = FindGroup(query);
-  const size_t co_owners = group.has_value() ? CoOwnersOf(*group) : 0;
+  const size_t co_owners = group.has_value() ? CoOwnersOf(now, *group) : 0;
   for (const std::string& shard : query.shards) {
     extra_load_.OnAskedAsOwner(now, shard, co_owners);
   }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -416,14 +416,14 @@
   /// Determines the shards whose owners include this gateway, if the gateways, routes or leafs
   /// have changed.
   void SyncOwnerships(Timestamp now);
-  ShardOwnerships Ownerships();
+  ShardOwnerships Ownerships(Timestamp now);
   /// Returns the routes whose gathers are shared, one for each list of shards and of regions.
   std::vector<const routing::Route*> DistinctSharedGathers() const;
   /// Updates the limits of requests to cold leafs.
   void SyncCold(Timestamp now);
   /// Returns this gateway's fraction of the capacity of cold leafs, by service, for services with
   /// shared gathers.
-  std::map<std::string, double> ColdSharesOfMergers();
+  std::map<std::string, double> ColdSharesOfMergers(Timestamp now);
   /// Returns this gateway's fraction of the capacity of a cold leaf that any gateway may use: only
   /// a few of them send to it.
   double ColdShareOf(Timestamp now, const std::string& leaf, double per_second) const;
@@ -575,7 +575,7 @@
   std::optional<GroupOfRoute> FindGroup(const wire::PartialQuery& query) const;
   /// Returns the number of gateways that own the group, if this gateway is one of them; otherwise
   /// zero.
-  size_t CoOwnersOf(const GroupOfRoute& group);
+  size_t CoOwnersOf(Timestamp now, const GroupOfRoute& group);
   /// Returns how many of the group's shards the whole gather can do without.
   static size_t MaxMissingOf(const GroupOfRoute& group, const std::string& request_id);
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
--- a/src/gateway/group_owners.cc
+++ b/src/gateway/group_owners.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace pumicedyke::gateway {
 namespace {
@@ -41,24 +42,59 @@
   }
   // Rotate by a hash of the node, so that gateways in zones without leafs spread over the other
   // zones.
-  const std::string text = node_ + "/" + shards.front();
+  const std::string text = options_.node + "/" + shards.front();
   const uint64_t offset = XXH64(text.data(), text.size(), 0) % ordered.size();
   std::rotate(ordered.begin(), ordered.begin() + static_cast<long>(offset), ordered.end());
   std::stable_partition(ordered.begin(), ordered.end(),
-                        [this](const std::string& zone) { return zone == zone_; });
+                        [this](const std::string& zone) { return zone == options_.zone; });
   return ordered;
 }
 
-const GroupMergers& GroupOwners::MergersIn(const std::string& zone, const GroupPlace& place) {
+const GroupOwners::Assignment& GroupOwners::AssignmentIn(Timestamp now, const std::string& zone,
+                                                         const GroupPlace& place) {
   if (changes_ != peers_->changes()) {
+    std::erase_if(assignments_,
+                  [this](const auto& item) { return item.second.changes != changes_; });
     changes_ = peers_->changes();
-    mergers_.clear();
   }
-  const auto [it, inserted] = mergers_.try_emplace({zone, place.groups});
-  if (inserted) {
-    it->second = AssignMergers(place.groups, peers_->InZone(zone));
+  Assignment& assignment = assignments_[{zone, place.groups}];
+  if (assignment.mergers.empty() || assignment.changes != changes_) {
+    assignment.changes = changes_;
+    assignment.mergers = AssignMergers(place.groups, peers_->InZone(zone));
+    UpdateTenures(now, &assignment);
   }
-  return it->second[place.index];
+  return assignment;
+}
+
+void GroupOwners::UpdateTenures(Timestamp now, Assignment* assignment) const {
+  // Nothing is known of the time before the first assignment.
+  const bool unknown = assignment->tenures.empty() || now - started_ < options_.holding_time;
+  assignment->tenures.resize(assignment->mergers.size());
+  for (size_t i = 0; i < assignment->mergers.size(); ++i) {
+    Tenures& tenures = assignment->tenures[i];
+    const std::vector<std::string>& owners = assignment->mergers[i].owners;
+    std::erase_if(tenures, [&](const auto& item) {
+      const std::optional<Timestamp>& absent = item.second.absent_since;
+      return absent.has_value() && now - *absent > options_.absence_limit;
+    });
+    for (auto& [gateway, tenure] : tenures) {
+      const bool owns = std::find(owners.begin(), owners.end(), gateway) != owners.end();
+      tenure.absent_since = owns ? std::nullopt : std::optional(tenure.absent_since.value_or(now));
+    }
+    for (const std::string& owner : owners) {
+      tenures.try_emplace(owner, Tenure{unknown ? Timestamp::min() : now, std::nullopt});
+    }
+  }
+}
+
+bool GroupOwners::IsNewcomer(Timestamp now, const Tenures* tenures,
+                             const std::string& merger) const {
+  if (tenures == nullptr) {
+    return false;
+  }
+  const auto tenure = tenures->find(merger);
+  // The time before the first assignment is the least, so nothing is subtracted from it.
+  return tenure != tenures->end() && now < tenure->second.since + options_.holding_time;
 }
 
 std::optional<std::string> GroupOwners::Choose(
@@ -67,9 +103,10 @@
   Choice owner;
   Choice backup;
   for (const std::string& zone : ZonesOf(place.shards, allowed_regions)) {
-    const GroupMergers& mergers = MergersIn(zone, place);
-    Consider(now, mergers.owners, tried, assigned_groups, &owner);
-    Consider(now, mergers.backups, tried, assigned_groups, &backup);
+    const Assignment& assignment = AssignmentIn(now, zone, place);
+    const GroupMergers& mergers = assignment.mergers[place.index];
+    Consider(now, mergers.owners, &assignment.tenures[place.index], tried, assigned_groups, &owner);
+    Consider(now, mergers.backups, nullptr, tried, assigned_groups, &backup);
   }
   for (const std::optional<std::string>& choice :
        {owner.best, backup.best, owner.suspect, backup.suspect}) {
@@ -80,7 +117,7 @@
   return std::nullopt;
 }
 
-void GroupOwners::Consider(Timestamp now, std::vector<std::string> mergers,
+void GroupOwners::Consider(Timestamp now, std::vector<std::string> mergers, const Tenures* tenures,
                            const std::set<std::string>& tried,
                            const std::map<std::string, size_t>& assigned_groups,
                            Choice* choice) const {
@@ -88,11 +125,11 @@
     return;
   }
   // Each root starts at a different owner, so that the owners share the load.
-  const uint64_t offset = XXH64(node_.data(), node_.size(), 0) % mergers.size();
+  const uint64_t offset = XXH64(options_.node.data(), options_.node.size(), 0) % mergers.size();
   std::rotate(mergers.begin(), mergers.begin() + static_cast<long>(offset), mergers.end());
   for (const std::string& merger : mergers) {
     const std::string& address = peers_->Find(merger)->peer_address;
-    if (merger == node_ || tried.contains(address)) {
+    if (merger == options_.node || tried.contains(address)) {
       continue;
     }
     const auto suspected = suspects_.find(address);
@@ -102,27 +139,31 @@
     }
     const auto known = assigned_groups.find(address);
     const size_t groups = known == assigned_groups.end() ? 0 : known->second;
-    if (!choice->best.has_value() || groups < choice->groups) {
+    const bool newcomer = IsNewcomer(now, tenures, merger);
+    if (!choice->best.has_value() ||
+        std::tie(newcomer, groups) < std::tie(choice->newcomer, choice->groups)) {
       choice->best = address;
+      choice->newcomer = newcomer;
       choice->groups = groups;
     }
   }
 }
 
-std::set<std::string> GroupOwners::OwnersOf(const GroupPlace& place,
+std::set<std::string> GroupOwners::OwnersOf(Timestamp now, const GroupPlace& place,
                                             const std::set<std::string>& allowed_regions) {
   std::set<std::string> owners;
   for (const std::string& zone : ZonesOf(place.shards, allowed_regions)) {
-    const std::vector<std::string>& mergers = MergersIn(zone, place).owners;
+    const std::vector<std::string>& mergers =
+        AssignmentIn(now, zone, place).mergers[place.index].owners;
     owners.insert(mergers.begin(), mergers.end());
   }
   return owners;
 }
 
-size_t GroupOwners::CoOwnerCount(const GroupPlace& place,
+size_t GroupOwners::CoOwnerCount(Timestamp now, const GroupPlace& place,
                                  const std::set<std::string>& allowed_regions) {
-  const std::set<std::string> owners = OwnersOf(place, allowed_regions);
-  return owners.contains(node_) ? owners.size() : 0;
+  const std::set<std::string> owners = OwnersOf(now, place, allowed_regions);
+  return owners.contains(options_.node) ? owners.size() : 0;
 }
 
 }  // namespace pumicedyke::gateway
--- a/src/gateway/group_owners.h
+++ b/src/gateway/group_owners.h
@@ -32,15 +32,27 @@
 GroupPlace PlaceOf(const std::vector<std::string>& shards,
                    const std::vector<query::ShardRange>& ranges, size_t index);
 
+struct GroupOwnersOptions {
+  /// Name and zone of this gateway.
+  std::string node;
+  std::string zone;
+  /// A gateway that becomes an owner has no share of the limits on extra sub-requests for this
+  /// long, so that roots prefer those that were owners before.
+  Duration holding_time{};
+  /// An owner that is absent for no longer than this is as before when it returns: it may only have
+  /// been out of contact with control.
+  Duration absence_limit{};
+};
+
 /// Confined to the event loop's thread.
 class GroupOwners {
  public:
-  /// @param node, zone of this gateway.
+  /// @param now the start of this process: which owners it finds then are new is not known.
   /// @param view, peers, regions must outlive this object.
-  GroupOwners(std::string node, std::string zone, const LeafView* view, const PeerView* peers,
-              const RegionMap* regions)
-      : node_(std::move(node)),
-        zone_(std::move(zone)),
+  GroupOwners(GroupOwnersOptions options, Timestamp now, const LeafView* view,
+              const PeerView* peers, const RegionMap* regions)
+      : options_(std::move(options)),
+        started_(now),
         view_(view),
         peers_(peers),
         regions_(regions) {}
@@ -56,11 +68,12 @@
                                     const std::map<std::string, size_t>& assigned_groups);
 
   /// Returns the gateways that own the group.
-  std::set<std::string> OwnersOf(const GroupPlace& place,
+  std::set<std::string> OwnersOf(Timestamp now, const GroupPlace& place,
                                  const std::set<std::string>& allowed_regions);
   /// Returns the number of gateways that own the group, if this gateway is one of them; otherwise
   /// zero.
-  size_t CoOwnerCount(const GroupPlace& place, const std::set<std::string>& allowed_regions);
+  size_t CoOwnerCount(Timestamp now, const GroupPlace& place,
+                      const std::set<std::string>& allowed_regions);
 
   /// Ranks the gateway at `address` last until `until`, because it did not respond.
   void Suspect(const std::string& address, Timestamp until) { suspects_[address] = until; }
@@ -71,30 +84,54 @@
   /// Best merger found so far, by address.
   struct Choice {
     std::optional<std::string> best;
+    /// Whether `best` has become an owner only recently.
+    bool newcomer = false;
     /// Groups of the request already assigned to `best`.
     size_t groups = 0;
     /// Fallback: a gateway that recently did not respond.
     std::optional<std::string> suspect;
   };
 
-  /// Updates `choice` if `mergers` contains a better gateway. Fewer groups of this request rank
-  /// first, then the order of zones: at 0.12 cores a group of 18 shards costs a merger 10 ms, while
-  /// a round trip to another zone takes 2 to 3 ms.
-  void Consider(Timestamp now, std::vector<std::string> mergers, const std::set<std::string>& tried,
+  /// Time in which a gateway is an owner of a group.
+  struct Tenure {
+    Timestamp since;
+    /// Unset: it is an owner now.
+    std::optional<Timestamp> absent_since;
+  };
+  /// By name of the gateway.
+  using Tenures = std::map<std::string, Tenure>;
+  /// Mergers and tenures of the groups of a request in one zone.
+  struct Assignment {
+    /// Version of the peers for which it is valid.
+    uint64_t changes = 0;
+    std::vector<GroupMergers> mergers;
+    std::vector<Tenures> tenures;
+  };
+
+  /// Updates `choice` if `mergers` contains a better gateway. Those that are no newcomers rank
+  /// first, then fewer groups of this request, then the order of zones: at 0.12 cores a group of 18
+  /// shards costs a merger 10 ms, while a round trip to another zone takes 2 to 3 ms.
+  /// @param tenures of the mergers; null: there are no newcomers.
+  void Consider(Timestamp now, std::vector<std::string> mergers, const Tenures* tenures,
+                const std::set<std::string>& tried,
                 const std::map<std::string, size_t>& assigned_groups, Choice* choice) const;
-  const GroupMergers& MergersIn(const std::string& zone, const GroupPlace& place);
+  const Assignment& AssignmentIn(Timestamp now, const std::string& zone, const GroupPlace& place);
+  /// Records which gateways own each group from now on.
+  void UpdateTenures(Timestamp now, Assignment* assignment) const;
+  bool IsNewcomer(Timestamp now, const Tenures* tenures, const std::string& merger) const;
   /// Returns the zones of the allowed regions that have leafs of these shards, this gateway's own
   /// zone first.
   std::vector<std::string> ZonesOf(const std::vector<std::string>& shards,
                                    const std::set<std::string>& allowed_regions) const;
 
-  std::string node_;
-  std::string zone_;
+  GroupOwnersOptions options_;
+  Timestamp started_;
   const LeafView* view_;
   const PeerView* peers_;
   const RegionMap* regions_;
-  /// Cached assignments by zone and group names, valid for version `changes_` of the peers.
-  std::map<std::pair<std::string, std::vector<std::string>>, std::vector<GroupMergers>> mergers_;
+  /// By zone and the names of all groups; those that were used since the last change of the peers
+  /// but one.
+  std::map<std::pair<std::string, std::vector<std::string>>, Assignment> assignments_;
   uint64_t changes_ = 0;
   /// Time until which a gateway that did not respond is ranked last, by address.
   std::map<std::string, Timestamp> suspects_;
--- a/src/gateway/share_lease.h
+++ b/src/gateway/share_lease.h
@@ -47,6 +47,8 @@
   bool Settled(Timestamp now) const { return unused_before_ || now - started_ >= options_.window; }
   /// Returns whether the share has been held for a whole window.
   bool Held(Timestamp now) const;
+  /// Time for which a share may be used without contact with control.
+  Duration term() const { return options_.term; }
   /// Time for which a change that enlarges a share must last before it takes effect.
   Duration holding_time() const { return options_.window + options_.margin; }
   /// Returns the number of gateways to divide limits by, including spare ones.
--- a/test/gateway/gateway_sharing_test.cc
+++ b/test/gateway/gateway_sharing_test.cc
@@ -38,10 +38,26 @@
 
 wire::GatewayRecord Peer(const std::string& node) { return {node, "north", node + ":7500"}; }
 
+/// Returns the gateways g1, g2 and so on.
+std::vector<wire::GatewayRecord> PeersUpTo(int last) {
+  std::vector<wire::GatewayRecord> peers;
+  for (int i = 1; i <= last; ++i) {
+    peers.push_back(Peer("g" + std::to_string(i)));
+  }
+  return peers;
+}
+
+bool IsAfterG5(const std::string& node) { return node > "g5"; }
+
+/// @param mergers by group.
+size_t MergersAfterG5(const std::map<std::string, std::string>& mergers) {
+  return static_cast<size_t>(std::count_if(
+      mergers.begin(), mergers.end(), [](const auto& item) { return IsAfterG5(item.second); }));
+}
+
 /// A gateway with a hundred shards of one leaf each, and four other gateways.
 struct Sharing {
   Sharing() : h(SharingOptions()) {
-    std::vector<wire::LeafRecord> leafs;
     for (size_t i = 0; i < kShards; ++i) {
       leafs.push_back(GatewayHarness::Leaf("leaf" + std::to_string(i), Service(i)));
     }
@@ -118,11 +134,43 @@
     h.server.OnPeerRequest(h.now, kSession, {"test", 1, wire::PartialConfirm{id}}, h.now);
     h.Take();
   }
+  /// Names of all groups.
+  static std::vector<std::string> Groups() {
+    std::vector<std::string> groups;
+    const size_t count = GroupCount(kShards, SharingOptions().processor_share, {});
+    for (const query::ShardRange& range : CutIntoGroups(kShards, count)) {
+      groups.push_back(Service(range.first));
+    }
+    return groups;
+  }
+  /// Lets time pass while leafs and the control machine report.
+  void PassReporting(Duration time) {
+    for (const Timestamp end = h.now + time; h.now < end;) {
+      h.Report(leafs);
+      h.AnswerHello();
+      h.Pass(Seconds(1));
+    }
+  }
+  /// Sends a request whose merges are all answered. @return the asked mergers by group.
+  std::map<std::string, std::string> AskForMergers() {
+    h.peer_messages.clear();
+    h.Ask("/all/1");
+    std::map<std::string, std::string> mergers;
+    const size_t query_count = h.peer_messages.size();
+    CPPUNIT_ASSERT_EQUAL(Groups().size(), query_count);
+    for (size_t i = 0; i < query_count; ++i) {
+      const std::string& address = h.peer_messages[i].address;
+      mergers[PartialQueryAt(i).shards.front()] = address.substr(0, address.find(':'));
+      SendAnswer(PartialQueryAt(i), wire::PartialStage::kDone, 'a');
+    }
+    return mergers;
+  }
   const wire::PartialAnswer& AnswerAt(size_t i) const {
     return std::get<wire::PartialAnswer>(h.peer_replies.at(i).envelope.body);
   }
 
   GatewayHarness h;
+  std::vector<wire::LeafRecord> leafs;
 };
 
 }  // namespace
@@ -131,6 +179,8 @@
   CPPUNIT_TEST_SUITE(GatewaySharingTest);
   CPPUNIT_TEST(ManyShardsAreSharedInGroups);
   CPPUNIT_TEST(GroupsSpreadOverZonesBeforeOneMergerHasMany);
+  CPPUNIT_TEST(GroupsStayWithOwnersOfBefore);
+  CPPUNIT_TEST(OwnerThatWasOutOfSightIsAsBefore);
   CPPUNIT_TEST(ReportsAreTimedForTheAnswersDueTime);
   CPPUNIT_TEST(WithoutPeersItGathersAlone);
   CPPUNIT_TEST(AnswerCombinesPartialAnswers);
@@ -188,6 +238,52 @@
     }
   }
 
+  /// Guards against groups that are merged by gateways that may not repeat anything yet, while
+  /// others that own them, too, may.
+  void GroupsStayWithOwnersOfBefore() {
+    Sharing s;
+    s.AskForMergers();
+    s.PassReporting(Seconds(13));
+    s.h.Peers(PeersUpTo(9));
+    std::vector<std::string> names;
+    for (const wire::GatewayRecord& peer : PeersUpTo(9)) {
+      names.push_back(peer.node);
+    }
+    const std::vector<GroupMergers> assigned = AssignMergers(Sharing::Groups(), names);
+    const std::map<std::string, std::string> mergers = s.AskForMergers();
+    for (size_t i = 0; i < assigned.size(); ++i) {
+      const std::vector<std::string>& owners = assigned[i].owners;
+      const std::string& merger = mergers.at(Sharing::Groups()[i]);
+      // This gateway is g1 and asks others.
+      const bool known = std::any_of(owners.begin(), owners.end(), [](const std::string& owner) {
+        return owner != "g1" && !IsAfterG5(owner);
+      });
+      CPPUNIT_ASSERT_MESSAGE(merger, !known || !IsAfterG5(merger));
+    }
+    s.PassReporting(Seconds(13));
+    CPPUNIT_ASSERT(MergersAfterG5(s.AskForMergers()) > MergersAfterG5(mergers));
+  }
+
+  /// Guards against moving groups away from gateways that were only out of control's sight.
+  void OwnerThatWasOutOfSightIsAsBefore() {
+    for (const Duration absence : {Seconds(7), Seconds(13)}) {
+      Sharing s;
+      s.h.Peers(PeersUpTo(9));
+      s.AskForMergers();
+      s.PassReporting(Seconds(13));
+      const std::map<std::string, std::string> before = s.AskForMergers();
+      s.h.Peers(PeersUpTo(5));
+      s.PassReporting(absence);
+      s.h.Peers(PeersUpTo(9));
+      const std::map<std::string, std::string> after = s.AskForMergers();
+      if (absence < Seconds(10)) {
+        CPPUNIT_ASSERT(after == before);
+      } else {
+        CPPUNIT_ASSERT(MergersAfterG5(after) < MergersAfterG5(before));
+      }
+    }
+  }
+
   /// Ten answers that arrive together take a gateway of 0.12 cores 5 ms. If this time is not
   /// planned for, answers miss the objective and lack shard results that were available.
   void ReportsAreTimedForTheAnswersDueTime() {
