What a response held is given back once it is written

Idle connections could have had to give up bytes that they did not hold. WrittenResponsesAreNotHeld failed before (its connection was closed as idle before its bytes counted as given back).

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -206,6 +206,7 @@
   }
 
   void OnDrained() {
+    UpdateFlow();
     if (HasInput()) {
       ReadRequestsSoon();
     }
--- a/test/http/endless_messages_test.cc
+++ b/test/http/endless_messages_test.cc
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(BytesAfterARefusalAreNotRead);
   CPPUNIT_TEST(SmallRequestsAreServedBesideALargeOne);
   CPPUNIT_TEST(PipelinedRequestsAreAllServed);
+  CPPUNIT_TEST(WrittenResponsesAreNotHeld);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -185,6 +186,23 @@
     }
     CPPUNIT_ASSERT_EQUAL(kRequests, served);
   }
+
+  /// Guards against idle connections that count, and are closed for it, because of a response that
+  /// was once too long to be written at once.
+  void WrittenResponsesAreNotHeld() {
+    constexpr size_t kResponseBytes = size_t{16} << 20;
+    const ServerThread server(net::kDefaultHeldBytes, [](const HttpRequest&, Responder responder) {
+      responder.Send({200, std::string(kResponseBytes, 'x') + "end"});
+    });
+    const e2e::RawConnection client(server.address());
+    client.SendBytes(kRequest);
+    e2e::WaitFor("the response to wait", [&server] { return server.held() > 0; });
+    CPPUNIT_ASSERT(client.ReadUntil("end").size() > kResponseBytes);
+    e2e::WaitFor("nothing to be held", [&server] { return server.held() == 0; });
+    // The connection is still open.
+    client.SendBytes(kRequest);
+    CPPUNIT_ASSERT(client.ReadUntil("end").size() > kResponseBytes);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessMessagesTest);
 
