--- a/src/gateway/group_owners.cc
+++ b/src/gateway/group_owners.cc
@@ -93,6 +93,7 @@
     return false;
   }
   const auto tenure = tenures->find(merger);
+  // The time before the first assignment is the least, so nothing is subtracted from it.
   return tenure != tenures->end() && now < tenure->second.since + options_.holding_time;
 }
 
