A server reads no more while read requests wait to be served

Cause: after each response the connection counted as ready for the next request, so that reading went on, 64 KB at a time, although the requests read before were not served yet. The input grew by up to 64 KB for each request of 26 bytes until the sum of all connections (32 MB) was reached, in strings of twice that size that are copied to grow, and erasing a request moved all of it: 1.3 ms a request. How far it got depended on how fast the requests were refused.

Ruled out: the log (156 lines, bounded), timers, what is kept for each request (the log shows no request in progress).

Change: reading goes on beyond the read-ahead of 64 KB only if the parser has seen all input and needs more of its request.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -143,6 +143,10 @@
   /// that does not read them gets no further ones.
   bool ReadyForRequest() const { return !serving_ && !closing_ && stream_.unwritten() == 0; }
   bool HasInput() const { return input_ != nullptr && !input_->empty(); }
+  /// Whether the parser has seen all input and found no end of the request in it.
+  bool NeedsMoreOfRequest() const {
+    return ReadyForRequest() && parser_.state() != ParseState::kEmpty;
+  }
 
   void ReadRequests() {
     while (ReadyForRequest() && HasInput()) {
@@ -183,7 +187,7 @@
     }
     const size_t waiting = HasInput() ? input_->size() : 0;
     const bool wanted = closing_ ? dropped_bytes_ < kMaxDroppedBytes
-                                 : ReadyForRequest() || waiting < kMaxReadAheadBytes;
+                                 : NeedsMoreOfRequest() || waiting < kMaxReadAheadBytes;
     stream_.SetReading(wanted);
     held_.Hold(waiting + parser_.held_bytes() + served_bytes_ + stream_.unwritten());
   }
--- a/test/http/endless_messages_test.cc
+++ b/test/http/endless_messages_test.cc
@@ -2,10 +2,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "e2e/fleet.h"
@@ -33,15 +35,20 @@
 class ServerThread {
  public:
   /// @param held_bytes what all connections may hold together.
-  ServerThread(size_t held_bytes, const HttpServer::Handler& handler) {
-    thread_ = std::thread([this, held_bytes, handler] {
+  /// @param on_tick called on the server's thread once an iteration of its loop.
+  ServerThread(
+      size_t held_bytes, const HttpServer::Handler& handler,
+      const std::function<void()>& on_tick = [] {}) {
+    thread_ = std::thread([this, held_bytes, handler, on_tick] {
       net::EventLoop loop;
       loop.byte_budget()->SetLimit(held_bytes);
       HttpServer server(&loop, {}, handler);
       CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
       port_ = server.port();
-      loop.Run([this, &loop](Timestamp now) {
+      loop.Run([this, &loop, &on_tick](Timestamp now) {
         held_ = loop.byte_budget()->held();
+        most_held_ = std::max<size_t>(most_held_, held_);
+        on_tick();
         if (stop_) {
           loop.Stop();
         }
@@ -57,10 +64,12 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   size_t held() const { return held_; }
+  size_t most_held() const { return most_held_; }
 
  private:
   std::atomic<uint16_t> port_{0};
   std::atomic<size_t> held_{0};
+  std::atomic<size_t> most_held_{0};
   std::atomic<bool> stop_{false};
   std::thread thread_;
 };
@@ -93,6 +102,7 @@
   CPPUNIT_TEST(SmallRequestsAreServedBesideALargeOne);
   CPPUNIT_TEST(PipelinedRequestsAreAllServed);
   CPPUNIT_TEST(WrittenResponsesAreNotHeld);
+  CPPUNIT_TEST(RequestsSentAheadAreNotRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -203,6 +213,29 @@
     client.SendBytes(kRequest);
     CPPUNIT_ASSERT(client.ReadUntil("end").size() > kResponseBytes);
   }
+
+  /// Guards against a server that, for each request it answers, reads many more that wait behind
+  /// it.
+  void RequestsSentAheadAreNotRead() {
+    constexpr size_t kMostHeldBytes = size_t{256} << 10;
+    std::vector<Responder> waiting;
+    std::atomic<size_t> answered{0};
+    const ServerThread server(
+        net::kDefaultHeldBytes,
+        [&waiting](const HttpRequest&, Responder responder) {
+          waiting.push_back(std::move(responder));
+        },
+        [&waiting, &answered] {
+          for (Responder& responder : std::exchange(waiting, {})) {
+            responder.Send({200, ""});
+            ++answered;
+          }
+        });
+    SendEndlessTo(server.address(), {"", kRequest});
+    CPPUNIT_ASSERT(answered > 0);
+    const size_t held = server.most_held();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(held) + " bytes", held <= kMostHeldBytes);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessMessagesTest);
 
