Requests that move to another gateway earn repeats once

Change: of the last window's requests only as many earn as there were in the window before. What has moved so earns when what its former gateway sent has left the window.

--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -3,9 +3,10 @@
 #pragma once
 
 #include <algorithm>
-#include <array>
 #include <cstdint>
+#include <limits>
 
+#include "balance/step_ring.h"
 #include "common/types.h"
 
 namespace pumicedyke::balance {
@@ -72,12 +73,15 @@
 class SlidingWindowBudget : public ExtraLoadLimit {
  public:
   /// @param window length of the window. @param ratio extra sub-requests per regular one.
-  SlidingWindowBudget(Duration window, double ratio) : step_(window / kSteps), ratio_(ratio) {}
+  SlidingWindowBudget(Duration window, double ratio) : steps_(window / kSteps), ratio_(ratio) {}
 
   /// Sets the fixed number of extra sub-requests, which may change at any time.
   void SetBurst(double burst) { burst_ = burst; }
+  /// Sets how many of the window's regular sub-requests count at most, which may change at any
+  /// time.
+  void SetMostEarning(double regular) { most_earning_ = regular; }
 
-  void OnRegular(Timestamp now, double /*share*/) override { Current(now).regular += 1; }
+  void OnRegular(Timestamp now, double /*share*/) override { steps_.Current(now).regular += 1; }
 
   bool TrySpendFraction(Timestamp now, double part) override {
     const Step sum = Sum(now);
@@ -85,7 +89,7 @@
       ++denied_;
       return false;
     }
-    Current(now).extra += 1;
+    steps_.Current(now).extra += 1;
     return true;
   }
 
@@ -101,7 +105,7 @@
   }
 
  private:
-  static constexpr int kSteps = 20;
+  static constexpr int64_t kSteps = 20;
   struct Step {
     double regular = 0;
     double extra = 0;
@@ -111,37 +115,23 @@
 
   /// Returns the totals of the window that ends now.
   Step Sum(Timestamp now) {
-    Current(now);
+    steps_.Current(now);
     Step sum;
-    for (size_t i = 0; i < steps_.size(); ++i) {
-      sum.extra += steps_[i].extra;
-      // The oldest step may already be outside the window, so its regular ones are not counted.
-      sum.regular += i == OldestStep() ? 0 : steps_[i].regular;
+    for (int64_t age = 0; age < kSteps; ++age) {
+      sum.regular += steps_.Before(age).regular;
+      sum.extra += steps_.Before(age).extra;
     }
+    // The oldest step may already be outside the window, so its regular ones are not counted.
+    sum.extra += steps_.Before(kSteps).extra;
+    sum.regular = std::min(sum.regular, most_earning_);
     return sum;
   }
 
-  size_t OldestStep() const { return static_cast<size_t>((number_ + 1) % (kSteps + 1)); }
-
-  Step& Current(Timestamp now) {
-    const int64_t number = now.time_since_epoch() / step_;
-    if (number - number_ > kSteps) {
-      steps_ = {};
-      number_ = number;
-    }
-    while (number_ < number) {
-      ++number_;
-      steps_[static_cast<size_t>(number_ % (kSteps + 1))] = {};
-    }
-    return steps_[static_cast<size_t>(number_ % (kSteps + 1))];
-  }
-
-  Duration step_;
+  StepRing<Step, kSteps + 1> steps_;
   double ratio_;
   double burst_ = 0;
+  double most_earning_ = std::numeric_limits<double>::infinity();
   uint64_t denied_ = 0;
-  int64_t number_ = 0;
-  std::array<Step, kSteps + 1> steps_{};
 };
 
 }  // namespace pumicedyke::balance
--- a/src/gateway/extra_load_shares.cc
+++ b/src/gateway/extra_load_shares.cc
@@ -9,6 +9,7 @@
 ExtraLoadShares::Budget::Budget(ExtraLoadShares* shares, double shared_fraction, double ownership)
     : shares_(shares),
       window_(shares->bound_.window, shares->bound_.ratio),
+      former_(shares->bound_.window),
       shared_fraction_(shares->lease_->holding_time(), shared_fraction),
       ownership_(shares->lease_->holding_time(), ownership) {}
 
@@ -24,11 +25,8 @@
 
 void ExtraLoadShares::Budget::OnRegular(Timestamp now, double share) {
   shares_->used_ = true;
-  // All gateways that start together would spend at once what they earn until then. If the requests
-  // become fewer after that, the differences between their counts exceed the limit.
-  if (shares_->lease_->Settled(now)) {
-    window_.OnRegular(now, share);
-  }
+  window_.OnRegular(now, share);
+  former_.Add(now);
 }
 
 bool ExtraLoadShares::Budget::TrySpendFraction(Timestamp now, double part) {
@@ -47,6 +45,7 @@
 }
 
 void ExtraLoadShares::Budget::Update(Timestamp now) {
+  window_.SetMostEarning(former_.Count(now));
   if (!shares_->lease_->Held(now)) {
     window_.SetBurst(0);
     return;
--- a/src/gateway/extra_load_shares.h
+++ b/src/gateway/extra_load_shares.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "balance/extra_load_budget.h"
+#include "balance/former_window.h"
 #include "balance/window_extreme.h"
 #include "common/types.h"
 #include "gateway/share_lease.h"
@@ -84,11 +85,15 @@
     size_t co_owners = 0;
 
    private:
-    /// Sets the fixed part to what this gateway's share is now.
+    /// Sets the fixed part to what this gateway's share is now, and how much may be earned.
     void Update(Timestamp now);
 
     ExtraLoadShares* shares_;
     balance::SlidingWindowBudget window_;
+    /// Of the last window's requests only as many earn as there were in the one before. Those that
+    /// have moved here from another gateway so earn only when what they had earned there, and may
+    /// have been used, has left the window.
+    balance::FormerWindow former_;
     /// Fraction of the fixed part that all gateways share.
     balance::WindowMinimum<double> shared_fraction_;
     /// This gateway's share of the owners' fraction.
--- a/test/gateway/extra_load_shares_test.cc
+++ b/test/gateway/extra_load_shares_test.cc
@@ -85,6 +85,7 @@
   void RestartControl() { heard_.clear(); }
   /// Lets the clients send to this gateway only, and more than to all others before.
   void SendAllTo(const std::string& name) { only_ = name; }
+  void SendToAll() { only_.clear(); }
   std::vector<std::string> Names() const {
     std::vector<std::string> names;
     for (const auto& [name, gateway] : gateways_) {
@@ -207,6 +208,7 @@
   CPPUNIT_TEST(NewOwnerDoesNotSpendWhatTheFormerOwnerSpent);
   CPPUNIT_TEST(RequestsThatMoveToAnotherGatewayEarnOnce);
   CPPUNIT_TEST(NoWindowHoldsMoreThanTheLimitWhateverHappens);
+  CPPUNIT_TEST(NoWindowHoldsMoreThanTheLimitHoweverRequestsMove);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -353,6 +355,31 @@
     });
     CPPUNIT_ASSERT(property_holds);
   }
+
+  /// Guards against the same for requests that move again and again, some to gateways that restart.
+  void NoWindowHoldsMoreThanTheLimitHoweverRequestsMove() {
+    const bool property_holds = rc::check("extra in any window within the limit", [] {
+      Fleet fleet(static_cast<size_t>(*rc::gen::inRange(2, 9)), *rc::gen::arbitrary<bool>());
+      fleet.Pass(Milliseconds(*rc::gen::inRange(500, 25000)), *rc::gen::arbitrary<bool>());
+      const int moves = *rc::gen::inRange(1, 8);
+      for (int i = 0; i < moves; ++i) {
+        const std::string target = *rc::gen::elementOf(fleet.Names());
+        const bool restarts = *rc::gen::inRange(0, 4) == 0;
+        if (*rc::gen::inRange(0, 4) == 0) {
+          fleet.SendToAll();
+        } else {
+          fleet.SendAllTo(target);
+        }
+        if (restarts) {
+          fleet.Kill(target, Milliseconds(300), *rc::gen::arbitrary<bool>());
+        }
+        fleet.Pass(Milliseconds(*rc::gen::element(300, 2000, 5000, 9000, 12000, 21000)),
+                   *rc::gen::inRange(0, 4) > 0);
+      }
+      RC_ASSERT(fleet.MaxExcess() <= 0);
+    });
+    CPPUNIT_ASSERT(property_holds);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ExtraLoadSharesTest);
 
