The limit on repeats holds however requests move, and a fleet's first requests earn at once

(2) All growth counted a window late, also that of the first traffic of a fleet, when nothing can have moved.

(1) Cause: a gateway that the requests left for a short time has a large last window and a large one before, but the window between them, while the requests were elsewhere, is small. Now only as many requests earn as there were in each of the windows that ended up to a window ago. Why that is enough: all gateways' sends in a window W are bounded by their numbers in the same window, the one just before W.

(2) Control tells gateways whether any of them has sent a request to a leaf (fields in the presence message and in the list of leafs). A gateway of the first start that knew that nobody had does not limit its first window, and estimates the part of older windows that lies before the use began by the rest of them.

--- a/src/balance/step_ring.h
+++ b/src/balance/step_ring.h
@@ -34,6 +34,8 @@
   const Value& Before(int64_t age) const { return values_[IndexOf(number_ - age)]; }
   /// Returns how many steps before the current one the step of `time` began.
   int64_t AgeOf(Timestamp time) const { return number_ - NumberOf(time); }
+  /// Returns how many steps before the current one the group of `steps` steps began that it is in.
+  int64_t AgeInGroup(int64_t steps) const { return number_ % steps; }
 
  private:
   int64_t NumberOf(Timestamp time) const { return time.time_since_epoch() / step_; }
--- a/src/control/discovery_server.cc
+++ b/src/control/discovery_server.cc
@@ -66,6 +66,7 @@
   feed.zone = options_.zone;
   feed.current = current_;
   feed.gateways = static_cast<uint32_t>(directory_.size());
+  feed.gateways_used = directory_.used();
   session->sent_version = feed.version;
   messages_.push_back({id, {options_.cluster, 0, std::move(feed)}});
 }
--- a/src/directory/gateway_directory.cc
+++ b/src/directory/gateway_directory.cc
@@ -24,6 +24,7 @@
   const std::optional<wire::GatewayRecord> record = RecordOf(presence);
   entry.presence = presence;
   entry.last_heartbeat = now;
+  used_ |= presence.used;
   if (record.has_value() && record != before) {
     RecordChange(&entry);
   } else if (before.has_value() && !record.has_value()) {
--- a/src/directory/gateway_directory.h
+++ b/src/directory/gateway_directory.h
@@ -40,6 +40,8 @@
   std::vector<std::string> AddressesFor(Timestamp now, const ClientLocation& client) const;
   /// Number of known gateways, serving or not.
   size_t size() const { return gateways_.size(); }
+  /// Whether any gateway has told that it has sent a request to a leaf.
+  bool used() const { return used_; }
   /// Drops gateways that have been silent for `silence_limit`.
   void DropSilent(Timestamp now);
 
@@ -76,6 +78,7 @@
   /// Version of the newest removal that is no longer retained.
   uint64_t discarded_version_ = 0;
   uint64_t version_ = 1;
+  bool used_ = false;
 };
 
 }  // namespace pumicedyke::directory
--- a/src/gateway/extra_load_shares.cc
+++ b/src/gateway/extra_load_shares.cc
@@ -9,7 +9,7 @@
 ExtraLoadShares::Budget::Budget(ExtraLoadShares* shares, double shared_fraction, double ownership)
     : shares_(shares),
       window_(shares->bound_.window, shares->bound_.ratio),
-      former_(shares->bound_.window),
+      least_(shares->bound_.window),
       shared_fraction_(shares->lease_->holding_time(), shared_fraction),
       ownership_(shares->lease_->holding_time(), ownership) {}
 
@@ -24,9 +24,9 @@
 }
 
 void ExtraLoadShares::Budget::OnRegular(Timestamp now, double share) {
-  shares_->used_ = true;
+  shares_->use_.OnOwnUse(now);
   window_.OnRegular(now, share);
-  former_.Add(now);
+  least_.Add(now);
 }
 
 bool ExtraLoadShares::Budget::TrySpendFraction(Timestamp now, double part) {
@@ -45,7 +45,7 @@
 }
 
 void ExtraLoadShares::Budget::Update(Timestamp now) {
-  window_.SetMostEarning(former_.Count(now));
+  window_.SetMostEarning(least_.Least(now, shares_->use_.unused_before()));
   if (!shares_->lease_->Held(now)) {
     window_.SetBurst(0);
     return;
@@ -66,7 +66,8 @@
   if (budget == nullptr) {
     // No gateway has sent to a shard before it was in the routes.
     budget = std::make_unique<Budget>(this, shared_fraction, part);
-  } else if (lease_->unused_before() && !used_) {
+  } else if (lease_->unused_before() && !used()) {
+    // Nothing can have been used by any owner.
     budget->ResetShare(shared_fraction, part);
   } else {
     budget->SetShare(now, shared_fraction, part);
--- a/src/gateway/extra_load_shares.h
+++ b/src/gateway/extra_load_shares.h
@@ -9,9 +9,10 @@
 #include <vector>
 
 #include "balance/extra_load_budget.h"
-#include "balance/former_window.h"
+#include "balance/least_window.h"
 #include "balance/window_extreme.h"
 #include "common/types.h"
+#include "gateway/fleet_use.h"
 #include "gateway/share_lease.h"
 
 namespace pumicedyke::gateway {
@@ -54,7 +55,13 @@
       : bound_(bound),
         owners_fraction_(owners_fraction),
         spare_gateways_(spare_gateways),
-        lease_(lease) {}
+        lease_(lease),
+        use_(lease->unused_before(), lease->margin()) {}
+
+  /// Called when a control machine tells whether any gateway has sent anything.
+  void OnFleet(Timestamp now, bool used) { use_.OnFleet(now, used); }
+  /// Whether this gateway has sent anything.
+  bool used() const { return use_.used_here(); }
 
   /// Sets the shards that have owners.
   void SetOwnerships(Timestamp now, const ShardOwnerships& ownerships);
@@ -90,10 +97,10 @@
 
     ExtraLoadShares* shares_;
     balance::SlidingWindowBudget window_;
-    /// Of the last window's requests only as many earn as there were in the one before. Those that
-    /// have moved here from another gateway so earn only when what they had earned there, and may
-    /// have been used, has left the window.
-    balance::FormerWindow former_;
+    /// Only as many requests earn as there were in each of the last windows. Those that have moved
+    /// here from another gateway so earn only when what they had earned there, and may have been
+    /// used, has left the window.
+    balance::LeastWindow least_;
     /// Fraction of the fixed part that all gateways share.
     balance::WindowMinimum<double> shared_fraction_;
     /// This gateway's share of the owners' fraction.
@@ -106,9 +113,7 @@
   double owners_fraction_;
   uint32_t spare_gateways_;
   const ShareLease* lease_;
-  /// Whether this gateway has sent anything. Before that, in a fleet that starts for the first
-  /// time, nothing can have been used by any owner.
-  bool used_ = false;
+  FleetUse use_;
   std::map<std::string, std::unique_ptr<Budget>> budgets_;
 };
 
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -39,6 +39,7 @@
   presence.wants_peers =
       !options_.peer_address.empty() && address == control_[subscriber_.control()];
   presence.peers_version = peers_.VersionOf(address);
+  presence.used = extra_load_.used();
   return {options_.cluster, subscriber_.config().version().value, std::move(presence)};
 }
 
@@ -184,6 +185,7 @@
   SetLink(address, /*up=*/true);
   gateways_ = std::max(1U, feed.gateways);
   share_lease_.Renew(now, feed.gateways);
+  extra_load_.OnFleet(now, feed.gateways_used);
   AddControlMachines(feed.control);
   ControlLink& link = links_[address];
   link.near = !feed.zone.empty() && feed.zone == options_.zone;
--- a/src/gateway/share_lease.h
+++ b/src/gateway/share_lease.h
@@ -7,8 +7,7 @@
 // - What an earlier process of this gateway used has left the window by then. This holds for all
 //   that it counted, also for what it earned by regular use.
 // - A gateway that was paused or out of contact for longer than its term does not use its part
-// until
-//   the others have counted it for a whole window again.
+//   until the others have counted it for a whole window again.
 // - The part of a gateway that was counted out passes to the others only after its term and a
 //   window.
 #pragma once
@@ -47,6 +46,8 @@
   bool Settled(Timestamp now) const { return unused_before_ || now - started_ >= options_.window; }
   /// Returns whether the share has been held for a whole window.
   bool Held(Timestamp now) const;
+  /// Longest time by which gateways learn of changes later than others.
+  Duration margin() const { return options_.margin; }
   /// Time for which a share may be used without contact with control.
   Duration term() const { return options_.term; }
   /// Time for which a change that enlarges a share must last before it takes effect.
--- a/src/wire/codec_gateways.cc
+++ b/src/wire/codec_gateways.cc
@@ -34,11 +34,12 @@
   out.peer_address = arena->String(presence.peer_address);
   out.wants_peers = presence.wants_peers;
   out.peers_version = presence.peers_version;
+  out.used = presence.used;
 }
 
 GatewayPresence Read(const pumicedyke_wire_GatewayPresence& in) {
-  return {Text(in.node),   in.incarnation,        Text(in.address), Text(in.zone),   in.serving,
-          in.leaf_version, Text(in.peer_address), in.wants_peers,   in.peers_version};
+  return {Text(in.node),   in.incarnation,        Text(in.address), Text(in.zone),    in.serving,
+          in.leaf_version, Text(in.peer_address), in.wants_peers,   in.peers_version, in.used};
 }
 
 void Fill(const LeafFeed& feed, Arena* arena, pumicedyke_wire_Envelope* envelope) {
@@ -49,6 +50,7 @@
   out.gateways = feed.gateways;
   out.zone = arena->String(feed.zone);
   out.current = feed.current;
+  out.gateways_used = feed.gateways_used;
   out.records_count = static_cast<pb_size_t>(feed.records.size());
   out.records = arena->Array<pumicedyke_wire_LeafRecord>(feed.records.size());
   for (size_t i = 0; i < feed.records.size(); ++i) {
@@ -67,7 +69,8 @@
 }
 
 LeafFeed Read(const pumicedyke_wire_LeafFeed& in) {
-  LeafFeed feed{in.from_version, in.version, {}, {}, {}, in.gateways, Text(in.zone), in.current};
+  LeafFeed feed{in.from_version, in.version,      {}, {}, {}, in.gateways, Text(in.zone),
+                in.current,      in.gateways_used};
   for (pb_size_t i = 0; i < in.records_count; ++i) {
     const pumicedyke_wire_LeafRecord& record = in.records[i];
     feed.records.push_back({Text(record.leaf), Text(record.service), Text(record.address),
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -189,6 +189,8 @@
   /// `peers_version` of it.
   bool wants_peers = false;
   uint64_t peers_version = 0;
+  /// Whether the gateway has sent any request to a leaf since it started.
+  bool used = false;
 };
 
 /// A serving gateway as other gateways know it.
@@ -402,6 +404,8 @@
   std::string zone = {};
   /// Whether the sender is in contact with a quorum, as far as it can know.
   bool current = false;
+  /// Whether any gateway has told the sender that it has sent a request to a leaf.
+  bool gateways_used = false;
 };
 
 /// A limit request. Asks the gateway that is the lender of a tenant's account for the right to send
--- a/test/control/discovery_server_test.cc
+++ b/test/control/discovery_server_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST(GatewaysReceiveEachOther);
   CPPUNIT_TEST(NothingIsSentWithoutChanges);
   CPPUNIT_TEST(GatewaysWithTheSameVersionShareOneMessage);
+  CPPUNIT_TEST(GatewaysLearnThatOneOfThemWasUsed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -69,6 +70,22 @@
     CPPUNIT_ASSERT(server.TakeMessages().empty());
   }
 
+  void GatewaysLearnThatOneOfThemWasUsed() {
+    DiscoveryServer server(Options());
+    server.OnPresence(kStart, 1, Presence("g1", 0));
+    CPPUNIT_ASSERT(!Take<wire::LeafFeed>(&server).at(0).gateways_used);
+    wire::GatewayPresence used = Presence("g2", 0);
+    used.used = true;
+    server.OnPresence(kStart, 2, used);
+    Take<wire::LeafFeed>(&server);
+    server.OnPresence(kStart, 1, Presence("g1", 0));
+    CPPUNIT_ASSERT(Take<wire::LeafFeed>(&server).at(0).gateways_used);
+    // It stays true without that gateway.
+    server.OnSessionClosed(2);
+    server.OnPresence(kStart, 1, Presence("g1", 0));
+    CPPUNIT_ASSERT(Take<wire::LeafFeed>(&server).at(0).gateways_used);
+  }
+
   void ControlAddressesAreSentOnce() {
     DiscoveryServer server(Options());
     server.SetControlAddresses({"a:7100", "b:7100"});
--- a/test/gateway/extra_load_shares_test.cc
+++ b/test/gateway/extra_load_shares_test.cc
@@ -82,7 +82,10 @@
     gateways_.at(name).paused_until = now + time;
   }
   void CutOff(const std::string& name, Duration time) { gateways_.at(name).cut_until = now + time; }
-  void RestartControl() { heard_.clear(); }
+  void RestartControl() {
+    heard_.clear();
+    used_ = false;
+  }
   /// Lets the clients send to this gateway only, and more than to all others before.
   void SendAllTo(const std::string& name) { only_ = name; }
   void SendToAll() { only_.clear(); }
@@ -158,6 +161,8 @@
   }
   void OnContact(const std::string& name, Life* life) {
     life->lease.Renew(now, static_cast<uint32_t>(heard_.size()));
+    used_ |= life->shares.used();
+    life->shares.OnFleet(now, used_);
     std::vector<std::string> known;
     for (const auto& [gateway, when] : heard_) {
       known.push_back(gateway);
@@ -181,6 +186,8 @@
   std::map<std::string, Gateway> gateways_;
   /// When the control machine last heard of each gateway.
   std::map<std::string, Timestamp> heard_;
+  /// Whether a gateway has told the control machine that it has sent something.
+  bool used_ = false;
   /// The only gateway that gets requests; empty: all get as many.
   std::string only_;
   /// To each service.
@@ -198,6 +205,8 @@
 class ExtraLoadSharesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ExtraLoadSharesTest);
   CPPUNIT_TEST(ShareIsUsedAtOnceInAFirstStart);
+  CPPUNIT_TEST(FirstRequestsOfAFleetEarnAtOnce);
+  CPPUNIT_TEST(GatewayAddedToAUsedFleetEarnsLater);
   CPPUNIT_TEST(RestartedGatewaysDoNotSpendTheirSharesAgain);
   CPPUNIT_TEST(RestartedGatewaysHaveTheirSharesAgainAfterTheWindow);
   CPPUNIT_TEST(SharesOfLostGatewaysPassOnAfterTheirUseHasEnded);
@@ -221,6 +230,32 @@
     CheckLimit(fleet);
   }
 
+  /// Guards against requests that are taken for moved ones although nothing was sent before them.
+  void FirstRequestsOfAFleetEarnAtOnce() {
+    constexpr double kRequestsOfFiveSeconds = 3 * 50;
+    Fleet fleet(3, /*first_start=*/true);
+    fleet.SendAllTo("nobody");
+    fleet.Pass(Seconds(15), /*spend=*/false);
+    fleet.SendToAll();
+    fleet.Pass(Seconds(5), /*spend=*/true);
+    const double share = 3 * kFixed / (3 + kSpare);
+    CPPUNIT_ASSERT(static_cast<double>(fleet.Extra(kPlain)) >=
+                   share + kRatio * kRequestsOfFiveSeconds - 3);
+    CheckLimit(fleet);
+  }
+
+  /// Guards against a gateway that takes the requests it gets at first for the fleet's first ones.
+  void GatewayAddedToAUsedFleetEarnsLater() {
+    Fleet fleet(2, /*first_start=*/true);
+    fleet.SendAllTo("g0");
+    fleet.Pass(Seconds(14), /*spend=*/false);
+    fleet.Pass(Seconds(1), /*spend=*/true);
+    fleet.Add(/*first_start=*/true);
+    fleet.SendAllTo("g2");
+    fleet.Pass(Seconds(9), /*spend=*/true);
+    CheckLimit(fleet);
+  }
+
   /// Guards against a process that forgets what the one before it has spent.
   void RestartedGatewaysDoNotSpendTheirSharesAgain() {
     Fleet fleet(7);
@@ -376,6 +411,7 @@
         fleet.Pass(Milliseconds(*rc::gen::element(300, 2000, 5000, 9000, 12000, 21000)),
                    *rc::gen::inRange(0, 4) > 0);
       }
+      RC_LOG() << "beyond the limit: " << fleet.MaxExcess();
       RC_ASSERT(fleet.MaxExcess() <= 0);
     });
     CPPUNIT_ASSERT(property_holds);
--- a/test/wire/codec_test.cc
+++ b/test/wire/codec_test.cc
@@ -157,13 +157,20 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{6}, back.version);
     CPPUNIT_ASSERT(back.peers == feed.peers);
     CPPUNIT_ASSERT(back.removed == feed.removed);
-    GatewayPresence presence{"g1", 3, "10.0.0.1:80", "north", true, 5, "10.0.0.1:7500", true, 6};
+    GatewayPresence presence{"g1", 3, "10.0.0.1:80", "north", true, 5, "10.0.0.1:7500",
+                             true, 6, true};
     const auto decoded_presence = DecodeEnvelope(Encode(Envelope{"c", 1, presence}));
     CPPUNIT_ASSERT(decoded_presence.ok());
     const auto& back_presence = std::get<GatewayPresence>(decoded_presence->body);
     CPPUNIT_ASSERT_EQUAL(presence.peer_address, back_presence.peer_address);
     CPPUNIT_ASSERT(back_presence.wants_peers);
     CPPUNIT_ASSERT_EQUAL(uint64_t{6}, back_presence.peers_version);
+    CPPUNIT_ASSERT(back_presence.used);
+    LeafFeed leaf_feed;
+    leaf_feed.gateways_used = true;
+    const auto decoded_leaf_feed = DecodeEnvelope(Encode(Envelope{"c", 1, leaf_feed}));
+    CPPUNIT_ASSERT(decoded_leaf_feed.ok());
+    CPPUNIT_ASSERT(std::get<LeafFeed>(decoded_leaf_feed->body).gateways_used);
   }
 
   /// Each node sends a hello four times a second, so its size bounds a node's control traffic.
