--- a/test/http/surplus_answer_test.cc
+++ b/test/http/surplus_answer_test.cc
@@ -1,56 +1,36 @@
 // Tests peers that answer a request a second time in place of the next response, that send surplus
 // bytes after a response, that reset the connection within a response, or that end a response by
 // closing the connection.
-#include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <functional>
 #include <string>
-#include <thread>
+#include <vector>
 
+#include "e2e/raw_listener.h"
 #include "http/http_client.h"
 #include "net/event_loop.h"
 
 namespace pumicedyke::http {
 namespace {
 
-/// A peer that serves a number of connections, one at a time, by a script.
+/// A peer that serves a number of connections by a script.
 class ScriptedPeer {
  public:
   using Script = std::function<void(int connection)>;
 
-  /// @param connections number of connections to serve, each by `script`.
-  ScriptedPeer(int connections, const Script& script) {
-    socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    CPPUNIT_ASSERT(::bind(socket_, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    ::getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
-    address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-    CPPUNIT_ASSERT(::listen(socket_, 16) == 0);
-    thread_ = std::thread([this, connections, script] {
-      for (int i = 0; i < connections; ++i) {
-        const int connection = ::accept(socket_, nullptr, nullptr);
-        if (connection < 0) {
-          return;
-        }
-        script(connection);
-        ::close(connection);
-      }
-    });
-  }
-  ~ScriptedPeer() {
-    ::shutdown(socket_, SHUT_RDWR);
-    thread_.join();
-    ::close(socket_);
-  }
+  /// @param connections number of connections to serve, each by `script`; further ones are closed.
+  ScriptedPeer(int connections, const Script& script)
+      : listener_([this, connections, script](int connection) {
+          if (++accepted_ <= connections) {
+            script(connection);
+          }
+        }) {}
 
-  const std::string& address() const { return address_; }
+  const std::string& address() const { return listener_.address(); }
 
   /// Reads until the end of a request's head.
   static void ReadHead(int connection) {
@@ -73,9 +53,9 @@
   }
 
  private:
-  int socket_ = -1;
-  std::string address_;
-  std::thread thread_;
+  std::atomic<int> accepted_{0};
+  /// Last, because its threads use the other member.
+  e2e::RawListener listener_;
 };
 
 ClientRequest RequestWithId(const std::string& address, const std::string& id) {
@@ -140,7 +120,7 @@
 
   /// Guards against a try of work that may run once being taken for refused.
   void SurplusRefusalDoesNotAnswerTheNextTry() {
-    int served = 0;
+    std::atomic<int> served{0};
     ScriptedPeer peer(2, [&served](int connection) {
       const bool first = ++served == 1;
       ScriptedPeer::ReadHead(connection);
@@ -188,7 +168,7 @@
   }
 
   void EarlySurplusEndsTheConnection() {
-    int served = 0;
+    std::atomic<int> served{0};
     ScriptedPeer peer(2, [&served](int connection) {
       const std::string id = ++served == 1 ? "one" : "two";
       ScriptedPeer::ReadHead(connection);
