The simulated gateways that share the limit on repeats have clocks that differ

The argument in least_window.h takes the ends of windows for the same times at all gateways; clocks start with their machines. No program changes but for the comment.

--- a/src/balance/least_window.h
+++ b/src/balance/least_window.h
@@ -5,7 +5,8 @@
 // sub-requests move from one budget to another and back. Whatever a budget sends in a window W, it
 // sends by a number that is at most that of its window just before W, because that position is
 // among its last ones each time. The sum of these is the number in the window before W, where each
-// sub-request counts at one budget only.
+// sub-request counts at one budget only. The positions that are looked at differ from that one by
+// less than kStepsBetweenEnds steps, and by the difference of the processes' clocks modulo these.
 #pragma once
 
 #include <algorithm>
@@ -35,7 +36,7 @@
     if (used_steps < kSteps) {
       return least;
     }
-    // Ends are the same times at all budgets.
+    // Ends are the same times at all budgets whose clocks agree.
     for (int64_t end = steps_.AgeInGroup(kStepsBetweenEnds) + 1; end <= kOldestEnd;
          end += kStepsBetweenEnds) {
       const int64_t known = std::min(kSteps, used_steps - end);
--- a/test/gateway/extra_load_shares_test.cc
+++ b/test/gateway/extra_load_shares_test.cc
@@ -23,6 +23,8 @@
 constexpr uint32_t kSpare = 1;
 constexpr size_t kOwners = 2;
 constexpr Duration kStep = Milliseconds(100);
+/// By how much the clock of each gateway is ahead of the one before.
+constexpr Duration kClockOffset = Milliseconds(7200);
 /// Requests in each step where all go to one gateway.
 constexpr size_t kRequestsToOne = 8;
 constexpr Timestamp kStart{Seconds(1000)};
@@ -50,6 +52,8 @@
 /// A gateway that sends as many extra sub-requests as it may.
 struct Gateway {
   std::unique_ptr<Life> life;
+  /// By how much its clock is ahead.
+  Duration clock_offset{};
   Timestamp down_until{};
   Timestamp paused_until{};
   Timestamp cut_until{};
@@ -66,8 +70,10 @@
   }
 
   void Add(bool first_start = false) {
-    Gateway& gateway = gateways_["g" + std::to_string(gateways_.size())];
-    gateway.life = std::make_unique<Life>(now, first_start);
+    const auto number = static_cast<int64_t>(gateways_.size());
+    Gateway& gateway = gateways_["g" + std::to_string(number)];
+    gateway.clock_offset = number * kClockOffset;
+    gateway.life = std::make_unique<Life>(now + gateway.clock_offset, first_start);
   }
   /// Ends the process, which starts again after `down`. @param noticed control sees it at once.
   void Kill(const std::string& name, Duration down, bool noticed) {
@@ -143,7 +149,7 @@
   }
   void Advance(const std::string& name, Gateway* gateway, bool spend) {
     if (gateway->life == nullptr && now >= gateway->down_until) {
-      gateway->life = std::make_unique<Life>(now, /*first_start=*/false);
+      gateway->life = std::make_unique<Life>(now + gateway->clock_offset, /*first_start=*/false);
       gateway->next_presence = now;
     }
     if (gateway->life == nullptr || now < gateway->paused_until) {
@@ -151,33 +157,36 @@
     }
     // A process that continues spends before it hears anything.
     const size_t requests_to_named = name == only_ ? kRequestsToOne : 0;
-    Send(gateway->life.get(), only_.empty() ? 1 : requests_to_named, spend);
+    Send(gateway, only_.empty() ? 1 : requests_to_named, spend);
     if (now >= gateway->cut_until && now >= gateway->next_presence) {
       constexpr Duration kPresenceInterval = Milliseconds(500);
       gateway->next_presence = now + kPresenceInterval;
       heard_[name] = now;
-      OnContact(name, gateway->life.get());
+      OnContact(name, gateway);
     }
   }
-  void OnContact(const std::string& name, Life* life) {
-    life->lease.Renew(now, static_cast<uint32_t>(heard_.size()));
+  void OnContact(const std::string& name, const Gateway* gateway) {
+    Life* life = gateway->life.get();
+    const Timestamp local = now + gateway->clock_offset;
+    life->lease.Renew(local, static_cast<uint32_t>(heard_.size()));
     used_ |= life->shares.used();
-    life->shares.OnFleet(now, used_);
+    life->shares.OnFleet(local, used_);
     std::vector<std::string> known;
-    for (const auto& [gateway, when] : heard_) {
-      known.push_back(gateway);
+    for (const auto& [node, when] : heard_) {
+      known.push_back(node);
     }
     const std::vector<std::string> owners = MergersOf(kShard, known, kOwners);
     const bool owner = std::find(owners.begin(), owners.end(), name) != owners.end();
-    life->shares.SetOwnerships(now, {{kShard, {owners.size(), owner}}});
+    life->shares.SetOwnerships(local, {{kShard, {owners.size(), owner}}});
   }
-  void Send(Life* life, size_t requests, bool spend) {
+  void Send(const Gateway* gateway, size_t requests, bool spend) {
+    const Timestamp local = now + gateway->clock_offset;
     for (const std::string& service : {kPlain, kShard}) {
-      balance::ExtraLoadLimit* budget = life->shares.BudgetOf(service);
+      balance::ExtraLoadLimit* budget = gateway->life->shares.BudgetOf(service);
       for (size_t i = 0; i < requests; ++i) {
-        budget->OnRegular(now, 0);
+        budget->OnRegular(local, 0);
       }
-      while (spend && budget->TrySpend(now)) {
+      while (spend && budget->TrySpend(local)) {
         extra_[service].push_back(now);
       }
     }
