--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -56,7 +56,8 @@
 
 /// What a SlidingWindowBudget has counted, and what it allows.
 struct ExtraLoadUse {
-  /// Regular and extra sub-requests in the window that ends now.
+  /// Regular sub-requests in the window that ends now, as far as they earn extra ones, and extra
+  /// ones.
   double regular = 0;
   double extra = 0;
   /// Extra sub-requests allowed in that window, and the fixed number that is part of it.
