--- a/test/gateway/extra_load_shares_test.cc
+++ b/test/gateway/extra_load_shares_test.cc
@@ -366,7 +366,7 @@
     CheckLimit(fleet);
   }
 
-  /// Guards against earning by windows that were large before and after the requests were elsewhere.
+  /// Guards against earning by windows before and after a time when the requests were elsewhere.
   void RequestsThatMoveThereAndBackEarnOnce() {
     Fleet fleet(3);
     fleet.Pass(Seconds(1), /*spend=*/false);
