--- /dev/null
+++ b/review/standin-2/fleet.h
@@ -0,0 +1,63 @@
+// Control machines and gateways as separate processes on loopback addresses, with the commands of
+// the deploy file and settings as its templates give them for a small deployment.
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sockets.h"
+
+namespace standin {
+
+struct FleetOptions {
+  /// Cores of the small deployments of the users' pages.
+  int controls = 5;
+  int gateways = 1;
+  /// Lines added to the settings of gateways, as the template gives them for further bounds.
+  std::string gateway_bounds;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(FleetOptions options);
+  /// Kills the processes and removes the temporary folder.
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  /// Addresses that serve `control`.
+  std::vector<std::string> Controls() const;
+  /// Addresses that serve `edge`.
+  std::string Gateway(int index) const;
+  /// Address at which the platform asks whether a gateway is ready.
+  std::string Ready(int index) const;
+  /// Sends a configuration until it is acknowledged. @return whether it was, within `timeout`.
+  bool Put(const std::string& document, milliseconds timeout = milliseconds(15000));
+  /// Waits until every gateway says that it is ready.
+  bool WaitUntilReady(milliseconds timeout = milliseconds(15000));
+  void Signal(const std::string& process, int signal);
+  /// Whether the process has not ended.
+  bool Runs(const std::string& process);
+
+ private:
+  void Start(const std::string& name, const std::string& program, const std::string& settings);
+  void StartControl(int index);
+  void StartGateway(int index);
+  std::string SeedList() const;
+
+  FleetOptions options_;
+  std::string folder_;
+  uint16_t control_port_ = FreePort();
+  uint16_t directory_port_ = FreePort();
+  uint16_t internal_port_ = FreePort();
+  uint16_t front_port_ = FreePort();
+  uint16_t ready_port_ = FreePort();
+  uint16_t metrics_port_ = FreePort();
+  std::map<std::string, pid_t> processes_;
+};
+
+}  // namespace standin
