--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -13,6 +13,7 @@
 /// @param trouble whether the disruption takes place; the same below.
 int RunSplitCase(Record* record, bool trouble);
 int RunBodiesCase(Record* record, bool trouble);
+int RunBodyLimitCase(Record* record, bool trouble);
 int RunReadyPathCase(Record* record, bool trouble);
 
 }  // namespace standin
