--- a/review/standin-2/case_bodies.cc
+++ b/review/standin-2/case_bodies.cc
@@ -54,7 +54,8 @@
   }
   std::this_thread::sleep_for(milliseconds(3000));
   const int clients = trouble ? static_cast<int>(kUsualClients * kBurst) : kUsualClients;
-  record->Add(std::to_string(clients) + " clients send a small request each and keep the "
+  record->Add(std::to_string(clients) +
+              " clients send a small request each and keep the "
               "connection");
   std::atomic<int> ready{0};
   std::atomic<bool> go{false};
@@ -67,10 +68,10 @@
     threads.emplace_back([&, i] {
       Client client(fleet.Gateway(0));
       const auto send = [&](const std::string& id, const std::string& body) {
-        return client.Send("POST", "/reprint/form",
-                           {{"Host", "desk.example"}, {"X-Request-Id", id},
-                            {"X-Deadline-Ms", "8000"}},
-                           body, milliseconds(8500));
+        return client.Send(
+            "POST", "/reprint/form",
+            {{"Host", "desk.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "8000"}}, body,
+            milliseconds(8500));
       };
       send("small-" + std::to_string(i), "x");
       ++ready;
@@ -81,9 +82,9 @@
       const Reply reply = send(id, std::string(kBodyBytes, 'f'));
       const char* ends[] = {"", "closed", "reset", "no answer in time"};
       record->Add("client " + id + ": " +
-                  (reply.status > 0 ? "answered " + std::to_string(reply.status)
-                                    : std::string("connection ") +
-                                          ends[static_cast<int>(reply.end)]));
+                  (reply.status > 0
+                       ? "answered " + std::to_string(reply.status)
+                       : std::string("connection ") + ends[static_cast<int>(reply.end)]));
       if (reply.status == 200) {
         ++served;
       } else if (reply.status == 429 || reply.status == 503) {
--- a/review/standin-2/case_body_limit.cc
+++ b/review/standin-2/case_body_limit.cc
@@ -26,8 +26,7 @@
          "\"backend\":\"desk\",\"max_attempts\":2}],\"backends\":[{\"name\":\"desk\","
          "\"health_path\":\"/healthz\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
          "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":" +
-         std::to_string(max_body_bytes) +
-         ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+         std::to_string(max_body_bytes) + ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 }
 
 }  // namespace
@@ -58,8 +57,8 @@
     ++requests;
     const bool from_leaf = reply.message.Has("X-Server-Stamp");
     served += reply.status == 200 && from_leaf ? 1 : 0;
-    denied += reply.status / 100 == 4 && !from_leaf && reply.status != 408 &&
-                      reply.status != 421 && reply.status != 429
+    denied += reply.status / 100 == 4 && !from_leaf && reply.status != 408 && reply.status != 421 &&
+                      reply.status != 429
                   ? 1
                   : 0;
     record->Add(id + ": body of " + std::to_string(body.size()) + " bytes, answered " +
--- a/review/standin-2/case_ready_path.cc
+++ b/review/standin-2/case_ready_path.cc
@@ -19,8 +19,7 @@
             [&](const Leaf&, const Message& request) {
               const std::lock_guard lock(mutex);
               ran.insert(request.Header("X-Request-Id"));
-              record->Add("leaf runs " + request.first_line + " " +
-                          request.Header("X-Request-Id"));
+              record->Add("leaf runs " + request.first_line + " " + request.Header("X-Request-Id"));
             });
   const std::string document =
       "{\"version\":1,\"routes\":[{\"name\":\"r-desk\",\"host\":\"desk.example\","
@@ -39,9 +38,8 @@
   for (int i = 0; i < 5; ++i) {
     const std::string id = "order-" + std::to_string(i);
     const Reply reply = client.Send(
-        "POST", target,
-        {{"Host", "desk.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "2000"}}, "one stack",
-        milliseconds(2500));
+        "POST", target, {{"Host", "desk.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", "2000"}},
+        "one stack", milliseconds(2500));
     const std::string stamp = reply.message.Header("X-Server-Stamp");
     record->Add("client sent POST " + target + " " + id + ", answered " +
                 std::to_string(reply.status) + ", X-Server-Stamp '" + stamp + "', body '" +
--- a/review/standin-2/case_split.cc
+++ b/review/standin-2/case_split.cc
@@ -24,12 +24,12 @@
 std::string Document(int version, int blue, int green) {
   std::string routes;
   for (int i = 0; i < kRoutes; ++i) {
-    routes += std::string(i > 0 ? "," : "") + "{\"name\":\"r-" + std::to_string(i) +
-              "\",\"host\":\"desk.example\",\"path_prefix\":\"/p" + std::to_string(i) +
-              "/\",\"type\":\"idempotent\",\"timeout_ms\":2000,\"slo_ms\":500,\"priority\":1," +
-              "\"max_attempts\":2,\"split\":[{\"backend\":\"blue\",\"weight\":" +
-              std::to_string(blue) + "},{\"backend\":\"green\",\"weight\":" +
-              std::to_string(green) + "}]}";
+    routes +=
+        std::string(i > 0 ? "," : "") + "{\"name\":\"r-" + std::to_string(i) +
+        "\",\"host\":\"desk.example\",\"path_prefix\":\"/p" + std::to_string(i) +
+        "/\",\"type\":\"idempotent\",\"timeout_ms\":2000,\"slo_ms\":500,\"priority\":1," +
+        "\"max_attempts\":2,\"split\":[{\"backend\":\"blue\",\"weight\":" + std::to_string(blue) +
+        "},{\"backend\":\"green\",\"weight\":" + std::to_string(green) + "}]}";
   }
   return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + routes +
          "],\"backends\":[{\"name\":\"blue\",\"health_path\":\"/healthz\",\"max_conns\":110,"
@@ -108,8 +108,8 @@
   record->Add("version 1 acknowledged: weights blue 600, green 400");
   std::this_thread::sleep_for(kApplyTime);
   const int before = SendToAll(fleet, kRequestsBefore, "before");
-  record->Add("sent " + std::to_string(kRoutes * kRequestsBefore) + ", answered with 200: " +
-              std::to_string(before));
+  record->Add("sent " + std::to_string(kRoutes * kRequestsBefore) +
+              ", answered with 200: " + std::to_string(before));
   const int blue = trouble ? 1 : 600;
   const int green = trouble ? 1 : 400;
   if (!fleet.Put(Document(2, blue, green))) {
@@ -120,8 +120,8 @@
   std::this_thread::sleep_for(kApplyTime + milliseconds(500));
   runs.Clear();
   const int after = SendToAll(fleet, kRequestsAfter, "after");
-  record->Add("sent " + std::to_string(kRoutes * kRequestsAfter) + ", answered with 200: " +
-              std::to_string(after));
+  record->Add("sent " + std::to_string(kRoutes * kRequestsAfter) +
+              ", answered with 200: " + std::to_string(after));
   if (after < kRoutes * kRequestsAfter) {
     // Only a time in which no part turns requests away counts.
     return kCouldNotRun;
--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -14,6 +14,7 @@
 int RunSplitCase(Record* record, bool trouble);
 int RunBodiesCase(Record* record, bool trouble);
 int RunBodyLimitCase(Record* record, bool trouble);
+int RunReplacedControlsCase(Record* record, bool trouble);
 int RunReadyPathCase(Record* record, bool trouble);
 
 }  // namespace standin
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -19,6 +19,10 @@
   int gateways = 1;
   /// Lines added to the settings of gateways, as the template gives them for further bounds.
   std::string gateway_bounds;
+  std::string control_zone = "north";
+  std::string gateway_zone = "north";
+  /// Names of the gateways; empty: names made of their zone and number.
+  std::vector<std::string> gateway_names = {};
 };
 
 class Fleet {
@@ -29,7 +33,7 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
-  /// Addresses that serve `control`.
+  /// Addresses that serve `control`, of the machines that run.
   std::vector<std::string> Controls() const;
   /// Addresses that serve `edge`.
   std::string Gateway(int index) const;
@@ -40,14 +44,24 @@
   /// Waits until every gateway says that it is ready.
   bool WaitUntilReady(milliseconds timeout = milliseconds(15000));
   void Signal(const std::string& process, int signal);
+  /// Ends a control machine for good.
+  void RemoveControl(int index);
+  /// Starts an empty control machine at an address of its own. Its seeds are the first running
+  /// ones.
+  /// @return its index.
+  int AddControl();
   /// Whether the process has not ended.
   bool Runs(const std::string& process);
 
  private:
   void Start(const std::string& name, const std::string& program, const std::string& settings);
-  void StartControl(int index);
+  /// @param first_start whether it belongs to the first start of the whole system.
+  void StartControl(int index, bool first_start);
   void StartGateway(int index);
   std::string SeedList() const;
+  /// The settings' line with the region of each zone.
+  std::string Regions() const;
+  std::string GatewayName(int index) const;
 
   FleetOptions options_;
   std::string folder_;
@@ -58,6 +72,9 @@
   uint16_t ready_port_ = FreePort();
   uint16_t metrics_port_ = FreePort();
   std::map<std::string, pid_t> processes_;
+  /// Indexes of the control machines that run.
+  std::vector<int> controls_;
+  int next_control_ = 0;
 };
 
 }  // namespace standin
--- a/review/standin-2/leaf.cc
+++ b/review/standin-2/leaf.cc
@@ -146,9 +146,9 @@
         options_.zone + "\",\"version\":\"v1\",\"slots\":" + std::to_string(options_.slots) +
         ",\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":" + std::to_string(sequence) + "}";
     Client client(controls_[control]);
-    const Reply reply = client.Send("POST", "/v1/instances/" + options_.id + "/heartbeat",
-                                    {{"Content-Type", "application/json"}}, body,
-                                    milliseconds(1000));
+    const Reply reply =
+        client.Send("POST", "/v1/instances/" + options_.id + "/heartbeat",
+                    {{"Content-Type", "application/json"}}, body, milliseconds(1000));
     if (reply.status / 100 == 2) {
       known_ = true;
       next += options_.heartbeat_interval;
--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -10,7 +10,10 @@
 int main(int argc, char** argv) {
   using namespace standin;  // NOLINT
   const std::map<std::string, std::function<int(Record*, bool)>> cases = {
-      {"split", RunSplitCase}, {"bodies", RunBodiesCase}, {"body-limit", RunBodyLimitCase},
+      {"split", RunSplitCase},
+      {"bodies", RunBodiesCase},
+      {"body-limit", RunBodyLimitCase},
+      {"replaced-controls", RunReplacedControlsCase},
       {"ready-path", RunReadyPathCase}};
   const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
   if (found == cases.end()) {
