--- a/review/standin-2/case_split.cc
+++ b/review/standin-2/case_split.cc
@@ -110,7 +110,7 @@
   const int before = SendToAll(fleet, kRequestsBefore, "before");
   record->Add("sent " + std::to_string(kRoutes * kRequestsBefore) +
               ", answered with 200: " + std::to_string(before));
-  const int blue = trouble ? 1 : 600;
+  const int blue = trouble ? 0 : 600;
   const int green = trouble ? 1 : 400;
   if (!fleet.Put(Document(2, blue, green))) {
     return kCouldNotRun;
--- a/review/standin-2/sockets.cc
+++ b/review/standin-2/sockets.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdlib>
+#include <random>
 
 namespace standin {
 namespace {
@@ -193,8 +194,17 @@
 }
 
 uint16_t FreePort() {
-  // Bound to all addresses, so the port is free on each of them.
-  return Listen("0.0.0.0").second;
+  // Below the ports that the system gives to outgoing connections, which could take it meanwhile.
+  constexpr int kLowest = 20000;
+  constexpr int kCount = 12000;
+  static std::mt19937 random(std::random_device{}());
+  while (true) {
+    const auto port = static_cast<uint16_t>(kLowest + random() % kCount);
+    // Bound to all addresses, so the port is free on each of them.
+    if (Listen("0.0.0.0", port).first.open()) {
+      return port;
+    }
+  }
 }
 
 std::string Message::Header(const std::string& name) const {
