--- a/review/standin-2/case_replaced_controls.cc
+++ b/review/standin-2/case_replaced_controls.cc
@@ -18,7 +18,7 @@
 namespace standin {
 namespace {
 
-constexpr int kGateways = 3;
+constexpr int kGateways = 5;
 /// Rounds of replacements, two machines each, as many as may be lost at once.
 constexpr int kRounds = 6;
 /// Bounds of the deployment.
--- a/review/standin-2/fleet.cc
+++ b/review/standin-2/fleet.cc
@@ -7,6 +7,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdio>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <thread>
@@ -23,8 +25,11 @@
 }  // namespace
 
 Fleet::Fleet(FleetOptions options) : options_(std::move(options)) {
-  char path[] = "/tmp/review-fleet-XXXXXX";
-  folder_ = ::mkdtemp(path);
+  folder_ = std::filesystem::temp_directory_path() / "review-fleet-XXXXXX";
+  if (::mkdtemp(folder_.data()) == nullptr) {
+    std::perror("temporary folder");
+    std::exit(2);
+  }
   next_control_ = options_.controls;
   for (int i = 0; i < options_.controls; ++i) {
     controls_.push_back(i);
@@ -128,7 +133,7 @@
   const std::string log = folder_ + "/" + name + ".log";
   const pid_t pid = ::fork();
   if (pid == 0) {
-    // Ends with this program, also if that is killed.
+    // Ends with the thread that started it, also if this program is killed.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::setenv("PUMICEDYKE_CONFIG", file.c_str(), 1);
     const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -25,6 +25,7 @@
   std::vector<std::string> gateway_names = {};
 };
 
+/// Used by the main thread only: its processes end with the thread that starts them.
 class Fleet {
  public:
   explicit Fleet(FleetOptions options);
