Refused calls are logged by a class that other listeners can use

The lines about refused calls stood in ControlLog, so that a gateway, which refuses paths at its directory address, could not log them. They are a class of their own now and name the listener.

--- a/src/server/control_dialect_calls.cc
+++ b/src/server/control_dialect_calls.cc
@@ -69,7 +69,8 @@
 void ControlProcess::OnDialect(const http::HttpRequest& request, http::Responder responder) {
   absl::StatusOr<control::Command> command = dialect_->ReadCommand(request);
   if (!command.ok()) {
-    log_.OnRefusedCall(net::EventLoop::Now(), request, command.status());
+    refused_calls_.OnRefusedCall(net::EventLoop::Now(), "service_listen", request,
+                                 command.status());
     responder.Send(dialect_->WriteRefusal(command.status()));
     return;
   }
--- a/src/server/control_log.cc
+++ b/src/server/control_log.cc
@@ -66,21 +66,6 @@
                              {"retry_after_ms", ToMilliseconds(decision.retry_after)}});
 }
 
-void ControlLog::OnRefusedCall(Timestamp now, const http::HttpRequest& request,
-                               const absl::Status& why) {
-  constexpr Duration kSecond = Seconds(1);
-  constexpr size_t kMaxPathBytes = 128;
-  if (!refused_calls_.Allow(now.time_since_epoch() / kSecond)) {
-    return;
-  }
-  LogEvent("call_refused", {{"method", request.method},
-                            {"path", request.path.substr(0, kMaxPathBytes)},
-                            {"bytes", request.body.size()},
-                            {"code", static_cast<int>(CodeOf(why))},
-                            {"why", std::string(why.message())},
-                            {"suppressed", refused_calls_.TakeSuppressed()}});
-}
-
 void ControlLog::OnSuspects(Timestamp now, const std::vector<RequestIdentity>& requests) {
   constexpr size_t kMaxNames = 4;
   if (requests.empty() || !Allow(now)) {
--- a/src/server/control_log.h
+++ b/src/server/control_log.h
@@ -8,7 +8,6 @@
 #include "common/log.h"
 #include "control/control_server.h"
 #include "control/discovery_server.h"
-#include "http/http_server.h"
 
 namespace pumicedyke::server {
 
@@ -21,15 +20,13 @@
   static void OnQuarantineProposal(const control::QuarantineProposal& proposal);
   /// Logs evidence against a suspect that is not sufficient to stop it.
   void OnInsufficientEvidence(Timestamp now, const quarantine::CrashFinding& finding);
-  /// Logs a call of an operator or a leaf that cannot be read or is invalid.
-  void OnRefusedCall(Timestamp now, const http::HttpRequest& request, const absl::Status& why);
   /// Logs the decision on a trial of a suspect.
   void OnTrial(Timestamp now, const wire::TrialReply& decision);
   /// Logs the suspects that gateways and nodes were warned of.
   void OnSuspects(Timestamp now, const std::vector<RequestIdentity>& requests);
 
  private:
-  /// Maximum number of lines about suspects in a second, and of those about refused calls.
+  /// Maximum number of lines about suspects in a second.
   static constexpr uint32_t kLinesPerSecond = 20;
   /// Whether one more line about a suspect may be logged.
   bool Allow(Timestamp now);
@@ -37,7 +34,6 @@
   void LogQuarantineChanges(const config::ConfigState& config);
 
   LogLimiter limiter_{kLinesPerSecond};
-  LogLimiter refused_calls_{kLinesPerSecond};
   size_t stopped_requests_ = 0;
   consensus::Role role_ = consensus::Role::kFollower;
   uint64_t term_ = 0;
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -20,6 +20,7 @@
 #include "server/graceful_stop.h"
 #include "server/held_bytes_log.h"
 #include "server/misdirected_log.h"
+#include "server/refused_call_log.h"
 #include "server/settings_watch.h"
 #include "storage/log_storage.h"
 #include "storage/posix_file_system.h"
@@ -162,6 +163,7 @@
   control::TicketId next_ticket_ = 1;
   ControlLog log_;
   MisdirectedLog misdirected_;
+  RefusedCallLog refused_calls_;
   HeldBytesLog held_bytes_log_;
   SettingsWatch watch_;
   GracefulStop stop_;
