A client's request is routed whatever its path; the readiness check is answered at its own address only

Cause: one handler served the listeners `listen` and `ready_listen` and asked first whether a request is the check. The same handler routed clients' requests to leafs at the address of the check.

Change: a handler for each listener. `listen` routes everything; `ready_listen` answers GET and HEAD of the check's path, logs and refuses the rest (404). Without `ready_listen` the check is answered nowhere; no deployment, test or stand-in relied on it at `listen`.

--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -97,18 +97,16 @@
   server_ = std::make_unique<gateway::GatewayServer>(options, &dialect_->documents(),
                                                      net::EventLoop::Now());
   client_ = std::make_unique<http::HttpClient>(loop_, http::HttpClientOptions{});
-  const auto handler = [this](http::HttpRequest request, http::Responder responder) {
-    OnHttp(std::move(request), std::move(responder));
-  };
-  http_ = std::make_unique<http::HttpServer>(loop_, http::HttpServerOptions{}, handler);
+  http_ = std::make_unique<http::HttpServer>(
+      loop_, http::HttpServerOptions{},
+      [this](http::HttpRequest request, http::Responder responder) {
+        OnClientRequest(std::move(request), std::move(responder));
+      });
   if (absl::Status status = http_->Listen(settings_.listen); !status.ok()) {
     return status;
   }
-  if (!settings_.ready_listen.empty()) {
-    ready_http_ = std::make_unique<http::HttpServer>(loop_, http::HttpServerOptions{}, handler);
-    if (absl::Status status = ready_http_->Listen(settings_.ready_listen); !status.ok()) {
-      return status;
-    }
+  if (absl::Status status = ListenForReadiness(); !status.ok()) {
+    return status;
   }
   if (absl::Status status = ListenForMetrics(); !status.ok()) {
     return status;
@@ -125,6 +123,23 @@
   return WritePortFile(settings_.port_file, "http " + std::to_string(http_->port()) + "\n");
 }
 
+absl::Status GatewayProcess::ListenForReadiness() {
+  if (settings_.ready_listen.empty()) {
+    return absl::OkStatus();
+  }
+  ready_http_ = std::make_unique<http::HttpServer>(
+      loop_, http::HttpServerOptions{},
+      [this](const http::HttpRequest& request, http::Responder responder) {
+        if (!dialect_->IsReadinessProbe(request)) {
+          RefuseUnknownPath("ready_listen", request, std::move(responder));
+          return;
+        }
+        const bool ready = server_->ready();
+        responder.Send({ready ? 200 : 503, ready ? "ready\n" : "not ready\n", "text/plain"});
+      });
+  return ready_http_->Listen(settings_.ready_listen);
+}
+
 absl::Status GatewayProcess::ListenForMetrics() {
   if (settings_.metrics_listen.empty()) {
     return absl::OkStatus();
@@ -151,8 +166,7 @@
       loop_, http::HttpServerOptions{},
       [this](const http::HttpRequest& request, http::Responder responder) {
         if (!dialect_->IsDirectoryRequest(request)) {
-          responder.Send(dialect_->WriteRefusal(
-              MakeStatus(ResultCode::kUnknownPath, request.method + " " + request.path)));
+          RefuseUnknownPath("directory_listen", request, std::move(responder));
           return;
         }
         const std::vector<std::string> addresses =
@@ -167,6 +181,14 @@
   return directory_http_->Listen(settings_.directory_listen);
 }
 
+void GatewayProcess::RefuseUnknownPath(const char* listener, const http::HttpRequest& request,
+                                       http::Responder responder) {
+  const absl::Status why =
+      MakeStatus(ResultCode::kUnknownPath, request.method + " " + request.path);
+  refused_calls_.OnRefusedCall(net::EventLoop::Now(), listener, request, why);
+  responder.Send(dialect_->WriteRefusal(why));
+}
+
 absl::Status GatewayProcess::ListenForPeers() {
   if (settings_.peer_listen.empty()) {
     return absl::OkStatus();
@@ -434,12 +456,7 @@
   peer->Send(message.envelope);
 }
 
-void GatewayProcess::OnHttp(http::HttpRequest request, http::Responder responder) {
-  if (dialect_->IsReadinessProbe(request)) {
-    const bool ready = server_->ready();
-    responder.Send({ready ? 200 : 503, ready ? "ready\n" : "not ready\n", "text/plain"});
-    return;
-  }
+void GatewayProcess::OnClientRequest(http::HttpRequest request, http::Responder responder) {
   const Duration round_trip = request.round_trip;
   absl::StatusOr<gateway::PayloadRequest> payload = dialect_->ReadRequest(std::move(request));
   if (!payload.ok()) {
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -19,6 +19,7 @@
 #include "server/graceful_stop.h"
 #include "server/held_bytes_log.h"
 #include "server/misdirected_log.h"
+#include "server/refused_call_log.h"
 #include "server/report_log.h"
 #include "server/settings_watch.h"
 
@@ -30,7 +31,7 @@
   std::string zone;
   /// Listen address for clients.
   std::string listen;
-  /// Listen address for readiness probes; empty: served at `listen`.
+  /// Listen address for readiness probes, which are answered nowhere else; empty: not served.
   std::string ready_listen;
   /// Listen address for clients' gateway lookups; empty: not served. Set it only where stopped
   /// gateways are removed from the clients' list, since each attempt to reach one costs a client a
@@ -90,9 +91,14 @@
   void SendToControl(const gateway::ControlMessage& message);
   void SendToPeer(const gateway::PeerMessage& message);
   absl::Status ListenForPeers();
-  void OnHttp(http::HttpRequest request, http::Responder responder);
+  /// Routes a request of a client, whatever its path is.
+  void OnClientRequest(http::HttpRequest request, http::Responder responder);
+  absl::Status ListenForReadiness();
   absl::Status ListenForMetrics();
   absl::Status ListenForDirectory();
+  /// @param listener the setting that names the address at which the request arrived.
+  void RefuseUnknownPath(const char* listener, const http::HttpRequest& request,
+                         http::Responder responder);
   void OnPeerRequest(uint64_t session, wire::Envelope envelope);
   void HandlePeerRequest(const gateway::ArrivedPartialQuery& request);
   /// Starts the partial queries of this loop iteration, the most urgent first.
@@ -127,6 +133,7 @@
   SettingsWatch watch_;
   GracefulStop stop_;
   MisdirectedLog misdirected_;
+  RefusedCallLog refused_calls_;
   ReportLog report_log_;
   HeldBytesLog held_bytes_log_;
 };
