The directory's address takes no operators' orders and no leafs' calls

Would be seen by operators: whoever may look up gateways (clients) could put a configuration, evacuate a zone, retire a leaf or send heartbeats at a control machine's directory address.

Cause: directory_listen and service_listen shared one handler, and the body limit of whole documents.

Change: directory_listen answers lookups only; everything else is refused with 404 before its body is parsed, and logged with the listener. service_listen answers lookups still, as it must where directory_listen is empty.

--- a/src/control/dialect.h
+++ b/src/control/dialect.h
@@ -49,6 +49,9 @@
 
   /// @return kUnknownPath, kMalformedRequest or kInvalidConfig with a message that names the fault.
   virtual absl::StatusOr<Command> ReadCommand(const http::HttpRequest& request) const = 0;
+  /// Returns whether the request asks which gateways a client may use. ReadCommand() then returns
+  /// FindGateways.
+  virtual bool IsDirectoryRequest(const http::HttpRequest& request) const = 0;
   virtual http::HttpResponse WriteAccepted() const = 0;
   virtual http::HttpResponse WriteDocument(const config::RouteDocument& document) const = 0;
   /// @param time_to_live how long a client may rely on the answer.
--- a/src/server/control_dialect_calls.cc
+++ b/src/server/control_dialect_calls.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr size_t kMaxDocumentBytes = 8 << 20;
+/// Lookups have no body; a refused call's may be read before its refusal.
+constexpr size_t kMaxLookupBodyBytes = 4 * 1024;
 /// Callers turn to another machine after a second without an answer.
 constexpr Duration kZoneOrderTimeout = Milliseconds(900);
 
@@ -51,27 +53,47 @@
   if (dialect_ == nullptr || settings_.service_listen.empty()) {
     return absl::OkStatus();
   }
-  const auto handler = [this](const http::HttpRequest& request, http::Responder responder) {
-    OnDialect(request, std::move(responder));
-  };
-  const http::HttpServerOptions options{.max_body_bytes = kMaxDocumentBytes};
-  service_http_ = std::make_unique<http::HttpServer>(loop_, options, handler);
+  service_http_ = std::make_unique<http::HttpServer>(
+      loop_, http::HttpServerOptions{.max_body_bytes = kMaxDocumentBytes},
+      [this](const http::HttpRequest& request, http::Responder responder) {
+        OnDialect("service_listen", request, std::move(responder));
+      });
   if (absl::Status status = service_http_->Listen(settings_.service_listen); !status.ok()) {
     return status;
   }
   if (settings_.directory_listen.empty()) {
     return absl::OkStatus();
   }
-  directory_http_ = std::make_unique<http::HttpServer>(loop_, options, handler);
+  directory_http_ = std::make_unique<http::HttpServer>(
+      loop_, http::HttpServerOptions{.max_body_bytes = kMaxLookupBodyBytes},
+      [this](const http::HttpRequest& request, http::Responder responder) {
+        OnDirectory(request, std::move(responder));
+      });
   return directory_http_->Listen(settings_.directory_listen);
 }
 
-void ControlProcess::OnDialect(const http::HttpRequest& request, http::Responder responder) {
+void ControlProcess::OnDirectory(const http::HttpRequest& request, http::Responder responder) {
+  constexpr char kListener[] = "directory_listen";
+  if (!dialect_->IsDirectoryRequest(request)) {
+    RefuseCall(kListener, request,
+               MakeStatus(ResultCode::kUnknownPath, request.method + " " + request.path),
+               std::move(responder));
+    return;
+  }
+  OnDialect(kListener, request, std::move(responder));
+}
+
+void ControlProcess::RefuseCall(const char* listener, const http::HttpRequest& request,
+                                const absl::Status& why, http::Responder responder) {
+  refused_calls_.OnRefusedCall(net::EventLoop::Now(), listener, request, why);
+  responder.Send(dialect_->WriteRefusal(why));
+}
+
+void ControlProcess::OnDialect(const char* listener, const http::HttpRequest& request,
+                               http::Responder responder) {
   absl::StatusOr<control::Command> command = dialect_->ReadCommand(request);
   if (!command.ok()) {
-    refused_calls_.OnRefusedCall(net::EventLoop::Now(), "service_listen", request,
-                                 command.status());
-    responder.Send(dialect_->WriteRefusal(command.status()));
+    RefuseCall(listener, request, command.status(), std::move(responder));
     return;
   }
   std::visit([&](auto& item) { Run(std::move(item), std::move(responder)); }, *command);
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -122,7 +122,12 @@
   control::TicketId Await(ReplyCb on_reply);
   void CommitLeafs(Timestamp now);
   absl::Status ListenForDialect();
-  void OnDialect(const http::HttpRequest& request, http::Responder responder);
+  /// Answers lookups of gateways and nothing else.
+  void OnDirectory(const http::HttpRequest& request, http::Responder responder);
+  /// @param listener the setting that names the address at which the call arrived.
+  void OnDialect(const char* listener, const http::HttpRequest& request, http::Responder responder);
+  void RefuseCall(const char* listener, const http::HttpRequest& request, const absl::Status& why,
+                  http::Responder responder);
   void Run(control::PutDocument command, http::Responder responder);
   void Run(const control::GetDocument& command, http::Responder responder);
   void Run(control::ReportLeaf command, http::Responder responder);
--- a/test/platform/own_addresses_test.cc
+++ b/test/platform/own_addresses_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(ClientsRequestForTheReadinessPathRunsAtALeaf);
   CPPUNIT_TEST(ReadinessAddressServesNoRequests);
   CPPUNIT_TEST(ReadinessIsAnsweredWhileTheGatewayIsNotReady);
+  CPPUNIT_TEST(DirectoryAddressTakesNoOrdersAndHeartbeats);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -134,6 +135,31 @@
     client.join();
     CPPUNIT_ASSERT_EQUAL(0, fleet.processes.at("gateway")->Wait());
   }
+
+  /// Guards against clients, who may reach the directory, changing the configuration, evacuating
+  /// zones or naming leafs.
+  void DirectoryAddressTakesNoOrdersAndHeartbeats() {
+    PlatformFleet fleet;
+    FakeLeaf leaf("leaf-a", "s0");
+    CPPUNIT_ASSERT_EQUAL(kServed, fleet.Put(Document(1, "/v1/")));
+    fleet.SendHeartbeats({&leaf});
+    fleet.WaitUntilServed("/v1/orders");
+    for (int i = 0; i < PlatformFleet::kControls; ++i) {
+      const std::string directory = fleet.DirectoryAddress(i);
+      CPPUNIT_ASSERT_EQUAL(kNotFound,
+                           e2e::Post(directory, "/v1/config/put", Document(2, "/v2/")).status);
+      CPPUNIT_ASSERT_EQUAL(kNotFound, e2e::Post(directory, "/v1/config/put", "{").status);
+      CPPUNIT_ASSERT_EQUAL(kNotFound, e2e::Get(directory, "/v1/config/get").status);
+      CPPUNIT_ASSERT_EQUAL(kNotFound, leaf.SendHeartbeat(directory, /*draining=*/true));
+      CPPUNIT_ASSERT_EQUAL(kNotFound, e2e::Post(directory, "/v1/evacuate/north/start", "").status);
+      e2e::WaitFor("the directory", [&directory] {
+        return e2e::Get(directory, "/v1/resolve?name=x&region=r&zone=north").status == kServed;
+      });
+    }
+    const http::ClientResponse held = e2e::Get(fleet.ServiceAddress(0), "/v1/config/get");
+    CPPUNIT_ASSERT_EQUAL(Document(1, "/v1/"), held.body);
+    CPPUNIT_ASSERT_EQUAL(kServed, fleet.SendRequest("/v1/orders").status);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnAddressesTest);
 
