A long body is written to a leaf in slices and not copied for each try

A gateway held the body of a request up to three times while a leaf read it: in the request, in the call to the leaf, and in the output of the connection; each further try copied it again. A response that comes before the whole body was written still closes the connection (BodyIsWritten).

--- a/src/http/client_message.cc
+++ b/src/http/client_message.cc
@@ -11,7 +11,7 @@
   if (!request.method.empty()) {
     return request.method;
   }
-  return request.body.empty() ? "GET" : "POST";
+  return request.body_text().empty() ? "GET" : "POST";
 }
 
 std::string EncodeOwnHead(const ClientRequest& request) {
@@ -49,14 +49,14 @@
   return readable ? Duration(static_cast<int64_t>(seconds * kMicroseconds)) : Duration(0);
 }
 
-std::string EncodeRequest(const ClientRequest& request, Duration elapsed) {
+std::string EncodeRequestHead(const ClientRequest& request, Duration elapsed) {
   std::string text = request.shared_head != nullptr ? *request.shared_head : EncodeOwnHead(request);
   AppendHeaders(request.headers, &text);
   if (!request.budget_header.empty()) {
     const auto left = static_cast<int64_t>(ToMilliseconds(request.budget - elapsed));
     AppendHeader(request.budget_header, std::to_string(std::max<int64_t>(1, left)), &text);
   }
-  if (request.method.empty() && !request.body.empty()) {
+  if (request.method.empty() && !request.body_text().empty()) {
     AppendHeader("Content-Type", "application/json", &text);
   }
   if (!request.idempotency_key.empty()) {
@@ -65,7 +65,7 @@
   if (!request.authorization.empty()) {
     AppendHeader("Authorization", request.authorization, &text);
   }
-  AppendBody(MethodOf(request), request.body, /*keep_alive=*/true, &text);
+  AppendEndOfHead(MethodOf(request), request.body_text().size(), /*keep_alive=*/true, &text);
   return text;
 }
 
--- a/src/http/client_message.h
+++ b/src/http/client_message.h
@@ -7,8 +7,8 @@
 
 namespace pumicedyke::http {
 
-/// @param elapsed time since the call was started.
-std::string EncodeRequest(const ClientRequest& request, Duration elapsed);
+/// Encodes what precedes the body. @param elapsed time since the call was started.
+std::string EncodeRequestHead(const ClientRequest& request, Duration elapsed);
 
 /// @return the peer's idle limit from "Keep-Alive: timeout=N", or zero.
 Duration KeepAliveTimeout(const Headers& headers);
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <string_view>
 #include <utility>
 
 #include "http/client_message.h"
@@ -17,6 +18,8 @@
 /// Responses before the final one of a call that are passed over: interim responses, and surplus
 /// responses to earlier requests.
 constexpr int kMaxPassedOver = 16;
+/// Bytes of a body that wait to be written at a time.
+constexpr size_t kBodySliceBytes = 64 * 1024;
 /// A blocking exchange is the only one of its process, and may fetch a whole configuration.
 constexpr size_t kBlockingHeldBytes = size_t{128} << 20;
 
@@ -54,7 +57,7 @@
         stream_(client->loop_, host->address,
                 {.on_bytes = [this](std::string* input) { OnBytes(input); },
                  .on_end = [this](net::StreamEnd end) { OnEnd(end); },
-                 .on_drained = {},
+                 .on_drained = [this] { WriteBody(); },
                  .on_connected = [this] { WriteRequest(); }}) {
     connect_timer_ = client_->loop_->RunAt(
         net::EventLoop::Now() + client_->options_.connect_timeout, [this] { OnConnectTimeout(); });
@@ -70,6 +73,7 @@
     idle_timer_ = 0;
     call_ = call;
     passed_over_ = 0;
+    body_written_ = 0;
     if (call->request.separate_tries) {
       const Timestamp now = net::EventLoop::Now();
       std::erase_if(carried_, [now](const CarriedEcho& item) { return item.until <= now; });
@@ -118,9 +122,34 @@
       return;
     }
     ++requests_written_;
-    stream_.Write(EncodeRequest(call_->request, net::EventLoop::Now() - call_->started));
+    const std::string& body = call_->request.body_text();
+    std::string text = EncodeRequestHead(call_->request, net::EventLoop::Now() - call_->started);
+    text.append(body, 0, kBodySliceBytes);
+    body_written_ = std::min(body.size(), kBodySliceBytes);
+    stream_.Write(text);
   }
 
+  /// Writes more of the body whenever what was written before has left, so that a long body is not
+  /// copied whole.
+  void WriteBody() {
+    if (writing_body_) {
+      return;
+    }
+    writing_body_ = true;
+    while (call_ != nullptr && stream_.unwritten() == 0 && !BodyIsWritten()) {
+      const std::string_view body = call_->request.body_text();
+      const std::string_view slice = body.substr(body_written_, kBodySliceBytes);
+      body_written_ += slice.size();
+      stream_.Write(slice);
+      if (!stream_.open()) {
+        break;
+      }
+    }
+    writing_body_ = false;
+  }
+
+  bool BodyIsWritten() const { return body_written_ == call_->request.body_text().size(); }
+
   void OnConnectTimeout() {
     connect_timer_ = 0;
     if (!stream_.connected()) {
@@ -192,7 +221,7 @@
     response.retry_after = RetryAfter(response.headers);
     response.reused_connection = used();
     response.attributed = echo != nullptr || requests_written_ == 1;
-    const bool written = stream_.unwritten() == 0;
+    const bool written = stream_.unwritten() == 0 && BodyIsWritten();
     const bool reusable =
         message.keep_alive && rest.empty() && written && !call_->request.unrepeatable;
     const Duration keep_alive = KeepAliveTimeout(response.headers);
@@ -261,6 +290,9 @@
   net::ByteBudget::Holder held_;
   uint64_t served_ = 0;
   uint64_t requests_written_ = 0;
+  /// Bytes of the current call's body that were passed to the stream.
+  size_t body_written_ = 0;
+  bool writing_body_ = false;
   /// Responses of the current call that were passed over.
   int passed_over_ = 0;
   /// Requests sent here whose tries must be separate.
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -23,6 +23,8 @@
   std::string path;
   /// If `method` is empty, an empty body means GET, any other POST.
   std::string body;
+  /// A body that is shared by several requests. If set, `body` is unused. May be null.
+  std::shared_ptr<const std::string> shared_body = nullptr;
   Duration timeout = Seconds(5);
   std::string idempotency_key;
   std::string authorization;
@@ -57,6 +59,8 @@
   size_t retained_connections = 1;
   /// Of the calls that wait for a connection, those with the lowest value are sent first.
   int priority = 0;
+
+  const std::string& body_text() const { return shared_body != nullptr ? *shared_body : body; }
 };
 
 struct ClientResponse {
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -78,21 +78,22 @@
   return text;
 }
 
-void AppendBody(std::string_view method, std::string_view body, bool keep_alive,
-                std::string* text) {
+void AppendEndOfHead(std::string_view method, size_t body_bytes, bool keep_alive,
+                     std::string* text) {
   const bool expects_body = method == "POST" || method == "PUT" || method == "PATCH";
-  if (!body.empty() || expects_body) {
-    AppendHeader("Content-Length", std::to_string(body.size()), text);
+  if (body_bytes > 0 || expects_body) {
+    AppendHeader("Content-Length", std::to_string(body_bytes), text);
   }
   if (!keep_alive) {
     AppendHeader("Connection", "close", text);
   }
-  text->append("\r\n").append(body);
+  text->append("\r\n");
 }
 
 std::string EncodeRequest(const RequestMessage& request) {
   std::string text = EncodeHead(request.method, request.target, request.headers);
-  AppendBody(request.method, request.body, request.keep_alive, &text);
+  AppendEndOfHead(request.method, request.body.size(), request.keep_alive, &text);
+  text.append(request.body);
   return text;
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -46,9 +46,10 @@
 
 /// Encodes the request line and headers, without the empty line that ends the head.
 std::string EncodeHead(std::string_view method, std::string_view target, const Headers& headers);
-/// Ends the head and appends the body. Adds Content-Length if there is a body or the method expects
-/// one. @param keep_alive whether the sender intends to reuse the connection.
-void AppendBody(std::string_view method, std::string_view body, bool keep_alive, std::string* text);
+/// Ends the head of a request whose body follows. Adds Content-Length if there is a body or the
+/// method expects one. @param keep_alive whether the sender intends to reuse the connection.
+void AppendEndOfHead(std::string_view method, size_t body_bytes, bool keep_alive,
+                     std::string* text);
 void AppendHeader(std::string_view name, std::string_view value, std::string* text);
 void AppendHeaders(const Headers& headers, std::string* text);
 /// Encodes a request. Adds Content-Length if there is a body or the method expects one.
--- a/test/platform/dialect_test.cc
+++ b/test/platform/dialect_test.cc
@@ -265,7 +265,7 @@
         ShardId{0}};
     const http::ClientRequest call = dialect.WriteLeafRequest(send);
     CPPUNIT_ASSERT_EQUAL(std::string("POST"), call.method);
-    CPPUNIT_ASSERT_EQUAL(std::string("body"), call.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), call.body_text());
     CPPUNIT_ASSERT_EQUAL(std::string("X-Deadline-Ms"), call.budget_header);
     CPPUNIT_ASSERT(call.budget == Milliseconds(640));
     CPPUNIT_ASSERT_EQUAL(std::string("i-7"), Value(call.headers, "X-Expect-Instance"));
