A request is given room before its body is read, and is not cut once it was read

Cause: the budget on held bytes takes from the largest holder, whatever it is doing, and nothing looks for room before a body is read. Evidence: held_bytes_given_up with each closed connection; no time-out is that short; FullRoomTest shows it on a server alone.

Change: net::RequestRoom. A request asks for room for its announced length before its body is read, waits in order of arrival with its connection unread, and keeps the room until it is answered. Large requests get 5/8, all requests 3/4 of the budget; small ones do not queue behind large ones. It waits no longer than its client and the time-out for requests, and is refused at once, with Retry-After, if it can't fit or would wait longer at the pace seen. A body needs its first 4 KiB before it gets room; a stalled one gives it back while others wait. Only requests that are still being read can lose their room. Log event and metrics.

Ruled out: refusing what does not fit at once (most of the 170 would be turned away though they can be served within a second); a larger budget (moves the number of clients at which it fails).

Not mended: many long answers of leafs at once, see docs/incidents/served-requests-cut-for-memory.md.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -29,6 +29,8 @@
   virtual query::LeafReply ReadLeafReply(const LeafSend& send,
                                          http::ClientResponse response) const = 0;
 
+  /// Name of the header that states how many milliseconds the client waits.
+  virtual std::string DeadlineHeader() const = 0;
   /// Returns whether the request asks which gateways a client may use.
   virtual bool IsDirectoryRequest(const http::HttpRequest& request) const = 0;
   virtual directory::ClientLocation ClientOf(const http::HttpRequest& request) const = 0;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -31,6 +31,8 @@
   /// Round-trip time to the client, measured at the first request of its connection. Zero: not
   /// known.
   Duration round_trip{};
+  /// The earliest time at which its head may have begun to arrive.
+  Timestamp arrived{};
 };
 
 struct HttpResponse {
@@ -52,8 +54,12 @@
   unsigned max_connections = 4000;
   /// Seconds after which an idle connection is closed.
   unsigned idle_seconds = 30;
-  /// Maximum time from the first byte of a request to its last.
+  /// Maximum time from the first byte of a request to its last. A request that waits for room waits
+  /// no longer than this, and has as long again to arrive.
   Duration request_timeout = Seconds(10);
+  /// Name of the header that states how many milliseconds the client waits: a request is not kept
+  /// waiting for room longer. Empty: no such header.
+  std::string deadline_header = {};
 };
 
 /// Sends the response to one request. Only the first response counts. A request whose last
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -24,7 +24,10 @@
   size_t taken = 0;
   /// Those of its head.
   size_t head = 0;
+  bool body_admitted = true;
 
+  /// Whether nothing after the head may be read yet.
+  bool held_back() const { return parser.is_header_done() && !parser.is_done() && !body_admitted; }
   size_t body() const { return parser.get().body().size(); }
   /// Bytes after the head that are not part of the body.
   size_t framing() const { return parser.is_header_done() ? taken - head - body() : 0; }
@@ -45,7 +48,7 @@
 template <bool is_request>
 bool FramingIsTooLong(const Reading<is_request>& reading, const std::string& rest,
                       const MessageLimits& limits) {
-  if (!reading.parser.is_header_done()) {
+  if (!reading.parser.is_header_done() || reading.held_back()) {
     return false;
   }
   const size_t unread = reading.parser.is_done() ? 0 : rest.size();
@@ -59,7 +62,7 @@
   auto& parser = reading->parser;
   ErrorCode error;
   size_t used = 0;
-  while (used < input->size() && !parser.is_done()) {
+  while (used < input->size() && !parser.is_done() && !reading->held_back()) {
     const bool in_head = !parser.is_header_done();
     const size_t taken =
         parser.put(boost::asio::const_buffer(input->data() + used, input->size() - used), error);
@@ -116,8 +119,8 @@
   std::unique_ptr<Reading<true>> reading;
 };
 
-RequestParser::RequestParser(MessageLimits limits)
-    : limits_(limits), impl_(std::make_unique<Impl>()) {}
+RequestParser::RequestParser(MessageLimits limits, BodyReading reading)
+    : limits_(limits), body_reading_(reading), impl_(std::make_unique<Impl>()) {}
 
 RequestParser::~RequestParser() = default;
 
@@ -130,6 +133,7 @@
       return state_;
     }
     impl_->reading = MakeReading<true>(limits_);
+    impl_->reading->body_admitted = body_reading_ == BodyReading::kAtOnce;
   }
   const bool started = !input->empty() || state_ != ParseState::kEmpty;
   const ErrorCode error = Put(limits_, impl_->reading.get(), input);
@@ -152,6 +156,23 @@
   return boost::beast::iequals(message[beast::field::expect], "100-continue");
 }
 
+std::optional<uint64_t> RequestParser::AnnouncedBodyBytes() const {
+  const boost::optional<uint64_t> announced = impl_->reading->parser.content_length();
+  return announced ? std::optional<uint64_t>(*announced) : std::nullopt;
+}
+
+std::string_view RequestParser::HeaderValue(std::string_view name) const {
+  const boost::beast::string_view value =
+      impl_->reading->parser.get()[boost::beast::string_view(name.data(), name.size())];
+  return {value.data(), value.size()};
+}
+
+bool RequestParser::AwaitsAdmission() const {
+  return impl_->reading != nullptr && impl_->reading->held_back();
+}
+
+void RequestParser::AdmitBody() { impl_->reading->body_admitted = true; }
+
 RequestMessage RequestParser::Take() {
   auto& message = impl_->reading->parser.get();
   RequestMessage request;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -4,7 +4,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "http/message.h"
 
@@ -31,9 +33,17 @@
 
 enum class ParseError { kNone, kMalformed, kHeaderTooLarge, kBodyTooLarge };
 
+/// What a RequestParser does at the end of a head.
+enum class BodyReading {
+  /// It goes on with the body.
+  kAtOnce,
+  /// It goes on once AdmitBody() was called; until then no memory is taken for the body.
+  kOnceAdmitted,
+};
+
 class RequestParser {
  public:
-  explicit RequestParser(MessageLimits limits);
+  explicit RequestParser(MessageLimits limits, BodyReading reading = BodyReading::kAtOnce);
   ~RequestParser();
 
   /// Parses the bytes that belong to the current message, and removes them from the front of
@@ -43,8 +53,16 @@
   ParseError error() const { return error_; }
   /// Number of bytes of the current message that the parser has taken from its input.
   size_t held_bytes() const;
-  /// Whether the sender waits for "100 Continue". Valid once the head is complete.
+  /// Whether the sender waits for "100 Continue". Valid in state kBody.
   bool ExpectsContinue() const;
+  /// The announced length of the body; unset if it comes in chunks. Valid in state kBody.
+  std::optional<uint64_t> AnnouncedBodyBytes() const;
+  /// A header of the request; empty if there is none. Valid once the head is complete, until the
+  /// next call.
+  std::string_view HeaderValue(std::string_view name) const;
+  /// Whether the body waits for AdmitBody(). Valid in state kBody.
+  bool AwaitsAdmission() const;
+  void AdmitBody();
   /// Returns the complete message and resets the parser for the next one.
   RequestMessage Take();
   /// Discards what was read of the current message.
@@ -53,6 +71,7 @@
  private:
   struct Impl;
   MessageLimits limits_;
+  BodyReading body_reading_;
   std::unique_ptr<Impl> impl_;
   ParseState state_ = ParseState::kEmpty;
   ParseError error_ = ParseError::kNone;
--- a/src/http/metrics.cc
+++ b/src/http/metrics.cc
@@ -42,7 +42,8 @@
   samples_.push_back({Kind::kHistogram, name, help, 0, labels, histogram});
 }
 
-void MetricsPage::AddProcess(const net::ByteBudget& budget) {
+void MetricsPage::AddProcess(const net::RequestRoom& room) {
+  const net::ByteBudget& budget = room.budget();
   Gauge("pumicedyke_build_info", "What the program was built from.", 1,
         {{"build", BuildIdentity()}});
   Gauge("pumicedyke_held_bytes",
@@ -51,6 +52,12 @@
   Counter("pumicedyke_held_bytes_given_up_total",
           "Connections closed because all together held too many bytes.",
           static_cast<double>(budget.revocations()));
+  Gauge("pumicedyke_request_room_bytes", "Room that requests have which are read or served.",
+        static_cast<double>(room.granted()));
+  Gauge("pumicedyke_requests_waiting_for_room", "Requests whose body is not read for lack of room.",
+        static_cast<double>(room.waiting()));
+  Counter("pumicedyke_requests_without_room_total", "Requests refused for lack of room.",
+          static_cast<double>(room.refused()));
   rusage usage{};
   ::getrusage(RUSAGE_SELF, &usage);
   const auto seconds = [](const timeval& time) {
--- a/src/http/metrics.h
+++ b/src/http/metrics.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "common/histogram.h"
-#include "net/byte_budget.h"
+#include "net/request_room.h"
 
 namespace pumicedyke::http {
 
@@ -23,7 +23,7 @@
                     const Labels& labels = {});
   /// Adds what this process was built from, its CPU time and resident memory, and what its
   /// connections hold.
-  void AddProcess(const net::ByteBudget& budget);
+  void AddProcess(const net::RequestRoom& room);
   std::string Text() const;
 
  private:
--- a/src/net/byte_budget.cc
+++ b/src/net/byte_budget.cc
@@ -11,16 +11,25 @@
 ByteBudget::Holder::~Holder() { budget_->Set(this, 0); }
 
 void ByteBudget::Holder::Hold(size_t bytes) {
+  revoked_ = revoked_ && bytes > 0;
   if (revoked_ || bytes == held_) {
     return;
   }
   budget_->Set(this, bytes);
-  while (budget_->held_ > budget_->limit_) {
+  while (budget_->held() > budget_->limit_ && !budget_->holders_.empty()) {
     budget_->RevokeLargest();
   }
 }
 
+void ByteBudget::Unreserve(size_t bytes) {
+  reserved_ -= bytes;
+  if (on_freed_) {
+    on_freed_();
+  }
+}
+
 void ByteBudget::Set(Holder* holder, size_t bytes) {
+  const bool frees = bytes < holder->held_;
   held_ = held_ - holder->held_ + bytes;
   holder->held_ = bytes;
   if (bytes > 0) {
@@ -28,6 +37,9 @@
   } else {
     holders_.erase(holder);
   }
+  if (frees && on_freed_) {
+    on_freed_();
+  }
 }
 
 void ByteBudget::RevokeLargest() {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -16,6 +16,7 @@
 #include "common/types.h"
 #include "net/byte_budget.h"
 #include "net/poller.h"
+#include "net/request_room.h"
 
 namespace pumicedyke::net {
 
@@ -43,6 +44,9 @@
   /// Bounds what all connections on this loop hold together.
   ByteBudget* byte_budget() { return &byte_budget_; }
   const ByteBudget& byte_budget() const { return byte_budget_; }
+  /// Room for requests within that.
+  RequestRoom* request_room() { return &request_room_; }
+  const RequestRoom& request_room() const { return request_room_; }
 
   /// The earliest time at which the input that is being read may have arrived: the last poll, or
   /// the end of the wait if the loop has waited since.
@@ -84,6 +88,7 @@
 
   /// Destroyed last: tasks may own connections.
   ByteBudget byte_budget_{kDefaultHeldBytes};
+  RequestRoom request_room_{&byte_budget_};
   Poller poller_;
   /// Start and end of the last wait for sockets.
   Timestamp wait_start_{};
--- a/src/server/control_operator_calls.cc
+++ b/src/server/control_operator_calls.cc
@@ -144,7 +144,7 @@
   page.Gauge("pumicedyke_control_suspects",
              "Requests that ran at several leafs when these crashed, and have not succeeded since.",
              static_cast<double>(server_->state().suspects().suspects().size()));
-  page.AddProcess(*loop_->byte_budget());
+  page.AddProcess(*loop_->request_room());
   return page.Text();
 }
 
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -319,7 +319,7 @@
 }
 
 Timestamp ControlProcess::Tick(Timestamp now) {
-  held_bytes_log_.OnState(now, *loop_->byte_budget());
+  held_bytes_log_.OnState(now, *loop_->request_room());
   const bool disk_fails = server_ == nullptr || !server_->raft().failure().ok();
   if (disk_fails) {
     OnReplicaFailure(now, server_ == nullptr ? absl::OkStatus() : server_->raft().failure());
--- a/src/server/gateway_metrics.cc
+++ b/src/server/gateway_metrics.cc
@@ -114,7 +114,7 @@
 
 std::string GatewayMetrics::Text(Timestamp now, const gateway::GatewayServer& server,
                                  const http::HttpClient& client,
-                                 const net::ByteBudget& budget) const {
+                                 const net::RequestRoom& room) const {
   http::MetricsPage page;
   for (const auto& [route, counts] : routes_) {
     for (const auto& [code, answers] : counts.answers) {
@@ -186,7 +186,7 @@
              static_cast<double>(server.CountSuspects(now)));
   AddExtraLoad(now, server, &page);
   AddReportMetrics(now, server.reports(), &page);
-  page.AddProcess(budget);
+  page.AddProcess(room);
   return page.Text();
 }
 
--- a/src/server/gateway_metrics.h
+++ b/src/server/gateway_metrics.h
@@ -37,7 +37,7 @@
 
   /// Returns the page in the Prometheus text format. @param now on the gateway's clock.
   std::string Text(Timestamp now, const gateway::GatewayServer& server,
-                   const http::HttpClient& client, const net::ByteBudget& budget) const;
+                   const http::HttpClient& client, const net::RequestRoom& room) const;
 
  private:
   /// Number of later durations after which a duration has half its weight in the quantiles.
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -98,7 +98,7 @@
                                                      net::EventLoop::Now());
   client_ = std::make_unique<http::HttpClient>(loop_, http::HttpClientOptions{});
   http_ = std::make_unique<http::HttpServer>(
-      loop_, http::HttpServerOptions{},
+      loop_, http::HttpServerOptions{.deadline_header = dialect_->DeadlineHeader()},
       [this](http::HttpRequest request, http::Responder responder) {
         OnClientRequest(std::move(request), std::move(responder));
       });
@@ -152,7 +152,7 @@
           return;
         }
         responder.Send(
-            {200, metrics_.Text(net::EventLoop::Now(), *server_, *client_, *loop_->byte_budget()),
+            {200, metrics_.Text(net::EventLoop::Now(), *server_, *client_, *loop_->request_room()),
              "text/plain; version=0.0.4"});
       });
   return metrics_http_->Listen(settings_.metrics_listen);
@@ -253,7 +253,7 @@
   ApplyLimits();
   log_.OnState(now, *server_);
   report_log_.OnState(now, server_->reports());
-  held_bytes_log_.OnState(now, *loop_->byte_budget());
+  held_bytes_log_.OnState(now, *loop_->request_room());
   if (stop_.started() && stop_.Done(now, server_->Drained() && unlogged_answers_ == 0)) {
     loop_->Stop();
   }
@@ -268,6 +268,7 @@
   applied_limits_version_ = server_->document_version();
   const routing::ClientLimits& limits = server_->table()->set().limits;
   http::HttpServerOptions options;
+  options.deadline_header = dialect_->DeadlineHeader();
   options.max_header_bytes = limits.max_header_bytes;
   options.max_body_bytes = limits.max_body_bytes;
   options.request_timeout = limits.header_timeout;
@@ -458,6 +459,7 @@
 
 void GatewayProcess::OnClientRequest(http::HttpRequest request, http::Responder responder) {
   const Duration round_trip = request.round_trip;
+  const Timestamp arrived = request.arrived;
   absl::StatusOr<gateway::PayloadRequest> payload = dialect_->ReadRequest(std::move(request));
   if (!payload.ok()) {
     responder.Send(dialect_->WriteRefusal(payload.status()));
@@ -474,8 +476,7 @@
   });
   waiting_.emplace(id, std::move(responder));
   server_->OnRequest(net::EventLoop::Now(), id,
-                     std::make_shared<const gateway::PayloadRequest>(*std::move(payload)),
-                     loop_->earliest_arrival());
+                     std::make_shared<const gateway::PayloadRequest>(*std::move(payload)), arrived);
   ScheduleDispatch();
 }
 
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -129,7 +129,7 @@
   PollPlatform(now);
   DispatchOutput();
   report_log_.OnState(now, server_->reports());
-  held_bytes_log_.OnState(now, *loop_->byte_budget());
+  held_bytes_log_.OnState(now, *loop_->request_room());
   if (stop_.started() && stop_.Done(now, server_->Drained())) {
     loop_->Stop();
   }
@@ -369,7 +369,7 @@
                server_->pool().Limit(leaf), {{"leaf", leaf}});
   }
   AddReportMetrics(now, server_->reports(), &page);
-  page.AddProcess(*loop_->byte_budget());
+  page.AddProcess(*loop_->request_room());
   return page.Text();
 }
 
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -43,11 +43,15 @@
     port_ = server.port();
     listening = true;
     loop.Run([this, &loop](Timestamp now) {
+      if (!hold_) {
+        AnswerHeld();
+      }
       if (stop_) {
         loop.Stop();
       }
       return now + Milliseconds(10);
     });
+    held_.clear();
   });
   e2e::WaitFor("a leaf to listen", [&] { return listening.load(); });
 }
@@ -90,8 +94,21 @@
   ++runs_;
   if (hold_) {
     responder.WatchClient([this] { ++cancelled_runs_; });
+    held_.push_back({request_id, std::move(responder)});
     return;
   }
+  Answer(request_id, std::move(responder));
+}
+
+void FakeLeaf::AnswerHeld() {
+  for (HeldRequest& request : std::exchange(held_, {})) {
+    Answer(request.request_id, std::move(request.responder));
+  }
+}
+
+void FakeLeaf::Answer(const std::string& request_id, http::Responder responder) {
+  http::HttpResponse response;
+  response.headers = {{"X-Instance-Id", id_}, {"X-Request-Id", request_id}};
   response.headers.push_back({"X-Server-Stamp", id_ + "." + request_id});
   response.headers.push_back({"X-Server-Load", "1,0,2"});
   constexpr size_t kRecordBytes = 16;
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -38,8 +38,10 @@
     const std::lock_guard lock(mutex_);
     return last_headers_;
   }
-  /// Makes the leaf hold further requests and never answer them.
+  /// Makes the leaf hold further requests and never answer them, unless Release() follows.
   void Hold() { hold_ = true; }
+  /// Makes the leaf answer the requests that it holds, and all further ones.
+  void Release() { hold_ = false; }
   /// Makes the leaf refuse further requests without running them.
   void Shed() { shed_ = true; }
   /// Makes the leaf refuse nine of ten further requests although it has room.
@@ -51,6 +53,13 @@
   /// Whether the leaf refuses the request.
   bool Refuses();
   void OnRequest(const http::HttpRequest& request, http::Responder responder);
+  void Answer(const std::string& request_id, http::Responder responder);
+  void AnswerHeld();
+
+  struct HeldRequest {
+    std::string request_id;
+    http::Responder responder;
+  };
 
   std::string id_;
   std::string service_;
@@ -63,6 +72,8 @@
   std::atomic<bool> refuse_most_{false};
   /// Number of requests while the leaf refuses most.
   int offered_ = 0;
+  /// Used on the leaf's thread only.
+  std::vector<HeldRequest> held_;
   std::atomic<bool> stop_{false};
   int sequence_ = 0;
   mutable std::mutex mutex_;
--- a/test/server/gateway_metrics_test.cc
+++ b/test/server/gateway_metrics_test.cc
@@ -37,7 +37,7 @@
     partial.waited = Milliseconds(1);
     partial.elapsed = Milliseconds(12);
     metrics.OnPartial(partial);
-    const std::string text = metrics.Text(h.now, h.server, client, *loop.byte_budget());
+    const std::string text = metrics.Text(h.now, h.server, client, *loop.request_room());
     for (const std::string step :
          {"client_spent", "way", "decide", "overdue", "write", "question_wait", "merge", "leaf"}) {
       for (const std::string quantile : {"0.5", "0.9", "0.99"}) {
