New weights of a split hold from their first request

Cause: WeightedChoice keeps credits by index, in units of the old weights, and began anew only when the number of services changed.

Change: it begins anew when a service, the order or a weight changes, each time at another position of the round. An unchanged split keeps its place.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -17,10 +17,6 @@
 constexpr int kInitialHedgeDivisor = 3;
 constexpr Duration kMaxSleep = Milliseconds(200);
 
-/// Number of positions at which gateways may start the weighted choice of services. With 100 a
-/// weight of one percent is visible.
-constexpr uint64_t kChoiceStartPositions = 100;
-
 /// Number of requests of a route after which the longest deadline seen is taken to be the clients'
 /// time-out. Most clients keep their connections, so some requests arrive with no time spent.
 constexpr uint64_t kMinDeadlineSamples = 16;
@@ -146,7 +142,7 @@
   RouteRuntime& runtime = runtimes_[route];
   if (runtime.latencies == nullptr) {
     const uint64_t hash = XXH64(route.data(), route.size(), options_.incarnation);
-    runtime.choice = routing::WeightedChoice(static_cast<uint32_t>(hash % kChoiceStartPositions));
+    runtime.choice = routing::WeightedChoice(static_cast<uint32_t>(hash % routing::WeightedChoice::kStartPositions));
     runtime.latencies = std::make_unique<balance::LatencyTracker>(
         options_.knobs.balance.latency_window, objective / kInitialHedgeDivisor);
   }
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -113,21 +113,29 @@
 }
 
 const std::string& WeightedChoice::Next(const std::vector<WeightedService>& services) {
-  if (credit_.size() != services.size()) {
-    credit_.assign(services.size(), 0);
-    for (uint32_t i = 0; i < offset_; ++i) {
-      PickNext(services);
-    }
+  if (services != services_) {
+    Start(services);
+  }
+  return services[PickNext()].service;
+}
+
+void WeightedChoice::Start(const std::vector<WeightedService>& services) {
+  // Has no common factor with the number of positions, so that restarts go through all of them.
+  constexpr uint32_t kPositionsBetweenStarts = 61;
+  services_ = services;
+  credit_.assign(services.size(), 0);
+  for (uint32_t i = 0; i < offset_; ++i) {
+    PickNext();
   }
-  return services[PickNext(services)].service;
+  offset_ = (offset_ + kPositionsBetweenStarts) % kStartPositions;
 }
 
-size_t WeightedChoice::PickNext(const std::vector<WeightedService>& services) {
+size_t WeightedChoice::PickNext() {
   double total = 0;
   size_t best = 0;
-  for (size_t i = 0; i < services.size(); ++i) {
-    credit_[i] += services[i].weight;
-    total += services[i].weight;
+  for (size_t i = 0; i < services_.size(); ++i) {
+    credit_[i] += services_[i].weight;
+    total += services_[i].weight;
     if (credit_[i] > credit_[best]) {
       best = i;
     }
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -21,6 +21,7 @@
 struct WeightedService {
   std::string service;
   double weight = 1;
+  bool operator==(const WeightedService&) const = default;
 };
 
 /// A route: how matching requests are handled.
@@ -127,19 +128,26 @@
 };
 
 /// Smooth weighted round robin: after any number of picks each service is within one request of its
-/// exact share. Each gateway starts at its own position in the round. Otherwise hundreds of
-/// gateways with few requests each would all start with the heaviest service.
+/// exact share. Begins anew when the services, their order or a weight change. Each gateway starts
+/// at its own position in the round. Otherwise hundreds of gateways with few requests each would
+/// all start with the heaviest service.
 class WeightedChoice {
  public:
-  /// @param offset number of picks to skip at the start.
+  /// Number of positions at which a round may start. With 100 a weight of one percent is visible.
+  static constexpr uint32_t kStartPositions = 100;
+
+  /// @param offset number of picks to skip at the first start.
   explicit WeightedChoice(uint32_t offset = 0) : offset_(offset) {}
 
+  /// @param services the weights must not be negative, and their sum must be above zero.
   const std::string& Next(const std::vector<WeightedService>& services);
 
  private:
-  size_t PickNext(const std::vector<WeightedService>& services);
+  void Start(const std::vector<WeightedService>& services);
+  size_t PickNext();
 
   uint32_t offset_;
+  std::vector<WeightedService> services_;
   std::vector<double> credit_;
 };
 
--- a/test/routing/route_table_test.cc
+++ b/test/routing/route_table_test.cc
@@ -31,6 +31,23 @@
 
 std::string NameOf(const Route* route) { return route == nullptr ? "" : route->name; }
 
+/// One to four of six services in any order, with weights up to a million, some of them zero.
+rc::Gen<std::vector<WeightedService>> GenServices() {
+  return rc::gen::exec([] {
+    std::vector<WeightedService> services;
+    const int count = *rc::gen::inRange(1, 5);
+    const int first = *rc::gen::inRange(0, 6);
+    const int step = *rc::gen::element(1, 5);
+    for (int i = 0; i < count; ++i) {
+      const bool idle = i > 0 && *rc::gen::inRange(0, 4) == 0;
+      const int most = *rc::gen::element(2, 1000, 1000000);
+      const double weight = idle ? 0 : *rc::gen::inRange(1, most);
+      services.push_back({"s" + std::to_string((first + i * step) % 6), weight});
+    }
+    return services;
+  });
+}
+
 }  // namespace
 
 class RouteTableTest : public CppUnit::TestFixture {
@@ -39,6 +56,9 @@
   CPPUNIT_TEST(InvalidSetsAreRefused);
   CPPUNIT_TEST(SharesAreExact);
   CPPUNIT_TEST(GatewaysWithFewRequestsShareByWeightTogether);
+  CPPUNIT_TEST(NewWeightsHoldFromTheirFirstRequest);
+  CPPUNIT_TEST(SharesHoldAfterAnyChangeOfTheServices);
+  CPPUNIT_TEST(ManyShortLivedSplitsShareByWeightTogether);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +77,70 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, static_cast<double>(new_picks) / picks, 0.02);
   }
 
+  /// Guards against requests that go to a service whose weight is now zero, because of what the
+  /// weights before it had left.
+  void NewWeightsHoldFromTheirFirstRequest() {
+    for (int before = 0; before < 5; ++before) {
+      WeightedChoice choice;
+      for (int i = 0; i < before; ++i) {
+        choice.Next({{"blue", 600}, {"green", 400}});
+      }
+      for (int i = 0; i < 240; ++i) {
+        CPPUNIT_ASSERT_EQUAL(std::string("green"), choice.Next({{"blue", 0}, {"green", 1}}));
+      }
+    }
+  }
+
+  /// Guards against shares that depend on what the route's services were before: other weights,
+  /// other services, another number or order of them.
+  void SharesHoldAfterAnyChangeOfTheServices() {
+    const bool property_holds = rc::check("shares hold after any change", [] {
+      constexpr int kRequests = 200;
+      constexpr double kMostDeviation = 0.2;
+      std::vector<WeightedChoice> gateways;
+      const int count = *rc::gen::inRange(1, 6);
+      for (int i = 0; i < count; ++i) {
+        gateways.emplace_back(*rc::gen::inRange<uint32_t>(0, 100));
+      }
+      const int documents = *rc::gen::inRange(2, 6);
+      for (int document = 0; document < documents; ++document) {
+        const std::vector<WeightedService> services = *GenServices();
+        double total = 0;
+        for (const WeightedService& item : services) {
+          total += item.weight;
+        }
+        std::map<std::string, int> picks;
+        for (int i = 0; i < kRequests; ++i) {
+          ++picks[gateways[static_cast<size_t>(i % count)].Next(services)];
+        }
+        for (const WeightedService& item : services) {
+          const double share = static_cast<double>(picks[item.service]) / kRequests;
+          RC_ASSERT(std::abs(share - item.weight / total) < kMostDeviation);
+          RC_ASSERT(item.weight > 0 || picks[item.service] == 0);
+        }
+        // Other requests follow, so that the next change comes at any point of the round.
+        const int more = *rc::gen::inRange(0, 50);
+        for (int i = 0; i < more; ++i) {
+          gateways[static_cast<size_t>(i % count)].Next(services);
+        }
+      }
+    });
+    CPPUNIT_ASSERT(property_holds);
+  }
+
+  /// Guards against changes that come faster than the requests of a gateway, and then always bring
+  /// the same service.
+  void ManyShortLivedSplitsShareByWeightTogether() {
+    WeightedChoice choice;
+    std::map<std::string, int> picks;
+    constexpr int kChanges = 400;
+    for (int i = 0; i < kChanges; ++i) {
+      const double weight = i % 2 == 0 ? 30 : 31;
+      ++picks[choice.Next({{"blue", weight}, {"green", weight}})];
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, picks["blue"] / static_cast<double>(kChanges), 0.1);
+  }
+
   void LongestPrefixOfTheHostWins() {
     const RouteTable table(
         MakeSet({MakeRoute("root", "a.example", "/"), MakeRoute("deep", "a.example", "/x/y/"),
