Each request is held to the limits in force when its head begins, also on kept connections

Cause: a connection's parser kept the limits of the time at which it was opened. The reverse stood beside it: the time for a request was read when it was checked, so that a lowered one refused (408) what had begun under the longer one. Ruled out: a document that is not applied; new connections were served.

Change: limits on head, body and time are noted when a head begins. A body under way when a limit falls is taken. An idle connection may rest for the longer of the limits before and after.

--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -97,7 +97,8 @@
   absl::Status Listen(const std::string& address);
   uint16_t port() const { return port_; }
 
-  /// Applies to connections and requests that start from now on.
+  /// Applies to requests whose head begins from now on, also on open connections. A connection that
+  /// is idle may stay so for the longer of the limits before and after.
   void SetOptions(const HttpServerOptions& options) { options_ = options; }
   /// From now on, each response closes its connection.
   void StartDraining() { draining_ = true; }
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -46,6 +46,10 @@
   explicit RequestParser(MessageLimits limits, BodyReading reading = BodyReading::kAtOnce);
   ~RequestParser();
 
+  /// Applies to the next message. Must not be called while one is read.
+  void SetLimits(const MessageLimits& limits) { limits_ = limits; }
+  const MessageLimits& limits() const { return limits_; }
+
   /// Parses the bytes that belong to the current message, and removes them from the front of
   /// `input`.
   ParseState Consume(std::string* input);
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -145,14 +145,10 @@
 
 void HttpServer::Connection::ReadRequests() {
   while (ReadyForRequest() && (HasInput() || parser_.state() == ParseState::kComplete)) {
-    const bool starts_request = parser_.state() == ParseState::kEmpty;
-    const ParseState state = parser_.Consume(input_);
-    if (starts_request) {
-      request_started_ = net::EventLoop::Now();
-      request_arrived_ = loop_->earliest_arrival();
-      reading_since_ = request_started_;
-      RestartIdleTimer();
+    if (parser_.state() == ParseState::kEmpty) {
+      BeginRequest();
     }
+    const ParseState state = parser_.Consume(input_);
     if (state == ParseState::kFailed) {
       Refuse(CodeOfError(parser_.error()));
       return;
@@ -176,6 +172,16 @@
   }
 }
 
+void HttpServer::Connection::BeginRequest() {
+  const HttpServerOptions& options = server_->options_;
+  parser_.SetLimits(Limits(options));
+  request_timeout_ = options.request_timeout;
+  request_started_ = net::EventLoop::Now();
+  request_arrived_ = loop_->earliest_arrival();
+  reading_since_ = request_started_;
+  RestartIdleTimer();
+}
+
 void HttpServer::Connection::ReadRequestsSoon() {
   loop_->Defer([self = weak_from_this()] {
     const auto connection = self.lock();
@@ -198,17 +204,13 @@
 }
 
 Duration HttpServer::Connection::Patience() const {
-  const HttpServerOptions& options = server_->options_;
-  Duration patience = options.request_timeout;
+  const std::string& header = server_->options_.deadline_header;
+  const std::string_view text = header.empty() ? std::string_view() : parser_.HeaderValue(header);
   int64_t client_waits = 0;
-  const std::string_view wait = options.deadline_header.empty()
-                                    ? std::string_view()
-                                    : parser_.HeaderValue(options.deadline_header);
-  if (absl::SimpleAtoi(absl::string_view(wait.data(), wait.size()), &client_waits) &&
-      client_waits > 0) {
-    patience = std::min(patience, Milliseconds(client_waits));
-  }
-  return patience;
+  const bool known = absl::SimpleAtoi(absl::string_view(text.data(), text.size()), &client_waits);
+  const bool shorter = known && client_waits > 0 &&
+                       static_cast<double>(client_waits) < ToMilliseconds(request_timeout_);
+  return shorter ? Milliseconds(client_waits) : request_timeout_;
 }
 
 void HttpServer::Connection::RefuseIfTooLong() {
@@ -241,7 +243,7 @@
     return 0;
   }
   return parser_.AnnouncedBodyBytes().value_or(std::min<uint64_t>(
-      server_->options_.max_body_bytes, loop_->request_room()->MostForUnknownLength()));
+      parser_.limits().body_bytes, loop_->request_room()->MostForUnknownLength()));
 }
 
 void HttpServer::Connection::AdmitBody() {
@@ -369,13 +371,15 @@
     return room_wanted_until_;
   }
   if (parser_.state() != ParseState::kEmpty) {
-    return reading_since_ + server_->options_.request_timeout;
+    return reading_since_ + request_timeout_;
   }
-  return idle_since_ + Seconds(server_->options_.idle_seconds);
+  // Clients may know only one of the limits before and after a change.
+  return idle_since_ + Seconds(std::max(idle_seconds_, server_->options_.idle_seconds));
 }
 
 void HttpServer::Connection::RestartIdleTimer() {
   idle_since_ = net::EventLoop::Now();
+  idle_seconds_ = server_->options_.idle_seconds;
   if (timer_ == 0) {
     timer_ = loop_->RunAt(idle_since_ + kCheckInterval, [this] { OnTimer(); });
   }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -44,6 +44,8 @@
   /// a request is served.
   bool drops_input() const { return closing_ || drops_further_input_; }
   void ReadRequests();
+  /// Notes the limits to which the request whose head begins now is held.
+  void BeginRequest();
   void ReadRequestsSoon();
   /// Finds room for the request whose head, at least, was read. @return whether it has room now.
   bool HasRoom();
@@ -97,6 +99,10 @@
   Duration round_trip_{};
   std::function<void()> on_disconnect_;
   Timestamp idle_since_{};
+  /// The limit that was in force then.
+  unsigned idle_seconds_ = 0;
+  /// The limit that was in force when the head of the request began.
+  Duration request_timeout_{};
   /// When the head of the request that is read began to arrive.
   Timestamp request_started_{};
   /// The earliest time at which it may have arrived.
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -273,6 +273,14 @@
   return http::FetchBlocking(request);
 }
 
+void PlatformFleet::WaitForVersion(uint64_t version) const {
+  const std::string line =
+      "\npumicedyke_gateway_document_version " + std::to_string(version) + "\n";
+  e2e::WaitFor("version " + std::to_string(version), [&] {
+    return e2e::Get(metrics_address_, "/metrics").body.find(line) != std::string::npos;
+  });
+}
+
 void PlatformFleet::WaitUntilServed(const std::string& path) {
   e2e::WaitFor(path + " to be served", [&] { return SendRequest(path).status == 200; });
 }
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -138,6 +138,8 @@
   int Put(const std::string& document);
   /// Sends heartbeats of the leafs until each is acknowledged.
   void SendHeartbeats(const std::vector<FakeLeaf*>& leafs);
+  /// Waits until a version of the document is in force at the gateway.
+  void WaitForVersion(uint64_t version) const;
   /// Waits until the gateway answers 200 for the path.
   void WaitUntilServed(const std::string& path);
   /// Waits until the gateway answers 200 for the path with no shard missing.
--- a/test/platform/split_change_test.cc
+++ b/test/platform/split_change_test.cc
@@ -45,15 +45,6 @@
       .dump();
 }
 
-void WaitForVersion(const PlatformFleet& fleet, uint64_t version) {
-  const std::string line =
-      "\npumicedyke_gateway_document_version " + std::to_string(version) + "\n";
-  e2e::WaitFor("version " + std::to_string(version), [&] {
-    const std::string page = e2e::Get(fleet.metrics_address(), "/metrics").body;
-    return page.find(line) != std::string::npos;
-  });
-}
-
 void Send(PlatformFleet* fleet, int route, int requests) {
   for (int i = 0; i < requests; ++i) {
     CPPUNIT_ASSERT_EQUAL(kServed, fleet->SendRequest(PrefixOf(route) + "x").status);
@@ -82,7 +73,7 @@
       Send(&fleet, route, 8 + route);
     }
     CPPUNIT_ASSERT_EQUAL(kServed, fleet.Put(Document(2, 0, 1)));
-    WaitForVersion(fleet, 2);
+    fleet.WaitForVersion(2);
     constexpr int kRequests = 20;
     int runs = blue.runs();
     for (int route = 0; route < kRoutes; ++route) {
@@ -90,7 +81,7 @@
     }
     CPPUNIT_ASSERT_EQUAL(runs, blue.runs());
     CPPUNIT_ASSERT_EQUAL(kServed, fleet.Put(Document(3, 1, 1)));
-    WaitForVersion(fleet, 3);
+    fleet.WaitForVersion(3);
     for (int route = 0; route < kRoutes; ++route) {
       runs = blue.runs();
       Send(&fleet, route, kRequests);
