--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -35,7 +35,7 @@
 }
 
 HttpServer::HttpServer(net::EventLoop* loop, HttpServerOptions options, Handler handler)
-    : loop_(loop), options_(options), handler_(std::move(handler)) {}
+    : loop_(loop), options_(std::move(options)), handler_(std::move(handler)) {}
 
 HttpServer::~HttpServer() {
   StopListening();
--- a/src/net/request_room.cc
+++ b/src/net/request_room.cc
@@ -88,9 +88,7 @@
 
 RequestRoom::~RequestRoom() { budget_->OnFreed({}); }
 
-size_t RequestRoom::MostForUnknownLength() const {
-  return ShareOf(kLargeShare, budget_->limit());
-}
+size_t RequestRoom::MostForUnknownLength() const { return ShareOf(kLargeShare, budget_->limit()); }
 
 bool RequestRoom::Fits(const Place& place) const {
   const size_t limit = budget_->limit();
--- a/test/http/full_room_test.cc
+++ b/test/http/full_room_test.cc
@@ -69,6 +69,7 @@
 
 std::vector<std::unique_ptr<e2e::RawConnection>> Connect(const std::string& address, int count) {
   std::vector<std::unique_ptr<e2e::RawConnection>> clients;
+  clients.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     clients.push_back(std::make_unique<e2e::RawConnection>(address));
   }
@@ -130,6 +131,7 @@
     server.AnswerAll();
     const auto clients = Connect(server.address(), kClients);
     std::vector<std::thread> senders;
+    senders.reserve(clients.size());
     for (const auto& client : clients) {
       senders.emplace_back([&client] {
         const std::string chunk = "2710\r\n" + std::string(10000, 'x') + "\r\n";
--- a/test/platform/large_bodies_test.cc
+++ b/test/platform/large_bodies_test.cc
@@ -110,6 +110,7 @@
     }
     std::vector<int> statuses(static_cast<size_t>(clients));
     std::vector<std::thread> senders;
+    senders.reserve(statuses.size());
     for (int i = 0; i < clients; ++i) {
       senders.emplace_back([&statuses, &what, fleet, i, body_bytes] {
         const std::string id = what.substr(0, what.find(' ')) + "-" + std::to_string(body_bytes) +
--- a/test/routing/route_table_test.cc
+++ b/test/routing/route_table_test.cc
@@ -99,6 +99,7 @@
       constexpr double kMostDeviation = 0.2;
       std::vector<WeightedChoice> gateways;
       const int count = *rc::gen::inRange(1, 6);
+      gateways.reserve(static_cast<size_t>(count));
       for (int i = 0; i < count; ++i) {
         gateways.emplace_back(*rc::gen::inRange<uint32_t>(0, 100));
       }
