A gateway follows a control machine that answers, and forgets removed ones

Cause: addresses of control machines were only ever added, and after the loss of the followed one they were tried in turn, a second each, whether their link was up or not. Ruled out: slow elections (without replacements the change is in force within a second).

Change: the followed machine is one whose link is up, whenever there is one. While it is silent, each hello also goes to one other machine, and the one that answers is followed. A machine is forgotten once it does not answer and no machine that answers lists it, one of which must be in touch with a quorum; seeds and all that a cut-off gateway knows are kept. The gateway's links to control have a file of their own.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -9,35 +9,12 @@
 
 namespace pumicedyke::gateway {
 
-void GatewayServer::AddControl(const std::string& address) {
-  if (links_.try_emplace(address).second) {
-    control_.push_back(address);
-    subscriber_.SetControlMachines(control_.size());
-  }
-}
-
-void GatewayServer::SetLink(const std::string& address, bool up) {
-  ControlLink& link = links_[address];
-  if (link.up != up) {
-    link.up = up;
-    link.current_since.reset();
-    output_.link_changes.push_back({address, up});
-  }
-}
-
-void GatewayServer::AddControlMachines(const std::vector<std::string>& addresses) {
-  for (const std::string& address : addresses) {
-    AddControl(address);
-  }
-}
-
 wire::Envelope GatewayServer::Presence(const std::string& address) const {
   wire::GatewayPresence presence{options_.node,    options_.incarnation,
                                  options_.address, options_.zone,
                                  ready(),          view_.VersionOf(address)};
   presence.peer_address = options_.peer_address;
-  presence.wants_peers =
-      !options_.peer_address.empty() && address == control_[subscriber_.control()];
+  presence.wants_peers = !options_.peer_address.empty() && address == followed_control();
   presence.peers_version = peers_.VersionOf(address);
   presence.used = extra_load_.used();
   return {options_.cluster, subscriber_.config().version().value, std::move(presence)};
@@ -45,7 +22,7 @@
 
 Duration GatewayServer::PresenceInterval(Timestamp now, const std::string& address) const {
   const GatewayKnobs& knobs = options_.knobs;
-  if (address != control_[subscriber_.control()]) {
+  if (address != followed_control()) {
     const Duration by_size = knobs.presence_interval_per_gateway * static_cast<int64_t>(gateways_);
     return std::clamp(by_size, knobs.presence_interval, knobs.max_presence_interval);
   }
@@ -56,76 +33,20 @@
   return frequent ? knobs.starting_presence_interval : knobs.presence_interval;
 }
 
-void GatewayServer::MaintainControlLinks(Timestamp now) {
-  for (auto& [address, link] : links_) {
-    if (link.last_reset == Timestamp{}) {
-      link.last_reset = now;
-    }
-    const Timestamp last = std::max(link.last_contact, link.last_reset);
-    if (now - last >= options_.knobs.control_timeout) {
-      link.last_reset = now;
-      view_.OnSourceLost(now, address);
-      peers_.OnSourceLost(address);
-      SetLink(address, /*up=*/false);
-      output_.reconnect.push_back(address);
-    }
-    if (now >= link.next_presence) {
-      link.next_presence = now + PresenceInterval(now, address);
-      output_.control.push_back({address, Presence(address)});
-    }
-  }
-  SwitchToLiveControl(now);
-  if (std::optional<wire::Envelope> hello = subscriber_.Tick(now)) {
-    output_.control.push_back({control_[subscriber_.control()], *std::move(hello)});
-  }
-}
-
-void GatewayServer::SwitchToLiveControl(Timestamp now) {
-  const auto is_up = [this](const std::string& address) { return links_.at(address).up; };
-  const bool any_up = std::any_of(control_.begin(), control_.end(), is_up);
-  if (table_ != nullptr || !any_up) {
-    return;
-  }
-  while (!is_up(control_[subscriber_.control()])) {
-    subscriber_.OnDisconnected(now);
-  }
-}
-
-void GatewayServer::NoteNearControlLeft(Timestamp now) {
-  if (!near_control_.empty() && control_[subscriber_.control()] != near_control_) {
-    links_.at(near_control_).avoided_until = now + options_.knobs.control_avoid_time;
-    near_control_.clear();
-  }
-}
-
-void GatewayServer::SwitchToNearControl(Timestamp now) {
-  NoteNearControlLeft(now);
-  // During the start the first answer is used, whatever its zone.
-  if (table_ == nullptr || links_.at(control_[subscriber_.control()]).near) {
-    return;
-  }
-  for (size_t i = 0; i < control_.size(); ++i) {
-    const ControlLink& link = links_.at(control_[i]);
-    const bool settled = link.current_since.has_value() &&
-                         now - *link.current_since >= options_.knobs.control_settle_time;
-    if (link.near && link.up && settled && now >= link.avoided_until) {
-      near_control_ = control_[i];
-      subscriber_.SwitchTo(now, i);
-      return;
-    }
-  }
-}
-
 bool GatewayServer::OnControlMessage(Timestamp now, const std::string& address,
                                      const wire::Envelope& envelope) {
   if (envelope.cluster != options_.cluster) {
     return false;
   }
+  if (!links_.contains(address)) {
+    // Was on its way when the machine was forgotten.
+    return true;
+  }
   using wire::Destination;
   return wire::DispatchTo<Destination::kNodeOrGateway, Destination::kGateway>(
       envelope.body,
       wire::MessageHandler{
-          [&](const wire::ConfigFeed& feed) { OnConfigFeed(now, feed); },
+          [&](const wire::ConfigFeed& feed) { OnConfigFeed(now, address, feed); },
           [&](const wire::SuspectNotice& notice) { OnSuspectNotice(now, notice); },
           [&](const wire::TrialReply& reply) { OnTrialReply(now, reply); },
           [&](const wire::RunReportAck& ack) {
@@ -150,17 +71,11 @@
       std::min(links_[address].next_presence, now + PresenceInterval(now, address));
 }
 
-void GatewayServer::OnControlDisconnected(Timestamp now, const std::string& address) {
-  view_.OnSourceLost(now, address);
-  peers_.OnSourceLost(address);
-  SetLink(address, /*up=*/false);
-  links_[address].next_presence = now;
-  if (control_[subscriber_.control()] == address) {
-    subscriber_.OnDisconnected(now);
+void GatewayServer::OnConfigFeed(Timestamp now, const std::string& address,
+                                 const wire::ConfigFeed& feed) {
+  if (feed.echo != 0) {
+    FollowAnswering(now, address);
   }
-}
-
-void GatewayServer::OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed) {
   if (!subscriber_.OnFeed(now, feed)) {
     // The update may still prove the known configuration current.
     ReleaseEarly(now);
@@ -188,6 +103,9 @@
   extra_load_.OnFleet(now, feed.gateways_used);
   AddControlMachines(feed.control);
   ControlLink& link = links_[address];
+  if (!feed.control.empty()) {
+    link.members = feed.control;
+  }
   link.near = !feed.zone.empty() && feed.zone == options_.zone;
   link.current_since =
       feed.current ? std::optional(link.current_since.value_or(now)) : std::nullopt;
--- a/src/gateway/gateway_quarantine.cc
+++ b/src/gateway/gateway_quarantine.cc
@@ -77,8 +77,8 @@
     OnTrialOutcome(now, overdue);
   }
   for (const wire::TrialRequest& request : trials_.TakeMessages(now)) {
-    output_.control.push_back({control_[subscriber_.control()],
-                               {options_.cluster, subscriber_.config().version().value, request}});
+    output_.control.push_back(
+        {followed_control(), {options_.cluster, subscriber_.config().version().value, request}});
   }
 }
 
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -85,7 +85,7 @@
       answer_lag_(InitialAnswerLag(options_)),
       gate_(options_.entry, options_.node, options_.incarnation),
       started_(now) {
-  AddControlMachines(options_.control);
+  SetControlSeeds(options_.control);
 }
 
 GatewayServer::~GatewayServer() = default;
@@ -142,7 +142,8 @@
   RouteRuntime& runtime = runtimes_[route];
   if (runtime.latencies == nullptr) {
     const uint64_t hash = XXH64(route.data(), route.size(), options_.incarnation);
-    runtime.choice = routing::WeightedChoice(static_cast<uint32_t>(hash % routing::WeightedChoice::kStartPositions));
+    runtime.choice = routing::WeightedChoice(
+        static_cast<uint32_t>(hash % routing::WeightedChoice::kStartPositions));
     runtime.latencies = std::make_unique<balance::LatencyTracker>(
         options_.knobs.balance.latency_window, objective / kInitialHedgeDivisor);
   }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -215,8 +215,10 @@
   std::vector<LeafCancel> cancels;
   std::vector<GatewayAnswer> answers;
   std::vector<ControlMessage> control;
-  /// Control machines to reconnect to.
+  /// Control machines whose connections are closed; those that are sent to later are made anew.
   std::vector<std::string> reconnect;
+  /// Control machines that have been removed and are not sent to any more.
+  std::vector<std::string> forgotten_controls;
   std::vector<ControlLinkChange> link_changes;
   std::vector<PeerMessage> peer_messages;
   std::vector<PeerReply> peer_replies;
@@ -267,8 +269,8 @@
   bool OnPeerReply(Timestamp now, const std::string& address, const wire::Envelope& envelope);
   void OnPeerDisconnected(Timestamp now, const std::string& address);
 
-  /// Adds control machines that are not known yet.
-  void AddControlMachines(const std::vector<std::string>& addresses);
+  /// Sets the control machines that are never forgotten.
+  void SetControlSeeds(const std::vector<std::string>& addresses);
   /// Directs clients to other gateways from now on; requests that still arrive are served.
   void StartDraining(Timestamp now);
   bool Drained() const {
@@ -400,6 +402,8 @@
     bool up = false;
     /// Whether the control machine is in this gateway's zone.
     bool near = false;
+    /// The control machines that this one knows, as it told last; empty: it has not told.
+    std::vector<std::string> members;
     /// Time since which the control machine has reported to be in touch with a quorum; unset: it is
     /// not.
     std::optional<Timestamp> current_since;
@@ -408,7 +412,7 @@
     Timestamp avoided_until{};
   };
 
-  void OnConfigFeed(Timestamp now, const wire::ConfigFeed& feed);
+  void OnConfigFeed(Timestamp now, const std::string& address, const wire::ConfigFeed& feed);
   void OnGatewayFeed(Timestamp now, const std::string& address, const wire::GatewayFeed& feed);
   void OnLeafFeed(Timestamp now, const std::string& address, const wire::LeafFeed& feed);
   void AdoptDocument(Timestamp now);
@@ -431,14 +435,23 @@
   Timestamp ColdUntil(const wire::LeafRecord& record, const routing::ServiceSpec& service) const;
   void MaintainControlLinks(Timestamp now);
   Duration PresenceInterval(Timestamp now, const std::string& address) const;
-  /// Follows a reachable control machine if the one chosen for the first routes is not reachable.
+  /// Follows a reachable control machine if the followed one is not reachable.
   void SwitchToLiveControl(Timestamp now);
+  /// Sends the hello to another control machine, too, while the followed one is silent.
+  void AskAnotherControl(Timestamp now, const wire::Envelope& hello);
+  /// Follows the control machine that has answered while the followed one was silent.
+  void FollowAnswering(Timestamp now, const std::string& address);
+  /// Forgets the control machines that have been removed.
+  void ForgetRemovedControls();
+  bool IsRemoved(const std::string& address) const;
   /// Follows a control machine of this gateway's zone, if one has been in touch with a quorum for
   /// long enough: this avoids traffic between zones.
   void SwitchToNearControl(Timestamp now);
   /// Records if the followed control machine of this zone was left because it stopped answering.
   void NoteNearControlLeft(Timestamp now);
+  void AddControlMachines(const std::vector<std::string>& addresses);
   void AddControl(const std::string& address);
+  const std::string& followed_control() const { return control_[subscriber_.control()]; }
   void SetLink(const std::string& address, bool up);
   wire::Envelope Presence(const std::string& address) const;
 
@@ -626,8 +639,11 @@
     auto operator<=>(const TargetKey&) const = default;
   };
   std::map<TargetKey, Target> targets_;
+  std::set<std::string> control_seeds_;
   std::vector<std::string> control_;
   std::map<std::string, ControlLink> links_;
+  /// The last one that was asked besides the followed one.
+  std::string asked_control_;
   /// The control machine followed because it is in this zone; empty: none.
   std::string near_control_;
   uint32_t gateways_ = 1;
--- a/src/node/config_subscriber.cc
+++ b/src/node/config_subscriber.cc
@@ -18,9 +18,7 @@
       next_hello_(now) {}
 
 std::optional<wire::Envelope> ConfigSubscriber::Tick(Timestamp now) {
-  const Duration limit = ready_ ? options_.silence_limit : options_.starting_silence_limit;
-  const bool silent = now - last_feed_ > limit && now - switched_at_ > limit;
-  if (silent) {
+  if (Silent(now) && now - switched_at_ > SilenceLimit()) {
     SwitchToNext(now);
   }
   if (now < next_hello_) {
@@ -47,6 +45,13 @@
   next_hello_ = now;
 }
 
+void ConfigSubscriber::OnControlForgotten(size_t index) {
+  --options_.control_machines;
+  if (index < control_) {
+    --control_;
+  }
+}
+
 void ConfigSubscriber::OnDisconnected(Timestamp now) { SwitchToNext(now); }
 
 bool ConfigSubscriber::OnFeed(Timestamp now, const wire::ConfigFeed& feed) {
--- a/src/node/config_subscriber.h
+++ b/src/node/config_subscriber.h
@@ -56,6 +56,11 @@
   void SwitchTo(Timestamp now, size_t control);
   /// Sets the number of control machines, when more are known than at the start.
   void SetControlMachines(size_t count) { options_.control_machines = count; }
+  /// Handles that a control machine other than `control()` is no longer known; those behind it move
+  /// up.
+  void OnControlForgotten(size_t index);
+  /// Whether no control machine has answered for longer than it may take one.
+  bool Silent(Timestamp now) const { return now - last_feed_ > SilenceLimit(); }
 
   /// Index of the control machine to talk to.
   size_t control() const { return control_; }
@@ -68,6 +73,9 @@
   Timestamp proven_at() const { return proven_at_; }
 
  private:
+  Duration SilenceLimit() const {
+    return ready_ ? options_.silence_limit : options_.starting_silence_limit;
+  }
   void SwitchToNext(Timestamp now);
   bool ApplyChanges(const wire::ConfigFeed& feed);
   void RecordChangedLeafs(const config::Change& change);
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -214,6 +214,10 @@
   LogEvent(up ? "control_regained" : "control_lost", {{"control", address}});
 }
 
+void GatewayLog::OnControlForgotten(const std::string& address) {
+  LogEvent("control_forgotten", {{"control", address}});
+}
+
 void GatewayLog::OnState(Timestamp now, const gateway::GatewayServer& server) {
   if (ready_ != server.ready() || document_version_ != server.document_version()) {
     ready_ = server.ready();
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -29,6 +29,7 @@
   /// Logs the decision on a trial of a suspect request.
   void OnTrial(Timestamp now, const gateway::TrialRecord& trial);
   void OnControlLink(const std::string& address, bool up);
+  void OnControlForgotten(const std::string& address);
   /// Marks leafs whose state has changed.
   void OnLeafChanges(const std::vector<std::string>& leafs) {
     changed_leafs_.insert(leafs.begin(), leafs.end());
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -313,6 +313,9 @@
   for (const std::string& address : output.reconnect) {
     control_.erase(address);
   }
+  for (const std::string& address : output.forgotten_controls) {
+    log_.OnControlForgotten(address);
+  }
   for (const gateway::ControlLinkChange& change : output.link_changes) {
     OnLinkChange(change);
   }
@@ -487,7 +490,7 @@
     return;
   }
   LogEvent("reloaded", {{"control", settings->control}});
-  server_->AddControlMachines(settings->control);
+  server_->SetControlSeeds(settings->control);
 }
 
 void GatewayProcess::Stop() {
