Logs tell what a stopping gateway waits for, and why attempts failed

A request_answered line had neither when nor why its attempt ended, nor how long nothing ran for it; a stop had one line, 'stopping'; client_left had only an id.

Change: stop_progress twice a second from SIGTERM on (phase, connections, requests with and without a running sub-request, gathers, groups merged for others, the oldest ids); waited_ms, ended_ms and failure in request_answered and partial_answered; elapsed_ms, waited_ms and attempts in client_left. No decision changed.

--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -365,6 +365,7 @@
   out.trace.document_version = active.table->version();
   out.trace.config_age = subscriber_.Age(now);
   out.trace.elapsed = now - active.execution->started();
+  out.trace.waited = active.execution->WaitedAt(now);
   out.trace.extra_sub_requests = answer.extra_sub_requests;
   out.trace.budget_denied_shards = answer.budget_denied_shards;
   out.trace.attempts = active.execution->Attempts();
@@ -385,6 +386,46 @@
   output_.answers.push_back(std::move(out));
 }
 
+WorkInProgress GatewayServer::Work(Timestamp now) const {
+  constexpr size_t kMaxNames = 4;
+  WorkInProgress work;
+  work.not_started = early_.size() + held_.size() + awaiting_trial_.size();
+  // Ids grow with time, so the first ones are the oldest.
+  for (const auto& [id, active] : active_) {
+    const bool runs = active.shared == nullptr && active.execution->running();
+    work.shared += active.shared != nullptr ? 1 : 0;
+    work.partials += active.partial.has_value() ? 1 : 0;
+    work.running += runs ? 1 : 0;
+    work.waiting += active.shared == nullptr && !runs ? 1 : 0;
+    if (work.oldest.empty()) {
+      work.oldest_age = now - StartOf(active);
+    }
+    if (work.oldest.size() < kMaxNames) {
+      work.oldest.push_back(active.request->request_id);
+    }
+  }
+  return work;
+}
+
+RequestTrace GatewayServer::TraceOf(Timestamp now, RequestId id) const {
+  RequestTrace trace;
+  const auto found = active_.find(id);
+  if (found == active_.end()) {
+    return trace;
+  }
+  const Active& active = found->second;
+  trace.elapsed = now - StartOf(active);
+  if (active.execution != nullptr) {
+    trace.waited = active.execution->WaitedAt(now);
+    trace.attempts = active.execution->Attempts();
+  }
+  return trace;
+}
+
+Timestamp GatewayServer::StartOf(const Active& active) {
+  return active.shared != nullptr ? active.shared->started() : active.execution->started();
+}
+
 void GatewayServer::Schedule(RequestId id, Timestamp wake) {
   Active& active = active_.at(id);
   wakes_.erase({active.wake, id});
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -296,6 +296,10 @@
   /// Returns the number of requests that are sent to leafs with control's permission only.
   size_t CountSuspects(Timestamp now) const { return run_tracker_.CountSuspects(now); }
   size_t in_progress() const { return active_.size(); }
+  /// Returns the requests that have no answer yet, by what they wait for.
+  WorkInProgress Work(Timestamp now) const;
+  /// Returns how a request that has no answer yet was handled so far, as far as known.
+  RequestTrace TraceOf(Timestamp now, RequestId id) const;
   /// Returns the use of the limits on extra sub-requests.
   std::vector<ServiceLoadUse> ExtraLoadUses(Timestamp now) const { return extra_load_.Uses(now); }
   /// This gateway's share of the limits that hold for all gateways together.
@@ -594,6 +598,8 @@
   void Answer(Timestamp now, RequestId id, const Active& active, const query::Answer& answer);
   void Refuse(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request,
               ResultCode code, Duration retry_after);
+  /// Returns when a request was started.
+  static Timestamp StartOf(const Active& active);
   /// Advances the requests whose wake-up time has passed, the more urgent first.
   void WakeRequests(Timestamp now);
   void Schedule(RequestId id, Timestamp wake);
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -91,6 +91,8 @@
   uint64_t document_version = 0;
   Duration config_age{};
   Duration elapsed{};
+  /// How much of that no sub-request was running, if the request was not shared.
+  Duration waited{};
   /// Round-trip time to the client, and the time the client had spent before the request arrived;
   /// if known.
   Duration round_trip{};
@@ -107,6 +109,23 @@
   std::vector<query::PartialQueryRecord> partial_queries;
 };
 
+/// Requests without an answer, by what they wait for.
+struct WorkInProgress {
+  /// A sub-request of theirs is running.
+  size_t running = 0;
+  /// None is: they wait for a leaf.
+  size_t waiting = 0;
+  /// Gathers that other gateways merge.
+  size_t shared = 0;
+  /// Groups that are merged for other gateways.
+  size_t partials = 0;
+  /// They wait for routes, for a limit, or for the permission to try a suspect.
+  size_t not_started = 0;
+  /// Ids of the oldest ones that have been started, and the age of the first.
+  std::vector<std::string> oldest;
+  Duration oldest_age{};
+};
+
 /// Work done by this gateway on a group of shards for another gateway, for the log.
 struct PartialTrace {
   std::string request_id;
--- a/src/query/messages.h
+++ b/src/query/messages.h
@@ -80,6 +80,9 @@
   uint32_t load = 0;
   /// The complete response, for requests that are passed on unparsed; null if there was none.
   std::shared_ptr<const LeafPayload> payload = nullptr;
+  /// For the log: what was received in place of a success, such as a status or how the connection
+  /// ended.
+  std::string failure = {};
 };
 
 enum class MissingReason {
@@ -123,6 +126,10 @@
   Duration sent{};
   /// "running", "refused", "failed", "lost" (the connection closed without a response) or "done".
   const char* state = "";
+  /// Since the arrival of the request; unset while it runs.
+  std::optional<Duration> ended = std::nullopt;
+  /// As LeafReply::failure.
+  std::string failure = {};
 };
 
 /// What is known about the execution of a request that gets no complete answer.
--- a/src/query/request_answer.cc
+++ b/src/query/request_answer.cc
@@ -45,8 +45,13 @@
   std::vector<AttemptRecord> records;
   for (const ShardProgress& shard : shards_) {
     for (const Attempt& attempt : shard.attempts) {
-      records.push_back(
-          {shard.shard.id, attempt.leaf, attempt.sent - started_, name_of(attempt.state)});
+      AttemptRecord record{shard.shard.id, attempt.leaf, attempt.sent - started_,
+                           name_of(attempt.state)};
+      if (attempt.ended.has_value()) {
+        record.ended = *attempt.ended - started_;
+      }
+      record.failure = attempt.failure;
+      records.push_back(std::move(record));
     }
   }
   return records;
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -48,7 +48,8 @@
       context_(std::move(context)),
       options_(options),
       started_(now),
-      deadline_(now + plan.deadline) {
+      deadline_(now + plan.deadline),
+      idle_since_(now) {
   PinSnapshot(snapshot);
 }
 
@@ -70,6 +71,7 @@
   covered_ = 0;
   abandoned_ = 0;
   budget_denied_ = 0;
+  running_ = 0;
   snapshot_unavailable_ = false;
   for (const config::Shard& shard : snapshot.shards) {
     if (IsRequested(shard.id)) {
@@ -82,6 +84,7 @@
 void RequestExecution::Restart(Timestamp now, std::shared_ptr<const config::Service> service,
                                const config::PublishedSnapshot& snapshot) {
   AbandonAll(now, /*timed_out=*/false);
+  idle_since_ = idle_since_.value_or(now);
   for (ShardProgress& shard : shards_) {
     SetWaiting(&shard, false);
   }
@@ -113,6 +116,18 @@
       [](const Attempt& attempt) { return attempt.state == AttemptState::kPossiblyRunning; }));
 }
 
+void RequestExecution::EndAttempt(Timestamp now, Attempt* attempt, AttemptState state) {
+  if (attempt->state == AttemptState::kPossiblyRunning && --running_ == 0) {
+    idle_since_ = now;
+  }
+  attempt->state = state;
+  attempt->ended = now;
+}
+
+Duration RequestExecution::WaitedAt(Timestamp now) const {
+  return waited_ + (idle_since_.has_value() ? now - *idle_since_ : Duration(0));
+}
+
 void RequestExecution::AbandonShard(ShardProgress* shard) {
   shard->abandoned = true;
   ++abandoned_;
@@ -312,7 +327,16 @@
   const Duration budget = std::max(Duration(0), deadline_ - now - options_.hop_latency);
   actions_.sends.push_back({"", id, *leaf, request_.service, shard->shard.id, snapshot_id_,
                             request_.query, budget, request_.idempotency_key, plan_.repeatable});
-  shard->attempts.push_back({id, *leaf, now, AttemptState::kPossiblyRunning, probe});
+  Attempt attempt;
+  attempt.id = id;
+  attempt.leaf = *leaf;
+  attempt.sent = now;
+  attempt.probe = probe;
+  shard->attempts.push_back(std::move(attempt));
+  if (idle_since_.has_value()) {
+    waited_ += now - *std::exchange(idle_since_, std::nullopt);
+  }
+  ++running_;
   shard_of_[id] = static_cast<size_t>(shard - shards_.data());
   context_.pool->OnSent(now, *leaf, id, ExpectedLatency());
   ++sent_;
@@ -367,8 +391,9 @@
     return;
   }
   const bool was_on_probation = OnProbation();
+  attempt->failure = reply.failure;
   if (reply.status == LeafStatus::kOk) {
-    attempt->state = AttemptState::kDone;
+    EndAttempt(now, &*attempt, AttemptState::kDone);
     proven_harmless_ = true;
     Merge(now, &shard, reply);
   } else {
@@ -376,9 +401,10 @@
       RecordLost(*attempt);
     }
     const bool refused = ProvesNotRun(reply.status);
-    attempt->state = refused                 ? AttemptState::kRefused
-                     : reply.connection_lost ? AttemptState::kLost
-                                             : AttemptState::kFailed;
+    EndAttempt(now, &*attempt,
+               refused                 ? AttemptState::kRefused
+               : reply.connection_lost ? AttemptState::kLost
+                                       : AttemptState::kFailed);
     attempt->transient_refusal = options_.retry_refusing_leafs &&
                                  reply.status == LeafStatus::kShed &&
                                  !context_.pool->IsFull(reply.leaf);
@@ -450,7 +476,8 @@
     if (superseded && options_.coverage_dedupe) {
       actions_.cancels.push_back({attempt.id, attempt.leaf, {}, Overdue(now, attempt)});
       context_.pool->OnAbandoned(now, attempt.leaf, attempt.id, /*timed_out=*/false);
-      attempt.state = AttemptState::kFailed;
+      attempt.failure = "superseded";
+      EndAttempt(now, &attempt, AttemptState::kFailed);
     }
   }
 }
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -165,6 +165,10 @@
   /// Returns all sub-requests so far, ordered by shard.
   std::vector<AttemptRecord> Attempts() const;
   Timestamp started() const { return started_; }
+  /// Returns whether any sub-request is running.
+  bool running() const { return running_ > 0; }
+  /// Returns for how long no sub-request was running.
+  Duration WaitedAt(Timestamp now) const;
   bool has_idempotency_key() const { return !request_.idempotency_key.empty(); }
   /// Abandons all running sub-requests, for instance when the wait for a late outcome ends.
   void AbandonAll(Timestamp now, bool timed_out);
@@ -179,6 +183,9 @@
     std::string leaf;
     Timestamp sent;
     AttemptState state = AttemptState::kPossiblyRunning;
+    std::optional<Timestamp> ended = std::nullopt;
+    /// As LeafReply::failure.
+    std::string failure = {};
     /// Sent on probation.
     bool probe = false;
     /// Refused by a leaf with room, which may accept the next attempt.
@@ -270,6 +277,8 @@
   bool AnyUntriedReady(Timestamp now, const ShardProgress& shard) const;
   bool MayTryReplicasAgain(const ShardProgress& shard) const;
   size_t ActiveAttempts(const ShardProgress& shard) const;
+  /// Records that an attempt is no longer running.
+  void EndAttempt(Timestamp now, Attempt* attempt, AttemptState state);
   void Merge(Timestamp now, ShardProgress* shard, const LeafReply& reply);
   void HandleRefusal(ShardProgress* shard, const LeafReply& reply);
   void CancelOthers(Timestamp now, ShardProgress* shard, SubRequestId winner);
@@ -304,6 +313,11 @@
   Timestamp wake_{};
   uint32_t sent_ = 0;
   uint32_t extra_ = 0;
+  /// Number of running sub-requests.
+  size_t running_ = 0;
+  /// How long none was running, up to `idle_since_`, and since when none is; unset: some are.
+  Duration waited_{};
+  std::optional<Timestamp> idle_since_;
   bool restarted_ = false;
   RunState run_before_restart_ = RunState::kNotRun;
   bool needs_other_snapshot_ = false;
--- a/src/server/gateway_log.cc
+++ b/src/server/gateway_log.cc
@@ -13,25 +13,30 @@
   return XXH64(request_id.data(), request_id.size(), 0) % GatewayLog::kSampledOneIn == 0;
 }
 
+Json OptionalJson(const std::optional<Duration>& duration) {
+  return duration.has_value() ? Json(ToMilliseconds(*duration)) : Json();
+}
+
 /// Lists the sub-requests that are not "done", such as those of missing shards, or `all` of them.
 Json AttemptsJson(const std::vector<query::AttemptRecord>& attempts, bool all) {
   Json list = Json::array();
   for (const query::AttemptRecord& attempt : attempts) {
     const bool included = all || std::string_view(attempt.state) != "done";
     if (included) {
-      list.push_back({{"shard", attempt.shard.value},
-                      {"leaf", attempt.leaf},
-                      {"sent_ms", ToMilliseconds(attempt.sent)},
-                      {"state", attempt.state}});
+      Json item{{"shard", attempt.shard.value},
+                {"leaf", attempt.leaf},
+                {"sent_ms", ToMilliseconds(attempt.sent)},
+                {"ended_ms", OptionalJson(attempt.ended)},
+                {"state", attempt.state}};
+      if (!attempt.failure.empty()) {
+        item["failure"] = attempt.failure;
+      }
+      list.push_back(std::move(item));
     }
   }
   return list;
 }
 
-Json OptionalJson(const std::optional<Duration>& duration) {
-  return duration.has_value() ? Json(ToMilliseconds(*duration)) : Json();
-}
-
 /// Lists all partial queries to other gateways, since a failed shard is traced from here.
 Json PartialQueriesJson(const std::vector<query::PartialQueryRecord>& partial_queries) {
   Json list = Json::array();
@@ -109,6 +114,7 @@
                                 {"client_spent_ms", OptionalJson(trace.spent)},
                                 {"round_trip_ms", ToMilliseconds(trace.round_trip)},
                                 {"elapsed_ms", ToMilliseconds(trace.elapsed)},
+                                {"waited_ms", ToMilliseconds(trace.waited)},
                                 {"written_ms", ToMilliseconds(now - trace.decided)},
                                 {"due_before_ms", DueBeforeDecisionJson(trace)},
                                 {"document_version", trace.document_version},
@@ -140,9 +146,13 @@
                                 {"attempts", AttemptsJson(trace.attempts, sampled)}});
 }
 
-void GatewayLog::OnClientDisconnected(Timestamp now, const std::string& request_id) {
+void GatewayLog::OnClientDisconnected(Timestamp now, const std::string& request_id,
+                                      const gateway::RequestTrace& trace) {
   if (Allow(now)) {
-    LogEvent("client_left", {{"request", request_id}});
+    LogEvent("client_left", {{"request", request_id},
+                             {"elapsed_ms", ToMilliseconds(trace.elapsed)},
+                             {"waited_ms", ToMilliseconds(trace.waited)},
+                             {"attempts", AttemptsJson(trace.attempts, /*all=*/true)}});
   }
 }
 
--- a/src/server/gateway_log.h
+++ b/src/server/gateway_log.h
@@ -19,7 +19,9 @@
   void OnAnswer(Timestamp now, const gateway::GatewayAnswer& answer, int status);
   /// Logs a partial query that was executed for another gateway.
   void OnPartial(Timestamp now, const gateway::PartialTrace& trace);
-  void OnClientDisconnected(Timestamp now, const std::string& request_id);
+  /// @param trace of the request when its client left.
+  void OnClientDisconnected(Timestamp now, const std::string& request_id,
+                            const gateway::RequestTrace& trace);
   /// Logs a report of lost runs to control, by leaf and request.
   void OnRunReport(Timestamp now, const wire::RunReport& report);
   /// Logs the requests that a control machine warned of.
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -170,8 +170,12 @@
   log_.OnState(now, *server_);
   report_log_.OnState(now, server_->reports());
   held_bytes_log_.OnState(now, *loop_->request_room());
-  if (stop_.started() && stop_.Done(now, server_->Drained() && unlogged_answers_ == 0)) {
-    loop_->Stop();
+  if (stop_.started()) {
+    const bool done = stop_.Done(now, server_->Drained() && unlogged_answers_ == 0);
+    stop_log_.OnProgress(now, stop_, server_->Work(now));
+    if (done) {
+      loop_->Stop();
+    }
   }
   return stop_.started() ? std::min(now + kStopPoll, server_->NextWake(now))
                          : server_->NextWake(now);
@@ -389,8 +393,9 @@
   responder.WatchClient([this, id, request_id = payload->request_id] {
     waiting_.erase(id);
     metrics_.OnClientDisconnected();
-    log_.OnClientDisconnected(net::EventLoop::Now(), request_id);
-    server_->OnClientDisconnected(net::EventLoop::Now(), id);
+    const Timestamp now = net::EventLoop::Now();
+    log_.OnClientDisconnected(now, request_id, server_->TraceOf(now, id));
+    server_->OnClientDisconnected(now, id);
     ScheduleDispatch();
   });
   waiting_.emplace(id, std::move(responder));
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -22,6 +22,7 @@
 #include "server/refused_call_log.h"
 #include "server/report_log.h"
 #include "server/settings_watch.h"
+#include "server/stop_log.h"
 
 namespace pumicedyke::server {
 
@@ -132,6 +133,7 @@
   std::unique_ptr<http::HttpServer> directory_http_;
   SettingsWatch watch_;
   GracefulStop stop_;
+  StopLog stop_log_;
   MisdirectedLog misdirected_;
   RefusedCallLog refused_calls_;
   ReportLog report_log_;
--- a/src/server/graceful_stop.cc
+++ b/src/server/graceful_stop.cc
@@ -14,19 +14,25 @@
 }
 
 bool GracefulStop::Done(Timestamp now, bool idle) {
-  const StopPhase phase = sequence_.Advance(now);
-  if (phase == StopPhase::kServing) {
+  phase_ = sequence_.Advance(now);
+  if (phase_ == StopPhase::kServing) {
     return false;
   }
-  size_t connections = 0;
   for (http::HttpServer* server : servers_) {
     server->StopListening();
-    if (phase == StopPhase::kClosingIdle) {
+    if (phase_ == StopPhase::kClosingIdle) {
       server->CloseIdleConnections();
     }
+  }
+  return StopSequence::MayExit(phase_, idle, connections());
+}
+
+size_t GracefulStop::connections() const {
+  size_t connections = 0;
+  for (const http::HttpServer* server : servers_) {
     connections += server->connections();
   }
-  return StopSequence::MayExit(phase, idle, connections);
+  return connections;
 }
 
 }  // namespace pumicedyke::server
--- a/src/server/graceful_stop.h
+++ b/src/server/graceful_stop.h
@@ -20,6 +20,10 @@
   /// this object.
   void Start(Timestamp now, const std::vector<http::HttpServer*>& servers);
   bool started() const { return started_; }
+  /// The phase at the last tick.
+  StopPhase phase() const { return phase_; }
+  /// Open connections of callers.
+  size_t connections() const;
 
   /// Must be called on every tick after Start().
   /// @param idle whether no admitted request waits for an answer.
@@ -29,6 +33,7 @@
  private:
   StopSequence sequence_;
   bool started_ = false;
+  StopPhase phase_ = StopPhase::kServing;
   std::vector<http::HttpServer*> servers_;
 };
 
--- /dev/null
+++ b/src/server/stop_log.cc
@@ -0,0 +1,39 @@
+#include "server/stop_log.h"
+
+#include "common/log.h"
+
+namespace pumicedyke::server {
+namespace {
+
+const char* PhaseName(StopPhase phase) {
+  switch (phase) {
+    case StopPhase::kServing:
+      return "serving";
+    case StopPhase::kNotListening:
+      return "not_listening";
+    case StopPhase::kClosingIdle:
+      return "closing_idle";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void StopLog::OnProgress(Timestamp now, const GracefulStop& stop,
+                         const gateway::WorkInProgress& work) {
+  if (now - logged_at_ < kInterval) {
+    return;
+  }
+  logged_at_ = now;
+  LogEvent("stop_progress", {{"phase", PhaseName(stop.phase())},
+                             {"connections", stop.connections()},
+                             {"running", work.running},
+                             {"waiting", work.waiting},
+                             {"shared", work.shared},
+                             {"partials", work.partials},
+                             {"not_started", work.not_started},
+                             {"oldest", work.oldest},
+                             {"oldest_ms", ToMilliseconds(work.oldest_age)}});
+}
+
+}  // namespace pumicedyke::server
