--- a/test/e2e/paused_stop.cc
+++ b/test/e2e/paused_stop.cc
@@ -6,6 +6,7 @@
 #include <future>
 
 #include "e2e/raw_connection.h"
+#include "e2e/whole_response.h"
 #include "net/event_loop.h"
 
 namespace pumicedyke::e2e {
@@ -15,16 +16,6 @@
   WaitFor("a moment of the stop", [time] { return net::EventLoop::Now() >= time; });
 }
 
-/// Returns true if the text is a whole response: one with a body of the announced length.
-bool IsWholeResponse(const std::string& text) {
-  const std::string length_header = "Content-Length: ";
-  const size_t length = text.find(length_header);
-  const size_t body = text.find("\r\n\r\n");
-  return text.starts_with("HTTP/1.1 ") && length != std::string::npos &&
-         body != std::string::npos &&
-         text.size() == body + 4 + std::stoul(text.substr(length + length_header.size()));
-}
-
 PausedStopOutcome StopWithPause(const PausedStop& stop) {
   RawConnection connection(stop.address);
   connection.SendBytes(stop.first);
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -94,6 +94,7 @@
   ++runs_;
   if (hold_) {
     responder.WatchClient([this] { ++cancelled_runs_; });
+    ++held_count_;
     held_.push_back({request_id, std::move(responder)});
     return;
   }
@@ -108,6 +109,7 @@
 
 void FakeLeaf::Answer(const std::string& request_id, http::Responder responder) {
   http::HttpResponse response;
+  response.status = fail_ ? 500 : 200;
   response.headers = {{"X-Instance-Id", id_}, {"X-Request-Id", request_id}};
   response.headers.push_back({"X-Server-Stamp", id_ + "." + request_id});
   response.headers.push_back({"X-Server-Load", "1,0,2"});
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -31,6 +31,8 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   /// Number of requests that the leaf has started to run.
   int runs() const { return runs_; }
+  /// Number of requests that the leaf was made to hold.
+  int held() const { return held_count_; }
   /// Number of held requests that were cancelled because their connection was closed.
   int cancelled_runs() const { return cancelled_runs_; }
   /// Headers of the last request received.
@@ -44,6 +46,8 @@
   void Release() { hold_ = false; }
   /// Makes the leaf refuse further requests without running them.
   void Shed() { shed_ = true; }
+  /// Makes the leaf answer further requests with a failure of its own, after it has run them.
+  void Fail() { fail_ = true; }
   /// Makes the leaf refuse nine of ten further requests although it has room.
   void RefuseMost() { refuse_most_ = true; }
   /// Sends a heartbeat to a control machine. @return its HTTP status.
@@ -66,10 +70,12 @@
   ArrivalLog* const arrivals_;
   std::atomic<uint16_t> port_{0};
   std::atomic<int> runs_{0};
+  std::atomic<int> held_count_{0};
   std::atomic<int> cancelled_runs_{0};
   std::atomic<bool> hold_{false};
   std::atomic<bool> shed_{false};
   std::atomic<bool> refuse_most_{false};
+  std::atomic<bool> fail_{false};
   /// Number of requests while the leaf refuses most.
   int offered_ = 0;
   /// Used on the leaf's thread only.
