A request waits only for a leaf that can take it in time, and for an attempt that can be paid

Cause: RequestExecution waits for a leaf until the deadline without asking whether one can come. (1) all leafs ejected until after the deadline; (2) a failure at hand, and another leaf waited for far beyond the objective; (3) a leaf waited for although the allowance denies the attempt: the denial was looked up only once there was a leaf (log of StopLimitTest: attempt ended 505 ms, answered 1,011 ms, unpaid).

Change: LeafPool::AvailableFrom() tells before when a leaf takes nothing. A shard that no leaf takes in time is abandoned at once, before anything is sent for the others. After an attempt that may have run, a request to one leaf waits no longer than its plan's wait (the objective less the way back). An attempt that is not paid is not waited for. A refusal of unrepeatable work tells when to come back, too.

--- a/src/balance/extra_load_budget.h
+++ b/src/balance/extra_load_budget.h
@@ -22,6 +22,8 @@
   /// The same for a caller that may use only the share `part` of the budget, 0 to 1; the rest is
   /// reserved for other callers.
   virtual bool TrySpendFraction(Timestamp now, double part) = 0;
+  /// Returns whether TrySpendFraction() would succeed now. Charges nothing.
+  virtual bool Affords(Timestamp now, double part) = 0;
   /// Returns the share of the budget that is left, 0 to 1.
   virtual double RemainingFraction(Timestamp now) = 0;
 };
@@ -37,14 +39,18 @@
     tokens_ = std::min(burst_, tokens_ + share);
   }
 
-  bool TrySpendFraction(Timestamp /*now*/, double part) override {
-    if (tokens_ < 1.0 + (1.0 - part) * burst_) {
+  bool TrySpendFraction(Timestamp now, double part) override {
+    if (!Affords(now, part)) {
       return false;
     }
     tokens_ -= 1.0;
     return true;
   }
 
+  bool Affords(Timestamp /*now*/, double part) override {
+    return tokens_ >= 1.0 + (1.0 - part) * burst_;
+  }
+
   double RemainingFraction(Timestamp /*now*/) override { return tokens_ / burst_; }
 
   double tokens() const { return tokens_; }
@@ -85,8 +91,7 @@
   void OnRegular(Timestamp now, double /*share*/) override { steps_.Current(now).regular += 1; }
 
   bool TrySpendFraction(Timestamp now, double part) override {
-    const Step sum = Sum(now);
-    if (sum.extra + 1 > part * Bound(sum)) {
+    if (!Affords(now, part)) {
       ++denied_;
       return false;
     }
@@ -94,6 +99,11 @@
     return true;
   }
 
+  bool Affords(Timestamp now, double part) override {
+    const Step sum = Sum(now);
+    return sum.extra + 1 <= part * Bound(sum);
+  }
+
   double RemainingFraction(Timestamp now) override {
     const Step sum = Sum(now);
     const double bound = Bound(sum);
--- a/src/balance/leaf_pool.cc
+++ b/src/balance/leaf_pool.cc
@@ -167,7 +167,7 @@
     return Availability::kLeaving;
   }
   const LeafState& state = it->second;
-  if (state.draining || state.leaving_in_config || state.leaving_on_platform) {
+  if (IsLeaving(state)) {
     return Availability::kLeaving;
   }
   if (IsCold(leaf, now) && AvailableCredit(cold_.at(leaf), now) < 1.0) {
@@ -179,6 +179,14 @@
   return !awaits_report && HasRoom(state, now) ? Availability::kReady : Availability::kBusy;
 }
 
+Timestamp LeafPool::AvailableFrom(const std::string& leaf, Timestamp now) const {
+  const auto it = leafs_.find(leaf);
+  if (it == leafs_.end() || IsLeaving(it->second)) {
+    return Timestamp::max();
+  }
+  return std::max(now, it->second.ejected_until);
+}
+
 std::optional<std::string> LeafPool::Choose(Timestamp now, const std::vector<std::string>& replicas,
                                             const std::set<std::string>& excluded) {
   // The choice is weighted random: if all nodes took the best leaf according to the same late
--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -64,6 +64,9 @@
   void OnHealth(Timestamp now, const std::string& leaf, bool draining);
 
   Availability AvailabilityOf(const std::string& leaf, Timestamp now) const;
+  /// Returns the time before which the leaf takes no work: `now` if it may take some at any moment,
+  /// Timestamp::max() if it is leaving or unknown.
+  Timestamp AvailableFrom(const std::string& leaf, Timestamp now) const;
 
   /// Chooses at random among the replicas that are ready and not in `excluded`, preferring those
   /// with a good score. @return unset if there are none.
@@ -150,6 +153,9 @@
   Duration StallTimeout(const LeafState& state, const InFlight& in_flight, Timestamp now) const;
   bool Stalled(const LeafState& state, Timestamp now) const;
   bool HasRoom(const LeafState& state, Timestamp now) const;
+  static bool IsLeaving(const LeafState& state) {
+    return state.draining || state.leaving_in_config || state.leaving_on_platform;
+  }
   bool IsCold(const std::string& leaf, Timestamp now) const;
   /// Returns the number of sub-requests that a cold leaf may get now.
   static double AvailableCredit(const ColdState& cold, Timestamp now);
--- a/src/gateway/extra_load_shares.cc
+++ b/src/gateway/extra_load_shares.cc
@@ -31,7 +31,16 @@
 
 bool ExtraLoadShares::Budget::TrySpendFraction(Timestamp now, double part) {
   Update(now);
-  return window_.TrySpendFraction(now, shares_->lease_->Settled(now) ? part : 0);
+  return window_.TrySpendFraction(now, UsablePart(now, part));
+}
+
+bool ExtraLoadShares::Budget::Affords(Timestamp now, double part) {
+  Update(now);
+  return window_.Affords(now, UsablePart(now, part));
+}
+
+double ExtraLoadShares::Budget::UsablePart(Timestamp now, double part) const {
+  return shares_->lease_->Settled(now) ? part : 0;
 }
 
 double ExtraLoadShares::Budget::RemainingFraction(Timestamp now) {
--- a/src/gateway/extra_load_shares.h
+++ b/src/gateway/extra_load_shares.h
@@ -86,6 +86,7 @@
     void ResetShare(double shared_fraction, double ownership);
     void OnRegular(Timestamp now, double share) override;
     bool TrySpendFraction(Timestamp now, double part) override;
+    bool Affords(Timestamp now, double part) override;
     double RemainingFraction(Timestamp now) override;
     balance::ExtraLoadUse Use(Timestamp now);
 
@@ -94,6 +95,8 @@
    private:
     /// Sets the fixed part to what this gateway's share is now, and how much may be earned.
     void Update(Timestamp now);
+    /// Returns the part of the budget that may be used, of what a caller may use.
+    double UsablePart(Timestamp now, double part) const;
 
     ExtraLoadShares* shares_;
     balance::SlidingWindowBudget window_;
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -259,6 +259,7 @@
                                 [this] { return SubRequestId{ids_.Next()}; }, target.budgets};
   query::ExecutionOptions options = ExecutionOptionsFor(now, *active.request);
   options.retry_refusing_leafs = route.gathers();
+  options.limit_retry_wait = !route.gathers();
   options.rank = query::RankOf(active.request->request_id);
   options.max_missing = query::MaxMissing(services.size(), route.min_coverage, /*groups=*/1,
                                           /*group=*/0, active.request->request_id);
--- a/src/query/request_answer.cc
+++ b/src/query/request_answer.cc
@@ -123,9 +123,12 @@
   answer.sub_requests = sent_;
   answer.extra_sub_requests = extra_;
   answer.budget_denied_shards = abandoned_for_budget_;
-  if (!answer.coverage.missing.empty() && plan_.repeatable) {
+  const bool incomplete = !answer.coverage.missing.empty();
+  if (incomplete && plan_.repeatable) {
     answer.continuation =
         EncodeContinuation(request_.service, snapshot_id_, answer.coverage.missing);
+  }
+  if (incomplete && (plan_.repeatable || answer.run == RunState::kNotRun)) {
     Duration wait = kMinRetryAfter;
     for (const ShardProgress& shard : shards_) {
       if (!shard.covered) {
--- a/src/query/request_budget.cc
+++ b/src/query/request_budget.cc
@@ -33,8 +33,15 @@
       options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
   const bool charged =
       kind == SendKind::kExtra || (kind == SendKind::kReplacement && options_.charge_replacements);
-  const double fraction = options_.has_uncleared_losses ? kSuspectBudgetFraction : 1.0;
-  return !budgeted || !charged || BudgetOf(shard)->TrySpendFraction(now, fraction);
+  return !budgeted || !charged || BudgetOf(shard)->TrySpendFraction(now, BudgetFraction());
+}
+
+double RequestExecution::BudgetFraction() const {
+  return options_.has_uncleared_losses ? kSuspectBudgetFraction : 1.0;
+}
+
+bool RequestExecution::AffordsExtra(Timestamp now, const ShardProgress& shard) const {
+  return BudgetOf(shard)->Affords(now, BudgetFraction());
 }
 
 void RequestExecution::SetBudgetDenied(ShardProgress* shard, bool budget_denied) {
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -145,6 +145,13 @@
   }
   wake_ = deadline_;
   LimitProbation(now);
+  if (sent_ == 0) {
+    AbandonUnreachable(now);
+    Evaluate(now);
+    if (answered_) {
+      return;
+    }
+  }
   for (ShardProgress& shard : shards_) {
     AdvanceShard(now, &shard);
     wake_ = std::min(wake_, ShardWake(now, shard));
@@ -177,6 +184,29 @@
   });
 }
 
+Timestamp RequestExecution::WaitLimit(const ShardProgress& shard) const {
+  const bool failed = options_.limit_retry_wait && PossibleRuns(shard) > 0;
+  return failed ? std::min(deadline_, started_ + plan_.wait) : deadline_;
+}
+
+bool RequestExecution::NoLeafInTime(Timestamp now, const ShardProgress& shard) const {
+  const Timestamp limit = WaitLimit(shard);
+  const auto& replicas = shard.shard.replicas;
+  return std::none_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
+    return context_.pool->AvailableFrom(replica, now) < limit ||
+           context_.pool->AvailabilityOf(replica, now) == balance::Availability::kReady;
+  });
+}
+
+void RequestExecution::AbandonUnreachable(Timestamp now) {
+  for (ShardProgress& shard : shards_) {
+    if (!shard.abandoned && now < deadline_ && NoLeafInTime(now, shard)) {
+      shard.reason = MissingReason::kUnreachable;
+      AbandonShard(&shard);
+    }
+  }
+}
+
 bool RequestExecution::AnyUntriedReady(Timestamp now, const ShardProgress& shard) const {
   const auto& replicas = shard.shard.replicas;
   return std::any_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
@@ -215,7 +245,7 @@
   // Beyond the maximum number of attempts, another leaf is tried only if one is ready, so that the
   // caller is not kept waiting.
   const bool no_leaf_ready = RefusalLimitReached(*shard) && !AnyUntriedReady(now, *shard);
-  if (!may_follow || !MayAttemptAgain(*shard) || no_leaf_ready) {
+  if (!may_follow || !MayAttemptAgain(*shard) || no_leaf_ready || NoLeafInTime(now, *shard)) {
     AbandonShard(shard);
     return;
   }
@@ -315,7 +345,9 @@
   const std::optional<std::string> leaf =
       context_.pool->Choose(now, shard->shard.replicas, excluded);
   if (!leaf.has_value()) {
-    return SendResult::kNoLeaf;
+    // A leaf that becomes ready later is of no use if the attempt can't be paid for.
+    const bool unpaid = kind == SendKind::kExtra && !AffordsExtra(now, *shard);
+    return unpaid ? SendResult::kBudgetDenied : SendResult::kNoLeaf;
   }
   if (!TryChargeBudget(now, *shard, kind)) {
     return SendResult::kBudgetDenied;
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -58,6 +58,10 @@
   double rank = 0;
   /// With `retry_refusing_leafs`: shards that may stay without a result.
   size_t max_missing = 0;
+  /// After an attempt that may have run has failed, another leaf is waited for no longer than the
+  /// plan's wait: the failure is an answer, and the caller may try elsewhere. Otherwise until the
+  /// deadline.
+  bool limit_retry_wait = false;
   /// Charges the first sub-request of a shard like a hedge, since another gateway may have sent one
   /// already.
   bool charge_first = false;
@@ -230,6 +234,10 @@
   };
   enum class SendResult { kSent, kNoLeaf, kBudgetDenied };
   bool TryChargeBudget(Timestamp now, const ShardProgress& shard, SendKind kind) const;
+  /// Returns whether an extra sub-request could be paid for now.
+  bool AffordsExtra(Timestamp now, const ShardProgress& shard) const;
+  /// Returns the part of the budget that this request may use.
+  double BudgetFraction() const;
   balance::ExtraLoadLimit* BudgetOf(const ShardProgress& shard) const;
   /// Returns the number of attempts that ran or may have run. Refused attempts cost the leafs no
   /// work, so the limit on attempts does not count them.
@@ -274,6 +282,13 @@
   bool Overdue(Timestamp now, const Attempt& attempt) const;
   void SetWaiting(ShardProgress* shard, bool waiting);
   bool AllReplicasTriedOrLeaving(Timestamp now, const ShardProgress& shard) const;
+  /// Returns until when a leaf is waited for that takes the next attempt.
+  Timestamp WaitLimit(const ShardProgress& shard) const;
+  /// Returns whether no leaf of the shard takes an attempt before WaitLimit(), as far as known.
+  bool NoLeafInTime(Timestamp now, const ShardProgress& shard) const;
+  /// Abandons the shards that no leaf takes in time, before anything is sent for the others: the
+  /// request may be out of reach without them.
+  void AbandonUnreachable(Timestamp now);
   bool AnyUntriedReady(Timestamp now, const ShardProgress& shard) const;
   bool MayTryReplicasAgain(const ShardProgress& shard) const;
   size_t ActiveAttempts(const ShardProgress& shard) const;
