A stopping gateway answers every request before it is killed

Cause: a planned stop waited for all requests in progress without a limit of its own, and nothing told the process when the platform's SIGKILL comes. Requests held for a leaf, for an answer, gathered alone or for another gateway all waited for their own deadlines.

StopSequence tells when everything must have been answered, a tenth of that time before the kill; RequestExecution and SharedGather get that as their deadline (result shutting_down, 504 where a leaf may have run it, 503 where not, leafs are told less time and stopped); a merger answers with what it has. Requests that wait for a leaf are refused after 500 ms, and those that usually take longer than is left at once: other gateways may serve them. At the end what was not read whole is refused with 503. Without the setting nothing changes.

It works because each wait of a request ends at a time that is known at the signal, not at the leafs'.

--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -293,12 +293,4 @@
   return addresses;
 }
 
-void GatewayServer::StartDraining(Timestamp now) {
-  draining_ = true;
-  for (auto& [address, link] : links_) {
-    link.next_presence = now;
-  }
-  MaintainControlLinks(now);
-}
-
 }  // namespace pumicedyke::gateway
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -98,7 +98,8 @@
   const auto priority = static_cast<int>(query.priority);
   const bool refused = table_ == nullptr || query.shards.empty() ||
                        active_.size() >= options_.knobs.max_in_progress ||
-                       quarantined_.contains(query.identity) || now >= arrived + query.budget;
+                       quarantined_.contains(query.identity) || now >= arrived + query.budget ||
+                       StopsBeforeAnswer(now, query.route);
   if (refused) {
     SendPartialAnswer(session, EmptyPartialAnswer(query.id, wire::PartialStage::kRefused),
                       priority);
@@ -174,6 +175,7 @@
   active.execution =
       std::make_unique<query::RequestExecution>(std::move(caller), plan, nullptr, target.service,
                                                 snapshot, std::move(context), options, arrived);
+  LimitToStop(now, &active);
   active.execution->Advance(now);
   Collect(now, id);
 }
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -266,6 +266,7 @@
   active.execution = std::make_unique<query::RequestExecution>(
       std::move(caller), PlanFor(route, *active.request), nullptr, target.service, snapshot,
       std::move(context), options, arrived);
+  LimitToStop(now, &active);
   active.execution->Advance(now);
   Collect(now, id);
 }
@@ -461,6 +462,7 @@
   ApplyLimitOutput(now);
   ReportRuns(now);
   UpdateTrials(now);
+  RefuseBeforeKill(now);
   WakeRequests(now);
 }
 
@@ -496,6 +498,9 @@
   for (const auto& [id, early] : early_) {
     wake = std::min(wake, early.until);
   }
+  if (answer_by_.has_value() && *answer_by_ > now) {
+    wake = std::min(wake, *answer_by_);
+  }
   if (run_tracker_.has_report()) {
     wake = std::min(wake, runs_reported_ + options_.knobs.run_report_interval);
   }
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -272,7 +272,8 @@
   /// Sets the control machines that are never forgotten.
   void SetControlSeeds(const std::vector<std::string>& addresses);
   /// Directs clients to other gateways from now on; requests that still arrive are served.
-  void StartDraining(Timestamp now);
+  /// @param answer_by time by which all are answered, whatever the leafs do; unset: no limit.
+  void StartDraining(Timestamp now, std::optional<Timestamp> answer_by = std::nullopt);
   bool Drained() const {
     return active_.empty() && early_.empty() && held_.empty() && awaiting_trial_.empty();
   }
@@ -529,6 +530,14 @@
   /// Sends questions, and refuses requests that have waited too long for a trial.
   void UpdateTrials(Timestamp now);
 
+  // The planned stop (gateway_stop.cc).
+  /// Returns whether this gateway must have answered before a request of the route usually is.
+  bool StopsBeforeAnswer(Timestamp now, const std::string& route) const;
+  /// Limits a request that is started or in progress while this gateway stops.
+  void LimitToStop(Timestamp now, Active* active) const;
+  /// Refuses the requests that were not started once all must be answered.
+  void RefuseBeforeKill(Timestamp now);
+
   /// Applies pending leaf reports at once if a service has no usable leaf.
   void MergeIfLeafsMissing(Timestamp now, const std::vector<std::string>& services);
   void StartExecution(Timestamp now, RequestId id, const routing::Route& route,
@@ -676,6 +685,8 @@
   quarantine::TrialClient trials_;
   std::map<RequestId, HeldRequest> awaiting_trial_;
   bool draining_ = false;
+  /// Set while this gateway stops: when all requests must have been answered.
+  std::optional<Timestamp> answer_by_;
   Timestamp started_;
   std::map<RequestId, Active> active_;
   std::map<RequestId, EarlyRequest> early_;
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -103,6 +103,7 @@
       SharedPlanFor(route, *active->request, groups), ranges, options, choose,
       [this] { return ids_.Next(); }, arrived);
   SetLearnedDue(*active, active->shared.get());
+  LimitToStop(now, active);
   active->shared->Advance(now);
   CollectShared(now, id);
   return true;
@@ -121,7 +122,7 @@
   query.method = active.request->method;
   query.head = active.head == nullptr ? active.request->encoded_head : *active.head;
   query.payload = active.request->body;
-  query.budget = std::max(Duration(0), started + plan.deadline - now);
+  query.budget = std::max(Duration(0), active.shared->deadline() - now);
   query.report_after = std::max(Duration(0), started + plan.wait - ReportLead(groups) - now);
   query.objective = active.route->objective;
   query.top_records = static_cast<uint32_t>(active.route->top_records);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -112,14 +112,23 @@
 }
 
 void HttpServer::CloseIdleConnections() {
-  // Closing removes the connection from the map.
+  for (const auto& connection : Connections()) {
+    connection->CloseIfIdle();
+  }
+}
+
+void HttpServer::RefuseUnfinishedRequests() {
+  for (const auto& connection : Connections()) {
+    connection->RefuseIfUnfinished();
+  }
+}
+
+std::vector<std::shared_ptr<HttpServer::Connection>> HttpServer::Connections() const {
   std::vector<std::shared_ptr<Connection>> open;
   for (const auto& [id, connection] : connections_) {
     open.push_back(connection);
   }
-  for (const auto& connection : open) {
-    connection->CloseIfIdle();
-  }
+  return open;
 }
 
 }  // namespace pumicedyke::http
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "http/message.h"
@@ -107,6 +108,8 @@
   /// Closes the connections without a request. One on which bytes have arrived stays open, also if
   /// they were not read yet.
   void CloseIdleConnections();
+  /// Refuses the requests of which only a part has been read.
+  void RefuseUnfinishedRequests();
   unsigned connections() const { return static_cast<unsigned>(connections_.size()); }
 
   int handle_input(ACE_HANDLE handle) override;
@@ -118,6 +121,8 @@
   /// Accepts one connection. @return false if none waits.
   bool Accept();
   void Remove(uint64_t id);
+  /// Returns the open connections, since handling one may remove it.
+  std::vector<std::shared_ptr<Connection>> Connections() const;
 
   net::EventLoop* loop_;
   HttpServerOptions options_;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -118,6 +118,13 @@
   }
 }
 
+void HttpServer::Connection::RefuseIfUnfinished() {
+  const bool unfinished = ReadyForRequest() && parser_.state() != ParseState::kEmpty;
+  if (unfinished && !stream_.HasUnreadInput()) {
+    Refuse(ResultCode::kShuttingDown);
+  }
+}
+
 void HttpServer::Connection::Detach() {
   server_ = nullptr;
   stream_.Close();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -27,6 +27,8 @@
 
   /// Closes the connection unless a request or its response is in progress, or bytes have arrived.
   void CloseIfIdle();
+  /// Refuses the request that is being read, if there is one and all that has arrived was read.
+  void RefuseIfUnfinished();
   /// Closes the connection because the server is being destroyed. Later responses are ignored.
   void Detach();
 
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -14,6 +14,8 @@
 constexpr Duration kInitialRoundPause = Milliseconds(2);
 constexpr Duration kMaxRoundPause = Milliseconds(32);
 constexpr double kMedian = 0.5;
+/// How long a request waits for a leaf while its process stops.
+constexpr Duration kMaxWaitWhileStopping = Milliseconds(500);
 /// Fraction of the extra-load budget that hedges may use in normal operation.
 constexpr double kHedgeShare = 0.25;
 
@@ -184,9 +186,19 @@
   });
 }
 
+void RequestExecution::OnStopping(Timestamp now, Timestamp answer_by) {
+  if (answer_by < deadline_) {
+    deadline_ = answer_by;
+    deadline_code_ = ResultCode::kShuttingDown;
+  }
+  wait_limit_ = now + kMaxWaitWhileStopping;
+  wake_ = now;
+}
+
 Timestamp RequestExecution::WaitLimit(const ShardProgress& shard) const {
+  const Timestamp limit = std::min(deadline_, wait_limit_);
   const bool failed = options_.limit_retry_wait && PossibleRuns(shard) > 0;
-  return failed ? std::min(deadline_, started_ + plan_.wait) : deadline_;
+  return failed ? std::min(limit, started_ + plan_.wait) : limit;
 }
 
 bool RequestExecution::NoLeafInTime(Timestamp now, const ShardProgress& shard) const {
@@ -553,7 +565,7 @@
   if (possible == covered_ || out_of_reach) {
     Finish(now, ResultCode::kCoverageNotReached);
   } else if (now >= deadline_) {
-    Finish(now, ResultCode::kDeadlineExceeded);
+    Finish(now, deadline_code_);
   } else if (enough && covered_ > 0 && plan_.repeatable && PolicyAllowsAnswer(now)) {
     Finish(now, ResultCode::kPartial);
   }
@@ -571,6 +583,15 @@
   if (plan_.repeatable) {
     AbandonAll(now, failure == ResultCode::kDeadlineExceeded);
   }
+  if (failure == ResultCode::kShuttingDown) {
+    StopCancelledWork();
+  }
+}
+
+void RequestExecution::StopCancelledWork() {
+  for (SubRequestCancel& cancel : actions_.cancels) {
+    cancel.overdue = true;
+  }
 }
 
 void RequestExecution::Stop(Timestamp now, ResultCode code) {
@@ -578,9 +599,7 @@
     return;
   }
   Finish(now, code);
-  for (SubRequestCancel& cancel : actions_.cancels) {
-    cancel.overdue = true;
-  }
+  StopCancelledWork();
 }
 
 void RequestExecution::AbandonAll(Timestamp now, bool timed_out) {
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -133,6 +133,10 @@
   void Stop(Timestamp now, ResultCode code);
   /// Ends `hold_attempts`.
   void ReleaseAttempts(Timestamp now);
+  /// The process stops, and other processes may serve the request: from now on it waits only
+  /// shortly for a leaf, and is answered by `answer_by`. Has an effect at the next Advance(), which
+  /// must follow.
+  void OnStopping(Timestamp now, Timestamp answer_by);
 
   /// Returns true when every replica of a shard reported that it does not hold the snapshot, and
   /// the whole request may restart on another snapshot.
@@ -300,6 +304,8 @@
   void Evaluate(Timestamp now);
   bool PolicyAllowsAnswer(Timestamp now);
   void Finish(Timestamp now, ResultCode failure);
+  /// Makes the leafs stop what was cancelled, however long it has been running.
+  void StopCancelledWork();
   ResultCode FinalCode(const Coverage& coverage, ResultCode failure) const;
   Coverage CurrentCoverage() const;
 
@@ -311,6 +317,10 @@
   ExecutionOptions options_;
   Timestamp started_;
   Timestamp deadline_;
+  /// What the request fails with at the deadline.
+  ResultCode deadline_code_ = ResultCode::kDeadlineExceeded;
+  /// Until when a leaf is waited for.
+  Timestamp wait_limit_ = Timestamp::max();
   SnapshotId snapshot_id_;
   std::vector<ShardProgress> shards_;
   /// Index of the shard that a sub-request was sent for; sub-requests of an earlier snapshot are
--- a/src/query/shared_gather.cc
+++ b/src/query/shared_gather.cc
@@ -44,6 +44,13 @@
   Evaluate(now);
 }
 
+void SharedGather::OnStopping(Timestamp answer_by) {
+  if (answer_by < deadline_) {
+    deadline_ = answer_by;
+    deadline_code_ = ResultCode::kShuttingDown;
+  }
+}
+
 SharedGather::PartialQuery* SharedGather::WorkingQuery(Group* group) {
   for (PartialQuery& partial_query : group->partial_queries) {
     if (partial_query.open() && !partial_query.await_confirmation) {
@@ -306,7 +313,7 @@
   } else if (possible == covered_ || out_of_reach) {
     Finish(ResultCode::kCoverageNotReached);
   } else if (now >= deadline_) {
-    Finish(ResultCode::kDeadlineExceeded);
+    Finish(deadline_code_);
   } else if (HasMinCoverage() && IsDue(now)) {
     Finish(ResultCode::kPartial);
   }
--- a/src/query/shared_gather.h
+++ b/src/query/shared_gather.h
@@ -128,6 +128,9 @@
   void OnPartialAnswer(Timestamp now, const wire::PartialAnswer& answer);
   /// Handles a lost connection to a merger.
   void OnMergerLost(Timestamp now, const std::string& merger);
+  /// The process stops: the request is answered by `answer_by`. Has an effect at the next
+  /// Advance().
+  void OnStopping(Timestamp answer_by);
   /// Cancels all partial queries because the client has disconnected.
   void AbandonAll();
 
@@ -135,6 +138,7 @@
   /// Returns when Advance() must be called next if no message arrives before.
   Timestamp NextWake(Timestamp now) const;
   Timestamp started() const { return started_; }
+  Timestamp deadline() const { return deadline_; }
   /// Returns the latest computed time for sending a partial answer.
   Timestamp answer_due() const { return started_ + answer_due_; }
   /// Returns the arrivals of shard results, in order of time.
@@ -208,6 +212,8 @@
   NextIdCb next_id_;
   Timestamp started_;
   Timestamp deadline_;
+  /// What the request fails with at the deadline.
+  ResultCode deadline_code_ = ResultCode::kDeadlineExceeded;
   AnswerTimeCb due_;
   Duration answer_due_;
   /// Shards covered when `answer_due_` was last computed; unset: not computed yet.
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -157,7 +157,7 @@
       loop_(loop),
       dialect_(dialect),
       watch_(settings_.path),
-      stop_(kStopGrace) {}
+      stop_(StopTimes{.grace = kStopGrace}) {}
 
 absl::StatusOr<ControlProcess::OpenedStorage> ControlProcess::OpenStorage() const {
   if (absl::Status status = storage::PosixFileSystem::CreateFolder(settings_.data_folder);
--- a/src/server/gateway_process.cc
+++ b/src/server/gateway_process.cc
@@ -64,7 +64,7 @@
   limit.window = Milliseconds(file.Integer("limit_window_ms", 0, 0, kMaxMilliseconds));
   limit.overage = file.Number("limit_overage", 0, 0, 10);
   limit.slack = file.Number("limit_slack", 0, 0, 1e9);
-  settings.drain_grace = Milliseconds(file.Integer("drain_grace_ms", 3000, 0, kMaxMilliseconds));
+  settings.stop = ReadStopTimes(&file, Milliseconds(3000));
   if (absl::Status status = file.Finish(); !status.ok()) {
     return status;
   }
@@ -77,7 +77,7 @@
       dialect_(dialect),
       loop_(loop),
       watch_(settings_.path),
-      stop_(settings_.drain_grace) {}
+      stop_(settings_.stop) {}
 
 absl::Status GatewayProcess::Start() {
   gateway::GatewayOptions options;
@@ -418,7 +418,7 @@
   LogEvent("stopping", {});
   const Timestamp now = net::EventLoop::Now();
   stop_.Start(now, {http_.get(), directory_http_.get()});
-  server_->StartDraining(now);
+  server_->StartDraining(now, stop_.answer_by());
   DispatchOutput();
 }
 
--- a/src/server/gateway_process.h
+++ b/src/server/gateway_process.h
@@ -54,7 +54,7 @@
   /// No gateway of the fleet has run before.
   bool first_start = false;
   admission::EntryOptions entry;
-  Duration drain_grace{};
+  StopTimes stop;
   std::string port_file;
   /// Path of the settings file; empty: flags only.
   std::string path;
--- a/src/server/graceful_stop.cc
+++ b/src/server/graceful_stop.cc
@@ -20,7 +20,10 @@
   }
   for (http::HttpServer* server : servers_) {
     server->StopListening();
-    if (phase_ == StopPhase::kClosingIdle) {
+    if (phase_ == StopPhase::kRefusing) {
+      server->RefuseUnfinishedRequests();
+    }
+    if (phase_ == StopPhase::kClosingIdle || phase_ == StopPhase::kRefusing) {
       server->CloseIdleConnections();
     }
   }
--- a/src/server/graceful_stop.h
+++ b/src/server/graceful_stop.h
@@ -1,8 +1,10 @@
 // Sequence of a planned stop. The process first serves for a grace period in which its answers send
 // callers elsewhere, then accepts no more connections, then waits for requests in flight. No
-// request is interrupted, and none that has arrived is left unread.
+// request is interrupted, and none that has arrived is left unread. Where the process is killed
+// some time after the signal, all are answered before that.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "common/types.h"
@@ -14,12 +16,14 @@
 /// Used on the event loop's thread only.
 class GracefulStop {
  public:
-  explicit GracefulStop(Duration grace) : sequence_(grace) {}
+  explicit GracefulStop(StopTimes times) : sequence_(times) {}
 
   /// @param servers those whose callers must be answered; null ones are left out. They must outlive
   /// this object.
   void Start(Timestamp now, const std::vector<http::HttpServer*>& servers);
   bool started() const { return started_; }
+  /// As StopSequence::answer_by().
+  std::optional<Timestamp> answer_by() const { return sequence_.answer_by(); }
   /// The phase at the last tick.
   StopPhase phase() const { return phase_; }
   /// Open connections of callers.
--- a/src/server/leaf_process.h
+++ b/src/server/leaf_process.h
@@ -33,7 +33,7 @@
   net::EventLoop* loop_;
   std::unique_ptr<http::HttpServer> http_;
   std::map<std::pair<std::string, SubRequestId>, http::Responder> waiting_;
-  GracefulStop stop_{kStopGrace};
+  GracefulStop stop_{StopTimes{.grace = kStopGrace}};
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -62,7 +62,7 @@
   settings.max_connections_per_leaf = file.Integer("max_connections_per_leaf", 32, 1, 10000);
   settings.max_in_progress = file.Integer("max_in_progress", 20000, 1, 1000000);
   settings.max_config_age = Milliseconds(file.Integer("max_config_age_ms", 10000, 0, 86400000));
-  settings.drain_grace = Milliseconds(file.Integer("drain_grace_ms", 500, 0, 600000));
+  settings.stop = ReadStopTimes(&file, Milliseconds(500));
   if (settings.control.empty()) {
     file.AddError("control", "must list the address of at least one control machine");
   }
@@ -76,7 +76,7 @@
 }
 
 NodeProcess::NodeProcess(NodeSettings settings, net::EventLoop* loop)
-    : settings_(std::move(settings)), loop_(loop), stop_(settings_.drain_grace) {}
+    : settings_(std::move(settings)), loop_(loop), stop_(settings_.stop) {}
 
 absl::Status NodeProcess::Start() {
   if (absl::Status status = storage::PosixFileSystem::CreateFolder(settings_.data_folder);
--- a/src/server/node_process.h
+++ b/src/server/node_process.h
@@ -33,7 +33,7 @@
   int64_t max_connections_per_leaf = 0;
   int64_t max_in_progress = 0;
   Duration max_config_age{};
-  Duration drain_grace{};
+  StopTimes stop;
 };
 
 absl::StatusOr<NodeSettings> ReadNodeSettings(const std::string& path);
--- a/src/server/process.cc
+++ b/src/server/process.cc
@@ -36,6 +36,16 @@
   return addresses;
 }
 
+StopTimes ReadStopTimes(Settings* settings, Duration grace) {
+  constexpr int64_t kMaxMilliseconds = 3600 * 1000;
+  const auto default_grace = static_cast<int64_t>(ToMilliseconds(grace));
+  StopTimes times;
+  times.grace =
+      Milliseconds(settings->Integer("drain_grace_ms", default_grace, 0, kMaxMilliseconds));
+  times.kill_after = Milliseconds(settings->Integer("kill_after_ms", 0, 0, kMaxMilliseconds));
+  return times;
+}
+
 RegionMap ReadRegions(Settings* settings) {
   std::map<std::string, std::string> region_of;
   for (const std::string& entry : settings->List("regions")) {
--- a/src/server/process.h
+++ b/src/server/process.h
@@ -12,6 +12,7 @@
 #include "common/settings.h"
 #include "http/http_server.h"
 #include "net/event_loop.h"
+#include "server/stop_sequence.h"
 
 namespace pumicedyke::server {
 
@@ -35,6 +36,10 @@
 /// Reads `regions`: "zone=region" of every zone.
 RegionMap ReadRegions(Settings* settings);
 
+/// Reads `drain_grace_ms` and `kill_after_ms`.
+/// @param grace the default of the former.
+StopTimes ReadStopTimes(Settings* settings, Duration grace);
+
 /// Prints a status to standard error. @return the matching exit code.
 int ReportFailure(const std::string& process, const absl::Status& status);
 
--- a/src/server/stop_log.cc
+++ b/src/server/stop_log.cc
@@ -13,6 +13,8 @@
       return "not_listening";
     case StopPhase::kClosingIdle:
       return "closing_idle";
+    case StopPhase::kRefusing:
+      return "refusing";
   }
   return "unknown";
 }
--- a/src/sim/control_host.h
+++ b/src/sim/control_host.h
@@ -79,7 +79,7 @@
   std::unique_ptr<storage::LogStorage> storage_;
   std::unique_ptr<control::ControlServer> server_;
   std::function<void()> stopped_;
-  server::StopSequence stop_{kStopGrace};
+  server::StopSequence stop_{server::StopTimes{.grace = kStopGrace}};
   bool accepts_ = true;
   size_t open_tickets_ = 0;
 };
--- a/src/sim/node_host.h
+++ b/src/sim/node_host.h
@@ -65,7 +65,7 @@
   uint64_t incarnation_ = 0;
   std::unique_ptr<node::NodeServer> server_;
   std::function<void()> stopped_;
-  server::StopSequence stop_{kStopGrace};
+  server::StopSequence stop_{server::StopTimes{.grace = kStopGrace}};
   bool accepts_ = true;
   Timestamp next_tick_{};
 };
--- a/test/server/graceful_stop_test.cc
+++ b/test/server/graceful_stop_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Duration kGrace = Milliseconds(300);
+constexpr Duration kKillAfter = Seconds(2);
 constexpr Timestamp kStart{Seconds(100)};
 constexpr char kRequest[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -77,7 +78,7 @@
  private:
   net::EventLoop loop_;
   http::HttpServer server_;
-  GracefulStop stop_{kGrace};
+  GracefulStop stop_{StopTimes{.grace = kGrace, .kill_after = kKillAfter}};
   Duration elapsed_{};
   int requests_ = 0;
 };
@@ -89,6 +90,7 @@
   CPPUNIT_TEST(UnreadRequestOnKeptConnectionIsAnswered);
   CPPUNIT_TEST(UnacceptedConnectionIsServed);
   CPPUNIT_TEST(RequestInPiecesIsAnswered);
+  CPPUNIT_TEST(UnfinishedRequestIsRefusedBeforeTheKill);
   CPPUNIT_TEST(IdleConnectionsAreClosedInTime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -134,6 +136,25 @@
     server.CheckAnswered(client.get(), Milliseconds(960));
   }
 
+  /// Guards against a process that waits for the rest of a request until it is killed.
+  void UnfinishedRequestIsRefusedBeforeTheKill() {
+    StoppingServer server;
+    const auto client = server.Connect();
+    server.Exchange(client.get());
+    server.Start();
+    const std::string request = kRequest;
+    client->SendBytes(request.substr(0, 5));
+    int turns = 0;
+    server.PollUntil("some turns", [&] { return ++turns > 3; });
+    CPPUNIT_ASSERT(!server.TickUntil(kKillAfter));
+    std::string received;
+    server.PollUntil("a refusal", [&] {
+      received += client->ReadAvailable();
+      return received.ends_with("}");
+    });
+    CPPUNIT_ASSERT_MESSAGE(received, received.starts_with("HTTP/1.1 503"));
+  }
+
   void IdleConnectionsAreClosedInTime() {
     StoppingServer server;
     const auto client = server.Connect();
