Review of the bounded waits: what has begun goes on, late failures wait for a busy leaf

Change: the short wait of a stop holds only while nothing ran, and not for groups merged for others; after a failure a leaf is waited for at least as long as a usual sub-request takes; replacements are looked up like repeats; whether there is time left is asked when a request starts, with the 0.95 quantile for work that must not be repeated; mergers are asked to report before the root's end; leafs already tried don't count; the reason of a shard whose leafs all leave is 'leaving' again.

--- a/src/balance/leaf_pool.h
+++ b/src/balance/leaf_pool.h
@@ -64,8 +64,9 @@
   void OnHealth(Timestamp now, const std::string& leaf, bool draining);
 
   Availability AvailabilityOf(const std::string& leaf, Timestamp now) const;
-  /// Returns the time before which the leaf takes no work: `now` if it may take some at any moment,
-  /// Timestamp::max() if it is leaving or unknown.
+  /// Returns the time before which the leaf takes no work, as far as is known: `now` if it may take
+  /// some at any moment, Timestamp::max() if it is leaving or unknown. A leaf that registers anew
+  /// may be available earlier.
   Timestamp AvailableFrom(const std::string& leaf, Timestamp now) const;
 
   /// Chooses at random among the replicas that are ready and not in `excluded`, preferring those
--- a/src/gateway/gateway_entry.cc
+++ b/src/gateway/gateway_entry.cc
@@ -64,8 +64,8 @@
 
 void GatewayServer::OnRequest(Timestamp now, RequestId id,
                               std::shared_ptr<const PayloadRequest> request, Timestamp arrived) {
-  if (answer_by_.has_value() && now >= *answer_by_) {
-    Refuse(now, id, std::move(request), ResultCode::kShuttingDown, Duration(0));
+  if (MustHaveAnswered(now)) {
+    RefuseStopping(now, id, std::move(request));
     return;
   }
   if (table_ == nullptr) {
@@ -92,10 +92,6 @@
     Refuse(now, id, std::move(request), ResultCode::kOverloaded, kRetryWhenOverloaded);
     return;
   }
-  if (StopsBeforeAnswer(now, route->name)) {
-    Refuse(now, id, std::move(request), ResultCode::kShuttingDown, Duration(0));
-    return;
-  }
   const admission::EntryDecision entry =
       gate_.Admit(now, id, *table_, *route, request->api_key, KeysProvenAt());
   switch (entry.result) {
--- a/src/gateway/gateway_merging.cc
+++ b/src/gateway/gateway_merging.cc
@@ -99,7 +99,7 @@
   const bool refused = table_ == nullptr || query.shards.empty() ||
                        active_.size() >= options_.knobs.max_in_progress ||
                        quarantined_.contains(query.identity) || now >= arrived + query.budget ||
-                       StopsBeforeAnswer(now, query.route);
+                       StopsBeforeAnswer(now, query.route, /*repeatable=*/true);
   if (refused) {
     SendPartialAnswer(session, EmptyPartialAnswer(query.id, wire::PartialStage::kRefused),
                       priority);
@@ -186,6 +186,7 @@
     const StandbyQuery standby = std::move(ready->second);
     stand_by_.erase(ready);
     if (now >= standby.arrived + standby.query.budget || table_ == nullptr ||
+        StopsBeforeAnswer(now, standby.query.route, /*repeatable=*/true) ||
         quarantined_.contains(standby.query.identity)) {
       SendPartialAnswer(session, EmptyPartialAnswer(confirm.id, wire::PartialStage::kRefused),
                         static_cast<int>(standby.query.priority));
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -221,6 +221,10 @@
     Refuse(now, id, std::move(request), ResultCode::kCoverageNotReached, Duration(0));
     return;
   }
+  if (StopsBeforeAnswer(now, route.name, route.repeatable)) {
+    RefuseStopping(now, id, std::move(request));
+    return;
+  }
   Active& active = active_[id];
   active.request = std::move(request);
   active.allowed_regions = *std::move(allowed_regions);
--- a/src/gateway/gateway_server.h
+++ b/src/gateway/gateway_server.h
@@ -531,8 +531,14 @@
   void UpdateTrials(Timestamp now);
 
   // The planned stop (gateway_stop.cc).
-  /// Returns whether this gateway must have answered before a request of the route usually is.
-  bool StopsBeforeAnswer(Timestamp now, const std::string& route) const;
+  /// Returns whether this gateway stops and all requests must have been answered.
+  bool MustHaveAnswered(Timestamp now) const {
+    return answer_by_.has_value() && now >= *answer_by_;
+  }
+  /// Returns whether that will be before a request of the route usually is answered.
+  bool StopsBeforeAnswer(Timestamp now, const std::string& route, bool repeatable) const;
+  /// Refuses a request that another gateway may serve at once.
+  void RefuseStopping(Timestamp now, RequestId id, std::shared_ptr<const PayloadRequest> request);
   /// Limits a request that is started or in progress while this gateway stops.
   void LimitToStop(Timestamp now, Active* active) const;
   /// Refuses the requests that were not started once all must be answered.
--- a/src/gateway/gateway_sharing.cc
+++ b/src/gateway/gateway_sharing.cc
@@ -123,7 +123,8 @@
   query.head = active.head == nullptr ? active.request->encoded_head : *active.head;
   query.payload = active.request->body;
   query.budget = std::max(Duration(0), active.shared->deadline() - now);
-  query.report_after = std::max(Duration(0), started + plan.wait - ReportLead(groups) - now);
+  const Timestamp last_report = std::min(started + plan.wait, active.shared->deadline());
+  query.report_after = std::max(Duration(0), last_report - ReportLead(groups) - now);
   query.objective = active.route->objective;
   query.top_records = static_cast<uint32_t>(active.route->top_records);
   query.max_attempts = partial.max_attempts;
--- a/src/gateway/gateway_stop.cc
+++ b/src/gateway/gateway_stop.cc
@@ -7,7 +7,10 @@
 namespace pumicedyke::gateway {
 namespace {
 
-constexpr double kMedian = 0.5;
+/// Quantile of a route's latencies that has to be left for a request that is still started. One
+/// that must not be repeated is refused earlier, since breaking it off leaves its caller in doubt.
+constexpr double kUsualLatency = 0.5;
+constexpr double kSafeLatency = 0.95;
 
 }  // namespace
 
@@ -41,24 +44,31 @@
   }
 }
 
-bool GatewayServer::StopsBeforeAnswer(Timestamp now, const std::string& route) const {
-  return answer_by_.has_value() && now + LeafLatency(route, kMedian) >= *answer_by_;
+bool GatewayServer::StopsBeforeAnswer(Timestamp now, const std::string& route,
+                                      bool repeatable) const {
+  const double quantile = repeatable ? kUsualLatency : kSafeLatency;
+  return answer_by_.has_value() && now + LeafLatency(route, quantile) >= *answer_by_;
+}
+
+void GatewayServer::RefuseStopping(Timestamp now, RequestId id,
+                                   std::shared_ptr<const PayloadRequest> request) {
+  Refuse(now, id, std::move(request), ResultCode::kShuttingDown, Duration(0));
 }
 
 void GatewayServer::RefuseBeforeKill(Timestamp now) {
-  if (!answer_by_.has_value() || now < *answer_by_) {
+  if (!MustHaveAnswered(now)) {
     return;
   }
   for (auto& [id, early] : std::exchange(early_, {})) {
-    Refuse(now, id, std::move(early.request), ResultCode::kShuttingDown, Duration(0));
+    RefuseStopping(now, id, std::move(early.request));
   }
   for (auto& [id, held] : std::exchange(held_, {})) {
     gate_.limits().Withdraw(now, id);
-    Refuse(now, id, std::move(held.request), ResultCode::kShuttingDown, Duration(0));
+    RefuseStopping(now, id, std::move(held.request));
   }
   for (auto& [id, waiting] : std::exchange(awaiting_trial_, {})) {
     trials_.Withdraw(id);
-    Refuse(now, id, std::move(waiting.request), ResultCode::kShuttingDown, Duration(0));
+    RefuseStopping(now, id, std::move(waiting.request));
   }
 }
 
--- a/src/query/request_budget.cc
+++ b/src/query/request_budget.cc
@@ -27,21 +27,21 @@
   return index < context_.shard_budgets.size() ? context_.shard_budgets[index] : context_.budget;
 }
 
-bool RequestExecution::TryChargeBudget(Timestamp now, const ShardProgress& shard,
-                                       SendKind kind) const {
+bool RequestExecution::IsCharged(SendKind kind) const {
   const bool budgeted =
       options_.naive_retry_timeout.count() == 0 && options_.fixed_hedge_delay.count() == 0;
-  const bool charged =
+  const bool extra =
       kind == SendKind::kExtra || (kind == SendKind::kReplacement && options_.charge_replacements);
-  return !budgeted || !charged || BudgetOf(shard)->TrySpendFraction(now, BudgetFraction());
+  return budgeted && extra;
 }
 
-double RequestExecution::BudgetFraction() const {
-  return options_.has_uncleared_losses ? kSuspectBudgetFraction : 1.0;
+bool RequestExecution::TryChargeBudget(Timestamp now, const ShardProgress& shard,
+                                       SendKind kind) const {
+  return !IsCharged(kind) || BudgetOf(shard)->TrySpendFraction(now, BudgetFraction());
 }
 
-bool RequestExecution::AffordsExtra(Timestamp now, const ShardProgress& shard) const {
-  return BudgetOf(shard)->Affords(now, BudgetFraction());
+double RequestExecution::BudgetFraction() const {
+  return options_.has_uncleared_losses ? kSuspectBudgetFraction : 1.0;
 }
 
 void RequestExecution::SetBudgetDenied(ShardProgress* shard, bool budget_denied) {
--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -16,6 +16,8 @@
 constexpr double kMedian = 0.5;
 /// How long a request waits for a leaf while its process stops.
 constexpr Duration kMaxWaitWhileStopping = Milliseconds(500);
+/// After a failure another leaf is waited for at least this long: a busy one may become free.
+constexpr Duration kMinRetryWait = Milliseconds(50);
 /// Fraction of the extra-load budget that hedges may use in normal operation.
 constexpr double kHedgeShare = 0.25;
 
@@ -147,10 +149,10 @@
   }
   wake_ = deadline_;
   LimitProbation(now);
-  if (sent_ == 0) {
-    AbandonUnreachable(now);
+  if (sent_ == 0 && now < deadline_) {
+    AbandonShardsWithoutLeafs(now);
     Evaluate(now);
-    if (answered_) {
+    if (answered_ || needs_other_snapshot_) {
       return;
     }
   }
@@ -161,6 +163,14 @@
   Evaluate(now);
 }
 
+void RequestExecution::AbandonShardsWithoutLeafs(Timestamp now) {
+  for (ShardProgress& shard : shards_) {
+    if (!shard.abandoned && NoLeafInTime(now, shard)) {
+      AbandonUnreachable(now, &shard);
+    }
+  }
+}
+
 void RequestExecution::AdvanceShard(Timestamp now, ShardProgress* shard) {
   if (shard->covered || shard->abandoned || now >= deadline_) {
     return;
@@ -192,31 +202,46 @@
     deadline_code_ = ResultCode::kShuttingDown;
   }
   wait_limit_ = now + kMaxWaitWhileStopping;
-  wake_ = now;
 }
 
 Timestamp RequestExecution::WaitLimit(const ShardProgress& shard) const {
-  const Timestamp limit = std::min(deadline_, wait_limit_);
-  const bool failed = options_.limit_retry_wait && PossibleRuns(shard) > 0;
-  return failed ? std::min(limit, started_ + plan_.wait) : limit;
+  Timestamp limit = deadline_;
+  // Nobody else continues what was begun here, or what is merged for another process.
+  const bool others_may_serve =
+      !options_.report_shard_results && CurrentRunState() == RunState::kNotRun;
+  if (others_may_serve) {
+    limit = std::min(limit, wait_limit_);
+  }
+  if (options_.limit_retry_wait && PossibleRuns(shard) > 0) {
+    const Timestamp failed = shard.attempts.back().ended.value_or(started_);
+    const Duration usual = std::max(ExpectedLatency(), kMinRetryWait);
+    limit = std::min(limit, std::max(started_ + plan_.wait, failed + usual));
+  }
+  return limit;
 }
 
 bool RequestExecution::NoLeafInTime(Timestamp now, const ShardProgress& shard) const {
   const Timestamp limit = WaitLimit(shard);
+  const bool try_again = MayTryReplicasAgain(shard);
   const auto& replicas = shard.shard.replicas;
   return std::none_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
-    return context_.pool->AvailableFrom(replica, now) < limit ||
-           context_.pool->AvailabilityOf(replica, now) == balance::Availability::kReady;
+    const bool may_try = try_again || !shard.tried.contains(replica);
+    return may_try &&
+           (context_.pool->AvailableFrom(replica, now) < limit ||
+            context_.pool->AvailabilityOf(replica, now) == balance::Availability::kReady);
   });
 }
 
-void RequestExecution::AbandonUnreachable(Timestamp now) {
-  for (ShardProgress& shard : shards_) {
-    if (!shard.abandoned && now < deadline_ && NoLeafInTime(now, shard)) {
-      shard.reason = MissingReason::kUnreachable;
-      AbandonShard(&shard);
-    }
+void RequestExecution::AbandonUnreachable(Timestamp now, ShardProgress* shard) {
+  if (shard->attempts.empty()) {
+    const auto& replicas = shard->shard.replicas;
+    const bool all_leave =
+        std::all_of(replicas.begin(), replicas.end(), [&](const std::string& replica) {
+          return context_.pool->AvailableFrom(replica, now) == Timestamp::max();
+        });
+    shard->reason = all_leave ? MissingReason::kLeaving : MissingReason::kUnreachable;
   }
+  AbandonShard(shard);
 }
 
 bool RequestExecution::AnyUntriedReady(Timestamp now, const ShardProgress& shard) const {
@@ -257,10 +282,14 @@
   // Beyond the maximum number of attempts, another leaf is tried only if one is ready, so that the
   // caller is not kept waiting.
   const bool no_leaf_ready = RefusalLimitReached(*shard) && !AnyUntriedReady(now, *shard);
-  if (!may_follow || !MayAttemptAgain(*shard) || no_leaf_ready || NoLeafInTime(now, *shard)) {
+  if (!may_follow || !MayAttemptAgain(*shard) || no_leaf_ready) {
     AbandonShard(shard);
     return;
   }
+  if (NoLeafInTime(now, *shard)) {
+    AbandonUnreachable(now, shard);
+    return;
+  }
   if (now < shard->next_round) {
     return;
   }
@@ -358,7 +387,7 @@
       context_.pool->Choose(now, shard->shard.replicas, excluded);
   if (!leaf.has_value()) {
     // A leaf that becomes ready later is of no use if the attempt can't be paid for.
-    const bool unpaid = kind == SendKind::kExtra && !AffordsExtra(now, *shard);
+    const bool unpaid = IsCharged(kind) && !BudgetOf(*shard)->Affords(now, BudgetFraction());
     return unpaid ? SendResult::kBudgetDenied : SendResult::kNoLeaf;
   }
   if (!TryChargeBudget(now, *shard, kind)) {
--- a/src/query/request_execution.h
+++ b/src/query/request_execution.h
@@ -58,9 +58,9 @@
   double rank = 0;
   /// With `retry_refusing_leafs`: shards that may stay without a result.
   size_t max_missing = 0;
-  /// After an attempt that may have run has failed, another leaf is waited for no longer than the
-  /// plan's wait: the failure is an answer, and the caller may try elsewhere. Otherwise until the
-  /// deadline.
+  /// After an attempt that may have run has failed, another leaf is waited for until the end of the
+  /// plan's wait, or shortly if that is over: the failure is an answer, and the caller may try
+  /// elsewhere. Otherwise until the deadline.
   bool limit_retry_wait = false;
   /// Charges the first sub-request of a shard like a hedge, since another gateway may have sent one
   /// already.
@@ -133,9 +133,9 @@
   void Stop(Timestamp now, ResultCode code);
   /// Ends `hold_attempts`.
   void ReleaseAttempts(Timestamp now);
-  /// The process stops, and other processes may serve the request: from now on it waits only
-  /// shortly for a leaf, and is answered by `answer_by`. Has an effect at the next Advance(), which
-  /// must follow.
+  /// The process stops: the request is answered by `answer_by`. As long as nothing has run, other
+  /// processes may serve it, so it waits only shortly for a leaf. Has an effect at the next
+  /// Advance(), which must follow.
   void OnStopping(Timestamp now, Timestamp answer_by);
 
   /// Returns true when every replica of a shard reported that it does not hold the snapshot, and
@@ -238,8 +238,8 @@
   };
   enum class SendResult { kSent, kNoLeaf, kBudgetDenied };
   bool TryChargeBudget(Timestamp now, const ShardProgress& shard, SendKind kind) const;
-  /// Returns whether an extra sub-request could be paid for now.
-  bool AffordsExtra(Timestamp now, const ShardProgress& shard) const;
+  /// Returns whether a sub-request of this kind is charged to the budget.
+  bool IsCharged(SendKind kind) const;
   /// Returns the part of the budget that this request may use.
   double BudgetFraction() const;
   balance::ExtraLoadLimit* BudgetOf(const ShardProgress& shard) const;
@@ -290,9 +290,10 @@
   Timestamp WaitLimit(const ShardProgress& shard) const;
   /// Returns whether no leaf of the shard takes an attempt before WaitLimit(), as far as known.
   bool NoLeafInTime(Timestamp now, const ShardProgress& shard) const;
-  /// Abandons the shards that no leaf takes in time, before anything is sent for the others: the
-  /// request may be out of reach without them.
-  void AbandonUnreachable(Timestamp now);
+  /// Abandons a shard that no leaf takes in time.
+  void AbandonUnreachable(Timestamp now, ShardProgress* shard);
+  /// Abandons all of them before anything is sent for the others: the request may be out of reach.
+  void AbandonShardsWithoutLeafs(Timestamp now);
   bool AnyUntriedReady(Timestamp now, const ShardProgress& shard) const;
   bool MayTryReplicasAgain(const ShardProgress& shard) const;
   size_t ActiveAttempts(const ShardProgress& shard) const;
@@ -319,7 +320,7 @@
   Timestamp deadline_;
   /// What the request fails with at the deadline.
   ResultCode deadline_code_ = ResultCode::kDeadlineExceeded;
-  /// Until when a leaf is waited for.
+  /// Until when a leaf is waited for that is the first to run the request.
   Timestamp wait_limit_ = Timestamp::max();
   SnapshotId snapshot_id_;
   std::vector<ShardProgress> shards_;
--- a/test/gateway/gateway_allowance_test.cc
+++ b/test/gateway/gateway_allowance_test.cc
@@ -1,6 +1,7 @@
 // Use of the budget for extra sub-requests when it is nearly spent.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "balance/knobs.h"
 #include "gateway/gateway_harness.h"
 
 namespace pumicedyke::gateway {
@@ -29,6 +30,28 @@
     h.Report(leafs);
   }
 
+  /// Fails the sub-requests at the second leaf of the first shard until it is ejected.
+  void EjectSecondLeaf() {
+    int failures = 0;
+    for (int i = 0; i < 100 && failures < balance::BalanceKnobs{}.ejection_failures; ++i) {
+      h.Ask("/one/eject" + std::to_string(i));
+      const LeafSend send = h.sends.back();
+      const bool second = send.leaf == "leaf" + std::to_string(kShards);
+      failures += second ? 1 : 0;
+      h.Reply(send, second ? query::LeafStatus::kNotSent : query::LeafStatus::kOk, "body");
+    }
+    h.answers.clear();
+    h.sends.clear();
+  }
+
+  /// Fails one more request, which the first leaf gets if the second one is ejected.
+  void FailAtFirstLeaf(query::LeafStatus outcome) {
+    h.Ask("/one/fail");
+    const LeafSend send = h.sends.back();
+    h.Reply(send, outcome);
+    h.Pass(Milliseconds(20));
+  }
+
   GatewayHarness h;
 };
 
@@ -38,6 +61,7 @@
   CPPUNIT_TEST_SUITE(GatewayAllowanceTest);
   CPPUNIT_TEST(RefusedRequestWithoutBudgetIsRefusedAtOnce);
   CPPUNIT_TEST(LostRequestWithoutBudgetFailsAtOnce);
+  CPPUNIT_TEST(NoLeafIsWaitedForWithoutBudget);
   CPPUNIT_TEST(GatherAnswersOnceNoRetryCanBePaidFor);
   CPPUNIT_TEST(RetryWaitsForBudgetWhileOtherShardsRun);
   CPPUNIT_TEST(RequestThatLosesLeafsLeavesAllowanceToOthers);
@@ -45,6 +69,24 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Guards against holding a request for a leaf that is ejected, only to find then that the
+  /// allowance does not pay for the attempt.
+  void NoLeafIsWaitedForWithoutBudget() {
+    for (const query::LeafStatus outcome :
+         {query::LeafStatus::kFailed, query::LeafStatus::kDraining}) {
+      LowAllowance g(/*allowance=*/0);
+      g.EjectSecondLeaf();
+      const size_t requests = outcome == query::LeafStatus::kFailed
+                                  ? static_cast<size_t>(balance::BalanceKnobs{}.ejection_failures)
+                                  : 1;
+      for (size_t i = 0; i < requests; ++i) {
+        g.FailAtFirstLeaf(outcome);
+      }
+      CPPUNIT_ASSERT_EQUAL(requests, g.h.answers.size());
+      CPPUNIT_ASSERT_EQUAL(requests, g.h.sends.size());
+    }
+  }
+
   /// Guards against holding such a request until its deadline of one second although a free leaf
   /// would have accepted it.
   void RefusedRequestWithoutBudgetIsRefusedAtOnce() {
--- a/test/gateway/gateway_limits_test.cc
+++ b/test/gateway/gateway_limits_test.cc
@@ -137,6 +137,7 @@
   CPPUNIT_TEST(RefusedRequestIsServedOnRetry);
   CPPUNIT_TEST(FewRequestsAreServedWithoutTheLender);
   CPPUNIT_TEST(WithoutAWindowNoLimitIsRequested);
+  CPPUNIT_TEST(RequestThatWaitsForItsLimitIsRefusedBeforeTheKill);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -199,6 +200,23 @@
     CPPUNIT_ASSERT_EQUAL(before + 3, h.sends.size());
   }
 
+  /// Guards against requests that wait for another gateway's decision on their limit and are still
+  /// held when the gateway is killed.
+  void RequestThatWaitsForItsLimitIsRefusedBeforeTheKill() {
+    constexpr size_t kRequests = 10;
+    ThreeGateways g;
+    GatewayHarness& h = *g.harnesses[(ThreeGateways::Lender() + 1) % kGateways];
+    for (size_t i = 0; i < kRequests; ++i) {
+      h.AskWithKey("/one/" + std::to_string(i), kKey);
+    }
+    CPPUNIT_ASSERT(h.answers.size() + h.sends.size() < kRequests);
+    h.server.StartDraining(h.now, h.now + Milliseconds(5));
+    h.Pass(Milliseconds(5));
+    CPPUNIT_ASSERT_EQUAL(kRequests, h.answers.size());
+    CPPUNIT_ASSERT(h.answers.back().code == ResultCode::kShuttingDown);
+    CPPUNIT_ASSERT(h.server.Drained());
+  }
+
   void WithoutAWindowNoLimitIsRequested() {
     ThreeGateways fleet(Duration(0));
     CPPUNIT_ASSERT_EQUAL(size_t{40}, fleet.Ask(0, 40));
--- a/test/gateway/gateway_unavailable_test.cc
+++ b/test/gateway/gateway_unavailable_test.cc
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr char kDocument[] =
-    R"([["all", "/all/", true, "s0", "s1", "s2"], ["one", "/one/", false, "s0"]])";
+    R"([["all", "/all/", true, "s0", "s1", "s2"], ["one", "/one/", false, "s0"],
+        ["read", "/read/", true, "s0"]])";
 constexpr size_t kShards = 3;
 /// The leafs are ejected for this time at most.
 const Duration kEjection = 2 * balance::BalanceKnobs{}.ejection_time;
@@ -63,6 +64,8 @@
   CPPUNIT_TEST(GatherWithoutLeafsIsRefusedAtOnce);
   CPPUNIT_TEST(RequestWithoutLeafsIsRefusedAtOnce);
   CPPUNIT_TEST(RequestWaitsForALeafThatReturnsInTime);
+  CPPUNIT_TEST(FailureIsToldOnceTheObjectiveHasPassed);
+  CPPUNIT_TEST(BusyLeafIsWaitedForAfterALateFailure);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -83,6 +86,60 @@
     CheckRefusedAtOnce(g.h);
   }
 
+  /// Guards against requests whose leaf has failed and that are held for another one, which is
+  /// ejected, until long after the objective of 100 ms.
+  void FailureIsToldOnceTheObjectiveHasPassed() {
+    SixLeafs g;
+    g.Eject("/read/");
+    g.h.Pass(kEjection);
+    g.h.Ask("/read/request", 4 * kEjection);
+    g.h.Ask("/read/other", 4 * kEjection);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, g.h.sends.size());
+    const LeafSend first = g.h.sends.front();
+    g.h.Reply(first, query::LeafStatus::kFailed, "failure", 500);
+    g.h.Pass(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, g.h.answers.size());
+    CPPUNIT_ASSERT(g.h.answers.front().payload != nullptr);
+  }
+
+  /// Guards against failures of requests whose other leaf is only busy, and free a moment later.
+  void BusyLeafIsWaitedForAfterALateFailure() {
+    constexpr size_t kSlots = 4;
+    GatewayHarness h;
+    std::vector<wire::LeafRecord> leafs = {GatewayHarness::Leaf("a", "s0"),
+                                           GatewayHarness::Leaf("b", "s0")};
+    leafs[0].slots = kSlots;
+    leafs[1].slots = kSlots;
+    h.Put(1, R"([["read", "/read/", true, "s0"]])");
+    h.Report(leafs);
+    for (size_t i = 0; i < 2 * kSlots; ++i) {
+      h.Ask("/read/" + std::to_string(i), Seconds(2));
+    }
+    CPPUNIT_ASSERT_EQUAL(2 * kSlots, h.sends.size());
+    h.Pass(Milliseconds(120));
+    const std::vector<LeafSend> sends = h.sends;
+    h.sends.clear();
+    for (const LeafSend& send : sends) {
+      if (send.leaf == "a") {
+        h.Lose(send);
+      }
+    }
+    h.Pass(Milliseconds(12));
+    for (const LeafSend& send : sends) {
+      if (send.leaf == "b") {
+        h.Reply(send, query::LeafStatus::kOk, "body");
+      }
+    }
+    h.Pass(Milliseconds(20));
+    for (size_t i = 0; i < h.sends.size(); ++i) {
+      h.Reply(h.sends[i], query::LeafStatus::kOk, "body");
+    }
+    CPPUNIT_ASSERT_EQUAL(2 * kSlots, h.answers.size());
+    for (const GatewayAnswer& answer : h.answers) {
+      CPPUNIT_ASSERT(answer.code == ResultCode::kOk);
+    }
+  }
+
   void RequestWaitsForALeafThatReturnsInTime() {
     SixLeafs g;
     g.Eject("/one/");
