A stopping server's last answer arrives whole although its client sends on

Callers saw: an answer with 'Connection: close' that ended in the middle, with a reset. It needs a client that reads at its own pace and sends more than the request: a request ahead, blank lines. While a server drains, every answer closes its connection.

Cause: HttpServer closed the connection as soon as the answer was passed to the operating system. Bytes of the client that lie unread then, or arrive later, make the system reset the connection; what it has not delivered yet is dropped.

Why it works: after the last answer only the sending side is closed; what the client sends is read and dropped until it closes, up to the limits that held after a refusal (500 ms, 16 MiB). So nothing is unread while the answer is delivered. A refusal now ends the same way, so that its client sees the end of the stream at once. A connection whose answer is short (4 KiB), whose client sent nothing ahead and which has nothing unread is closed at once as before; that costs one recv() more.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -10,9 +10,11 @@
 namespace {
 
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
-/// A client whose request was refused before its end may still be sending. It gets this long to
-/// read the response.
-constexpr Duration kLingerAfterError = Milliseconds(500);
+/// A client may still be sending when the last response was written. What it sends is dropped for
+/// this long, so that it can read the response.
+constexpr Duration kLinger = Milliseconds(500);
+/// A longer response may wait at the operating system for its client to read.
+constexpr size_t kDeliveredAtOnceBytes = 4 * 1024;
 /// Bytes of further requests that are read while a request is served or its response written.
 constexpr size_t kMaxReadAheadBytes = 64 * 1024;
 /// Bytes that are read and dropped meanwhile. What comes after them is not read.
@@ -303,7 +305,9 @@
 
 void HttpServer::Connection::OnDrained() {
   UpdateFlow();
-  if (HasInput()) {
+  if (closing_) {
+    CloseSoon();
+  } else if (HasInput()) {
     ReadRequestsSoon();
   }
 }
@@ -346,28 +350,64 @@
   serving_ = false;
   on_disconnect_ = {};
   const bool keep = keep_alive_ && !server_->draining_;
-  stream_.Write(EncodeResponse(ToMessage(std::move(response), keep), head_only_));
+  const std::string text = EncodeResponse(ToMessage(std::move(response), keep), head_only_);
   RestartIdleTimer();
-  closing_ = !keep;
   room_.Release();
-  UpdateFlow();
   if (!keep) {
-    stream_.CloseWhenDrained();
-  } else if (HasInput()) {
+    lingers_ = HasInput() || drops_input() || text.size() > kDeliveredAtOnceBytes;
+    WriteLast(text);
+    return;
+  }
+  stream_.Write(text);
+  UpdateFlow();
+  if (HasInput()) {
     ReadRequestsSoon();
   }
 }
 
 void HttpServer::Connection::Refuse(ResultCode code, Duration retry_after) {
-  closing_ = true;
-  stream_.Write(
-      EncodeResponse(ToMessage(ErrorResponse(code, retry_after), /*keep_alive=*/false), false));
   parser_.Reset();
   room_.Release();
-  std::string().swap(*input_);
+  lingers_ = true;
+  WriteLast(
+      EncodeResponse(ToMessage(ErrorResponse(code, retry_after), /*keep_alive=*/false), false));
+  if (stream_.unwritten() > 0) {
+    Linger();
+  }
+}
+
+void HttpServer::Connection::WriteLast(const std::string& response) {
+  closing_ = true;
+  if (HasInput()) {
+    std::string().swap(*input_);
+  }
+  stream_.Write(response);
+  lingers_ = lingers_ || stream_.unwritten() > 0;
   UpdateFlow();
+}
+
+void HttpServer::Connection::CloseSoon() {
+  if (lingers_ || stream_.HasUnreadInput()) {
+    stream_.StopSending();
+    Linger();
+  } else {
+    OnEnd();
+  }
+}
+
+void HttpServer::Connection::Linger() {
   loop_->CancelTimer(timer_);
-  timer_ = loop_->RunAt(net::EventLoop::Now() + kLingerAfterError, [this] { OnEnd(); });
+  timer_ = loop_->RunAt(net::EventLoop::Now() + kLinger, [this] { EndAfterReading(); });
+}
+
+void HttpServer::Connection::EndAfterReading() {
+  timer_ = 0;
+  loop_->Defer([self = weak_from_this()] {
+    const auto connection = self.lock();
+    if (connection != nullptr && connection->stream_.open()) {
+      connection->OnEnd();
+    }
+  });
 }
 
 Timestamp HttpServer::Connection::Deadline() const {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -71,9 +71,18 @@
   void OnDrained();
   void Dispatch();
   void Answer(uint64_t number, HttpResponse response);
-  /// Responds to a request that is not served with an error. The close is delayed, because closing
-  /// with unread bytes resets the connection and may lose the response.
+  /// Responds to a request that is not served with an error.
   void Refuse(ResultCode code, Duration retry_after = {});
+  /// Writes the last response, and closes the connection as soon as nothing of it can be lost.
+  void WriteLast(const std::string& response);
+  /// Called when the last response was passed to the operating system. The close is delayed unless
+  /// nothing can be lost by it: bytes of the client that are unread then, or come after it, reset
+  /// the connection, and the operating system drops what it has not delivered yet.
+  void CloseSoon();
+  /// Reads and drops what the client sends until it closes the connection, but not for long.
+  void Linger();
+  /// Closes the connection after what has arrived was read, also if the process was paused.
+  void EndAfterReading();
   /// When the connection is closed, or the request refused, unless something happens before.
   Timestamp Deadline() const;
   void RestartIdleTimer();
@@ -93,6 +102,8 @@
   size_t dropped_bytes_ = 0;
   bool serving_ = false;
   bool closing_ = false;
+  /// Whether the close is delayed although no bytes of the client are unread.
+  bool lingers_ = false;
   bool drops_further_input_ = false;
   bool keep_alive_ = true;
   bool head_only_ = false;
--- a/src/net/byte_stream.cc
+++ b/src/net/byte_stream.cc
@@ -78,10 +78,9 @@
   }
 }
 
-void ByteStream::CloseWhenDrained() {
-  close_when_drained_ = true;
-  if (output_.empty() && open()) {
-    End(StreamEnd::kClosed);
+void ByteStream::StopSending() {
+  if (open()) {
+    ::shutdown(handle_, SHUT_WR);
   }
 }
 
@@ -158,15 +157,9 @@
   }
   output_.erase(0, offset);
   WantWrites(!output_.empty());
-  if (!output_.empty()) {
-    return;
-  }
-  if (callbacks_.on_drained) {
+  if (output_.empty() && callbacks_.on_drained) {
     callbacks_.on_drained();
   }
-  if (close_when_drained_) {
-    End(StreamEnd::kClosed);
-  }
 }
 
 bool ByteStream::FinishConnecting() {
--- a/src/net/byte_stream.h
+++ b/src/net/byte_stream.h
@@ -48,8 +48,9 @@
   void Write(std::string_view bytes);
   /// Closes the connection. Unwritten bytes are lost, and no callback follows.
   void Close();
-  /// Closes the connection as soon as everything is written.
-  void CloseWhenDrained();
+  /// Tells the peer that nothing follows what was written, all of which must have been passed to
+  /// the operating system. What the peer sends is read on.
+  void StopSending();
   /// Whether bytes are read as they arrive. While not, they stay with the operating system, so that
   /// the peer has to wait, and an end of the connection is noticed only when something is written.
   void SetReading(bool reading);
@@ -87,7 +88,6 @@
   bool registered_ = false;
   bool reading_ = true;
   bool wants_writes_ = false;
-  bool close_when_drained_ = false;
 };
 
 }  // namespace pumicedyke::net
--- a/test/e2e/raw_connection.cc
+++ b/test/e2e/raw_connection.cc
@@ -12,7 +12,7 @@
 
 namespace pumicedyke::e2e {
 
-RawConnection::RawConnection(const std::string& address) {
+RawConnection::RawConnection(const std::string& address, int receive_buffer) {
   std::string host;
   uint16_t port = 0;
   CPPUNIT_ASSERT(http::SplitAddress(address, &host, &port));
@@ -21,6 +21,9 @@
   peer.sin_port = htons(port);
   ::inet_pton(AF_INET, host.c_str(), &peer.sin_addr);
   socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (receive_buffer > 0) {
+    ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
+  }
   CPPUNIT_ASSERT(::connect(socket_, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)) == 0);
 }
 
@@ -54,6 +57,7 @@
     const ssize_t got = ::recv(socket_, buffer, sizeof(buffer), MSG_DONTWAIT);
     const bool nothing_yet = got < 0 && (errno == EAGAIN || errno == EINTR);
     closed_ |= got <= 0 && !nothing_yet;
+    reset_ |= got < 0 && errno == ECONNRESET;
     if (got <= 0) {
       return text;
     }
--- a/test/e2e/raw_connection.h
+++ b/test/e2e/raw_connection.h
@@ -8,7 +8,9 @@
 class RawConnection {
  public:
   /// Connects; fails the test if that is refused.
-  explicit RawConnection(const std::string& address);
+  /// @param receive_buffer bytes that the operating system keeps for a reader that is slow; zero:
+  /// its default.
+  explicit RawConnection(const std::string& address, int receive_buffer = 0);
   ~RawConnection();
   RawConnection(const RawConnection&) = delete;
   RawConnection& operator=(const RawConnection&) = delete;
@@ -23,10 +25,13 @@
   std::string ReadAvailable();
   /// Whether ReadAvailable() has found the connection closed or reset by the peer.
   bool closed() const { return closed_; }
+  /// Whether it was reset.
+  bool reset() const { return reset_; }
 
  private:
   int socket_ = -1;
   bool closed_ = false;
+  bool reset_ = false;
 };
 
 }  // namespace pumicedyke::e2e
