Last answers of a stopping gateway wait for clients that read with pauses

Callers saw: a long answer of a gateway that stopped ended with a reset 4 to 6 s after the signal although they read on, with pauses of a second and more.

Cause: TCP_USER_TIMEOUT (4 s), which is there for peers that are cut off, also ends a connection whose client reads with pauses, with a small window even if each pause is shorter. It goes on counting after the process has closed the socket and ended.

That connections which the stop closes as idle get the longer time has no test, only the run by hand.

Why it works: the last bytes of a connection have 30 s; the system delivers them after the end of the process, and nothing in the process waits for them.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -116,6 +116,7 @@
   const bool busy =
       serving_ || closing_ || parser_.state() != ParseState::kEmpty || stream_.unwritten() > 0;
   if (!busy && !stream_.HasUnreadInput()) {
+    stream_.StopSending();
     OnEnd();
   }
 }
--- a/src/net/byte_stream.cc
+++ b/src/net/byte_stream.cc
@@ -20,14 +20,20 @@
 /// Bytes that stay unacknowledged for this long end a connection: a partitioned peer does not close
 /// it.
 constexpr unsigned kUserTimeoutMilliseconds = 4000;
+/// The last bytes of a connection may stay longer: nothing here waits for them. The shorter time
+/// also ends connections of peers that read with pauses of a second.
+constexpr unsigned kLastBytesTimeoutMilliseconds = 30000;
+
+void SetUserTimeout(ACE_HANDLE handle, unsigned milliseconds) {
+  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
 
 void ConfigureSocket(ACE_HANDLE handle) {
   const int flags = ::fcntl(handle, F_GETFL);
   ::fcntl(handle, F_SETFL, flags | O_NONBLOCK);
   const int on = 1;
   ::setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
-               sizeof(kUserTimeoutMilliseconds));
+  SetUserTimeout(handle, kUserTimeoutMilliseconds);
 }
 
 bool WouldBlock() { return errno == EWOULDBLOCK || errno == EAGAIN || errno == EINTR; }
@@ -80,6 +86,7 @@
 
 void ByteStream::StopSending() {
   if (open()) {
+    SetUserTimeout(handle_, kLastBytesTimeoutMilliseconds);
     ::shutdown(handle_, SHUT_WR);
   }
 }
--- a/src/net/byte_stream.h
+++ b/src/net/byte_stream.h
@@ -49,7 +49,8 @@
   /// Closes the connection. Unwritten bytes are lost, and no callback follows.
   void Close();
   /// Tells the peer that nothing follows what was written, all of which must have been passed to
-  /// the operating system. What the peer sends is read on.
+  /// the operating system, which goes on delivering it, for long if need be, also after Close() and
+  /// the end of the process. What the peer sends is read on.
   void StopSending();
   /// Whether bytes are read as they arrive. While not, they stay with the operating system, so that
   /// the peer has to wait, and an end of the connection is noticed only when something is written.
