An empty body in chunks that arrives in pieces doesn't end the process

Any client, and any leaf, could end a gateway (or another process that listens for HTTP) with one message: a body in chunks without a byte, whose "0 CRLF" is read first and whose next read brings one more byte.

Cause: Beast's parser remembers that it has seen the size line of the last chunk, and asserts that it is then offered at least five bytes. That holds only where the last chunk follows another, whose CRLF it takes along. The programs are built with assertions. Switching these off would also have hidden the others, and the parser's own state is right.

The shortest last chunk has five bytes, so fewer that begin with '0' can't end a body, and waiting for the fifth keeps nothing from its end: they stay in the input until then. Within a chunk's data such bytes wait as well; at least seven follow them.

Evidence: BodiesInChunksMayArriveInAnyPieces (each way to split six bodies into three pieces) and GarbageInPiecesDoesNoHarm abort without the change and pass with it.

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -15,6 +15,8 @@
 /// Bytes of chunk sizes and extensions that each byte of a body may come with. A chunk of one byte
 /// whose size is written with eight digits has twelve.
 constexpr size_t kFramingBytesPerBodyByte = 16;
+/// Bytes of the shortest end of a body in chunks: a chunk of size 0, and no trailers.
+constexpr size_t kShortestLastChunk = 5;
 
 /// A message that is being read.
 template <bool is_request>
@@ -56,6 +58,15 @@
          limits.header_bytes + kFramingBytesPerBodyByte * reading.body();
 }
 
+/// Whether `unread` may be the start of the last chunk, but not the whole of it. Once Beast's
+/// parser has seen the size line of the last chunk, it aborts the process if it is given less than
+/// the shortest one.
+template <bool is_request>
+bool IsPartOfLastChunk(const Reading<is_request>& reading, std::string_view unread) {
+  return reading.parser.is_header_done() && reading.parser.chunked() &&
+         unread.size() < kShortestLastChunk && unread.starts_with('0');
+}
+
 /// Feeds the parser until it needs more input, is done or fails. Removes the used input.
 template <bool is_request>
 ErrorCode Put(const MessageLimits& limits, Reading<is_request>* reading, std::string* input) {
@@ -63,9 +74,12 @@
   ErrorCode error;
   size_t used = 0;
   while (used < input->size() && !parser.is_done() && !reading->held_back()) {
+    const std::string_view unread = std::string_view(*input).substr(used);
+    if (IsPartOfLastChunk(*reading, unread)) {
+      break;
+    }
     const bool in_head = !parser.is_header_done();
-    const size_t taken =
-        parser.put(boost::asio::const_buffer(input->data() + used, input->size() - used), error);
+    const size_t taken = parser.put(boost::asio::const_buffer(unread.data(), unread.size()), error);
     used += taken;
     reading->taken += taken;
     if (in_head) {
--- a/test/http/message_parser_test.cc
+++ b/test/http/message_parser_test.cc
@@ -4,6 +4,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace pumicedyke::http {
 namespace {
 
@@ -30,6 +34,8 @@
   CPPUNIT_TEST(SmallChunksWithLongSizesAreRead);
   CPPUNIT_TEST(ResponsesEndAtTheirLength);
   CPPUNIT_TEST(PiecesGiveTheSameMessages);
+  CPPUNIT_TEST(BodiesInChunksMayArriveInAnyPieces);
+  CPPUNIT_TEST(GarbageInPiecesDoesNoHarm);
   CPPUNIT_TEST(GarbageDoesNoHarm);
   CPPUNIT_TEST(EncodedMessagesAreParsed);
   CPPUNIT_TEST_SUITE_END();
@@ -200,6 +206,65 @@
     CPPUNIT_ASSERT(held);
   }
 
+  /// Guards against a process ended by one message: a body in chunks whose last chunk arrives in
+  /// several pieces.
+  void BodiesInChunksMayArriveInAnyPieces() {
+    const std::string head = "PUT /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::pair<std::string, std::string> bodies[] = {
+        {"0\r\n\r\n", ""},
+        {"00\r\n\r\n", ""},
+        {"0;x\r\nT: 1\r\n\r\n", ""},
+        {"0\r\nT: 1\r\n\r\n", ""},
+        {"2\r\n00\r\n0\r\n\r\n", "00"},
+        {"4\r\n0\r\n\r\r\n01\r\n0\r\n000\r\nT: 1\r\n\r\n", "0\r\n\r0"},
+    };
+    for (const auto& [text, body] : bodies) {
+      for (size_t first = 0; first <= text.size(); ++first) {
+        for (size_t second = first; second <= text.size(); ++second) {
+          RequestParser parser({});
+          std::string input = head;
+          parser.Consume(&input);
+          for (const std::string& piece :
+               {text.substr(0, first), text.substr(first, second - first), text.substr(second)}) {
+            CPPUNIT_ASSERT(parser.state() == ParseState::kBody || piece.empty());
+            input += piece;
+            parser.Consume(&input);
+          }
+          CPPUNIT_ASSERT_MESSAGE(text, parser.state() == ParseState::kComplete);
+          CPPUNIT_ASSERT_EQUAL(body, parser.Take().body);
+          CPPUNIT_ASSERT(input.empty());
+        }
+      }
+    }
+  }
+
+  /// Guards against a process ended by bytes that are nearly a body in chunks, in pieces.
+  void GarbageInPiecesDoesNoHarm() {
+    const bool held = rc::check("garbage in pieces does no harm", [] {
+      constexpr int kMessages = 20;
+      const std::string alphabet = "00001fF;x=\"\r\r\n\n: T";
+      for (int i = 0; i < kMessages; ++i) {
+        RequestParser request({});
+        ResponseParser response({}, /*to_head=*/false);
+        std::string to_server = "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        std::string to_client = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const auto pieces = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::oneOf(rc::gen::element<std::string>("0\r\n", "\r\n", "1\r\n", "0", "\r"),
+                           rc::gen::container<std::string>(rc::gen::elementOf(alphabet))));
+        for (const std::string& piece : pieces) {
+          to_server += piece;
+          to_client += piece;
+          const size_t before = to_server.size();
+          request.Consume(&to_server);
+          response.Consume(&to_client);
+          RC_ASSERT(to_server.size() <= before);
+        }
+        response.ConsumeEnd();
+      }
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
   /// Valid messages with bytes changed, removed or duplicated: the parser fails or reads a message,
   /// and never consumes more than its input.
   void GarbageDoesNoHarm() {
