--- a/test/net/frame_client_test.cc
+++ b/test/net/frame_client_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(FrameClientTest);
   CPPUNIT_TEST(FirstMessagesWaitForTheConnection);
   CPPUNIT_TEST(FrameThatDoesNotEndClosesItsConnection);
+  CPPUNIT_TEST(CutFrameIsNoMessage);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,6 +78,31 @@
     });
     CPPUNIT_ASSERT_EQUAL(size_t{0}, loop.byte_budget()->held());
   }
+
+  /// Guards against a message made from what a peer sent of a frame before its connection ended.
+  void CutFrameIsNoMessage() {
+    const std::string whole =
+        EncodeFrame({"test", 0, wire::JoinRequest{1, std::string(30, 'm'), ""}});
+    EventLoop loop;
+    size_t messages = 0;
+    size_t closed = 0;
+    FrameServer server(
+        &loop, [&](uint64_t, const wire::Envelope&) { ++messages; },
+        [&](uint64_t) {
+          ++closed;
+          loop.Stop();
+        });
+    CPPUNIT_ASSERT(server.Listen("127.0.0.1:0").ok());
+    for (size_t cut = 1; cut <= whole.size(); ++cut) {
+      e2e::RawConnection peer("127.0.0.1:" + std::to_string(server.port()));
+      peer.SendBytes(whole.substr(0, cut));
+      peer.StopSending();
+      loop.Resume();
+      loop.Run([](Timestamp now) { return now + Milliseconds(10); });
+      CPPUNIT_ASSERT_EQUAL(cut, closed);
+      CPPUNIT_ASSERT_EQUAL(cut < whole.size() ? size_t{0} : size_t{1}, messages);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FrameClientTest);
 
