--- a/src/net/byte_stream.h
+++ b/src/net/byte_stream.h
@@ -89,6 +89,8 @@
   bool registered_ = false;
   bool reading_ = true;
   bool wants_writes_ = false;
+  /// A write has found the connection broken.
+  bool broken_ = false;
 };
 
 }  // namespace pumicedyke::net
