The soak finds requests that a stopping gateway drops

Now: a route and a patient client wait 8 s (the users' kill comes 6 s after SIGTERM); four leafs have spells, drawn from the seed, of signed failures, silence, or answers broken off in head or body; a stopping gateway is killed after 3 s (its kill_after_ms), a control machine after 6 s, and gateways are told to stop three times as often. New checks: a request that a leaf saw, or whose answer had begun, gets a whole response while its gateway stops (no pause or kill by another fault in that time); each stopping process ends by itself; a 2xx of a request to one leaf has the leaf's whole body. The summary counts stops by themselves, by kill, and lost requests. Process::Signal refuses a process that has ended (kill(-1)). TerminateAndRestart is split in two; a clean exit is still demanded.

Not covered: gathers and calls that must not run twice don't go to the leafs with spells.

--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -132,7 +132,11 @@
   return "";
 }
 
-void Process::Signal(int number) const { ::kill(pid_, number); }
+void Process::Signal(int number) const {
+  // Without a process, the signal would go to all processes of the user.
+  CPPUNIT_ASSERT_MESSAGE("no signal to " + name_ + ", which has ended", running());
+  ::kill(pid_, number);
+}
 
 void Process::Pause() const {
   Signal(SIGSTOP);
@@ -162,13 +166,13 @@
   return kilobytes * kKilobyte;
 }
 
-bool Process::HasEnded() {
+std::optional<int> Process::PollEnd() {
   int status = 0;
   if (running() && ::waitpid(pid_, &status, WNOHANG) == pid_) {
     pid_ = -1;
-    return true;
+    return ExitCode(status);
   }
-  return false;
+  return std::nullopt;
 }
 
 int Process::Wait() {
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -44,7 +44,10 @@
   int Wait();
   bool running() const { return pid_ > 0; }
   /// Whether the process has exited without a call of Wait(); running() is then false.
-  bool HasEnded();
+  bool HasEnded() { return PollEnd().has_value(); }
+  /// Returns the exit code, or the negated signal that ended the process, if it has exited without
+  /// a call of Wait(); running() is then false.
+  std::optional<int> PollEnd();
   /// Limits the size of files that the process writes, as on a full disk; unset: no limit.
   void LimitFileSize(std::optional<uint64_t> bytes) const;
 
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -99,6 +99,8 @@
   Duration replace_silent_after{};
   /// Extra sub-requests per service beyond the ratio, for all gateways together.
   int extra_load_allowance = 10;
+  /// What gateways are told about when they are killed after SIGTERM; zero: nothing.
+  Duration kill_after = Seconds(6);
 };
 
 class PlatformFleet {
--- a/test/soak/actors.cc
+++ b/test/soak/actors.cc
@@ -18,7 +18,11 @@
 constexpr Duration kOrdinaryInterval = Milliseconds(8);
 constexpr Duration kFatalInterval = Milliseconds(350);
 constexpr Duration kOperatorPause = Milliseconds(300);
+constexpr Duration kPatientInterval = Milliseconds(20);
 constexpr Duration kClientDeadline = Milliseconds(1500);
+constexpr char kHostileService[] = "hostile";
+constexpr size_t kMaxConnections = 200;
+constexpr size_t kHostileLeafs = 4;
 
 Json Route(const std::string& name) {
   return {{"name", name},         {"host", kHost},      {"path_prefix", "/" + name + "/"},
@@ -68,13 +72,16 @@
   all.update({{"top_k", 1}, {"min_coverage", 0.5}});
   Json one = Route("one");
   one["backend"] = ServiceName(0);
-  Json services = Json::array();
+  Json patient = Route("patient");
+  patient.update({{"backend", kHostileService}, {"timeout_ms", kPatience / Milliseconds(1)}});
+  Json services =
+      Json::array({{{"name", kHostileService}, {"health_path", "/healthz"}, {"max_conns", 100}}});
   for (size_t i = 0; i < shards; ++i) {
     all["gather"].push_back(ServiceName(i));
     services.push_back({{"name", ServiceName(i)}, {"health_path", "/healthz"}, {"max_conns", 60}});
   }
   return Json{{"version", version},
-              {"routes", Json::array({all, one})},
+              {"routes", Json::array({all, one, patient})},
               {"backends", services},
               {"limits",
                {{"max_header_bytes", 4096},
@@ -86,7 +93,7 @@
 
 // ---- Leafs --------------------------------------------------------------------------------------
 
-Leafs::Leafs(const std::string& run, size_t shards, size_t replicas,
+Leafs::Leafs(uint64_t seed, const std::string& run, size_t shards, size_t replicas,
              std::vector<std::string> controls, Observations* observations)
     : controls_(std::move(controls)) {
   for (size_t i = 0; i < shards * replicas; ++i) {
@@ -111,33 +118,60 @@
                           start = net::EventLoop::Now(),
                           arrived = uint64_t{0}](const std::string& attempt) mutable {
       constexpr uint64_t kRunsOneOf = 8;
-      observations->arrivals()->OnArrival(service, attempt);
+      observations->OnArrival(service, attempt);
       return refusing_ && RefusesMost(shard, net::EventLoop::Now() - start) &&
              ++arrived % kRunsOneOf != 0;
     };
     leafs_.push_back(
         std::make_unique<platform::CrashingLeaf>(name, service, crashes, answered, refuses));
   }
+  AddHostileLeafs(seed, run, observations);
   thread_ = std::thread([this] { SendHeartbeats(); });
 }
 
+void Leafs::AddHostileLeafs(uint64_t seed, const std::string& run, Observations* observations) {
+  const auto arrived = [observations](const std::string& attempt) {
+    observations->OnArrival(kHostileService, attempt);
+    // Whatever comes back, it has run.
+    observations->OnRan(kHostileService, attempt);
+  };
+  for (size_t i = 0; i < kHostileLeafs; ++i) {
+    hostile_leafs_.push_back(std::make_unique<HostileLeaf>(
+        seed, run + "-hostile" + std::to_string(i), kHostileService, arrived));
+  }
+}
+
+void Leafs::SetHostile(bool hostile) {
+  refusing_ = hostile;
+  for (const auto& leaf : hostile_leafs_) {
+    leaf->SetHostile(hostile);
+  }
+}
+
 Leafs::~Leafs() {
   stop_ = true;
   thread_.join();
 }
 
-void Leafs::SendHeartbeats() {
+template <typename Leaf>
+void Leafs::SendHeartbeat(Leaf* leaf) {
   constexpr int kOk = 200;
-  size_t control = 0;
+  for (size_t i = 0; i < controls_.size() && !stop_; ++i) {
+    if (leaf->SendHeartbeat(controls_[control_]) == kOk) {
+      break;
+    }
+    control_ = (control_ + 1) % controls_.size();
+  }
+}
+
+void Leafs::SendHeartbeats() {
   while (!stop_) {
     const Timestamp next = net::EventLoop::Now() + kHeartbeatInterval;
     for (const auto& leaf : leafs_) {
-      for (size_t i = 0; i < controls_.size() && !stop_; ++i) {
-        if (leaf->SendHeartbeat(controls_[control]) == kOk) {
-          break;
-        }
-        control = (control + 1) % controls_.size();
-      }
+      SendHeartbeat(leaf.get());
+    }
+    for (const auto& leaf : hostile_leafs_) {
+      SendHeartbeat(leaf.get());
     }
     while (!stop_ && net::EventLoop::Now() < next) {
       std::this_thread::sleep_for(Milliseconds(20));
@@ -147,9 +181,10 @@
 
 // ---- Clients ------------------------------------------------------------------------------------
 
-Clients::Clients(uint64_t seed, std::vector<std::string> gateways, size_t shards,
+Clients::Clients(uint64_t seed, std::vector<NamedGateway> gateways, size_t shards,
                  Observations* observations)
     : shards_(ServiceNames(shards)),
+      hostile_service_({kHostileService}),
       id_prefix_("soak" + std::to_string(seed)),
       gateways_(std::move(gateways)),
       observations_(observations),
@@ -163,11 +198,13 @@
 
 void Clients::Run() {
   net::EventLoop loop;
-  http::HttpClient client(&loop, {});
+  // Patient requests hold many connections for long.
+  http::HttpClient client(&loop, {.max_connections_per_host = kMaxConnections});
   loop_ = &loop;
   client_ = &client;
   SendOrdinaryRequest();
   SendFatalRequest();
+  SendPatientRequest();
   loop.Run([this, &loop](Timestamp now) {
     if (stop_ && client_->in_flight() == 0) {
       loop.Stop();
@@ -176,7 +213,7 @@
   });
 }
 
-const std::string& Clients::AnyGateway() {
+const NamedGateway& Clients::AnyGateway() {
   return gateways_[std::uniform_int_distribution<size_t>(0, gateways_.size() - 1)(random_)];
 }
 
@@ -205,20 +242,44 @@
   loop_->RunAt(net::EventLoop::Now() + kFatalInterval, [this] { SendFatalRequest(); });
 }
 
+void Clients::SendPatientRequest() {
+  if (stop_) {
+    return;
+  }
+  SentRequest request;
+  request.patient = true;
+  SendRequest(request, "/patient/" + std::to_string(random_()), "Bearer alice");
+  loop_->RunAt(net::EventLoop::Now() + kPatientInterval, [this] { SendPatientRequest(); });
+}
+
+const std::set<std::string>& Clients::ServicesOf(const SentRequest& request) const {
+  if (request.patient) {
+    return hostile_service_;
+  }
+  return request.gathers ? shards_ : plain_service_;
+}
+
 void Clients::SendRequest(const SentRequest& request, const std::string& path,
                           const std::string& caller) {
-  observations_->arrivals()->OnRequest(request.gathers ? shards_ : plain_service_);
+  constexpr Duration kAnswerMargin = Milliseconds(1500);
+  observations_->OnRequest(ServicesOf(request));
+  const NamedGateway& gateway = AnyGateway();
+  const Duration deadline = request.patient ? kPatience : kClientDeadline;
   SentRequest sent = request;
   sent.id = id_prefix_ + "-" + std::to_string(++request_count_);
+  sent.gateway = gateway.name;
+  sent.sent = net::EventLoop::Now();
+  sent.timeout = deadline + kAnswerMargin;
   http::ClientRequest call;
-  call.address = AnyGateway();
+  call.address = gateway.address;
   call.path = path;
   call.method = "GET";
   call.headers = {{"Host", kHost},
                   {"X-Request-Id", sent.id},
-                  {"X-Deadline-Ms", std::to_string(kClientDeadline / Milliseconds(1))},
+                  {"X-Deadline-Ms", std::to_string(deadline / Milliseconds(1))},
                   {kCallerHeader, caller}};
-  call.timeout = 2 * kClientDeadline;
+  call.timeout = sent.timeout;
+  call.retained_connections = request.patient ? kMaxConnections : 1;
   client_->Start(std::move(call), [this, sent](const http::ClientResponse& response) {
     observations_->OnResponse(sent, response);
   });
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -3,8 +3,12 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <optional>
+#include <thread>
 #include <utility>
 
+#include "net/event_loop.h"
+
 namespace pumicedyke::soak {
 namespace {
 
@@ -14,6 +18,12 @@
 constexpr Duration kGatewayRecovery = Seconds(1);
 constexpr int kMaxHangups = 4;
 
+bool IsControl(const std::string& process) { return process.front() == 'c'; }
+
+Duration RecoveryOf(const std::string& process) {
+  return IsControl(process) ? kControlRecovery : kGatewayRecovery;
+}
+
 }  // namespace
 
 Faults::Faults(uint64_t seed, FaultOptions options, platform::PlatformFleet* fleet,
@@ -34,6 +44,7 @@
     pending_undos_.erase(pending_undos_.begin());
     undo();
   }
+  StepStops(now);
   std::erase_if(busy_, [now](const auto& item) { return item.second <= now; });
   CheckForCrashes();
   if (now >= next_) {
@@ -49,6 +60,11 @@
     pending_undos_.erase(pending_undos_.begin());
     undo();
   }
+  // Processes that were told to stop have their time.
+  while (!stops_.empty()) {
+    StepStops(net::EventLoop::Now());
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
 }
 
 void Faults::CheckForCrashes() {
@@ -63,8 +79,10 @@
 void Faults::Inject(Timestamp now) {
   using Fault = void (Faults::*)(Timestamp);
   static constexpr Fault kFaults[] = {
-      &Faults::PauseGateway, &Faults::KillGateway, &Faults::StopGateway, &Faults::PauseControl,
+      &Faults::PauseGateway, &Faults::KillGateway, &Faults::StopGateway,
+      &Faults::StopGateway,  &Faults::StopGateway, &Faults::PauseControl,
       &Faults::KillControl,  &Faults::StopControl, &Faults::WipeControl};
+
   constexpr uint64_t kLastKillAllGateways = 3;
   const uint64_t drawn = random_() % 32;
   if (drawn == 0) {
@@ -100,35 +118,88 @@
   const Timestamp end_time = now + RandomDuration(100, 2500);
   fleet_->processes.at(process)->Signal(SIGSTOP);
   ScheduleUndo(end_time, [this, process] { fleet_->processes.at(process)->Signal(SIGCONT); });
-  busy_[process] = end_time + (process.front() == 'c' ? kControlRecovery : kGatewayRecovery);
+  observations_->OnDisruption(process, now, end_time);
+  busy_[process] = end_time + RecoveryOf(process);
 }
 
 Timestamp Faults::PauseLater(Timestamp now, const std::string& process) {
   ++injected_["pause_stopping"];
   const Timestamp start_time = now + RandomDuration(100, 1000);
   const Timestamp end_time = start_time + RandomDuration(20, 240);
-  ScheduleUndo(start_time, [this, process] { fleet_->processes.at(process)->Signal(SIGSTOP); });
-  ScheduleUndo(end_time, [this, process] { fleet_->processes.at(process)->Signal(SIGCONT); });
+  observations_->OnDisruption(process, start_time, end_time);
+  const auto signal_later = [this, process](Timestamp when, int signal) {
+    ScheduleUndo(when, [this, process, signal] {
+      // By then the process may have stopped.
+      if (!stops_.at(process).ended) {
+        fleet_->processes.at(process)->Signal(signal);
+      }
+    });
+  };
+  signal_later(start_time, SIGSTOP);
+  signal_later(end_time, SIGCONT);
   return end_time;
 }
 
-void Faults::TerminateAndRestart(Timestamp now, const std::string& process, int signal) {
-  Timestamp restart_time = now + RandomDuration(50, 2000);
-  fleet_->processes.at(process)->Signal(signal);
-  if (signal == SIGTERM && random_() % 2 == 0) {
+Duration Faults::KillAfter(const std::string& process) const {
+  return IsControl(process) ? options_.kill_control_after : options_.kill_gateway_after;
+}
+
+void Faults::KillAndRestart(Timestamp now, const std::string& process) {
+  const Timestamp restart_time = now + RandomDuration(50, 2000);
+  fleet_->processes.at(process)->Signal(SIGKILL);
+  observations_->OnDisruption(process, now, restart_time);
+  ScheduleUndo(restart_time, [this, process] {
+    fleet_->processes.at(process)->Wait();
+    RestartProcess(process);
+  });
+  busy_[process] = restart_time + RecoveryOf(process);
+}
+
+void Faults::StopAndRestart(Timestamp now, const std::string& process) {
+  PlannedStop& stop = stops_[process];
+  stop = {.kill_time = now + KillAfter(process), .restart_time = now + RandomDuration(50, 2000)};
+  // It is free again some time after its restart.
+  busy_[process] = Timestamp::max();
+  observations_->OnStopping(process, now);
+  fleet_->processes.at(process)->Signal(SIGTERM);
+  if (random_() % 2 == 0) {
     // Some stand still late in their stop; clients go on sending on open connections.
     const Timestamp pause_end = PauseLater(now, process);
-    restart_time = std::max(restart_time, pause_end + Milliseconds(1));
+    stop.restart_time = std::max(stop.restart_time, pause_end + Milliseconds(1));
   }
-  ScheduleUndo(restart_time, [this, process, signal] {
-    // A planned stop first answers all admitted requests.
-    const int ended = fleet_->processes.at(process)->Wait();
-    if (signal == SIGTERM && ended != 0) {
-      observations_->Fail(process + " did not stop cleanly: " + std::to_string(ended));
+}
+
+void Faults::StepStops(Timestamp now) {
+  for (auto it = stops_.begin(); it != stops_.end();) {
+    const std::string process = it->first;
+    if (!it->second.ended) {
+      StepStop(now, process);
     }
-    RestartProcess(process);
-  });
-  busy_[process] = restart_time + (process.front() == 'c' ? kControlRecovery : kGatewayRecovery);
+    if (it->second.ended && now >= it->second.restart_time) {
+      RestartProcess(process);
+      busy_[process] = now + RecoveryOf(process);
+      it = stops_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Faults::StepStop(Timestamp now, const std::string& process) {
+  PlannedStop& stop = stops_.at(process);
+  e2e::Process* stopping = fleet_->processes.at(process).get();
+  if (const std::optional<int> code = stopping->PollEnd(); code.has_value()) {
+    stop.ended = true;
+    observations_->OnStopped(process, now, StopEnd::kByItself);
+    if (*code != 0) {
+      observations_->Fail(process + " did not stop cleanly: " + std::to_string(*code));
+    }
+  } else if (now >= stop.kill_time) {
+    stopping->Kill();
+    stop.ended = true;
+    observations_->OnStopped(process, net::EventLoop::Now(), StopEnd::kKilled);
+    observations_->Fail(process + " was killed because it had not stopped in time");
+  }
 }
 
 void Faults::RestartProcess(const std::string& process) {
@@ -151,7 +222,7 @@
   if (const std::string name = PickGateway(); !name.empty()) {
     ++injected_["kill_gateway"];
     observations_->OnGatewayFault();
-    TerminateAndRestart(now, name, SIGKILL);
+    KillAndRestart(now, name);
   }
 }
 
@@ -160,7 +231,7 @@
   for (const std::string& name : options_.gateways) {
     if (!busy_.contains(name)) {
       observations_->OnGatewayFault();
-      TerminateAndRestart(now, name, SIGKILL);
+      KillAndRestart(now, name);
     }
   }
 }
@@ -169,7 +240,7 @@
   if (const std::string name = PickGateway(); !name.empty()) {
     ++injected_["stop_gateway"];
     observations_->OnGatewayFault();
-    TerminateAndRestart(now, name, SIGTERM);
+    StopAndRestart(now, name);
   }
 }
 
@@ -193,14 +264,14 @@
 void Faults::KillControl(Timestamp now) {
   if (const std::string name = PickControl(now); !name.empty()) {
     ++injected_["kill_control"];
-    TerminateAndRestart(now, name, SIGKILL);
+    KillAndRestart(now, name);
   }
 }
 
 void Faults::StopControl(Timestamp now) {
   if (const std::string name = PickControl(now); !name.empty()) {
     ++injected_["stop_control"];
-    TerminateAndRestart(now, name, SIGTERM);
+    StopAndRestart(now, name);
   }
 }
 
@@ -227,7 +298,7 @@
   }
   ++injected_["kill_all_controls"];
   for (int i = 0; i < options_.controls; ++i) {
-    TerminateAndRestart(now, "c" + std::to_string(i), SIGKILL);
+    KillAndRestart(now, "c" + std::to_string(i));
   }
 }
 
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -20,6 +20,9 @@
   /// Number of control machines that may be down or recovering at once.
   int tolerated = 2;
   std::vector<std::string> gateways;
+  /// Time from SIGTERM until a gateway, or a control machine, is killed if it still runs.
+  Duration kill_gateway_after{};
+  Duration kill_control_after{};
 };
 
 /// Must be used on one thread, which also owns the fleet's processes.
@@ -38,7 +41,15 @@
   const std::map<std::string, int>& injected() const { return injected_; }
 
  private:
+  /// A process that was told to stop.
+  struct PlannedStop {
+    Timestamp kill_time;
+    Timestamp restart_time;
+    bool ended = false;
+  };
+
   void Inject(Timestamp now);
+  Duration KillAfter(const std::string& process) const;
   // Gateways.
   void PauseGateway(Timestamp now);
   void KillGateway(Timestamp now);
@@ -55,8 +66,14 @@
   void Pause(Timestamp now, const std::string& process);
   /// Pauses a process that was told to stop, some time later. @return when it goes on.
   Timestamp PauseLater(Timestamp now, const std::string& process);
-  /// Sends a signal that ends the process, and restarts it later.
-  void TerminateAndRestart(Timestamp now, const std::string& process, int signal);
+  /// Kills the process and restarts it later.
+  void KillAndRestart(Timestamp now, const std::string& process);
+  /// Sends SIGTERM. StepStops() does the rest.
+  void StopAndRestart(Timestamp now, const std::string& process);
+  /// Ends and restarts the processes that were told to stop, as they come due.
+  void StepStops(Timestamp now);
+  /// Notices the end of a stopping process; kills it when its time is over.
+  void StepStop(Timestamp now, const std::string& process);
   void RestartProcess(const std::string& process);
   std::string PickGateway();
   /// Picks a control machine that may fail now; empty: none.
@@ -70,6 +87,7 @@
   std::mt19937_64 random_;
   Timestamp next_{};
   std::multimap<Timestamp, std::function<void()>> pending_undos_;
+  std::map<std::string, PlannedStop> stops_;
   /// Processes under a fault or recovering from one, with the time when they are free again.
   std::map<std::string, Timestamp> busy_;
   std::map<std::string, int> injected_;
--- a/test/soak/observations.cc
+++ b/test/soak/observations.cc
@@ -5,6 +5,8 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "net/event_loop.h"
+#include "soak/hostile_leaf.h"
 
 namespace pumicedyke::soak {
 namespace {
@@ -16,6 +18,10 @@
 constexpr Duration kQuarantineDelay = Seconds(8);
 constexpr size_t kMaxLateAttempts = 3;
 constexpr size_t kMaxViolations = 20;
+/// The body of an answer of a leaf without bad spells.
+constexpr char kPlainBody[] = "sixteen bytes...";
+/// A client may notice the end of a process this much later.
+constexpr Duration kNoticed = Seconds(1);
 
 std::string Value(const http::ClientResponse& response, const std::string& name) {
   const std::string* value = http::FindHeader(response.headers, name);
@@ -37,16 +43,22 @@
 
 void Observations::OnResponse(const SentRequest& request, const http::ClientResponse& response) {
   const std::lock_guard lock(mutex_);
-  ++statuses_[response.ok() ? std::to_string(response.status) : "none"];
+  const std::string status = response.ok() ? std::to_string(response.status) : "none";
+  ++(request.patient ? patient_statuses_ : statuses_)[status];
+  const Timestamp now = net::EventLoop::Now();
+  if (!response.ok() && !response.not_sent && now - request.sent < request.timeout) {
+    unanswered_.push_back({request, now, !response.connection_lost});
+  }
   const bool quarantined = response.body.find("quarantined") != std::string::npos;
   fatal_refused_ += request.fatal && quarantined ? 1 : 0;
   if (quarantined && !request.fatal) {
     AddViolation(request.id + ": a harmless request is quarantined");
   }
-  constexpr int kOk = 200;
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirection = 300;
   constexpr int kTooMany = 429;
   constexpr int kUnavailable = 503;
-  if (response.status == kOk) {
+  if (response.status >= kFirstSuccess && response.status < kFirstRedirection) {
     CheckSuccess(request, response);
   } else if (response.status == kTooMany || response.status == kUnavailable) {
     refused_as_not_run_.insert(request.id);
@@ -66,6 +78,9 @@
     CheckGathered(request, response);
   } else if (!Value(response, "X-Server-Stamp").ends_with("." + request.id)) {
     AddViolation(request.id + ": has the signature of another request");
+  } else if (response.body != (request.patient ? HostileBody(request.id) : kPlainBody)) {
+    AddViolation(absl::StrCat(request.id, ": ", response.status, " from ", request.gateway,
+                              " without the leaf's whole body: ", response.body.size(), " bytes"));
   }
 }
 
@@ -92,6 +107,12 @@
   ++runs_[{request_id, service}];
 }
 
+void Observations::OnArrival(const std::string& service, const std::string& request_id) {
+  arrivals_.OnArrival(service, request_id);
+  const std::lock_guard lock(mutex_);
+  arrived_.insert(request_id);
+}
+
 void Observations::OnLeafCrashed(Timestamp now, const std::string& request_id) {
   constexpr uint64_t kThird = 3;
   const std::lock_guard lock(mutex_);
@@ -127,8 +148,53 @@
   ++gateway_faults_;
 }
 
+void Observations::OnDisruption(const std::string& gateway, Timestamp from, Timestamp to) {
+  const std::lock_guard lock(mutex_);
+  disruptions_[gateway].push_back({from, to});
+}
+
+void Observations::OnStopping(const std::string& process, Timestamp now) {
+  const std::lock_guard lock(mutex_);
+  stops_[process].push_back({now});
+}
+
+void Observations::OnStopped(const std::string& process, Timestamp now, StopEnd end) {
+  const std::lock_guard lock(mutex_);
+  stops_[process].back().to = now;
+  ++(end == StopEnd::kByItself ? stops_by_themselves_ : stops_by_kill_);
+}
+
+bool Observations::WasDisrupted(const Unanswered& unanswered) const {
+  const auto it = disruptions_.find(unanswered.request.gateway);
+  return it != disruptions_.end() &&
+         std::any_of(it->second.begin(), it->second.end(), [&](const Period& disruption) {
+           return disruption.from <= unanswered.ended && unanswered.request.sent <= disruption.to;
+         });
+}
+
+void Observations::CheckStops() {
+  for (const Unanswered& unanswered : unanswered_) {
+    const SentRequest& request = unanswered.request;
+    // A request that nobody read may have crossed the close of an idle connection.
+    const bool was_read = unanswered.begun || arrived_.contains(request.id);
+    if (!was_read || WasDisrupted(unanswered)) {
+      continue;
+    }
+    for (const Period& stop : stops_[request.gateway]) {
+      if (unanswered.ended >= stop.from && unanswered.ended - kNoticed <= stop.to) {
+        ++lost_;
+        AddViolation(absl::StrCat(request.id, ": lost by the stopping ", request.gateway, ", sent ",
+                                  (request.sent - stop.from) / Milliseconds(1), " ms and ended ",
+                                  (unanswered.ended - stop.from) / Milliseconds(1),
+                                  " ms after SIGTERM"));
+      }
+    }
+  }
+}
+
 void Observations::CheckAtEnd() {
   const std::lock_guard lock(mutex_);
+  CheckStops();
   if (const double excess = arrivals_.MaxExcess(repeat_limit_); excess > 0) {
     AddViolation(absl::StrCat("repeats beyond the limit of all gateways: ", excess));
   }
@@ -156,11 +222,15 @@
 Json Observations::Summary() const {
   const std::lock_guard lock(mutex_);
   return {{"answers", statuses_},
+          {"patient_answers", patient_statuses_},
           {"broken", violations_},
           {"repeats", arrivals_.Repeats()},
           {"acknowledged", acknowledged_},
           {"reads", reads_},
           {"gateway_faults", gateway_faults_},
+          {"stops_by_themselves", stops_by_themselves_},
+          {"stops_by_kill", stops_by_kill_},
+          {"lost_by_stops", lost_},
           {"leafs_ended", leaf_crashes_},
           {"late_fatal_attempts", late_fatal_.size()},
           {"fatal_refused", fatal_refused_}};
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -20,6 +20,9 @@
 DEFINE_int32(shards, 8, "number of shards of a gather, with two leafs each");
 DEFINE_int32(repeat_allowance, 60,
              "repeats in ten seconds that all gateways may send to a service");
+DEFINE_bool(state_kill_after, true,
+            "tell gateways when they are killed; without it, gateways that do not know the setting "
+            "can be tried");
 
 namespace pumicedyke::soak {
 namespace {
@@ -28,6 +31,9 @@
 /// The gateways' own ratio, of which their settings say nothing.
 constexpr double kRepeatRatio = 0.1;
 constexpr Duration kStep = Milliseconds(10);
+/// Gateways are killed this long after SIGTERM: sooner than by the users' platform, so that a short
+/// soak sees several stops.
+constexpr Duration kKillGatewayAfter = kUsersKillAfter / 2;
 /// Time allowed for recovery after all faults have ended.
 constexpr Duration kRecoveryTimeout = Seconds(20);
 
@@ -40,32 +46,31 @@
             {.ratio = kRepeatRatio, .fixed = static_cast<double>(FLAGS_repeat_allowance)}),
         fleet_({.controls = FLAGS_controls,
                 .tolerated = FLAGS_controls / 2,
-                .extra_load_allowance = FLAGS_repeat_allowance}) {
+                .extra_load_allowance = FLAGS_repeat_allowance,
+                .kill_after = FLAGS_state_kill_after ? kKillGatewayAfter : Duration{}}) {
     for (int i = 0; i < FLAGS_controls; ++i) {
       controls_.push_back(fleet_.ServiceAddress(i));
     }
-    gateway_addresses_ = {fleet_.gateway_address()};
-    gateway_names_ = {"gateway"};
+    gateways_ = {{"gateway", fleet_.gateway_address()}};
     for (int i = 1; i < FLAGS_gateways; ++i) {
-      gateway_names_.push_back("gateway" + std::to_string(i + 2));
-      gateway_addresses_.push_back(fleet_.StartAdditionalGateway(gateway_names_.back()));
+      const std::string name = "gateway" + std::to_string(i + 2);
+      gateways_.push_back({name, fleet_.StartAdditionalGateway(name)});
     }
     fleet_.Put(DocumentOf(1, static_cast<size_t>(FLAGS_shards)));
     observations_.OnAcknowledged(1);
   }
 
   Json Run() {
-    Leafs leafs("seed" + std::to_string(FLAGS_seed), static_cast<size_t>(FLAGS_shards), kReplicas,
-                controls_, &observations_);
+    Leafs leafs(FLAGS_seed, "seed" + std::to_string(FLAGS_seed), static_cast<size_t>(FLAGS_shards),
+                kReplicas, controls_, &observations_);
     WaitForAll();
-    Faults faults(FLAGS_seed, {FLAGS_controls, FLAGS_controls / 2, gateway_names_}, &fleet_,
-                  &observations_);
+    Faults faults(FLAGS_seed, OptionsOfFaults(), &fleet_, &observations_);
     {
-      const Clients clients(FLAGS_seed + 1, gateway_addresses_, static_cast<size_t>(FLAGS_shards),
+      const Clients clients(FLAGS_seed + 1, gateways_, static_cast<size_t>(FLAGS_shards),
                             &observations_);
       const Operator operators(FLAGS_seed + 2, controls_, static_cast<size_t>(FLAGS_shards),
                                &observations_);
-      leafs.SetRefusing(true);
+      leafs.SetHostile(true);
       const Timestamp end = net::EventLoop::Now() + Seconds(FLAGS_seconds);
       while (net::EventLoop::Now() < end) {
         faults.Step(net::EventLoop::Now());
@@ -73,7 +78,7 @@
       }
       faults.EndAllFaults();
     }
-    leafs.SetRefusing(false);
+    leafs.SetHostile(false);
     WaitForAll();
     ReadBack();
     faults.CheckForCrashes();
@@ -87,10 +92,21 @@
   }
 
  private:
+  FaultOptions OptionsOfFaults() const {
+    FaultOptions options;
+    options.controls = FLAGS_controls;
+    options.tolerated = FLAGS_controls / 2;
+    for (const NamedGateway& gateway : gateways_) {
+      options.gateways.push_back(gateway.name);
+    }
+    options.kill_gateway_after = kKillGatewayAfter;
+    options.kill_control_after = kUsersKillAfter;
+    return options;
+  }
   /// Waits until every gateway serves a complete gather; fails the soak after kRecoveryTimeout.
   void WaitForAll() {
     const Timestamp deadline = net::EventLoop::Now() + kRecoveryTimeout;
-    for (const std::string& gateway : gateway_addresses_) {
+    for (const auto& [name, gateway] : gateways_) {
       while (!ServesAllShards(gateway)) {
         if (net::EventLoop::Now() >= deadline) {
           observations_.Fail("the gateway at " + gateway + " does not serve all shards again");
@@ -101,7 +117,7 @@
     }
   }
   bool ServesAllShards(const std::string& gateway) {
-    observations_.arrivals()->OnRequest(ServiceNames(static_cast<size_t>(FLAGS_shards)));
+    observations_.OnRequest(ServiceNames(static_cast<size_t>(FLAGS_shards)));
     const http::ClientResponse response =
         fleet_.SendRequestTo(gateway, "/all/whole", {{"Authorization", "Bearer probe"}});
     const std::string* missing = http::FindHeader(response.headers, "X-Missing-Parts");
@@ -127,8 +143,7 @@
   Observations observations_;
   platform::PlatformFleet fleet_;
   std::vector<std::string> controls_;
-  std::vector<std::string> gateway_addresses_;
-  std::vector<std::string> gateway_names_;
+  std::vector<NamedGateway> gateways_;
 };
 
 }  // namespace
