A stopping node answers every request before it is killed

Cause: kill_after_ms ended only http; the node's own waits lasted until the deadline of the policy, that for the late outcome of work answered before 30 s, that for the ledger's record without end.

Change: NodeServer::StartDraining(now, answer_by). Held answers are sent by answer_by; then the node ends even if the ledger recorded nothing (the key stays taken, as after a kill). Requests at the end are refused with shutting_down, and no key is claimed whose outcome could not be recorded. `stop_progress` tells what a stopping node waits for. Without the setting nothing changes.

It works because each wait ends at a time that is known at the signal.

--- a/src/node/held_answers.cc
+++ b/src/node/held_answers.cc
@@ -22,6 +22,12 @@
   return answer;
 }
 
+void HeldAnswers::LimitWait(Timestamp until) {
+  for (const auto& [owner, answer] : held_) {
+    due_.emplace(until, owner);
+  }
+}
+
 std::vector<CallerAnswer> HeldAnswers::TakeOverdue(Timestamp now) {
   std::vector<CallerAnswer> overdue;
   while (!due_.empty() && due_.begin()->first <= now) {
--- a/src/node/held_answers.h
+++ b/src/node/held_answers.h
@@ -27,6 +27,8 @@
   void Hold(const std::string& owner, CallerAnswer answer, Timestamp until);
   /// Handles a recorded outcome. @return the answer of the attempt, if it is held.
   std::optional<CallerAnswer> Release(const std::string& owner);
+  /// Sends no answer later than `until`, of those that are held now.
+  void LimitWait(Timestamp until);
   /// @return the answers whose wait is over, marked as not recorded.
   std::vector<CallerAnswer> TakeOverdue(Timestamp now);
   /// Drops the answer of a request that its caller no longer waits for.
@@ -36,10 +38,11 @@
     return due_.empty() ? std::nullopt : std::optional(due_.begin()->first);
   }
   bool empty() const { return held_.empty(); }
+  size_t size() const { return held_.size(); }
 
  private:
   std::map<std::string, CallerAnswer> held_;
-  /// Attempts by the time at which their answers are due; may include released ones.
+  /// Attempts by the times at which their answers are due; may include released ones.
   std::multimap<Timestamp, std::string> due_;
 };
 
--- a/src/node/ledger_client.h
+++ b/src/node/ledger_client.h
@@ -44,6 +44,7 @@
   /// @return the messages that are due, including repeats.
   std::vector<wire::Envelope> Tick(Timestamp now);
   bool idle() const { return pending_.empty(); }
+  size_t size() const { return pending_.size(); }
 
  private:
   struct Pending {
--- a/src/node/node_admission.cc
+++ b/src/node/node_admission.cc
@@ -108,6 +108,9 @@
   const auto refuse = [&](ResultCode code, const std::string& message, Duration retry = {}) {
     Refuse(now, id, code, message, run, retry);
   };
+  if (RefuseBeforeKill(now, id, request, answer_by_)) {
+    return;
+  }
   if (!Ready(now)) {
     refuse(ResultCode::kNotReady, "the configuration is not known yet", kNotReadyRetryAfter);
     return;
@@ -208,6 +211,10 @@
 }
 
 void NodeServer::StartClaim(Timestamp now, RequestId id, Active* active) {
+  if (RefuseBeforeKill(now, id, active->request, settle_by_)) {
+    Remove(now, id);
+    return;
+  }
   // The tenant is part of the key, so that tenants cannot see or block each other's keys.
   const std::string& tenant = active->request.tenant;
   active->ledger_key = active->request.service + "/" + (tenant.empty() ? "" : tenant + kSeparator) +
@@ -215,7 +222,7 @@
   active->claim_owner = ledger_.Claim(now, active->ledger_key, Fingerprint(active->request));
   active->claim_pending = true;
   claims_[active->claim_owner] = id;
-  Schedule(id, active->deadline);
+  Schedule(id, std::min(active->deadline, settle_by_));
   for (wire::Envelope& envelope : ledger_.Tick(now)) {
     output_.control.push_back(std::move(envelope));
   }
@@ -249,6 +256,9 @@
   active->execution = std::make_unique<query::RequestExecution>(
       active->request, plan, active->program.get(), runtime.service, *snapshot, std::move(context),
       options, now);
+  if (answer_by_ != Timestamp::max()) {
+    active->execution->OnStopping(now, EndInStop(*active));
+  }
   active->execution->Advance(now);
   CollectActions(now, id);
 }
--- a/src/node/node_server.cc
+++ b/src/node/node_server.cc
@@ -301,7 +301,7 @@
     trials_.Return(active->request.identity, AttemptOf(id), active->trial);
   }
   active->answered = true;
-  active->late_outcome_deadline = now + options_.late_outcome_timeout;
+  active->late_outcome_deadline = std::min(now + options_.late_outcome_timeout, settle_by_);
   Schedule(id, active->late_outcome_deadline);
   SendOrHoldAnswer(now, id, *active, std::move(answer));
 }
@@ -317,7 +317,7 @@
     output_.answers.push_back({id, std::move(answer)});
     return;
   }
-  const Timestamp until = now + (active.deadline - now) / 2;
+  const Timestamp until = now + (std::min(active.deadline, answer_by_) - now) / 2;
   held_.Hold(active.claim_owner, {id, std::move(answer)}, until);
 }
 
@@ -428,6 +428,7 @@
       CollectActions(now, id);
     }
   }
+  ledger_given_up_ = now >= answer_by_;
 }
 
 Timestamp NodeServer::NextWake(Timestamp now) const {
@@ -437,6 +438,4 @@
   return wakes_.empty() ? idle : std::min(idle, wakes_.top().first);
 }
 
-bool NodeServer::Drained() const { return active_.empty() && held_.empty() && ledger_.idle(); }
-
 }  // namespace pumicedyke::node
--- a/src/node/node_server.h
+++ b/src/node/node_server.h
@@ -80,6 +80,16 @@
   uint64_t late_replies = 0;
 };
 
+/// What a node works on, for the log.
+struct WorkInProgress {
+  /// Requests that are not answered, and answered ones whose outcome is awaited.
+  size_t requests = 0;
+  /// Answers that wait for the ledger.
+  size_t held_answers = 0;
+  /// Requests to the ledger that it has not answered.
+  size_t ledger_requests = 0;
+};
+
 class NodeServer {
  public:
   NodeServer(NodeOptions options, Timestamp now);
@@ -100,8 +110,12 @@
 
   NodeOutput TakeOutput();
 
-  /// Returns true when no request is in progress and every ledger outcome is recorded, so that a
-  /// stopping process may exit.
+  /// Starts the planned stop; requests that still arrive are served.
+  /// @param answer_by time by which all are answered and Drained() holds, whatever the leafs and
+  /// the control machines do; unset: no limit.
+  void StartDraining(Timestamp now, std::optional<Timestamp> answer_by);
+  /// Returns true when no request is in progress and every ledger outcome is recorded, or was not
+  /// by `answer_by`, so that a stopping process may exit.
   bool Drained() const;
   /// Returns the latest time for the next call of Tick().
   Timestamp NextWake(Timestamp now) const;
@@ -116,6 +130,7 @@
   /// Reports of lost runs that wait for an acknowledgement.
   const quarantine::ReportSender& reports() const { return reports_; }
   size_t in_progress() const { return active_.size(); }
+  WorkInProgress Work() const { return {active_.size(), held_.size(), ledger_.size()}; }
   Duration ConfigAge(Timestamp now) const { return subscriber_.Age(now); }
 
  private:
@@ -184,6 +199,16 @@
   /// Stops the requests in progress that the fleet has stopped.
   void StopQuarantined(Timestamp now);
 
+  // The planned stop (node_stop.cc).
+  /// Limits a request that is in progress when the stop begins.
+  void LimitToStop(Timestamp now, RequestId id, Active* active);
+  /// Returns when a request is answered at the latest while this node stops.
+  Timestamp EndInStop(const Active& active) const;
+  /// Refuses a request of which nothing was sent, unless it is before `limit`. @return whether it
+  /// did.
+  bool RefuseBeforeKill(Timestamp now, RequestId id, const query::CallerRequest& request,
+                        Timestamp limit);
+
   // Progress.
   void OnLedgerVerdict(Timestamp now, const LedgerClient::Verdict& verdict);
   void OnClaimVerdict(Timestamp now, const LedgerClient::Verdict& verdict);
@@ -224,6 +249,12 @@
   using Wake = std::pair<Timestamp, RequestId>;
   std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes_;
   std::map<RequestId, Timestamp> next_wake_;
+  /// While this node stops before it is killed: when all requests must have been answered.
+  Timestamp answer_by_ = Timestamp::max();
+  /// The same for unrepeatable work, early enough for its outcome to be recorded.
+  Timestamp settle_by_ = Timestamp::max();
+  /// The ledger has not recorded everything by `answer_by_`.
+  bool ledger_given_up_ = false;
   NodeCounters counters_;
   NodeOutput output_;
 };
--- a/src/programs/pumicedyke_node_main.cc
+++ b/src/programs/pumicedyke_node_main.cc
@@ -23,6 +23,7 @@
 DEFINE_string(max_config_age_ms, "",
               "configuration age above which requests are refused; 0: never");
 DEFINE_string(drain_grace_ms, "", "minimum time that a stopping node continues to serve");
+DEFINE_string(kill_after_ms, "", "time after which a stopping node is killed; 0: never");
 
 int main(int argc, char** argv) {
   using namespace pumicedyke;  // NOLINT
--- a/src/server/node_process.cc
+++ b/src/server/node_process.cc
@@ -130,8 +130,11 @@
   DispatchOutput();
   report_log_.OnState(now, server_->reports());
   held_bytes_log_.OnState(now, *loop_->request_room());
-  if (stop_.started() && stop_.Done(now, server_->Drained())) {
-    loop_->Stop();
+  if (stop_.started()) {
+    if (stop_.Done(now, server_->Drained())) {
+      loop_->Stop();
+    }
+    stop_log_.OnProgress(now, stop_, server_->Work());
   }
   constexpr Duration kStopPoll = Milliseconds(10);
   return stop_.started() ? now + kStopPoll : server_->NextWake(now);
@@ -375,7 +378,10 @@
 
 void NodeProcess::Stop() {
   LogEvent("stopping", {{"in_progress", server_->in_progress()}});
-  stop_.Start(net::EventLoop::Now(), {http_.get()});
+  const Timestamp now = net::EventLoop::Now();
+  stop_.Start(now, {http_.get()});
+  server_->StartDraining(now, stop_.answer_by());
+  DispatchOutput();
 }
 
 }  // namespace pumicedyke::server
--- a/src/server/node_process.h
+++ b/src/server/node_process.h
@@ -17,6 +17,7 @@
 #include "server/held_bytes_log.h"
 #include "server/misdirected_log.h"
 #include "server/report_log.h"
+#include "server/stop_log.h"
 
 namespace pumicedyke::server {
 
@@ -82,6 +83,7 @@
   MisdirectedLog misdirected_;
   ReportLog report_log_;
   HeldBytesLog held_bytes_log_;
+  StopLog stop_log_;
 };
 
 }  // namespace pumicedyke::server
--- a/src/server/stop_log.cc
+++ b/src/server/stop_log.cc
@@ -21,12 +21,30 @@
 
 }  // namespace
 
+bool StopLog::TakeTurn(Timestamp now) {
+  if (now - logged_at_ < kInterval) {
+    return false;
+  }
+  logged_at_ = now;
+  return true;
+}
+
+void StopLog::OnProgress(Timestamp now, const GracefulStop& stop,
+                         const node::WorkInProgress& work) {
+  if (TakeTurn(now)) {
+    LogEvent("stop_progress", {{"phase", PhaseName(stop.phase())},
+                               {"connections", stop.connections()},
+                               {"requests", work.requests},
+                               {"held_answers", work.held_answers},
+                               {"ledger_requests", work.ledger_requests}});
+  }
+}
+
 void StopLog::OnProgress(Timestamp now, const GracefulStop& stop,
                          const gateway::WorkInProgress& work) {
-  if (now - logged_at_ < kInterval) {
+  if (!TakeTurn(now)) {
     return;
   }
-  logged_at_ = now;
   LogEvent("stop_progress", {{"phase", PhaseName(stop.phase())},
                              {"connections", stop.connections()},
                              {"running", work.running},
--- a/src/server/stop_log.h
+++ b/src/server/stop_log.h
@@ -1,9 +1,10 @@
-// Logs what a stopping gateway still waits for, so that a request that ends without an answer can
-// be traced to what held it.
+// Logs what a stopping gateway or node still waits for, so that a request that ends without an
+// answer can be traced to what held it.
 #pragma once
 
 #include "common/types.h"
 #include "gateway/messages.h"
+#include "node/node_server.h"
 #include "server/graceful_stop.h"
 
 namespace pumicedyke::server {
@@ -13,8 +14,12 @@
  public:
   /// Called on every tick of a planned stop; logs at most one line per kInterval.
   void OnProgress(Timestamp now, const GracefulStop& stop, const gateway::WorkInProgress& work);
+  void OnProgress(Timestamp now, const GracefulStop& stop, const node::WorkInProgress& work);
 
  private:
+  /// Returns whether a line is due, and counts it as logged.
+  bool TakeTurn(Timestamp now);
+
   static constexpr Duration kInterval = Milliseconds(500);
   Timestamp logged_at_{};
 };
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -178,6 +178,20 @@
   return ExitCode(status);
 }
 
+bool StopLikeThePlatform(Process* process, Duration kill_after) {
+  const auto stopped = std::chrono::steady_clock::now();
+  process->Signal(SIGTERM);
+  bool ended = false;
+  WaitFor("the end of a process", [&] {
+    ended = process->HasEnded();
+    return ended || std::chrono::steady_clock::now() >= stopped + kill_after;
+  });
+  if (!ended) {
+    process->Kill();
+  }
+  return ended;
+}
+
 int RunProgram(const std::string& program, const std::vector<std::string>& arguments,
                std::string* output) {
   const std::string file = CreateTestFolder() + "/output";
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -54,6 +54,10 @@
   pid_t pid_ = -1;
 };
 
+/// Stops a process like the platform, which kills it `kill_after` the signal. @return whether it
+/// ended by itself.
+bool StopLikeThePlatform(Process* process, Duration kill_after);
+
 /// Runs a program until it exits. @return its exit code; its output is stored in `output` if given.
 int RunProgram(const std::string& program, const std::vector<std::string>& arguments,
                std::string* output = nullptr);
--- a/test/platform/stop_limit_test.cc
+++ b/test/platform/stop_limit_test.cc
@@ -2,7 +2,6 @@
 // read before the platform kills it, whatever the leafs do.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <csignal>
 #include <future>
 #include <map>
 #include <memory>
@@ -12,7 +11,6 @@
 #include "common/json.h"
 #include "e2e/raw_connection.h"
 #include "e2e/whole_response.h"
-#include "net/event_loop.h"
 #include "platform/platform_fleet.h"
 
 namespace pumicedyke::platform {
@@ -98,21 +96,6 @@
   std::vector<std::unique_ptr<e2e::RawConnection>> connections_;
 };
 
-/// Stops a process like the platform. @return whether it ended by itself.
-bool StopLikeThePlatform(e2e::Process* process) {
-  const Timestamp stopped = net::EventLoop::Now();
-  process->Signal(SIGTERM);
-  bool ended = false;
-  e2e::WaitFor("the end of a process", [&] {
-    ended = process->HasEnded();
-    return ended || net::EventLoop::Now() >= stopped + kKillAfter;
-  });
-  if (!ended) {
-    process->Kill();
-  }
-  return ended;
-}
-
 }  // namespace
 
 class StopLimitTest : public CppUnit::TestFixture {
@@ -148,10 +131,10 @@
       clients.push_back(SendToAll(gateway));
     }
     WaitForRuns(leafs);
-    auto first_end =
-        std::async(std::launch::async, StopLikeThePlatform, fleet.processes.at("gateway").get());
-    auto second_end =
-        std::async(std::launch::async, StopLikeThePlatform, fleet.processes.at("gateway2").get());
+    auto first_end = std::async(std::launch::async, e2e::StopLikeThePlatform,
+                                fleet.processes.at("gateway").get(), kKillAfter);
+    auto second_end = std::async(std::launch::async, e2e::StopLikeThePlatform,
+                                 fleet.processes.at("gateway2").get(), kKillAfter);
     const bool all_ended = first_end.get() & second_end.get();
     std::string lost;
     for (const Clients& some : clients) {
