A stopping control machine answers every call before it is killed

Cause: control did not know when it is killed. With 6 s between the signals orders and reads end in time by themselves (submission_timeout, 3 s, kept when an order is forwarded again; new ones are refused); unfinished requests do not.

At the end unfinished requests are refused, and undecided orders and reads answered with 503 no_quorum: an order may still be committed, and is sent again under its submission id.

Evidence: ControlStopLimitTest (real processes, a majority paused) loses connections with the limit left out, and passes with it. It works because nothing waits beyond a time known at the signal.

--- a/src/programs/pumicedyke_control_main.cc
+++ b/src/programs/pumicedyke_control_main.cc
@@ -23,6 +23,8 @@
 DEFINE_string(machines, "", "name=IP:port of every control machine, separated by commas");
 DEFINE_string(snapshot_log_bytes, "", "log size that triggers a snapshot");
 DEFINE_string(election_timeout_ms, "", "shortest election timeout");
+DEFINE_string(drain_grace_ms, "", "minimum time that a stopping machine continues to serve");
+DEFINE_string(kill_after_ms, "", "time after which a stopping machine is killed; 0: never");
 
 int main(int argc, char** argv) {
   using namespace pumicedyke;  // NOLINT
--- a/src/server/control_process.cc
+++ b/src/server/control_process.cc
@@ -116,6 +116,7 @@
       Milliseconds(file.Integer("replace_silent_after_ms", 0, 0, kMaxMilliseconds));
   settings.snapshot_log_bytes =
       static_cast<size_t>(file.Integer("snapshot_log_bytes", 4 << 20, 4096, int64_t{1} << 32));
+  settings.stop = ReadStopTimes(&file, kStopGrace);
   settings.election_timeout = Milliseconds(file.Integer("election_timeout_ms", 300, 50, 60000));
   bool listed = false;
   for (const Machine& machine : ParseMachines(settings.machines)) {
@@ -157,7 +158,7 @@
       loop_(loop),
       dialect_(dialect),
       watch_(settings_.path),
-      stop_(StopTimes{.grace = kStopGrace}) {}
+      stop_(settings_.stop) {}
 
 absl::StatusOr<ControlProcess::OpenedStorage> ControlProcess::OpenStorage() const {
   if (absl::Status status = storage::PosixFileSystem::CreateFolder(settings_.data_folder);
@@ -341,12 +342,23 @@
   CommitLeafs(now);
   DispatchOutput();
   log_.OnState(now, *server_, *discovery_);
-  if (stop_.started() && stop_.Done(now, server_->Drained() && waiting_.empty())) {
-    loop_->Stop();
+  if (stop_.started()) {
+    AdvanceStop(now);
   }
   return now + kTickInterval;
 }
 
+void ControlProcess::AdvanceStop(Timestamp now) {
+  const bool done = stop_.Done(now, server_->Drained() && waiting_.empty());
+  if (stop_.phase() == StopPhase::kRefusing) {
+    server_->AbandonPending();
+    DispatchOutput();
+  }
+  if (done) {
+    loop_->Stop();
+  }
+}
+
 void ControlProcess::CommitLeafs(Timestamp now) {
   if (!server_->IsCurrent(now) || stop_.started()) {
     return;
--- a/src/server/control_process.h
+++ b/src/server/control_process.h
@@ -63,6 +63,7 @@
   std::string path;
   size_t snapshot_log_bytes = 0;
   Duration election_timeout{};
+  StopTimes stop;
 };
 
 /// @return the settings, or all errors of the file and the flags.
@@ -107,6 +108,9 @@
   /// Opens the listening sockets.
   absl::Status Listen();
   Timestamp Tick(Timestamp now);
+  /// Ends the process when the planned stop is done. Before it is killed, answers the calls that
+  /// wait for other machines: whether their orders were committed is not known here.
+  void AdvanceStop(Timestamp now);
   void DispatchOutput();
   void SendToSessions(const control::SessionMessage& message);
   void SendToPeer(const std::string& address, const wire::Envelope& envelope);
--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -256,8 +256,9 @@
 
 void Fleet::StartControl(int index) {
   const std::string name = absl::StrCat("c", index);
-  processes[name] =
-      std::make_unique<Process>(name, "pumicedyke-control", ControlFlags(index), folder_);
+  std::vector<std::string> flags = ControlFlags(index);
+  flags.insert(flags.end(), options.control_flags.begin(), options.control_flags.end());
+  processes[name] = std::make_unique<Process>(name, "pumicedyke-control", flags, folder_);
 }
 
 void Fleet::KillControl(int index) { processes.at(absl::StrCat("c", index))->Kill(); }
--- a/test/e2e/fleet.h
+++ b/test/e2e/fleet.h
@@ -66,6 +66,7 @@
   int controls = 3;
   int nodes = 1;
   int leafs = 2;
+  std::vector<std::string> control_flags = {};
   std::vector<std::string> node_flags = {};
   std::vector<std::string> leaf_flags = {};
 };
--- a/test/e2e/stop_limit_test.cc
+++ b/test/e2e/stop_limit_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <future>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -105,4 +106,68 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeStopLimitTest);
 
+class ControlStopLimitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ControlStopLimitTest);
+  CPPUNIT_TEST(EveryCallIsAnsweredBeforeAStoppingControlMachineIsKilled);
+  CPPUNIT_TEST(UnfinishedCallIsRefusedBeforeAStoppingControlMachineIsKilled);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  /// Guards against calls of operators that a stopping control machine still holds when it is
+  /// killed: an order and a read that no majority decides. What may be in force later is answered
+  /// with a 503.
+  void EveryCallIsAnsweredBeforeAStoppingControlMachineIsKilled() {
+    // Shorter than the time after which an undecided order is answered anyway.
+    constexpr Duration kKillControlAfter = Seconds(2);
+    Fleet fleet(
+        {.controls = 3, .nodes = 0, .leafs = 0, .control_flags = {"--kill_after_ms", "2000"}});
+    const int leader = fleet.WaitForLeader();
+    for (int i = 0; i < 3; ++i) {
+      if (i != leader) {
+        fleet.processes.at(absl::StrCat("c", i))->Pause();
+      }
+    }
+    // A leader that can't know that it was deposed answers reads.
+    WaitFor("the end of the lease",
+            [&] { return Metric(fleet.OperatorAddress(leader), "pumicedyke_control_leads") == 0; });
+    const std::string order = PostRequest(
+        "/v1/changes",
+        R"({"kind":"put_service","submission_id":"a","service":"desk","leafs":[{"id":"a","address":"10.0.0.1:80","slots":4}]})",
+        "");
+    std::vector<std::unique_ptr<RawConnection>> calls;
+    for (const std::string& call :
+         {order, std::string("GET /v1/config HTTP/1.1\r\nHost: h\r\n\r\n")}) {
+      calls.push_back(std::make_unique<RawConnection>(fleet.OperatorAddress(leader)));
+      calls.back()->SendBytes(call);
+    }
+    // Once later calls were answered, these have been read.
+    for (int i = 0; i < 2; ++i) {
+      CPPUNIT_ASSERT(Get(fleet.OperatorAddress(leader), "/metrics").ok());
+    }
+    auto end = std::async(std::launch::async, StopLikeThePlatform,
+                          fleet.processes.at(absl::StrCat("c", leader)).get(), kKillControlAfter);
+    for (std::unique_ptr<RawConnection>& call : calls) {
+      const std::string response = call->ReadToEnd();
+      CPPUNIT_ASSERT_MESSAGE(response, IsWholeResponse(response));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 503, StatusOf(response));
+    }
+    CPPUNIT_ASSERT(end.get());
+  }
+
+  /// Guards against a call that was not read whole and ends without an answer. Whether the machine
+  /// ends by itself is not asked: it lingers for the rest of a refused call for longer than is
+  /// left.
+  void UnfinishedCallIsRefusedBeforeAStoppingControlMachineIsKilled() {
+    Fleet fleet(
+        {.controls = 1, .nodes = 0, .leafs = 0, .control_flags = {"--kill_after_ms", "2000"}});
+    const RawConnection call(fleet.OperatorAddress(0));
+    call.SendBytes("POST /v1/changes HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{");
+    StopLikeThePlatform(fleet.processes.at("c0").get(), Seconds(2));
+    const std::string response = call.ReadToEnd();
+    CPPUNIT_ASSERT_MESSAGE(response, IsWholeResponse(response));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 503, StatusOf(response));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ControlStopLimitTest);
+
 }  // namespace pumicedyke::e2e
