--- a/test/e2e/fleet.cc
+++ b/test/e2e/fleet.cc
@@ -182,6 +182,20 @@
   return ExitCode(status);
 }
 
+bool StopLikeThePlatform(Process* process, Duration kill_after) {
+  const auto stopped = std::chrono::steady_clock::now();
+  process->Signal(SIGTERM);
+  bool ended = false;
+  WaitFor("the end of a process", [&] {
+    ended = process->HasEnded();
+    return ended || std::chrono::steady_clock::now() >= stopped + kill_after;
+  });
+  if (!ended) {
+    process->Kill();
+  }
+  return ended;
+}
+
 int RunProgram(const std::string& program, const std::vector<std::string>& arguments,
                std::string* output) {
   const std::string file = CreateTestFolder() + "/output";
@@ -246,8 +260,9 @@
 
 void Fleet::StartControl(int index) {
   const std::string name = absl::StrCat("c", index);
-  processes[name] =
-      std::make_unique<Process>(name, "pumicedyke-control", ControlFlags(index), folder_);
+  std::vector<std::string> flags = ControlFlags(index);
+  flags.insert(flags.end(), options.control_flags.begin(), options.control_flags.end());
+  processes[name] = std::make_unique<Process>(name, "pumicedyke-control", flags, folder_);
 }
 
 void Fleet::KillControl(int index) { processes.at(absl::StrCat("c", index))->Kill(); }
