Whether other processes may serve a request is asked only while its process stops

Cause: WaitLimit() asked for the run state of all shards for each shard that waits, also where no stop limits the wait: a gather of 180 shards looked at 180 times 180 of them when it began. Found by reading. The order of the conditions changed, nothing else; the tests of stops, waits and allowance pass unchanged.

--- a/src/query/request_execution.cc
+++ b/src/query/request_execution.cc
@@ -206,11 +206,12 @@
 
 Timestamp RequestExecution::WaitLimit(const ShardProgress& shard) const {
   Timestamp limit = deadline_;
-  // Nobody else continues what was begun here, or what is merged for another process.
-  const bool others_may_serve =
-      !options_.report_shard_results && CurrentRunState() == RunState::kNotRun;
+  // Nobody else continues what was begun here, or what is merged for another process. The state of
+  // all shards is looked at only while the process stops.
+  const bool others_may_serve = wait_limit_ < limit && !options_.report_shard_results &&
+                                CurrentRunState() == RunState::kNotRun;
   if (others_may_serve) {
-    limit = std::min(limit, wait_limit_);
+    limit = wait_limit_;
   }
   if (options_.limit_retry_wait && PossibleRuns(shard) > 0) {
     const Timestamp failed = shard.attempts.back().ended.value_or(started_);
