--- a/test/gateway/gateway_stop_test.cc
+++ b/test/gateway/gateway_stop_test.cc
@@ -22,6 +22,7 @@
 struct SixLeafs {
   SixLeafs() {
     std::vector<wire::LeafRecord> leafs;
+    leafs.reserve(2 * kShards);
     for (int i = 0; i < 2 * kShards; ++i) {
       leafs.push_back(
           GatewayHarness::Leaf("leaf" + std::to_string(i), "s" + std::to_string(i % kShards)));
--- a/test/platform/stop_limit_test.cc
+++ b/test/platform/stop_limit_test.cc
@@ -127,6 +127,7 @@
       }
     }
     std::vector<Clients> clients;
+    clients.reserve(gateways.size());
     for (const std::string& gateway : gateways) {
       clients.push_back(SendToAll(gateway));
     }
@@ -187,14 +188,14 @@
 
   /// Waits until every kind of request has reached a leaf.
   static void WaitForRuns(const std::vector<std::unique_ptr<FakeLeaf>>& leafs) {
-    std::map<std::string, int> wanted = {{"silent", 4}, {ShardName(0), 1}};
-    for (auto& [service, runs] : wanted) {
-      e2e::WaitFor("requests at " + service, [&] {
+    const std::map<std::string, int> wanted = {{"silent", 4}, {ShardName(0), 1}};
+    for (const auto& item : wanted) {
+      e2e::WaitFor("requests at " + item.first, [&] {
         int held = 0;
         for (const auto& leaf : leafs) {
-          held += leaf->service() == service ? leaf->held() : 0;
+          held += leaf->service() == item.first ? leaf->held() : 0;
         }
-        return held >= runs;
+        return held >= item.second;
       });
     }
   }
