Stand-ins of tests that several tests need stand in files of their own

ScriptedPeer and Exchange() out of surplus_answer_test.cc, the document with shards out of cut_answers_test.cc, the reading of a request out of EndlessLeaf.

--- a/test/http/surplus_answer_test.cc
+++ b/test/http/surplus_answer_test.cc
@@ -3,61 +3,17 @@
 // closing the connection.
 #include <cppunit/extensions/HelperMacros.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <atomic>
-#include <functional>
 #include <string>
 #include <vector>
 
-#include "e2e/raw_listener.h"
 #include "http/http_client.h"
-#include "net/event_loop.h"
+#include "http/scripted_peer.h"
 
 namespace pumicedyke::http {
 namespace {
 
-/// A peer that serves a number of connections by a script.
-class ScriptedPeer {
- public:
-  using Script = std::function<void(int connection)>;
-
-  /// @param connections number of connections to serve, each by `script`; further ones are closed.
-  ScriptedPeer(int connections, const Script& script)
-      : listener_([this, connections, script](int connection) {
-          if (++accepted_ <= connections) {
-            script(connection);
-          }
-        }) {}
-
-  const std::string& address() const { return listener_.address(); }
-
-  /// Reads until the end of a request's head.
-  static void ReadHead(int connection) {
-    std::string text;
-    char byte = 0;
-    while (!text.ends_with("\r\n\r\n") && ::read(connection, &byte, 1) == 1) {
-      text += byte;
-    }
-  }
-  static void Write(int connection, const std::string& text) {
-    (void)!::write(connection, text.data(), text.size());
-  }
-  static std::string Answer(const std::string& id) {
-    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(id.size()) +
-           "\r\n\r\n" + id;
-  }
-
-  static std::string Refusal(const std::string& id) {
-    return "HTTP/1.1 503 Full\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
-  }
-
- private:
-  std::atomic<int> accepted_{0};
-  /// Last, because its threads use the other member.
-  e2e::RawListener listener_;
-};
-
 ClientRequest RequestWithId(const std::string& address, const std::string& id) {
   ClientRequest request;
   request.address = address;
@@ -68,26 +24,6 @@
   return request;
 }
 
-/// Makes the calls consecutively with one client.
-std::vector<ClientResponse> Exchange(const std::vector<ClientRequest>& requests) {
-  net::EventLoop loop;
-  HttpClient client(&loop, {.max_connections_per_host = 1});
-  std::vector<ClientResponse> responses;
-  std::function<void()> next = [&] {
-    client.Start(requests[responses.size()], [&](ClientResponse response) {
-      responses.push_back(std::move(response));
-      if (responses.size() == requests.size()) {
-        loop.Stop();
-      } else {
-        loop.Post(next);
-      }
-    });
-  };
-  loop.Post(next);
-  loop.Run([](Timestamp now) { return now + Milliseconds(50); });
-  return responses;
-}
-
 }  // namespace
 
 class SurplusAnswerTest : public CppUnit::TestFixture {
--- a/test/platform/cut_answers_test.cc
+++ b/test/platform/cut_answers_test.cc
@@ -12,9 +12,9 @@
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
-#include "common/json.h"
 #include "platform/cutting_leaf.h"
 #include "platform/platform_fleet.h"
+#include "platform/shard_document.h"
 
 namespace pumicedyke::platform {
 namespace {
@@ -23,61 +23,9 @@
 constexpr int kFirstRedirect = 300;
 /// Statuses that promise that the request has not run.
 const std::set<int> kPromises = {408, 421, 429, 503};
-/// So many shards are gathered by one gateway.
-constexpr size_t kFewShards = 4;
-/// So many shards are gathered with the help of other gateways.
-constexpr size_t kSharedShards = 24;
 /// More than the operating system takes of a request that the leaf does not read.
 constexpr size_t kLongBodyBytes = 8 << 20;
 constexpr size_t kMaxBodyBytes = 9 << 20;
-constexpr char kPlainService[] = "plain";
-
-std::string ShardName(size_t index) { return absl::StrFormat("s%02d", index); }
-
-Json Route(const std::string& name, const std::string& type) {
-  return {{"name", name},  {"host", "desk.example"}, {"path_prefix", "/" + name + "/"},
-          {"type", type},  {"timeout_ms", 2000},     {"slo_ms", 500},
-          {"priority", 1}, {"max_attempts", 1}};
-}
-
-Json PlainRoute(const std::string& name, const std::string& type) {
-  Json route = Route(name, type);
-  route["backend"] = kPlainService;
-  return route;
-}
-
-Json GatherRoute(const std::string& name, size_t shards) {
-  Json route = Route(name, "idempotent");
-  route["gather"] = Json::array();
-  for (size_t i = 0; i < shards; ++i) {
-    route["gather"].push_back(ShardName(i));
-  }
-  route["top_k"] = shards;
-  route["min_coverage"] = 0.5;
-  return route;
-}
-
-Json Service(const std::string& name) {
-  return {{"name", name}, {"health_path", "/healthz"}, {"max_conns", 26}};
-}
-
-std::string Document() {
-  Json services = Json::array({Service(kPlainService)});
-  for (size_t i = 0; i < kSharedShards; ++i) {
-    services.push_back(Service(ShardName(i)));
-  }
-  return Json{
-      {"version", 1},
-      {"routes", Json::array({PlainRoute("safe", "idempotent"), PlainRoute("once", "mutating"),
-                              GatherRoute("few", kFewShards), GatherRoute("all", kSharedShards)})},
-      {"backends", services},
-      {"limits",
-       {{"max_header_bytes", 4096},
-        {"max_body_bytes", kMaxBodyBytes},
-        {"header_timeout_ms", 3000},
-        {"idle_timeout_ms", 15000}}}}
-      .dump();
-}
 
 /// An id of the same length as all others.
 std::string NewId() {
@@ -154,7 +102,7 @@
 class CutFleet {
  public:
   CutFleet() {
-    CPPUNIT_ASSERT_EQUAL(kServed, fleet_.Put(Document()));
+    CPPUNIT_ASSERT_EQUAL(kServed, fleet_.Put(ShardDocument({.max_body_bytes = kMaxBodyBytes})));
     fleet_.StartSecondGateway();
     AddLeaf(kPlainService);
     for (size_t i = 0; i < kSharedShards; ++i) {
--- a/test/platform/endless_peers.cc
+++ b/test/platform/endless_peers.cc
@@ -6,13 +6,14 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-#include <array>
 #include <cerrno>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/str_replace.h"
+#include "e2e/read_request.h"
 #include "http/http_server.h"
-#include "http/message_parser.h"
+#include "http/message.h"
 #include "platform/heartbeat.h"
 
 namespace pumicedyke::platform {
@@ -72,18 +73,11 @@
       listener_([this](int connection) { Serve(connection); }) {}
 
 void EndlessLeaf::Serve(int connection) {
-  http::RequestParser parser({});
-  std::string input;
-  std::array<char, 4096> bytes{};
-  while (parser.Consume(&input) != http::ParseState::kComplete) {
-    const ssize_t count = ::recv(connection, bytes.data(), bytes.size(), 0);
-    if (count <= 0) {
-      return;
-    }
-    input.append(bytes.data(), static_cast<size_t>(count));
+  const std::optional<http::RequestMessage> request = e2e::ReadRequest(connection);
+  if (!request.has_value()) {
+    return;
   }
-  const http::RequestMessage request = parser.Take();
-  const std::string* header = http::FindHeader(request.headers, "X-Request-Id");
+  const std::string* header = http::FindHeader(request->headers, "X-Request-Id");
   const std::string id = header == nullptr ? "" : *header;
   {
     const std::lock_guard lock(mutex_);
