A status that is none of a response ends the call at once

What callers saw: a leaf's answer with status 600 or 999 reached clients as an answer, with its body and its lines. With 000, 001, 099 or 101 the client got nothing until the request's time had ended, although the head was there: GET with a time of 60 s had no answer after 20 s. Whatever followed such an answer on the connection was taken for the final one: a sound answer right behind a 000 gave 200 (BrokenAnswersTest).

Cause: Boost.Beast checks that the status has three digits, not which ones. ResponseParser passed all of them on, and HttpClient takes whatever is below 200 for an interim response.

Change: ResponseParser fails on statuses outside 100 to 599 and on 101, as on any malformed head: the call ends, and its connection is closed. Other interim statuses (100, 102, 103, 199) are passed over as before.

Evidence: before, on real processes, BrokenAnswersReachNoClient failed at 600 (the client got 600), and with the list begun at 000 at that (no answer in 20 s); BrokenHeadFailsInAnyPieces and BrokenAnswerEndsItsCallAndItsConnection failed at both. Gathers never took such a part: there only the connection that was used on was at fault (BrokenPartsAreNotGathered: 16 later requests on such connections, BrokenPartsAreNotPassedOnBetweenGateways: 6). All pass now. Why it works: every reader of responses (gateways' calls of leafs, nodes' calls of leafs and of the platform's list, pumicectl) reads them with this parser.

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <utility>
 
+#include "http/head_rules.h"
+
 namespace pumicedyke::http {
 namespace {
 
@@ -108,6 +110,12 @@
   return started ? ParseState::kHead : ParseState::kEmpty;
 }
 
+/// Whether the response may be used, as far as its head was read.
+bool IsUsable(const Reading<false>& reading) {
+  return !reading.parser.is_header_done() ||
+         IsStatusOfResponse(static_cast<int>(reading.parser.get().result_int()));
+}
+
 template <class Fields>
 Headers CopyHeaders(const Fields& fields) {
   Headers headers;
@@ -222,7 +230,8 @@
     impl_->reading->parser.skip(to_head_);
   }
   const bool started = !input->empty() || state_ != ParseState::kEmpty;
-  if (Put(limits_, impl_->reading.get(), input)) {
+  const ErrorCode error = Put(limits_, impl_->reading.get(), input);
+  if (error || !IsUsable(*impl_->reading)) {
     impl_->reading.reset();
     state_ = ParseState::kFailed;
   } else {
--- /dev/null
+++ b/test/http/raw_answers.cc
@@ -0,0 +1,66 @@
+#include "http/raw_answers.h"
+
+namespace pumicedyke::http {
+namespace {
+
+constexpr char kOk[] = "HTTP/1.1 200 OK\r\n";
+
+std::string LengthOf(const AnswerParts& parts) {
+  return "Content-Length: " + std::to_string(parts.body.size()) + "\r\n";
+}
+
+/// An answer with a length, and a status line of its own.
+RawAnswer WithStatusLine(const std::string& line, const AnswerParts& parts) {
+  return {line, line + "\r\n" + parts.lines + LengthOf(parts) + "\r\n", parts.body};
+}
+
+std::string InOneChunk(const std::string& body) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  constexpr size_t kBase = 16;
+  std::string size;
+  for (size_t rest = body.size(); rest > 0; rest /= kBase) {
+    size.insert(size.begin(), kDigits[rest % kBase]);
+  }
+  return size + "\r\n" + body + "\r\n0\r\n\r\n";
+}
+
+}  // namespace
+
+std::vector<RawAnswer> OddStatuses(const AnswerParts& parts) {
+  std::vector<RawAnswer> answers;
+  for (const char* status : {"600", "999", "000", "001", "099", "101"}) {
+    answers.push_back(WithStatusLine("HTTP/1.1 " + std::string(status) + " Odd", parts));
+  }
+  answers.push_back({"an upgrade",
+                     "HTTP/1.1 101 Switching Protocols\r\n" + parts.lines +
+                         "Connection: upgrade\r\nUpgrade: other\r\n\r\n",
+                     parts.body});
+  return answers;
+}
+
+std::vector<RawAnswer> BrokenAnswers(const AnswerParts& parts) { return OddStatuses(parts); }
+
+std::vector<RawAnswer> SoundAnswers(const AnswerParts& parts) {
+  const std::string rest = parts.lines + LengthOf(parts) + "\r\n";
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  return {
+      {"after 100", interim + kOk + rest, parts.body},
+      {"after 103", hints + kOk + rest, parts.body},
+      {"after 100, 102, 103, 199",
+       interim + "HTTP/1.1 102 Processing\r\n\r\n" + hints + "HTTP/1.1 199 Other\r\n\r\n" + kOk +
+           rest,
+       parts.body},
+      {"no reason", "HTTP/1.1 200 \r\n" + rest, parts.body},
+      {"bytes over 0x7f in a value", std::string(kOk) + "X-Odd: \xe9\r\n" + rest, parts.body},
+      {"tabs and blanks in and around a value", std::string(kOk) + "X-Odd: \t a \tb \t\r\n" + rest,
+       parts.body},
+      {"an empty value", std::string(kOk) + "X-Odd:\r\n" + rest, parts.body},
+      {"in chunks", std::string(kOk) + parts.lines + "Transfer-Encoding: chunked\r\n\r\n",
+       InOneChunk(parts.body)},
+      {"in chunks, other case", std::string(kOk) + parts.lines + "TRANSFER-encoding:\tChunKed \r\n\r\n",
+       InOneChunk(parts.body)},
+  };
+}
+
+}  // namespace pumicedyke::http
