A line of an answer that begins with a blank ends the call

In gathers it went into X-Part-Stamps, alone and by way of another gateway. A length or a transfer coding written on such a line was taken.

Cause: the bytes are those of an obsolete line folding. Boost.Beast joins the lines with a blank, and nothing after it could tell. RFC 9112, 5.2 lets a gateway refuse such a response.

Change: the parser notes folded lines among the bytes that Boost.Beast takes of a head, and of the trailers of a body in chunks; a response with one is malformed. Bodies may hold such bytes (BodyThatLooksFoldedIsRead). Requests are read as before.

Evidence: failed before: BrokenHeadFailsInAnyPieces, FoldedTrailersFailInAnyPieces, BrokenAnswerEndsItsCallAndItsConnection, and on real processes BrokenAnswersReachNoClient (200), BrokenPartsAreNotGathered and BrokenPartsAreNotPassedOnBetweenGateways (no part missing). They pass now, heads and trailers in two pieces cut at every byte. Why it works: a line is taken together with all that continues it, as Boost.Beast looks at the first byte of the next one, and the last chunk together with all trailers.

--- a/src/http/head_rules.cc
+++ b/src/http/head_rules.cc
@@ -9,4 +9,9 @@
   return status >= kLowest && status <= kHighest && status != kSwitchingProtocols;
 }
 
+bool HasFoldedLine(std::string_view lines) {
+  return lines.find("\r\n ") != std::string_view::npos ||
+         lines.find("\r\n\t") != std::string_view::npos;
+}
+
 }  // namespace pumicedyke::http
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -29,6 +29,8 @@
   /// Those of its head.
   size_t head = 0;
   bool body_admitted = true;
+  /// Whether a line of the head or of the trailers was folded.
+  bool folded = false;
 
   /// Whether nothing after the head may be read yet.
   bool held_back() const { return parser.is_header_done() && !parser.is_done() && !body_admitted; }
@@ -69,6 +71,18 @@
          unread.size() < kShortestLastChunk && unread.starts_with('0');
 }
 
+/// Notes what the parser has taken at once: lines of the head with all that continue them, a piece
+/// of the body, the frame of a chunk, or the last chunk with all trailers.
+template <bool is_request>
+void NoteTaken(std::string_view bytes, bool in_head, Reading<is_request>* reading) {
+  reading->taken += bytes.size();
+  reading->head += in_head ? bytes.size() : 0;
+  const bool in_trailers = !in_head && reading->parser.chunked() && reading->parser.is_done();
+  if (in_head || in_trailers) {
+    reading->folded = reading->folded || HasFoldedLine(bytes);
+  }
+}
+
 /// Feeds the parser until it needs more input, is done or fails. Removes the used input.
 template <bool is_request>
 ErrorCode Put(const MessageLimits& limits, Reading<is_request>* reading, std::string* input) {
@@ -83,10 +97,7 @@
     const bool in_head = !parser.is_header_done();
     const size_t taken = parser.put(boost::asio::const_buffer(unread.data(), unread.size()), error);
     used += taken;
-    reading->taken += taken;
-    if (in_head) {
-      reading->head += taken;
-    }
+    NoteTaken(unread.substr(0, taken), in_head, reading);
     if (error || taken == 0) {
       break;
     }
@@ -110,8 +121,11 @@
   return started ? ParseState::kHead : ParseState::kEmpty;
 }
 
-/// Whether the response may be used, as far as its head was read.
+/// Whether the response may be used, as far as it was read.
 bool IsUsable(const Reading<false>& reading) {
+  if (reading.folded) {
+    return false;
+  }
   return !reading.parser.is_header_done() ||
          IsStatusOfResponse(static_cast<int>(reading.parser.get().result_int()));
 }
--- a/test/http/broken_answers_test.cc
+++ b/test/http/broken_answers_test.cc
@@ -73,6 +73,8 @@
 class BrokenAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BrokenAnswersTest);
   CPPUNIT_TEST(BrokenHeadFailsInAnyPieces);
+  CPPUNIT_TEST(FoldedTrailersFailInAnyPieces);
+  CPPUNIT_TEST(BodyThatLooksFoldedIsRead);
   CPPUNIT_TEST(BrokenAnswerEndsItsCallAndItsConnection);
   CPPUNIT_TEST(SoundAnswersAreReadInAnyPieces);
   CPPUNIT_TEST_SUITE_END();
@@ -93,6 +95,38 @@
     }
   }
 
+  /// Guards against trailers that are taken for what they are not.
+  void FoldedTrailersFailInAnyPieces() {
+    for (const RawAnswer& answer : FoldedTrailers(Parts())) {
+      const std::string text = answer.head + answer.body;
+      for (size_t first = 0; first <= text.size(); ++first) {
+        ParseState state = ParseState::kEmpty;
+        const bool read = Parse(text, first, /*to_head=*/false, &state).has_value();
+        CPPUNIT_ASSERT_MESSAGE(answer.name, !read);
+        CPPUNIT_ASSERT_MESSAGE(answer.name, state == ParseState::kFailed);
+      }
+    }
+  }
+
+  /// Guards against bodies that are refused for what only a head must not contain.
+  void BodyThatLooksFoldedIsRead() {
+    const std::string body = "a\r\n b\r\n\tc\r\n ";
+    for (const std::string& text :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n" + body,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\n" + body +
+              "\r\n0\r\nX-Sum: 1\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\nb;x\r\n" +
+              body.substr(1) + "\r\n0\r\n\r\n"}) {
+      for (size_t first = 0; first <= text.size(); ++first) {
+        ParseState state = ParseState::kEmpty;
+        const std::optional<ResponseMessage> message =
+            Parse(text, first, /*to_head=*/false, &state);
+        CPPUNIT_ASSERT_MESSAGE(text, message.has_value());
+        CPPUNIT_ASSERT_EQUAL(body, message->body);
+      }
+    }
+  }
+
   /// Guards against broken responses after sound ones on the same connection, against what follows
   /// them there, and against calls that wait for their time-out although the head has arrived.
   void BrokenAnswerEndsItsCallAndItsConnection() {
--- a/test/http/raw_answers.cc
+++ b/test/http/raw_answers.cc
@@ -38,7 +38,47 @@
   return answers;
 }
 
-std::vector<RawAnswer> BrokenAnswers(const AnswerParts& parts) { return OddStatuses(parts); }
+std::vector<RawAnswer> FoldedHeads(const AnswerParts& parts) {
+  const std::string length = LengthOf(parts) + "\r\n";
+  const std::string start = kOk + parts.lines;
+  const std::string folded_length =
+      "Content-Length:\r\n " + std::to_string(parts.body.size()) + "\r\n\r\n";
+  return {
+      {"a blank before a name", start + " X-Odd: 1\r\n" + length, parts.body},
+      {"a tab before a name", start + "\tX-Odd: 1\r\n" + length, parts.body},
+      {"a line of a blank", start + " \r\n" + length, parts.body},
+      {"a line of a blank at the end of the head",
+       start + "Content-Length: " + std::to_string(parts.body.size()) + "\r\n \r\n\r\n",
+       parts.body},
+      {"a value on the next line", start + "X-Odd:\r\n 1\r\n" + length, parts.body},
+      {"a value on three lines", start + "X-Odd: 1\r\n 2\r\n\t3\r\n" + length, parts.body},
+      {"a folded length", start + folded_length, parts.body},
+      {"a folded coding", start + "Transfer-Encoding:\r\n\tchunked\r\n\r\n",
+       InOneChunk(parts.body)},
+      {"a folded line after 100",
+       "HTTP/1.1 100 Continue\r\nX-Odd: 1\r\n 2\r\n\r\n" + start + length, parts.body},
+  };
+}
+
+std::vector<RawAnswer> FoldedTrailers(const AnswerParts& parts) {
+  const std::string head = kOk + parts.lines + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = InOneChunk(parts.body);
+  const std::string without_end = chunk.substr(0, chunk.size() - 2);
+  return {
+      {"a blank before a trailer", head, without_end + "X-Sum: 1\r\n X-Odd: 1\r\n\r\n"},
+      {"a tab before a trailer", head, without_end + "X-Sum: 1\r\n\tX-Odd: 1\r\n\r\n"},
+      {"a trailer's value on the next line", head, without_end + "X-Sum:\r\n 1\r\n\r\n"},
+      {"a folded trailer after no chunk", head, "0\r\nX-Sum: 1\r\n 2\r\n\r\n"},
+  };
+}
+
+std::vector<RawAnswer> BrokenAnswers(const AnswerParts& parts) {
+  std::vector<RawAnswer> answers;
+  for (const auto& kind : {OddStatuses(parts), FoldedHeads(parts)}) {
+    answers.insert(answers.end(), kind.begin(), kind.end());
+  }
+  return answers;
+}
 
 std::vector<RawAnswer> SoundAnswers(const AnswerParts& parts) {
   const std::string rest = parts.lines + LengthOf(parts) + "\r\n";
@@ -58,7 +98,8 @@
       {"an empty value", std::string(kOk) + "X-Odd:\r\n" + rest, parts.body},
       {"in chunks", std::string(kOk) + parts.lines + "Transfer-Encoding: chunked\r\n\r\n",
        InOneChunk(parts.body)},
-      {"in chunks, other case", std::string(kOk) + parts.lines + "TRANSFER-encoding:\tChunKed \r\n\r\n",
+      {"in chunks, other case",
+       std::string(kOk) + parts.lines + "TRANSFER-encoding:\tChunKed \r\n\r\n",
        InOneChunk(parts.body)},
   };
 }
--- a/test/http/raw_answers.h
+++ b/test/http/raw_answers.h
@@ -25,7 +25,14 @@
 /// Answers whose status is not that of any response.
 std::vector<RawAnswer> OddStatuses(const AnswerParts& parts);
 
-/// All answers that must never be passed on or used.
+/// Answers of whose head a line begins with a blank, which continues the line before it.
+std::vector<RawAnswer> FoldedHeads(const AnswerParts& parts);
+
+/// Answers in chunks whose trailers have such a line. Their heads are sound.
+std::vector<RawAnswer> FoldedTrailers(const AnswerParts& parts);
+
+/// All answers whose head says that they must never must never be
+/// passed on or used.
 std::vector<RawAnswer> BrokenAnswers(const AnswerParts& parts);
 
 /// Unusual answers that are sound, with the status 200 and the whole body.
--- a/test/platform/broken_leafs_test.cc
+++ b/test/platform/broken_leafs_test.cc
@@ -126,9 +126,8 @@
     request.path = path;
     request.body = method == "POST" ? "one stack" : "";
     request.timeout = kClientWaits;
-    request.headers = {{"Host", "desk.example"},
-                       {"X-Request-Id", id},
-                       {"X-Deadline-Ms", kDeadlineMilliseconds}};
+    request.headers = {
+        {"Host", "desk.example"}, {"X-Request-Id", id}, {"X-Deadline-Ms", kDeadlineMilliseconds}};
     return {id, http::FetchBlocking(request)};
   }
   void AddLeaf(const std::string& service) {
@@ -226,8 +225,8 @@
       const std::set<std::string> stamps = StampsOf(response);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(what, shards - 1, stamps.size());
       CPPUNIT_ASSERT_MESSAGE(what, !stamps.contains(RawLeaf::SignatureOf(broken, id)));
-      CPPUNIT_ASSERT_MESSAGE(
-          what, response.body.find(RawLeaf::RecordOf(broken)) == std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(what,
+                             response.body.find(RawLeaf::RecordOf(broken)) == std::string::npos);
     }
     CPPUNIT_ASSERT_EQUAL(0, fleet->RequestsAfter());
   }
--- a/test/platform/raw_leaf.cc
+++ b/test/platform/raw_leaf.cc
@@ -64,7 +64,8 @@
 const http::RawAnswer* RawLeaf::AskedFor(const std::string& target) const {
   const std::string start = kRawSegment + service_ + "/";
   const size_t at = target.find(start);
-  return at == std::string::npos ? nullptr : &answers_.at(std::stoul(target.substr(at + start.size())));
+  return at == std::string::npos ? nullptr
+                                 : &answers_.at(std::stoul(target.substr(at + start.size())));
 }
 
 void RawLeaf::Serve(int connection) {
