An answer in a transfer coding that is not decoded ends the call

What callers saw: a leaf's answer with `Transfer-Encoding: gzip` (beside a length or until the end of the connection), `chunked, gzip`, `gzip, chunked`, an unknown or an empty one got to clients as 200 with the coded bytes as its body, and without the line about the coding: not the leaf's body. Gathers took such parts, alone and by way of another gateway.

Cause: Boost.Beast decodes `chunked` where it stands last, and passes over any other coding (RFC 9112, 6.1 and 6.3, leave that to its user). The gateway then drops the line, as it concerns one connection only. No request of ours allows another coding (no TE).

Change: a response is malformed unless all it says in Transfer-Encoding is `chunked`, once, and Boost.Beast reads it so. Empty items of the list and any case are read as before (SoundAnswers).

Evidence: failed before: BrokenHeadFailsInAnyPieces, BrokenAnswerEndsItsCallAndItsConnection, and on real processes BrokenAnswersReachNoClient (200 for `gzip` beside a length), BrokenPartsAreNotGathered, BrokenPartsAreNotPassedOnBetweenGateways (no part missing). They pass now with 14 manners, for GET, HEAD and POST. Why it works: what isn't known to be decoded whole is not used, whatever its name.

--- a/src/http/head_rules.h
+++ b/src/http/head_rules.h
@@ -12,4 +12,7 @@
 /// (RFC 9112, 5.2). @param lines whole lines, each with all that continue it.
 bool HasFoldedLine(std::string_view lines);
 
+/// Whether a value of Transfer-Encoding lists "chunked" and nothing else.
+bool IsOnlyChunked(std::string_view codings);
+
 }  // namespace pumicedyke::http
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -1,5 +1,6 @@
 #include "http/message_parser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -121,13 +122,27 @@
   return started ? ParseState::kHead : ParseState::kEmpty;
 }
 
+/// Whether the body is coded in a way that is not decoded here. Valid once the head was read.
+template <bool is_request>
+bool HasUnknownCoding(const Reading<is_request>& reading) {
+  const auto [begin, end] = reading.parser.get().equal_range(beast::field::transfer_encoding);
+  const bool known = std::all_of(begin, end, [](const auto& field) {
+    return IsOnlyChunked({field.value().data(), field.value().size()});
+  });
+  const bool coded = begin != end;
+  return !known || coded != reading.parser.chunked();
+}
+
 /// Whether the response may be used, as far as it was read.
 bool IsUsable(const Reading<false>& reading) {
   if (reading.folded) {
     return false;
   }
-  return !reading.parser.is_header_done() ||
-         IsStatusOfResponse(static_cast<int>(reading.parser.get().result_int()));
+  if (!reading.parser.is_header_done()) {
+    return true;
+  }
+  const int status = static_cast<int>(reading.parser.get().result_int());
+  return IsStatusOfResponse(status) && !HasUnknownCoding(reading);
 }
 
 template <class Fields>
--- a/test/http/raw_answers.cc
+++ b/test/http/raw_answers.cc
@@ -60,6 +60,27 @@
   };
 }
 
+std::vector<RawAnswer> UnknownCodings(const AnswerParts& parts) {
+  const std::string start = kOk + parts.lines;
+  const std::string coding = "Transfer-Encoding: ";
+  const std::string chunked = coding + "chunked\r\n";
+  const std::string gzip = coding + "gzip\r\n";
+  const std::string chunks = InOneChunk(parts.body);
+  std::vector<RawAnswer> answers = {
+      {"gzip beside a length", start + gzip + LengthOf(parts) + "\r\n", parts.body},
+      {"gzip and chunked on two lines", start + gzip + chunked + "\r\n", chunks},
+      {"chunked and gzip on two lines", start + chunked + gzip + "\r\n", chunks},
+  };
+  for (const std::string value :
+       {"gzip, chunked", "chunked, gzip", "gzip", "deflate,gzip", "odd", "identity", "chunked;q=1",
+        "chunked odd", "chunked\t\tchunked", "", ","}) {
+    const bool in_chunks = value.ends_with(", chunked");
+    answers.push_back({"coding '" + value + "'", start + coding + value + "\r\n\r\n",
+                       in_chunks ? chunks : parts.body, /*closes=*/!in_chunks});
+  }
+  return answers;
+}
+
 std::vector<RawAnswer> FoldedTrailers(const AnswerParts& parts) {
   const std::string head = kOk + parts.lines + "Transfer-Encoding: chunked\r\n\r\n";
   const std::string chunk = InOneChunk(parts.body);
@@ -74,7 +95,7 @@
 
 std::vector<RawAnswer> BrokenAnswers(const AnswerParts& parts) {
   std::vector<RawAnswer> answers;
-  for (const auto& kind : {OddStatuses(parts), FoldedHeads(parts)}) {
+  for (const auto& kind : {OddStatuses(parts), FoldedHeads(parts), UnknownCodings(parts)}) {
     answers.insert(answers.end(), kind.begin(), kind.end());
   }
   return answers;
@@ -101,6 +122,9 @@
       {"in chunks, other case",
        std::string(kOk) + parts.lines + "TRANSFER-encoding:\tChunKed \r\n\r\n",
        InOneChunk(parts.body)},
+      {"in chunks, with empty items in the list",
+       std::string(kOk) + parts.lines + "Transfer-Encoding: ,, chunked ,\r\n\r\n",
+       InOneChunk(parts.body)},
   };
 }
 
--- a/test/http/raw_answers.h
+++ b/test/http/raw_answers.h
@@ -28,6 +28,9 @@
 /// Answers of whose head a line begins with a blank, which continues the line before it.
 std::vector<RawAnswer> FoldedHeads(const AnswerParts& parts);
 
+/// Answers whose body is coded in a way that no request allows.
+std::vector<RawAnswer> UnknownCodings(const AnswerParts& parts);
+
 /// Answers in chunks whose trailers have such a line. Their heads are sound.
 std::vector<RawAnswer> FoldedTrailers(const AnswerParts& parts);
 
