A request in a transfer coding that is not decoded is refused

What callers saw: a client's POST with `Transfer-Encoding: gzip` was sent to a leaf without its body, answered 200, and the body was then read as the next request on the connection: a body that held a GET was answered as one. With `gzip, chunked` the leaf got the coded bytes without the line that says so, and control put a document that it had read from such a body in force (200).

Cause: that of the answers, at the other reader of heads: RequestParser left to Boost.Beast what the body is, and without a length or a last `chunked` a request has none for it. RFC 9112, 6.3 asks for 400 and the end of the connection.

Change: a request is malformed unless all it says in Transfer-Encoding is `chunked`, once; 400, not run, as for any other malformed head. It is refused at its head, before its body gets room.

Why it works: all servers of all programs read requests with this parser.

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -133,6 +133,11 @@
   return !known || coded != reading.parser.chunked();
 }
 
+/// Whether the request may be used, as far as it was read.
+bool IsUsable(const Reading<true>& reading) {
+  return !reading.parser.is_header_done() || !HasUnknownCoding(reading);
+}
+
 /// Whether the response may be used, as far as it was read.
 bool IsUsable(const Reading<false>& reading) {
   if (reading.folded) {
@@ -188,7 +193,7 @@
   }
   const bool started = !input->empty() || state_ != ParseState::kEmpty;
   const ErrorCode error = Put(limits_, impl_->reading.get(), input);
-  if (error) {
+  if (error || !IsUsable(*impl_->reading)) {
     error_ = ErrorOf(error);
     impl_->reading.reset();
     state_ = ParseState::kFailed;
--- a/test/http/message_parser_test.cc
+++ b/test/http/message_parser_test.cc
@@ -71,6 +71,11 @@
         "GET / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         "GET / HTTP/1.1\r\n: empty\r\n\r\n",
+        "PUT / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "PUT / HTTP/1.1\r\nTransfer-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc",
+        "PUT / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n",
+        "PUT / HTTP/1.1\r\nTransfer-Encoding:\r\n\r\n",
     };
     for (const char* text : cases) {
       RequestMessage message;
