--- a/test/e2e/node_cut_reply_test.cc
+++ b/test/e2e/node_cut_reply_test.cc
@@ -1,4 +1,4 @@
-// Tests on real processes that a node takes no reply for whole that its leaf broke off.
+// Tests on real processes that a node takes no reply that its leaf broke off, or that is broken.
 #include <cppunit/extensions/HelperMacros.h>
 #include <sys/socket.h>
 
@@ -16,6 +16,7 @@
 #include "e2e/fleet.h"
 #include "e2e/raw_listener.h"
 #include "http/message_parser.h"
+#include "http/raw_answers.h"
 #include "query/messages.h"
 
 namespace pumicedyke::e2e {
@@ -24,6 +25,7 @@
 constexpr char kPolicy[] =
     "function plan(r) return { deadline_ms = 2000, coverage = 0.5, extra_load = 0 } end";
 constexpr char kCutQuery[] = "cut";
+constexpr char kBrokenQuery[] = "broken";
 constexpr char kHeadOfUnframed[] = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 
 std::string Framed(const std::string& body) {
@@ -42,8 +44,16 @@
   return query::LeafReplyToJson(reply).dump();
 }
 
+/// Replies with a broken head, then those with a broken body.
+std::vector<http::RawAnswer> BrokenReplies(const std::string& body) {
+  std::vector<http::RawAnswer> replies = http::BrokenHeads({"", body});
+  const std::vector<http::RawAnswer> bodies = http::BrokenBodies({"", body});
+  replies.insert(replies.end(), bodies.begin(), bodies.end());
+  return replies;
+}
+
 /// A leaf that breaks off its replies to queries "cut-PERCENT-FRAMED" after that share of their
-/// bytes.
+/// bytes, and gives a broken one to queries "broken-INDEX".
 class CuttingServer {
  public:
   explicit CuttingServer(bool cuts)
@@ -82,18 +92,29 @@
     const absl::StatusOr<query::LeafRequest> request = query::LeafRequestFromJson(message.body);
     CPPUNIT_ASSERT(request.ok());
     const std::string body = ReplyTo(*request);
-    if (!cuts_ || !request->query.starts_with(kCutQuery)) {
+    const bool asked_for =
+        request->query.starts_with(kCutQuery) || request->query.starts_with(kBrokenQuery);
+    if (!cuts_ || !asked_for) {
       Write(connection, Framed(body));
       return true;
     }
     const std::vector<std::string> parts = absl::StrSplit(request->query, '-');
+    if (parts.at(0) == kBrokenQuery) {
+      const http::RawAnswer reply = BrokenReplies(body).at(std::stoul(parts.at(1)));
+      Write(connection, reply.head + reply.body);
+      Note(request->query);
+      return !reply.closes;
+    }
     const std::string whole = parts.at(2) == "1" ? Framed(body) : kHeadOfUnframed + body;
     constexpr size_t kAll = 100;
     Write(connection, whole.substr(0, whole.size() * std::stoul(parts.at(1)) / kAll));
-    const std::lock_guard lock(mutex_);
-    cut_.insert(request->query);
+    Note(request->query);
     return false;
   }
+  void Note(const std::string& query) {
+    const std::lock_guard lock(mutex_);
+    cut_.insert(query);
+  }
   static void Write(int connection, const std::string& text) {
     (void)!::send(connection, text.data(), text.size(), MSG_NOSIGNAL);
   }
@@ -150,6 +171,7 @@
 class NodeCutReplyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(NodeCutReplyTest);
   CPPUNIT_TEST(ShardOfACutReplyIsMissing);
+  CPPUNIT_TEST(ShardOfABrokenReplyIsMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -169,6 +191,19 @@
       }
     }
   }
+
+  /// Guards against an answer that counts a shard as covered whose leaf gave a broken reply.
+  void ShardOfABrokenReplyIsMissing() {
+    const CutFleet fleet;
+    const std::vector<http::RawAnswer> replies = BrokenReplies("");
+    for (size_t i = 0; i < replies.size(); ++i) {
+      const std::string query = absl::StrCat(kBrokenQuery, "-", i);
+      const ResultCode code = fleet.CodeOf(query);
+      CPPUNIT_ASSERT_MESSAGE(replies[i].name, fleet.HasCut(query));
+      CPPUNIT_ASSERT_MESSAGE(replies[i].name, code == ResultCode::kPartial);
+      fleet.WaitUntilServed();
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeCutReplyTest);
 
--- a/test/http/broken_answers_test.cc
+++ b/test/http/broken_answers_test.cc
@@ -73,7 +73,7 @@
 class BrokenAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BrokenAnswersTest);
   CPPUNIT_TEST(BrokenHeadFailsInAnyPieces);
-  CPPUNIT_TEST(FoldedTrailersFailInAnyPieces);
+  CPPUNIT_TEST(BrokenBodyFailsInAnyPieces);
   CPPUNIT_TEST(BodyThatLooksFoldedIsRead);
   CPPUNIT_TEST(BrokenAnswerEndsItsCallAndItsConnection);
   CPPUNIT_TEST(SoundAnswersAreReadInAnyPieces);
@@ -83,7 +83,7 @@
   /// Guards against broken responses that are taken for responses, and against such that are read
   /// on for their body or for a further response although their head is there.
   void BrokenHeadFailsInAnyPieces() {
-    for (const RawAnswer& answer : BrokenAnswers(Parts())) {
+    for (const RawAnswer& answer : BrokenHeads(Parts())) {
       for (const bool to_head : {false, true}) {
         for (size_t first = 0; first <= answer.head.size(); ++first) {
           ParseState state = ParseState::kEmpty;
@@ -95,9 +95,9 @@
     }
   }
 
-  /// Guards against trailers that are taken for what they are not.
-  void FoldedTrailersFailInAnyPieces() {
-    for (const RawAnswer& answer : FoldedTrailers(Parts())) {
+  /// Guards against chunks and trailers that are taken for what they are not.
+  void BrokenBodyFailsInAnyPieces() {
+    for (const RawAnswer& answer : BrokenBodies(Parts())) {
       const std::string text = answer.head + answer.body;
       for (size_t first = 0; first <= text.size(); ++first) {
         ParseState state = ParseState::kEmpty;
@@ -131,7 +131,7 @@
   /// them there, and against calls that wait for their time-out although the head has arrived.
   void BrokenAnswerEndsItsCallAndItsConnection() {
     for (const char* method : kMethods) {
-      for (const RawAnswer& answer : BrokenAnswers(Parts())) {
+      for (const RawAnswer& answer : BrokenHeads(Parts())) {
         const std::string what = std::string(method) + " " + answer.name;
         const std::vector<ClientResponse> responses = ExchangeAround(method, answer);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(what, kServed, responses[0].status);
--- a/test/http/raw_answers.cc
+++ b/test/http/raw_answers.cc
@@ -14,6 +14,11 @@
   return {line, line + "\r\n" + parts.lines + LengthOf(parts) + "\r\n", parts.body};
 }
 
+/// An answer with a length, and one more line.
+RawAnswer WithLine(const std::string& line, const AnswerParts& parts) {
+  return {line, kOk + parts.lines + line + "\r\n" + LengthOf(parts) + "\r\n", parts.body};
+}
+
 std::string InOneChunk(const std::string& body) {
   constexpr char kDigits[] = "0123456789abcdef";
   constexpr size_t kBase = 16;
@@ -81,7 +86,62 @@
   return answers;
 }
 
-std::vector<RawAnswer> FoldedTrailers(const AnswerParts& parts) {
+std::vector<RawAnswer> MalformedHeads(const AnswerParts& parts) {
+  std::vector<RawAnswer> answers;
+  for (const std::string line :
+       {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK",
+        "HTTP/1.1 -20 OK", "HTTP/0.9 200 OK", "HTTP/1.7 200 OK", "HTTP/2.0 200 OK",
+        "http/1.1 200 OK", "ICY 200 OK", "RTSP/1.0 200 OK", "HTTP/1.1 200 O\x1bK",
+        "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK"}) {
+    answers.push_back(WithStatusLine(line, parts));
+  }
+  for (const std::string& line : {std::string("X Odd: 1"),
+                                  std::string("X-Odd : 1"),
+                                  std::string("X-Odd\t: 1"),
+                                  std::string(": 1"),
+                                  std::string("X-Odd"),
+                                  std::string("X-\x01Odd: 1"),
+                                  std::string("X-Odd\x7f: 1"),
+                                  std::string("X-\0Odd: 1", 10),
+                                  std::string("X-\xc3\xa9: 1"),
+                                  std::string("X-\rOdd: 1"),
+                                  std::string("X-\nOdd: 1"),
+                                  std::string("X-(Odd): 1"),
+                                  std::string("X-Odd: \x01"),
+                                  std::string("X-Odd: \x7f"),
+                                  std::string("X-Odd: a\rb"),
+                                  std::string("X-Odd: a\0b", 10),
+                                  std::string("X-Odd: a\nb"),
+                                  std::string("Content-Length: 1"),
+                                  std::string("Content-Length: -1"),
+                                  std::string("Content-Length: 0x10"),
+                                  std::string("Content-Length: "),
+                                  std::string("Content-Length: 99999999999999999999"),
+                                  std::string("Transfer-Encoding: chunked")}) {
+    answers.push_back(WithLine(line, parts));
+  }
+  const std::string start = kOk + parts.lines;
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  answers.push_back({"a blank before the first name",
+                     std::string(kOk) + " X-Odd: 1\r\n" + parts.lines + LengthOf(parts) + "\r\n",
+                     parts.body});
+  answers.push_back({"chunked twice", start + chunked + chunked + "\r\n", InOneChunk(parts.body)});
+  answers.push_back({"a broken name after 100",
+                     "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n" + start + LengthOf(parts) + "\r\n",
+                     parts.body});
+  return answers;
+}
+
+std::vector<RawAnswer> BrokenHeads(const AnswerParts& parts) {
+  std::vector<RawAnswer> answers;
+  for (const auto& kind :
+       {OddStatuses(parts), FoldedHeads(parts), UnknownCodings(parts), MalformedHeads(parts)}) {
+    answers.insert(answers.end(), kind.begin(), kind.end());
+  }
+  return answers;
+}
+
+std::vector<RawAnswer> BrokenBodies(const AnswerParts& parts) {
   const std::string head = kOk + parts.lines + "Transfer-Encoding: chunked\r\n\r\n";
   const std::string chunk = InOneChunk(parts.body);
   const std::string without_end = chunk.substr(0, chunk.size() - 2);
@@ -90,17 +150,18 @@
       {"a tab before a trailer", head, without_end + "X-Sum: 1\r\n\tX-Odd: 1\r\n\r\n"},
       {"a trailer's value on the next line", head, without_end + "X-Sum:\r\n 1\r\n\r\n"},
       {"a folded trailer after no chunk", head, "0\r\nX-Sum: 1\r\n 2\r\n\r\n"},
+      {"a blank in a trailer's name", head, without_end + "X Sum: 1\r\n\r\n"},
+      {"a control byte in a trailer's name", head, without_end + "X-\x01Sum: 1\r\n\r\n"},
+      {"a control byte in a trailer's value", head, without_end + "X-Sum: \x01\r\n\r\n"},
+      {"a length in a trailer", head, without_end + "Content-Length: 3\r\n\r\n"},
+      {"a negative size", head, "-1\r\n" + chunk},
+      {"a size with a prefix", head, "0x" + chunk},
+      {"a size that is none", head, "odd\r\n" + chunk},
+      {"no size", head, "\r\n" + chunk},
+      {"a chunk longer than its size", head, "1\r\n" + parts.body + "\r\n0\r\n\r\n"},
   };
 }
 
-std::vector<RawAnswer> BrokenAnswers(const AnswerParts& parts) {
-  std::vector<RawAnswer> answers;
-  for (const auto& kind : {OddStatuses(parts), FoldedHeads(parts), UnknownCodings(parts)}) {
-    answers.insert(answers.end(), kind.begin(), kind.end());
-  }
-  return answers;
-}
-
 std::vector<RawAnswer> SoundAnswers(const AnswerParts& parts) {
   const std::string rest = parts.lines + LengthOf(parts) + "\r\n";
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
--- a/test/http/raw_answers.h
+++ b/test/http/raw_answers.h
@@ -31,12 +31,14 @@
 /// Answers whose body is coded in a way that no request allows.
 std::vector<RawAnswer> UnknownCodings(const AnswerParts& parts);
 
-/// Answers in chunks whose trailers have such a line. Their heads are sound.
-std::vector<RawAnswer> FoldedTrailers(const AnswerParts& parts);
+/// Answers whose head is no head of HTTP/1.1.
+std::vector<RawAnswer> MalformedHeads(const AnswerParts& parts);
 
-/// All answers whose head says that they must never must never be
-/// passed on or used.
-std::vector<RawAnswer> BrokenAnswers(const AnswerParts& parts);
+/// All answers whose head says that they must never be passed on or used.
+std::vector<RawAnswer> BrokenHeads(const AnswerParts& parts);
+
+/// Answers in chunks with a sound head, whose chunks or trailers are broken.
+std::vector<RawAnswer> BrokenBodies(const AnswerParts& parts);
 
 /// Unusual answers that are sound, with the status 200 and the whole body.
 std::vector<RawAnswer> SoundAnswers(const AnswerParts& parts);
--- a/test/platform/broken_leafs_test.cc
+++ b/test/platform/broken_leafs_test.cc
@@ -32,29 +32,36 @@
   size_t index = 0;
 };
 
+/// Broken heads, then broken bodies, then sound answers.
 std::vector<http::RawAnswer> AnswersOf(const std::string& service) {
   const http::AnswerParts parts = RawLeaf::PartsOf(service);
-  std::vector<http::RawAnswer> answers = http::BrokenAnswers(parts);
-  const std::vector<http::RawAnswer> sound = http::SoundAnswers(parts);
-  answers.insert(answers.end(), sound.begin(), sound.end());
+  std::vector<http::RawAnswer> answers = http::BrokenHeads(parts);
+  for (const auto& more : {http::BrokenBodies(parts), http::SoundAnswers(parts)}) {
+    answers.insert(answers.end(), more.begin(), more.end());
+  }
   return answers;
 }
 
-std::vector<Manner> BrokenManners() {
+size_t BrokenHeadCount() { return http::BrokenHeads({}).size(); }
+size_t BrokenCount() { return BrokenHeadCount() + http::BrokenBodies({}).size(); }
+
+/// The manners with indices from `first` to below `end`.
+std::vector<Manner> MannersIn(size_t first, size_t end) {
+  const std::vector<http::RawAnswer> answers = AnswersOf(kPlainService);
   std::vector<Manner> manners;
-  for (const http::RawAnswer& answer : http::BrokenAnswers(RawLeaf::PartsOf(kPlainService))) {
-    manners.push_back({answer.name, manners.size()});
+  for (size_t i = first; i < end; ++i) {
+    manners.push_back({answers.at(i).name, i});
   }
   return manners;
 }
 
+/// @param to_head whether the answers have no body.
+std::vector<Manner> BrokenManners(bool to_head) {
+  return MannersIn(0, to_head ? BrokenHeadCount() : BrokenCount());
+}
+
 std::vector<Manner> SoundManners() {
-  const size_t first = BrokenManners().size();
-  std::vector<Manner> manners;
-  for (const http::RawAnswer& answer : http::SoundAnswers(RawLeaf::PartsOf(kPlainService))) {
-    manners.push_back({answer.name, first + manners.size()});
-  }
-  return manners;
+  return MannersIn(BrokenCount(), AnswersOf(kPlainService).size());
 }
 
 std::string Header(const http::ClientResponse& response, const std::string& name) {
@@ -166,7 +173,7 @@
   void BrokenAnswersReachNoClient() {
     RawFleet fleet;
     for (const std::string method : {"GET", "HEAD", "POST"}) {
-      for (const Manner& manner : BrokenManners()) {
+      for (const Manner& manner : BrokenManners(method == "HEAD")) {
         const auto [id, response] =
             fleet.SendUntilAnswered(method, RouteOf(method), kPlainService, manner);
         const std::string what = Describe(method + " " + manner.name, response);
@@ -216,7 +223,7 @@
  private:
   /// Breaks the answers of the shards in turn. All other parts must arrive.
   static void CheckGathers(RawFleet* fleet, const std::string& route, size_t shards) {
-    for (const Manner& manner : BrokenManners()) {
+    for (const Manner& manner : BrokenManners(/*to_head=*/false)) {
       const std::string broken = ShardName(manner.index % shards);
       const auto [id, response] = fleet->SendUntilAnswered("GET", route, broken, manner);
       const std::string what = Describe(manner.name, response);
--- a/test/platform/broken_requests_test.cc
+++ b/test/platform/broken_requests_test.cc
@@ -60,6 +60,7 @@
     return SendBytesTo(fleet_.ServiceAddress(0), bytes);
   }
   int runs() const { return leaf_.runs(); }
+  http::Headers last_headers() const { return leaf_.last_headers(); }
 
  private:
   PlatformFleet fleet_;
@@ -72,6 +73,8 @@
   CPPUNIT_TEST_SUITE(BrokenRequestsTest);
   CPPUNIT_TEST(RequestsInOtherCodingsReachNoLeaf);
   CPPUNIT_TEST(OrdersInOtherCodingsAreRefused);
+  CPPUNIT_TEST(BrokenLinesReachNoLeaf);
+  CPPUNIT_TEST(FoldedLinesReachLeafsAsOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -100,6 +103,49 @@
       CPPUNIT_ASSERT_MESSAGE(coding + ": " + response, IsRefused(response));
     }
   }
+
+  void BrokenLinesReachNoLeaf() {
+    const RequestFleet fleet;
+    const int runs = fleet.runs();
+    const std::string lines[] = {
+        "X Odd: 1",
+        "X-Odd : 1",
+        "X-Odd\t: 1",
+        ": 1",
+        "X-Odd",
+        "X-\x01Odd: 1",
+        "X-Odd\x7f: 1",
+        "X-\xc3\xa9: 1",
+        "X-(Odd): 1",
+        "X-Odd: \x01",
+        "X-Odd: \x7f",
+        "X-Odd: a\rb",
+        "X-Odd: a\nX-B: 2",
+        std::string("X-\0Odd: 1", 10),
+        std::string("X-Odd: a\0b", 10),
+    };
+    for (const std::string& line : lines) {
+      for (const std::string method : {"GET", "HEAD", "POST"}) {
+        const std::string path = method == "POST" ? "/once/broken" : "/safe/broken";
+        const std::string response =
+            fleet.Send(absl::StrCat(HeadOf(method, path), line, "\r\n\r\n"));
+        CPPUNIT_ASSERT_MESSAGE(line + ": " + response, IsRefused(response));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(runs, fleet.runs());
+  }
+
+  /// Guards against a folded line that is passed on as such, or as a line of its own.
+  void FoldedLinesReachLeafsAsOne() {
+    const RequestFleet fleet;
+    const std::string response =
+        fleet.Send(HeadOf("GET", "/safe/folded") + "X-Odd: 1\r\n X-Tenant: other\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(response, response.starts_with("HTTP/1.1 200 "));
+    const http::Headers headers = fleet.last_headers();
+    CPPUNIT_ASSERT(http::FindHeader(headers, "X-Odd") != nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("1 X-Tenant: other"), *http::FindHeader(headers, "X-Odd"));
+    CPPUNIT_ASSERT(http::FindHeader(headers, "X-Tenant") == nullptr);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenRequestsTest);
 
