Test: requests that come late in a planned stop are answered (nothing changed for it)

From the reports of other operators: in calm, a stop of one edge machine cut requests that had come late in its grace, among them such as may not be repeated.

--- a/test/e2e/raw_connection.cc
+++ b/test/e2e/raw_connection.cc
@@ -7,12 +7,16 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <utility>
 
 #include "http/http_server.h"
 
 namespace pumicedyke::e2e {
 
-RawConnection::RawConnection(const std::string& address, int receive_buffer) {
+namespace {
+
+/// @return whether somebody listens at the address.
+bool Connect(int socket, const std::string& address) {
   std::string host;
   uint16_t port = 0;
   CPPUNIT_ASSERT(http::SplitAddress(address, &host, &port));
@@ -20,11 +24,23 @@
   peer.sin_family = AF_INET;
   peer.sin_port = htons(port);
   ::inet_pton(AF_INET, host.c_str(), &peer.sin_addr);
-  socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  return ::connect(socket, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)) == 0;
+}
+
+}  // namespace
+
+RawConnection::RawConnection() : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {}
+
+RawConnection::RawConnection(const std::string& address, int receive_buffer) : RawConnection() {
   if (receive_buffer > 0) {
     ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
   }
-  CPPUNIT_ASSERT(::connect(socket_, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)) == 0);
+  CPPUNIT_ASSERT(Connect(socket_, address));
+}
+
+std::unique_ptr<RawConnection> RawConnection::ConnectIfListening(const std::string& address) {
+  std::unique_ptr<RawConnection> connection(new RawConnection());
+  return Connect(connection->socket_, address) ? std::move(connection) : nullptr;
 }
 
 RawConnection::~RawConnection() { ::close(socket_); }
--- a/test/e2e/raw_connection.h
+++ b/test/e2e/raw_connection.h
@@ -1,6 +1,7 @@
 // A connection on which a test sends arbitrary bytes, and reads what comes back.
 #pragma once
 
+#include <memory>
 #include <string>
 
 namespace pumicedyke::e2e {
@@ -11,6 +12,8 @@
   /// @param receive_buffer bytes that the operating system keeps for a reader that is slow; zero:
   /// its default.
   explicit RawConnection(const std::string& address, int receive_buffer = 0);
+  /// @return null if nobody listens.
+  static std::unique_ptr<RawConnection> ConnectIfListening(const std::string& address);
   ~RawConnection();
   RawConnection(const RawConnection&) = delete;
   RawConnection& operator=(const RawConnection&) = delete;
@@ -29,6 +32,9 @@
   bool reset() const { return reset_; }
 
  private:
+  /// Only creates the socket.
+  RawConnection();
+
   int socket_ = -1;
   bool closed_ = false;
   bool reset_ = false;
--- a/test/platform/arrival_log.cc
+++ b/test/platform/arrival_log.cc
@@ -31,6 +31,12 @@
   }
 }
 
+bool ArrivalLog::HasArrived(const std::string& service, const std::string& request_id) const {
+  const std::lock_guard lock(mutex_);
+  const auto it = services_.find(service);
+  return it != services_.end() && it->second.arrived.contains(request_id);
+}
+
 double ArrivalLog::MaxExcess(const RepeatLimit& limit) const {
   const std::lock_guard lock(mutex_);
   double excess = std::numeric_limits<double>::lowest();
--- a/test/platform/arrival_log.h
+++ b/test/platform/arrival_log.h
@@ -29,6 +29,8 @@
   /// Records a request's arrival at a leaf of a service.
   void OnArrival(const std::string& service, const std::string& request_id);
 
+  bool HasArrived(const std::string& service, const std::string& request_id) const;
+
   /// Returns the greatest number of repeats beyond the limit, over all services and all windows;
   /// not above zero if the limit was kept. As the users count: the requests are those of the
   /// window, of the one before it, or of the one half a window before it, whichever holds the most.
--- a/test/platform/platform_fleet.cc
+++ b/test/platform/platform_fleet.cc
@@ -229,7 +229,8 @@
            << options_.extra_load_allowance
            << "\nfirst_start = " << (first_start ? "true" : "false") << "\nseeds = [\""
            << ServiceAddress(0) << "\", \"" << ServiceAddress(1)
-           << "\"]\ninternal_port = " << internal_port_ << "\ndrain_grace_ms = 300\n";
+           << "\"]\ninternal_port = " << internal_port_
+           << "\ndrain_grace_ms = " << options_.drain_grace / Milliseconds(1) << "\n";
   if (options_.kill_after.count() > 0) {
     settings << "kill_after_ms = " << options_.kill_after / Milliseconds(1) << "\n";
   }
--- a/test/platform/platform_fleet.h
+++ b/test/platform/platform_fleet.h
@@ -101,6 +101,8 @@
   int extra_load_allowance = 10;
   /// What gateways are told about when they are killed after SIGTERM; zero: nothing.
   Duration kill_after = Seconds(6);
+  /// How long gateways accept connections after SIGTERM.
+  Duration drain_grace = Milliseconds(300);
 };
 
 class PlatformFleet {
--- a/test/platform/stop_limit_test.cc
+++ b/test/platform/stop_limit_test.cc
@@ -6,11 +6,13 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "common/json.h"
 #include "e2e/raw_connection.h"
 #include "e2e/whole_response.h"
+#include "platform/arrival_log.h"
 #include "platform/platform_fleet.h"
 
 namespace pumicedyke::platform {
@@ -96,11 +98,74 @@
   std::vector<std::unique_ptr<e2e::RawConnection>> connections_;
 };
 
+/// Clients that send a request that may run once at a time, on connections that they have kept and
+/// on new ones.
+class LateClients {
+ public:
+  /// Opens the connections that are kept, on which a request each is answered.
+  LateClients(std::string gateway, int64_t kept) : gateway_(std::move(gateway)) {
+    for (int64_t i = 0; i < kept; ++i) {
+      auto connection = std::make_unique<e2e::RawConnection>(gateway_);
+      connection->SendBytes(RequestWith("kept-" + std::to_string(i)));
+      e2e::WaitFor("a response", [&] { return !connection->ReadAvailable().empty(); });
+      kept_.push_back(std::move(connection));
+    }
+  }
+
+  /// Sends one request on a kept connection, and one on a new one if the gateway listens.
+  void SendNext() {
+    if (!kept_.empty()) {
+      Send(std::move(kept_.back()));
+      kept_.pop_back();
+    }
+    Send(e2e::RawConnection::ConnectIfListening(gateway_));
+  }
+  /// Waits until all connections have ended. @return the ids of the requests that have arrived at a
+  /// leaf and got no whole response, with what came.
+  std::string LostOf(const ArrivalLog& arrivals) const {
+    std::string lost;
+    for (size_t i = 0; i < sent_.size(); ++i) {
+      const std::string response = sent_[i]->ReadToEnd();
+      if (arrivals.HasArrived("silent", IdOf(i)) && !e2e::IsWholeResponse(response)) {
+        lost += IdOf(i) + " got '" + response + "'\n";
+      }
+    }
+    return lost;
+  }
+
+  /// Number of requests that have arrived at a leaf.
+  size_t PassedOn(const ArrivalLog& arrivals) const {
+    size_t count = 0;
+    for (size_t i = 0; i < sent_.size(); ++i) {
+      count += arrivals.HasArrived("silent", IdOf(i)) ? 1 : 0;
+    }
+    return count;
+  }
+
+ private:
+  static std::string IdOf(size_t number) { return "late-" + std::to_string(number); }
+  static std::string RequestWith(const std::string& id) {
+    return "POST /once/" + id + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: " + std::to_string(kDeadline) + "\r\nContent-Length: 0\r\n\r\n";
+  }
+  void Send(std::unique_ptr<e2e::RawConnection> connection) {
+    if (connection != nullptr) {
+      connection->SendBytes(RequestWith(IdOf(sent_.size())));
+      sent_.push_back(std::move(connection));
+    }
+  }
+
+  std::string gateway_;
+  std::vector<std::unique_ptr<e2e::RawConnection>> kept_;
+  std::vector<std::unique_ptr<e2e::RawConnection>> sent_;
+};
+
 }  // namespace
 
 class StopLimitTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StopLimitTest);
   CPPUNIT_TEST(EveryRequestIsAnsweredBeforeAStoppingGatewayIsKilled);
+  CPPUNIT_TEST(LateRequestsOfAStoppingGatewayAreAnswered);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -147,6 +212,37 @@
     CPPUNIT_ASSERT(all_ended);
   }
 
+  /// Guards against requests that may run once, come at any moment of a planned stop in calm, new
+  /// connections and kept ones, and are passed on but end without an answer. The leaf never
+  /// answers.
+  void LateRequestsOfAStoppingGatewayAreAnswered() {
+    constexpr Duration kInterval = Milliseconds(200);
+    // Leafs have room for two requests each, so that every one is passed on at once.
+    constexpr int kLeafs = 2 * (kKillAfter / kInterval);
+    PlatformFleet fleet({.kill_after = kKillAfter, .drain_grace = kKillAfter});
+    ArrivalLog arrivals;
+    std::vector<std::unique_ptr<FakeLeaf>> leafs;
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Put(Document()));
+    for (int i = 0; i < kLeafs; ++i) {
+      leafs.push_back(std::make_unique<FakeLeaf>("leaf-" + std::to_string(i), "silent", &arrivals));
+      fleet.SendHeartbeats({leafs.back().get()});
+    }
+    fleet.WaitUntilServed("/once/1");
+    LateClients clients(fleet.gateway_address(), kKillAfter / kInterval);
+    for (const auto& leaf : leafs) {
+      leaf->Hold();
+    }
+    auto end = std::async(std::launch::async, e2e::StopLikeThePlatform,
+                          fleet.processes.at("gateway").get(), kKillAfter);
+    e2e::WaitFor("the end of the gateway", [&] {
+      clients.SendNext();
+      return end.wait_for(kInterval) == std::future_status::ready;
+    });
+    CPPUNIT_ASSERT(end.get());
+    CPPUNIT_ASSERT_EQUAL(std::string(), clients.LostOf(arrivals));
+    CPPUNIT_ASSERT(clients.PassedOn(arrivals) > 0);
+  }
+
  private:
   static std::vector<std::unique_ptr<FakeLeaf>> StartLeafs() {
     std::vector<std::unique_ptr<FakeLeaf>> leafs;
