Test: other clients are served while leafs send bytes without end (nothing changed for it)

From the reports of other operators: a leaf sent bytes without end in a head or a body, and the requests of other clients on that machine ended with it. Memory was bounded on earlier code, and EndlessBytesTest covers heads and bodies; what other clients get meanwhile was asked only afterwards.

--- a/test/platform/endless_bytes_test.cc
+++ b/test/platform/endless_bytes_test.cc
@@ -1,7 +1,10 @@
 // Tests on real processes: leafs, clients and callers that send bytes without end.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,6 +22,9 @@
 constexpr int kPeersAtOnce = 8;
 constexpr int kServed = 200;
 constexpr int64_t kDeadlineMilliseconds = 600;
+constexpr int64_t kClientWaitsMilliseconds = 5000;
+/// Of requests that must be served, however busy the machine is.
+constexpr int kLongDeadlineMilliseconds = 20'000;
 
 struct Manner {
   const char* name;
@@ -28,7 +34,7 @@
 std::string ServiceName(size_t number) { return "s" + std::to_string(number); }
 
 /// A document with routes /0/, /1/ and so on to a service each, for requests that may run once.
-std::string Document(size_t services) {
+std::string Document(size_t services, int timeout_milliseconds = 2000) {
   Json routes = Json::array();
   Json backends = Json::array();
   for (size_t i = 0; i < services; ++i) {
@@ -37,7 +43,7 @@
                       {"host", "desk.example"},
                       {"path_prefix", "/" + std::to_string(i) + "/"},
                       {"type", "mutating"},
-                      {"timeout_ms", 2000},
+                      {"timeout_ms", timeout_milliseconds},
                       {"slo_ms", 500},
                       {"priority", 1},
                       {"backend", service},
@@ -124,7 +130,8 @@
   CPPUNIT_ASSERT_MESSAGE(what + ": " + std::to_string(memory) + " bytes", memory <= most);
 }
 
-http::ClientResponse SendOnce(const PlatformFleet& fleet, size_t service, const std::string& id) {
+http::ClientResponse SendOnce(const PlatformFleet& fleet, size_t service, const std::string& id,
+                              int64_t deadline_milliseconds = kDeadlineMilliseconds) {
   http::ClientRequest request;
   request.address = fleet.gateway_address();
   request.path = "/" + std::to_string(service) + "/" + id;
@@ -132,10 +139,30 @@
   request.body = "one stack";
   request.headers = {{"Host", "desk.example"},
                      {"X-Request-Id", id},
-                     {"X-Deadline-Ms", std::to_string(kDeadlineMilliseconds)}};
+                     {"X-Deadline-Ms", std::to_string(deadline_milliseconds)}};
+  request.timeout = Milliseconds(std::max(deadline_milliseconds, kClientWaitsMilliseconds));
   return http::FetchBlocking(request);
 }
 
+/// Starts the only leaf of each service but the first, each with a manner of its own, and waits
+/// until all are used.
+std::vector<std::unique_ptr<EndlessLeaf>> StartEndlessLeafs(const PlatformFleet& fleet,
+                                                            const std::vector<Manner>& manners) {
+  std::vector<std::unique_ptr<EndlessLeaf>> leafs;
+  for (size_t i = 0; i < manners.size(); ++i) {
+    leafs.push_back(std::make_unique<EndlessLeaf>("endless-" + std::to_string(i),
+                                                  ServiceName(1 + i), manners[i].bytes));
+    e2e::WaitFor("a heartbeat to be acknowledged",
+                 [&] { return leafs[i]->SendHeartbeat(fleet.ServiceAddress(0)) == kServed; });
+    const std::string first = "first-" + std::to_string(i);
+    e2e::WaitFor("the leaf to be used", [&] {
+      SendOnce(fleet, 1 + i, first);
+      return leafs[i]->HasReceived(first);
+    });
+  }
+  return leafs;
+}
+
 /// Checks the answers to requests of a service whose only leaf answers in the given manner.
 void CheckLeaf(PlatformFleet* fleet, const Manner& manner, size_t service) {
   EndlessLeaf leaf("endless-" + std::to_string(service), ServiceName(service), manner.bytes);
@@ -183,6 +210,7 @@
 class EndlessBytesTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessBytesTest);
   CPPUNIT_TEST(LeafsThatSendWithoutEndTakeLittle);
+  CPPUNIT_TEST(OtherClientsAreServedMeanwhile);
   CPPUNIT_TEST(ClientsThatSendWithoutEndTakeLittle);
   CPPUNIT_TEST(CallersOfControlThatSendWithoutEndTakeLittle);
   CPPUNIT_TEST(FramesWithoutEndTakeLittle);
@@ -200,6 +228,44 @@
     CheckServes(&fleet);
   }
 
+  /// Guards against requests of other clients that fail while leafs send without end, in heads and
+  /// in bodies, all manners at once.
+  void OtherClientsAreServedMeanwhile() {
+    constexpr int kRounds = 10;
+    PlatformFleet fleet;
+    const std::vector<Manner> manners = MannersOfLeafs();
+    CPPUNIT_ASSERT_EQUAL(kServed,
+                         fleet.Put(Document(1 + manners.size(), kLongDeadlineMilliseconds)));
+    FakeLeaf sound("leaf-a", ServiceName(0));
+    fleet.SendHeartbeats({&sound});
+    fleet.WaitUntilServed("/0/sound");
+    const auto leafs = StartEndlessLeafs(fleet, manners);
+    std::vector<std::thread> clients;
+    std::atomic<size_t> busy = manners.size();
+    for (size_t i = 0; i < manners.size(); ++i) {
+      clients.emplace_back([&fleet, &busy, i] {
+        for (int round = 0; round < kRounds; ++round) {
+          SendOnce(fleet, 1 + i, std::to_string(i) + "-" + std::to_string(round));
+        }
+        --busy;
+      });
+    }
+    std::vector<int> statuses;
+    while (busy > 0) {
+      statuses.push_back(
+          SendOnce(fleet, 0, "o-" + std::to_string(statuses.size()), kLongDeadlineMilliseconds)
+              .status);
+    }
+    for (std::thread& client : clients) {
+      client.join();
+    }
+    CPPUNIT_ASSERT(!statuses.empty());
+    for (const int status : statuses) {
+      CPPUNIT_ASSERT_EQUAL(kServed, status);
+    }
+    CheckProcess(&fleet, "gateway", "all manners");
+  }
+
   /// Guards against gateways that end, or take memory without bound, because of a client's bytes.
   void ClientsThatSendWithoutEndTakeLittle() {
     PlatformFleet fleet;
