--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -1,5 +1,6 @@
 // Incremental parsers of HTTP/1.1 requests and responses, based on Boost.Beast's parser. They
-// consume exactly the bytes of one message; following bytes stay in the caller's input.
+// consume exactly the bytes of one message; following bytes stay in the caller's input. What that
+// parser reads but head_rules.h refuses is malformed, too.
 #pragma once
 
 #include <cstdint>
